--- /dev/null
+++ b/src/gypsumhold/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Clocks, codecs, servers and clients: all input and output."""
--- /dev/null
+++ b/src/gypsumhold/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Reducer and policies: pure functions over the model."""
--- /dev/null
+++ b/src/gypsumhold/model/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, messages, events and effects; imports nothing else here."""
--- /dev/null
+++ b/src/gypsumhold/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Composition roots of the programs."""
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,48 @@
+"""Guards the one-way import direction between the packages."""
+
+import ast
+import pathlib
+
+import pytest
+
+SOURCE = pathlib.Path(__file__).parent.parent / "src"
+LAYERS = ("model", "decisions", "adapters", "programs")
+IO_MODULES = {
+    "cherrypy",
+    "jsonc",
+    "logbook",
+    "random",
+    "socket",
+    "threading",
+    "thrift",
+    "time",
+    "urllib3",
+}
+
+
+def list_imports(path: pathlib.Path) -> set[str]:
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names |= {f"{node.module}.{alias.name}" for alias in node.names}
+    return names
+
+
+@pytest.mark.parametrize("layer", LAYERS)
+def test_packages_import_only_lower_layers(layer: str) -> None:
+    allowed = LAYERS[: LAYERS.index(layer) + 1]
+    for path in (SOURCE / "gypsumhold" / layer).rglob("*.py"):
+        for name in list_imports(path):
+            parts = name.split(".")
+            assert parts[0] != "gypsumhold_standin", (path, name)
+            if parts[0] == "gypsumhold" and parts[1] in LAYERS:
+                assert parts[1] in allowed, (path, name)
+
+
+@pytest.mark.parametrize("layer", ("model", "decisions"))
+def test_decisions_do_no_input_or_output(layer: str) -> None:
+    for path in (SOURCE / "gypsumhold" / layer).rglob("*.py"):
+        roots = {name.split(".")[0] for name in list_imports(path)}
+        assert not roots & IO_MODULES, path
