Write the design and the core types

Cause: every part needs the same states, messages, events and effects before it can be built beside the others. Conclusion: ids are NewType, states are Enum, events and effects are closed unions of frozen dataclasses, and one reduce() takes every event.

--- /dev/null
+++ b/src/gypsumhold/decisions/reducer.py
@@ -0,0 +1,28 @@
+"""The one reducer: every event of every role goes through `reduce`."""
+
+import datetime
+from collections.abc import Callable
+from typing import Any
+
+from gypsumhold.model import agent, effects, entry, events
+
+State = entry.EntryState | agent.AgentState
+Handler = Callable[[Any, Any, datetime.timedelta], list[effects.Effect]]
+
+_HANDLERS: dict[tuple[type, type], Handler] = {}
+
+
+def reduce(
+    state: State, event: events.Event, now: datetime.timedelta
+) -> effects.Effects:
+    """Applies `event` to `state` and returns what has to be done.
+
+    Args:
+        state: State of one role; changed in place, by this function only.
+        event: What happened.
+        now: Reading of the role's monotonic clock.
+
+    Returns:
+        Effects in the order in which they were decided.
+    """
+    return tuple(_HANDLERS[type(state), type(event)](state, event, now))
--- /dev/null
+++ b/src/gypsumhold/model/errors.py
@@ -0,0 +1,43 @@
+"""Typed errors; each message names the remedy."""
+
+import dataclasses
+import enum
+
+
+class ErrorKind(enum.StrEnum):
+    """Closed set of errors that a person or a peer can cause or meet."""
+
+    BAD_HEADER = "bad-header"
+    BAD_BODY = "bad-body"
+    BAD_SETTING = "bad-setting"
+    BAD_DECLARATION = "bad-declaration"
+    BODY_TOO_LARGE = "body-too-large"
+    UNKNOWN_ORGANISATION = "unknown-organisation"
+    UNKNOWN_KIND = "unknown-kind"
+    UNKNOWN_TASK = "unknown-task"
+    UNKNOWN_INSTANCE = "unknown-instance"
+    UNAUTHORISED = "unauthorised"
+    VERSION_CONFLICT = "version-conflict"
+    PORT_IN_USE = "port-in-use"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    PEER_UNAVAILABLE = "peer-unavailable"
+    PEER_REFUSED = "peer-refused"
+    DECODING = "decoding"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Error:
+    """One failure.
+
+    Attributes:
+        kind: Which of the closed set.
+        message: What is wrong.
+        remedy: What the reader can do about it.
+    """
+
+    kind: ErrorKind
+    message: str
+    remedy: str
+
+    def __str__(self) -> str:
+        return f"{self.kind}: {self.message} ({self.remedy})"
--- /dev/null
+++ b/src/gypsumhold/model/resources.py
@@ -0,0 +1,51 @@
+"""Amounts of processors, memory and accelerators."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of each countable resource of an instance.
+
+    Attributes:
+        cpu_millis: Thousandths of a processor core.
+        memory_mb: Memory in units of 1,000,000 bytes.
+        accelerators: Whole accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room: "Resources") -> bool:
+        """Tells whether every amount is at most that of `room`."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def take_larger(self, other: "Resources") -> "Resources":
+        """Returns the larger of the two amounts of each resource."""
+        return Resources(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/src/gypsumhold/model/states.py
@@ -0,0 +1,169 @@
+"""Closed sets of states, outcomes and reasons."""
+
+import enum
+
+
+class WorkClass(enum.StrEnum):
+    """Urgency of work, most urgent first."""
+
+    URGENT = "urgent"
+    STANDARD = "standard"
+    BATCH = "batch"
+
+
+class WorkForm(enum.StrEnum):
+    """Whether a template describes requests or tasks."""
+
+    REQUEST = "request"
+    TASK = "task"
+
+
+class Outcome(enum.StrEnum):
+    """Final result of one request, as the caller sees it."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    INDETERMINATE = "indeterminate"
+    IN_PROGRESS = "in-progress"
+
+
+class Reason(enum.StrEnum):
+    """Why a request or a dispatch ended as it did."""
+
+    NONE = "none"
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_ORGANISATION = "unknown-organisation"
+    UNKNOWN_KIND = "unknown-kind"
+    BODY_TOO_LARGE = "body-too-large"
+    KEY_REQUIRED = "key-required"
+    KEY_REUSED = "key-reused"
+    NO_CONFIGURATION = "no-configuration"
+    NO_UPSTREAM = "no-upstream"
+    OVERLOADED = "overloaded"
+    DRAINING = "draining"
+    EXPIRED = "expired"
+    STALE_INCARNATION = "stale-incarnation"
+    TOMBSTONED = "tombstoned"
+    DUPLICATE = "duplicate"
+    CANCELLED = "cancelled"
+    TABLE_UNAVAILABLE = "table-unavailable"
+    UPSTREAM_FAILED = "upstream-failed"
+    UPSTREAM_TIMEOUT = "upstream-timeout"
+    AGENT_LOST = "agent-lost"
+    INCARNATION_GONE = "incarnation-gone"
+
+
+class MemberState(enum.StrEnum):
+    """State that an agent announces."""
+
+    JOINING = "joining"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class CallPhase(enum.StrEnum):
+    """Where a request stands in the entry."""
+
+    CLAIMING = "claiming"
+    WAITING_RETRY = "waiting-retry"
+    DISPATCHED = "dispatched"
+    CANCELLING = "cancelling"
+    WAITING_RESULT = "waiting-result"
+    PROBING = "probing"
+    RECORDING = "recording"
+    RECLAIMING = "reclaiming"
+
+
+class ClaimState(enum.StrEnum):
+    """State of the durable claim of a request that is not repeatable."""
+
+    CLAIMED = "claimed"
+    COMPLETED = "completed"
+    NOT_RUN = "not-run"
+    INDETERMINATE = "indeterminate"
+
+
+class CancelAnswer(enum.StrEnum):
+    """What an agent knows of an attempt that an entry gives up."""
+
+    NEVER_SEEN = "never-seen"
+    REMOVED = "removed"
+    RUNNING = "running"
+    FINISHED = "finished"
+    STALE_INCARNATION = "stale-incarnation"
+
+
+class DispatchPhase(enum.StrEnum):
+    """Where a dispatched request stands in the agent."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    LINGERING = "lingering"
+
+
+class TaskState(enum.StrEnum):
+    """Durable state of a task."""
+
+    QUEUED = "queued"
+    ASSIGNED = "assigned"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    PARKED = "parked"
+
+
+FINAL_TASK_STATES = frozenset(
+    {
+        TaskState.SUCCEEDED,
+        TaskState.FAILED,
+        TaskState.CANCELLED,
+        TaskState.PARKED,
+    }
+)
+
+
+class ExecutionState(enum.StrEnum):
+    """State of a task on an instance, as its agent reports it."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    THROTTLED = "throttled"
+    CHECKPOINTING = "checkpointing"
+    STOPPING = "stopping"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    EVICTED = "evicted"
+    STOPPED = "stopped"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class PartitionPhase(enum.StrEnum):
+    """What an entry has to do with a partition of the task queue."""
+
+    OBSERVED = "observed"
+    TAKING = "taking"
+    LOADING = "loading"
+    HELD = "held"
+
+
+class CommitResult(enum.StrEnum):
+    """Answer of the table to a transaction."""
+
+    COMMITTED = "committed"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+    """Refused before it took effect."""
+    UNKNOWN = "unknown"
+    """No answer; the transaction may have taken effect."""
+
+
+class SubmissionResult(enum.StrEnum):
+    """Answer to an operation on a task or on the configuration."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    CONFLICT = "conflict"
+    NOT_FOUND = "not-found"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
