--- /dev/null
+++ b/src/gypsumhold/decisions/admission.py
@@ -0,0 +1,315 @@
+"""Dispatches in an agent: acceptance, queue, slots, memory of attempts."""
+
+import datetime
+
+from gypsumhold.decisions import occupancy
+from gypsumhold.model import (
+    agent,
+    declarations,
+    effects,
+    events,
+    policies,
+    requests,
+    states,
+    timers,
+)
+
+MEMORY_TIME = datetime.timedelta(minutes=10)
+"""How long an ended attempt is remembered after it became invalid."""
+
+RETRY_AFTER = datetime.timedelta(seconds=1)
+"""Pause that is suggested after a refusal for load."""
+
+MAX_KEPT_BYTES = 64 * 1024
+"""Largest body that is kept for an entry that may ask for it again."""
+
+
+def take_dispatch(
+    state: agent.AgentState,
+    event: events.DispatchArrived,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Accepts a dispatch into the queue or refuses it."""
+    dispatch = event.dispatch
+    key = requests.AttemptKey(dispatch.request_id, dispatch.attempt)
+    known = _answer_known(state, key)
+    if known is not None:
+        return [effects.ReplyDispatch(key, known)]
+    template = state.configuration.resolve(dispatch.organisation, dispatch.kind)
+    reason = _find_refusal(state, dispatch, template, now)
+    if reason is not states.Reason.NONE or template is None:
+        return [_refuse(state, key, dispatch, reason)]
+    deadline = now + dispatch.remaining
+    state.calls[key] = agent.AgentCall(dispatch, template, deadline)
+    organisation = state.configuration.organisations[dispatch.organisation]
+    state.policies.queue.push(
+        policies.QueuedCall(
+            key=key,
+            organisation=dispatch.organisation,
+            work_class=template.work_class,
+            weight=organisation.weight,
+            deadline=deadline,
+            arrived=now,
+        )
+    )
+    return fill_slots(state, now)
+
+
+def _answer_known(
+    state: agent.AgentState, key: requests.AttemptKey
+) -> requests.DispatchReply | None:
+    memory = state.memories.get(key)
+    if memory is not None:
+        return memory.reply or requests.DispatchReply(
+            states.Outcome.NOT_RUN, states.Reason.TOMBSTONED
+        )
+    if key in state.calls:
+        return requests.DispatchReply(
+            states.Outcome.INDETERMINATE, states.Reason.DUPLICATE
+        )
+    return None
+
+
+def _find_refusal(
+    state: agent.AgentState,
+    dispatch: requests.Dispatch,
+    template: declarations.Template | None,
+    now: datetime.timedelta,
+) -> states.Reason:
+    if dispatch.incarnation != state.options.incarnation:
+        return states.Reason.STALE_INCARNATION
+    if state.draining or state.stopping:
+        return states.Reason.DRAINING
+    if not state.configuration.version:
+        return states.Reason.NO_CONFIGURATION
+    if template is None:
+        return states.Reason.UNKNOWN_KIND
+    if not occupancy.is_usable(state, now) or state.upstream is None:
+        return states.Reason.NO_UPSTREAM
+    if dispatch.kind not in state.upstream.kinds:
+        return states.Reason.UNKNOWN_KIND
+    late = now >= dispatch.valid_until
+    if late or dispatch.remaining <= datetime.timedelta(0):
+        return states.Reason.EXPIRED
+    return _find_overload(state, dispatch)
+
+
+def _find_overload(
+    state: agent.AgentState, dispatch: requests.Dispatch
+) -> states.Reason:
+    queue = state.policies.queue
+    organisation = state.configuration.organisations[dispatch.organisation]
+    full = queue.count() >= state.options.queue_limit
+    share = queue.count(dispatch.organisation) >= organisation.queue_limit
+    return states.Reason.OVERLOADED if full or share else states.Reason.NONE
+
+
+def _refuse(
+    state: agent.AgentState,
+    key: requests.AttemptKey,
+    dispatch: requests.Dispatch,
+    reason: states.Reason,
+) -> effects.Effect:
+    reply = requests.DispatchReply(
+        states.Outcome.NOT_RUN, reason, retry_after=RETRY_AFTER
+    )
+    if dispatch.keep_answer and reason is not states.Reason.STALE_INCARNATION:
+        _remember(state, key, dispatch, reply)
+    return effects.ReplyDispatch(key, reply)
+
+
+def _remember(
+    state: agent.AgentState,
+    key: requests.AttemptKey,
+    dispatch: requests.Dispatch,
+    reply: requests.DispatchReply,
+) -> None:
+    """Remembers an ended attempt, so that it never counts as unseen."""
+    answer = reply.answer
+    small = answer is None or len(answer.body) <= MAX_KEPT_BYTES
+    if not dispatch.keep_answer and not small:
+        reply = requests.DispatchReply(states.Outcome.INDETERMINATE)
+    forget_at = dispatch.valid_until + MEMORY_TIME
+    state.memories[key] = agent.Memory(reply, forget_at)
+
+
+def fill_slots(
+    state: agent.AgentState, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Gives free slots to waiting calls; expired ones are dropped first."""
+    made: list[effects.Effect] = []
+    for expired in state.policies.queue.pop_expired(now):
+        made.append(_end_unrun(state, expired.key, states.Reason.EXPIRED))
+    while state.policies.queue.count() and occupancy.count_free(state, now):
+        queued = state.policies.queue.pop()
+        if queued is None:
+            break
+        made.append(_call_upstream(state, queued.key, now))
+    return [*made, *_set_queue_timer(state, now)]
+
+
+def _set_queue_timer(
+    state: agent.AgentState, now: datetime.timedelta
+) -> list[effects.Effect]:
+    earliest = state.policies.queue.find_earliest()
+    if earliest is None:
+        return []
+    timer = timers.Timer(timers.TimerKind.QUEUE)
+    return [effects.SetTimer(timer, earliest - now)]
+
+
+def _call_upstream(
+    state: agent.AgentState,
+    key: requests.AttemptKey,
+    now: datetime.timedelta,
+) -> effects.Effect:
+    assert state.upstream is not None
+    call = state.calls[key]
+    call.phase = states.DispatchPhase.RUNNING
+    call.started_at = now
+    state.running += 1
+    return effects.CallUpstream(
+        key,
+        state.upstream.address,
+        call.deadline - now,
+        call.dispatch.payload,
+    )
+
+
+def _end_unrun(
+    state: agent.AgentState,
+    key: requests.AttemptKey,
+    reason: states.Reason,
+) -> effects.Effect:
+    call = state.calls.pop(key)
+    reply = requests.DispatchReply(
+        states.Outcome.NOT_RUN, reason, retry_after=RETRY_AFTER
+    )
+    _remember(state, key, call.dispatch, reply)
+    return effects.ReplyDispatch(key, reply)
+
+
+def wake_queue(
+    state: agent.AgentState, timer: timers.Timer, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Drops expired calls."""
+    return fill_slots(state, now)
+
+
+def take_answer(
+    state: agent.AgentState,
+    event: events.UpstreamAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Passes the upstream's whole answer on and frees the slot."""
+    call = state.calls.get(event.key)
+    if call is None or call.phase is not states.DispatchPhase.RUNNING:
+        return []
+    running = [item.start.kind for item in state.executions.values()]
+    state.policies.interference.observe(
+        call.template.name, now - call.started_at, running
+    )
+    reply = requests.DispatchReply(
+        states.Outcome.COMPLETED, answer=event.answer
+    )
+    return _end_run(state, event.key, reply, now)
+
+
+def _end_run(
+    state: agent.AgentState,
+    key: requests.AttemptKey,
+    reply: requests.DispatchReply,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    call = state.calls.pop(key)
+    state.running -= 1
+    _remember(state, key, call.dispatch, reply)
+    ended = effects.ReplyDispatch(key, reply)
+    return [ended, *fill_slots(state, now), *report_stopped(state)]
+
+
+def take_upstream_loss(
+    state: agent.AgentState,
+    event: events.UpstreamLost,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Ends a call whose answer is lost; its slot may stay in use."""
+    call = state.calls.get(event.key)
+    if call is None or call.phase is not states.DispatchPhase.RUNNING:
+        return []
+    if event.sent:
+        occupancy.add_lingering(state, 1, now)
+        reply = requests.DispatchReply(
+            states.Outcome.INDETERMINATE, event.reason
+        )
+    else:
+        reply = requests.DispatchReply(
+            states.Outcome.NOT_RUN, event.reason, retry_after=RETRY_AFTER
+        )
+    return _end_run(state, event.key, reply, now)
+
+
+def take_cancel(
+    state: agent.AgentState,
+    event: events.CancelArrived,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Says what became of an attempt and fences one that never came."""
+    cancel = event.cancel
+    key = requests.AttemptKey(cancel.request_id, cancel.attempt)
+    if cancel.incarnation != state.options.incarnation:
+        return [_reply_cancel(event, states.CancelAnswer.STALE_INCARNATION)]
+    memory = state.memories.get(key)
+    if memory is not None and memory.reply is not None:
+        reply = requests.CancelReply(states.CancelAnswer.FINISHED, memory.reply)
+        return [effects.ReplyCancel(event.ticket, reply)]
+    if memory is not None:
+        return [_reply_cancel(event, states.CancelAnswer.NEVER_SEEN)]
+    call = state.calls.get(key)
+    if call is not None:
+        return _cancel_call(state, event, key, call, now)
+    if now >= cancel.valid_until + MEMORY_TIME:
+        return [_reply_cancel(event, states.CancelAnswer.FORGOTTEN)]
+    state.memories[key] = agent.Memory(None, cancel.valid_until + MEMORY_TIME)
+    return [_reply_cancel(event, states.CancelAnswer.NEVER_SEEN)]
+
+
+def _cancel_call(
+    state: agent.AgentState,
+    event: events.CancelArrived,
+    key: requests.AttemptKey,
+    call: agent.AgentCall,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    queued = call.phase is states.DispatchPhase.QUEUED
+    if not queued or not event.cancel.remove_queued:
+        return [_reply_cancel(event, states.CancelAnswer.RUNNING)]
+    state.policies.queue.remove(key)
+    return [
+        _end_unrun(state, key, states.Reason.CANCELLED),
+        _reply_cancel(event, states.CancelAnswer.REMOVED),
+        *report_stopped(state),
+    ]
+
+
+def _reply_cancel(
+    event: events.CancelArrived, answer: states.CancelAnswer
+) -> effects.Effect:
+    return effects.ReplyCancel(event.ticket, requests.CancelReply(answer))
+
+
+def forget_attempts(state: agent.AgentState, now: datetime.timedelta) -> None:
+    """Drops memories of attempts that can no longer be repeated."""
+    old = [
+        key for key, memory in state.memories.items() if memory.forget_at <= now
+    ]
+    for key in old:
+        del state.memories[key]
+
+
+def report_stopped(state: agent.AgentState) -> list[effects.Effect]:
+    """Reports the end of all calls, once, after a stop was requested."""
+    if not state.stopping or state.stopped or state.calls:
+        return []
+    state.stopped = True
+    return [effects.Stopped()]
--- /dev/null
+++ b/src/gypsumhold/decisions/calls.py
@@ -0,0 +1,244 @@
+"""Requests in an entry: admission, attempts, cancellation, retries."""
+
+import datetime
+
+from gypsumhold.decisions import claims, dispatches
+from gypsumhold.model import (
+    effects,
+    entry,
+    events,
+    ids,
+    requests,
+    states,
+    timers,
+)
+
+RECHECK = datetime.timedelta(milliseconds=250)
+"""Pause before an agent is asked again about an attempt that still runs."""
+
+_CALL_REFUSALS = {
+    # Refusals that say nothing about load: another instance may take it.
+    states.Reason.STALE_INCARNATION,
+    states.Reason.DRAINING,
+    states.Reason.TOMBSTONED,
+}
+
+
+def admit_call(
+    state: entry.EntryState,
+    event: events.CallArrived,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Checks a new request and sends its first attempt or its claim."""
+    request = event.request
+    refusal = _check_request(state, request)
+    if refusal is not None:
+        return [effects.AnswerCall(request.request_id, refusal)]
+    template = state.configuration.resolve(request.organisation, request.kind)
+    assert template is not None
+    call = entry.Call(
+        request=request,
+        template=template,
+        deadline=now + min(request.deadline, template.timeout),
+    )
+    state.calls[request.request_id] = call
+    state.waiting[template.work_class] += 1
+    state.policies.retries.count_call()
+    if template.repeatable:
+        return _send_next(state, call, now)
+    return claims.begin(state, call, now)
+
+
+def _check_request(
+    state: entry.EntryState, request: requests.Request
+) -> requests.Result | None:
+    if state.stopping:
+        return dispatches.refuse(states.Reason.STOPPING, dispatches.RETRY_AFTER)
+    if not state.configuration.version:
+        return dispatches.refuse(
+            states.Reason.NO_CONFIGURATION, dispatches.RETRY_AFTER
+        )
+    if request.organisation not in state.configuration.organisations:
+        return dispatches.refuse(states.Reason.UNKNOWN_ORGANISATION)
+    template = state.configuration.resolve(request.organisation, request.kind)
+    if template is None or template.work is not states.WorkForm.REQUEST:
+        return dispatches.refuse(states.Reason.UNKNOWN_KIND)
+    if request.deadline <= datetime.timedelta(0):
+        return dispatches.refuse(states.Reason.EXPIRED)
+    if not template.repeatable and request.key is None:
+        return dispatches.refuse(states.Reason.KEY_REQUIRED)
+    # Waiting calls hold a thread each, so a flood of one class must not take
+    # the threads of the others.
+    limit = state.options.waiting_limits[template.work_class]
+    if state.waiting[template.work_class] >= limit:
+        return dispatches.refuse(
+            states.Reason.OVERLOADED, dispatches.RETRY_AFTER
+        )
+    return None
+
+
+def _send_next(
+    state: entry.EntryState, call: entry.Call, now: datetime.timedelta
+) -> list[effects.Effect]:
+    if now >= call.deadline:
+        return _conclude(
+            state, call, dispatches.refuse(states.Reason.EXPIRED), now
+        )
+    member = dispatches.choose_target(state, call, now)
+    if member is None:
+        reason = call.reason
+        if reason is states.Reason.NONE:
+            reason = states.Reason.NO_UPSTREAM
+        result = dispatches.refuse(reason, dispatches.RETRY_AFTER)
+        return _conclude(state, call, result, now)
+    if not call.template.repeatable:
+        return claims.move(state, call, member, now)
+    dispatches.set_target(state, call, member, now)
+    return dispatches.send_dispatch(state, call, now)
+
+
+def _conclude(
+    state: entry.EntryState,
+    call: entry.Call,
+    result: requests.Result,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    if call.template.repeatable:
+        return dispatches.finish(state, call, result)
+    return claims.record(state, call, result, now)
+
+
+def _retry_or_conclude(
+    state: entry.EntryState,
+    call: entry.Call,
+    result: requests.Result,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Repeats a call whose latest attempt ended without an answer."""
+    assert call.target is not None
+    call.tried.add(call.target)
+    call.reason = result.reason
+    ran = result.outcome is not states.Outcome.NOT_RUN
+    if ran and not call.template.repeatable:
+        return _conclude(state, call, result, now)
+    if call.attempt >= state.options.max_attempts:
+        return _conclude(state, call, result, now)
+    if result.reason in _CALL_REFUSALS:
+        return _send_next(state, call, now)
+    pause = state.policies.retries.plan(
+        result.reason, call.attempt, call.deadline - now, state.random
+    )
+    if pause is None:
+        return _conclude(state, call, result, now)
+    if not pause:
+        return _send_next(state, call, now)
+    return dispatches.wait(call, states.CallPhase.WAITING_RETRY, pause)
+
+
+def take_reply(
+    state: entry.EntryState,
+    event: events.DispatchAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies an agent's final word on the awaited attempt."""
+    call = state.calls.get(event.request_id)
+    if call is None or not dispatches.is_current(call, event):
+        return []
+    if call.phase is states.CallPhase.DISPATCHED:
+        dispatches.note_end(state, call, event.reply, now)
+    return _apply_reply(state, call, event.reply, now)
+
+
+def _apply_reply(
+    state: entry.EntryState,
+    call: entry.Call,
+    reply: requests.DispatchReply,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    result = requests.Result(
+        reply.outcome, reply.reason, reply.answer, reply.retry_after
+    )
+    if reply.outcome is states.Outcome.COMPLETED:
+        return _conclude(state, call, result, now)
+    if reply.outcome is not states.Outcome.NOT_RUN:
+        call.may_have_run = True
+    return _retry_or_conclude(state, call, result, now)
+
+
+def take_loss(
+    state: entry.EntryState,
+    event: events.DispatchLost,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Handles a broken dispatch: only unsent bytes prove *not run*."""
+    call = state.calls.get(event.request_id)
+    if call is None or not dispatches.is_current(call, event):
+        return []
+    if call.phase is not states.CallPhase.DISPATCHED:
+        return []
+    dispatches.note_end(state, call, None, now)
+    if event.sent:
+        return dispatches.send_cancel(state, call)
+    result = dispatches.refuse(states.Reason.AGENT_LOST, dispatches.RETRY_AFTER)
+    return _retry_or_conclude(state, call, result, now)
+
+
+def take_cancel_answer(
+    state: entry.EntryState,
+    event: events.CancelAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies what an agent says of an attempt that was given up."""
+    call = state.calls.get(event.owner)
+    if call is None:
+        return []
+    if call.phase is states.CallPhase.PROBING:
+        return claims.take_probe(state, call, event, now)
+    own = event.cancel.attempt == call.attempt
+    if call.phase is not states.CallPhase.CANCELLING or not own:
+        return []
+    reply = event.reply
+    if reply is None:
+        return _doubt(state, call, states.Reason.AGENT_LOST, now)
+    if reply.answer is states.CancelAnswer.RUNNING:
+        if now + RECHECK >= call.deadline + dispatches.DISPATCH_GRACE:
+            return _doubt(state, call, states.Reason.UPSTREAM_TIMEOUT, now)
+        return dispatches.wait(call, states.CallPhase.CANCELLING, RECHECK)
+    if reply.answer is states.CancelAnswer.FINISHED and reply.reply:
+        return _apply_reply(state, call, reply.reply, now)
+    if reply.answer in (
+        states.CancelAnswer.NEVER_SEEN,
+        states.CancelAnswer.REMOVED,
+    ):
+        result = dispatches.refuse(
+            states.Reason.AGENT_LOST, dispatches.RETRY_AFTER
+        )
+        return _retry_or_conclude(state, call, result, now)
+    return _doubt(state, call, states.Reason.INCARNATION_GONE, now)
+
+
+def _doubt(
+    state: entry.EntryState,
+    call: entry.Call,
+    reason: states.Reason,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    call.may_have_run = True
+    result = requests.Result(states.Outcome.INDETERMINATE, reason)
+    return _retry_or_conclude(state, call, result, now)
+
+
+def wake_call(
+    state: entry.EntryState,
+    timer: timers.Timer,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Goes on with a call whose pause has ended."""
+    call = state.calls.get(ids.RequestId(timer.subject))
+    if call is None:
+        return []
+    if call.phase is states.CallPhase.WAITING_RETRY:
+        return _send_next(state, call, now)
+    if call.phase is states.CallPhase.CANCELLING:
+        return dispatches.send_cancel(state, call)
+    return claims.wake(state, call, now)
--- /dev/null
+++ b/src/gypsumhold/decisions/claims.py
@@ -0,0 +1,367 @@
+"""Durable claims of requests that run at most once.
+
+A claim row is written before any byte goes to an agent. It names the attempt,
+so that any entry can later ask the agent what became of it.
+"""
+
+import dataclasses
+import datetime
+
+from gypsumhold.decisions import dispatches
+from gypsumhold.model import (
+    effects,
+    entry,
+    events,
+    ids,
+    requests,
+    roster,
+    rows,
+    states,
+    timers,
+)
+
+RESEND = datetime.timedelta(milliseconds=100)
+"""Pause before a transaction in doubt is sent again."""
+
+RECORD_RETRY = datetime.timedelta(seconds=1)
+"""Pause before an unrecorded result is written again after the answer."""
+
+RECORD_LIMIT = datetime.timedelta(minutes=10)
+"""How long an unrecorded result is written again."""
+
+
+def begin(
+    state: entry.EntryState, call: entry.Call, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Claims the idempotency key for a new call."""
+    if now < state.table_failed_at + state.options.table_pause:
+        return _refuse_without_table(state, call)
+    member = dispatches.choose_target(state, call, now)
+    if member is None:
+        result = dispatches.refuse(
+            states.Reason.NO_UPSTREAM, dispatches.RETRY_AFTER
+        )
+        return dispatches.finish(state, call, result)
+    return move(state, call, member, now)
+
+
+def move(
+    state: entry.EntryState,
+    call: entry.Call,
+    member: roster.Member,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Writes the claim for an attempt at `member`, before it is sent."""
+    dispatches.set_target(state, call, member, now)
+    call.phase = states.CallPhase.CLAIMING
+    row = rows.ClaimRow(
+        state=states.ClaimState.CLAIMED,
+        digest=call.request.digest,
+        entry=state.options.entry,
+        entry_incarnation=state.options.incarnation,
+        request_id=call.request.request_id,
+        attempt=call.attempt,
+        instance=member.instance,
+        incarnation=call.target_incarnation,
+        address=member.address,
+        valid_until=call.valid_until,
+    )
+    return _write(state, call, row)
+
+
+def record(
+    state: entry.EntryState,
+    call: entry.Call,
+    result: requests.Result,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Writes the result into the claim; the caller is answered after it."""
+    if result.outcome is states.Outcome.NOT_RUN and call.may_have_run:
+        result = requests.Result(states.Outcome.INDETERMINATE, result.reason)
+    if call.claim is None or not isinstance(call.claim.value, rows.ClaimRow):
+        return dispatches.finish(state, call, result)
+    call.result = result
+    call.phase = states.CallPhase.RECORDING
+    row = dataclasses.replace(
+        call.claim.value,
+        state=_CLAIM_STATES[result.outcome],
+        answer=result.answer,
+        reason=result.reason,
+    )
+    return _write(state, call, row)
+
+
+_CLAIM_STATES = {
+    states.Outcome.COMPLETED: states.ClaimState.COMPLETED,
+    states.Outcome.NOT_RUN: states.ClaimState.NOT_RUN,
+    states.Outcome.INDETERMINATE: states.ClaimState.INDETERMINATE,
+}
+
+
+def _write(
+    state: entry.EntryState, call: entry.Call, row: rows.ClaimRow
+) -> list[effects.Effect]:
+    request = call.request
+    assert request.key is not None
+    key = rows.name_claim_row(request.organisation, request.key)
+    version = call.claim.version if call.claim else ids.RowVersion(0)
+    transaction = rows.Transaction(
+        operation=state.next_operation(),
+        conditions=(rows.Condition(key, version),),
+        writes=(rows.Write(key, row),),
+    )
+    call.transaction = transaction
+    state.operations[transaction.operation] = entry.Operation(
+        states.OperationKind.CLAIM, request.request_id
+    )
+    return [effects.Commit(request.request_id, transaction)]
+
+
+def take_commit(
+    state: entry.EntryState,
+    event: events.CommitAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies the table's answer to a claim transaction."""
+    operation = state.operations[event.operation]
+    call = state.calls.get(ids.RequestId(operation.subject))
+    if call is None or call.transaction is None:
+        del state.operations[event.operation]
+        return []
+    if call.transaction.operation != event.operation:
+        del state.operations[event.operation]
+        return []
+    result = event.answer.result
+    if result in (
+        states.CommitResult.UNAVAILABLE,
+        states.CommitResult.UNKNOWN,
+    ):
+        return _take_failure(state, call, result, now)
+    del state.operations[event.operation]
+    state.table_failed_at = entry.NEVER
+    write = call.transaction.writes[0]
+    found = event.answer.find(write.key)
+    won = found is not None and found.operation == event.operation
+    if result is states.CommitResult.COMMITTED or won:
+        assert write.value is not None
+        version = ids.RowVersion(call.transaction.conditions[0].version + 1)
+        call.claim = rows.Row(write.key, version, event.operation, write.value)
+        call.transaction = None
+        return _take_committed(state, call, now)
+    call.transaction = None
+    return _evaluate(state, call, found, now)
+
+
+def _take_committed(
+    state: entry.EntryState, call: entry.Call, now: datetime.timedelta
+) -> list[effects.Effect]:
+    if call.phase is states.CallPhase.RECORDING:
+        assert call.result is not None
+        return dispatches.finish(state, call, call.result)
+    if call.target not in state.members or now >= call.deadline:
+        # Nothing was sent, so *not run* holds; record it to free the key.
+        result = dispatches.refuse(
+            states.Reason.EXPIRED, dispatches.RETRY_AFTER
+        )
+        return record(state, call, result, now)
+    return dispatches.send_dispatch(state, call, now)
+
+
+def _take_failure(
+    state: entry.EntryState,
+    call: entry.Call,
+    result: states.CommitResult,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    state.table_failed_at = now
+    assert call.transaction is not None
+    operation = call.transaction.operation
+    if call.phase is states.CallPhase.RECORDING:
+        # The outcome is known: the caller does not wait for the record.
+        assert call.result is not None
+        state.operations[operation] = entry.Operation(
+            states.OperationKind.RECORD, operation
+        )
+        state.recordings[operation] = entry.Recording(
+            call.transaction, now + RECORD_LIMIT
+        )
+        return [
+            *dispatches.finish(state, call, call.result),
+            _set_record_timer(operation),
+        ]
+    if result is states.CommitResult.UNAVAILABLE or now >= call.deadline:
+        # A claim that took effect unseen names an attempt that was never
+        # sent; whoever meets it learns so from the agent.
+        del state.operations[operation]
+        return _refuse_without_table(state, call)
+    return dispatches.wait(call, states.CallPhase.CLAIMING, RESEND)
+
+
+def _refuse_without_table(
+    state: entry.EntryState, call: entry.Call
+) -> list[effects.Effect]:
+    result = dispatches.refuse(
+        states.Reason.TABLE_UNAVAILABLE, dispatches.RETRY_AFTER
+    )
+    return dispatches.finish(state, call, result)
+
+
+def _set_record_timer(operation: ids.OperationId) -> effects.Effect:
+    timer = timers.Timer(timers.TimerKind.CLAIM_RECORD, operation)
+    return effects.SetTimer(timer, RECORD_RETRY)
+
+
+def resend_record(
+    state: entry.EntryState, timer: timers.Timer, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Writes a result again whose record failed after the answer."""
+    operation = ids.OperationId(timer.subject)
+    recording = state.recordings.get(operation)
+    if recording is None:
+        return []
+    return [effects.Commit(effects.NO_OWNER, recording.transaction)]
+
+
+def take_record(
+    state: entry.EntryState,
+    event: events.CommitAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies the table's answer to a record written after the answer."""
+    recording = state.recordings[event.operation]
+    failed = event.answer.result in (
+        states.CommitResult.UNAVAILABLE,
+        states.CommitResult.UNKNOWN,
+    )
+    if failed and now < recording.give_up_at:
+        return [_set_record_timer(event.operation)]
+    del state.recordings[event.operation]
+    del state.operations[event.operation]
+    return []
+
+
+def _evaluate(
+    state: entry.EntryState,
+    call: entry.Call,
+    found: rows.Row | None,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Follows the claim that another call has written under the key."""
+    if found is None or not isinstance(found.value, rows.ClaimRow):
+        call.claim = None
+        return begin(state, call, now)
+    claim = found.value
+    if claim.digest != call.request.digest:
+        result = dispatches.refuse(states.Reason.KEY_REUSED)
+        return dispatches.finish(state, call, result)
+    if call.claim is None or call.claim.version != found.version:
+        call.claim_seen_at = now
+    call.claim = found
+    if claim.state is states.ClaimState.COMPLETED:
+        result = requests.Result(
+            states.Outcome.COMPLETED, claim.reason, claim.answer
+        )
+        return dispatches.finish(state, call, result)
+    if claim.state is states.ClaimState.INDETERMINATE:
+        result = requests.Result(states.Outcome.INDETERMINATE, claim.reason)
+        return dispatches.finish(state, call, result)
+    if claim.state is states.ClaimState.NOT_RUN:
+        return begin(state, call, now)
+    return _follow(state, call, claim, now)
+
+
+def _follow(
+    state: entry.EntryState,
+    call: entry.Call,
+    claim: rows.ClaimRow,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    if now >= call.deadline:
+        result = requests.Result(states.Outcome.IN_PROGRESS)
+        return dispatches.finish(state, call, result)
+    if now - call.claim_seen_at < state.options.claim_patience:
+        return dispatches.wait(
+            call, states.CallPhase.WAITING_RESULT, state.options.claim_poll
+        )
+    call.phase = states.CallPhase.PROBING
+    cancel = requests.Cancel(
+        request_id=claim.request_id,
+        attempt=claim.attempt,
+        incarnation=claim.incarnation,
+        remove_queued=False,
+        valid_until=claim.valid_until,
+    )
+    return [effects.SendCancel(call.request.request_id, claim.address, cancel)]
+
+
+def take_probe(
+    state: entry.EntryState,
+    call: entry.Call,
+    event: events.CancelAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies what the agent says of another call's claimed attempt."""
+    reply = event.reply
+    if reply is None or reply.answer is states.CancelAnswer.RUNNING:
+        return dispatches.wait(
+            call, states.CallPhase.WAITING_RESULT, state.options.claim_poll
+        )
+    if reply.answer is states.CancelAnswer.FINISHED and reply.reply:
+        final = reply.reply
+        if final.outcome is states.Outcome.NOT_RUN:
+            return begin(state, call, now)
+        return record(
+            state,
+            call,
+            requests.Result(final.outcome, final.reason, final.answer),
+            now,
+        )
+    if reply.answer in (
+        states.CancelAnswer.NEVER_SEEN,
+        states.CancelAnswer.REMOVED,
+    ):
+        return begin(state, call, now)
+    result = requests.Result(
+        states.Outcome.INDETERMINATE, states.Reason.INCARNATION_GONE
+    )
+    return record(state, call, result, now)
+
+
+def wake(
+    state: entry.EntryState, call: entry.Call, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Goes on with a claim after a pause: sends again or reads the row."""
+    if call.phase is states.CallPhase.CLAIMING and call.transaction:
+        return [effects.Commit(call.request.request_id, call.transaction)]
+    if call.phase is not states.CallPhase.WAITING_RESULT:
+        return []
+    request = call.request
+    assert request.key is not None
+    purpose = events.ReadPurpose(
+        timers.ReadKind.CLAIM, request.request_id, sent_at=now
+    )
+    key = rows.name_claim_row(request.organisation, request.key)
+    return [effects.ReadRows(request.request_id, key, purpose)]
+
+
+def take_rows(
+    state: entry.EntryState,
+    event: events.RowsRead,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Looks at the claim again that the call waits for."""
+    call = state.calls.get(ids.RequestId(event.read.owner))
+    if call is None or call.phase is not states.CallPhase.WAITING_RESULT:
+        return []
+    if event.found is None:
+        state.table_failed_at = now
+        if now >= call.deadline:
+            result = requests.Result(states.Outcome.IN_PROGRESS)
+            return dispatches.finish(state, call, result)
+        return dispatches.wait(
+            call, states.CallPhase.WAITING_RESULT, state.options.claim_poll
+        )
+    assert call.request.key is not None
+    key = rows.name_claim_row(call.request.organisation, call.request.key)
+    found = next((row for row in event.found if row.key == key), None)
+    return _evaluate(state, call, found, now)
--- /dev/null
+++ b/src/gypsumhold/decisions/partitions.py
@@ -0,0 +1,302 @@
+"""Partitions of the task queue: observation, takeover, batches, release.
+
+A holder sends one transaction at a time. Each rewrites the partition row under
+the condition of its version, so batches are serial and a former holder's batch
+conflicts.
+"""
+
+import dataclasses
+import datetime
+import zlib
+
+from gypsumhold.decisions import dispatches
+from gypsumhold.model import (
+    effects,
+    entry,
+    events,
+    ids,
+    rows,
+    states,
+    timers,
+)
+
+BATCH_RETRY = datetime.timedelta(milliseconds=200)
+"""Pause before a batch in doubt is sent again unchanged."""
+
+RENEWALS_PER_LEASE = 3
+"""Writes in a partition lease at least, so that two may fail."""
+
+HELD = (states.PartitionPhase.HELD,)
+
+
+def find_partition(
+    state: entry.EntryState, organisation: ids.OrganisationId
+) -> ids.Partition:
+    """Returns the partition that counts an organisation's quota."""
+    checksum = zlib.crc32(organisation.encode())
+    return ids.Partition(checksum % state.options.partitions)
+
+
+def start_partitions(
+    state: entry.EntryState, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Begins to observe all partitions."""
+    for number in map(ids.Partition, range(state.options.partitions)):
+        state.partitions[number] = entry.PartitionState(number)
+    return _read_partitions(now)
+
+
+def _read_partitions(now: datetime.timedelta) -> list[effects.Effect]:
+    purpose = events.ReadPurpose(timers.ReadKind.PARTITIONS, sent_at=now)
+    return [effects.ReadRows(effects.NO_OWNER, rows.PARTITION_PREFIX, purpose)]
+
+
+def poll_partitions(
+    state: entry.EntryState, timer: timers.Timer, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Reads the partition rows and renews partitions that are held."""
+    made: list[effects.Effect] = []
+    lease = state.options.partition_lease
+    for partition in state.partitions.values():
+        idle = partition.phase in HELD and partition.batch is None
+        due = now - partition.confirmed_at >= lease / RENEWALS_PER_LEASE
+        if idle and (due or state.stopping):
+            made += send_batch(state, partition, now)
+    return [*made, *_read_partitions(now)]
+
+
+def observe_partitions(
+    state: entry.EntryState,
+    event: events.RowsRead,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Notes which rows have changed and takes abandoned partitions over."""
+    timer = timers.Timer(timers.TimerKind.PARTITION_POLL)
+    again = effects.SetTimer(timer, state.options.partition_poll)
+    if event.found is None:
+        # Without the table's answer nobody can tell a silent holder from an
+        # outage, so the observation starts over.
+        for partition in state.partitions.values():
+            partition.unchanged_since = None
+        return [again]
+    present = {row.key: row for row in event.found}
+    holders = set()
+    for partition in state.partitions.values():
+        row = present.get(rows.name_partition_row(partition.number))
+        _observe(partition, row, event.read.sent_at)
+        if partition.row is not None and partition.row.holder is not None:
+            holders.add(partition.row.holder)
+    return [again, *_take_abandoned(state, len(holders), now)]
+
+
+def _observe(
+    partition: entry.PartitionState,
+    row: rows.Row | None,
+    sent_at: datetime.timedelta,
+) -> None:
+    if partition.phase is not states.PartitionPhase.OBSERVED:
+        return
+    version = row.version if row else ids.RowVersion(0)
+    # A read that was sent before the last known write may show an older row.
+    if version < partition.version:
+        return
+    if version != partition.version or partition.unchanged_since is None:
+        partition.unchanged_since = sent_at
+    partition.version = version
+    value = row.value if row else None
+    partition.row = value if isinstance(value, rows.PartitionRow) else None
+
+
+def _take_abandoned(
+    state: entry.EntryState, holders: int, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Takes at most a fair share at a time, so that entries spread them."""
+    if state.stopping:
+        return []
+    share = -(-state.options.partitions // (holders + 1))
+    made: list[effects.Effect] = []
+    for partition in state.partitions.values():
+        if len(made) < share and _is_abandoned(state, partition, now):
+            made += _take(state, partition, now)
+    return made
+
+
+def _is_abandoned(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    now: datetime.timedelta,
+) -> bool:
+    if partition.phase is not states.PartitionPhase.OBSERVED:
+        return False
+    if partition.row is None or partition.row.holder is None:
+        return partition.unchanged_since is not None
+    since = partition.unchanged_since
+    return since is not None and now - since >= state.options.partition_lease
+
+
+def _take(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    partition.phase = states.PartitionPhase.TAKING
+    epoch = partition.row.epoch if partition.row else ids.Epoch(0)
+    row = rows.PartitionRow(
+        holder=state.options.entry,
+        incarnation=state.options.incarnation,
+        address=state.options.address,
+        epoch=ids.Epoch(epoch + 1),
+        sequence=0,
+    )
+    return _send(state, partition, row, (), now)
+
+
+def _send(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    row: rows.PartitionRow,
+    changed: tuple[ids.TaskId, ...],
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    key = rows.name_partition_row(partition.number)
+    writes = [rows.Write(key, row)]
+    for task_id in changed:
+        pending = partition.tasks[task_id].pending
+        task_key = rows.name_task_row(partition.number, task_id)
+        writes.append(rows.Write(task_key, pending))
+    transaction = rows.Transaction(
+        operation=state.next_operation(),
+        conditions=(rows.Condition(key, partition.version),),
+        writes=tuple(writes),
+    )
+    carried = set(changed)
+    tickets = tuple(
+        item for item in partition.tickets if item.task_id in carried
+    )
+    partition.tickets = [
+        item for item in partition.tickets if item.task_id not in carried
+    ]
+    partition.batch = entry.Batch(
+        transaction, changed, tickets, now, release=row.holder is None
+    )
+    state.operations[transaction.operation] = entry.Operation(
+        states.OperationKind.PARTITION, str(partition.number)
+    )
+    return [effects.Commit(effects.NO_OWNER, transaction)]
+
+
+def send_batch(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Commits everything that was decided, unless a batch is in flight."""
+    if partition.phase not in HELD or partition.batch is not None:
+        return []
+    assert partition.row is not None
+    changed = tuple(partition.dirty)[: state.options.batch_rows]
+    for task_id in changed:
+        del partition.dirty[task_id]
+    release = state.stopping and not partition.dirty
+    row = dataclasses.replace(
+        partition.row,
+        sequence=partition.row.sequence + 1,
+        holder=None if release else state.options.entry,
+    )
+    return _send(state, partition, row, changed, now)
+
+
+def resend_batch(
+    state: entry.EntryState, timer: timers.Timer, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Sends a batch in doubt again, unchanged."""
+    partition = state.partitions[ids.Partition(int(timer.subject))]
+    if partition.batch is None:
+        return []
+    transaction = partition.batch.transaction
+    return [effects.Commit(effects.NO_OWNER, transaction)]
+
+
+def find_own_batch(
+    state: entry.EntryState, operation: ids.OperationId
+) -> entry.PartitionState | None:
+    """Returns the partition whose batch in flight has this operation id."""
+    subject = state.operations[operation].subject
+    partition = state.partitions[ids.Partition(int(subject))]
+    batch = partition.batch
+    if batch is None or batch.transaction.operation != operation:
+        return None
+    return partition
+
+
+def settle_batch(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    answer: rows.CommitAnswer,
+    now: datetime.timedelta,
+) -> states.CommitResult:
+    """Decides what became of the batch in flight.
+
+    Returns:
+        COMMITTED, CONFLICT if another entry holds the partition now, or
+        UNKNOWN if the batch has to be sent again.
+    """
+    batch = partition.batch
+    assert batch is not None
+    if answer.result in (
+        states.CommitResult.UNAVAILABLE,
+        states.CommitResult.UNKNOWN,
+    ):
+        state.table_failed_at = now
+        partition.settled_at = datetime.timedelta.max
+        return states.CommitResult.UNKNOWN
+    state.table_failed_at = entry.NEVER
+    found = answer.find(rows.name_partition_row(partition.number))
+    won = found is not None and found.operation == batch.transaction.operation
+    if answer.result is not states.CommitResult.COMMITTED and not won:
+        return states.CommitResult.CONFLICT
+    row = batch.transaction.writes[0].value
+    assert isinstance(row, rows.PartitionRow)
+    partition.row = row
+    condition = batch.transaction.conditions[0]
+    partition.version = ids.RowVersion(condition.version + 1)
+    # The write may have taken effect at the first sending, so only that
+    # instant proves that the partition was held.
+    partition.confirmed_at = batch.sent_at
+    if partition.settled_at == datetime.timedelta.max:
+        partition.settled_at = now
+    return states.CommitResult.COMMITTED
+
+
+def set_batch_timer(partition: entry.PartitionState) -> effects.Effect:
+    """Sends the batch in doubt again after a pause."""
+    timer = timers.Timer(timers.TimerKind.BATCH_RETRY, str(partition.number))
+    return effects.SetTimer(timer, BATCH_RETRY)
+
+
+def drop_partition(
+    state: entry.EntryState, partition: entry.PartitionState
+) -> list[effects.Effect]:
+    """Forgets a partition that another entry holds now."""
+    tickets = list(partition.tickets)
+    if partition.batch is not None:
+        tickets += partition.batch.tickets
+    made: list[effects.Effect] = [
+        effects.AnswerTicket(
+            item.ticket,
+            states.SubmissionResult.UNKNOWN,
+            "the partition has moved to another entry; send it again with "
+            "the same key",
+            item.task_id,
+        )
+        for item in tickets
+    ]
+    for record in partition.tasks.values():
+        row = record.pending or record.row
+        member = state.members.get(row.instance) if row.instance else None
+        if member is not None:
+            member.reservations.pop(row.task_id, None)
+    state.partitions[partition.number] = entry.PartitionState(
+        partition.number, version=partition.version
+    )
+    return [*made, *dispatches.report_stopped(state)]
--- /dev/null
+++ b/src/gypsumhold/decisions/placements.py
@@ -0,0 +1,255 @@
+"""Placement of queued tasks: quota, instance, lease grant, start."""
+
+import dataclasses
+import datetime
+
+from gypsumhold.decisions import dispatches, queues
+from gypsumhold.model import (
+    effects,
+    entry,
+    events,
+    ids,
+    resources,
+    roster,
+    rows,
+    states,
+    tasks,
+)
+
+MAX_MISSES = 64
+"""Tasks that may fail to fit in one pass, so that a pass stays short."""
+
+SETTLE_TIME = datetime.timedelta(seconds=10)
+"""Time after the start in which instances may still be unknown."""
+
+_PLACED = states.TaskState.ASSIGNED
+
+
+def place_tasks(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Decides where queued tasks run, most urgent class first."""
+    if partition.phase is not states.PartitionPhase.HELD or state.stopping:
+        return []
+    candidates = [
+        member
+        for member in state.members.values()
+        if dispatches.is_serving(state, member, now)
+        and member.quarantined_until <= now
+    ]
+    misses = 0
+    for work_class in states.WorkClass:
+        for task_id in list(partition.queue[work_class]):
+            if misses >= MAX_MISSES:
+                break
+            row = partition.tasks[task_id].row
+            misses += not _place(state, partition, row, candidates, now)
+    return queues.flush(state, partition, now)
+
+
+def _place(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    row: rows.TaskRow,
+    candidates: list[roster.Member],
+    now: datetime.timedelta,
+) -> bool:
+    """Places, cancels or parks a task; false if it has to wait."""
+    if row.cancelling:
+        queues.propose(
+            state,
+            partition,
+            dataclasses.replace(row, state=states.TaskState.CANCELLED),
+        )
+        return True
+    reason = _explain_impossible(state, row, now)
+    if reason:
+        park(state, partition, row, reason)
+        return True
+    organisation = state.configuration.organisations.get(row.organisation)
+    used = partition.usage.get(row.organisation, resources.NOTHING)
+    if organisation is None or not (used + row.declared).fits_in(
+        organisation.quota
+    ):
+        return False
+    fresh = [item for item in candidates if item.instance not in row.failed_on]
+    member = state.policies.placement.choose(
+        row.declared, fresh or candidates, state.random
+    )
+    if member is None:
+        return False
+    member.reservations[row.task_id] = roster.Reservation(row.declared)
+    placed = dataclasses.replace(
+        row,
+        state=_PLACED,
+        epoch=ids.Epoch(row.epoch + 1),
+        instance=member.instance,
+        incarnation=member.announcement.incarnation,
+    )
+    queues.propose(state, partition, placed)
+    return True
+
+
+def park(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    row: rows.TaskRow,
+    reason: str,
+) -> None:
+    """Ends a task that can never run, with the reason."""
+    parked = dataclasses.replace(
+        row, state=states.TaskState.PARKED, result=reason
+    )
+    queues.propose(state, partition, parked)
+
+
+def _explain_impossible(
+    state: entry.EntryState, row: rows.TaskRow, now: datetime.timedelta
+) -> str:
+    organisation = state.configuration.organisations.get(row.organisation)
+    if organisation and not row.declared.fits_in(organisation.quota):
+        return (
+            "the declared size exceeds the organisation's quota; raise the "
+            "quota or submit a smaller task"
+        )
+    if not state.members or now - state.started_at < SETTLE_TIME:
+        return ""
+    sizes = [item.announcement.capacity for item in state.members.values()]
+    if any(row.declared.fits_in(size) for size in sizes):
+        return ""
+    return (
+        "the declared size exceeds every known worker; add a larger worker "
+        "or submit a smaller task"
+    )
+
+
+def compute_expiry(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    record: entry.TaskRecord,
+    member: roster.Member,
+) -> datetime.timedelta:
+    """Grants a lease and returns its end on the instance's clock.
+
+    The grant counts from the last confirmed write of the partition. The
+    instance's clock was read before its announcement arrived, so the lease
+    ends there no later than `granted_until` says here.
+    """
+    lease = queues.find_lease(state, record.row)
+    until = partition.confirmed_at + lease
+    record.granted_until = max(record.granted_until, until)
+    return member.announcement.clock + (until - member.received_at)
+
+
+def start_committed(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    batch: entry.Batch,
+) -> list[effects.Effect]:
+    """Sends the starts whose assignment a batch has committed."""
+    grouped: dict[ids.InstanceId, list[tasks.TaskStart]] = {}
+    for task_id in batch.changed:
+        record = partition.tasks.get(task_id)
+        if record is None or record.row.state is not _PLACED:
+            continue
+        assert record.row.instance is not None
+        member = state.members.get(record.row.instance)
+        if member is not None and not record.row.cancelling:
+            start = _build_start(state, partition, record, member)
+            grouped.setdefault(member.instance, []).append(start)
+    return [
+        effects.SendStarts(
+            instance, state.members[instance].address, tuple(starts)
+        )
+        for instance, starts in grouped.items()
+    ]
+
+
+def _build_start(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    record: entry.TaskRecord,
+    member: roster.Member,
+) -> tasks.TaskStart:
+    row = record.row
+    assert row.incarnation is not None
+    return tasks.TaskStart(
+        task_id=row.task_id,
+        epoch=row.epoch,
+        partition=partition.number,
+        incarnation=row.incarnation,
+        organisation=row.organisation,
+        kind=row.kind,
+        work_class=queues.find_class(state, row),
+        declared=row.declared,
+        expires=compute_expiry(state, partition, record, member),
+        payload=row.payload,
+        checkpoint=row.checkpoint,
+    )
+
+
+def take_starts(
+    state: entry.EntryState,
+    event: events.StartsAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Requeues refused starts; a lost call is resolved by the next sync."""
+    member = state.members.get(event.instance)
+    if event.accepted is None:
+        return []
+    touched: dict[ids.Partition, None] = {}
+    for start, accepted in zip(event.starts, event.accepted, strict=True):
+        partition = state.partitions[start.partition]
+        record = partition.tasks.get(start.task_id)
+        if record is None or record.row.epoch != start.epoch:
+            continue
+        if record.row.state is not _PLACED or record.pending is not None:
+            continue
+        if accepted:
+            record.started = True
+            _settle_reservation(member, start.task_id)
+            continue
+        if member is not None:
+            member.reservations.pop(start.task_id, None)
+        requeue(state, partition, record.row)
+        touched[partition.number] = None
+    made: list[effects.Effect] = []
+    for number in touched:
+        made += queues.flush(state, state.partitions[number], now)
+    return made
+
+
+def _settle_reservation(
+    member: roster.Member | None, task_id: ids.TaskId
+) -> None:
+    reservation = member.reservations.get(task_id) if member else None
+    if member is not None and reservation is not None:
+        # The next announcement may have been built before the start.
+        reservation.visible_from = member.announcement.sequence + 2
+
+
+def requeue(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    row: rows.TaskRow,
+    checkpoint: ids.CheckpointRef | None = None,
+) -> None:
+    """Puts a task back into the queue, or ends it if it was cancelled."""
+    target = (
+        states.TaskState.CANCELLED
+        if row.cancelling
+        else states.TaskState.QUEUED
+    )
+    queues.propose(
+        state,
+        partition,
+        dataclasses.replace(
+            row,
+            state=target,
+            instance=None,
+            incarnation=None,
+            checkpoint=checkpoint or row.checkpoint,
+        ),
+    )
--- a/src/gypsumhold/decisions/reducer.py
+++ b/src/gypsumhold/decisions/reducer.py
@@ -1,15 +1,18 @@
 """The one reducer: every event of every role goes through `reduce`."""
 
 import datetime
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Mapping
 
+from gypsumhold.decisions import agents, entries
 from gypsumhold.model import agent, effects, entry, events
 
 State = entry.EntryState | agent.AgentState
-Handler = Callable[[Any, Any, datetime.timedelta], list[effects.Effect]]
+Handler = Callable[..., list[effects.Effect]]
 
-_HANDLERS: dict[tuple[type, type], Handler] = {}
+_HANDLERS: Mapping[type, Mapping[type, Handler]] = {
+    entry.EntryState: entries.HANDLERS,
+    agent.AgentState: agents.HANDLERS,
+}
 
 
 def reduce(
@@ -25,4 +28,5 @@
     Returns:
         Effects in the order in which they were decided.
     """
-    return tuple(_HANDLERS[type(state), type(event)](state, event, now))
+    handler = _HANDLERS[type(state)][type(event)]
+    return tuple(handler(state, event, now))
--- /dev/null
+++ b/src/gypsumhold/decisions/submissions.py
@@ -0,0 +1,209 @@
+"""Operations on tasks: the holder decides, other entries pass them on."""
+
+import datetime
+import hashlib
+
+from gypsumhold.decisions import partitions, placements, queues
+from gypsumhold.model import (
+    effects,
+    entry,
+    events,
+    ids,
+    members,
+    rows,
+    states,
+    tasks,
+    timers,
+)
+
+ID_DIGITS = 24
+"""Hexadecimal digits of a task id: 96 bits make a collision improbable."""
+
+
+LOAD_RETRY = datetime.timedelta(seconds=1)
+"""Pause before the tasks of a partition are read again after a failure."""
+
+
+def derive_task_id(submission: tasks.Submission) -> ids.TaskId:
+    """Returns the id that every repeat of a submission gets."""
+    text = f"{submission.organisation}/{submission.key}"
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    return ids.TaskId(digest[:ID_DIGITS])
+
+
+def take_submission(
+    state: entry.EntryState,
+    event: events.SubmissionArrived,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Adds a task to its partition, or passes it to the holder."""
+    submission = event.submission
+    template = state.configuration.resolve(
+        submission.organisation, submission.kind
+    )
+    if template is None or template.work is not states.WorkForm.TASK:
+        return [_refuse(event.ticket, submission)]
+    number = partitions.find_partition(state, submission.organisation)
+    partition = state.partitions.get(number)
+    if partition is None or partition.phase is not states.PartitionPhase.HELD:
+        address = _find_holder(state, partition, event.forwarded)
+        if address is None:
+            return [_report_no_holder(event.ticket)]
+        return [effects.ForwardSubmission(event.ticket, address, submission)]
+    task_id = derive_task_id(submission)
+    if task_id in partition.ended:
+        return [_accept(event.ticket, task_id)]
+    record = partition.tasks.get(task_id)
+    if record is not None:
+        # A repeat of a submission in flight is answered with its commit.
+        if not record.row.epoch and task_id in partition.dirty:
+            ticket = entry.BatchTicket(event.ticket, task_id)
+            partition.tickets.append(ticket)
+            return []
+        return [_accept(event.ticket, task_id)]
+    row = rows.TaskRow(
+        task_id=task_id,
+        organisation=submission.organisation,
+        kind=submission.kind,
+        payload=submission.payload,
+        declared=submission.declared or template.declared,
+    )
+    queues.add_task(state, partition, row, event.ticket)
+    return queues.flush(state, partition, now)
+
+
+def _find_holder(
+    state: entry.EntryState,
+    partition: entry.PartitionState | None,
+    forwarded: bool,
+) -> members.Address | None:
+    # One hop only: two entries with old views must not pass a call around.
+    if forwarded or partition is None or partition.row is None:
+        return None
+    if partition.row.holder in (None, state.options.entry):
+        return None
+    return partition.row.address
+
+
+def _refuse(
+    ticket: ids.TicketId, submission: tasks.Submission
+) -> effects.Effect:
+    return effects.AnswerTicket(
+        ticket,
+        states.SubmissionResult.REFUSED,
+        f"organisation '{submission.organisation}' has no task kind "
+        f"'{submission.kind}'; declare it with 'gypsumctl apply'",
+    )
+
+
+def _accept(ticket: ids.TicketId, task_id: ids.TaskId) -> effects.Effect:
+    return effects.AnswerTicket(
+        ticket, states.SubmissionResult.ACCEPTED, task_id=task_id
+    )
+
+
+def _report_no_holder(ticket: ids.TicketId) -> effects.Effect:
+    return effects.AnswerTicket(
+        ticket,
+        states.SubmissionResult.UNAVAILABLE,
+        "no entry holds the partition at the moment; send it again with the "
+        "same key in a few seconds",
+    )
+
+
+def take_cancel(
+    state: entry.EntryState,
+    event: events.TaskCancelArrived,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Cancels a task, or passes the cancellation to the holder."""
+    number = partitions.find_partition(state, event.organisation)
+    partition = state.partitions.get(number)
+    if partition is None or partition.phase is not states.PartitionPhase.HELD:
+        address = _find_holder(state, partition, event.forwarded)
+        if address is None:
+            return [_report_no_holder(event.ticket)]
+        return [
+            effects.ForwardCancel(
+                event.ticket, address, event.organisation, event.task_id
+            )
+        ]
+    made = queues.cancel_task(state, partition, event)
+    return [*made, *queues.flush(state, partition, now)]
+
+
+def take_forward(
+    state: entry.EntryState,
+    event: events.ForwardAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Passes the holder's answer on; a lost one is reported as unknown."""
+    result = event.result or states.SubmissionResult.UNKNOWN
+    detail = event.detail
+    if event.result is None:
+        detail = (
+            "the partition's holder did not answer; send it again with the "
+            "same key"
+        )
+    return [
+        effects.AnswerTicket(
+            event.ticket, result, detail, task_id=event.task_id
+        )
+    ]
+
+
+def take_batch(
+    state: entry.EntryState,
+    event: events.CommitAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies the table's answer to a partition's batch."""
+    partition = partitions.find_own_batch(state, event.operation)
+    if partition is None:
+        del state.operations[event.operation]
+        return []
+    result = partitions.settle_batch(state, partition, event.answer, now)
+    if result is states.CommitResult.UNKNOWN:
+        return [partitions.set_batch_timer(partition)]
+    del state.operations[event.operation]
+    if result is states.CommitResult.CONFLICT:
+        return partitions.drop_partition(state, partition)
+    batch = partition.batch
+    assert batch is not None
+    partition.batch = None
+    if partition.phase is states.PartitionPhase.TAKING:
+        partition.phase = states.PartitionPhase.LOADING
+        partition.taken_at = now
+        return [queues.read_tasks(partition, now)]
+    made = queues.apply_batch(state, partition, batch)
+    if batch.release:
+        return [*made, *partitions.drop_partition(state, partition)]
+    made += placements.start_committed(state, partition, batch)
+    made += placements.place_tasks(state, partition, now)
+    return [*made, *queues.flush(state, partition, now)]
+
+
+def take_loaded(
+    state: entry.EntryState,
+    event: events.RowsRead,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Rebuilds the queue after a takeover; a failed read is repeated."""
+    partition = state.partitions[event.read.partition]
+    if partition.phase is not states.PartitionPhase.LOADING:
+        return []
+    if event.found is None:
+        timer = timers.Timer(timers.TimerKind.LOAD, str(partition.number))
+        return [effects.SetTimer(timer, LOAD_RETRY)]
+    queues.load_partition(state, partition, event.found, now)
+    return placements.place_tasks(state, partition, now)
+
+
+def reload_partition(
+    state: entry.EntryState, timer: timers.Timer, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Reads the tasks of a partition again."""
+    partition = state.partitions[ids.Partition(int(timer.subject))]
+    if partition.phase is not states.PartitionPhase.LOADING:
+        return []
+    return [queues.read_tasks(partition, now)]
--- a/src/gypsumhold/model/effects.py
+++ b/src/gypsumhold/model/effects.py
@@ -230,8 +230,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadWorker:
-    """Lists the worker's tasks; brings WorkerReported."""
+    """Lists the worker's tasks; brings WorkerReported with `sent_at`."""
 
+    sent_at: datetime.timedelta
     owner: str = NO_OWNER
 
 
--- a/src/gypsumhold/model/entry.py
+++ b/src/gypsumhold/model/entry.py
@@ -1,8 +1,244 @@
 """State of an entry; only the reducer changes it."""
 
 import dataclasses
+import datetime
+import random
+
+from gypsumhold.model import (
+    declarations,
+    ids,
+    options,
+    policies,
+    requests,
+    resources,
+    roster,
+    rows,
+    states,
+)
+
+NEVER = datetime.timedelta.min
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request that waits in this entry.
+
+    Attributes:
+        request: The request.
+        template: Its kind, with the organisation's overrides.
+        deadline: Instant by which the caller wants its answer.
+        phase: Where it stands.
+        attempt: Number of the latest dispatch.
+        target: Instance of the latest dispatch.
+        target_incarnation: Agent's incarnation that it names.
+        valid_until: Instant on the target's clock after which it is refused.
+        sent_at: When it was sent.
+        tried: Instances that were tried.
+        may_have_run: Whether some attempt may have run.
+        reason: Why the latest attempt ended.
+        transaction: Claim transaction in flight.
+        claim: Present row of the claim, as far as known.
+        claim_seen_at: Since when that version of the claim is known.
+        result: Result that is being recorded in the claim.
+    """
+
+    request: requests.Request
+    template: declarations.Template
+    deadline: datetime.timedelta
+    phase: states.CallPhase = states.CallPhase.ADMITTED
+    attempt: ids.Attempt = ids.Attempt(0)
+    target: ids.InstanceId | None = None
+    target_incarnation: ids.Incarnation = ids.Incarnation(0)
+    valid_until: datetime.timedelta = datetime.timedelta(0)
+    sent_at: datetime.timedelta = datetime.timedelta(0)
+    tried: set[ids.InstanceId] = dataclasses.field(default_factory=set)
+    may_have_run: bool = False
+    reason: states.Reason = states.Reason.NONE
+    transaction: rows.Transaction | None = None
+    claim: rows.Row | None = None
+    claim_seen_at: datetime.timedelta = datetime.timedelta(0)
+    result: requests.Result | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class TaskRecord:
+    """A task that has not ended, in the partition's holder.
+
+    Attributes:
+        row: Committed row.
+        pending: Decided row that is not committed yet.
+        granted_until: End of the latest lease grant on the entry's clock.
+        started: Whether the agent has confirmed the present placement.
+        report: Report to acknowledge once `pending` is committed.
+    """
+
+    row: rows.TaskRow
+    pending: rows.TaskRow | None = None
+    granted_until: datetime.timedelta = datetime.timedelta(0)
+    started: bool = False
+    report: ids.InstanceId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BatchTicket:
+    """A caller that is answered once its change is committed."""
+
+    ticket: ids.TicketId
+    task_id: ids.TaskId
+
+
+@dataclasses.dataclass(slots=True)
+class Batch:
+    """The transaction of a partition that is in flight.
+
+    Attributes:
+        transaction: Sent again unchanged until its result is known.
+        changed: Tasks whose pending row it writes.
+        inserted: Tasks that it creates.
+        tickets: Callers to answer after the commit.
+        sent_at: When it was first sent.
+        release: Whether it gives the partition up.
+    """
+
+    transaction: rows.Transaction
+    changed: tuple[ids.TaskId, ...]
+    tickets: tuple[BatchTicket, ...]
+    sent_at: datetime.timedelta
+    release: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class PartitionState:
+    """One partition of the task queue.
+
+    Attributes:
+        number: The partition.
+        phase: What this entry has to do with it.
+        row: Latest known row, None if there is none.
+        version: Version of that row.
+        unchanged_since: Since when the row is unchanged while the table
+            answered every read.
+        confirmed_at: When the last confirmed write was sent.
+        settled_at: When the first write after a failure was confirmed.
+        taken_at: When the takeover was confirmed.
+        batch: Transaction in flight.
+        tasks: Tasks that have not ended.
+        ended: Ids of tasks that have ended.
+        queue: Queued tasks in order of arrival, by class.
+        dirty: Tasks with a pending row that no batch carries yet.
+        tickets: Callers whose change no batch carries yet.
+        usage: Resources of assigned tasks by organisation.
+    """
+
+    number: ids.Partition
+    phase: states.PartitionPhase = states.PartitionPhase.OBSERVED
+    row: rows.PartitionRow | None = None
+    version: ids.RowVersion = ids.RowVersion(0)
+    unchanged_since: datetime.timedelta | None = None
+    confirmed_at: datetime.timedelta = datetime.timedelta(0)
+    settled_at: datetime.timedelta = datetime.timedelta(0)
+    taken_at: datetime.timedelta = datetime.timedelta(0)
+    batch: Batch | None = None
+    tasks: dict[ids.TaskId, TaskRecord] = dataclasses.field(
+        default_factory=dict
+    )
+    ended: set[ids.TaskId] = dataclasses.field(default_factory=set)
+    queue: dict[states.WorkClass, dict[ids.TaskId, None]] = dataclasses.field(
+        default_factory=lambda: {item: {} for item in states.WorkClass}
+    )
+    dirty: dict[ids.TaskId, None] = dataclasses.field(default_factory=dict)
+    tickets: list[BatchTicket] = dataclasses.field(default_factory=list)
+    usage: dict[ids.OrganisationId, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """A transaction in flight: what it is for and what it concerns."""
+
+    kind: states.OperationKind
+    subject: str
+
+
+@dataclasses.dataclass(slots=True)
+class Recording:
+    """A claim's result that is still to be written after the answer."""
+
+    transaction: rows.Transaction
+    give_up_at: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True)
+class ApplyOperation:
+    """A change of the configuration in flight."""
+
+    ticket: ids.TicketId
+    change: declarations.Change
+    transaction: rows.Transaction
+    give_up_at: datetime.timedelta
+    doubtful: bool = False
+    """Whether some sending of it may have taken effect unseen."""
 
 
 @dataclasses.dataclass(slots=True)
 class EntryState:
-    """State of one entry."""
+    """State of one entry.
+
+    Attributes:
+        options: Options from the settings.
+        policies: Decisions that vary.
+        random: Seeded source for all random choices.
+        started_at: When the entry started.
+        configuration: Highest accepted configuration seen.
+        changes: Latest changes, to send instead of the whole configuration.
+        members: Instances that announced themselves.
+        calls: Requests that wait here.
+        waiting: Number of those by class.
+        operations: Transactions in flight.
+        recordings: Claim results still to be written.
+        applies: Configuration changes in flight.
+        partitions: All partitions of the task queue.
+        counter: Source of operation ids.
+        table_failed_at: When the table last failed to answer.
+        reading_peer: Whether a peer's configuration is being read.
+        stopping: Whether the process was asked to stop.
+        stopped: Whether the end of all work was reported.
+    """
+
+    options: options.EntryOptions
+    policies: policies.EntryPolicies
+    random: random.Random
+    started_at: datetime.timedelta = datetime.timedelta(0)
+    configuration: declarations.Configuration = declarations.EMPTY
+    changes: list[declarations.Change] = dataclasses.field(default_factory=list)
+    members: dict[ids.InstanceId, roster.Member] = dataclasses.field(
+        default_factory=dict
+    )
+    calls: dict[ids.RequestId, Call] = dataclasses.field(default_factory=dict)
+    waiting: dict[states.WorkClass, int] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(states.WorkClass, 0)
+    )
+    operations: dict[ids.OperationId, Operation] = dataclasses.field(
+        default_factory=dict
+    )
+    recordings: dict[ids.OperationId, Recording] = dataclasses.field(
+        default_factory=dict
+    )
+    applies: dict[ids.OperationId, ApplyOperation] = dataclasses.field(
+        default_factory=dict
+    )
+    partitions: dict[ids.Partition, PartitionState] = dataclasses.field(
+        default_factory=dict
+    )
+    counter: int = 0
+    table_failed_at: datetime.timedelta = NEVER
+    reading_peer: bool = False
+    stopping: bool = False
+    stopped: bool = False
+
+    def next_operation(self) -> ids.OperationId:
+        """Returns a new operation id, unique over all entries and lives."""
+        self.counter += 1
+        own = self.options
+        return ids.OperationId(f"{own.entry}:{own.incarnation}:{self.counter}")
--- a/src/gypsumhold/model/events.py
+++ b/src/gypsumhold/model/events.py
@@ -108,6 +108,7 @@
     ticket: ids.TicketId
     result: states.SubmissionResult | None
     detail: str = ""
+    task_id: ids.TaskId | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -232,9 +233,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerReported:
-    """The worker listed its tasks; None if it did not answer."""
+    """The worker listed its tasks; None if it did not answer.
+
+    `sent_at` is when the list was asked for; later starts may miss in it.
+    """
 
     report: tasks.WorkerReport | None
+    sent_at: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/model/requests.py
+++ b/src/gypsumhold/model/requests.py
@@ -68,6 +68,9 @@
         remaining: Time that remains until the caller's deadline.
         keep_answer: Whether the agent keeps the answer after delivery, which
             claimed attempts need.
+        valid_until: Instant on the instance's CLOCK_BOOTTIME after which the
+            agent refuses this attempt. The agent's memory of an attempt is
+            bounded, and this bounds how long it has to remember it.
         payload: What goes to the upstream.
     """
 
@@ -78,6 +81,7 @@
     kind: ids.KindName
     remaining: datetime.timedelta
     keep_answer: bool
+    valid_until: datetime.timedelta
     payload: Payload
 
 
@@ -108,12 +112,15 @@
         incarnation: Agent's incarnation that the dispatch named.
         remove_queued: Whether a queued attempt is taken out of the queue. An
             entry that asks on behalf of another entry's claim leaves it there.
+        valid_until: As in the dispatch. Long after it the agent may have
+            forgotten the attempt and then says so.
     """
 
     request_id: ids.RequestId
     attempt: ids.Attempt
     incarnation: ids.Incarnation
-    remove_queued: bool = True
+    remove_queued: bool
+    valid_until: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/model/rows.py
+++ b/src/gypsumhold/model/rows.py
@@ -1,6 +1,7 @@
 """Rows of the platform's table and transactions over them."""
 
 import dataclasses
+import datetime
 
 from gypsumhold.model import (
     declarations,
@@ -46,6 +47,7 @@
         result: Output, or the reason for the end.
         failed_on: Instances on which it failed.
         evictions: How often it was evicted.
+        cancelling: Whether its cancellation was accepted.
     """
 
     task_id: ids.TaskId
@@ -61,6 +63,7 @@
     result: str = ""
     failed_on: tuple[ids.InstanceId, ...] = ()
     evictions: int = 0
+    cancelling: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,6 +79,7 @@
     instance: ids.InstanceId
     incarnation: ids.Incarnation
     address: members.Address
+    valid_until: datetime.timedelta
     answer: requests.Answer | None = None
     reason: states.Reason = states.Reason.NONE
 
@@ -202,9 +206,16 @@
     item: declarations.Template | declarations.Organisation,
 ) -> ids.RowKey:
     """Returns the key of a declared object's row."""
-    folder = (
-        "template"
-        if isinstance(item, declarations.Template)
-        else "organisation"
-    )
-    return ids.RowKey(f"{OBJECT_PREFIX}{folder}/{item.name}")
+    if isinstance(item, declarations.Template):
+        return name_template_key(item.name)
+    return name_organisation_key(item.name)
+
+
+def name_template_key(name: ids.KindName) -> ids.RowKey:
+    """Returns the key of a template's row."""
+    return ids.RowKey(f"{OBJECT_PREFIX}template/{name}")
+
+
+def name_organisation_key(name: ids.OrganisationId) -> ids.RowKey:
+    """Returns the key of an organisation's row."""
+    return ids.RowKey(f"{OBJECT_PREFIX}organisation/{name}")
--- a/src/gypsumhold/model/states.py
+++ b/src/gypsumhold/model/states.py
@@ -51,6 +51,7 @@
     UPSTREAM_TIMEOUT = "upstream-timeout"
     AGENT_LOST = "agent-lost"
     INCARNATION_GONE = "incarnation-gone"
+    STOPPING = "stopping"
 
 
 class MemberState(enum.StrEnum):
@@ -64,6 +65,7 @@
 class CallPhase(enum.StrEnum):
     """Where a request stands in the entry."""
 
+    ADMITTED = "admitted"
     CLAIMING = "claiming"
     WAITING_RETRY = "waiting-retry"
     DISPATCHED = "dispatched"
@@ -71,7 +73,15 @@
     WAITING_RESULT = "waiting-result"
     PROBING = "probing"
     RECORDING = "recording"
-    RECLAIMING = "reclaiming"
+
+
+class OperationKind(enum.StrEnum):
+    """What a transaction in flight is for."""
+
+    CLAIM = "claim"
+    RECORD = "record"
+    PARTITION = "partition"
+    APPLY = "apply"
 
 
 class ClaimState(enum.StrEnum):
@@ -91,6 +101,8 @@
     RUNNING = "running"
     FINISHED = "finished"
     STALE_INCARNATION = "stale-incarnation"
+    FORGOTTEN = "forgotten"
+    """The attempt is older than what the agent remembers."""
 
 
 class DispatchPhase(enum.StrEnum):
@@ -142,6 +154,7 @@
     """What an entry has to do with a partition of the task queue."""
 
     OBSERVED = "observed"
+    """Another entry holds it, or nobody."""
     TAKING = "taking"
     LOADING = "loading"
     HELD = "held"
--- a/src/gypsumhold/model/timers.py
+++ b/src/gypsumhold/model/timers.py
@@ -13,12 +13,12 @@
     PARTITION_POLL = "partition-poll"
     SYNC = "sync"
     CONFIG_POLL = "config-poll"
-    PEER_CONFIG = "peer-config"
     ROSTER = "roster"
     ANNOUNCE = "announce"
     WORKER_POLL = "worker-poll"
     QUEUE = "queue"
-    FENCE = "fence"
+    LOAD = "load"
+    APPLY_RETRY = "apply-retry"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
