--- /dev/null
+++ b/src/gypsumhold/adapters/httpcalls.py
@@ -0,0 +1,117 @@
+"""One HTTP call to a service of the platform, with a typed result.
+
+Library retries and redirects are off: a repeated call is a decision, and only
+the callers of this module know which calls may be repeated.
+"""
+
+import dataclasses
+import datetime
+import enum
+import json
+from typing import Any
+
+import urllib3
+from returns.result import Failure, Result, Success
+
+from gypsumhold.model import members
+
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+"""Bounds the memory that one faulty peer can take."""
+
+CHUNK_BYTES = 64 * 1024
+
+
+class Loss(enum.Enum):
+    """Why a call brought no reply."""
+
+    NOT_SENT = "not-sent"
+    """The connection was refused: the peer has seen nothing of the call."""
+
+    UNKNOWN = "unknown"
+    """The peer may have acted on the call."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole reply; the length of the body has been checked."""
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallOptions:
+    """Limits of the calls to one peer.
+
+    Attributes:
+        address: Where the peer listens.
+        connect_timeout: Longest wait for a connection.
+        read_timeout: Longest wait for the next bytes of a reply.
+        connections: Connections kept open for reuse.
+    """
+
+    address: members.Address
+    connect_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
+    read_timeout: datetime.timedelta = datetime.timedelta(seconds=2)
+    connections: int = 16
+
+
+class HttpCaller:
+    """Calls one peer over a pool of connections; safe for all threads."""
+
+    def __init__(self, options: CallOptions) -> None:
+        self._pool = urllib3.HTTPConnectionPool(
+            options.address.host,
+            options.address.port,
+            timeout=urllib3.Timeout(
+                connect=options.connect_timeout.total_seconds(),
+                read=options.read_timeout.total_seconds(),
+            ),
+            maxsize=options.connections,
+            block=False,
+            retries=False,
+        )
+
+    def call(
+        self, method: str, target: str, body: bytes | None = None
+    ) -> Result[Reply, Loss]:
+        """Sends one request and reads the whole reply."""
+        try:
+            response = self._pool.urlopen(
+                method,
+                target,
+                body=body,
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+            return _read_reply(response)
+        except urllib3.exceptions.NewConnectionError as problem:
+            refused = isinstance(problem.__cause__, ConnectionRefusedError)
+            return Failure(Loss.NOT_SENT if refused else Loss.UNKNOWN)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+            return Failure(Loss.UNKNOWN)
+
+    def call_json(
+        self, method: str, target: str, document: dict[str, Any]
+    ) -> Result[Reply, Loss]:
+        """Sends a JSON document."""
+        return self.call(method, target, json.dumps(document).encode())
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
+
+def _read_reply(response: urllib3.BaseHTTPResponse) -> Result[Reply, Loss]:
+    chunks: list[bytes] = []
+    size = 0
+    for chunk in response.stream(CHUNK_BYTES, decode_content=False):
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_REPLY_BYTES:
+            response.close()
+            return Failure(Loss.UNKNOWN)
+    response.release_conn()
+    return Success(Reply(response.status, b"".join(chunks)))
--- /dev/null
+++ b/src/gypsumhold/adapters/rowcodec.py
@@ -0,0 +1,164 @@
+"""JSON documents of table rows, transactions and the table's answers."""
+
+from typing import Annotated, Any, Literal
+
+import pydantic
+from returns.result import Result
+
+from gypsumhold.adapters import rowvalues, wire
+from gypsumhold.model import errors, ids, rows, states
+
+
+class _RowDocument(wire.Document):
+    key: str
+    version: Annotated[int, pydantic.Field(strict=True, ge=1)]
+    operation: str
+    value: rowvalues.ValueDocument
+
+
+class _ConditionDocument(wire.Document):
+    key: str
+    version: wire.Whole
+
+
+class _WriteDocument(wire.Document):
+    key: str
+    value: rowvalues.ValueDocument | None
+
+
+class _TransactionDocument(wire.Document):
+    operation: str = pydantic.Field(min_length=1)
+    conditions: tuple[_ConditionDocument, ...]
+    writes: tuple[_WriteDocument, ...]
+
+
+class _RowsDocument(wire.Document):
+    rows: tuple[_RowDocument, ...]
+
+
+class _CommittedDocument(wire.Document):
+    result: Literal["committed"]
+
+
+class _ConflictDocument(wire.Document):
+    result: Literal["conflict"]
+    rows: tuple[_RowDocument, ...]
+
+
+_CommitDocument = pydantic.TypeAdapter[_CommittedDocument | _ConflictDocument](
+    Annotated[
+        _CommittedDocument | _ConflictDocument,
+        pydantic.Field(discriminator="result"),
+    ]
+)
+
+
+def _build_row(document: _RowDocument) -> rows.Row:
+    return rows.Row(
+        key=ids.RowKey(document.key),
+        version=ids.RowVersion(document.version),
+        operation=ids.OperationId(document.operation),
+        value=rowvalues.build_value(document.value),
+    )
+
+
+def _build_write(document: _WriteDocument) -> rows.Write:
+    value = document.value
+    return rows.Write(
+        ids.RowKey(document.key),
+        None if value is None else rowvalues.build_value(value),
+    )
+
+
+def _build_transaction(document: _TransactionDocument) -> rows.Transaction:
+    return rows.Transaction(
+        operation=ids.OperationId(document.operation),
+        conditions=tuple(
+            rows.Condition(ids.RowKey(item.key), ids.RowVersion(item.version))
+            for item in document.conditions
+        ),
+        writes=tuple(map(_build_write, document.writes)),
+    )
+
+
+def _build_commit_answer(
+    document: _CommittedDocument | _ConflictDocument,
+) -> rows.CommitAnswer:
+    if isinstance(document, _CommittedDocument):
+        return rows.CommitAnswer(states.CommitResult.COMMITTED)
+    return rows.CommitAnswer(
+        states.CommitResult.CONFLICT, tuple(map(_build_row, document.rows))
+    )
+
+
+def read_row(raw: object) -> Result[rows.Row, errors.Error]:
+    """Checks and converts the JSON document of a row."""
+    return wire.convert(
+        "row", lambda: _build_row(_RowDocument.model_validate(raw))
+    )
+
+
+def read_rows(raw: object) -> Result[tuple[rows.Row, ...], errors.Error]:
+    """Checks and converts one page of rows."""
+    return wire.convert(
+        "rows",
+        lambda: tuple(map(_build_row, _RowsDocument.model_validate(raw).rows)),
+    )
+
+
+def read_transaction(raw: object) -> Result[rows.Transaction, errors.Error]:
+    """Checks and converts the JSON document of a transaction."""
+    return wire.convert(
+        "transaction",
+        lambda: _build_transaction(_TransactionDocument.model_validate(raw)),
+    )
+
+
+def read_commit_answer(
+    raw: object,
+) -> Result[rows.CommitAnswer, errors.Error]:
+    """Checks and converts the table's answer to a transaction."""
+    return wire.convert(
+        "commit answer",
+        lambda: _build_commit_answer(_CommitDocument.validate_python(raw)),
+    )
+
+
+def render_row(row: rows.Row) -> dict[str, Any]:
+    """Returns the JSON document of a row."""
+    return {
+        "key": row.key,
+        "version": row.version,
+        "operation": row.operation,
+        "value": rowvalues.render_value(row.value),
+    }
+
+
+def _render_write(write: rows.Write) -> dict[str, Any]:
+    value = write.value
+    return {
+        "key": write.key,
+        "value": None if value is None else rowvalues.render_value(value),
+    }
+
+
+def render_transaction(transaction: rows.Transaction) -> dict[str, Any]:
+    """Returns the JSON document of a transaction."""
+    return {
+        "operation": transaction.operation,
+        "conditions": [
+            {"key": item.key, "version": item.version}
+            for item in transaction.conditions
+        ],
+        "writes": [_render_write(item) for item in transaction.writes],
+    }
+
+
+def render_commit_answer(answer: rows.CommitAnswer) -> dict[str, Any]:
+    """Returns the JSON document of COMMITTED or CONFLICT."""
+    if answer.result is states.CommitResult.COMMITTED:
+        return {"result": answer.result.value}
+    return {
+        "result": answer.result.value,
+        "rows": [render_row(row) for row in answer.rows],
+    }
--- /dev/null
+++ b/src/gypsumhold/adapters/rowvalues.py
@@ -0,0 +1,284 @@
+"""JSON documents of the values of table rows.
+
+Each value has a `type` field. Bodies are base64, durations integers in
+milliseconds.
+"""
+
+import base64
+from typing import Annotated, Any, Literal
+
+import pydantic
+
+from gypsumhold.adapters import documents, wire
+from gypsumhold.model import ids, requests, rows, states
+
+
+class _AnswerDocument(wire.Document):
+    status: Annotated[int, pydantic.Field(strict=True, ge=100, le=999)]
+    headers: tuple[tuple[str, str], ...] = ()
+    body: str = ""
+
+
+class _PartitionDocument(wire.Document):
+    type: Literal["partition"]
+    holder: str | None
+    incarnation: wire.Whole
+    address: wire.AddressDocument | None
+    epoch: wire.Whole
+    sequence: wire.Whole
+
+
+class _TaskDocument(wire.Document):
+    type: Literal["task"]
+    task_id: str
+    organisation: str
+    kind: str
+    payload: str
+    declared: documents.ResourcesDocument
+    state: states.TaskState
+    epoch: wire.Whole
+    instance: str | None
+    incarnation: wire.Whole | None
+    checkpoint: str | None
+    result: str
+    failed_on: tuple[str, ...]
+    evictions: wire.Whole
+
+
+class _ClaimDocument(wire.Document):
+    type: Literal["claim"]
+    state: states.ClaimState
+    digest: str
+    entry: str
+    entry_incarnation: wire.Whole
+    request_id: str
+    attempt: wire.Whole
+    instance: str
+    incarnation: wire.Whole
+    address: wire.AddressDocument
+    answer: _AnswerDocument | None
+    reason: states.Reason
+
+
+class _HeadDocument(wire.Document):
+    type: Literal["head"]
+    version: wire.Whole
+
+
+class _ChangeDocument(wire.Document):
+    type: Literal["change"]
+    change: dict[str, Any]
+
+
+class _TemplateDocument(wire.Document):
+    type: Literal["template"]
+    template: dict[str, Any]
+
+
+class _OrganisationDocument(wire.Document):
+    type: Literal["organisation"]
+    organisation: dict[str, Any]
+
+
+ValueDocument = Annotated[
+    _PartitionDocument
+    | _TaskDocument
+    | _ClaimDocument
+    | _HeadDocument
+    | _ChangeDocument
+    | _TemplateDocument
+    | _OrganisationDocument,
+    pydantic.Field(discriminator="type"),
+]
+
+
+def _build_body(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as problem:
+        raise wire.Malformed(
+            wire.build_decoding_error("row", "body is not base64")
+        ) from problem
+
+
+def _build_answer(document: _AnswerDocument) -> requests.Answer:
+    return requests.Answer(
+        status=document.status,
+        headers=document.headers,
+        body=_build_body(document.body),
+    )
+
+
+def _build_partition(document: _PartitionDocument) -> rows.PartitionRow:
+    holder = document.holder
+    address = document.address
+    return rows.PartitionRow(
+        holder=None if holder is None else ids.EntryId(holder),
+        incarnation=ids.Incarnation(document.incarnation),
+        address=None if address is None else wire.build_address(address),
+        epoch=ids.Epoch(document.epoch),
+        sequence=document.sequence,
+    )
+
+
+def _build_task(document: _TaskDocument) -> rows.TaskRow:
+    instance = document.instance
+    incarnation = document.incarnation
+    checkpoint = document.checkpoint
+    return rows.TaskRow(
+        task_id=ids.TaskId(document.task_id),
+        organisation=ids.OrganisationId(document.organisation),
+        kind=ids.KindName(document.kind),
+        payload=document.payload,
+        declared=documents.build_resources(document.declared),
+        state=document.state,
+        epoch=ids.Epoch(document.epoch),
+        instance=None if instance is None else ids.InstanceId(instance),
+        incarnation=(
+            None if incarnation is None else ids.Incarnation(incarnation)
+        ),
+        checkpoint=(
+            None if checkpoint is None else ids.CheckpointRef(checkpoint)
+        ),
+        result=document.result,
+        failed_on=tuple(map(ids.InstanceId, document.failed_on)),
+        evictions=document.evictions,
+    )
+
+
+def _build_claim(document: _ClaimDocument) -> rows.ClaimRow:
+    answer = document.answer
+    return rows.ClaimRow(
+        state=document.state,
+        digest=document.digest,
+        entry=ids.EntryId(document.entry),
+        entry_incarnation=ids.Incarnation(document.entry_incarnation),
+        request_id=ids.RequestId(document.request_id),
+        attempt=ids.Attempt(document.attempt),
+        instance=ids.InstanceId(document.instance),
+        incarnation=ids.Incarnation(document.incarnation),
+        address=wire.build_address(document.address),
+        answer=None if answer is None else _build_answer(answer),
+        reason=document.reason,
+    )
+
+
+def build_value(document: ValueDocument) -> rows.RowValue:
+    """Returns the value of a checked document.
+
+    Raises:
+        wire.Malformed: A nested document is faulty.
+    """
+    match document:
+        case _PartitionDocument():
+            return _build_partition(document)
+        case _TaskDocument():
+            return _build_task(document)
+        case _ClaimDocument():
+            return _build_claim(document)
+        case _HeadDocument():
+            return rows.HeadRow(ids.ConfigVersion(document.version))
+        case _:
+            return _build_declaration(document)
+
+
+def _build_declaration(
+    document: _ChangeDocument | _TemplateDocument | _OrganisationDocument,
+) -> rows.RowValue:
+    match document:
+        case _ChangeDocument():
+            change = documents.read_change(document.change)
+            return rows.ChangeRow(wire.unwrap(change))
+        case _TemplateDocument():
+            template = documents.read_template(document.template)
+            return rows.TemplateRow(wire.unwrap(template))
+        case _OrganisationDocument():
+            found = documents.read_organisation(document.organisation)
+            return rows.OrganisationRow(wire.unwrap(found))
+
+
+def _render_answer(answer: requests.Answer) -> dict[str, Any]:
+    return {
+        "status": answer.status,
+        "headers": [list(pair) for pair in answer.headers],
+        "body": base64.b64encode(answer.body).decode(),
+    }
+
+
+def _render_partition(value: rows.PartitionRow) -> dict[str, Any]:
+    address = value.address
+    return {
+        "type": "partition",
+        "holder": value.holder,
+        "incarnation": value.incarnation,
+        "address": None if address is None else wire.render_address(address),
+        "epoch": value.epoch,
+        "sequence": value.sequence,
+    }
+
+
+def _render_task(value: rows.TaskRow) -> dict[str, Any]:
+    return {
+        "type": "task",
+        "task_id": value.task_id,
+        "organisation": value.organisation,
+        "kind": value.kind,
+        "payload": value.payload,
+        "declared": documents.render_resources(value.declared),
+        "state": value.state.value,
+        "epoch": value.epoch,
+        "instance": value.instance,
+        "incarnation": value.incarnation,
+        "checkpoint": value.checkpoint,
+        "result": value.result,
+        "failed_on": list(value.failed_on),
+        "evictions": value.evictions,
+    }
+
+
+def _render_claim(value: rows.ClaimRow) -> dict[str, Any]:
+    answer = value.answer
+    return {
+        "type": "claim",
+        "state": value.state.value,
+        "digest": value.digest,
+        "entry": value.entry,
+        "entry_incarnation": value.entry_incarnation,
+        "request_id": value.request_id,
+        "attempt": value.attempt,
+        "instance": value.instance,
+        "incarnation": value.incarnation,
+        "address": wire.render_address(value.address),
+        "answer": None if answer is None else _render_answer(answer),
+        "reason": value.reason.value,
+    }
+
+
+def render_value(value: rows.RowValue) -> dict[str, Any]:
+    """Returns the JSON document of a row's value."""
+    match value:
+        case rows.PartitionRow():
+            return _render_partition(value)
+        case rows.TaskRow():
+            return _render_task(value)
+        case rows.ClaimRow():
+            return _render_claim(value)
+        case rows.HeadRow():
+            return {"type": "head", "version": value.version}
+        case _:
+            return _render_declaration(value)
+
+
+def _render_declaration(
+    value: rows.ChangeRow | rows.TemplateRow | rows.OrganisationRow,
+) -> dict[str, Any]:
+    match value:
+        case rows.ChangeRow():
+            change = documents.render_change(value.change)
+            return {"type": "change", "change": change}
+        case rows.TemplateRow():
+            template = documents.render_template(value.template)
+            return {"type": "template", "template": template}
+        case rows.OrganisationRow():
+            item = documents.render_organisation(value.organisation)
+            return {"type": "organisation", "organisation": item}
--- /dev/null
+++ b/src/gypsumhold/adapters/wire.py
@@ -0,0 +1,94 @@
+"""What all JSON documents on the wire share: strict types, typed errors."""
+
+import json
+from collections.abc import Callable
+from typing import Annotated, Any, TypeVar
+
+import pydantic
+from returns.result import Failure, Result, Success
+
+from gypsumhold.adapters import documents
+from gypsumhold.model import errors, members
+
+_Value = TypeVar("_Value")
+
+Whole = Annotated[int, pydantic.Field(strict=True, ge=0)]
+"""A count; strict, so that a bool or a text is refused."""
+
+
+class Document(pydantic.BaseModel):
+    """Base of all wire documents: unknown fields are errors."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class AddressDocument(Document):
+    """Address of a process."""
+
+    host: str
+    port: Annotated[int, pydantic.Field(strict=True, ge=1, le=65535)]
+
+
+class Malformed(Exception):
+    """Carries the error of a nested document out of a conversion."""
+
+    def __init__(self, error: errors.Error) -> None:
+        super().__init__(str(error))
+        self.error = error
+
+
+def build_decoding_error(subject: str, detail: str) -> errors.Error:
+    """Returns the error of a document that cannot be read."""
+    return errors.Error(
+        errors.ErrorKind.DECODING,
+        f"{subject}: {detail}",
+        "check that both sides run compatible versions",
+    )
+
+
+def read_json(body: bytes, subject: str) -> Result[object, errors.Error]:
+    """Parses a JSON body; any malformed body is a DECODING error."""
+    try:
+        return Success(json.loads(body.decode()))
+    except (ValueError, RecursionError) as problem:
+        detail = f"not JSON in UTF-8: {type(problem).__name__}"
+        return Failure(build_decoding_error(subject, detail))
+
+
+def build_address(document: AddressDocument) -> members.Address:
+    """Returns the address of a checked document."""
+    return members.Address(document.host, document.port)
+
+
+def render_address(address: members.Address) -> dict[str, Any]:
+    """Returns the JSON document of an address."""
+    return {"host": address.host, "port": address.port}
+
+
+def unwrap(result: Result[_Value, errors.Error]) -> _Value:
+    """Returns the value, or raises Malformed."""
+    match result:
+        case Success(value):
+            return value
+        case Failure(error):
+            raise Malformed(build_decoding_error("row", error.message))
+    raise AssertionError(result)
+
+
+def convert(
+    subject: str, conversion: Callable[[], _Value]
+) -> Result[_Value, errors.Error]:
+    """Runs a conversion; whatever is malformed gives a DECODING error."""
+    try:
+        return Success(conversion())
+    except pydantic.ValidationError as problem:
+        return Failure(
+            documents.describe_problem(
+                problem, errors.ErrorKind.DECODING, subject
+            )
+        )
+    except Malformed as problem:
+        return Failure(problem.error)
+    except OverflowError:
+        # A duration of many digits fits into JSON but not into a timedelta.
+        return Failure(build_decoding_error(subject, "a number is too large"))
