--- /dev/null
+++ b/src/gypsumhold_standin/program.py
@@ -0,0 +1,208 @@
+"""Stand-ins for the platform, a worker and an upstream.
+
+Usage:
+  gypsumhold-standin (platform | worker | upstream) --config FILE
+  gypsumhold-standin --help
+  gypsumhold-standin --version
+
+Options:
+  --config FILE  Settings, JSON with comments.
+  --help         Shows this text.
+  --version      Shows the version.
+"""
+
+import contextlib
+import datetime
+import pathlib
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+
+import docopt
+import jsonc
+import pydantic
+from returns.result import Failure, Result, Success
+
+import gypsumhold
+from gypsumhold.adapters import clock, documents, wire
+from gypsumhold.model import errors, ids, members
+from gypsumhold_standin import (
+    storeservice,
+    upstream,
+    upstreamservice,
+    web,
+    workerservice,
+)
+
+SERVER_THREADS = 32
+SPARE_THREADS = 2
+"""Threads of an upstream beyond its connections, for its scripting routes."""
+
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+BAD_USAGE = 2
+
+
+class _ListenDocument(wire.Document):
+    host: str
+    port: int = pydantic.Field(ge=0, le=65535)
+
+
+class PlatformSettings(wire.Document):
+    """Settings of the platform; port 0 takes a free port."""
+
+    listen: _ListenDocument
+
+
+class WorkerSettings(wire.Document):
+    """Settings of a worker."""
+
+    listen: _ListenDocument
+    capacity: documents.ResourcesDocument
+
+
+class UpstreamSettings(wire.Document):
+    """Settings of an upstream; without `agent` it reports to nobody."""
+
+    listen: _ListenDocument
+    agent: wire.AddressDocument | None = None
+    kinds: tuple[str, ...]
+    slots: int = pydantic.Field(ge=1)
+    connections: int = pydantic.Field(ge=1, le=1024)
+    service_ms: int = pydantic.Field(default=0, ge=0)
+    reserved: documents.ResourcesDocument = documents.ResourcesDocument()
+    seed: int = 0
+
+
+Settings = PlatformSettings | WorkerSettings | UpstreamSettings
+ROLES: dict[str, type[Settings]] = {
+    "platform": PlatformSettings,
+    "worker": WorkerSettings,
+    "upstream": UpstreamSettings,
+}
+
+
+def read_settings(role: str, text: str) -> Result[Settings, errors.Error]:
+    """Checks the settings of a role."""
+    try:
+        return Success(ROLES[role].model_validate(jsonc.loads(text)))
+    except pydantic.ValidationError as problem:
+        return Failure(
+            documents.describe_problem(
+                problem, errors.ErrorKind.BAD_SETTING, "settings"
+            )
+        )
+    except (ValueError, RecursionError) as problem:
+        return Failure(
+            errors.Error(
+                errors.ErrorKind.BAD_SETTING,
+                f"settings are not JSON with comments: {problem}",
+                "correct the file",
+            )
+        )
+
+
+def _sleep(time_left: datetime.timedelta) -> None:
+    time.sleep(time_left.total_seconds())
+
+
+def _build_service(
+    settings: Settings, pause: Callable[[datetime.timedelta], None]
+) -> web.Service:
+    match settings:
+        case PlatformSettings():
+            return storeservice.StoreService(pause)
+        case WorkerSettings():
+            capacity = documents.build_resources(settings.capacity)
+            return workerservice.WorkerService(
+                capacity, clock.SystemClock(), pause
+            )
+        case UpstreamSettings():
+            return upstreamservice.UpstreamService(
+                _build_options(settings), _sleep
+            )
+
+
+def _build_options(settings: UpstreamSettings) -> upstream.Options:
+    return upstream.Options(
+        kinds=frozenset(map(ids.KindName, settings.kinds)),
+        slots=settings.slots,
+        connections=settings.connections,
+        service=datetime.timedelta(milliseconds=settings.service_ms),
+        reserved=documents.build_resources(settings.reserved),
+        seed=settings.seed,
+    )
+
+
+def _count_threads(settings: Settings) -> int:
+    if isinstance(settings, UpstreamSettings):
+        return settings.connections + SPARE_THREADS
+    return SERVER_THREADS
+
+
+def run(role: str, settings: Settings) -> None:
+    """Serves until SIGTERM or SIGINT.
+
+    Raises:
+        OSError: The address cannot be bound.
+    """
+    # Blocked before any thread starts, so that only sigwait takes them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    stopping = threading.Event()
+    service = _build_service(settings, lambda left: _wait(stopping, left))
+    listen = members.Address(settings.listen.host, settings.listen.port)
+    server = web.build_server(listen, _count_threads(settings), service)
+    address = members.Address(*server.bind_addr[:2])
+    with contextlib.ExitStack() as stack:
+        thread = threading.Thread(target=server.serve, name="server")
+        thread.start()
+        stack.callback(thread.join)
+        stack.callback(server.stop)
+        stack.callback(stopping.set)
+        _start_reporter(stack, settings, service, address)
+        print(f"{role} listening on {address}", flush=True)
+        signal.sigwait(STOP_SIGNALS)
+
+
+def _wait(stopping: threading.Event, left: datetime.timedelta) -> None:
+    stopping.wait(left.total_seconds())
+
+
+def _start_reporter(
+    stack: contextlib.ExitStack,
+    settings: Settings,
+    service: web.Service,
+    address: members.Address,
+) -> None:
+    if not isinstance(settings, UpstreamSettings) or settings.agent is None:
+        return
+    assert isinstance(service, upstreamservice.UpstreamService)
+    agent = wire.build_address(settings.agent)
+    reporter = upstreamservice.Reporter(service, address, agent)
+    reporter.start()
+    stack.callback(reporter.close)
+
+
+def main() -> None:
+    """Entry point of `gypsumhold-standin`."""
+    arguments = docopt.docopt(__doc__, version=gypsumhold.VERSION)
+    role = next(name for name in ROLES if arguments[name])
+    try:
+        text = pathlib.Path(arguments["--config"]).read_text("utf-8")
+        match read_settings(role, text):
+            case Success(settings):
+                run(role, settings)
+            case Failure(error):
+                _fail(str(error))
+    except OSError as problem:
+        _fail(f"{problem} (check the file and the listen address)")
+
+
+def _fail(message: str) -> None:
+    print(f"gypsumhold-standin: {message}", file=sys.stderr)
+    sys.exit(BAD_USAGE)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/gypsumhold_standin/routes.py
@@ -0,0 +1,109 @@
+"""Targets, JSON answers and error answers that the services share."""
+
+import dataclasses
+import json
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from gypsumhold.adapters import wire
+from gypsumhold.model import errors, requests
+from gypsumhold_standin import web
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A request's method, decoded path segments and query."""
+
+    method: str
+    path: tuple[str, ...]
+    query: Mapping[str, str]
+
+
+class FaultDocument(wire.Document):
+    """Body of `POST /v1/faults`.
+
+    Attributes:
+        fault: Name of the fault.
+        count: Operations that it concerns; null until the next change.
+        slow_ms: Delay with the fault `slow`.
+        draining: Whether the upstream says that it is leaving.
+    """
+
+    fault: str
+    count: wire.Whole | None = None
+    slow_ms: wire.Whole = 1000
+    draining: bool = False
+
+
+def parse_route(payload: requests.Payload) -> Route:
+    """Splits the target; segments are decoded one by one."""
+    path, _, query = payload.target.partition("?")
+    segments = (urllib.parse.unquote(part) for part in path.split("/")[1:])
+    pairs = urllib.parse.parse_qsl(query, keep_blank_values=True)
+    return Route(payload.method, tuple(segments), dict(pairs))
+
+
+def read_fault(body: bytes) -> Result[FaultDocument, errors.Error]:
+    """Checks the body of `POST /v1/faults`."""
+    return wire.read_json(body, "fault").bind(
+        lambda raw: wire.convert(
+            "fault", lambda: FaultDocument.model_validate(raw)
+        )
+    )
+
+
+def answer_json(document: dict[str, Any], status: int = 200) -> web.Response:
+    """Returns a JSON answer."""
+    headers = (("Content-Type", "application/json"),)
+    body = json.dumps(document).encode()
+    return web.Response(requests.Answer(status, headers, body))
+
+
+def answer_error(status: int, error: errors.Error) -> web.Response:
+    """Returns an error answer."""
+    document = {
+        "kind": error.kind.value,
+        "message": error.message,
+        "remedy": error.remedy,
+    }
+    return answer_json({"error": document}, status)
+
+
+def answer_not_found(route: Route) -> web.Response:
+    """Returns the answer to a route that does not exist."""
+    target = f"{route.method} /{'/'.join(route.path)}"
+    return answer_error(
+        404,
+        errors.Error(
+            errors.ErrorKind.BAD_BODY,
+            f"no such route: {target}",
+            "see docs/design.md, section 11",
+        ),
+    )
+
+
+def answer_unknown_fault(name: str, known: list[str]) -> web.Response:
+    """Returns the answer to a fault that does not exist."""
+    return answer_error(
+        400,
+        errors.Error(
+            errors.ErrorKind.BAD_BODY,
+            f"unknown fault '{name}'",
+            f"use one of {', '.join(known)}",
+        ),
+    )
+
+
+def answer_result(
+    result: Result[web.Response, errors.Error],
+) -> web.Response:
+    """Returns the response, or 400 with the error."""
+    match result:
+        case Success(response):
+            return response
+        case Failure(error):
+            return answer_error(400, error)
+    raise AssertionError(result)
--- /dev/null
+++ b/src/gypsumhold_standin/store.py
@@ -0,0 +1,268 @@
+"""The platform's table and object store as state plus a pure `apply`.
+
+Nothing here does I/O or reads a clock. A lost message is an answer whose
+result is UNKNOWN; a transport turns it into a broken connection.
+"""
+
+import dataclasses
+import enum
+
+from gypsumhold.model import ids, rows, states
+
+
+class Fault(enum.StrEnum):
+    """What goes wrong with operations."""
+
+    NONE = "none"
+    DOWN = "down"
+    """Every operation is refused before it takes effect."""
+
+    SLOW = "slow"
+    """Every operation takes effect; its answer is delayed."""
+
+    ANSWER_LOST = "answer-lost"
+    """A change takes effect, then its answer is lost; reads work."""
+
+    REQUEST_LOST = "request-lost"
+    """A change is lost before it takes effect; reads work."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetFault:
+    """Scripts a fault.
+
+    Attributes:
+        fault: What goes wrong from now on.
+        count: Operations that it concerns; None until the next SetFault.
+    """
+
+    fault: Fault
+    count: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Commit:
+    """Runs a transaction."""
+
+    transaction: rows.Transaction
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRow:
+    """Reads one row."""
+
+    key: ids.RowKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadRows:
+    """Reads one page of the rows of a prefix with keys above `after`."""
+
+    prefix: str
+    after: str
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PutObject:
+    """Stores an object."""
+
+    name: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GetObject:
+    """Reads an object."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeleteObject:
+    """Deletes an object."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListObjects:
+    """Lists the names with a prefix."""
+
+    prefix: str
+
+
+Change = Commit | PutObject | DeleteObject
+Read = ReadRow | ReadRows | GetObject | ListObjects
+Operation = Change | Read
+
+
+class Delivery(enum.Enum):
+    """What becomes of the answer on its way."""
+
+    PROMPT = "prompt"
+    DELAYED = "delayed"
+    REFUSED = "refused"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer to an operation; the fields that it needs are set.
+
+    Attributes:
+        delivery: What becomes of the answer on its way.
+        commit: Result of a transaction, as the client has to see it.
+        rows: Rows that were read.
+        names: Names that were listed.
+        body: Object that was read.
+    """
+
+    delivery: Delivery = Delivery.PROMPT
+    commit: rows.CommitAnswer | None = None
+    rows: tuple[rows.Row, ...] = ()
+    names: tuple[str, ...] = ()
+    body: bytes | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Store:
+    """State of the table and the object store.
+
+    Attributes:
+        rows: Present rows.
+        versions: Last version of each key ever written. A deleted row that
+            is written again continues its count, so that a delayed copy of
+            an old transaction cannot meet its condition by accident.
+        objects: Present objects.
+        fault: What goes wrong.
+        fault_count: Operations that the fault still concerns; None for all.
+    """
+
+    rows: dict[ids.RowKey, rows.Row] = dataclasses.field(default_factory=dict)
+    versions: dict[ids.RowKey, ids.RowVersion] = dataclasses.field(
+        default_factory=dict
+    )
+    objects: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    fault: Fault = Fault.NONE
+    fault_count: int | None = None
+
+
+def set_fault(store: Store, script: SetFault) -> None:
+    """Puts a scripted fault in force."""
+    store.fault = Fault.NONE if script.count == 0 else script.fault
+    store.fault_count = script.count
+
+
+def apply(store: Store, operation: Operation) -> Answer:
+    """Runs one operation under the scripted fault."""
+    fault = _take_fault(store, operation)
+    if fault is Fault.DOWN:
+        return _refuse(operation, Delivery.REFUSED)
+    if fault is Fault.REQUEST_LOST:
+        return _refuse(operation, Delivery.LOST)
+    answer = _run(store, operation)
+    if fault is Fault.ANSWER_LOST:
+        return _refuse(operation, Delivery.LOST)
+    if fault is Fault.SLOW:
+        return dataclasses.replace(answer, delivery=Delivery.DELAYED)
+    return answer
+
+
+def commit(store: Store, transaction: rows.Transaction) -> rows.CommitAnswer:
+    """Runs a transaction and returns what its sender learns."""
+    answer = apply(store, Commit(transaction)).commit
+    assert answer is not None
+    return answer
+
+
+def _take_fault(store: Store, operation: Operation) -> Fault:
+    fault = store.fault
+    if fault in (Fault.ANSWER_LOST, Fault.REQUEST_LOST) and not isinstance(
+        operation, Change
+    ):
+        return Fault.NONE
+    if store.fault_count is not None and fault is not Fault.NONE:
+        store.fault_count -= 1
+        if store.fault_count == 0:
+            store.fault = Fault.NONE
+    return fault
+
+
+def _refuse(operation: Operation, delivery: Delivery) -> Answer:
+    if not isinstance(operation, Commit):
+        return Answer(delivery)
+    result = (
+        states.CommitResult.UNAVAILABLE
+        if delivery is Delivery.REFUSED
+        else states.CommitResult.UNKNOWN
+    )
+    return Answer(delivery, rows.CommitAnswer(result))
+
+
+def _run(store: Store, operation: Operation) -> Answer:
+    match operation:
+        case Commit(transaction):
+            return Answer(commit=_run_transaction(store, transaction))
+        case PutObject(name, body):
+            store.objects[name] = body
+            return Answer()
+        case DeleteObject(name):
+            store.objects.pop(name, None)
+            return Answer()
+        case _:
+            return _run_read(store, operation)
+
+
+def _run_read(store: Store, operation: Read) -> Answer:
+    match operation:
+        case ReadRow(key):
+            row = store.rows.get(key)
+            return Answer(rows=() if row is None else (row,))
+        case ReadRows(prefix, after, limit):
+            keys = sorted(
+                key
+                for key in store.rows
+                if key.startswith(prefix) and key > after
+            )
+            return Answer(rows=tuple(store.rows[key] for key in keys[:limit]))
+        case GetObject(name):
+            return Answer(body=store.objects.get(name))
+        case ListObjects(prefix):
+            names = sorted(
+                name for name in store.objects if name.startswith(prefix)
+            )
+            return Answer(names=tuple(names))
+
+
+def _run_transaction(
+    store: Store, transaction: rows.Transaction
+) -> rows.CommitAnswer:
+    if not all(_holds(store, item) for item in transaction.conditions):
+        return rows.CommitAnswer(
+            states.CommitResult.CONFLICT, _list_present(store, transaction)
+        )
+    for write in transaction.writes:
+        _write(store, transaction.operation, write)
+    return rows.CommitAnswer(states.CommitResult.COMMITTED)
+
+
+def _holds(store: Store, condition: rows.Condition) -> bool:
+    row = store.rows.get(condition.key)
+    return condition.version == (0 if row is None else row.version)
+
+
+def _list_present(
+    store: Store, transaction: rows.Transaction
+) -> tuple[rows.Row, ...]:
+    found = (store.rows.get(item.key) for item in transaction.conditions)
+    return tuple(row for row in found if row is not None)
+
+
+def _write(store: Store, operation: ids.OperationId, write: rows.Write) -> None:
+    if write.value is None:
+        store.rows.pop(write.key, None)
+        return
+    version = ids.RowVersion(store.versions.get(write.key, 0) + 1)
+    store.versions[write.key] = version
+    store.rows[write.key] = rows.Row(write.key, version, operation, write.value)
--- /dev/null
+++ b/src/gypsumhold_standin/upstream.py
@@ -0,0 +1,210 @@
+"""An upstream as state plus pure functions: slots, answers, a record."""
+
+import dataclasses
+import datetime
+import enum
+import hashlib
+import random
+
+from gypsumhold.model import ids, members, requests, resources
+
+NOTHING = datetime.timedelta(0)
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+REQUEST_HEADER = "gypsumhold-request-id"
+ATTEMPT_HEADER = "gypsumhold-attempt"
+DELAY_HEADER = "x-standin-delay-ms"
+STATUS_HEADER = "x-standin-status"
+BREAK_HEADER = "x-standin-break"
+
+MAX_DELAY_DIGITS = 8
+"""Longer delays, above a day, are taken as a mistake and ignored."""
+
+ECHO_PREFIX = "X-Echo-"
+"""Prefix of the answer's headers that repeat a header of the request."""
+
+
+class Fault(enum.StrEnum):
+    """What goes wrong with requests that name no fault of their own."""
+
+    NONE = "none"
+    DOWN = "down"
+    """Requests are refused with 503 and do not run."""
+
+    SLOW = "slow"
+    """Requests take longer by the configured delay."""
+
+    ANSWER_LOST = "answer-lost"
+    """Requests run; the connection breaks before the answer."""
+
+    REQUEST_LOST = "request-lost"
+    """The connection breaks before the request runs."""
+
+
+class Break(enum.StrEnum):
+    """Where the connection breaks."""
+
+    NONE = "none"
+    BEFORE = "before"
+    """Before the first byte of the answer."""
+
+    DURING = "during"
+    """In the middle of the answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """Options of an upstream.
+
+    Attributes:
+        kinds: Kinds of requests that it says it serves.
+        slots: Requests that it says it runs at once.
+        connections: Connections that it says it accepts.
+        service: Mean service time; half to one and a half times as long.
+        reserved: Resources that it keeps for itself.
+        seed: Seed of the service times.
+    """
+
+    kinds: frozenset[ids.KindName]
+    slots: int
+    connections: int
+    service: datetime.timedelta = NOTHING
+    reserved: resources.Resources = resources.NOTHING
+    seed: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """One request that ran."""
+
+    request_id: str
+    attempt: str
+    method: str
+    target: str
+    digest: str
+
+
+@dataclasses.dataclass(slots=True)
+class Upstream:
+    """State of an upstream; `peak` is the highest busy count so far."""
+
+    options: Options
+    generator: random.Random
+    busy: int = 0
+    peak: int = 0
+    draining: bool = False
+    seen: list[Seen] = dataclasses.field(default_factory=list)
+    fault: Fault = Fault.NONE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """How one request is served.
+
+    Attributes:
+        runs: Whether it takes a slot and is recorded.
+        delay: Time between arrival and answer.
+        breaks: Where the connection breaks.
+        answer: The answer, if the connection does not break before.
+    """
+
+    runs: bool
+    delay: datetime.timedelta
+    breaks: Break
+    answer: requests.Answer
+
+
+def build_upstream(options: Options) -> Upstream:
+    """Returns an idle upstream."""
+    return Upstream(options, random.Random(options.seed))
+
+
+def begin(
+    upstream: Upstream, payload: requests.Payload, slow: datetime.timedelta
+) -> Plan:
+    """Takes a request in and decides how it is served."""
+    if upstream.fault is Fault.DOWN:
+        refusal = requests.Answer(503, (("Retry-After", "1"),))
+        return Plan(False, NOTHING, Break.NONE, refusal)
+    if upstream.fault is Fault.REQUEST_LOST:
+        return Plan(False, NOTHING, Break.BEFORE, requests.Answer(500))
+    named = {name.lower(): value for name, value in payload.headers}
+    _record(upstream, payload, named)
+    upstream.busy += 1
+    upstream.peak = max(upstream.peak, upstream.busy)
+    return Plan(
+        runs=True,
+        delay=_choose_delay(upstream, named, slow),
+        breaks=_choose_break(upstream, named),
+        answer=_echo(payload, named),
+    )
+
+
+def finish(upstream: Upstream) -> None:
+    """Frees the slot of a request that ran."""
+    upstream.busy -= 1
+
+
+def build_report(
+    upstream: Upstream, address: members.Address
+) -> members.UpstreamReport:
+    """Returns what the upstream tells its agent."""
+    options = upstream.options
+    return members.UpstreamReport(
+        address=address,
+        kinds=options.kinds,
+        slots=options.slots,
+        connections=options.connections,
+        busy=upstream.busy,
+        draining=upstream.draining,
+        reserved=options.reserved,
+    )
+
+
+def _record(
+    upstream: Upstream, payload: requests.Payload, named: dict[str, str]
+) -> None:
+    upstream.seen.append(
+        Seen(
+            request_id=named.get(REQUEST_HEADER, ""),
+            attempt=named.get(ATTEMPT_HEADER, ""),
+            method=payload.method,
+            target=payload.target,
+            digest=hashlib.sha256(payload.body).hexdigest(),
+        )
+    )
+
+
+def _choose_delay(
+    upstream: Upstream, named: dict[str, str], slow: datetime.timedelta
+) -> datetime.timedelta:
+    mean = upstream.options.service
+    service = mean * upstream.generator.uniform(0.5, 1.5)
+    asked = named.get(DELAY_HEADER, "")
+    if asked.isdecimal() and len(asked) <= MAX_DELAY_DIGITS:
+        service = int(asked) * MILLISECOND
+    return service + (slow if upstream.fault is Fault.SLOW else NOTHING)
+
+
+def _choose_break(upstream: Upstream, named: dict[str, str]) -> Break:
+    asked = named.get(BREAK_HEADER, "")
+    if asked in (Break.BEFORE, Break.DURING):
+        return Break(asked)
+    lost = upstream.fault is Fault.ANSWER_LOST
+    return Break.BEFORE if lost else Break.NONE
+
+
+def _echo(payload: requests.Payload, named: dict[str, str]) -> requests.Answer:
+    asked = named.get(STATUS_HEADER, "")
+    valid = len(asked) == 3 and asked.isdecimal() and asked >= "200"
+    headers = [
+        ("X-Standin-Method", payload.method),
+        ("X-Standin-Target", payload.target),
+        ("Content-Type", named.get("content-type", "text/plain")),
+    ]
+    headers.extend(
+        (f"{ECHO_PREFIX}{name}", value) for name, value in payload.headers
+    )
+    return requests.Answer(
+        int(asked) if valid else 200, tuple(headers), payload.body
+    )
