--- a/src/gypsumhold/adapters/httpcalls.py
+++ b/src/gypsumhold/adapters/httpcalls.py
@@ -19,6 +19,7 @@
 """Bounds the memory that one faulty peer can take."""
 
 CHUNK_BYTES = 64 * 1024
+BODYLESS = frozenset({204, 304})
 
 
 class Loss(enum.Enum):
@@ -105,6 +106,9 @@
 
 
 def _read_reply(response: urllib3.BaseHTTPResponse) -> Result[Reply, Loss]:
+    if not _has_length(response):
+        response.close()
+        return Failure(Loss.UNKNOWN)
     chunks: list[bytes] = []
     size = 0
     for chunk in response.stream(CHUNK_BYTES, decode_content=False):
@@ -115,3 +119,13 @@
             return Failure(Loss.UNKNOWN)
     response.release_conn()
     return Success(Reply(response.status, b"".join(chunks)))
+
+
+def _has_length(response: urllib3.BaseHTTPResponse) -> bool:
+    # http.client takes a head that is cut off for a whole one, and a body
+    # without a length for one that ends with the connection.
+    return (
+        response.status in BODYLESS
+        or "content-length" in response.headers
+        or "transfer-encoding" in response.headers
+    )
--- a/src/gypsumhold_standin/store.py
+++ b/src/gypsumhold_standin/store.py
@@ -113,14 +113,14 @@
     Attributes:
         delivery: What becomes of the answer on its way.
         commit: Result of a transaction, as the client has to see it.
-        rows: Rows that were read.
+        found: Rows that were read.
         names: Names that were listed.
         body: Object that was read.
     """
 
     delivery: Delivery = Delivery.PROMPT
     commit: rows.CommitAnswer | None = None
-    rows: tuple[rows.Row, ...] = ()
+    found: tuple[rows.Row, ...] = ()
     names: tuple[str, ...] = ()
     body: bytes | None = None
 
@@ -130,7 +130,7 @@
     """State of the table and the object store.
 
     Attributes:
-        rows: Present rows.
+        table: Present rows.
         versions: Last version of each key ever written. A deleted row that
             is written again continues its count, so that a delayed copy of
             an old transaction cannot meet its condition by accident.
@@ -139,7 +139,7 @@
         fault_count: Operations that the fault still concerns; None for all.
     """
 
-    rows: dict[ids.RowKey, rows.Row] = dataclasses.field(default_factory=dict)
+    table: dict[ids.RowKey, rows.Row] = dataclasses.field(default_factory=dict)
     versions: dict[ids.RowKey, ids.RowVersion] = dataclasses.field(
         default_factory=dict
     )
@@ -217,15 +217,15 @@
 def _run_read(store: Store, operation: Read) -> Answer:
     match operation:
         case ReadRow(key):
-            row = store.rows.get(key)
-            return Answer(rows=() if row is None else (row,))
+            row = store.table.get(key)
+            return Answer(found=() if row is None else (row,))
         case ReadRows(prefix, after, limit):
             keys = sorted(
                 key
-                for key in store.rows
+                for key in store.table
                 if key.startswith(prefix) and key > after
             )
-            return Answer(rows=tuple(store.rows[key] for key in keys[:limit]))
+            return Answer(found=tuple(store.table[key] for key in keys[:limit]))
         case GetObject(name):
             return Answer(body=store.objects.get(name))
         case ListObjects(prefix):
@@ -248,21 +248,23 @@
 
 
 def _holds(store: Store, condition: rows.Condition) -> bool:
-    row = store.rows.get(condition.key)
+    row = store.table.get(condition.key)
     return condition.version == (0 if row is None else row.version)
 
 
 def _list_present(
     store: Store, transaction: rows.Transaction
 ) -> tuple[rows.Row, ...]:
-    found = (store.rows.get(item.key) for item in transaction.conditions)
+    found = (store.table.get(item.key) for item in transaction.conditions)
     return tuple(row for row in found if row is not None)
 
 
 def _write(store: Store, operation: ids.OperationId, write: rows.Write) -> None:
     if write.value is None:
-        store.rows.pop(write.key, None)
+        store.table.pop(write.key, None)
         return
     version = ids.RowVersion(store.versions.get(write.key, 0) + 1)
     store.versions[write.key] = version
-    store.rows[write.key] = rows.Row(write.key, version, operation, write.value)
+    store.table[write.key] = rows.Row(
+        write.key, version, operation, write.value
+    )
--- a/src/gypsumhold_standin/storeservice.py
+++ b/src/gypsumhold_standin/storeservice.py
@@ -131,13 +131,13 @@
 
 
 def _answer_row(answer: store.Answer) -> web.Response:
-    if not answer.rows:
+    if not answer.found:
         return web.Response(requests.Answer(404))
-    return routes.answer_json(rowcodec.render_row(answer.rows[0]))
+    return routes.answer_json(rowcodec.render_row(answer.found[0]))
 
 
 def _answer_rows(answer: store.Answer) -> web.Response:
-    return routes.answer_json({"rows": _render_rows(answer.rows)})
+    return routes.answer_json({"rows": _render_rows(answer.found)})
 
 
 def _render_rows(found: tuple[rows.Row, ...]) -> list[object]:
--- a/src/gypsumhold_standin/web.py
+++ b/src/gypsumhold_standin/web.py
@@ -17,8 +17,12 @@
 KEEP_ALIVE_S = 300
 """Idle time of a connection; closing one early races with its next request."""
 
-EXPIRY_CHECK_S = 10.0
-"""Interval between the library's checks for idle connections."""
+EXPIRY_CHECK_S = 0.5
+"""Interval between the library's checks for idle connections.
+
+A stop waits for the current interval to end: closing the listening socket may
+remove the event that was to wake the library's selector.
+"""
 
 BACKLOG = 128
 BODYLESS = frozenset({204, 304})
@@ -158,24 +162,23 @@
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in answer.headers
     ]
-    if answer.status not in BODYLESS:
-        length = str(len(answer.body)).encode()
-        request.outheaders.append((b"Content-Length", length))
+    length = len(answer.body)
     if response.breaks is upstream.Break.DURING:
-        _send_half(request, answer.body)
+        # An empty body is announced as one byte, so that it can be cut off.
+        _announce_length(request, max(1, length))
+        request.ensure_headers_sent()
+        request.write(answer.body[: length // 2])
+        _break_connection(request)
         return
+    if answer.status not in BODYLESS:
+        _announce_length(request, length)
     request.ensure_headers_sent()
     if answer.body and method != "HEAD" and answer.status not in BODYLESS:
         request.write(answer.body)
 
 
-def _send_half(request: _ExactRequest, body: bytes) -> None:
-    if body:
-        request.ensure_headers_sent()
-        request.write(body[: len(body) // 2])
-    else:
-        request.conn.wfile.write(b"HTTP/1.1 200 OK\r\nContent-")
-    _break_connection(request)
+def _announce_length(request: _ExactRequest, length: int) -> None:
+    request.outheaders.append((b"Content-Length", str(length).encode()))
 
 
 def _break_connection(request: _ExactRequest) -> None:
