--- /dev/null
+++ b/src/gypsumhold/adapters/callers.py
@@ -0,0 +1,287 @@
+"""Caller HTTP: requests that pass through to upstreams."""
+
+import datetime
+import hashlib
+import math
+import re
+import uuid
+
+import logbook
+
+from gypsumhold.adapters import engine, headers, web
+from gypsumhold.model import (
+    effects,
+    entry,
+    errors,
+    events,
+    ids,
+    requests,
+    states,
+)
+
+_LOG = logbook.Logger("gypsumhold.callers")
+
+TASK_PATH = "/gypsumhold/v1/tasks"
+OWN_PATHS = "/gypsumhold/"
+
+# The reducer ends every call by its deadline; this only guards against one
+# that it forgot.
+WAIT_MARGIN = datetime.timedelta(seconds=2)
+
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,128}")
+_KEY = re.compile(r"[\x21-\x7e]{1,200}")
+_NUMBER = re.compile(r"[0-9]{1,9}")
+
+_STATUS_NOT_RUN = {
+    states.Reason.BAD_REQUEST: 400,
+    states.Reason.KEY_REQUIRED: 400,
+    states.Reason.UNKNOWN_ORGANISATION: 403,
+    states.Reason.UNKNOWN_KIND: 404,
+    states.Reason.BODY_TOO_LARGE: 413,
+    states.Reason.KEY_REUSED: 422,
+}
+_STATUS = {
+    states.Outcome.NOT_RUN: 503,
+    states.Outcome.INDETERMINATE: 504,
+    states.Outcome.IN_PROGRESS: 409,
+}
+_REFUSALS = {
+    400: states.Reason.BAD_REQUEST,
+    413: states.Reason.BODY_TOO_LARGE,
+}
+_KINDS = {
+    states.Reason.BODY_TOO_LARGE: errors.ErrorKind.BODY_TOO_LARGE,
+    states.Reason.UNKNOWN_ORGANISATION: errors.ErrorKind.UNKNOWN_ORGANISATION,
+    states.Reason.UNKNOWN_KIND: errors.ErrorKind.UNKNOWN_KIND,
+    states.Reason.TABLE_UNAVAILABLE: errors.ErrorKind.PLATFORM_UNAVAILABLE,
+    states.Reason.BAD_REQUEST: errors.ErrorKind.BAD_HEADER,
+    states.Reason.KEY_REQUIRED: errors.ErrorKind.BAD_HEADER,
+    states.Reason.KEY_REUSED: errors.ErrorKind.BAD_HEADER,
+}
+_REMEDIES = {
+    states.Reason.UNKNOWN_ORGANISATION: (
+        "use an organisation that an operator has declared"
+    ),
+    states.Reason.UNKNOWN_KIND: (
+        "use a kind that the organisation's declaration lists"
+    ),
+    states.Reason.KEY_REQUIRED: "send an Idempotency-Key header",
+    states.Reason.KEY_REUSED: "use a new Idempotency-Key for another request",
+    states.Reason.BODY_TOO_LARGE: "send a smaller body",
+}
+_OUTCOME_REMEDIES = {
+    states.Outcome.NOT_RUN: "send it again after the time in Retry-After",
+    states.Outcome.INDETERMINATE: (
+        "find out whether the work ran before you send it again"
+    ),
+    states.Outcome.IN_PROGRESS: (
+        "send the same request with the same key later to get its result"
+    ),
+}
+
+
+class BadHeaderError(Exception):
+    """A caller header is missing or malformed."""
+
+    def __init__(self, message: str, remedy: str) -> None:
+        super().__init__(message)
+        self.error = errors.Error(errors.ErrorKind.BAD_HEADER, message, remedy)
+
+
+class CallerRoutes(web.Routes):
+    """Serves requests, and tasks through the routes given for them."""
+
+    def __init__(
+        self,
+        runtime: engine.Engine[entry.EntryState],
+        task_routes: web.Routes,
+        max_deadline: datetime.timedelta,
+    ) -> None:
+        """Stores what the routes need.
+
+        Args:
+            runtime: Engine of the entry.
+            task_routes: Serves paths below TASK_PATH.
+            max_deadline: Longest deadline that is accepted.
+        """
+        self._runtime = runtime
+        self._task_routes = task_routes
+        self._max_deadline = max_deadline
+
+    def answer(self, incoming: web.Incoming) -> web.Outgoing:
+        """Answers one request."""
+        path = incoming.read_path()
+        if path == TASK_PATH or path.startswith(f"{TASK_PATH}/"):
+            return self._task_routes.answer(incoming)
+        if path.startswith(OWN_PATHS):
+            error = errors.Error(
+                errors.ErrorKind.BAD_HEADER,
+                f"there is no {path}",
+                f"use {TASK_PATH}, or a path outside {OWN_PATHS}",
+            )
+            return self.refuse(404, error)
+        try:
+            request = read_request(incoming, self._max_deadline)
+        except BadHeaderError as problem:
+            return self.refuse(400, problem.error)
+        return render_result(self._run(request))
+
+    def _run(self, request: requests.Request) -> requests.Result:
+        try:
+            final = self._runtime.run_owner(
+                request.request_id,
+                events.CallArrived(request),
+                request.deadline + WAIT_MARGIN,
+            )
+        except Exception:
+            _LOG.exception("request {} failed", request.request_id)
+            final = None
+        if isinstance(final, effects.AnswerCall):
+            return final.result
+        return requests.Result(
+            states.Outcome.INDETERMINATE, states.Reason.EXPIRED
+        )
+
+    def refuse(self, status: int, error: errors.Error) -> web.Outgoing:
+        """Answers bad input; nothing of it ran."""
+        reason = _REFUSALS.get(status, states.Reason.BAD_REQUEST)
+        lines = _render_outcome(states.Outcome.NOT_RUN, reason)
+        return web.render_error(status, error, lines)
+
+
+def read_request(
+    incoming: web.Incoming, max_deadline: datetime.timedelta
+) -> requests.Request:
+    """Checks the caller headers and builds the request.
+
+    Raises:
+        BadHeaderError: A header is missing, repeated or malformed.
+    """
+    organisation = _read_header(incoming, headers.ORGANISATION, _NAME)
+    kind = _read_header(incoming, headers.KIND, _NAME)
+    deadline = _read_deadline(incoming, max_deadline)
+    key = read_key(incoming)
+    passed_on = headers.drop_hop_by_hop(
+        incoming.headers,
+        (
+            headers.ORGANISATION,
+            headers.KIND,
+            headers.DEADLINE,
+            headers.REQUEST_ID,
+            headers.ATTEMPT,
+        ),
+    )
+    payload = requests.Payload(
+        incoming.method, incoming.target, passed_on, incoming.body
+    )
+    return requests.Request(
+        request_id=ids.RequestId(uuid.uuid4().hex),
+        organisation=ids.OrganisationId(organisation),
+        kind=ids.KindName(kind),
+        key=key,
+        deadline=deadline,
+        digest=compute_digest(payload),
+        payload=payload,
+    )
+
+
+def compute_digest(payload: requests.Payload) -> str:
+    """Returns the digest of method, target and body."""
+    digest = hashlib.sha256(
+        f"{payload.method} {payload.target}\n".encode("latin-1")
+    )
+    digest.update(payload.body)
+    return digest.hexdigest()
+
+
+def read_key(incoming: web.Incoming) -> ids.IdempotencyKey | None:
+    """Returns the idempotency key, if there is one.
+
+    Raises:
+        BadHeaderError: It is repeated or malformed.
+    """
+    if not headers.list_values(incoming.headers, headers.IDEMPOTENCY_KEY):
+        return None
+    value = _read_header(incoming, headers.IDEMPOTENCY_KEY, _KEY)
+    return ids.IdempotencyKey(value)
+
+
+def _read_header(
+    incoming: web.Incoming, name: str, pattern: re.Pattern[str]
+) -> str:
+    shown = name.title()
+    values = headers.list_values(incoming.headers, name)
+    if len(values) != 1:
+        problem = "is given twice" if values else "is missing"
+        raise BadHeaderError(
+            f"the header {shown} {problem}", f"send one {shown} header"
+        )
+    if not pattern.fullmatch(values[0]):
+        raise BadHeaderError(
+            f"the header {shown} is malformed",
+            f"send a value that matches {pattern.pattern}",
+        )
+    return values[0]
+
+
+def _read_deadline(
+    incoming: web.Incoming, maximum: datetime.timedelta
+) -> datetime.timedelta:
+    limit = maximum // datetime.timedelta(milliseconds=1)
+    remedy = f"send the remaining time as an integer from 1 to {limit}"
+    values = headers.list_values(incoming.headers, headers.DEADLINE)
+    if len(values) != 1 or not _NUMBER.fullmatch(values[0]):
+        raise BadHeaderError(
+            "the header Gypsumhold-Deadline-Ms is not one integer", remedy
+        )
+    number = int(values[0])
+    if not 1 <= number <= limit:
+        raise BadHeaderError(
+            f"the header Gypsumhold-Deadline-Ms is {number}", remedy
+        )
+    return datetime.timedelta(milliseconds=number)
+
+
+def _render_outcome(
+    outcome: states.Outcome, reason: states.Reason
+) -> headers.Headers:
+    return (
+        (headers.OUTCOME, outcome.value),
+        (headers.REASON, reason.value),
+    )
+
+
+def render_retry_after(pause: datetime.timedelta) -> headers.Headers:
+    """Returns a Retry-After line in whole seconds, at least one."""
+    seconds = max(1, math.ceil(pause.total_seconds()))
+    return (("Retry-After", str(seconds)),)
+
+
+def render_result(result: requests.Result) -> web.Outgoing:
+    """Returns the HTTP answer for the result of a request."""
+    lines = _render_outcome(result.outcome, result.reason)
+    if result.answer is not None:
+        passed_on = headers.drop_hop_by_hop(
+            result.answer.headers, (headers.OUTCOME, headers.REASON)
+        )
+        return web.Outgoing(
+            result.answer.status, passed_on + lines, result.answer.body
+        )
+    status = _STATUS.get(result.outcome, 504)
+    if result.outcome is states.Outcome.NOT_RUN:
+        status = _STATUS_NOT_RUN.get(result.reason, status)
+    if status == 503:
+        lines += render_retry_after(result.retry_after)
+    return web.render_error(status, _describe_result(result), lines)
+
+
+def _describe_result(result: requests.Result) -> errors.Error:
+    kind = _KINDS.get(result.reason, errors.ErrorKind.PEER_UNAVAILABLE)
+    remedy = _REMEDIES.get(
+        result.reason, _OUTCOME_REMEDIES.get(result.outcome, "send it again")
+    )
+    return errors.Error(
+        kind,
+        f"the outcome is {result.outcome.value}: {result.reason.value}",
+        remedy,
+    )
--- /dev/null
+++ b/src/gypsumhold/adapters/metrics.py
@@ -0,0 +1,294 @@
+"""Metrics, updated from the events and effects that the engine reports."""
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from opentelemetry.exporter.otlp.proto.http import metric_exporter
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk import resources as sdk_resources
+from opentelemetry.sdk.metrics import export
+
+from gypsumhold.adapters import engine
+from gypsumhold.model import effects, events, ids, rows, states
+
+EXPORT_INTERVAL_MS = 10_000
+
+# Seconds; the lower bounds resolve the overhead of a dispatch on loopback.
+LATENCY_BOUNDS = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    10.0,
+)
+
+Classifier = Callable[
+    [ids.OrganisationId, ids.KindName], states.WorkClass | None
+]
+AttemptId = tuple[ids.RequestId, ids.Attempt]
+
+
+class Recorder(engine.Observer):
+    """Counts what happens in one role and renders it as text."""
+
+    def __init__(
+        self,
+        role: str,
+        name: str,
+        classify: Classifier = lambda organisation, kind: None,
+        otlp_url: str | None = None,
+    ) -> None:
+        """Creates the instruments; the caller has to call `close`.
+
+        Args:
+            role: Role of the process.
+            name: Name of the process.
+            classify: Returns the class of a kind for an organisation.
+            otlp_url: Where metrics are sent as well, if anywhere.
+        """
+        self._reader = export.InMemoryMetricReader()
+        readers: list[export.MetricReader] = [self._reader]
+        if otlp_url is not None:
+            exporter = metric_exporter.OTLPMetricExporter(endpoint=otlp_url)
+            readers.append(
+                export.PeriodicExportingMetricReader(
+                    exporter, export_interval_millis=EXPORT_INTERVAL_MS
+                )
+            )
+        self._provider = sdk.MeterProvider(
+            readers,
+            sdk_resources.Resource(
+                {"service.name": role, "service.instance.id": name}
+            ),
+            shutdown_on_exit=False,
+        )
+        self._classify = classify
+        self._lock = threading.Lock()
+        # Requests, attempts and transactions whose end is not yet seen.
+        self._classes: dict[ids.RequestId, str] = {}
+        self._dispatches: dict[AttemptId, float] = {}
+        self._commits: dict[ids.OperationId, Counter[str]] = {}
+        self._slots = 0
+        self._task_states: set[str] = set()
+        self._create_instruments()
+        self._handlers: dict[type, Callable[..., None]] = {
+            events.CallArrived: self._start_call,
+            effects.AnswerCall: self._end_call,
+            effects.SendDispatch: self._start_dispatch,
+            events.DispatchAnswered: self._end_dispatch,
+            events.DispatchLost: self._end_dispatch,
+            effects.Commit: self._start_commit,
+            events.CommitAnswered: self._end_commit,
+            effects.ReplyDispatch: self._end_attempt,
+            events.UpstreamReported: self._note_slots,
+            effects.Announce: self._note_announcement,
+            events.AnnouncementReceived: self._count_received,
+            events.WorkerReported: self._note_tasks,
+            effects.PushConfig: self._note_pushed_config,
+            events.ConfigPushed: self._note_pushed_config,
+        }
+
+    def _create_instruments(self) -> None:
+        meter = self._provider.get_meter("gypsumhold")
+        self._requests = meter.create_counter(
+            "gypsumhold_requests", description="Requests by final outcome"
+        )
+        self._attempts = meter.create_counter(
+            "gypsumhold_attempts", description="Attempts by final outcome"
+        )
+        self._latency = meter.create_histogram(
+            "gypsumhold_dispatch_seconds",
+            unit="s",
+            description="Time from sending a dispatch to its reply",
+            explicit_bucket_boundaries_advisory=LATENCY_BOUNDS,
+        )
+        self._commit_results = meter.create_counter(
+            "gypsumhold_commits", description="Transactions by result"
+        )
+        self._task_writes = meter.create_counter(
+            "gypsumhold_task_writes", description="Committed states of tasks"
+        )
+        self._announcements = meter.create_counter(
+            "gypsumhold_announcements", description="Sent and received"
+        )
+        self._queue = meter.create_gauge(
+            "gypsumhold_queue_length", description="Attempts that wait"
+        )
+        self._taken = meter.create_gauge(
+            "gypsumhold_slots_taken", description="Slots that are not free"
+        )
+        self._tasks = meter.create_gauge(
+            "gypsumhold_tasks", description="Tasks on the worker by state"
+        )
+        self._config = meter.create_gauge(
+            "gypsumhold_config_version", description="Version in force"
+        )
+
+    def observe(self, event: events.Event, made: effects.Effects) -> None:
+        """Updates the instruments."""
+        for item in (event, *made):
+            handler = self._handlers.get(type(item))
+            if handler is not None:
+                handler(item)
+
+    def set_config_version(self, version: ids.ConfigVersion) -> None:
+        """Notes the configuration version in force."""
+        self._config.set(version)
+
+    def _start_call(self, event: events.CallArrived) -> None:
+        request = event.request
+        work_class = self._classify(request.organisation, request.kind)
+        name = "unknown" if work_class is None else work_class.value
+        with self._lock:
+            self._classes[request.request_id] = name
+
+    def _end_call(self, effect: effects.AnswerCall) -> None:
+        with self._lock:
+            name = self._classes.pop(effect.owner, "unknown")
+        self._requests.add(
+            1,
+            {
+                "class": name,
+                "outcome": effect.result.outcome.value,
+                "reason": effect.result.reason.value,
+            },
+        )
+
+    def _start_dispatch(self, effect: effects.SendDispatch) -> None:
+        key = (effect.dispatch.request_id, effect.dispatch.attempt)
+        with self._lock:
+            self._dispatches[key] = time.monotonic()
+
+    def _end_dispatch(
+        self, event: events.DispatchAnswered | events.DispatchLost
+    ) -> None:
+        with self._lock:
+            start = self._dispatches.pop(
+                (event.request_id, event.attempt), None
+            )
+        if start is not None:
+            result = (
+                "answered"
+                if isinstance(event, events.DispatchAnswered)
+                else "lost"
+            )
+            self._latency.record(time.monotonic() - start, {"result": result})
+
+    def _start_commit(self, effect: effects.Commit) -> None:
+        written = Counter(
+            write.value.state.value
+            for write in effect.transaction.writes
+            if isinstance(write.value, rows.TaskRow)
+        )
+        with self._lock:
+            self._commits[effect.transaction.operation] = written
+
+    def _end_commit(self, event: events.CommitAnswered) -> None:
+        with self._lock:
+            written = self._commits.pop(event.operation, Counter())
+        self._commit_results.add(1, {"result": event.answer.result.value})
+        if event.answer.result is states.CommitResult.COMMITTED:
+            for state, number in written.items():
+                self._task_writes.add(number, {"state": state})
+
+    def _end_attempt(self, effect: effects.ReplyDispatch) -> None:
+        self._attempts.add(
+            1,
+            {
+                "outcome": effect.reply.outcome.value,
+                "reason": effect.reply.reason.value,
+            },
+        )
+
+    def _note_slots(self, event: events.UpstreamReported) -> None:
+        self._slots = event.report.slots
+
+    def _note_announcement(self, effect: effects.Announce) -> None:
+        announcement = effect.announcement
+        self._announcements.add(1, {"direction": "sent"})
+        self._queue.set(announcement.queued)
+        self._taken.set(max(0, self._slots - announcement.free_slots))
+        self._config.set(announcement.config_version)
+
+    def _count_received(self, _event: events.AnnouncementReceived) -> None:
+        self._announcements.add(1, {"direction": "received"})
+
+    def _note_tasks(self, event: events.WorkerReported) -> None:
+        if event.report is None:
+            return
+        found = Counter(task.state.value for task in event.report.tasks)
+        with self._lock:
+            self._task_states |= set(found)
+            known = sorted(self._task_states)
+        for state in known:
+            self._tasks.set(found[state], {"state": state})
+
+    def _note_pushed_config(
+        self, item: effects.PushConfig | events.ConfigPushed
+    ) -> None:
+        self._config.set(item.configuration.version)
+
+    def render(self) -> str:
+        """Returns all values, one a line."""
+        return render_metrics(self._reader.get_metrics_data())
+
+    def close(self) -> None:
+        """Sends what is left to the exporter and ends it."""
+        self._provider.shutdown()
+
+
+def render_metrics(data: export.MetricsData | None) -> str:
+    """Returns metrics in the Prometheus text format."""
+    if data is None:
+        return ""
+    lines: list[str] = []
+    for resource in data.resource_metrics:
+        for scope in resource.scope_metrics:
+            for metric in scope.metrics:
+                lines += _render_metric(metric)
+    return "\n".join(lines) + "\n"
+
+
+def _render_metric(metric: export.Metric) -> list[str]:
+    lines = [f"# HELP {metric.name} {metric.description}"]
+    for point in metric.data.data_points:
+        labels = point.attributes or {}
+        if isinstance(point, export.HistogramDataPoint):
+            lines += _render_histogram(metric.name, labels, point)
+        elif isinstance(point, export.NumberDataPoint):
+            lines.append(f"{metric.name}{_render_labels(labels)} {point.value}")
+    return lines
+
+
+def _render_histogram(
+    name: str,
+    labels: Mapping[str, object],
+    point: export.HistogramDataPoint,
+) -> list[str]:
+    lines = []
+    total = 0
+    bounds = [*map(str, point.explicit_bounds), "+Inf"]
+    for bound, number in zip(bounds, point.bucket_counts, strict=True):
+        total += number
+        shown = _render_labels({**labels, "le": bound})
+        lines.append(f"{name}_bucket{shown} {total}")
+    shown = _render_labels(labels)
+    lines.append(f"{name}_sum{shown} {point.sum}")
+    lines.append(f"{name}_count{shown} {point.count}")
+    return lines
+
+
+def _render_labels(labels: Mapping[str, object]) -> str:
+    if not labels:
+        return ""
+    pairs = ",".join(f'{name}="{labels[name]}"' for name in sorted(labels))
+    return f"{{{pairs}}}"
--- /dev/null
+++ b/src/gypsumhold/adapters/pools.py
@@ -0,0 +1,182 @@
+"""Bounded thread pools that run effects without a waiting owner.
+
+Effects are put on lanes. One lane runs one effect at a time, in order, so a
+slow peer occupies one thread at most and the commands for one task stay in
+order.
+"""
+
+import collections
+import dataclasses
+import enum
+import threading
+from collections.abc import Callable, Hashable
+from typing import Any
+
+from gypsumhold.model import effects
+
+
+class Family(enum.Enum):
+    """Effects that share a pool; a slow family does not delay another."""
+
+    TABLE = "table"
+    PEERS = "peers"
+    WORKER = "worker"
+    LOCAL = "local"
+
+
+# One thread for each of the 16 default partitions, whose batches overlap.
+# Peers of a lost data centre each hold a thread until their timeout.
+THREADS = {
+    Family.TABLE: 16,
+    Family.PEERS: 16,
+    Family.WORKER: 4,
+    Family.LOCAL: 2,
+}
+
+# Waiting effects of one family; at 16 threads and 10 ms each, about 2.5 s.
+MAX_WAITING = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lane:
+    """Where an effect is run.
+
+    Attributes:
+        family: Chooses the pool.
+        key: Effects of one key run in order, one at a time.
+        replace: Whether a waiting effect is replaced by a newer one, which
+            keeps periodic effects to one waiting per key.
+    """
+
+    family: Family
+    key: Hashable
+    replace: bool = False
+
+
+def choose_lane(effect: effects.Effect) -> Lane:
+    """Returns the lane of an effect that no owner runs."""
+    chooser = _LANES.get(type(effect))
+    if chooser is None:
+        return Lane(Family.PEERS, effect.owner)
+    return chooser(effect)
+
+
+def _choose_read_lane(effect: effects.ReadRows) -> Lane:
+    if effect.owner:
+        return Lane(Family.TABLE, effect.owner)
+    key = (effect.purpose.kind, effect.prefix, effect.after)
+    return Lane(Family.TABLE, key, True)
+
+
+_LANES: dict[type, Callable[[Any], Lane]] = {
+    effects.Commit: lambda effect: Lane(
+        Family.TABLE, effect.owner or effect.transaction.operation
+    ),
+    effects.ReadRows: _choose_read_lane,
+    effects.SendStarts: lambda effect: Lane(Family.PEERS, effect.instance),
+    effects.SendSync: lambda effect: Lane(Family.PEERS, effect.instance),
+    effects.PushConfig: lambda effect: Lane(
+        Family.PEERS, ("config", effect.instance), True
+    ),
+    effects.ReadPeerConfig: lambda effect: Lane(
+        Family.PEERS, effect.address, True
+    ),
+    effects.CommandWorker: lambda effect: Lane(Family.WORKER, effect.task_id),
+    effects.ReadWorker: lambda effect: Lane(Family.WORKER, "read", True),
+    effects.Announce: lambda effect: Lane(
+        Family.LOCAL, ("announce", effect.everywhere), True
+    ),
+    effects.Note: lambda effect: Lane(Family.LOCAL, "note"),
+}
+
+
+class EffectPool:
+    """A fixed number of threads over a bounded set of lanes."""
+
+    def __init__(
+        self,
+        name: str,
+        threads: int,
+        run: Callable[[effects.Effect], None],
+        limit: int = MAX_WAITING,
+    ) -> None:
+        """Starts the threads.
+
+        Args:
+            name: Prefix of the names of the threads.
+            threads: Number of threads.
+            run: Runs one effect; does not raise.
+            limit: Effects that may wait.
+        """
+        self._run = run
+        self._limit = limit
+        self._condition = threading.Condition()
+        self._lanes: dict[Hashable, collections.deque[effects.Effect]] = {}
+        self._ready: collections.deque[Hashable] = collections.deque()
+        self._waiting = 0
+        self._closing = False
+        self._threads = [
+            threading.Thread(
+                target=self._work, name=f"{name}-{number}", daemon=True
+            )
+            for number in range(threads)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def submit(self, lane: Lane, effect: effects.Effect) -> bool:
+        """Queues an effect; returns whether there was room for it."""
+        with self._condition:
+            if self._closing:
+                return False
+            waiting = self._lanes.get(lane.key)
+            if lane.replace and waiting:
+                waiting[-1] = effect
+                return True
+            if self._waiting >= self._limit:
+                return False
+            self._append(lane.key, effect)
+            return True
+
+    def _append(self, key: Hashable, effect: effects.Effect) -> None:
+        self._waiting += 1
+        if key in self._lanes:
+            # A thread is busy with this lane, or it is in the ready queue.
+            self._lanes[key].append(effect)
+            return
+        self._lanes[key] = collections.deque((effect,))
+        self._ready.append(key)
+        self._condition.notify()
+
+    def _work(self) -> None:
+        while True:
+            with self._condition:
+                while not self._ready and not self._closing:
+                    self._condition.wait()
+                if not self._ready:
+                    return
+                key = self._ready.popleft()
+                effect = self._lanes[key].popleft()
+                self._waiting -= 1
+            self._run(effect)
+            self._release(key)
+
+    def _release(self, key: Hashable) -> None:
+        with self._condition:
+            if self._lanes[key]:
+                self._ready.append(key)
+                self._condition.notify()
+            else:
+                del self._lanes[key]
+
+    def close(self, timeout: float) -> None:
+        """Refuses new effects, runs those that wait and ends the threads.
+
+        Args:
+            timeout: Longest wait for each thread, in seconds.
+        """
+        with self._condition:
+            self._closing = True
+            self._condition.notify_all()
+        for thread in self._threads:
+            thread.join(timeout)
--- /dev/null
+++ b/src/gypsumhold/adapters/runners.py
@@ -0,0 +1,149 @@
+"""Performs the effects of an entry and of an agent."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import logbook
+
+from gypsumhold.adapters import datagrams, engine, peers, platform
+from gypsumhold.adapters import upstream as upstreams
+from gypsumhold.adapters import worker as workers
+from gypsumhold.model import effects, events
+
+_LOG = logbook.Logger("gypsumhold.decisions")
+
+Handler = Callable[[Any], events.Event | None]
+
+
+class _TableRunner(engine.Runner):
+    """Looks the handler up by the type of the effect."""
+
+    def __init__(self, handlers: Mapping[type, Handler]) -> None:
+        self._handlers: dict[type, Handler] = {
+            effects.Note: self._note,
+            **handlers,
+        }
+
+    def run(self, effect: effects.Effect) -> events.Event | None:
+        """Performs `effect` and returns what came of it."""
+        return self._handlers[type(effect)](effect)
+
+    def _note(self, effect: effects.Note) -> None:
+        _LOG.info("{}", effect.text, extra={"subject": effect.subject})
+
+
+class EntryRunner(_TableRunner):
+    """Performs the effects of an entry."""
+
+    def __init__(
+        self,
+        table: platform.Table,
+        agents: peers.AgentClient,
+        entries: peers.EntryClient,
+    ) -> None:
+        """Stores the clients.
+
+        Args:
+            table: The platform's table.
+            agents: Calls agents.
+            entries: Calls other entries.
+        """
+        super().__init__(
+            {
+                effects.SendDispatch: self._dispatch,
+                effects.SendCancel: self._cancel,
+                effects.Commit: self._commit,
+                effects.ReadRows: self._read_rows,
+                effects.ForwardSubmission: self._forward_submission,
+                effects.ForwardCancel: self._forward_cancel,
+                effects.SendStarts: self._start_tasks,
+                effects.SendSync: self._sync_tasks,
+                effects.PushConfig: self._push_config,
+                effects.ReadPeerConfig: self._read_config,
+            }
+        )
+        self._table = table
+        self._agents = agents
+        self._entries = entries
+
+    def _dispatch(self, effect: effects.SendDispatch) -> events.Event:
+        return self._agents.dispatch(
+            effect.address, effect.dispatch, effect.dispatch.remaining
+        )
+
+    def _cancel(self, effect: effects.SendCancel) -> events.Event:
+        reply = self._agents.cancel(
+            effect.address, effect.cancel, peers.CALL_LIMIT
+        )
+        return events.CancelAnswered(effect.owner, effect.cancel, reply)
+
+    def _commit(self, effect: effects.Commit) -> events.Event:
+        return events.CommitAnswered(
+            effect.transaction.operation,
+            self._table.commit(effect.transaction),
+        )
+
+    def _read_rows(self, effect: effects.ReadRows) -> events.Event:
+        found = self._table.read_rows(effect.prefix, effect.after)
+        return events.RowsRead(effect.purpose, found)
+
+    def _forward_submission(
+        self, effect: effects.ForwardSubmission
+    ) -> events.Event:
+        return self._entries.submit(
+            effect.address, effect.owner, effect.submission
+        )
+
+    def _forward_cancel(self, effect: effects.ForwardCancel) -> events.Event:
+        return self._entries.cancel_task(
+            effect.address, effect.owner, effect.organisation, effect.task_id
+        )
+
+    def _start_tasks(self, effect: effects.SendStarts) -> events.Event:
+        accepted = self._agents.start_tasks(effect.address, effect.starts)
+        return events.StartsAnswered(effect.instance, effect.starts, accepted)
+
+    def _sync_tasks(self, effect: effects.SendSync) -> events.Event:
+        reply = self._agents.sync_tasks(effect.address, effect.sync)
+        return events.SyncAnswered(effect.instance, effect.sync, reply)
+
+    def _push_config(self, effect: effects.PushConfig) -> events.Event:
+        version = self._agents.push_config(effect.address, effect.configuration)
+        return events.ConfigPushAnswered(effect.instance, version)
+
+    def _read_config(self, effect: effects.ReadPeerConfig) -> events.Event:
+        return events.PeerConfigRead(self._agents.read_config(effect.address))
+
+
+class AgentRunner(_TableRunner):
+    """Performs the effects of an agent."""
+
+    def __init__(
+        self,
+        upstream: upstreams.Upstream,
+        worker: workers.Worker,
+        sender: datagrams.Sender,
+    ) -> None:
+        """Stores the clients.
+
+        Args:
+            upstream: The upstream beside the agent.
+            worker: The worker of the instance.
+            sender: Sends announcements to the entries.
+        """
+        super().__init__(
+            {
+                effects.CallUpstream: upstream.call,
+                effects.CommandWorker: worker.command,
+                effects.ReadWorker: self._read_worker,
+                effects.Announce: self._announce,
+            }
+        )
+        self._worker = worker
+        self._sender = sender
+
+    def _read_worker(self, effect: effects.ReadWorker) -> events.Event:
+        return events.WorkerReported(self._worker.read())
+
+    def _announce(self, effect: effects.Announce) -> None:
+        self._sender.send(effect.announcement, effect.everywhere)
--- /dev/null
+++ b/src/gypsumhold/adapters/settings.py
@@ -0,0 +1,373 @@
+"""Settings files: JSON with comments, checked by pydantic."""
+
+import datetime
+import difflib
+import ipaddress
+import pathlib
+import re
+import types
+import typing
+from typing import Annotated, Any, TypeVar
+
+import jsonc
+import pydantic
+from returns.result import Failure, Result, Success
+
+from gypsumhold.model import clock as clocks
+from gypsumhold.model import errors, ids, members, options, states
+
+MIN_SECRET_LENGTH = 16
+
+
+def _read_secret(raw: object) -> object:
+    """Returns a secret, read from a file if the setting names one."""
+    if not isinstance(raw, dict):
+        return raw
+    if set(raw) != {"file"}:
+        raise ValueError('give a string or {"file": "path"}')
+    try:
+        return pathlib.Path(str(raw["file"])).read_text("utf-8").strip()
+    except (OSError, UnicodeError) as problem:
+        raise ValueError(f"cannot read the secret: {problem}") from problem
+
+
+Secret = Annotated[
+    pydantic.SecretStr,
+    pydantic.BeforeValidator(_read_secret),
+    pydantic.Field(min_length=MIN_SECRET_LENGTH),
+]
+Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+Milliseconds = Annotated[int, pydantic.Field(ge=1)]
+_SERVICE_URL = re.compile(
+    r"http://\[?(?P<host>[0-9A-Fa-f.:]+)\]?:(?P<port>[0-9]{1,5})"
+)
+Count = Annotated[int, pydantic.Field(ge=1)]
+
+
+class _Settings(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class AddressSettings(_Settings):
+    """An IP number and a port."""
+
+    host: ipaddress.IPv4Address | ipaddress.IPv6Address
+    port: int = pydantic.Field(ge=1, le=65535)
+
+    def build(self) -> members.Address:
+        """Returns the address."""
+        return members.Address(str(self.host), self.port)
+
+
+class ReachableSettings(AddressSettings):
+    """An address that is told to others."""
+
+    @pydantic.field_validator("host")
+    @classmethod
+    def _check_host(cls, host: Any) -> Any:
+        if host.is_unspecified:
+            raise ValueError("others cannot reach this; give one IP number")
+        return host
+
+
+class ServiceSettings(_Settings):
+    """An HTTP service of the platform."""
+
+    url: str
+
+    @pydantic.field_validator("url")
+    @classmethod
+    def _check_url(cls, url: str) -> str:
+        match = _SERVICE_URL.fullmatch(url)
+        if match is None:
+            raise ValueError("give http://IP-NUMBER:PORT without a path")
+        AddressSettings.model_validate(match.groupdict())
+        return url
+
+    def build(self) -> members.Address:
+        """Returns the address of the service."""
+        host, port = self.url.removeprefix("http://").rsplit(":", 1)
+        return members.Address(host.strip("[]"), int(port))
+
+
+class LogSettings(_Settings):
+    """The log on the standard error stream."""
+
+    as_json: bool = pydantic.Field(default=False, alias="json")
+    level: typing.Literal["debug", "info", "warning", "error"] = "info"
+
+
+class MetricsSettings(_Settings):
+    """Where metrics are sent, beside the metrics route."""
+
+    otlp_url: str | None = pydantic.Field(
+        default=None, pattern=r"^https?://[^?#]+$"
+    )
+
+
+class WaitingSettings(_Settings):
+    """Calls of each class that may wait at once."""
+
+    urgent: Count = 40
+    standard: Count = 24
+    batch: Count = 16
+
+
+class EntryTuning(_Settings):
+    """Options of an entry; one that is left out keeps its default."""
+
+    partitions: Count | None = None
+    waiting_limits: WaitingSettings = WaitingSettings()
+    max_deadline_ms: Milliseconds | None = None
+    max_attempts: Count | None = None
+    partition_lease_ms: Milliseconds | None = None
+    partition_poll_ms: Milliseconds | None = None
+    batch_rows: Count | None = None
+    sync_interval_ms: Milliseconds | None = None
+    config_poll_ms: Milliseconds | None = None
+    suspect_after_ms: Milliseconds | None = None
+    forget_after_ms: Milliseconds | None = None
+    table_pause_ms: Milliseconds | None = None
+    claim_patience_ms: Milliseconds | None = None
+    claim_poll_ms: Milliseconds | None = None
+
+
+class AgentTuning(_Settings):
+    """Options of an agent; one that is left out keeps its default."""
+
+    max_deadline_ms: Milliseconds | None = None
+    queue_limit: Count | None = None
+    announce_interval_ms: Milliseconds | None = None
+    worker_poll_ms: Milliseconds | None = None
+    upstream_silence_ms: Milliseconds | None = None
+
+
+class EntrySettings(_Settings):
+    """Settings of gypsumhold-entry."""
+
+    name: Name
+    data_centre: Name
+    region: Name
+    callers: AddressSettings
+    operators: AddressSettings
+    peers: ReachableSettings
+    announcements: AddressSettings
+    table: ServiceSettings
+    objects: ServiceSettings
+    deployment_key: Secret
+    operator_token: Secret
+    max_body_bytes: Count = 1_048_576
+    caller_threads: Count = 96
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    tuning: EntryTuning = EntryTuning()
+
+    @pydantic.model_validator(mode="after")
+    def _check_threads(self) -> "EntrySettings":
+        limits = self.tuning.waiting_limits
+        waiting = limits.urgent + limits.standard + limits.batch
+        if waiting >= self.caller_threads:
+            raise ValueError(
+                f"caller_threads is {self.caller_threads}, but it has to be"
+                f" above the {waiting} calls of tuning.waiting_limits, so"
+                " that a thread is left to refuse calls"
+            )
+        return self
+
+
+class EntryAddressSettings(AddressSettings):
+    """Where an entry receives announcements."""
+
+    region: Name
+
+
+class AgentSettings(_Settings):
+    """Settings of gypsumhold-agent."""
+
+    instance: Name
+    data_centre: Name
+    region: Name
+    rack: Name
+    peers: ReachableSettings
+    local: AddressSettings
+    worker: ServiceSettings
+    entries: tuple[EntryAddressSettings, ...] = pydantic.Field(min_length=1)
+    deployment_key: Secret
+    max_body_bytes: Count = 1_048_576
+    upstream_connections: Count = 64
+    log: LogSettings = LogSettings()
+    metrics: MetricsSettings = MetricsSettings()
+    tuning: AgentTuning = AgentTuning()
+
+
+SettingsT = TypeVar("SettingsT", bound=_Settings)
+
+
+def read_settings(
+    path: str, model: type[SettingsT]
+) -> Result[SettingsT, errors.Error]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: Path of the file.
+        model: EntrySettings or AgentSettings.
+
+    Returns:
+        The settings, or an error that names the faulty key and the remedy.
+    """
+    try:
+        text = pathlib.Path(path).read_text("utf-8")
+    except (OSError, UnicodeError) as problem:
+        return Failure(
+            errors.Error(
+                errors.ErrorKind.BAD_SETTING,
+                f"cannot read {path}: {problem}",
+                "give the path of a readable UTF-8 file with --config",
+            )
+        )
+    return parse_settings(text, model)
+
+
+def parse_settings(
+    text: str, model: type[SettingsT]
+) -> Result[SettingsT, errors.Error]:
+    """Checks the text of a settings file."""
+    try:
+        raw = jsonc.loads(text, object_pairs_hook=_refuse_repeated_keys)
+        return Success(model.model_validate(raw))
+    except pydantic.ValidationError as problem:
+        return Failure(_describe_problem(problem, model))
+    except (ValueError, RecursionError) as problem:
+        return Failure(
+            errors.Error(
+                errors.ErrorKind.BAD_SETTING,
+                f"the file is not JSON with comments: {problem}",
+                "correct the file at this place",
+            )
+        )
+
+
+def _refuse_repeated_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    document = dict(pairs)
+    if len(document) < len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"the key '{repeated}' is given twice")
+    return document
+
+
+def _describe_problem(
+    problem: pydantic.ValidationError, model: type[pydantic.BaseModel]
+) -> errors.Error:
+    # An unknown key is often the reason for a missing one, so it goes first.
+    found = sorted(
+        problem.errors(), key=lambda item: item["type"] != "extra_forbidden"
+    )[0]
+    field = ".".join(str(part) for part in found["loc"])
+    if found["type"] == "extra_forbidden":
+        return _describe_unknown_key(field, found["loc"], model)
+    if found["type"] == "missing":
+        return errors.Error(
+            errors.ErrorKind.BAD_SETTING,
+            f"the setting '{field}' is missing",
+            f"add '{field}' to the file",
+        )
+    message = found["msg"].removeprefix("Value error, ")
+    return errors.Error(
+        errors.ErrorKind.BAD_SETTING,
+        f"the setting '{field}': {message}" if field else message,
+        f"correct '{field}'" if field else "correct the file",
+    )
+
+
+def _describe_unknown_key(
+    field: str,
+    location: tuple[int | str, ...],
+    model: type[pydantic.BaseModel],
+) -> errors.Error:
+    known = _list_keys(model, location[:-1])
+    # Any known key is nearer than none, so no cut-off is used.
+    nearest = difflib.get_close_matches(str(location[-1]), known, 1, 0.0)
+    remedy = f"use '{nearest[0]}'" if nearest else "remove it"
+    return errors.Error(
+        errors.ErrorKind.BAD_SETTING,
+        f"the setting '{field}' is unknown",
+        f"{remedy}; known here: {', '.join(known)}",
+    )
+
+
+def _list_keys(
+    model: type[pydantic.BaseModel], location: tuple[int | str, ...]
+) -> list[str]:
+    for part in location:
+        if isinstance(part, str):
+            model = _find_model(model.model_fields[part].annotation)
+    return sorted(
+        field.alias or name for name, field in model.model_fields.items()
+    )
+
+
+def _find_model(annotation: Any) -> type[pydantic.BaseModel]:
+    """Returns the model inside an annotation such as tuple[Model, ...]."""
+    if isinstance(annotation, type) and not isinstance(
+        annotation, types.GenericAlias
+    ):
+        return annotation
+    return typing.get_args(annotation)[0]
+
+
+def _build_tuning(tuning: _Settings) -> dict[str, Any]:
+    """Returns keyword arguments for an options object."""
+    chosen: dict[str, Any] = {}
+    for name, value in tuning.model_dump(exclude_none=True).items():
+        if name.endswith("_ms"):
+            pause = datetime.timedelta(milliseconds=value)
+            chosen[name.removesuffix("_ms")] = pause
+        else:
+            chosen[name] = value
+    return chosen
+
+
+def build_incarnation(clock: clocks.Clock) -> ids.Incarnation:
+    """Returns the number of this life of the process.
+
+    It has to rise with each start and nothing is kept on disk, so it is the
+    wall clock in milliseconds. It is compared with the numbers of the same
+    instance only.
+    """
+    milliseconds = clock.read_wall().timestamp() * 1000
+    return ids.Incarnation(int(milliseconds))
+
+
+def build_entry_options(
+    settings: EntrySettings, clock: clocks.Clock
+) -> options.EntryOptions:
+    """Returns the options of an entry."""
+    tuning = _build_tuning(settings.tuning)
+    tuning["waiting_limits"] = {
+        states.WorkClass(name): limit
+        for name, limit in tuning["waiting_limits"].items()
+    }
+    return options.EntryOptions(
+        entry=ids.EntryId(settings.name),
+        incarnation=build_incarnation(clock),
+        address=settings.peers.build(),
+        data_centre=ids.DataCentre(settings.data_centre),
+        region=ids.Region(settings.region),
+        **tuning,
+    )
+
+
+def build_agent_options(
+    settings: AgentSettings, clock: clocks.Clock
+) -> options.AgentOptions:
+    """Returns the options of an agent."""
+    return options.AgentOptions(
+        instance=ids.InstanceId(settings.instance),
+        incarnation=build_incarnation(clock),
+        address=settings.peers.build(),
+        data_centre=ids.DataCentre(settings.data_centre),
+        region=ids.Region(settings.region),
+        rack=ids.Rack(settings.rack),
+        **_build_tuning(settings.tuning),
+    )
--- /dev/null
+++ b/src/gypsumhold/adapters/task_routes.py
@@ -0,0 +1,274 @@
+"""Caller HTTP: submission, status, list and cancellation of tasks."""
+
+import datetime
+import json
+import re
+import urllib.parse
+import uuid
+import zlib
+from typing import Any
+
+import pydantic
+from returns.result import Success
+
+from gypsumhold.adapters import callers, documents, engine, platform, web
+from gypsumhold.model import (
+    effects,
+    entry,
+    errors,
+    events,
+    ids,
+    rows,
+    states,
+    tasks,
+)
+
+# Covers a forward to the holder and a batch whose answer was lost once.
+TICKET_LIMIT = datetime.timedelta(seconds=30)
+RETRY_PAUSE = datetime.timedelta(seconds=2)
+
+_TASK_ID = re.compile(r"[A-Za-z0-9._-]{1,128}")
+
+_STATUS = {
+    states.SubmissionResult.REFUSED: 422,
+    states.SubmissionResult.CONFLICT: 409,
+    states.SubmissionResult.NOT_FOUND: 404,
+    states.SubmissionResult.UNAVAILABLE: 503,
+    states.SubmissionResult.UNKNOWN: 504,
+}
+_ERRORS = {
+    states.SubmissionResult.REFUSED: (
+        errors.ErrorKind.BAD_BODY,
+        "correct the submission as the message says",
+    ),
+    states.SubmissionResult.CONFLICT: (
+        errors.ErrorKind.VERSION_CONFLICT,
+        "use a new Idempotency-Key for another task",
+    ),
+    states.SubmissionResult.NOT_FOUND: (
+        errors.ErrorKind.UNKNOWN_TASK,
+        "list the organisation's tasks to find the id",
+    ),
+    states.SubmissionResult.UNAVAILABLE: (
+        errors.ErrorKind.PLATFORM_UNAVAILABLE,
+        "send it again after the time in Retry-After",
+    ),
+    states.SubmissionResult.UNKNOWN: (
+        errors.ErrorKind.PLATFORM_UNAVAILABLE,
+        "send it again with the same Idempotency-Key; a repeat is harmless",
+    ),
+}
+
+
+class SubmissionDocument(pydantic.BaseModel):
+    """Body of a submission."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    organisation: str = pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,128}$")
+    kind: str = pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,128}$")
+    payload: pydantic.StrictStr = ""
+    declared: documents.ResourcesDocument | None = None
+
+
+class TaskRoutes(web.Routes):
+    """Serves TASK_PATH."""
+
+    def __init__(
+        self,
+        runtime: engine.Engine[entry.EntryState],
+        table: platform.Table,
+        partitions: int,
+    ) -> None:
+        """Stores what the routes need.
+
+        Args:
+            runtime: Engine of the entry.
+            table: The platform's table, for status and lists.
+            partitions: Number of partitions of the task queue.
+        """
+        self._runtime = runtime
+        self._table = table
+        self._partitions = partitions
+
+    def answer(self, incoming: web.Incoming) -> web.Outgoing:
+        """Answers one request."""
+        path = incoming.read_path()
+        task_id = urllib.parse.unquote(path[len(callers.TASK_PATH) + 1 :])
+        match incoming.method, bool(task_id):
+            case "POST", False:
+                return self._submit(incoming)
+            case "GET", False:
+                return self._list(incoming)
+            case "GET", True:
+                return self._show(incoming, task_id)
+            case "DELETE", True:
+                return self._cancel(incoming, task_id)
+        error = errors.Error(
+            errors.ErrorKind.BAD_HEADER,
+            f"{incoming.method} is not served at {path}",
+            "use GET or POST on the collection, GET or DELETE on a task",
+        )
+        return web.render_error(405, error)
+
+    def _submit(self, incoming: web.Incoming) -> web.Outgoing:
+        submission = read_submission(incoming)
+        if isinstance(submission, errors.Error):
+            return web.render_error(400, submission)
+        ticket = _name_ticket()
+        event = events.SubmissionArrived(ticket, submission)
+        final = self._runtime.run_owner(ticket, event, TICKET_LIMIT)
+        return _render_ticket(final, 201)
+
+    def _cancel(self, incoming: web.Incoming, task_id: str) -> web.Outgoing:
+        organisation = incoming.read_query("organisation")
+        if organisation is None:
+            return _refuse_organisation()
+        if not _TASK_ID.fullmatch(task_id):
+            return _refuse_task(task_id)
+        ticket = _name_ticket()
+        event = events.TaskCancelArrived(
+            ticket, ids.OrganisationId(organisation), ids.TaskId(task_id)
+        )
+        final = self._runtime.run_owner(ticket, event, TICKET_LIMIT)
+        return _render_ticket(final, 202)
+
+    def _show(self, incoming: web.Incoming, task_id: str) -> web.Outgoing:
+        organisation = incoming.read_query("organisation")
+        if organisation is None:
+            return _refuse_organisation()
+        # An id with "/" would name a row outside this folder.
+        if not _TASK_ID.fullmatch(task_id):
+            return _refuse_task(task_id)
+        key = rows.name_task_row(
+            self._find_partition(organisation), ids.TaskId(task_id)
+        )
+        match self._table.read_row(key):
+            case Success(rows.Row(value=rows.TaskRow() as task)) if (
+                task.organisation == organisation
+            ):
+                return web.render_json(200, render_task(task))
+            case Success(_):
+                return _refuse_task(task_id)
+        return _refuse_unavailable()
+
+    def _list(self, incoming: web.Incoming) -> web.Outgoing:
+        organisation = incoming.read_query("organisation")
+        if organisation is None:
+            return _refuse_organisation()
+        prefix = rows.name_task_prefix(self._find_partition(organisation))
+        found = self._table.read_rows(prefix, "")
+        if found is None:
+            return _refuse_unavailable()
+        listed = [
+            render_task(row.value)
+            for row in found
+            if isinstance(row.value, rows.TaskRow)
+            and row.value.organisation == organisation
+        ]
+        return web.render_json(200, {"tasks": listed})
+
+    def _find_partition(self, organisation: str) -> ids.Partition:
+        return ids.Partition(
+            zlib.crc32(organisation.encode()) % self._partitions
+        )
+
+
+def read_submission(
+    incoming: web.Incoming,
+) -> tasks.Submission | errors.Error:
+    """Checks the body and the key of a submission."""
+    try:
+        key = callers.read_key(incoming)
+        raw = json.loads(incoming.body)
+        document = SubmissionDocument.model_validate(raw)
+    except callers.BadHeaderError as problem:
+        return problem.error
+    except pydantic.ValidationError as problem:
+        return documents.describe_problem(
+            problem, errors.ErrorKind.BAD_BODY, "submission"
+        )
+    except (ValueError, RecursionError) as problem:
+        return errors.Error(
+            errors.ErrorKind.BAD_BODY,
+            f"the body is not JSON in UTF-8: {problem}",
+            "send a JSON object with organisation, kind and payload",
+        )
+    if key is None:
+        return errors.Error(
+            errors.ErrorKind.BAD_HEADER,
+            "the header Idempotency-Key is missing",
+            "send one; a repeat with the same key is harmless",
+        )
+    declared = document.declared
+    return tasks.Submission(
+        organisation=ids.OrganisationId(document.organisation),
+        kind=ids.KindName(document.kind),
+        key=key,
+        payload=document.payload,
+        declared=(
+            None if declared is None else documents.build_resources(declared)
+        ),
+    )
+
+
+def render_task(row: rows.TaskRow) -> dict[str, Any]:
+    """Returns the JSON document of a task."""
+    return {
+        "task_id": row.task_id,
+        "organisation": row.organisation,
+        "kind": row.kind,
+        "state": row.state.value,
+        "epoch": row.epoch,
+        "instance": row.instance,
+        "declared": documents.render_resources(row.declared),
+        "checkpoint": row.checkpoint,
+        "result": row.result,
+        "failed_on": list(row.failed_on),
+        "evictions": row.evictions,
+    }
+
+
+def _name_ticket() -> ids.TicketId:
+    return ids.TicketId(uuid.uuid4().hex)
+
+
+def _render_ticket(
+    final: engine.FinalEffect | None, success: int
+) -> web.Outgoing:
+    if not isinstance(final, effects.AnswerTicket):
+        return _render_failure(states.SubmissionResult.UNKNOWN, "")
+    if final.result is states.SubmissionResult.ACCEPTED:
+        return web.render_json(success, {"task_id": final.task_id})
+    return _render_failure(final.result, final.detail)
+
+
+def _render_failure(
+    result: states.SubmissionResult, detail: str
+) -> web.Outgoing:
+    kind, remedy = _ERRORS[result]
+    message = detail or f"the operation is {result.value}"
+    status = _STATUS[result]
+    lines = callers.render_retry_after(RETRY_PAUSE) if status == 503 else ()
+    return web.render_error(status, errors.Error(kind, message, remedy), lines)
+
+
+def _refuse_organisation() -> web.Outgoing:
+    error = errors.Error(
+        errors.ErrorKind.BAD_HEADER,
+        "the query has no organisation",
+        "add ?organisation=NAME to the path",
+    )
+    return web.render_error(400, error)
+
+
+def _refuse_task(task_id: str) -> web.Outgoing:
+    return _render_failure(
+        states.SubmissionResult.NOT_FOUND, f"there is no task {task_id!r}"
+    )
+
+
+def _refuse_unavailable() -> web.Outgoing:
+    return _render_failure(
+        states.SubmissionResult.UNAVAILABLE, "the table does not answer"
+    )
--- /dev/null
+++ b/src/gypsumhold/programs/agent.py
@@ -0,0 +1,105 @@
+"""Commits the resources of one instance and runs its requests and tasks.
+
+Usage:
+  gypsumhold-agent --config FILE
+  gypsumhold-agent --help
+  gypsumhold-agent --version
+
+Options:
+  --config FILE  Settings, JSON with comments.
+  --help         Shows this text.
+  --version      Shows the version.
+"""
+
+import contextlib
+import sys
+
+import docopt
+
+import gypsumhold
+from gypsumhold.adapters import (
+    clock,
+    datagrams,
+    engine,
+    httpcalls,
+    local,
+    metrics,
+    peers,
+    runners,
+    services,
+    settings,
+    upstream,
+    web,
+    worker,
+)
+from gypsumhold.decisions import reducer
+from gypsumhold.model import agent, events
+from gypsumhold.programs import process
+
+# The upstream reports once a second; the rest is for health and metrics.
+LOCAL_THREADS = 4
+
+
+def start(
+    chosen: settings.AgentSettings, stack: contextlib.ExitStack
+) -> process.Running:
+    """Builds an agent and starts to serve."""
+    time = clock.SystemClock()
+    options = settings.build_agent_options(chosen, time)
+    state = agent.AgentState(options)
+    key = chosen.deployment_key.get_secret_value().encode()
+    worker_calls = httpcalls.HttpCaller(
+        httpcalls.CallOptions(chosen.worker.build())
+    )
+    stack.callback(worker_calls.close)
+    calls = upstream.HttpUpstream(
+        chosen.upstream_connections, chosen.max_body_bytes
+    )
+    stack.callback(calls.close)
+    sender = datagrams.Sender(
+        key, options.region, [item.build_entry() for item in chosen.entries]
+    )
+    stack.callback(sender.close)
+    recorder = metrics.Recorder(
+        "agent", chosen.instance, otlp_url=chosen.metrics.otlp_url
+    )
+    stack.callback(recorder.close)
+    runtime = engine.Engine(
+        state,
+        reducer.reduce,
+        time,
+        runners.AgentRunner(calls, worker.HttpWorker(worker_calls), sender),
+        recorder,
+    )
+    stack.callback(runtime.close)
+    server = peers.AgentServer(
+        options.address, key, services.AgentPeerService(runtime)
+    )
+    stack.callback(server.close)
+    listener = web.Listener(
+        chosen.local.build(),
+        local.LocalRoutes(
+            runtime.dispatch,
+            lambda: {"ready": True, "version": gypsumhold.VERSION},
+            recorder.render,
+        ),
+        LOCAL_THREADS,
+        chosen.max_body_bytes,
+    )
+    stack.callback(listener.close)
+    runtime.dispatch(events.AgentStarted())
+    # Draining is announced at once, so that entries stop sending work while
+    # accepted work is finished.
+    return process.Running(
+        runtime, listener, events.DrainRequested(), options.max_deadline
+    )
+
+
+def main() -> int:
+    """Runs the program and returns its exit code."""
+    arguments = docopt.docopt(__doc__, version=gypsumhold.VERSION)
+    return process.run(arguments["--config"], settings.AgentSettings, start)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/gypsumhold/programs/entry.py
@@ -0,0 +1,101 @@
+"""Accepts requests and tasks, and schedules them on instances.
+
+Usage:
+  gypsumhold-entry --config FILE
+  gypsumhold-entry --help
+  gypsumhold-entry --version
+
+Options:
+  --config FILE  Settings, JSON with comments.
+  --help         Shows this text.
+  --version      Shows the version.
+"""
+
+import contextlib
+import sys
+
+import docopt
+
+import gypsumhold
+from gypsumhold.adapters import (
+    callers,
+    clock,
+    datagrams,
+    engine,
+    httpcalls,
+    metrics,
+    peers,
+    platform,
+    runners,
+    services,
+    settings,
+    task_routes,
+    web,
+)
+from gypsumhold.decisions import reducer
+from gypsumhold.model import entry, events
+from gypsumhold.programs import process
+
+
+def start(
+    chosen: settings.EntrySettings, stack: contextlib.ExitStack
+) -> process.Running:
+    """Builds an entry and starts to serve."""
+    time = clock.SystemClock()
+    options = settings.build_entry_options(chosen, time)
+    state = entry.EntryState(options)
+    table_calls = httpcalls.HttpCaller(
+        httpcalls.CallOptions(chosen.table.build())
+    )
+    stack.callback(table_calls.close)
+    table = platform.HttpTable(table_calls)
+    key = chosen.deployment_key.get_secret_value().encode()
+    agents = stack.enter_context(contextlib.closing(peers.AgentClient(key)))
+    entries = stack.enter_context(contextlib.closing(peers.EntryClient(key)))
+    recorder = metrics.Recorder(
+        "entry", chosen.name, otlp_url=chosen.metrics.otlp_url
+    )
+    stack.callback(recorder.close)
+    runtime = engine.Engine(
+        state,
+        reducer.reduce,
+        time,
+        runners.EntryRunner(table, agents, entries),
+        recorder,
+    )
+    stack.callback(runtime.close)
+    server = peers.EntryServer(
+        chosen.peers.build(), key, services.EntryPeerService(runtime)
+    )
+    stack.callback(server.close)
+    receiver = datagrams.Receiver(
+        chosen.announcements.build(),
+        key,
+        lambda told: runtime.dispatch(events.AnnouncementReceived(told)),
+    )
+    stack.callback(receiver.close)
+    listener = web.Listener(
+        chosen.callers.build(),
+        callers.CallerRoutes(
+            runtime,
+            task_routes.TaskRoutes(runtime, table, options.partitions),
+            options.max_deadline,
+        ),
+        chosen.caller_threads,
+        chosen.max_body_bytes,
+    )
+    stack.callback(listener.close)
+    runtime.dispatch(events.EntryStarted())
+    return process.Running(
+        runtime, listener, events.StopRequested(), options.max_deadline
+    )
+
+
+def main() -> int:
+    """Runs the program and returns its exit code."""
+    arguments = docopt.docopt(__doc__, version=gypsumhold.VERSION)
+    return process.run(arguments["--config"], settings.EntrySettings, start)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/gypsumhold/programs/process.py
@@ -0,0 +1,97 @@
+"""What the long-running programs have in common."""
+
+import contextlib
+import datetime
+import errno
+import signal
+import sys
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import logbook
+from returns.result import Failure
+
+from gypsumhold.adapters import engine, logs, settings, web
+from gypsumhold.model import errors, events
+
+SettingsT = TypeVar("SettingsT", settings.EntrySettings, settings.AgentSettings)
+Start = Callable[[SettingsT, contextlib.ExitStack], "Running"]
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+BAD_START = 2
+
+# Time beyond the longest accepted deadline for answers to be written.
+STOP_MARGIN = datetime.timedelta(seconds=5)
+
+_LOG = logbook.Logger("gypsumhold.process")
+
+
+class Running:
+    """A started role and how it is stopped."""
+
+    def __init__(
+        self,
+        runtime: engine.Engine[Any],
+        listener: web.Listener,
+        stop: events.Event,
+        max_deadline: datetime.timedelta,
+    ) -> None:
+        """Stores the parts.
+
+        Args:
+            runtime: Engine of the role.
+            listener: HTTP listener whose connections end first.
+            stop: Event that asks the role to stop.
+            max_deadline: Longest time that accepted work may take.
+        """
+        self._runtime = runtime
+        self._listener = listener
+        self._stop = stop
+        self._max_deadline = max_deadline
+
+    def stop(self) -> None:
+        """Refuses new work and waits until accepted work has ended."""
+        self._listener.end_connections()
+        self._runtime.dispatch(self._stop)
+        limit = self._max_deadline + STOP_MARGIN
+        if not self._runtime.wait_stopped(limit):
+            _LOG.error("work was still in progress after {}", limit)
+
+
+def run(path: str, model: type[SettingsT], start: Start[SettingsT]) -> int:
+    """Runs a role until a stop signal arrives.
+
+    Args:
+        path: Path of the settings file.
+        model: Type of the settings.
+        start: Starts the role; the stack closes what it opens.
+
+    Returns:
+        Exit code: 0 after a clean stop, 2 if the role cannot start.
+    """
+    read = settings.read_settings(path, model)
+    if isinstance(read, Failure):
+        return _report(read.failure())
+    chosen = read.unwrap()
+    # Blocked before any thread starts, so that only sigwait takes them.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    with contextlib.ExitStack() as stack:
+        logs.open_log(stack, chosen.log.level, chosen.log.as_json)
+        try:
+            running = start(chosen, stack)
+        except web.ListenError as problem:
+            return _report(problem.error)
+        except OSError as problem:
+            if problem.errno != errno.EADDRINUSE:
+                raise
+            return _report(web.describe_listen("a port", problem))
+        _LOG.info("started")
+        received = signal.sigwait(STOP_SIGNALS)
+        _LOG.info("stopping after {}", signal.Signals(received).name)
+        running.stop()
+    return 0
+
+
+def _report(error: errors.Error) -> int:
+    print(error, file=sys.stderr)
+    return BAD_START
