--- a/src/gypsumhold/adapters/httpcalls.py
+++ b/src/gypsumhold/adapters/httpcalls.py
@@ -123,9 +123,9 @@
 
 def _has_length(response: urllib3.BaseHTTPResponse) -> bool:
     # http.client takes a head that is cut off for a whole one, and a body
-    # without a length for one that ends with the connection.
+    # without a valid length for one that ends with the connection.
     return (
         response.status in BODYLESS
-        or "content-length" in response.headers
-        or "transfer-encoding" in response.headers
+        or response.headers.get("content-length", "").isdecimal()
+        or response.headers.get("transfer-encoding", "").lower() == "chunked"
     )
--- a/src/gypsumhold/adapters/wire.py
+++ b/src/gypsumhold/adapters/wire.py
@@ -1,10 +1,10 @@
 """What all JSON documents on the wire share: strict types, typed errors."""
 
-import json
 from collections.abc import Callable
 from typing import Annotated, Any, TypeVar
 
 import pydantic
+import pydantic_core
 from returns.result import Failure, Result, Success
 
 from gypsumhold.adapters import documents
@@ -47,12 +47,15 @@
 
 
 def read_json(body: bytes, subject: str) -> Result[object, errors.Error]:
-    """Parses a JSON body; any malformed body is a DECODING error."""
+    """Parses a JSON body; any malformed body is a DECODING error.
+
+    Unlike the standard library's parser, this one refuses lone surrogates,
+    which could not be encoded again, and limits the depth of nesting.
+    """
     try:
-        return Success(json.loads(body.decode()))
-    except (ValueError, RecursionError) as problem:
-        detail = f"not JSON in UTF-8: {type(problem).__name__}"
-        return Failure(build_decoding_error(subject, detail))
+        return Success(pydantic_core.from_json(body, allow_inf_nan=False))
+    except ValueError as problem:
+        return Failure(build_decoding_error(subject, f"not JSON: {problem}"))
 
 
 def build_address(document: AddressDocument) -> members.Address:
