--- a/src/gypsumhold/adapters/rowvalues.py
+++ b/src/gypsumhold/adapters/rowvalues.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import datetime
 from typing import Annotated, Any, Literal
 
 import pydantic
@@ -12,6 +13,8 @@
 from gypsumhold.adapters import documents, wire
 from gypsumhold.model import ids, requests, rows, states
 
+MICROSECOND = datetime.timedelta(microseconds=1)
+
 
 class _AnswerDocument(wire.Document):
     status: Annotated[int, pydantic.Field(strict=True, ge=100, le=999)]
@@ -43,6 +46,7 @@
     result: str
     failed_on: tuple[str, ...]
     evictions: wire.Whole
+    cancelling: bool = False
 
 
 class _ClaimDocument(wire.Document):
@@ -56,6 +60,7 @@
     instance: str
     incarnation: wire.Whole
     address: wire.AddressDocument
+    valid_until_us: wire.Whole
     answer: _AnswerDocument | None
     reason: states.Reason
 
@@ -143,6 +148,7 @@
         result=document.result,
         failed_on=tuple(map(ids.InstanceId, document.failed_on)),
         evictions=document.evictions,
+        cancelling=document.cancelling,
     )
 
 
@@ -158,6 +164,7 @@
         instance=ids.InstanceId(document.instance),
         incarnation=ids.Incarnation(document.incarnation),
         address=wire.build_address(document.address),
+        valid_until=datetime.timedelta(microseconds=document.valid_until_us),
         answer=None if answer is None else _build_answer(answer),
         reason=document.reason,
     )
@@ -233,6 +240,7 @@
         "result": value.result,
         "failed_on": list(value.failed_on),
         "evictions": value.evictions,
+        "cancelling": value.cancelling,
     }
 
 
@@ -249,6 +257,7 @@
         "instance": value.instance,
         "incarnation": value.incarnation,
         "address": wire.render_address(value.address),
+        "valid_until_us": value.valid_until // MICROSECOND,
         "answer": None if answer is None else _render_answer(answer),
         "reason": value.reason.value,
     }
--- a/src/gypsumhold/adapters/runners.py
+++ b/src/gypsumhold/adapters/runners.py
@@ -143,7 +143,7 @@
         self._sender = sender
 
     def _read_worker(self, effect: effects.ReadWorker) -> events.Event:
-        return events.WorkerReported(self._worker.read())
+        return events.WorkerReported(self._worker.read(), effect.sent_at)
 
     def _announce(self, effect: effects.Announce) -> None:
         self._sender.send(effect.announcement, effect.everywhere)
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -160,6 +160,7 @@
     caller_threads: Count = 96
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: EntryTuning = EntryTuning()
 
     @pydantic.model_validator(mode="after")
@@ -197,6 +198,7 @@
     upstream_connections: Count = 64
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: AgentTuning = AgentTuning()
 
 
--- /dev/null
+++ b/src/gypsumhold/decisions/suites.py
@@ -0,0 +1,38 @@
+"""Sets of policies, chosen by name; each policy can run as its baseline."""
+
+from gypsumhold.decisions import (
+    fairness,
+    interference,
+    placement,
+    retries,
+    routing,
+)
+from gypsumhold.model import policies, states
+
+
+def build_entry_policies(choice: states.PolicyChoice) -> policies.EntryPolicies:
+    """Returns the policies of an entry."""
+    if choice is states.PolicyChoice.BASELINE:
+        return policies.EntryPolicies(
+            routing.RandomRouting(),
+            retries.NoRetries(),
+            placement.FirstFit(),
+        )
+    return policies.EntryPolicies(
+        routing.TwoChoices(),
+        retries.BudgetedRetries(),
+        placement.LeastLoaded(),
+    )
+
+
+def build_agent_policies(choice: states.PolicyChoice) -> policies.AgentPolicies:
+    """Returns the policies of an agent."""
+    if choice is states.PolicyChoice.BASELINE:
+        return policies.AgentPolicies(
+            fairness.FirstComeFirstServed(),
+            interference.NoInterferenceControl(),
+        )
+    return policies.AgentPolicies(
+        fairness.FirstComeFirstServed(),
+        interference.NoInterferenceControl(),
+    )
--- a/src/gypsumhold/model/states.py
+++ b/src/gypsumhold/model/states.py
@@ -180,3 +180,11 @@
     NOT_FOUND = "not-found"
     UNAVAILABLE = "unavailable"
     UNKNOWN = "unknown"
+
+
+class PolicyChoice(enum.StrEnum):
+    """Which set of policies a process runs."""
+
+    STANDARD = "standard"
+    BASELINE = "baseline"
+    """Plain policies that the standard ones are measured against."""
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -32,8 +32,8 @@
     web,
     worker,
 )
-from gypsumhold.decisions import reducer
-from gypsumhold.model import agent, events
+from gypsumhold.decisions import reducer, suites
+from gypsumhold.model import agent, events, ids
 from gypsumhold.programs import process
 
 # The upstream reports once a second; the rest is for health and metrics.
@@ -46,7 +46,9 @@
     """Builds an agent and starts to serve."""
     time = clock.SystemClock()
     options = settings.build_agent_options(chosen, time)
-    state = agent.AgentState(options)
+    state = agent.AgentState(
+        options, suites.build_agent_policies(chosen.policies)
+    )
     key = chosen.deployment_key.get_secret_value().encode()
     worker_calls = httpcalls.HttpCaller(
         httpcalls.CallOptions(chosen.worker.build())
@@ -57,7 +59,12 @@
     )
     stack.callback(calls.close)
     sender = datagrams.Sender(
-        key, options.region, [item.build_entry() for item in chosen.entries]
+        key,
+        options.region,
+        [
+            datagrams.Target(item.build(), ids.Region(item.region))
+            for item in chosen.entries
+        ],
     )
     stack.callback(sender.close)
     recorder = metrics.Recorder(
@@ -88,10 +95,8 @@
     )
     stack.callback(listener.close)
     runtime.dispatch(events.AgentStarted())
-    # Draining is announced at once, so that entries stop sending work while
-    # accepted work is finished.
     return process.Running(
-        runtime, listener, events.DrainRequested(), options.max_deadline
+        runtime, listener, events.StopRequested(), options.max_deadline
     )
 
 
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -12,6 +12,7 @@
 """
 
 import contextlib
+import random
 import sys
 
 import docopt
@@ -32,7 +33,7 @@
     task_routes,
     web,
 )
-from gypsumhold.decisions import reducer
+from gypsumhold.decisions import reducer, suites
 from gypsumhold.model import entry, events
 from gypsumhold.programs import process
 
@@ -43,7 +44,11 @@
     """Builds an entry and starts to serve."""
     time = clock.SystemClock()
     options = settings.build_entry_options(chosen, time)
-    state = entry.EntryState(options)
+    state = entry.EntryState(
+        options,
+        suites.build_entry_policies(chosen.policies),
+        random.Random(options.incarnation),
+    )
     table_calls = httpcalls.HttpCaller(
         httpcalls.CallOptions(chosen.table.build())
     )
