Share an agent's slots by weight, in service time

Cause: a first-come queue lets a flood of one organisation or class take all slots. Weighed: counting calls instead of service time was ruled out, because an organisation with long calls would take most of the slot time. Conclusion: stride scheduling over classes, organisations and deadlines; a full queue pushes out the call of the group that exceeds its share most.

--- a/src/gypsumhold/decisions/admission.py
+++ b/src/gypsumhold/decisions/admission.py
@@ -39,20 +39,25 @@
     reason = _find_refusal(state, dispatch, template, now)
     if reason is not states.Reason.NONE or template is None:
         return [_refuse(state, key, dispatch, reason)]
-    deadline = now + dispatch.remaining
-    state.calls[key] = agent.AgentCall(dispatch, template, deadline)
     organisation = state.configuration.organisations[dispatch.organisation]
-    state.policies.queue.push(
-        policies.QueuedCall(
-            key=key,
-            organisation=dispatch.organisation,
-            work_class=template.work_class,
-            weight=organisation.weight,
-            deadline=deadline,
-            arrived=now,
-        )
+    queued = policies.QueuedCall(
+        key=key,
+        organisation=dispatch.organisation,
+        work_class=template.work_class,
+        weight=organisation.weight,
+        deadline=now + dispatch.remaining,
+        arrived=now,
     )
-    return fill_slots(state, now)
+    made: list[effects.Effect] = []
+    if state.policies.queue.count() >= state.options.queue_limit:
+        victim = state.policies.queue.choose_victim(queued)
+        if victim is None:
+            return [_refuse(state, key, dispatch, states.Reason.OVERLOADED)]
+        state.policies.queue.remove(victim.key)
+        made.append(_end_unrun(state, victim.key, states.Reason.OVERLOADED))
+    state.calls[key] = agent.AgentCall(dispatch, template, queued)
+    state.policies.queue.push(queued)
+    return [*made, *fill_slots(state, now)]
 
 
 def _answer_known(
@@ -97,11 +102,10 @@
 def _find_overload(
     state: agent.AgentState, dispatch: requests.Dispatch
 ) -> states.Reason:
-    queue = state.policies.queue
     organisation = state.configuration.organisations[dispatch.organisation]
-    full = queue.count() >= state.options.queue_limit
-    share = queue.count(dispatch.organisation) >= organisation.queue_limit
-    return states.Reason.OVERLOADED if full or share else states.Reason.NONE
+    waiting = state.policies.queue.count(dispatch.organisation)
+    full = waiting >= organisation.queue_limit
+    return states.Reason.OVERLOADED if full else states.Reason.NONE
 
 
 def _refuse(
@@ -171,7 +175,7 @@
     return effects.CallUpstream(
         key,
         state.upstream.address,
-        call.deadline - now,
+        call.queued.deadline - now,
         call.dispatch.payload,
     )
 
@@ -223,6 +227,7 @@
 ) -> list[effects.Effect]:
     call = state.calls.pop(key)
     state.running -= 1
+    state.policies.queue.settle(call.queued, now - call.started_at)
     _remember(state, key, call.dispatch, reply)
     ended = effects.ReplyDispatch(key, reply)
     return [ended, *fill_slots(state, now), *report_stopped(state)]
--- a/src/gypsumhold/decisions/suites.py
+++ b/src/gypsumhold/decisions/suites.py
@@ -33,6 +33,6 @@
             interference.NoInterferenceControl(),
         )
     return policies.AgentPolicies(
-        fairness.FirstComeFirstServed(),
+        fairness.WeightedFair(),
         interference.NoInterferenceControl(),
     )
--- a/src/gypsumhold/model/agent.py
+++ b/src/gypsumhold/model/agent.py
@@ -22,7 +22,7 @@
 
     dispatch: requests.Dispatch
     template: declarations.Template
-    deadline: datetime.timedelta
+    queued: policies.QueuedCall
     phase: states.DispatchPhase = states.DispatchPhase.QUEUED
     started_at: datetime.timedelta = datetime.timedelta(0)
 
--- a/src/gypsumhold/model/policies.py
+++ b/src/gypsumhold/model/policies.py
@@ -99,6 +99,14 @@
     def remove(self, key: requests.AttemptKey) -> QueuedCall | None:
         """Takes out a given call."""
 
+    @abc.abstractmethod
+    def choose_victim(self, arriving: QueuedCall) -> QueuedCall | None:
+        """Returns a waiting call to push out for `arriving`, if any."""
+
+    @abc.abstractmethod
+    def settle(self, call: QueuedCall, duration: datetime.timedelta) -> None:
+        """Learns how long a call that was taken out held its slot."""
+
     @abc.abstractmethod
     def pop_expired(self, now: datetime.timedelta) -> list[QueuedCall]:
         """Takes out every call whose deadline has passed."""
