--- a/src/gypsumhold_standin/store.py
+++ b/src/gypsumhold_standin/store.py
@@ -4,8 +4,11 @@
 result is UNKNOWN; a transport turns it into a broken connection.
 """
 
+import bisect
 import dataclasses
 import enum
+import itertools
+from collections.abc import Iterator
 
 from gypsumhold.model import ids, rows, states
 
@@ -131,6 +134,8 @@
 
     Attributes:
         table: Present rows.
+        keys: Keys of the present rows, sorted, so that a poll of a few rows
+            does not visit all of them.
         versions: Last version of each key ever written. A deleted row that
             is written again continues its count, so that a delayed copy of
             an old transaction cannot meet its condition by accident.
@@ -140,6 +145,7 @@
     """
 
     table: dict[ids.RowKey, rows.Row] = dataclasses.field(default_factory=dict)
+    keys: list[ids.RowKey] = dataclasses.field(default_factory=list)
     versions: dict[ids.RowKey, ids.RowVersion] = dataclasses.field(
         default_factory=dict
     )
@@ -220,12 +226,9 @@
             row = store.table.get(key)
             return Answer(found=() if row is None else (row,))
         case ReadRows(prefix, after, limit):
-            keys = sorted(
-                key
-                for key in store.table
-                if key.startswith(prefix) and key > after
-            )
-            return Answer(found=tuple(store.table[key] for key in keys[:limit]))
+            keys = _find_keys(store, prefix, after)
+            page = itertools.islice(keys, limit)
+            return Answer(found=tuple(store.table[key] for key in page))
         case GetObject(name):
             return Answer(body=store.objects.get(name))
         case ListObjects(prefix):
@@ -235,6 +238,15 @@
             return Answer(names=tuple(names))
 
 
+def _find_keys(store: Store, prefix: str, after: str) -> Iterator[ids.RowKey]:
+    first = max(
+        bisect.bisect_left(store.keys, prefix),
+        bisect.bisect_right(store.keys, after),
+    )
+    following = itertools.islice(store.keys, first, None)
+    return itertools.takewhile(lambda key: key.startswith(prefix), following)
+
+
 def _run_transaction(
     store: Store, transaction: rows.Transaction
 ) -> rows.CommitAnswer:
@@ -260,9 +272,15 @@
 
 
 def _write(store: Store, operation: ids.OperationId, write: rows.Write) -> None:
+    place = bisect.bisect_left(store.keys, write.key)
+    present = write.key in store.table
     if write.value is None:
-        store.table.pop(write.key, None)
+        if present:
+            del store.table[write.key]
+            del store.keys[place]
         return
+    if not present:
+        store.keys.insert(place, write.key)
     version = ids.RowVersion(store.versions.get(write.key, 0) + 1)
     store.versions[write.key] = version
     store.table[write.key] = rows.Row(
--- a/src/gypsumhold_standin/web.py
+++ b/src/gypsumhold_standin/web.py
@@ -24,6 +24,9 @@
 remove the event that was to wake the library's selector.
 """
 
+STOP_PATIENCE_S = 30
+"""How long a stop waits for requests in progress before it cuts them off."""
+
 BACKLOG = 128
 BODYLESS = frozenset({204, 304})
 
@@ -93,6 +96,7 @@
     ConnectionClass = _ExactConnection
     timeout = KEEP_ALIVE_S
     expiration_interval = EXPIRY_CHECK_S
+    shutdown_timeout = STOP_PATIENCE_S
     request_queue_size = BACKLOG
 
 
