--- /dev/null
+++ b/src/gypsumhold/adapters/operations.py
@@ -0,0 +1,260 @@
+"""JSON documents of the operator routes, converted from and to the model."""
+
+import datetime
+from collections.abc import Iterable
+from typing import Any
+
+import pydantic
+from returns.result import Failure, Result
+
+from gypsumhold.adapters import documents, suggestions
+from gypsumhold.model import declarations, errors, ids, status
+
+
+class _Document(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class PutDocument(_Document):
+    """Objects that a change puts; the content of a declaration file."""
+
+    templates: tuple[documents.TemplateDocument, ...] = ()
+    organisations: tuple[documents.OrganisationDocument, ...] = ()
+
+
+class DeleteDocument(_Document):
+    """Names of objects that a change deletes."""
+
+    templates: tuple[str, ...] = ()
+    organisations: tuple[str, ...] = ()
+
+
+class ApplyDocument(_Document):
+    """Body of `POST /v1/config`."""
+
+    base_version: int = pydantic.Field(ge=0)
+    author: str = pydantic.Field(min_length=1, max_length=200)
+    comment: str = pydantic.Field(min_length=1, max_length=2000)
+    put: PutDocument = PutDocument()
+    delete: DeleteDocument = DeleteDocument()
+
+
+class ConfigurationDocument(_Document):
+    """Body of the answer to `GET /v1/config`."""
+
+    version: int
+    templates: tuple[documents.TemplateDocument, ...] = ()
+    organisations: tuple[documents.OrganisationDocument, ...] = ()
+
+
+def explain_problem(
+    problem: pydantic.ValidationError,
+    model: type[pydantic.BaseModel],
+    kind: errors.ErrorKind,
+    subject: str,
+) -> errors.Error:
+    """Returns a typed error whose remedy names the nearest known key."""
+    plain = documents.describe_problem(problem, kind, subject)
+    nearest = suggestions.describe_unknown_key(problem, model)
+    if not nearest:
+        return plain
+    *location, key = (str(part) for part in problem.errors()[0]["loc"])
+    place = f" in '{'.'.join(location)}'" if location else ""
+    return errors.Error(kind, f"{subject}: unknown key '{key}'{place}", nearest)
+
+
+def _read_change(
+    templates: Iterable[documents.TemplateDocument],
+    organisations: Iterable[documents.OrganisationDocument],
+    version: int,
+) -> Result[declarations.Change, errors.Error]:
+    return documents.read_change(
+        {
+            "version": version,
+            "templates": [item.model_dump(by_alias=True) for item in templates],
+            "organisations": [
+                item.model_dump(by_alias=True) for item in organisations
+            ],
+        }
+    )
+
+
+def read_put(
+    raw: object, subject: str
+) -> Result[declarations.Change, errors.Error]:
+    """Reads declared objects as a change without version and author."""
+    try:
+        document = PutDocument.model_validate(raw)
+    except pydantic.ValidationError as problem:
+        return Failure(
+            explain_problem(
+                problem,
+                PutDocument,
+                errors.ErrorKind.BAD_DECLARATION,
+                subject,
+            )
+        )
+    return _read_change(document.templates, document.organisations, 0)
+
+
+def read_apply(
+    raw: object, time: datetime.datetime
+) -> Result[declarations.Change, errors.Error]:
+    """Reads the body of an apply.
+
+    Args:
+        raw: Decoded JSON.
+        time: Wall-clock time for the audit record.
+
+    Returns:
+        The change; its version is the base version + 1.
+    """
+    try:
+        document = ApplyDocument.model_validate(raw)
+    except pydantic.ValidationError as problem:
+        return Failure(
+            explain_problem(
+                problem, ApplyDocument, errors.ErrorKind.BAD_BODY, "apply"
+            )
+        )
+    put = document.put
+    return documents.read_change(
+        {
+            "version": document.base_version + 1,
+            "templates": [
+                item.model_dump(by_alias=True) for item in put.templates
+            ],
+            "organisations": [
+                item.model_dump(by_alias=True) for item in put.organisations
+            ],
+            "deleted_templates": document.delete.templates,
+            "deleted_organisations": document.delete.organisations,
+            "author": document.author,
+            "comment": document.comment,
+            "time": time.isoformat(timespec="milliseconds"),
+        }
+    )
+
+
+def read_configuration(
+    raw: object,
+) -> Result[declarations.Configuration, errors.Error]:
+    """Reads the answer to `GET /v1/config`."""
+    try:
+        document = ConfigurationDocument.model_validate(raw)
+    except pydantic.ValidationError as problem:
+        return Failure(
+            documents.describe_problem(
+                problem, errors.ErrorKind.DECODING, "configuration"
+            )
+        )
+    return _read_change(
+        document.templates, document.organisations, document.version
+    ).map(lambda change: declarations.apply_change(declarations.EMPTY, change))
+
+
+def render_configuration(
+    configuration: declarations.Configuration,
+) -> dict[str, Any]:
+    """Returns the answer to `GET /v1/config`, sorted by name."""
+    return {
+        "version": configuration.version,
+        "templates": [
+            documents.render_template(item)
+            for _, item in sorted(configuration.templates.items())
+        ],
+        "organisations": [
+            documents.render_organisation(item)
+            for _, item in sorted(configuration.organisations.items())
+        ],
+    }
+
+
+def render_apply(
+    change: declarations.Change, base: ids.ConfigVersion
+) -> dict[str, Any]:
+    """Returns the body of `POST /v1/config`."""
+    document = documents.render_change(change)
+    return {
+        "base_version": base,
+        "author": change.author,
+        "comment": change.comment,
+        "put": {
+            "templates": document["templates"],
+            "organisations": document["organisations"],
+        },
+        "delete": {
+            "templates": document["deleted_templates"],
+            "organisations": document["deleted_organisations"],
+        },
+    }
+
+
+def _render_entry(entry: status.EntryStatus) -> dict[str, Any]:
+    return {
+        "name": entry.name,
+        "incarnation": entry.incarnation,
+        "config_version": entry.config_version,
+        "ready": entry.ready,
+        "waiting": {
+            work_class.value: count
+            for work_class, count in sorted(entry.waiting.items())
+        },
+        "partitions_held": entry.partitions_held,
+        "table_reachable": entry.table_reachable,
+    }
+
+
+def _render_instance(instance: status.InstanceStatus) -> dict[str, Any]:
+    return {
+        "name": instance.name,
+        "state": instance.state.value,
+        "data_centre": instance.data_centre,
+        "rack": instance.rack,
+        "incarnation": instance.incarnation,
+        "config_version": instance.config_version,
+        "lagging": instance.lagging,
+        "free_slots": instance.free_slots,
+        "queued": instance.queued,
+        "capacity": documents.render_resources(instance.capacity),
+        "free": documents.render_resources(instance.free),
+        "age_ms": instance.age // datetime.timedelta(milliseconds=1),
+    }
+
+
+def _render_partition(partition: status.PartitionStatus) -> dict[str, Any]:
+    return {
+        "number": partition.number,
+        "phase": partition.phase.value,
+        "epoch": partition.epoch,
+        "queued": partition.queued,
+        "assigned": partition.assigned,
+    }
+
+
+def render_status(
+    report: status.Status, accepted: ids.ConfigVersion | None
+) -> dict[str, Any]:
+    """Returns the answer to `GET /v1/status`.
+
+    Args:
+        report: What the entry reports.
+        accepted: Highest version in the table; None if it did not answer.
+    """
+    return {
+        "accepted_version": accepted,
+        "entry": _render_entry(report.entry),
+        "instances": [_render_instance(item) for item in report.instances],
+        "partitions": [_render_partition(item) for item in report.partitions],
+    }
+
+
+def render_error(error: errors.Error) -> dict[str, Any]:
+    """Returns the JSON body of an error."""
+    return {
+        "error": {
+            "kind": error.kind.value,
+            "message": error.message,
+            "remedy": error.remedy,
+        }
+    }
--- /dev/null
+++ b/src/gypsumhold/adapters/operator_server.py
@@ -0,0 +1,132 @@
+"""HTTP listener of the operator routes."""
+
+import threading
+import types
+from typing import Any
+
+import cherrypy
+from cheroot import wsgi
+
+from gypsumhold.adapters import operators
+from gypsumhold.model import errors, members
+
+THREADS = 8
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class _Root:
+    """Passes every path to the operator routes."""
+
+    def __init__(self, routes: operators.Operators) -> None:
+        self._routes = routes
+
+    def _answer(self, *_: str, **query: str | list[str]) -> bytes:
+        """Answers one call."""
+        request = cherrypy.request
+        reply = self._routes.answer(
+            operators.Call(
+                method=request.method,
+                path=request.path_info,
+                query={
+                    name: value if isinstance(value, str) else value[-1]
+                    for name, value in query.items()
+                },
+                authorization=request.headers.get("Authorization", ""),
+                body=request.rfile.read(),
+            )
+        )
+        response = cherrypy.response
+        response.status = reply.status
+        response.headers["Content-Type"] = reply.content_type
+        for name, value in reply.headers:
+            response.headers[name] = value
+        return reply.body.encode()
+
+    default = cherrypy.expose(_answer)
+
+
+def _render_failure(status: str, message: str, **_: str) -> bytes:
+    """Returns the body of an error that CherryPy found itself."""
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return operators.reply_error(
+        int(status.split(maxsplit=1)[0]),
+        errors.Error(
+            errors.ErrorKind.BAD_BODY,
+            message,
+            "correct the call; for a fault of the entry, see its log",
+        ),
+    ).body.encode()
+
+
+def _build_application(routes: operators.Operators) -> Any:
+    application = cherrypy.Application(
+        _Root(routes),
+        "",
+        {
+            "/": {
+                # The routes read the body themselves, whatever its type.
+                "request.process_request_body": False,
+                "request.show_tracebacks": False,
+                "error_page.default": _render_failure,
+                "tools.trailing_slash.on": False,
+            }
+        },
+    )
+    application.log.screen = False
+    return application
+
+
+class OperatorServer:
+    """Listens for operators; a context manager that stops the listener.
+
+    Args:
+        address: Where to listen.
+        routes: Answers the calls.
+
+    Raises:
+        OSError: When the server is entered and the port is in use.
+    """
+
+    def __init__(
+        self, address: members.Address, routes: operators.Operators
+    ) -> None:
+        self._address = address
+        self._server = wsgi.Server(
+            (address.host, address.port),
+            _build_application(routes),
+            numthreads=THREADS,
+            server_name="gypsumhold",
+            max=THREADS,
+        )
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._thread = threading.Thread(
+            target=self._server.serve, name="operators", daemon=True
+        )
+
+    def __enter__(self) -> "OperatorServer":
+        self._server.prepare()
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        problem: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._server.stop()
+        self._thread.join()
+
+    @property
+    def port(self) -> int:
+        """Port that is listened on; chosen by the system if 0 was asked."""
+        return int(self._server.bind_addr[1])
+
+
+def describe_port_in_use(address: members.Address) -> errors.Error:
+    """Returns the error for a listener whose port is taken."""
+    return errors.Error(
+        errors.ErrorKind.PORT_IN_USE,
+        f"cannot listen on {address} for operators",
+        "choose a free port in 'operators' of the settings",
+    )
--- /dev/null
+++ b/src/gypsumhold/decisions/consistency.py
@@ -0,0 +1,110 @@
+"""Checks that a change leaves the declared objects consistent."""
+
+import difflib
+from collections.abc import Iterable
+
+from gypsumhold.model import declarations, errors
+
+
+def suggest_name(wrong: str, known: Iterable[str]) -> str:
+    """Returns the part of a remedy that names the nearest known name."""
+    nearest = difflib.get_close_matches(wrong, sorted(known), n=1, cutoff=0.5)
+    return f"did you mean '{nearest[0]}'?" if nearest else ""
+
+
+def _refuse(message: str, remedy: str) -> errors.Error:
+    return errors.Error(errors.ErrorKind.BAD_DECLARATION, message, remedy)
+
+
+def _find_repeated(names: Iterable[str]) -> str | None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            return name
+        seen.add(name)
+    return None
+
+
+def _check_names(
+    form: str, put: list[str], deleted: list[str], present: Iterable[str]
+) -> errors.Error | None:
+    repeated = _find_repeated([*put, *deleted])
+    if repeated is not None:
+        return _refuse(
+            f"{form} '{repeated}' is named twice in the change",
+            "put or delete each name once",
+        )
+    known = set(present)
+    for name in deleted:
+        if name not in known:
+            return _refuse(
+                f"{form} '{name}' is deleted but does not exist",
+                suggest_name(name, known) or "leave it out of the change",
+            )
+    return None
+
+
+def _check_kinds(
+    after: declarations.Configuration, deleted: Iterable[str]
+) -> errors.Error | None:
+    gone = set(deleted)
+    for name, organisation in sorted(after.organisations.items()):
+        for kind in sorted(organisation.kinds):
+            if kind in after.templates:
+                continue
+            if kind in gone:
+                return _refuse(
+                    f"template '{kind}' is deleted but organisation "
+                    f"'{name}' uses it",
+                    "take the kind out of the organisation in the same change",
+                )
+            return _refuse(
+                f"organisation '{name}' names kind '{kind}', which has no "
+                "template",
+                suggest_name(kind, after.templates)
+                or f"declare a template '{kind}' or take the kind out",
+            )
+    return None
+
+
+def check_references(
+    configuration: declarations.Configuration,
+) -> errors.Error | None:
+    """Returns an error if an organisation names a kind without template."""
+    return _check_kinds(configuration, ())
+
+
+def check_change(
+    before: declarations.Configuration, change: declarations.Change
+) -> errors.Error | None:
+    """Checks a change against the configuration that it is based on.
+
+    Returns:
+        None if the change may be committed, otherwise why not.
+    """
+    problem = _check_names(
+        "template",
+        [item.name for item in change.templates],
+        list(change.deleted_templates),
+        before.templates,
+    ) or _check_names(
+        "organisation",
+        [item.name for item in change.organisations],
+        list(change.deleted_organisations),
+        before.organisations,
+    )
+    if problem is not None:
+        return problem
+    after = declarations.apply_change(before, change)
+    problem = _check_kinds(after, change.deleted_templates)
+    if problem is not None:
+        return problem
+    if (before.templates, before.organisations) == (
+        after.templates,
+        after.organisations,
+    ):
+        return _refuse(
+            "the change changes nothing",
+            "compare with what is in force: gypsumctl diff",
+        )
+    return None
--- /dev/null
+++ b/src/gypsumhold/programs/ctl.py
@@ -0,0 +1,198 @@
+"""gypsumctl: the operators' command line."""
+
+import dataclasses
+import getpass
+import pathlib
+import sys
+from collections.abc import Sequence
+
+import docopt
+from returns.result import Failure, Result, Success
+
+import gypsumhold
+from gypsumhold.adapters import (
+    declaration_files,
+    differences,
+    operations,
+)
+from gypsumhold.decisions import consistency
+from gypsumhold.model import declarations, errors
+from gypsumhold.programs import (
+    ctl_answers,
+    ctl_calls,
+    ctl_client,
+    ctl_options,
+    ctl_status,
+)
+
+
+def _read_text(name: str) -> Result[declaration_files.File, errors.Error]:
+    try:
+        text = pathlib.Path(name).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as problem:
+        reason = getattr(problem, "strerror", None) or str(problem)
+        return Failure(
+            errors.Error(
+                errors.ErrorKind.BAD_SETTING,
+                f"cannot read {name}: {reason}",
+                "check the name of the file",
+            )
+        )
+    return Success(declaration_files.File(name, text))
+
+
+def _read_declarations(
+    names: Sequence[str],
+) -> Result[declarations.Change, errors.Error]:
+    files: list[declaration_files.File] = []
+    for name in names:
+        result = _read_text(name)
+        if isinstance(result, Failure):
+            return result
+        files.append(result.unwrap())
+    return declaration_files.merge_files(files)
+
+
+def _validate(command: ctl_options.Validate) -> ctl_answers.Report:
+    match _read_declarations(command.files):
+        case Failure(problem):
+            return ctl_answers.report_error(problem)
+        case Success(wanted):
+            # Templates may also be in force already, so an organisation that
+            # names a kind outside the files is no error offline.
+            whole = declarations.apply_change(declarations.EMPTY, wanted)
+            loose = consistency.check_references(whole)
+            note = f"note: {loose.message} in these files\n" if loose else ""
+            return ctl_answers.Report(
+                f"{len(wanted.templates)} templates and "
+                f"{len(wanted.organisations)} organisations are well formed\n"
+                + note
+            )
+    raise AssertionError("a result is a success or a failure")
+
+
+def _compare(
+    options: ctl_options.Options,
+    command: ctl_options.Diff | ctl_options.Apply,
+    client: ctl_client.Client,
+) -> ctl_answers.Report:
+    wanted = _read_declarations(command.files)
+    if isinstance(wanted, Failure):
+        return ctl_answers.report_error(wanted.failure())
+    answer = client.ask_one(ctl_calls.READ_CONFIGURATION)
+    if not answer.succeeded:
+        return ctl_answers.report_answer(command, answer, options.raw)
+    match operations.read_configuration(answer.document):
+        case Failure(problem):
+            return ctl_answers.report_error(
+                problem, ctl_options.ExitCode.UNKNOWN
+            )
+        case Success(present):
+            if isinstance(command, ctl_options.Diff):
+                return _report_difference(
+                    options, command, present, wanted.unwrap()
+                )
+            return _apply(options, command, client, present, wanted.unwrap())
+    raise AssertionError("a result is a success or a failure")
+
+
+def _report_difference(
+    options: ctl_options.Options,
+    command: ctl_options.Diff,
+    present: declarations.Configuration,
+    wanted: declarations.Change,
+) -> ctl_answers.Report:
+    change = differences.reduce_change(present, wanted, command.prune)
+    if options.raw:
+        document = operations.render_apply(change, present.version)
+        return ctl_answers.render_json(document)
+    problem = consistency.check_change(present, change)
+    text = differences.render_difference(present, change)
+    if problem is None or differences.is_empty(change):
+        return ctl_answers.Report(text)
+    refusal = ctl_answers.report_error(problem, ctl_options.ExitCode.REFUSED)
+    return dataclasses.replace(refusal, text=f"{text}{refusal.text}")
+
+
+def _apply(
+    options: ctl_options.Options,
+    command: ctl_options.Apply,
+    client: ctl_client.Client,
+    present: declarations.Configuration,
+    wanted: declarations.Change,
+) -> ctl_answers.Report:
+    author = command.author or getpass.getuser()
+    call = ctl_calls.build_apply(command, author, present, wanted)
+    if call is None:
+        return ctl_answers.Report(
+            f"version {present.version} has all of this already\n"
+        )
+    return ctl_answers.report_answer(command, client.ask_one(call), options.raw)
+
+
+def _load_payload(
+    command: ctl_options.Submit,
+) -> Result[ctl_options.Submit, errors.Error]:
+    if not command.payload.startswith("@"):
+        return Success(command)
+    return _read_text(command.payload[1:]).map(
+        lambda file: dataclasses.replace(command, payload=file.text)
+    )
+
+
+def _run_online(
+    options: ctl_options.Options,
+    command: ctl_options.OnlineCommand,
+    client: ctl_client.Client,
+) -> ctl_answers.Report:
+    if isinstance(command, ctl_options.Diff | ctl_options.Apply):
+        return _compare(options, command, client)
+    if isinstance(command, ctl_options.Submit):
+        loaded = _load_payload(command)
+        if isinstance(loaded, Failure):
+            return ctl_answers.report_error(loaded.failure())
+        command = loaded.unwrap()
+    call = ctl_calls.build_call(command)
+    if isinstance(command, ctl_options.Status):
+        answers = client.ask_every(call)
+        return ctl_status.report_status(command, answers, options.raw)
+    if isinstance(command, ctl_options.Retire):
+        answers = client.ask_every(call)
+        return ctl_answers.report_retirement(command, answers, options.raw)
+    return ctl_answers.report_answer(command, client.ask_one(call), options.raw)
+
+
+def run(options: ctl_options.Options) -> ctl_answers.Report:
+    """Runs one command."""
+    if isinstance(options.command, ctl_options.Validate):
+        return _validate(options.command)
+    settings = _read_text(options.settings or "").bind(ctl_client.read_settings)
+    match settings:
+        case Success(found):
+            client = ctl_client.Client(found)
+            return _run_online(options, options.command, client)
+    return ctl_answers.report_error(settings.failure())
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs gypsumctl and returns its exit status."""
+    try:
+        arguments = docopt.docopt(
+            ctl_options.USAGE, argv, version=f"gypsumctl {gypsumhold.VERSION}"
+        )
+    except docopt.DocoptExit as problem:
+        print(problem.code, file=sys.stderr)
+        return ctl_options.ExitCode.BAD_INPUT
+    options = ctl_options.read_options(arguments)
+    match options:
+        case Success(found):
+            report = run(found)
+        case _:
+            report = ctl_answers.report_error(options.failure())
+    stream = sys.stderr if report.is_error else sys.stdout
+    print(report.text, end="", file=stream)
+    return report.code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/gypsumhold/programs/ctl_answers.py
@@ -0,0 +1,228 @@
+"""Translates the entries' answers into text and an exit status."""
+
+import dataclasses
+import json
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any
+
+from gypsumhold.model import errors
+from gypsumhold.programs import ctl_options
+
+REFUSALS = frozenset({401, 403, 404, 405, 409, 422})
+BAD_INPUTS = frozenset({400, 413})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What one entry answered.
+
+    Attributes:
+        entry: Address that was asked.
+        status: HTTP status; 0 if there was no answer.
+        document: Decoded JSON body, or the reason for no answer.
+        sent: False only if no byte of the call can have reached the entry.
+    """
+
+    entry: str
+    status: int
+    document: Any
+    sent: bool = True
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the entry did what was asked."""
+        return 200 <= self.status < 300
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """Text for the user and the exit status.
+
+    Attributes:
+        text: What is printed.
+        code: Exit status.
+        is_error: Whether the text goes to stderr.
+    """
+
+    text: str
+    code: ctl_options.ExitCode = ctl_options.ExitCode.DONE
+    is_error: bool = False
+
+
+def report_error(
+    error: errors.Error,
+    code: ctl_options.ExitCode = ctl_options.ExitCode.BAD_INPUT,
+) -> Report:
+    """Returns the report of a typed error."""
+    return _report_problem(error.message, error.remedy, code)
+
+
+def _report_problem(
+    message: str, remedy: str, code: ctl_options.ExitCode
+) -> Report:
+    return Report(f"error: {message}\n  {remedy}\n", code, True)
+
+
+def _choose_code(status: int) -> ctl_options.ExitCode:
+    if 200 <= status < 300:
+        return ctl_options.ExitCode.DONE
+    if status in REFUSALS:
+        return ctl_options.ExitCode.REFUSED
+    if status in BAD_INPUTS:
+        return ctl_options.ExitCode.BAD_INPUT
+    return ctl_options.ExitCode.UNKNOWN
+
+
+def _report_failure(answer: Answer) -> Report:
+    code = _choose_code(answer.status)
+    if answer.status == 0:
+        remedy = (
+            "the call may have taken effect; check before you repeat it"
+            if answer.sent
+            else "check the addresses in the settings and that it runs"
+        )
+        return _report_problem(
+            f"no answer from {answer.entry}: {answer.document}", remedy, code
+        )
+    match answer.document:
+        case {"error": {"message": message, "remedy": remedy}}:
+            return _report_problem(message, remedy, code)
+    return _report_problem(
+        f"{answer.entry} answered {answer.status}",
+        "check that the address belongs to an entry",
+        code,
+    )
+
+
+def align_table(head: Sequence[str], lines: Iterable[Sequence[object]]) -> str:
+    """Returns a table with columns of equal width."""
+    table = [list(head), *([str(cell) for cell in line] for line in lines)]
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    return "".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        + "\n"
+        for line in table
+    )
+
+
+def _describe_change(change: Mapping[str, Any]) -> str:
+    parts = [
+        f"{sign}{form} {name}"
+        for sign, form, names in (
+            ("", "template", [item["name"] for item in change["templates"]]),
+            (
+                "",
+                "organisation",
+                [item["name"] for item in change["organisations"]],
+            ),
+            ("-", "template", change["deleted_templates"]),
+            ("-", "organisation", change["deleted_organisations"]),
+        )
+        for name in names
+    ]
+    return ", ".join(parts)
+
+
+def _render_history(document: Any) -> str:
+    lines = []
+    for change in document["changes"]:
+        lines.append(
+            f"{change['version']}  {change['time']}  {change['author']}\n"
+            f"    {change['comment']}\n"
+            f"    {_describe_change(change)}\n"
+        )
+    return "".join(lines) or "no changes\n"
+
+
+def _render_task(document: Any) -> str:
+    if not isinstance(document, Mapping):
+        return f"{document}\n"
+    return "".join(
+        f"{key}: "
+        + (value if isinstance(value, str) else json.dumps(value))
+        + "\n"
+        for key, value in document.items()
+    )
+
+
+def _render_list(document: Any) -> str:
+    head = ("task_id", "kind", "state", "instance", "result")
+    return align_table(
+        head,
+        (
+            tuple(str(task.get(key) or "-")[:60] for key in head)
+            for task in document["tasks"]
+        ),
+    )
+
+
+_RENDERERS: dict[type, Callable[[Any], str]] = {
+    ctl_options.Apply: lambda body: f"applied as version {body['version']}\n",
+    ctl_options.History: _render_history,
+    ctl_options.Drain: lambda body: f"{body['instance']} takes no new work\n",
+    ctl_options.Submit: lambda body: f"{body['task_id']}\n",
+    ctl_options.ShowTask: _render_task,
+    ctl_options.ListTasks: _render_list,
+    ctl_options.Cancel: lambda _: "cancelled, unless it had ended before\n",
+}
+
+
+def report_answer(
+    command: ctl_options.Command, answer: Answer, raw: bool
+) -> Report:
+    """Returns the report of a command that asked one entry."""
+    if raw and answer.status:
+        return render_json(answer.document, _choose_code(answer.status))
+    if not answer.succeeded:
+        return _report_failure(answer)
+    try:
+        return Report(_RENDERERS[type(command)](answer.document))
+    except (KeyError, TypeError, AttributeError):
+        return _report_problem(
+            f"{answer.entry} sent an answer of an unknown form",
+            "use the same version of gypsumctl and the entry, or --json",
+            ctl_options.ExitCode.UNKNOWN,
+        )
+
+
+def report_retirement(
+    command: ctl_options.Retire, answers: Sequence[Answer], raw: bool
+) -> Report:
+    """Returns the report of a retirement, which every entry has to know."""
+    if raw:
+        return report_raw(answers)
+    failed = [answer for answer in answers if not answer.succeeded]
+    if not failed:
+        return Report(f"{command.instance} is retired on every entry\n")
+    parts = [_report_failure(answer) for answer in failed]
+    text = "".join(part.text for part in parts)
+    return Report(
+        f"{text}retired on {len(answers) - len(failed)} of {len(answers)} "
+        "entries; a repeat is harmless\n",
+        max(part.code for part in parts),
+        True,
+    )
+
+
+def render_json(
+    document: Any, code: ctl_options.ExitCode = ctl_options.ExitCode.DONE
+) -> Report:
+    """Returns a report for programs."""
+    return Report(json.dumps(document, ensure_ascii=False) + "\n", code)
+
+
+def report_raw(answers: Sequence[Answer]) -> Report:
+    """Returns the answers of all entries for programs."""
+    return render_json(
+        [
+            {
+                "entry": item.entry,
+                "status": item.status,
+                "answer": item.document,
+            }
+            for item in answers
+        ],
+        max(_choose_code(item.status) for item in answers),
+    )
--- /dev/null
+++ b/src/gypsumhold/programs/ctl_calls.py
@@ -0,0 +1,159 @@
+"""Translates the commands of gypsumctl into HTTP calls."""
+
+import dataclasses
+import enum
+import urllib.parse
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from gypsumhold.adapters import differences, documents, operations
+from gypsumhold.model import declarations
+from gypsumhold.programs import ctl_options
+
+TASKS_PATH = "/gypsumhold/v1/tasks"
+
+
+class Listener(enum.StrEnum):
+    """Which listener of an entry takes a call."""
+
+    OPERATORS = "operators"
+    CALLERS = "callers"
+
+
+class Spread(enum.StrEnum):
+    """Which entries take a call."""
+
+    ONE = "one"
+    EVERY = "every"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One HTTP call to an entry.
+
+    Attributes:
+        listener: Which listener takes it.
+        method: HTTP method.
+        target: Path and query, percent-encoded.
+        document: JSON body, if there is one.
+        headers: Further headers.
+        idempotent: Whether a repeat is harmless, so that another entry may be
+            tried after an unknown result.
+        spread: Which entries take it.
+    """
+
+    listener: Listener
+    method: str
+    target: str
+    document: Any = None
+    headers: tuple[tuple[str, str], ...] = ()
+    idempotent: bool = True
+    spread: Spread = Spread.ONE
+
+
+READ_CONFIGURATION = Call(Listener.OPERATORS, "GET", "/v1/config")
+READ_STATUS = Call(Listener.OPERATORS, "GET", "/v1/status", spread=Spread.EVERY)
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="")
+
+
+def _build_submit(command: ctl_options.Submit) -> Call:
+    document: dict[str, Any] = {
+        "organisation": command.organisation,
+        "kind": command.kind,
+        "payload": command.payload,
+    }
+    if command.declared is not None:
+        document["declared"] = documents.render_resources(command.declared)
+    return Call(
+        Listener.CALLERS,
+        "POST",
+        TASKS_PATH,
+        document,
+        (("Idempotency-Key", command.key),),
+    )
+
+
+def _name_task(command: ctl_options.ShowTask | ctl_options.Cancel) -> str:
+    return (
+        f"{TASKS_PATH}/{_quote(command.task_id)}"
+        f"?organisation={_quote(command.organisation)}"
+    )
+
+
+def _build_list(command: ctl_options.ListTasks) -> Call:
+    target = f"{TASKS_PATH}?organisation={_quote(command.organisation)}"
+    return Call(Listener.CALLERS, "GET", target)
+
+
+def _build_history(command: ctl_options.History) -> Call:
+    target = f"/v1/config/history?limit={command.limit}"
+    return Call(Listener.OPERATORS, "GET", target)
+
+
+def _build_drain(command: ctl_options.Drain) -> Call:
+    target = f"/v1/drain/{_quote(command.instance)}"
+    return Call(Listener.OPERATORS, "POST", target)
+
+
+def _build_retire(command: ctl_options.Retire) -> Call:
+    # Each entry moves the tasks of the partitions that it holds.
+    target = f"/v1/retire/{_quote(command.instance)}"
+    return Call(Listener.OPERATORS, "POST", target, spread=Spread.EVERY)
+
+
+_BUILDERS: Mapping[type, Callable[[Any], Call]] = {
+    ctl_options.Diff: lambda _: READ_CONFIGURATION,
+    ctl_options.Apply: lambda _: READ_CONFIGURATION,
+    ctl_options.History: _build_history,
+    ctl_options.Status: lambda _: READ_STATUS,
+    ctl_options.Drain: _build_drain,
+    ctl_options.Retire: _build_retire,
+    ctl_options.Submit: _build_submit,
+    ctl_options.ShowTask: lambda task: Call(
+        Listener.CALLERS, "GET", _name_task(task)
+    ),
+    ctl_options.ListTasks: _build_list,
+    ctl_options.Cancel: lambda task: Call(
+        Listener.CALLERS, "DELETE", _name_task(task)
+    ),
+}
+
+
+def build_call(command: ctl_options.OnlineCommand) -> Call:
+    """Returns the first call of a command."""
+    return _BUILDERS[type(command)](command)
+
+
+def build_apply(
+    command: ctl_options.Apply,
+    author: str,
+    present: declarations.Configuration,
+    wanted: declarations.Change,
+) -> Call | None:
+    """Returns the call that applies the difference; None if there is none.
+
+    Args:
+        command: The command.
+        author: Who makes the change.
+        present: What is in force.
+        wanted: All objects of the declaration files.
+    """
+    change = dataclasses.replace(
+        differences.reduce_change(present, wanted, command.prune),
+        author=author,
+        comment=command.comment,
+    )
+    if differences.is_empty(change):
+        return None
+    base = present.version if command.base is None else command.base
+    # Not idempotent: a repeat after a lost answer conflicts with itself.
+    return Call(
+        Listener.OPERATORS,
+        "POST",
+        "/v1/config",
+        operations.render_apply(change, base),
+        idempotent=False,
+    )
--- /dev/null
+++ b/src/gypsumhold/programs/ctl_client.py
@@ -0,0 +1,161 @@
+"""Sends the calls of gypsumctl to entries."""
+
+import dataclasses
+import json
+from typing import Any
+
+import pydantic
+import urllib3
+from returns.result import Failure, Result, Success
+
+from gypsumhold.adapters import declaration_files, operations
+from gypsumhold.model import errors, members
+from gypsumhold.programs import ctl_answers, ctl_calls
+
+# Longer than an entry's own limit for an apply, so that its answer arrives.
+TIMEOUT = urllib3.Timeout(connect=2, read=15)
+
+
+class _Document(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class _AddressDocument(_Document):
+    host: str
+    port: int = pydantic.Field(gt=0, le=65535)
+
+
+class _EntryDocument(_Document):
+    operators: _AddressDocument
+    callers: _AddressDocument
+
+
+class _SettingsDocument(_Document):
+    entries: tuple[_EntryDocument, ...] = pydantic.Field(min_length=1)
+    operator_token: str = pydantic.Field(min_length=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """Listeners of one entry."""
+
+    operators: members.Address
+    callers: members.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Settings of gypsumctl."""
+
+    entries: tuple[Entry, ...]
+    operator_token: str
+
+
+def _build_address(document: _AddressDocument) -> members.Address:
+    return members.Address(document.host, document.port)
+
+
+def read_settings(
+    file: declaration_files.File,
+) -> Result[Settings, errors.Error]:
+    """Reads the settings file."""
+    return declaration_files.decode(file, errors.ErrorKind.BAD_SETTING).bind(
+        lambda raw: _check_settings(file.name, raw)
+    )
+
+
+def _check_settings(name: str, raw: Any) -> Result[Settings, errors.Error]:
+    try:
+        document = _SettingsDocument.model_validate(raw)
+    except pydantic.ValidationError as problem:
+        return Failure(
+            operations.explain_problem(
+                problem, _SettingsDocument, errors.ErrorKind.BAD_SETTING, name
+            )
+        )
+    return Success(
+        Settings(
+            tuple(
+                Entry(
+                    _build_address(item.operators),
+                    _build_address(item.callers),
+                )
+                for item in document.entries
+            ),
+            document.operator_token,
+        )
+    )
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return json.loads(body)
+    except ValueError:
+        return body.decode("utf-8", "replace")
+
+
+class Client:
+    """Asks entries in the order of the settings."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT)
+
+    def _build_headers(self, call: ctl_calls.Call) -> dict[str, str]:
+        headers = dict(call.headers)
+        if call.document is not None:
+            headers["Content-Type"] = "application/json"
+        if call.listener is ctl_calls.Listener.OPERATORS:
+            headers["Authorization"] = f"Bearer {self._settings.operator_token}"
+        return headers
+
+    def ask(self, entry: Entry, call: ctl_calls.Call) -> ctl_answers.Answer:
+        """Sends a call to one entry."""
+        address = (
+            entry.operators
+            if call.listener is ctl_calls.Listener.OPERATORS
+            else entry.callers
+        )
+        body = (
+            None
+            if call.document is None
+            else json.dumps(call.document, ensure_ascii=False).encode()
+        )
+        try:
+            response = self._pool.request(
+                call.method,
+                f"http://{address}{call.target}",
+                body=body,
+                headers=self._build_headers(call),
+                redirect=False,
+            )
+        except urllib3.exceptions.HTTPError as problem:
+            # These two end before the first byte of the call is written.
+            unsent = isinstance(
+                problem,
+                urllib3.exceptions.NewConnectionError
+                | urllib3.exceptions.ConnectTimeoutError,
+            )
+            reason = "cannot connect" if unsent else type(problem).__name__
+            return ctl_answers.Answer(str(address), 0, reason, not unsent)
+        return ctl_answers.Answer(
+            str(address), response.status, _decode(response.data)
+        )
+
+    def ask_one(self, call: ctl_calls.Call) -> ctl_answers.Answer:
+        """Asks entries in turn until one gives a definite answer.
+
+        The next entry is tried only if the call certainly was not sent, or
+        if it is idempotent and the entry was unable to answer it.
+        """
+        answer = self.ask(self._settings.entries[0], call)
+        for entry in self._settings.entries[1:]:
+            undecided = answer.status == 0 or answer.status >= 500
+            if not undecided or (answer.sent and not call.idempotent):
+                break
+            answer = self.ask(entry, call)
+        return answer
+
+    def ask_every(self, call: ctl_calls.Call) -> list[ctl_answers.Answer]:
+        """Asks every entry."""
+        return [self.ask(entry, call) for entry in self._settings.entries]
--- /dev/null
+++ b/src/gypsumhold/programs/ctl_options.py
@@ -0,0 +1,281 @@
+"""Command line of gypsumctl, as text and as frozen options."""
+
+import dataclasses
+import enum
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from gypsumhold.model import errors, ids, resources
+
+USAGE = """Operates gypsumhold: declarations, members and tasks.
+
+Usage:
+  gypsumctl validate [--json] FILE...
+  gypsumctl diff --config SETTINGS [--prune] [--json] FILE...
+  gypsumctl apply --config SETTINGS --comment TEXT [--author NAME]
+                  [--base VERSION] [--prune] [--json] FILE...
+  gypsumctl history --config SETTINGS [--limit N] [--json]
+  gypsumctl status --config SETTINGS [--check] [--json]
+  gypsumctl drain --config SETTINGS [--json] INSTANCE
+  gypsumctl retire --config SETTINGS [--json] INSTANCE
+  gypsumctl submit --config SETTINGS --organisation NAME --kind NAME --key KEY
+                   [--payload TEXT] [--cpu-millis N] [--memory-mb N]
+                   [--accelerators N] [--json]
+  gypsumctl task --config SETTINGS --organisation NAME [--json] ID
+  gypsumctl list --config SETTINGS --organisation NAME [--json]
+  gypsumctl cancel --config SETTINGS --organisation NAME [--json] ID
+  gypsumctl --help
+  gypsumctl --version
+
+Commands:
+  validate  Check declaration files; needs no entry.
+  diff      Compare declaration files with what is in force.
+  apply     Put the objects of the files that differ from what is in force.
+  history   Show the accepted changes, newest first.
+  status    Show entries, instances and their configuration versions.
+  drain     Let an instance finish its work and take no more.
+  retire    Confirm that an instance is gone, so that its tasks move at once.
+  submit    Submit a task; the same key gives the same task.
+  task      Show one task.
+  list      Show the tasks of an organisation.
+  cancel    Cancel a task.
+
+Options:
+  --config SETTINGS    Settings file: {entries: [{operators: {host, port},
+                       callers: {host, port}}], operator_token}, JSON with
+                       comments.
+  --comment TEXT       Why the change is made; kept in the history.
+  --author NAME        Who makes the change; default is the login name.
+  --base VERSION       Version that was reviewed; default is the one in force.
+  --prune              Delete objects that the files do not name.
+  --limit N            Number of changes [default: 20].
+  --check              Exit with 1 if an agent or entry lags behind.
+  --organisation NAME  Organisation that pays for the task.
+  --kind NAME          Template of the task.
+  --key KEY            Idempotency key of the submission.
+  --payload TEXT       Text for the worker, or @FILE to read it.
+  --cpu-millis N       Declared processors, in thousandths of a core.
+  --memory-mb N        Declared memory; needed together with --cpu-millis.
+  --accelerators N     Declared accelerators.
+  --json               Print the entry's answer unchanged.
+  --help               Show this text.
+  --version            Show the version.
+
+Exit status: 0 done, 1 refused or lagging, 2 usage or bad input,
+3 unavailable or result unknown.
+"""
+
+
+class ExitCode(enum.IntEnum):
+    """Exit status of gypsumctl."""
+
+    DONE = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    UNKNOWN = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Validate:
+    """Checks declaration files."""
+
+    files: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Diff:
+    """Compares declaration files with what is in force."""
+
+    files: tuple[str, ...]
+    prune: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Apply:
+    """Applies declaration files; `base` None means the version in force."""
+
+    files: tuple[str, ...]
+    comment: str
+    author: str | None = None
+    base: ids.ConfigVersion | None = None
+    prune: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class History:
+    """Reads the latest changes."""
+
+    limit: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status:
+    """Reads the status of every entry."""
+
+    check: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """Drains an instance."""
+
+    instance: ids.InstanceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retire:
+    """Confirms that an instance is gone."""
+
+    instance: ids.InstanceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """Submits a task; `payload` may be @FILE until the file is read."""
+
+    organisation: ids.OrganisationId
+    kind: ids.KindName
+    key: ids.IdempotencyKey
+    payload: str = ""
+    declared: resources.Resources | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShowTask:
+    """Reads one task."""
+
+    organisation: ids.OrganisationId
+    task_id: ids.TaskId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListTasks:
+    """Reads the tasks of an organisation."""
+
+    organisation: ids.OrganisationId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """Cancels a task."""
+
+    organisation: ids.OrganisationId
+    task_id: ids.TaskId
+
+
+OnlineCommand = (
+    Diff
+    | Apply
+    | History
+    | Status
+    | Drain
+    | Retire
+    | Submit
+    | ShowTask
+    | ListTasks
+    | Cancel
+)
+Command = Validate | OnlineCommand
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """One run of gypsumctl.
+
+    Attributes:
+        command: What to do.
+        settings: Name of the settings file; None for offline commands.
+        raw: Whether to print the answer unchanged.
+    """
+
+    command: Command
+    settings: str | None
+    raw: bool
+
+
+class _BadNumber(ValueError):
+    """An option that takes a number has another value."""
+
+
+def _read_number(arguments: Mapping[str, Any], name: str) -> int | None:
+    text = arguments[name]
+    if text is None:
+        return None
+    # Only ASCII digits: int() would also take signs, spaces and underscores.
+    if not (text.isascii() and text.isdecimal()):
+        raise _BadNumber(f"{name} '{text}' is not a whole number")
+    return int(text)
+
+
+def _read_declared(arguments: Mapping[str, Any]) -> resources.Resources | None:
+    cpu = _read_number(arguments, "--cpu-millis")
+    memory = _read_number(arguments, "--memory-mb")
+    accelerators = _read_number(arguments, "--accelerators")
+    if cpu is None and memory is None and accelerators is None:
+        return None
+    # A size left out would count as zero and overcommit the instance.
+    if cpu is None or memory is None:
+        raise _BadNumber("a declared size needs --cpu-millis and --memory-mb")
+    return resources.Resources(cpu, memory, accelerators or 0)
+
+
+def _read_apply(arguments: Mapping[str, Any]) -> Apply:
+    base = _read_number(arguments, "--base")
+    return Apply(
+        tuple(arguments["FILE"]),
+        arguments["--comment"],
+        arguments["--author"],
+        None if base is None else ids.ConfigVersion(base),
+        arguments["--prune"],
+    )
+
+
+def _read_submit(arguments: Mapping[str, Any]) -> Submit:
+    return Submit(
+        ids.OrganisationId(arguments["--organisation"]),
+        ids.KindName(arguments["--kind"]),
+        ids.IdempotencyKey(arguments["--key"]),
+        arguments["--payload"] or "",
+        _read_declared(arguments),
+    )
+
+
+def _read_command(arguments: Mapping[str, Any]) -> Command:
+    files = tuple(arguments["FILE"])
+    organisation = ids.OrganisationId(arguments["--organisation"] or "")
+    task_id = ids.TaskId(arguments["ID"] or "")
+    instance = ids.InstanceId(arguments["INSTANCE"] or "")
+    readers: Mapping[str, Callable[[], Command]] = {
+        "validate": lambda: Validate(files),
+        "diff": lambda: Diff(files, arguments["--prune"]),
+        "apply": lambda: _read_apply(arguments),
+        "history": lambda: History(_read_number(arguments, "--limit") or 0),
+        "status": lambda: Status(arguments["--check"]),
+        "drain": lambda: Drain(instance),
+        "retire": lambda: Retire(instance),
+        "submit": lambda: _read_submit(arguments),
+        "task": lambda: ShowTask(organisation, task_id),
+        "list": lambda: ListTasks(organisation),
+        "cancel": lambda: Cancel(organisation, task_id),
+    }
+    chosen = next(name for name in readers if arguments[name])
+    return readers[chosen]()
+
+
+def read_options(
+    arguments: Mapping[str, Any],
+) -> Result[Options, errors.Error]:
+    """Converts what docopt parsed into frozen options."""
+    try:
+        command = _read_command(arguments)
+    except _BadNumber as problem:
+        return Failure(
+            errors.Error(
+                errors.ErrorKind.BAD_SETTING,
+                str(problem),
+                "see 'gypsumctl --help'",
+            )
+        )
+    return Success(Options(command, arguments["--config"], arguments["--json"]))
