--- a/src/gypsumhold/adapters/local.py
+++ b/src/gypsumhold/adapters/local.py
@@ -1,6 +1,5 @@
 """The agent's local listener, for its upstream and the platform."""
 
-import ipaddress
 import json
 from collections.abc import Callable
 
@@ -15,7 +14,7 @@
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
-    host: ipaddress.IPv4Address | ipaddress.IPv6Address
+    host: pydantic.IPvAnyAddress
     port: int = pydantic.Field(ge=1, le=65535)
     kinds: tuple[str, ...]
     slots: int = pydantic.Field(ge=0)
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -2,7 +2,6 @@
 
 import datetime
 import difflib
-import ipaddress
 import pathlib
 import re
 import types
@@ -51,7 +50,7 @@
 class AddressSettings(_Settings):
     """An IP number and a port."""
 
-    host: ipaddress.IPv4Address | ipaddress.IPv6Address
+    host: pydantic.IPvAnyAddress
     port: int = pydantic.Field(ge=1, le=65535)
 
     def build(self) -> members.Address:
--- /dev/null
+++ b/tests/adapters/test_engine.py
@@ -0,0 +1,251 @@
+"""Guards the routing of effects by the engine."""
+
+import collections
+import contextlib
+import dataclasses
+import datetime
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from gypsumhold.adapters import clock, engine, pools
+from gypsumhold.model import (
+    effects,
+    events,
+    ids,
+    requests,
+    rows,
+    states,
+    timers,
+)
+
+WAIT = 5.0
+SOON = datetime.timedelta(seconds=WAIT)
+OWNER = ids.RequestId("r1")
+ANSWER = effects.AnswerCall(OWNER, requests.Result(states.Outcome.COMPLETED))
+DONE = events.StopRequested()
+
+
+def build_commit(operation: str, owner: str = "") -> effects.Commit:
+    transaction = rows.Transaction(ids.OperationId(operation), (), ())
+    return effects.Commit(owner, transaction)
+
+
+def build_dispatch() -> effects.SendDispatch:
+    dispatch = requests.Dispatch(
+        request_id=OWNER,
+        attempt=ids.Attempt(1),
+        incarnation=ids.Incarnation(1),
+        organisation=ids.OrganisationId("o"),
+        kind=ids.KindName("k"),
+        remaining=SOON,
+        keep_answer=False,
+        payload=requests.Payload("GET", "/"),
+    )
+    return effects.SendDispatch(OWNER, None, dispatch)  # type: ignore[arg-type]
+
+
+def set_timer(subject: str, seconds: float) -> effects.SetTimer:
+    timer = timers.Timer(timers.TimerKind.CALL, subject)
+    return effects.SetTimer(timer, datetime.timedelta(seconds=seconds))
+
+
+class Script:
+    """A reducer that gives out scripted effects and records events."""
+
+    def __init__(self) -> None:
+        self.effects: collections.deque[effects.Effects] = collections.deque()
+        self.events: list[events.Event] = []
+        self.arrived = threading.Condition()
+
+    def reduce(
+        self, _state: None, event: events.Event, _now: datetime.timedelta
+    ) -> effects.Effects:
+        with self.arrived:
+            self.events.append(event)
+            self.arrived.notify_all()
+        return self.effects.popleft() if self.effects else ()
+
+    def wait_events(self, number: int) -> list[events.Event]:
+        with self.arrived:
+            self.arrived.wait_for(lambda: len(self.events) >= number, WAIT)
+            return list(self.events)
+
+
+class RecordingRunner(engine.Runner):
+    """Records effects with the name of their thread; may block or fail."""
+
+    def __init__(self) -> None:
+        self.ran: list[tuple[effects.Effect, str]] = []
+        self.gate = threading.Event()
+        self.gate.set()
+        self.fault: Exception | None = None
+        self.started = threading.Semaphore(0)
+
+    def run(self, effect: effects.Effect) -> events.Event | None:
+        self.started.release()
+        self.gate.wait(WAIT)
+        self.ran.append((effect, threading.current_thread().name))
+        if self.fault is not None:
+            raise self.fault
+        return None
+
+
+@dataclasses.dataclass
+class Rig:
+    """An engine with its scripted parts."""
+
+    script: Script
+    runner: RecordingRunner
+    runtime: engine.Engine[None]
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    script, runner = Script(), RecordingRunner()
+    runtime = engine.Engine(None, script.reduce, clock.SystemClock(), runner)
+    yield Rig(script, runner, runtime)
+    runner.gate.set()
+    runtime.close()
+
+
+def test_owner_runs_its_effects_in_order_in_its_own_thread(rig: Rig) -> None:
+    """Failure: a claim's commit is overtaken by the dispatch it protects."""
+    first, second = build_commit("1", OWNER), build_commit("2", OWNER)
+    rig.script.effects.append((first, second, ANSWER))
+    assert rig.runtime.run_owner(OWNER, DONE, SOON) == ANSWER
+    name = threading.current_thread().name
+    assert rig.runner.ran == [(first, name), (second, name)]
+
+
+def test_effects_left_by_an_owner_run_in_the_pool_in_order(rig: Rig) -> None:
+    """Failure: a result that has to be recorded is lost with its caller."""
+    left = [build_commit(str(number), OWNER) for number in range(5)]
+    rig.script.effects.append((ANSWER, *left))
+    rig.runtime.run_owner(OWNER, DONE, SOON)
+    rig.runtime.close()
+    assert [effect for effect, _ in rig.runner.ran] == left
+
+
+def test_answer_for_a_gone_owner_is_dropped_and_counted(rig: Rig) -> None:
+    """Failure: a late answer reaches another call or stays in memory."""
+    rig.script.effects.append((ANSWER,))
+    rig.runtime.dispatch(DONE)
+    assert rig.runtime.count_dropped_answers() == 1
+    assert rig.runtime.run_owner(OWNER, DONE, datetime.timedelta()) is None
+
+
+def test_work_for_a_gone_owner_is_reported_as_not_sent(rig: Rig) -> None:
+    """Failure: a request runs although nobody waits, or is never ended."""
+    rig.script.effects.append((build_dispatch(),))
+    rig.runtime.dispatch(DONE)
+    lost = events.DispatchLost(OWNER, ids.Attempt(1), sent=False)
+    assert rig.script.wait_events(2)[1] == lost
+    assert not rig.runner.ran
+
+
+def test_owner_with_a_waiting_thread_is_refused(rig: Rig) -> None:
+    """Failure: a repeated dispatch takes the answer of the first."""
+    rig.runner.gate.clear()
+    rig.script.effects.append((build_commit("1", OWNER), ANSWER))
+    thread = threading.Thread(
+        target=rig.runtime.run_owner, args=(OWNER, DONE, SOON)
+    )
+    thread.start()
+    rig.runner.started.acquire(timeout=WAIT)
+    with pytest.raises(engine.OwnerBusyError):
+        rig.runtime.run_owner(OWNER, DONE, SOON)
+    rig.runner.gate.set()
+    thread.join(WAIT)
+    assert rig.script.events == [DONE]
+
+
+@pytest.mark.parametrize(
+    ("fault", "result"),
+    [(OSError("broken"), states.CommitResult.UNKNOWN)],
+)
+def test_failed_effect_becomes_its_loss(
+    rig: Rig, fault: Exception, result: states.CommitResult
+) -> None:
+    """Failure: a fault in a client leaves a batch in doubt for ever."""
+    rig.runner.fault = fault
+    rig.script.effects.append((build_commit("1"),))
+    rig.runtime.dispatch(DONE)
+    answer = rig.script.wait_events(2)[1]
+    assert isinstance(answer, events.CommitAnswered)
+    assert answer.answer.result is result
+
+
+def test_timer_that_is_set_again_moves(rig: Rig) -> None:
+    """Failure: a moved timer fires at its former time as well."""
+    rig.script.effects.append(
+        (set_timer("a", 0.02), set_timer("a", 30), set_timer("b", 0.05))
+    )
+    rig.runtime.dispatch(DONE)
+    fired = rig.script.wait_events(2)[1:]
+    assert fired == [
+        events.TimerFired(timers.Timer(timers.TimerKind.CALL, "b"))
+    ]
+
+
+def test_timer_moved_forward_wakes_the_thread(rig: Rig) -> None:
+    """Failure: the thread sleeps on until the former, later time."""
+    rig.script.effects.append((set_timer("a", 30), set_timer("a", 0)))
+    rig.runtime.dispatch(DONE)
+    assert len(rig.script.wait_events(2)) == 2
+
+
+def test_full_pool_refuses_and_keeps_one_periodic_effect() -> None:
+    """Failure: periodic effects pile up behind a peer that hangs."""
+    gate, started = threading.Event(), threading.Semaphore(0)
+    ran: list[effects.Effect] = []
+
+    def run(effect: effects.Effect) -> None:
+        started.release()
+        gate.wait(WAIT)
+        ran.append(effect)
+
+    pool = pools.EffectPool("test", 1, run, limit=2)
+    reads = [effects.ReadWorker(str(number)) for number in range(4)]
+    lane = pools.choose_lane(reads[0])
+    assert pool.submit(lane, reads[0])
+    started.acquire(timeout=WAIT)
+    assert all(pool.submit(lane, read) for read in reads[1:])
+    other = build_commit("1")
+    assert pool.submit(pools.choose_lane(other), other)
+    assert not pool.submit(pools.choose_lane(other), build_commit("1"))
+    gate.set()
+    pool.close(WAIT)
+    assert ran == [reads[0], other, reads[3]]
+
+
+class CountingClock(clock.SystemClock):
+    """Counts how often it is read."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    def read_monotonic(self) -> datetime.timedelta:
+        self.reads += 1
+        return super().read_monotonic()
+
+
+def test_timer_thread_sleeps_until_the_next_timer() -> None:
+    """Failure: the thread polls or spins while nothing is due."""
+    script, counting = Script(), CountingClock()
+    with contextlib.closing(
+        engine.Engine(None, script.reduce, counting, RecordingRunner())
+    ) as runtime:
+        script.effects.append((set_timer("a", 0.2),))
+        runtime.dispatch(DONE)
+        assert len(script.wait_events(2)) == 2
+    assert counting.reads < 20
+
+
+def test_stopped_is_signalled(rig: Rig) -> None:
+    """Failure: a stop request waits until its limit."""
+    assert not rig.runtime.wait_stopped(datetime.timedelta())
+    rig.script.effects.append((effects.Stopped(),))
+    rig.runtime.dispatch(DONE)
+    assert rig.runtime.wait_stopped(SOON)
