--- a/src/gypsumhold/decisions/fairness.py
+++ b/src/gypsumhold/decisions/fairness.py
@@ -208,8 +208,8 @@
                 if excess > largest:
                     largest, key = excess, (work_class, organisation)
         level = self._levels[arriving.work_class]
-        group = level.groups.get(arriving.organisation)
-        waiting = group.waiting if group else 0
+        own_group = level.groups.get(arriving.organisation)
+        waiting = own_group.waiting if own_group else 0
         if (waiting + 1) / (arriving.weight * level.weight) >= largest:
             return None
         heap = self._levels[key[0]].groups[key[1]].heap
