Control tasks that slow the service beside them

Cause: a task can slow requests by an amount that depends on the pair, and declared sizes do not tell it. Weighed: a fixed limit for batch work was ruled out, because most pairs do not disturb each other. Conclusion: a decayed estimate for each pair, shrunk while evidence is thin; throttle first, evict only if the service stays slow, with hysteresis and a budget; memory beyond the instance evicts the least urgent task.

--- a/src/gypsumhold/decisions/admission.py
+++ b/src/gypsumhold/decisions/admission.py
@@ -209,7 +209,11 @@
     call = state.calls.get(event.key)
     if call is None or call.phase is not states.DispatchPhase.RUNNING:
         return []
-    running = [item.start.kind for item in state.executions.values()]
+    running = [
+        item.start.kind
+        for item in state.executions.values()
+        if item.state is states.ExecutionState.RUNNING
+    ]
     state.policies.interference.observe(
         call.template.name, now - call.started_at, running
     )
--- a/src/gypsumhold/decisions/suites.py
+++ b/src/gypsumhold/decisions/suites.py
@@ -34,5 +34,5 @@
         )
     return policies.AgentPolicies(
         fairness.WeightedFair(),
-        interference.NoInterferenceControl(),
+        interference.PairwiseControl(),
     )
--- a/src/gypsumhold/decisions/workers.py
+++ b/src/gypsumhold/decisions/workers.py
@@ -48,6 +48,7 @@
     for execution in list(state.executions.values()):
         if execution.start.task_id not in listed:
             made += _take_missing(execution, event.sent_at)
+    made += relieve_memory(state)
     return [*made, *control_interference(state, now)]
 
 
@@ -249,6 +250,32 @@
     return made
 
 
+def relieve_memory(state: agent.AgentState) -> list[effects.Effect]:
+    """Evicts the least urgent task if measured memory exceeds the instance.
+
+    Declared sizes are far off, and memory, unlike processors, cannot be
+    shared by running slower.
+    """
+    assert state.capacity is not None
+    reserved = state.upstream.reserved if state.upstream else resources.NOTHING
+    active = [
+        item for item in state.executions.values() if item.state in _ACTIVE
+    ]
+    used = reserved.memory_mb + sum(item.usage.memory_mb for item in active)
+    leaving = any(item.evicting for item in state.executions.values())
+    if used <= state.capacity.memory_mb or leaving or not active:
+        return []
+    order = list(states.WorkClass)
+    victim = max(
+        active,
+        key=lambda item: (
+            order.index(item.start.work_class),
+            item.usage.memory_mb,
+        ),
+    )
+    return evict(victim)
+
+
 def control_interference(
     state: agent.AgentState, now: datetime.timedelta
 ) -> list[effects.Effect]:
