--- /dev/null
+++ b/src/gypsumhold/adapters/control.py
@@ -0,0 +1,182 @@
+"""What the operator routes of an entry ask of its engine, table and agents."""
+
+import dataclasses
+import datetime
+
+from returns.result import Result
+
+from gypsumhold.adapters import engine, metrics, operators, peers, platform
+from gypsumhold.model import clock as clocks
+from gypsumhold.model import (
+    declarations,
+    effects,
+    entry,
+    errors,
+    events,
+    ids,
+    members,
+    roster,
+    rows,
+    states,
+    status,
+)
+
+# A failure of the table is told for this many reads of the configuration head.
+# Each failed read renews it.
+FAILED_POLLS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """What is read under the lock; the rest is built outside it."""
+
+    entry: status.EntryStatus
+    members: tuple[tuple[members.Announcement, datetime.timedelta], ...]
+    partitions: tuple[status.PartitionStatus, ...]
+
+
+class EntryControl(operators.Control):
+    """Serves operators from one entry."""
+
+    def __init__(
+        self,
+        runtime: engine.Engine[entry.EntryState],
+        table: platform.Table,
+        agents: peers.AgentClient,
+        recorder: metrics.Recorder,
+        clock: clocks.Clock,
+    ) -> None:
+        """Stores the parts.
+
+        Args:
+            runtime: Engine of the entry.
+            table: The platform's table.
+            agents: Calls agents.
+            recorder: Metrics of the entry.
+            clock: Clock of the entry.
+        """
+        self._runtime = runtime
+        self._table = table
+        self._agents = agents
+        self._recorder = recorder
+        self._clock = clock
+
+    def apply(
+        self, event: events.ApplyArrived, deadline: datetime.timedelta
+    ) -> effects.AnswerTicket | None:
+        """Runs an apply until its ticket ends; None after the deadline."""
+        final = self._runtime.run_owner(event.ticket, event, deadline)
+        return final if isinstance(final, effects.AnswerTicket) else None
+
+    def read_configuration(self) -> declarations.Configuration:
+        """Returns the configuration in force in this entry."""
+        return self._runtime.snapshot(lambda state: state.configuration)
+
+    def read_status(self) -> status.Status:
+        """Returns what the entry knows of itself and of the members."""
+        now = self._clock.read_monotonic()
+        copy = self._runtime.snapshot(lambda state: _copy_state(state, now))
+        instances = [
+            _describe_instance(announcement, now - received_at, copy.entry)
+            for announcement, received_at in copy.members
+        ]
+        instances.sort(key=lambda item: item.name)
+        return status.Status(copy.entry, tuple(instances), copy.partitions)
+
+    def read_metrics(self) -> str:
+        """Returns the metrics in the text format of Prometheus."""
+        self._recorder.set_config_version(self.read_configuration().version)
+        return self._recorder.render()
+
+    def read_rows(self, prefix: str, after: str) -> tuple[rows.Row, ...] | None:
+        """Reads the table's rows of a prefix; None if it failed."""
+        return self._table.read_rows(prefix, after)
+
+    def read_row(
+        self, key: ids.RowKey
+    ) -> Result[rows.Row | None, errors.Error]:
+        """Reads one row of the table; None if it is absent."""
+        return self._table.read_row(key)
+
+    def find_agent(self, instance: ids.InstanceId) -> members.Address | None:
+        """Returns where the agent of an instance answers, if it is known."""
+
+        def read(state: entry.EntryState) -> roster.Member | None:
+            return state.members.get(instance)
+
+        member = self._runtime.snapshot(read)
+        return None if member is None else member.address
+
+    def drain(self, address: members.Address) -> bool:
+        """Asks an agent to take no new work; false if it did not answer."""
+        return self._agents.drain(address)
+
+    def retire(self, instance: ids.InstanceId) -> None:
+        """Records that the platform confirmed the end of an instance."""
+        self._runtime.dispatch(events.InstanceRetired(instance))
+
+
+def _copy_state(state: entry.EntryState, now: datetime.timedelta) -> _Copy:
+    """Copies what is shown; at 5,000 members still well under 10 ms."""
+    return _Copy(
+        entry=_describe_entry(state, now),
+        members=tuple(
+            (member.announcement, member.received_at)
+            for member in state.members.values()
+        ),
+        partitions=tuple(
+            _describe_partition(item) for item in state.partitions.values()
+        ),
+    )
+
+
+def _describe_entry(
+    state: entry.EntryState, now: datetime.timedelta
+) -> status.EntryStatus:
+    version = state.configuration.version
+    patience = FAILED_POLLS * state.options.config_poll
+    return status.EntryStatus(
+        name=state.options.entry,
+        incarnation=state.options.incarnation,
+        config_version=version,
+        ready=version != declarations.NO_VERSION and not state.stopping,
+        waiting=dict(state.waiting),
+        partitions_held=sum(
+            item.phase is states.PartitionPhase.HELD
+            for item in state.partitions.values()
+        ),
+        # The initial value is far in the past and cannot be subtracted.
+        table_reachable=state.table_failed_at < now - patience,
+    )
+
+
+def _describe_partition(item: entry.PartitionState) -> status.PartitionStatus:
+    queued = sum(map(len, item.queue.values()))
+    return status.PartitionStatus(
+        number=item.number,
+        phase=item.phase,
+        epoch=ids.Epoch(0) if item.row is None else item.row.epoch,
+        queued=queued,
+        assigned=len(item.tasks) - queued,
+    )
+
+
+def _describe_instance(
+    announcement: members.Announcement,
+    age: datetime.timedelta,
+    own: status.EntryStatus,
+) -> status.InstanceStatus:
+    return status.InstanceStatus(
+        name=announcement.instance,
+        state=announcement.state,
+        data_centre=announcement.data_centre,
+        rack=announcement.rack,
+        incarnation=announcement.incarnation,
+        config_version=announcement.config_version,
+        lagging=announcement.config_version < own.config_version,
+        free_slots=announcement.free_slots,
+        queued=announcement.queued,
+        capacity=announcement.capacity,
+        free=announcement.free,
+        age=age,
+    )
--- a/src/gypsumhold/adapters/metrics.py
+++ b/src/gypsumhold/adapters/metrics.py
@@ -11,7 +11,7 @@
 from opentelemetry.sdk.metrics import export
 
 from gypsumhold.adapters import engine
-from gypsumhold.model import effects, events, ids, rows, states
+from gypsumhold.model import declarations, effects, events, ids, rows, states
 
 EXPORT_INTERVAL_MS = 10_000
 
@@ -246,6 +246,16 @@
         self._provider.shutdown()
 
 
+def find_class(
+    configuration: declarations.Configuration,
+    organisation: ids.OrganisationId,
+    kind: ids.KindName,
+) -> states.WorkClass | None:
+    """Returns the class of a kind for an organisation, if it is declared."""
+    template = configuration.resolve(organisation, kind)
+    return None if template is None else template.work_class
+
+
 def render_metrics(data: export.MetricsData | None) -> str:
     """Returns metrics in the Prometheus text format."""
     if data is None:
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -20,10 +20,13 @@
 from gypsumhold.adapters import (
     callers,
     clock,
+    control,
     datagrams,
     engine,
     httpcalls,
     metrics,
+    operator_server,
+    operators,
     peers,
     platform,
     runners,
@@ -53,7 +56,14 @@
     agents = stack.enter_context(contextlib.closing(peers.AgentClient(key)))
     entries = stack.enter_context(contextlib.closing(peers.EntryClient(key)))
     recorder = metrics.Recorder(
-        "entry", chosen.name, otlp_url=chosen.metrics.otlp_url
+        "entry",
+        chosen.name,
+        # The configuration is immutable and replaced as a whole, so that it
+        # can be read without the engine's lock.
+        lambda organisation, kind: metrics.find_class(
+            state.configuration, organisation, kind
+        ),
+        chosen.metrics.otlp_url,
     )
     stack.callback(recorder.close)
     runtime = engine.Engine(
@@ -74,6 +84,16 @@
         lambda told: runtime.dispatch(events.AnnouncementReceived(told)),
     )
     stack.callback(receiver.close)
+    stack.enter_context(
+        operator_server.OperatorServer(
+            chosen.operators.build(),
+            operators.Operators(
+                control.EntryControl(runtime, table, agents, recorder, time),
+                chosen.operator_token.get_secret_value(),
+                time,
+            ),
+        )
+    )
     listener = web.Listener(
         chosen.callers.build(),
         callers.CallerRoutes(
