--- a/src/gypsumhold/adapters/callers.py
+++ b/src/gypsumhold/adapters/callers.py
@@ -143,9 +143,13 @@
         )
 
     def refuse(self, status: int, error: errors.Error) -> web.Outgoing:
-        """Answers bad input; nothing of it ran."""
+        """Answers bad input, of which nothing ran, or a fault of ours."""
         reason = _REFUSALS.get(status, states.Reason.BAD_REQUEST)
         lines = _render_outcome(states.Outcome.NOT_RUN, reason)
+        if status >= 500:
+            lines = _render_outcome(
+                states.Outcome.INDETERMINATE, states.Reason.NONE
+            )
         return web.render_error(status, error, lines)
 
 
--- a/src/gypsumhold/adapters/local.py
+++ b/src/gypsumhold/adapters/local.py
@@ -6,7 +6,7 @@
 import pydantic
 
 from gypsumhold.adapters import documents, web
-from gypsumhold.model import errors, events, ids, members
+from gypsumhold.model import agent, declarations, errors, events, ids, members
 
 
 class UpstreamDocument(pydantic.BaseModel):
@@ -76,6 +76,19 @@
         return web.Outgoing(204)
 
 
+def describe_agent(state: agent.AgentState) -> dict[str, str | int | bool]:
+    """Returns the health of an agent, which is ready once it may serve."""
+    version = state.configuration.version
+    known = version != declarations.NO_VERSION
+    return {
+        "ready": known and not state.draining,
+        "incarnation": state.options.incarnation,
+        "config_version": version,
+        "draining": state.draining,
+        "upstream": state.upstream is not None,
+    }
+
+
 def read_report(body: bytes) -> members.UpstreamReport | errors.Error:
     """Checks and converts the report of an upstream."""
     try:
--- a/src/gypsumhold/adapters/web.py
+++ b/src/gypsumhold/adapters/web.py
@@ -42,6 +42,13 @@
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
+_FAULT = errors.Error(
+    errors.ErrorKind.PEER_UNAVAILABLE,
+    "the request met a fault of this process",
+    "see its log; find out whether the work ran before you send it again",
+)
+
+
 class ListenError(Exception):
     """The address of a listener cannot be used."""
 
@@ -93,7 +100,7 @@
         """Answers a request."""
 
     def refuse(self, status: int, error: errors.Error) -> Outgoing:
-        """Answers input that is not a readable request."""
+        """Answers input that is not a readable request, or a fault (500)."""
         return render_error(status, error)
 
 
@@ -165,11 +172,13 @@
         """Answers input that cheroot cannot read."""
         code = int(str(status)[:3])
         text = msg.decode("latin-1") if isinstance(msg, bytes) else str(msg)
-        error = errors.Error(
-            errors.ErrorKind.BAD_HEADER,
-            text or str(status),
-            "send a well-formed HTTP/1.1 request",
-        )
+        error = _FAULT
+        if code < 500:
+            error = errors.Error(
+                errors.ErrorKind.BAD_HEADER,
+                text or str(status),
+                "send a well-formed HTTP/1.1 request",
+            )
         self.close_connection = True
         self.rfile = None
         self.sent_headers = True
@@ -243,7 +252,13 @@
             tuple(request.header_reader.lines),
             body,
         )
-        return routes.answer(incoming)
+        try:
+            return routes.answer(incoming)
+        except Exception:
+            # Left to cheroot, a timeout in here would be answered as one of
+            # the client's.
+            _LOG.exception("{} {} failed", incoming.method, incoming.target)
+            return routes.refuse(500, _FAULT)
 
     def _send(self, outgoing: Outgoing) -> None:
         request = self.req
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -80,7 +80,7 @@
         chosen.local.build(),
         local.LocalRoutes(
             runtime.dispatch,
-            lambda: {"ready": True, "version": gypsumhold.VERSION},
+            lambda: runtime.snapshot(local.describe_agent),
             recorder.render,
         ),
         LOCAL_THREADS,
--- /dev/null
+++ b/tests/adapters/test_web.py
@@ -0,0 +1,80 @@
+"""Guards the stop of a listener and its answers to faults."""
+
+import contextlib
+import socket
+import threading
+
+from gypsumhold.adapters import web
+from gypsumhold.model import members
+
+WAIT = 5.0
+FREE = members.Address("127.0.0.1", 0)
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class SlowRoutes(web.Routes):
+    """Answers once it is told to."""
+
+    def __init__(self) -> None:
+        self.arrived = threading.Event()
+        self.gate = threading.Event()
+
+    def answer(self, incoming: web.Incoming) -> web.Outgoing:
+        self.arrived.set()
+        self.gate.wait(WAIT)
+        return web.Outgoing(200, body=b"whole")
+
+
+class FaultyRoutes(web.Routes):
+    """Fails with an error that cheroot takes for the client's."""
+
+    def answer(self, incoming: web.Incoming) -> web.Outgoing:
+        raise TimeoutError
+
+
+def open_client(listener: web.Listener) -> socket.socket:
+    address = listener.read_address()
+    return socket.create_connection((address.host, address.port), WAIT)
+
+
+def read_all(peer: socket.socket) -> bytes:
+    return b"".join(iter(lambda: peer.recv(65536), b""))
+
+
+def test_stop_finishes_the_request_in_progress() -> None:
+    """Failure: a planned stop cuts a caller off."""
+    routes = SlowRoutes()
+    listener = web.Listener(FREE, routes, 1, 100)
+    with contextlib.closing(listener), open_client(listener) as peer:
+        peer.sendall(REQUEST)
+        routes.arrived.wait(WAIT)
+        listener.end_connections()
+        closer = threading.Thread(target=listener.close)
+        closer.start()
+        threading.Timer(0.1, routes.gate.set).start()
+        received = read_all(peer)
+        closer.join(WAIT)
+    assert received.endswith(b"\r\n\r\nwhole")
+    assert b"Connection: close" in received
+
+
+def test_fault_is_not_blamed_on_the_client() -> None:
+    """Failure: work that may have run is answered as bad input."""
+    listener = web.Listener(FREE, FaultyRoutes(), 1, 100)
+    with contextlib.closing(listener), open_client(listener) as peer:
+        peer.sendall(REQUEST.replace(b"Host", b"Connection: close\r\nHost"))
+        assert read_all(peer).startswith(b"HTTP/1.1 500 ")
+
+
+def test_client_that_leaves_in_its_body_runs_nothing() -> None:
+    """Failure: half a body is taken as a whole one."""
+    routes = SlowRoutes()
+    routes.gate.set()
+    listener = web.Listener(FREE, routes, 1, 100)
+    with contextlib.closing(listener):
+        with open_client(listener) as peer:
+            head = b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n"
+            peer.sendall(head + b"abc")
+            peer.shutdown(socket.SHUT_WR)
+            assert read_all(peer) == b""
+        assert not routes.arrived.is_set()
