--- a/src/gypsumhold/adapters/operator_server.py
+++ b/src/gypsumhold/adapters/operator_server.py
@@ -7,7 +7,7 @@
 import cherrypy
 from cheroot import wsgi
 
-from gypsumhold.adapters import operators
+from gypsumhold.adapters import operator_calls, operators
 from gypsumhold.model import errors, members
 
 THREADS = 8
@@ -24,7 +24,7 @@
         """Answers one call."""
         request = cherrypy.request
         reply = self._routes.answer(
-            operators.Call(
+            operator_calls.Call(
                 method=request.method,
                 path=request.path_info,
                 query={
@@ -48,7 +48,7 @@
 def _render_failure(status: str, message: str, **_: str) -> bytes:
     """Returns the body of an error that CherryPy found itself."""
     cherrypy.response.headers["Content-Type"] = "application/json"
-    return operators.reply_error(
+    return operator_calls.reply_error(
         int(status.split(maxsplit=1)[0]),
         errors.Error(
             errors.ErrorKind.BAD_BODY,
--- a/src/gypsumhold/adapters/operators.py
+++ b/src/gypsumhold/adapters/operators.py
@@ -3,18 +3,15 @@
 The listener that brings the calls is in `adapters.operator_server`.
 """
 
-import abc
-import dataclasses
 import datetime
 import hmac
 import json
 import uuid
-from collections.abc import Callable, Mapping
-from typing import Any
+from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
 
-from gypsumhold.adapters import documents, operations
+from gypsumhold.adapters import documents, operations, operator_calls
 from gypsumhold.decisions import consistency
 from gypsumhold.model import (
     clock,
@@ -23,14 +20,11 @@
     errors,
     events,
     ids,
-    members,
     rows,
     states,
-    status,
 )
 
 APPLY_DEADLINE = datetime.timedelta(seconds=10)
-RETRY_AFTER = datetime.timedelta(seconds=1)
 # An agent that was heard of within this time is alive; retiring its instance
 # would let a task that still runs there be started elsewhere.
 ALIVE_WITHIN = datetime.timedelta(seconds=3)
@@ -38,110 +32,6 @@
 MAX_HISTORY = 1000
 
 
-class Control(abc.ABC):
-    """What the operator routes need from the entry around them."""
-
-    @abc.abstractmethod
-    def apply(
-        self, event: events.ApplyArrived, deadline: datetime.timedelta
-    ) -> effects.AnswerTicket | None:
-        """Runs an apply until its ticket ends; None after the deadline."""
-
-    @abc.abstractmethod
-    def read_configuration(self) -> declarations.Configuration:
-        """Returns the configuration in force in this entry."""
-
-    @abc.abstractmethod
-    def read_status(self) -> status.Status:
-        """Returns what the entry knows of itself and of the members."""
-
-    @abc.abstractmethod
-    def read_metrics(self) -> str:
-        """Returns the metrics in the text format of Prometheus."""
-
-    @abc.abstractmethod
-    def read_rows(self, prefix: str, after: str) -> tuple[rows.Row, ...] | None:
-        """Reads the table's rows of a prefix; None if it failed."""
-
-    @abc.abstractmethod
-    def read_row(
-        self, key: ids.RowKey
-    ) -> Result[rows.Row | None, errors.Error]:
-        """Reads one row of the table; None if it is absent."""
-
-    @abc.abstractmethod
-    def find_agent(self, instance: ids.InstanceId) -> members.Address | None:
-        """Returns where the agent of an instance answers, if it is known."""
-
-    @abc.abstractmethod
-    def drain(self, address: members.Address) -> bool:
-        """Asks an agent to take no new work; false if it did not answer."""
-
-    @abc.abstractmethod
-    def retire(self, instance: ids.InstanceId) -> None:
-        """Records that the platform confirmed the end of an instance."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
-    """One HTTP call of an operator.
-
-    Attributes:
-        method: HTTP method.
-        path: Path without query, percent-decoded.
-        query: Parameters of the query.
-        authorization: Value of the Authorization header, or empty.
-        body: The whole body.
-    """
-
-    method: str
-    path: str
-    query: Mapping[str, str] = dataclasses.field(default_factory=dict)
-    authorization: str = ""
-    body: bytes = b""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
-    """The answer to one call.
-
-    Attributes:
-        status: HTTP status.
-        body: Text of the body.
-        content_type: Media type of the body.
-        headers: Further headers.
-    """
-
-    status: int
-    body: str
-    content_type: str = "application/json"
-    headers: tuple[tuple[str, str], ...] = ()
-
-
-def _reply_json(code: int, document: Any) -> Reply:
-    return Reply(code, json.dumps(document, ensure_ascii=False) + "\n")
-
-
-def reply_error(code: int, error: errors.Error) -> Reply:
-    """Returns an error answer; 503 carries Retry-After."""
-    plain = _reply_json(code, operations.render_error(error))
-    if code != 503:
-        return plain
-    seconds = str(int(RETRY_AFTER.total_seconds()))
-    return dataclasses.replace(plain, headers=(("Retry-After", seconds),))
-
-
-def _reply_table_down(subject: str) -> Reply:
-    return reply_error(
-        503,
-        errors.Error(
-            errors.ErrorKind.PLATFORM_UNAVAILABLE,
-            f"the table did not answer; {subject}",
-            "try again after the time in Retry-After",
-        ),
-    )
-
-
 class Operators:
     """Serves the operator routes of one entry.
 
@@ -151,26 +41,36 @@
         wall: Tells the time for audit records.
     """
 
-    def __init__(self, control: Control, token: str, wall: clock.Clock) -> None:
+    def __init__(
+        self, control: operator_calls.Control, token: str, wall: clock.Clock
+    ) -> None:
         self._control = control
         self._expected = f"Bearer {token}".encode()
         self._wall = wall
-        self._open: dict[tuple[str, str], Callable[[Call], Reply]] = {
+        self._open: dict[
+            tuple[str, str],
+            Callable[[operator_calls.Call], operator_calls.Reply],
+        ] = {
             ("GET", "/health"): self._read_health,
             ("GET", "/metrics"): self._read_metrics,
         }
-        self._guarded: dict[tuple[str, str], Callable[[Call], Reply]] = {
+        self._guarded: dict[
+            tuple[str, str],
+            Callable[[operator_calls.Call], operator_calls.Reply],
+        ] = {
             ("POST", "/v1/config"): self._apply,
             ("GET", "/v1/config"): self._read_configuration,
             ("GET", "/v1/config/history"): self._read_history,
             ("GET", "/v1/status"): self._read_status,
         }
-        self._instances: dict[str, Callable[[ids.InstanceId], Reply]] = {
+        self._instances: dict[
+            str, Callable[[ids.InstanceId], operator_calls.Reply]
+        ] = {
             "drain": self._drain,
             "retire": self._retire,
         }
 
-    def answer(self, call: Call) -> Reply:
+    def answer(self, call: operator_calls.Call) -> operator_calls.Reply:
         """Answers one call."""
         key = (call.method, call.path)
         if key in self._open:
@@ -179,7 +79,7 @@
         # tells nothing of the token.
         sent = call.authorization.encode("utf-8", "surrogateescape")
         if not hmac.compare_digest(sent, self._expected):
-            return reply_error(
+            return operator_calls.reply_error(
                 401,
                 errors.Error(
                     errors.ErrorKind.UNAUTHORISED,
@@ -191,14 +91,16 @@
             return self._guarded[key](call)
         return self._answer_instance(call)
 
-    def _answer_instance(self, call: Call) -> Reply:
+    def _answer_instance(
+        self, call: operator_calls.Call
+    ) -> operator_calls.Reply:
         match call.path.split("/"):
             case ["", "v1", action, name] if action in self._instances and name:
                 if call.method == "POST":
                     return self._instances[action](ids.InstanceId(name))
         known = {path for _, path in (*self._open, *self._guarded)}
         code = 405 if call.path in known else 404
-        return reply_error(
+        return operator_calls.reply_error(
             code,
             errors.Error(
                 errors.ErrorKind.BAD_BODY,
@@ -207,10 +109,10 @@
             ),
         )
 
-    def _read_health(self, _: Call) -> Reply:
+    def _read_health(self, _: operator_calls.Call) -> operator_calls.Reply:
         entry = self._control.read_status().entry
         if not entry.ready:
-            return reply_error(
+            return operator_calls.reply_error(
                 503,
                 errors.Error(
                     errors.ErrorKind.PLATFORM_UNAVAILABLE,
@@ -223,26 +125,28 @@
                     "wait, or check the table's address in the settings",
                 ),
             )
-        return _reply_json(
+        return operator_calls.reply_json(
             200, {"ready": True, "config_version": entry.config_version}
         )
 
-    def _read_metrics(self, _: Call) -> Reply:
-        return Reply(
+    def _read_metrics(self, _: operator_calls.Call) -> operator_calls.Reply:
+        return operator_calls.Reply(
             200,
             self._control.read_metrics(),
             "text/plain; version=0.0.4; charset=utf-8",
         )
 
-    def _read_configuration(self, _: Call) -> Reply:
-        return _reply_json(
+    def _read_configuration(
+        self, _: operator_calls.Call
+    ) -> operator_calls.Reply:
+        return operator_calls.reply_json(
             200,
             operations.render_configuration(self._control.read_configuration()),
         )
 
-    def _read_status(self, _: Call) -> Reply:
+    def _read_status(self, _: operator_calls.Call) -> operator_calls.Reply:
         accepted = self._read_head().value_or(None)
-        return _reply_json(
+        return operator_calls.reply_json(
             200, operations.render_status(self._control.read_status(), accepted)
         )
 
@@ -277,10 +181,10 @@
             key = page[-1].key
         return found
 
-    def _read_history(self, call: Call) -> Reply:
+    def _read_history(self, call: operator_calls.Call) -> operator_calls.Reply:
         text = call.query.get("limit", str(DEFAULT_HISTORY))
         if not text.isdecimal() or not 0 < int(text) <= MAX_HISTORY:
-            return reply_error(
+            return operator_calls.reply_error(
                 400,
                 errors.Error(
                     errors.ErrorKind.BAD_BODY,
@@ -297,16 +201,16 @@
                         documents.render_change(item)
                         for item in reversed(changes)
                     ]
-                    return _reply_json(
+                    return operator_calls.reply_json(
                         200, {"version": head, "changes": newest}
                     )
-        return _reply_table_down("the history cannot be read")
+        return operator_calls.reply_table_down("the history cannot be read")
 
-    def _apply(self, call: Call) -> Reply:
+    def _apply(self, call: operator_calls.Call) -> operator_calls.Reply:
         try:
             raw = json.loads(call.body)
         except ValueError as problem:
-            return reply_error(
+            return operator_calls.reply_error(
                 400,
                 errors.Error(
                     errors.ErrorKind.BAD_BODY,
@@ -316,16 +220,18 @@
             )
         match operations.read_apply(raw, self._wall.read_wall()):
             case Failure(problem):
-                return reply_error(400, problem)
+                return operator_calls.reply_error(400, problem)
             case Success(change):
                 return self._apply_change(change)
         raise AssertionError("a result is a success or a failure")
 
-    def _apply_change(self, change: declarations.Change) -> Reply:
+    def _apply_change(
+        self, change: declarations.Change
+    ) -> operator_calls.Reply:
         base = ids.ConfigVersion(change.version - 1)
         present = self._control.read_configuration()
         if base > present.version:
-            return reply_error(
+            return operator_calls.reply_error(
                 503,
                 errors.Error(
                     errors.ErrorKind.PLATFORM_UNAVAILABLE,
@@ -339,7 +245,7 @@
             return self._reply_conflict(base)
         problem = consistency.check_change(present, change)
         if problem is not None:
-            return reply_error(422, problem)
+            return operator_calls.reply_error(422, problem)
         ticket = ids.TicketId(uuid.uuid4().hex)
         answer = self._control.apply(
             events.ApplyArrived(ticket, base, change), APPLY_DEADLINE
@@ -348,18 +254,20 @@
 
     def _reply_applied(
         self, base: ids.ConfigVersion, answer: effects.AnswerTicket | None
-    ) -> Reply:
+    ) -> operator_calls.Reply:
         result = answer.result if answer else states.SubmissionResult.UNKNOWN
         detail = answer.detail if answer else ""
         match result:
             case states.SubmissionResult.ACCEPTED if answer:
-                return _reply_json(200, {"version": answer.version})
+                return operator_calls.reply_json(
+                    200, {"version": answer.version}
+                )
             case states.SubmissionResult.CONFLICT:
                 return self._reply_conflict(base)
             case states.SubmissionResult.UNAVAILABLE:
-                return _reply_table_down("nothing was changed")
+                return operator_calls.reply_table_down("nothing was changed")
             case states.SubmissionResult.REFUSED:
-                return reply_error(
+                return operator_calls.reply_error(
                     422,
                     errors.Error(
                         errors.ErrorKind.BAD_DECLARATION,
@@ -367,7 +275,7 @@
                         "correct the change and apply it again",
                     ),
                 )
-        return reply_error(
+        return operator_calls.reply_error(
             504,
             errors.Error(
                 errors.ErrorKind.PLATFORM_UNAVAILABLE,
@@ -376,10 +284,10 @@
             ),
         )
 
-    def _reply_conflict(self, base: ids.ConfigVersion) -> Reply:
+    def _reply_conflict(self, base: ids.ConfigVersion) -> operator_calls.Reply:
         head = self._read_head().value_or(declarations.NO_VERSION)
         changes = self._read_changes(base, head) or []
-        return reply_error(
+        return operator_calls.reply_error(
             409,
             errors.Error(
                 errors.ErrorKind.VERSION_CONFLICT,
@@ -389,12 +297,12 @@
             ),
         )
 
-    def _drain(self, instance: ids.InstanceId) -> Reply:
+    def _drain(self, instance: ids.InstanceId) -> operator_calls.Reply:
         address = self._control.find_agent(instance)
         if address is None:
             return _reply_unknown_instance(instance)
         if not self._control.drain(address):
-            return reply_error(
+            return operator_calls.reply_error(
                 503,
                 errors.Error(
                     errors.ErrorKind.PEER_UNAVAILABLE,
@@ -403,15 +311,17 @@
                     "'gypsumctl retire'",
                 ),
             )
-        return _reply_json(200, {"instance": instance, "draining": True})
+        return operator_calls.reply_json(
+            200, {"instance": instance, "draining": True}
+        )
 
-    def _retire(self, instance: ids.InstanceId) -> Reply:
+    def _retire(self, instance: ids.InstanceId) -> operator_calls.Reply:
         known = {
             item.name: item for item in self._control.read_status().instances
         }
         member = known.get(instance)
         if member is not None and member.age < ALIVE_WITHIN:
-            return reply_error(
+            return operator_calls.reply_error(
                 409,
                 errors.Error(
                     errors.ErrorKind.PEER_REFUSED,
@@ -423,11 +333,13 @@
         # An unknown instance is retired too: its tasks may be in the table
         # although this entry started after the last announcement.
         self._control.retire(instance)
-        return _reply_json(200, {"instance": instance, "retired": True})
+        return operator_calls.reply_json(
+            200, {"instance": instance, "retired": True}
+        )
 
 
-def _reply_unknown_instance(instance: ids.InstanceId) -> Reply:
-    return reply_error(
+def _reply_unknown_instance(instance: ids.InstanceId) -> operator_calls.Reply:
+    return operator_calls.reply_error(
         404,
         errors.Error(
             errors.ErrorKind.UNKNOWN_INSTANCE,
--- /dev/null
+++ b/tools/dist.py
@@ -0,0 +1,118 @@
+"""Builds one executable file for each program in `dist/`, with shiv.
+
+The files need Python 3.11 on the machine that runs them. They contain the
+packages of the environment that runs this script, so their versions are those
+of `requirements.lock` and nothing is fetched.
+"""
+
+import importlib.metadata
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from collections.abc import Iterable
+from typing import Any
+
+from packaging import requirements, utils
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DIST = ROOT / "dist"
+PYTHON = "/usr/bin/env python3.11"
+PACKAGES = ("gypsumhold", "gypsumhold_standin")
+
+
+def read_project() -> dict[str, Any]:
+    """Returns the project table of pyproject.toml."""
+    document = tomllib.loads((ROOT / "pyproject.toml").read_text())
+    return dict(document["project"])
+
+
+def list_distributions(
+    wanted: Iterable[str],
+) -> dict[str, importlib.metadata.Distribution]:
+    """Returns the installed distributions that some requirements need.
+
+    Args:
+        wanted: Requirements; those whose markers exclude this platform are
+            left out.
+    """
+    found: dict[str, importlib.metadata.Distribution] = {}
+    open_ = [requirements.Requirement(text) for text in wanted]
+    while open_:
+        item = open_.pop()
+        if item.marker and not item.marker.evaluate({"extra": ""}):
+            continue
+        name = utils.canonicalize_name(item.name)
+        if name in found:
+            continue
+        found[name] = importlib.metadata.distribution(name)
+        open_ += map(requirements.Requirement, found[name].requires or ())
+    return found
+
+
+def copy_distribution(
+    distribution: importlib.metadata.Distribution, site: pathlib.Path
+) -> None:
+    """Copies the files of a distribution, without its scripts."""
+    for file in distribution.files or ():
+        # Scripts and data lie outside the packages directory.
+        if ".." in file.parts or "__pycache__" in file.parts:
+            continue
+        target = site / file
+        target.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(str(file.locate()), target)
+
+
+def collect_packages(site: pathlib.Path, project: dict[str, Any]) -> None:
+    """Copies the product and everything that it imports."""
+    for distribution in list_distributions(project["dependencies"]).values():
+        copy_distribution(distribution, site)
+    for name in PACKAGES:
+        shutil.copytree(
+            ROOT / "src" / name,
+            site / name,
+            ignore=shutil.ignore_patterns("__pycache__"),
+        )
+
+
+def build_program(name: str, target: str, site: pathlib.Path) -> pathlib.Path:
+    """Builds the executable file of one program and returns its path."""
+    output = DIST / f"{name}.pyz"
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "shiv",
+            "--site-packages",
+            str(site),
+            "--entry-point",
+            target,
+            "--python",
+            PYTHON,
+            "--reproducible",
+            "--output-file",
+            str(output),
+        ],
+        check=True,
+        cwd=ROOT,
+    )
+    return output
+
+
+def main() -> int:
+    """Builds all programs."""
+    DIST.mkdir(exist_ok=True)
+    project = read_project()
+    with tempfile.TemporaryDirectory() as directory:
+        site = pathlib.Path(directory) / "site"
+        site.mkdir()
+        collect_packages(site, project)
+        for name, target in sorted(project["scripts"].items()):
+            print(build_program(name, target, site).relative_to(ROOT))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
