--- a/src/gypsumhold/programs/ctl.py
+++ b/src/gypsumhold/programs/ctl.py
@@ -9,7 +9,7 @@
 import docopt
 from returns.result import Failure, Result, Success
 
-import gypsumhold
+from gypsumhold import VERSION
 from gypsumhold.adapters import (
     declaration_files,
     differences,
@@ -41,9 +41,10 @@
     return Success(declaration_files.File(name, text))
 
 
-def _read_declarations(
+def read_declarations(
     names: Sequence[str],
 ) -> Result[declarations.Change, errors.Error]:
+    """Reads and merges declaration files."""
     files: list[declaration_files.File] = []
     for name in names:
         result = _read_text(name)
@@ -54,7 +55,7 @@
 
 
 def _validate(command: ctl_options.Validate) -> ctl_answers.Report:
-    match _read_declarations(command.files):
+    match read_declarations(command.files):
         case Failure(problem):
             return ctl_answers.report_error(problem)
         case Success(wanted):
@@ -76,7 +77,7 @@
     command: ctl_options.Diff | ctl_options.Apply,
     client: ctl_client.Client,
 ) -> ctl_answers.Report:
-    wanted = _read_declarations(command.files)
+    wanted = read_declarations(command.files)
     if isinstance(wanted, Failure):
         return ctl_answers.report_error(wanted.failure())
     answer = client.ask_one(ctl_calls.READ_CONFIGURATION)
@@ -178,7 +179,7 @@
     """Runs gypsumctl and returns its exit status."""
     try:
         arguments = docopt.docopt(
-            ctl_options.USAGE, argv, version=f"gypsumctl {gypsumhold.VERSION}"
+            ctl_options.USAGE, argv, version=f"gypsumctl {VERSION}"
         )
     except docopt.DocoptExit as problem:
         print(problem.code, file=sys.stderr)
--- /dev/null
+++ b/tests/programs/test_ctl_client.py
@@ -0,0 +1,78 @@
+"""gypsumctl: which entry is asked after a failure."""
+
+import contextlib
+import dataclasses
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from gypsumhold.model import members
+from gypsumhold.programs import ctl_calls, ctl_client
+
+READ = ctl_calls.READ_CONFIGURATION
+APPLY = dataclasses.replace(READ, method="POST", idempotent=False)
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+DOWN = b"HTTP/1.1 503 Down\r\nContent-Length: 2\r\n\r\n{}"
+BROKEN = b""
+
+
+@contextlib.contextmanager
+def serve_once(answer: bytes) -> Iterator[int]:
+    """Answers one connection with fixed bytes and closes it."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def answer_one() -> None:
+            with contextlib.suppress(OSError):
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(65536)
+                    connection.sendall(answer)
+
+        thread = threading.Thread(target=answer_one)
+        thread.start()
+        try:
+            yield listener.getsockname()[1]
+        finally:
+            # Wakes the thread if no call came.
+            listener.shutdown(socket.SHUT_RDWR)
+            thread.join()
+
+
+def choose_closed_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return int(listener.getsockname()[1])
+
+
+@pytest.mark.parametrize(
+    "first, call, status",
+    [
+        (None, READ, 200),
+        (None, APPLY, 200),
+        (BROKEN, READ, 200),
+        (BROKEN, APPLY, 0),
+        (DOWN, READ, 200),
+        (DOWN, APPLY, 503),
+    ],
+)
+def test_next_entry_only_if_harmless(
+    first: bytes | None, call: ctl_calls.Call, status: int
+) -> None:
+    """Guards against a change that two entries are asked to make."""
+    with contextlib.ExitStack() as stack:
+        ports = [
+            choose_closed_port()
+            if first is None
+            else stack.enter_context(serve_once(first)),
+            stack.enter_context(serve_once(OK)),
+        ]
+        entries = tuple(
+            ctl_client.Entry(
+                members.Address("127.0.0.1", port),
+                members.Address("127.0.0.1", port),
+            )
+            for port in ports
+        )
+        client = ctl_client.Client(ctl_client.Settings(entries, "t"))
+        assert client.ask_one(call).status == status
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -26,8 +26,9 @@
 REQUESTS = 320
 TASKS = 36
 TASK_RUN_MS = 300
-WAIT_ATTEMPTS = 90
-
+CONFIG_ATTEMPTS = 30
+# Covers the lease of a partition (10 s) whose holder was killed.
+BUDGET_S = 45
 
 KINDS = (
     ("taller-quilla", "sketch-cleanup", True),
@@ -97,7 +98,7 @@
     for role in (cluster_settings.Role.ENTRY, cluster_settings.Role.AGENT):
         for member in running.list_members(role):
             running.wait_ready(member)
-    for _ in range(WAIT_ATTEMPTS):
+    for _ in range(CONFIG_ATTEMPTS):
         done = running.run_ctl("status", "--check", "--json")
         if done.returncode == 0 and _count_serving(done.stdout) == len(
             running.list_members(cluster_settings.Role.AGENT)
@@ -144,7 +145,7 @@
     """Waits until every task has ended."""
     wanted = set(task_ids)
     ended: dict[str, demo_caller.Ending] = {}
-    for _ in range(WAIT_ATTEMPTS):
+    for _ in caller.count_attempts():
         ended = {
             name: demo_caller.Ending(state)
             for name, state in caller.list_tasks(TASK_ORGANISATIONS).items()
@@ -232,7 +233,8 @@
         [
             running.name_callers_url(member.index)
             for member in running.list_members(cluster_settings.Role.ENTRY)
-        ]
+        ],
+        time.monotonic() + BUDGET_S,
     )
     progress = Progress()
     with concurrent.futures.ThreadPoolExecutor(THREADS + 2) as pool:
--- a/tools/demo_caller.py
+++ b/tools/demo_caller.py
@@ -2,14 +2,15 @@
 
 import dataclasses
 import enum
+import itertools
 import json
 import threading
-from collections.abc import Sequence
+import time
+from collections.abc import Iterator, Sequence
 
 import urllib3
 
 DEADLINE_MS = 5000
-CALL_ATTEMPTS = 30
 PAUSE_S = 0.5
 PAUSE = threading.Event()
 CONNECTIONS = 32
@@ -64,16 +65,28 @@
 
 
 class Caller:
-    """Calls the entries as a client behind a load balancer would."""
+    """Calls the entries as a client behind a load balancer would.
 
-    def __init__(self, urls: Sequence[str]) -> None:
+    Args:
+        urls: Caller listeners of the entries.
+        until: Reading of `time.monotonic` after which nothing is repeated.
+    """
+
+    def __init__(self, urls: Sequence[str], until: float) -> None:
         self._urls = urls
+        self._until = until
         self._http = urllib3.PoolManager(
             retries=False,
             maxsize=CONNECTIONS,
             timeout=urllib3.Timeout(connect=2, read=DEADLINE_MS / 1000 + 5),
         )
 
+    def count_attempts(self) -> Iterator[int]:
+        """Counts attempts from 0 as long as there is time."""
+        return itertools.takewhile(
+            lambda _: time.monotonic() < self._until, itertools.count()
+        )
+
     def _send(
         self, work: Work, token: str, url: str
     ) -> urllib3.BaseHTTPResponse:
@@ -99,7 +112,7 @@
         """
         lost = False
         token = f"/demo/{work.number}/0"
-        for attempt in range(CALL_ATTEMPTS):
+        for attempt in self.count_attempts():
             if work.repeatable:
                 token = f"/demo/{work.number}/{attempt}"
             url = self._urls[(work.number + attempt) % len(self._urls)]
@@ -139,7 +152,7 @@
             "kind": kind,
             "payload": payload,
         }
-        for attempt in range(CALL_ATTEMPTS):
+        for attempt in self.count_attempts():
             url = self._urls[(number + attempt) % len(self._urls)]
             try:
                 response = self._http.request(
