--- a/src/gypsumhold/adapters/declaration_files.py
+++ b/src/gypsumhold/adapters/declaration_files.py
@@ -11,6 +11,8 @@
 from gypsumhold.adapters import operations
 from gypsumhold.model import declarations, errors
 
+EXCERPT_LENGTH = 40
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class File:
@@ -33,6 +35,16 @@
     return found
 
 
+def _locate(file: File, problem: json.JSONDecodeError) -> str:
+    # jsonc removes block comments with their line ends, so that line numbers
+    # after one would be wrong.
+    if "/*" not in file.text:
+        return f"line {problem.lineno}, column {problem.colno}"
+    start = max(0, problem.pos - EXCERPT_LENGTH)
+    excerpt = " ".join(problem.doc[start : problem.pos + 1].split())
+    return f"after '{excerpt}'"
+
+
 def decode(file: File, kind: errors.ErrorKind) -> Result[Any, errors.Error]:
     """Decodes JSON with comments."""
     try:
@@ -43,12 +55,17 @@
         return Failure(
             errors.Error(
                 kind,
-                f"{file.name}: line {problem.lineno}, column "
-                f"{problem.colno}: {problem.msg}",
+                f"{file.name}: {_locate(file, problem)}: {problem.msg}",
                 "write JSON; // and /* */ comments are allowed",
             )
         )
-    except (_RepeatedKey, RecursionError) as problem:
+    except RecursionError:
+        return Failure(
+            errors.Error(
+                kind, f"{file.name}: nested too deeply", "flatten the document"
+            )
+        )
+    except _RepeatedKey as problem:
         return Failure(
             errors.Error(kind, f"{file.name}: {problem}", "keep one of the two")
         )
--- a/src/gypsumhold/adapters/operations.py
+++ b/src/gypsumhold/adapters/operations.py
@@ -1,5 +1,6 @@
 """JSON documents of the operator routes, converted from and to the model."""
 
+import dataclasses
 import datetime
 from collections.abc import Iterable
 from typing import Any
@@ -54,13 +55,16 @@
     subject: str,
 ) -> errors.Error:
     """Returns a typed error whose remedy names the nearest known key."""
-    plain = documents.describe_problem(problem, kind, subject)
-    nearest = suggestions.describe_unknown_key(problem, model)
-    if not nearest:
-        return plain
-    *location, key = (str(part) for part in problem.errors()[0]["loc"])
-    place = f" in '{'.'.join(location)}'" if location else ""
-    return errors.Error(kind, f"{subject}: unknown key '{key}'{place}", nearest)
+    unknown = suggestions.find_unknown_key(problem, model)
+    if unknown is not None:
+        place, remedy = unknown
+        return errors.Error(kind, f"{subject}: unknown key {place}", remedy)
+    if not problem.errors()[0]["loc"]:
+        keys = ", ".join(suggestions.list_known_keys(model, ()))
+        return errors.Error(
+            kind, f"{subject}: not a JSON object", f"write an object of {keys}"
+        )
+    return documents.describe_problem(problem, kind, subject)
 
 
 def _read_change(
@@ -118,21 +122,21 @@
             )
         )
     put = document.put
-    return documents.read_change(
-        {
-            "version": document.base_version + 1,
-            "templates": [
-                item.model_dump(by_alias=True) for item in put.templates
-            ],
-            "organisations": [
-                item.model_dump(by_alias=True) for item in put.organisations
-            ],
-            "deleted_templates": document.delete.templates,
-            "deleted_organisations": document.delete.organisations,
-            "author": document.author,
-            "comment": document.comment,
-            "time": time.isoformat(timespec="milliseconds"),
-        }
+    return _read_change(
+        put.templates, put.organisations, document.base_version + 1
+    ).map(
+        lambda change: dataclasses.replace(
+            change,
+            deleted_templates=tuple(
+                map(ids.KindName, document.delete.templates)
+            ),
+            deleted_organisations=tuple(
+                map(ids.OrganisationId, document.delete.organisations)
+            ),
+            author=document.author,
+            comment=document.comment,
+            time=time.isoformat(timespec="milliseconds"),
+        )
     )
 
 
--- a/src/gypsumhold/adapters/suggestions.py
+++ b/src/gypsumhold/adapters/suggestions.py
@@ -48,16 +48,25 @@
     return tuple(_list_keys(model))
 
 
-def describe_unknown_key(
+def find_unknown_key(
     problem: pydantic.ValidationError, model: type[pydantic.BaseModel]
-) -> str:
-    """Returns a remedy for an unknown key; empty for other problems."""
-    first = problem.errors()[0]
-    if first["type"] != "extra_forbidden":
-        return ""
-    *location, key = first["loc"]
-    known = list_known_keys(model, tuple(location))
-    nearest = difflib.get_close_matches(str(key), known, n=1, cutoff=0.5)
-    if nearest:
-        return f"did you mean '{nearest[0]}'?"
-    return f"known keys are {', '.join(known)}"
+) -> tuple[str, str] | None:
+    """Looks for an unknown key among the faults of a document.
+
+    Returns:
+        Where the key is and what its writer may have meant, or None. It goes
+        before other faults: a misspelt key is often reported as a missing one
+        as well.
+    """
+    for fault in problem.errors():
+        if fault["type"] != "extra_forbidden":
+            continue
+        *location, key = fault["loc"]
+        known = list_known_keys(model, tuple(location))
+        nearest = difflib.get_close_matches(str(key), known, n=1, cutoff=0.5)
+        where = ".".join(str(part) for part in location)
+        place = f"'{key}' in '{where}'" if where else f"'{key}'"
+        if nearest:
+            return place, f"did you mean '{nearest[0]}'?"
+        return place, f"known keys are {', '.join(known)}"
+    return None
--- a/src/gypsumhold/programs/ctl.py
+++ b/src/gypsumhold/programs/ctl.py
@@ -115,6 +115,13 @@
     return dataclasses.replace(refusal, text=f"{text}{refusal.text}")
 
 
+def _read_login() -> str | None:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return None
+
+
 def _apply(
     options: ctl_options.Options,
     command: ctl_options.Apply,
@@ -122,7 +129,15 @@
     present: declarations.Configuration,
     wanted: declarations.Change,
 ) -> ctl_answers.Report:
-    author = command.author or getpass.getuser()
+    author = command.author or _read_login()
+    if author is None:
+        return ctl_answers.report_error(
+            errors.Error(
+                errors.ErrorKind.BAD_SETTING,
+                "the login name is unknown",
+                "name the author with --author",
+            )
+        )
     call = ctl_calls.build_apply(command, author, present, wanted)
     if call is None:
         return ctl_answers.Report(
--- a/src/gypsumhold/programs/ctl_client.py
+++ b/src/gypsumhold/programs/ctl_client.py
@@ -32,7 +32,8 @@
 
 class _SettingsDocument(_Document):
     entries: tuple[_EntryDocument, ...] = pydantic.Field(min_length=1)
-    operator_token: str = pydantic.Field(min_length=1)
+    # Printable ASCII, because it is sent as an HTTP header.
+    operator_token: str = pydantic.Field(pattern=r"^[!-~]+$")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/programs/ctl_options.py
+++ b/src/gypsumhold/programs/ctl_options.py
@@ -195,8 +195,8 @@
     raw: bool
 
 
-class _BadNumber(ValueError):
-    """An option that takes a number has another value."""
+class _BadValue(ValueError):
+    """An option has a value that it cannot take."""
 
 
 def _read_number(arguments: Mapping[str, Any], name: str) -> int | None:
@@ -205,7 +205,7 @@
         return None
     # Only ASCII digits: int() would also take signs, spaces and underscores.
     if not (text.isascii() and text.isdecimal()):
-        raise _BadNumber(f"{name} '{text}' is not a whole number")
+        raise _BadValue(f"{name} '{text}' is not a whole number")
     return int(text)
 
 
@@ -217,7 +217,7 @@
         return None
     # A size left out would count as zero and overcommit the instance.
     if cpu is None or memory is None:
-        raise _BadNumber("a declared size needs --cpu-millis and --memory-mb")
+        raise _BadValue("a declared size needs --cpu-millis and --memory-mb")
     return resources.Resources(cpu, memory, accelerators or 0)
 
 
@@ -232,11 +232,19 @@
     )
 
 
+def _read_key(arguments: Mapping[str, Any]) -> ids.IdempotencyKey:
+    text = arguments["--key"]
+    # It is sent as an HTTP header.
+    if not (text and text.isascii() and text.isprintable()):
+        raise _BadValue("--key takes printable ASCII characters")
+    return ids.IdempotencyKey(text)
+
+
 def _read_submit(arguments: Mapping[str, Any]) -> Submit:
     return Submit(
         ids.OrganisationId(arguments["--organisation"]),
         ids.KindName(arguments["--kind"]),
-        ids.IdempotencyKey(arguments["--key"]),
+        _read_key(arguments),
         arguments["--payload"] or "",
         _read_declared(arguments),
     )
@@ -270,7 +278,7 @@
     """Converts what docopt parsed into frozen options."""
     try:
         command = _read_command(arguments)
-    except _BadNumber as problem:
+    except _BadValue as problem:
         return Failure(
             errors.Error(
                 errors.ErrorKind.BAD_SETTING,
--- a/tests/programs/test_ctl_translation.py
+++ b/tests/programs/test_ctl_translation.py
@@ -63,6 +63,7 @@
         "history --config s.json --limit -1",
         "submit --config s.json --organisation o --kind k --key a"
         " --cpu-millis 5",
+        "submit --config s.json --organisation o --kind k --key ä",
     ],
 )
 def test_bad_usage_exits_with_2(
--- a/tests/programs/test_declarations.py
+++ b/tests/programs/test_declarations.py
@@ -42,6 +42,7 @@
         ("[]",),
         ('{"templates": [',),
         ("",),
+        ('{/* one\n two */\n"templates": []\n"organisations": []}',),
         ("[" * 100_000,),
     ],
 )
