--- a/src/gypsumhold/adapters/control.py
+++ b/src/gypsumhold/adapters/control.py
@@ -5,7 +5,13 @@
 
 from returns.result import Result
 
-from gypsumhold.adapters import engine, metrics, operators, peers, platform
+from gypsumhold.adapters import (
+    engine,
+    metrics,
+    operator_calls,
+    peers,
+    platform,
+)
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import (
     declarations,
@@ -35,7 +41,7 @@
     partitions: tuple[status.PartitionStatus, ...]
 
 
-class EntryControl(operators.Control):
+class EntryControl(operator_calls.Control):
     """Serves operators from one entry."""
 
     def __init__(
