--- a/src/gypsumhold/adapters/operator_server.py
+++ b/src/gypsumhold/adapters/operator_server.py
@@ -72,7 +72,9 @@
             }
         },
     )
-    application.log.screen = False
+    # CherryPy writes each call to stderr by default, which would mix with the
+    # program's own log lines. Its error log stays.
+    application.log.access_log.propagate = False
     return application
 
 
--- a/tests/adapters/test_operators.py
+++ b/tests/adapters/test_operators.py
@@ -195,8 +195,13 @@
     assert json.loads(reply.body) == snapshot
 
 
-def test_listener_carries_calls_unchanged() -> None:
-    """Guards against a listener that loses the body, query or headers."""
+def test_listener_carries_calls_unchanged(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    """Guards against a listener that loses the body, query or headers.
+
+    Also guards against access lines among the program's own log lines.
+    """
     control = operator_fake.FakeControl(
         states.SubmissionResult.UNAVAILABLE,
         changes=(operator_fake.build_change_row(7, "ana"),),
@@ -218,6 +223,7 @@
         )
         metrics = http.request("GET", f"{base}/metrics")
         refused = http.request("GET", f"{base}/v1/status")
+    assert "/v1/config" not in capfd.readouterr().err
     assert applied.status == 503
     assert applied.headers["Retry-After"] == "1"
     assert control.applied[0].change.comment == "faster tiles"
