Let the test of the operator log look at log records

The former check read stderr, which CherryPy's handler had bound before the test began; it passed without the fix. This one fails without it.

--- a/tests/adapters/test_operators.py
+++ b/tests/adapters/test_operators.py
@@ -196,12 +196,13 @@
 
 
 def test_listener_carries_calls_unchanged(
-    capfd: pytest.CaptureFixture[str],
+    caplog: pytest.LogCaptureFixture,
 ) -> None:
     """Guards against a listener that loses the body, query or headers.
 
     Also guards against access lines among the program's own log lines.
     """
+    caplog.set_level("INFO")
     control = operator_fake.FakeControl(
         states.SubmissionResult.UNAVAILABLE,
         changes=(operator_fake.build_change_row(7, "ana"),),
@@ -223,7 +224,7 @@
         )
         metrics = http.request("GET", f"{base}/metrics")
         refused = http.request("GET", f"{base}/v1/status")
-    assert "/v1/config" not in capfd.readouterr().err
+    assert "/v1/config" not in caplog.text
     assert applied.status == 503
     assert applied.headers["Retry-After"] == "1"
     assert control.applied[0].change.comment == "faster tiles"
