--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	rm -rf src/gypsumhold/adapters/generated
 	mkdir -p src/gypsumhold/adapters/generated
 	thrift --gen py:enum,slots,package_prefix=gypsumhold.adapters.generated. -out src/gypsumhold/adapters/generated idl/gypsumhold.thrift
+	rm src/gypsumhold/adapters/generated/wire/*-remote
 
 dist: env
 	$(PY) tools/dist.py
--- /dev/null
+++ b/src/gypsumhold/adapters/configcodec.py
@@ -0,0 +1,115 @@
+"""The configuration as Thrift structs; see `codec` for the conventions."""
+
+from typing import Any
+
+from returns.result import Result
+
+from gypsumhold.adapters import wireparts
+from gypsumhold.adapters.generated.wire import ttypes
+from gypsumhold.model import declarations, errors
+
+
+def _encode_template(template: declarations.Template) -> Any:
+    return ttypes.Template(
+        name=template.name,
+        work=wireparts.FORMS.numbers[template.work],
+        work_class=wireparts.CLASSES.numbers[template.work_class],
+        repeatable=template.repeatable,
+        timeout_us=wireparts.encode_time(template.timeout),
+        declared=wireparts.encode_resources(template.declared),
+        lease_us=wireparts.encode_time(template.lease),
+        max_failures=template.max_failures,
+    )
+
+
+def _read_template(raw: Any) -> declarations.Template:
+    raw.validate()
+    return declarations.Template(
+        name=raw.name,
+        work=wireparts.FORMS[raw.work],
+        work_class=wireparts.CLASSES[raw.work_class],
+        repeatable=raw.repeatable,
+        timeout=wireparts.read_time(raw.timeout_us),
+        declared=wireparts.read_resources(raw.declared),
+        lease=wireparts.read_time(raw.lease_us),
+        max_failures=raw.max_failures,
+    )
+
+
+def _encode_kind(name: str, kind: declarations.KindParameters) -> Any:
+    work_class, timeout = kind.work_class, kind.timeout
+    return ttypes.KindParameters(
+        kind=name,
+        work_class=work_class and wireparts.CLASSES.numbers[work_class],
+        repeatable=kind.repeatable,
+        timeout_us=None if timeout is None else wireparts.encode_time(timeout),
+    )
+
+
+def _read_kind(raw: Any) -> declarations.KindParameters:
+    work_class, timeout = raw.work_class, raw.timeout_us
+    return declarations.KindParameters(
+        work_class=(
+            None if work_class is None else wireparts.CLASSES[work_class]
+        ),
+        repeatable=raw.repeatable,
+        timeout=None if timeout is None else wireparts.read_time(timeout),
+    )
+
+
+def _encode_organisation(organisation: declarations.Organisation) -> Any:
+    return ttypes.Organisation(
+        name=organisation.name,
+        weight=organisation.weight,
+        quota=wireparts.encode_resources(organisation.quota),
+        queue_limit=organisation.queue_limit,
+        kinds=[
+            _encode_kind(name, kind)
+            for name, kind in organisation.kinds.items()
+        ],
+    )
+
+
+def _read_organisation(raw: Any) -> declarations.Organisation:
+    raw.validate()
+    for kind in raw.kinds:
+        kind.validate()
+    return declarations.Organisation(
+        name=raw.name,
+        weight=raw.weight,
+        quota=wireparts.read_resources(raw.quota),
+        queue_limit=raw.queue_limit,
+        kinds={kind.kind: _read_kind(kind) for kind in raw.kinds},
+    )
+
+
+def encode_configuration(configuration: declarations.Configuration) -> Any:
+    """Returns the wire struct of a whole configuration."""
+    return ttypes.Configuration(
+        version=configuration.version,
+        templates=[
+            _encode_template(item) for item in configuration.templates.values()
+        ],
+        organisations=[
+            _encode_organisation(item)
+            for item in configuration.organisations.values()
+        ],
+    )
+
+
+def _read_configuration(raw: Any) -> declarations.Configuration:
+    raw.validate()
+    templates = map(_read_template, raw.templates)
+    organisations = map(_read_organisation, raw.organisations)
+    return declarations.Configuration(
+        version=raw.version,
+        templates={item.name: item for item in templates},
+        organisations={item.name: item for item in organisations},
+    )
+
+
+def decode_configuration(
+    raw: Any,
+) -> Result[declarations.Configuration, errors.Error]:
+    """Returns the configuration of a wire struct."""
+    return wireparts.guard(_read_configuration, raw)
--- /dev/null
+++ b/src/gypsumhold/adapters/datagrams.py
@@ -0,0 +1,141 @@
+"""Announcements as UDP datagrams: a tag followed by compact Thrift."""
+
+import contextlib
+import hashlib
+import hmac
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+import logbook
+from returns.result import Failure, Result, Success
+
+from gypsumhold.adapters import codec, wireformat, wireparts
+from gypsumhold.adapters.generated.wire import ttypes
+from gypsumhold.model import errors, members
+
+_log = logbook.Logger(__name__)
+
+TAG_BYTES = 16
+"""HMAC-SHA256 cut to 128 bits, which saves 16 bytes in each datagram."""
+
+_MAX_DATAGRAM_BYTES = 65_535
+_ERROR_PAUSE_S = 0.1
+
+_REPORT_INTERVAL_S = 10.0
+"""Refused datagrams are logged this often, so that a sender with a wrong key
+cannot fill the log."""
+
+
+def _sign(body: bytes, key: bytes) -> bytes:
+    return hmac.digest(key, body, hashlib.sha256)[:TAG_BYTES]
+
+
+def encode(announcement: members.Announcement, key: bytes) -> bytes:
+    """Returns the datagram of an announcement."""
+    body = wireformat.dump_struct(codec.encode_announcement(announcement))
+    return _sign(body, key) + body
+
+
+def decode(
+    datagram: bytes, key: bytes
+) -> Result[members.Announcement, errors.Error]:
+    """Returns the announcement of a datagram.
+
+    Nothing behind the tag is parsed unless the tag is right.
+    """
+    tag, body = datagram[:TAG_BYTES], datagram[TAG_BYTES:]
+    if not hmac.compare_digest(tag, _sign(body, key)):
+        return Failure(
+            errors.Error(
+                errors.ErrorKind.UNAUTHORISED,
+                "announcement with a wrong tag",
+                "give every process of the deployment the same key",
+            )
+        )
+    try:
+        struct = wireformat.load_struct(ttypes.Announcement(), body)
+    except ValueError as problem:
+        return Failure(wireparts.describe_malformed(problem))
+    return codec.decode_announcement(struct)
+
+
+class Sender:
+    """Sends announcements from one socket; any thread may use it."""
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+
+    def send(
+        self,
+        announcement: members.Announcement,
+        addresses: Iterable[members.Address],
+    ) -> None:
+        """Sends one datagram to each address; failures are logged."""
+        datagram = encode(announcement, self._key)
+        for address in addresses:
+            try:
+                self._socket.sendto(datagram, (address.host, address.port))
+            except OSError as problem:
+                _log.warning("no announcement to {}: {}", address, problem)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._socket.close()
+
+
+class Receiver:
+    """Receives announcements on one address; one thread reads."""
+
+    def __init__(self, address: members.Address, key: bytes) -> None:
+        self._key = key
+        self._closed = threading.Event()
+        self._refused = 0
+        self._next_report = 0.0
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self._socket.bind((address.host, address.port))
+        except OSError:
+            self._socket.close()
+            raise
+        host, port = self._socket.getsockname()
+        self.address = members.Address(host, port)
+
+    def receive(self) -> Result[members.Announcement, errors.Error] | None:
+        """Waits for the next datagram; None after `close`."""
+        try:
+            datagram = self._socket.recv(_MAX_DATAGRAM_BYTES)
+        except OSError as problem:
+            # Without the pause a lasting error would make `serve` spin.
+            if self._closed.wait(_ERROR_PAUSE_S):
+                return None
+            return Failure(wireparts.describe_malformed(problem))
+        if self._closed.is_set():
+            return None
+        return decode(datagram, self._key)
+
+    def serve(self, deliver: Callable[[members.Announcement], None]) -> None:
+        """Delivers announcements until `close`; logs what is refused."""
+        while (received := self.receive()) is not None:
+            match received:
+                case Success(announcement):
+                    deliver(announcement)
+                case Failure(error):
+                    self._count_refused(error)
+
+    def _count_refused(self, error: errors.Error) -> None:
+        self._refused += 1
+        if time.monotonic() >= self._next_report:
+            _log.warning("{} datagrams refused: {}", self._refused, error)
+            self._refused = 0
+            self._next_report = time.monotonic() + _REPORT_INTERVAL_S
+
+    def close(self) -> None:
+        """Ends a `receive` in progress and closes the socket."""
+        self._closed.set()
+        with contextlib.suppress(OSError):
+            # Wakes the reading thread although it reports ENOTCONN.
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
--- /dev/null
+++ b/src/gypsumhold/adapters/peers.py
@@ -0,0 +1,360 @@
+"""Clients of the processes' own protocol; methods use model types only."""
+
+import abc
+import contextlib
+import dataclasses
+import datetime
+import io
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import logbook
+from returns.result import Failure, Result, Success
+from thrift.transport import TTransport
+
+from gypsumhold.adapters import (
+    codec,
+    configcodec,
+    framing,
+    pool,
+    taskcodec,
+    wireformat,
+    wireparts,
+)
+from gypsumhold.adapters.generated.wire import Agent, Entry
+from gypsumhold.model import (
+    declarations,
+    errors,
+    events,
+    ids,
+    members,
+    requests,
+    tasks,
+)
+
+_log = logbook.Logger(__name__)
+_Value = TypeVar("_Value")
+
+CALL_TIME = datetime.timedelta(seconds=5)
+"""Limit of calls that take no timeout; none of them waits for work to run."""
+
+
+class AgentClient(abc.ABC):
+    """Calls agents; None means that no valid answer came."""
+
+    @abc.abstractmethod
+    def dispatch(
+        self,
+        address: members.Address,
+        dispatch: requests.Dispatch,
+        timeout: datetime.timedelta,
+    ) -> events.DispatchAnswered | events.DispatchLost:
+        """Sends an attempt and waits for the agent's final word."""
+
+    @abc.abstractmethod
+    def cancel(
+        self,
+        address: members.Address,
+        cancel: requests.Cancel,
+        timeout: datetime.timedelta,
+    ) -> requests.CancelReply | None:
+        """Asks for an attempt, always on a fresh connection."""
+
+    @abc.abstractmethod
+    def start_tasks(
+        self, address: members.Address, starts: tuple[tasks.TaskStart, ...]
+    ) -> tuple[bool, ...] | None:
+        """Returns for each start, in order, whether it was accepted."""
+
+    @abc.abstractmethod
+    def sync_tasks(
+        self, address: members.Address, sync: tasks.TaskSync
+    ) -> tasks.SyncReply | None:
+        """Renews leases and compares views."""
+
+    @abc.abstractmethod
+    def push_config(
+        self,
+        address: members.Address,
+        configuration: declarations.Configuration,
+    ) -> ids.ConfigVersion | None:
+        """Returns the version that the agent has in force afterwards."""
+
+    @abc.abstractmethod
+    def read_config(
+        self, address: members.Address
+    ) -> declarations.Configuration | None:
+        """Returns the configuration that the agent has in force."""
+
+    @abc.abstractmethod
+    def drain(self, address: members.Address) -> bool:
+        """Tells whether the agent confirmed that it drains."""
+
+
+class EntryClient(abc.ABC):
+    """Calls other entries; None means that no valid answer came."""
+
+    @abc.abstractmethod
+    def submit(
+        self, address: members.Address, submission: tasks.Submission
+    ) -> taskcodec.SubmissionReply | None:
+        """Forwards a submission to the holder of its partition."""
+
+    @abc.abstractmethod
+    def cancel_task(
+        self, address: members.Address, cancel: taskcodec.TaskCancel
+    ) -> taskcodec.SubmissionReply | None:
+        """Forwards a cancellation to the holder of the task's partition."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallLost:
+    """Why a call has no valid answer.
+
+    Attributes:
+        sent: False only if no byte of the message can have been written.
+        error: What went wrong.
+    """
+
+    sent: bool
+    error: errors.Error
+
+
+class _CallTransport(TTransport.TTransportBase, TTransport.CReadableTransport):
+    """Sends what the generated client wrote, and holds the reply."""
+
+    def __init__(
+        self, connection: framing.Connection, deadline: framing.Deadline
+    ) -> None:
+        self._connection = connection
+        self._deadline = deadline
+        self._request = io.BytesIO()
+        self._reply = io.BytesIO()
+        self.sent = False
+
+    def write(self, data: bytes) -> None:
+        self._request.write(data)
+
+    def flush(self) -> None:
+        message = self._request.getvalue()
+        try:
+            self._connection.write_message(message, self._deadline)
+        except framing.ConnectionLost as problem:
+            self.sent = problem.sent
+            raise
+        self.sent = True
+        self._reply = io.BytesIO(self._connection.read_message(self._deadline))
+
+    def read(self, size: int) -> bytes:
+        return self._reply.read(size)
+
+    @property
+    def cstringio_buf(self) -> io.BytesIO:
+        return self._reply
+
+    def cstringio_refill(self, partial: bytes, size: int) -> io.BytesIO:
+        raise EOFError("the reply is too short")
+
+
+class _Caller:
+    """Makes calls over pooled connections."""
+
+    def __init__(
+        self, connections: pool.ConnectionPool, client: Callable[[Any], Any]
+    ) -> None:
+        self._pool = connections
+        self._client = client
+
+    def call(
+        self,
+        address: members.Address,
+        timeout: datetime.timedelta,
+        invoke: Callable[[Any], Result[_Value, errors.Error]],
+        fresh: bool = False,
+    ) -> Result[_Value, CallLost]:
+        """Runs one call of the generated client.
+
+        A connection is used again only after a whole, valid reply.
+        """
+        deadline = framing.Deadline(timeout)
+        taken = self._pool.take(address, deadline, fresh)
+        if not isinstance(taken, Success):
+            return self._lose(address, False, taken.failure())
+        connection = taken.unwrap()
+        transport = _CallTransport(connection, deadline)
+        protocol = wireformat.CallProtocol(
+            transport, wireformat.MAX_MESSAGE_BYTES
+        )
+        with contextlib.ExitStack() as stack:
+            stack.callback(connection.close)
+            try:
+                result = invoke(self._client(protocol))
+            except framing.ConnectionLost as problem:
+                error = errors.Error(
+                    errors.ErrorKind.PEER_UNAVAILABLE,
+                    f"call to {address}: {problem}",
+                    "check that the peer runs and is not overloaded",
+                )
+                return self._lose(address, transport.sent, error)
+            # The library raises many types for bad bytes.
+            except Exception as problem:
+                error = wireparts.describe_malformed(problem)
+                return self._lose(address, transport.sent, error)
+            if not isinstance(result, Success):
+                return self._lose(address, transport.sent, result.failure())
+            stack.pop_all()
+        self._pool.give_back(address, connection)
+        return result
+
+    def _lose(
+        self, address: members.Address, sent: bool, error: errors.Error
+    ) -> Result[Any, CallLost]:
+        _log.info("call to {} lost (sent: {}): {}", address, sent, error)
+        return Failure(CallLost(sent, error))
+
+
+class ThriftAgentClient(AgentClient):
+    """Calls agents over Thrift; the pool belongs to the caller."""
+
+    def __init__(
+        self,
+        connections: pool.ConnectionPool,
+        call_time: datetime.timedelta = CALL_TIME,
+    ) -> None:
+        self._caller = _Caller(connections, Agent.Client)
+        self._call_time = call_time
+
+    def dispatch(
+        self,
+        address: members.Address,
+        dispatch: requests.Dispatch,
+        timeout: datetime.timedelta,
+    ) -> events.DispatchAnswered | events.DispatchLost:
+        """Sends an attempt and waits for the agent's final word."""
+
+        def invoke(client: Any) -> Result[requests.DispatchReply, errors.Error]:
+            raw = client.dispatch(codec.encode_dispatch(dispatch))
+            return codec.decode_reply(raw)
+
+        request_id, attempt = dispatch.request_id, dispatch.attempt
+        match self._caller.call(address, timeout, invoke):
+            case Success(reply):
+                return events.DispatchAnswered(request_id, attempt, reply)
+            case Failure(lost):
+                return events.DispatchLost(request_id, attempt, lost.sent)
+        raise AssertionError("a Result is a Success or a Failure")
+
+    def cancel(
+        self,
+        address: members.Address,
+        cancel: requests.Cancel,
+        timeout: datetime.timedelta,
+    ) -> requests.CancelReply | None:
+        """Asks for an attempt, always on a fresh connection."""
+        return self._caller.call(
+            address,
+            timeout,
+            lambda client: codec.decode_cancel_reply(
+                client.cancel(codec.encode_cancel(cancel))
+            ),
+            fresh=True,
+        ).value_or(None)
+
+    def start_tasks(
+        self, address: members.Address, starts: tuple[tasks.TaskStart, ...]
+    ) -> tuple[bool, ...] | None:
+        """Returns for each start, in order, whether it was accepted."""
+
+        def invoke(client: Any) -> Result[tuple[bool, ...], errors.Error]:
+            accepted = client.start_tasks(taskcodec.encode_starts(starts))
+            if len(accepted) != len(starts):
+                detail = f"{len(accepted)} answers to {len(starts)} starts"
+                return Failure(wireparts.describe_malformed(detail))
+            return Success(tuple(accepted))
+
+        return self._caller.call(address, self._call_time, invoke).value_or(
+            None
+        )
+
+    def sync_tasks(
+        self, address: members.Address, sync: tasks.TaskSync
+    ) -> tasks.SyncReply | None:
+        """Renews leases and compares views."""
+        return self._caller.call(
+            address,
+            self._call_time,
+            lambda client: taskcodec.decode_sync_reply(
+                client.sync_tasks(taskcodec.encode_sync(sync))
+            ),
+        ).value_or(None)
+
+    def push_config(
+        self,
+        address: members.Address,
+        configuration: declarations.Configuration,
+    ) -> ids.ConfigVersion | None:
+        """Returns the version that the agent has in force afterwards."""
+
+        def invoke(client: Any) -> Result[ids.ConfigVersion, errors.Error]:
+            raw = configcodec.encode_configuration(configuration)
+            return Success(ids.ConfigVersion(client.push_config(raw)))
+
+        return self._caller.call(address, self._call_time, invoke).value_or(
+            None
+        )
+
+    def read_config(
+        self, address: members.Address
+    ) -> declarations.Configuration | None:
+        """Returns the configuration that the agent has in force."""
+        return self._caller.call(
+            address,
+            self._call_time,
+            lambda client: configcodec.decode_configuration(
+                client.read_config()
+            ),
+        ).value_or(None)
+
+    def drain(self, address: members.Address) -> bool:
+        """Tells whether the agent confirmed that it drains."""
+        return self._caller.call(
+            address,
+            self._call_time,
+            lambda client: Success(bool(client.drain())),
+        ).value_or(False)
+
+
+class ThriftEntryClient(EntryClient):
+    """Calls entries over Thrift; the pool belongs to the caller."""
+
+    def __init__(
+        self,
+        connections: pool.ConnectionPool,
+        call_time: datetime.timedelta = CALL_TIME,
+    ) -> None:
+        self._caller = _Caller(connections, Entry.Client)
+        self._call_time = call_time
+
+    def submit(
+        self, address: members.Address, submission: tasks.Submission
+    ) -> taskcodec.SubmissionReply | None:
+        """Forwards a submission to the holder of its partition."""
+        return self._caller.call(
+            address,
+            self._call_time,
+            lambda client: taskcodec.decode_submission_reply(
+                client.submit(taskcodec.encode_submission(submission))
+            ),
+        ).value_or(None)
+
+    def cancel_task(
+        self, address: members.Address, cancel: taskcodec.TaskCancel
+    ) -> taskcodec.SubmissionReply | None:
+        """Forwards a cancellation to the holder of the task's partition."""
+        return self._caller.call(
+            address,
+            self._call_time,
+            lambda client: taskcodec.decode_submission_reply(
+                client.cancel_task(taskcodec.encode_task_cancel(cancel))
+            ),
+        ).value_or(None)
--- /dev/null
+++ b/src/gypsumhold/adapters/taskcodec.py
@@ -0,0 +1,228 @@
+"""Task messages as Thrift structs; see `codec` for the conventions."""
+
+import dataclasses
+from typing import Any
+
+from returns.result import Result
+
+from gypsumhold.adapters import wireparts
+from gypsumhold.adapters.generated.wire import ttypes
+from gypsumhold.model import errors, ids, states, tasks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmissionReply:
+    """Answer of a partition's holder to a submission or cancellation.
+
+    Attributes:
+        result: What became of it.
+        task_id: The task, if it is known.
+        detail: Why, for a person; may be empty.
+    """
+
+    result: states.SubmissionResult
+    task_id: ids.TaskId | None = None
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskCancel:
+    """Asks a partition's holder to cancel a task."""
+
+    organisation: ids.OrganisationId
+    task_id: ids.TaskId
+
+
+def encode_starts(starts: tuple[tasks.TaskStart, ...]) -> list[Any]:
+    """Returns the wire structs of task starts."""
+    return [
+        ttypes.TaskStart(
+            task_id=start.task_id,
+            epoch=start.epoch,
+            partition=start.partition,
+            incarnation=start.incarnation,
+            organisation=start.organisation,
+            kind=start.kind,
+            work_class=wireparts.CLASSES.numbers[start.work_class],
+            declared=wireparts.encode_resources(start.declared),
+            expires_us=wireparts.encode_time(start.expires),
+            payload=start.payload,
+            checkpoint=start.checkpoint,
+        )
+        for start in starts
+    ]
+
+
+def _read_start(raw: Any) -> tasks.TaskStart:
+    raw.validate()
+    return tasks.TaskStart(
+        task_id=raw.task_id,
+        epoch=raw.epoch,
+        partition=raw.partition,
+        incarnation=raw.incarnation,
+        organisation=raw.organisation,
+        kind=raw.kind,
+        work_class=wireparts.CLASSES[raw.work_class],
+        declared=wireparts.read_resources(raw.declared),
+        expires=wireparts.read_time(raw.expires_us),
+        payload=raw.payload,
+        checkpoint=raw.checkpoint,
+    )
+
+
+def _read_starts(raw: list[Any]) -> tuple[tasks.TaskStart, ...]:
+    return tuple([_read_start(start) for start in raw])
+
+
+def decode_starts(
+    raw: Any,
+) -> Result[tuple[tasks.TaskStart, ...], errors.Error]:
+    """Returns the task starts of wire structs."""
+    return wireparts.guard(_read_starts, raw)
+
+
+def _encode_items(items: tuple[tasks.SyncItem, ...]) -> list[Any]:
+    return [
+        ttypes.SyncItem(
+            item.task_id,
+            item.epoch,
+            wireparts.encode_time(item.expires),
+            item.stop,
+        )
+        for item in items
+    ]
+
+
+def _read_item(raw: Any) -> tasks.SyncItem:
+    raw.validate()
+    return tasks.SyncItem(
+        raw.task_id, raw.epoch, wireparts.read_time(raw.expires_us), raw.stop
+    )
+
+
+def encode_sync(sync: tasks.TaskSync) -> Any:
+    """Returns the wire struct of a sync."""
+    return ttypes.TaskSync(
+        sync.partition,
+        sync.holder_epoch,
+        sync.incarnation,
+        _encode_items(sync.items),
+        _encode_items(sync.acknowledged),
+    )
+
+
+def _read_sync(raw: Any) -> tasks.TaskSync:
+    raw.validate()
+    return tasks.TaskSync(
+        raw.partition,
+        raw.holder_epoch,
+        raw.incarnation,
+        tuple([_read_item(item) for item in raw.items]),
+        tuple([_read_item(item) for item in raw.acknowledged]),
+    )
+
+
+def decode_sync(raw: Any) -> Result[tasks.TaskSync, errors.Error]:
+    """Returns the sync of a wire struct."""
+    return wireparts.guard(_read_sync, raw)
+
+
+def encode_sync_reply(reply: tasks.SyncReply) -> Any:
+    """Returns the wire struct of the reply to a sync."""
+    reports = [
+        ttypes.TaskReport(
+            report.task_id,
+            report.epoch,
+            wireparts.EXECUTION_STATES.numbers[report.state],
+            report.result,
+            report.checkpoint,
+        )
+        for report in reply.reports
+    ]
+    return ttypes.SyncReply(reply.accepted, reports)
+
+
+def _read_report(raw: Any) -> tasks.TaskReport:
+    raw.validate()
+    return tasks.TaskReport(
+        raw.task_id,
+        raw.epoch,
+        wireparts.EXECUTION_STATES[raw.state],
+        raw.result,
+        raw.checkpoint,
+    )
+
+
+def _read_sync_reply(raw: Any) -> tasks.SyncReply:
+    raw.validate()
+    reports = tuple([_read_report(report) for report in raw.reports])
+    return tasks.SyncReply(raw.accepted, reports)
+
+
+def decode_sync_reply(raw: Any) -> Result[tasks.SyncReply, errors.Error]:
+    """Returns the reply to a sync of a wire struct."""
+    return wireparts.guard(_read_sync_reply, raw)
+
+
+def encode_submission(submission: tasks.Submission) -> Any:
+    """Returns the wire struct of a submission."""
+    declared = submission.declared
+    return ttypes.Submission(
+        submission.organisation,
+        submission.kind,
+        submission.key,
+        submission.payload,
+        None if declared is None else wireparts.encode_resources(declared),
+    )
+
+
+def _read_submission(raw: Any) -> tasks.Submission:
+    raw.validate()
+    return tasks.Submission(
+        raw.organisation,
+        raw.kind,
+        raw.key,
+        raw.payload,
+        raw.declared and wireparts.read_resources(raw.declared),
+    )
+
+
+def decode_submission(raw: Any) -> Result[tasks.Submission, errors.Error]:
+    """Returns the submission of a wire struct."""
+    return wireparts.guard(_read_submission, raw)
+
+
+def encode_task_cancel(cancel: TaskCancel) -> Any:
+    """Returns the wire struct of a task's cancellation."""
+    return ttypes.TaskCancel(cancel.organisation, cancel.task_id)
+
+
+def _read_task_cancel(raw: Any) -> TaskCancel:
+    raw.validate()
+    return TaskCancel(raw.organisation, raw.task_id)
+
+
+def decode_task_cancel(raw: Any) -> Result[TaskCancel, errors.Error]:
+    """Returns the cancellation of a task of a wire struct."""
+    return wireparts.guard(_read_task_cancel, raw)
+
+
+def encode_submission_reply(reply: SubmissionReply) -> Any:
+    """Returns the wire struct of the reply of a partition's holder."""
+    return ttypes.SubmissionReply(
+        wireparts.RESULTS.numbers[reply.result], reply.task_id, reply.detail
+    )
+
+
+def _read_submission_reply(raw: Any) -> SubmissionReply:
+    raw.validate()
+    return SubmissionReply(
+        wireparts.RESULTS[raw.result], raw.task_id, raw.detail
+    )
+
+
+def decode_submission_reply(
+    raw: Any,
+) -> Result[SubmissionReply, errors.Error]:
+    """Returns the reply of a partition's holder of a wire struct."""
+    return wireparts.guard(_read_submission_reply, raw)
