--- /dev/null
+++ b/tests/contracts/test_codec.py
@@ -0,0 +1,154 @@
+"""Guards the translation between model messages and Thrift structs."""
+
+import contextlib
+import datetime
+from typing import Any
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from returns.result import Failure, Success
+from thrift.protocol import TProtocol
+
+from gypsumhold.adapters import codec, configcodec, taskcodec, wireformat
+from gypsumhold.adapters.generated.wire import ttypes
+from gypsumhold.model import (
+    declarations,
+    errors,
+    members,
+    requests,
+    states,
+    tasks,
+)
+
+NUMBERS = strategies.integers(-(2**63), 2**63 - 1)
+strategies.register_type_strategy(int, NUMBERS)
+strategies.register_type_strategy(
+    datetime.timedelta,
+    NUMBERS.map(lambda us: datetime.timedelta(microseconds=us)),
+)
+strategies.register_type_strategy(
+    members.Address,
+    strategies.builds(
+        members.Address, strategies.text(), strategies.integers(0, 65535)
+    ),
+)
+strategies.register_type_strategy(
+    requests.Answer,
+    strategies.builds(requests.Answer, status=strategies.integers(100, 599)),
+)
+REPLIES = strategies.from_type(requests.DispatchReply).filter(
+    lambda reply: (reply.answer is None) == (reply.outcome != "completed")
+)
+strategies.register_type_strategy(requests.DispatchReply, REPLIES)
+CANCEL_REPLIES = strategies.from_type(requests.CancelReply).filter(
+    lambda reply: (reply.reply is None) == (reply.answer != "finished")
+)
+
+
+def index(items: list[Any]) -> dict[str, Any]:
+    return {item.name: item for item in items}
+
+
+CONFIGURATIONS = strategies.builds(
+    declarations.Configuration,
+    version=NUMBERS,
+    templates=strategies.lists(
+        strategies.from_type(declarations.Template), max_size=3
+    ).map(index),
+    organisations=strategies.lists(
+        strategies.from_type(declarations.Organisation), max_size=3
+    ).map(index),
+)
+MESSAGES = {
+    "dispatch": (strategies.from_type(requests.Dispatch), codec),
+    "reply": (REPLIES, codec),
+    "cancel": (strategies.from_type(requests.Cancel), codec),
+    "cancel_reply": (CANCEL_REPLIES, codec),
+    "starts": (strategies.from_type(tuple[tasks.TaskStart, ...]), taskcodec),
+    "sync": (strategies.from_type(tasks.TaskSync), taskcodec),
+    "sync_reply": (strategies.from_type(tasks.SyncReply), taskcodec),
+    "configuration": (CONFIGURATIONS, configcodec),
+    "submission": (strategies.from_type(tasks.Submission), taskcodec),
+    "task_cancel": (strategies.from_type(taskcodec.TaskCancel), taskcodec),
+    "submission_reply": (
+        strategies.from_type(taskcodec.SubmissionReply),
+        taskcodec,
+    ),
+    "announcement": (strategies.from_type(members.Announcement), codec),
+}
+
+
+def draw(name: str, data: strategies.DataObject) -> tuple[Any, Any, Any]:
+    messages, module = MESSAGES[name]
+    encode = getattr(module, f"encode_{name}")
+    return data.draw(messages), encode, getattr(module, f"decode_{name}")
+
+
+def pass_over_wire(struct: Any) -> Any:
+    if isinstance(struct, list):
+        return [pass_over_wire(one) for one in struct]
+    encoded = wireformat.dump_struct(struct)
+    return wireformat.load_struct(type(struct)(), encoded)
+
+
+@pytest.mark.parametrize("name", MESSAGES)
+@hypothesis.given(data=strategies.data())
+def test_every_message_survives_the_wire(
+    name: str, data: strategies.DataObject
+) -> None:
+    """Guards against a field that is lost, swapped or narrowed."""
+    message, encode, decode = draw(name, data)
+    assert decode(pass_over_wire(encode(message))) == Success(message)
+
+
+@pytest.mark.parametrize("name", MESSAGES)
+@hypothesis.given(data=strategies.data())
+@hypothesis.settings(max_examples=10)
+def test_missing_field_gives_typed_error(
+    name: str, data: strategies.DataObject
+) -> None:
+    """Guards against None in a model object after a short message."""
+    message, encode, decode = draw(name, data)
+    struct = encode(message)
+    faulty = struct[0] if isinstance(struct, list) and struct else struct
+    for field in getattr(type(faulty), "__slots__", ()):
+        kept = getattr(faulty, field)
+        setattr(faulty, field, None)
+        with contextlib.suppress(TProtocol.TProtocolException):
+            faulty.validate()
+            setattr(faulty, field, kept)
+            continue
+        assert decode(struct).failure().kind is errors.ErrorKind.DECODING
+        setattr(faulty, field, kept)
+    assert isinstance(decode(None), Failure)
+
+
+def build_reply(**changed: Any) -> Any:
+    struct = codec.encode_reply(
+        requests.DispatchReply(
+            states.Outcome.COMPLETED, answer=requests.Answer(200)
+        )
+    )
+    for name, value in changed.items():
+        setattr(struct, name, value)
+    return struct
+
+
+@pytest.mark.parametrize(
+    ("decode", "struct"),
+    [
+        (codec.decode_reply, build_reply(outcome=99)),
+        (codec.decode_reply, build_reply(reason=0)),
+        (codec.decode_reply, build_reply(answer=None)),
+        (codec.decode_reply, build_reply(answer=ttypes.Answer(200))),
+        (codec.decode_cancel_reply, ttypes.CancelReply(77)),
+        (codec.decode_cancel_reply, ttypes.CancelReply(4)),
+        (taskcodec.decode_submission_reply, ttypes.SubmissionReply(9, "t", "")),
+    ],
+)
+def test_values_outside_the_model_give_typed_error(
+    decode: Any, struct: Any
+) -> None:
+    """Guards against acting on an enum value or reply without meaning."""
+    assert decode(struct).failure().kind is errors.ErrorKind.DECODING
--- /dev/null
+++ b/tests/contracts/test_datagrams.py
@@ -0,0 +1,89 @@
+"""Guards the datagrams by which agents announce themselves."""
+
+import datetime
+import threading
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from returns.result import Success
+
+from gypsumhold.adapters import datagrams, wireformat
+from gypsumhold.adapters.generated.wire import ttypes
+from gypsumhold.model import errors, members, resources, states
+
+KEY = b"k" * 32
+LOCAL = members.Address("127.0.0.1", 0)
+ANNOUNCEMENT = members.Announcement(
+    *("and-a-w03", 1764843739000000, 12345, states.MemberState.SERVING),
+    *(members.Address("10.21.3.17", 7401), "andina-a", "andina", "a-r1"),
+    clock=datetime.timedelta(seconds=86400.5),
+    kinds=frozenset({"plate", "proof", "grant"}),
+    free_slots=8,
+    queued=0,
+    capacity=resources.Resources(32000, 125000, 2),
+    free=resources.Resources(20000, 60000, 1),
+    config_version=118,
+)
+
+
+def sign(body: bytes) -> bytes:
+    return datagrams._sign(body, KEY) + body
+
+
+def test_round_trip_stays_within_the_traffic_budget() -> None:
+    """Guards the 3 KB/s per node: 12 datagrams a second of 200 bytes."""
+    datagram = datagrams.encode(ANNOUNCEMENT, KEY)
+    assert datagrams.decode(datagram, KEY) == Success(ANNOUNCEMENT)
+    assert len(datagram) <= 200
+
+
+NO_FIELDS = wireformat.dump_struct(ttypes.Announcement())
+REST = datagrams.encode(ANNOUNCEMENT, KEY)[datagrams.TAG_BYTES :] + b"\0"
+FAULTS = {
+    "empty": (b"", errors.ErrorKind.UNAUTHORISED),
+    "wrong key": (
+        datagrams.encode(ANNOUNCEMENT, b"x"),
+        errors.ErrorKind.UNAUTHORISED,
+    ),
+    "no body": (sign(b""), errors.ErrorKind.DECODING),
+    "garbage": (sign(b"\xff" * 40), errors.ErrorKind.DECODING),
+    "no fields": (sign(NO_FIELDS), errors.ErrorKind.DECODING),
+    "rest": (sign(REST), errors.ErrorKind.DECODING),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_bad_datagrams_give_typed_errors(fault: str) -> None:
+    """Guards against forged members and against a dead receiver."""
+    datagram, kind = FAULTS[fault]
+    assert datagrams.decode(datagram, KEY).failure().kind is kind
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_signed_garbage_never_raises(body: bytes) -> None:
+    """Guards the receiving thread against any error of the decoder."""
+    datagrams.decode(sign(body), KEY)
+
+
+def test_receiver_skips_refused_datagrams_and_closes_while_waiting() -> None:
+    """Guards against a receiver that stops, or that cannot be stopped."""
+    receiver = datagrams.Receiver(LOCAL, KEY)
+    received: list[members.Announcement] = []
+    arrived = threading.Event()
+
+    def deliver(announcement: members.Announcement) -> None:
+        received.append(announcement)
+        arrived.set()
+
+    thread = threading.Thread(target=receiver.serve, args=(deliver,))
+    thread.start()
+    for key in (b"wrong", KEY):
+        sender = datagrams.Sender(key)
+        sender.send(ANNOUNCEMENT, [receiver.address])
+        sender.close()
+    assert arrived.wait(10)
+    receiver.close()
+    thread.join(10)
+    assert not thread.is_alive()
+    assert received == [ANNOUNCEMENT]
--- /dev/null
+++ b/tests/contracts/test_peers.py
@@ -0,0 +1,426 @@
+"""Guards the protocol between processes against faults of either side."""
+
+import collections.abc
+import contextlib
+import datetime
+import socket
+import struct
+import threading
+from typing import Any
+from unittest import mock
+
+import pytest
+
+from gypsumhold.adapters import (
+    codec,
+    framing,
+    handshake,
+    peers,
+    peerserver,
+    pool,
+    services,
+    taskcodec,
+    wireformat,
+)
+from gypsumhold.model import (
+    declarations,
+    errors,
+    events,
+    members,
+    requests,
+    resources,
+    states,
+    tasks,
+)
+
+KEY = b"k" * 32
+LOCAL = members.Address("127.0.0.1", 0)
+LIMIT = datetime.timedelta(seconds=10)
+SHORT = datetime.timedelta(seconds=0.2)
+CALL = framing.Deadline(datetime.timedelta(hours=1))
+PAYLOAD = requests.Payload("POST", "/", (("a", "b"),), b"body")
+DISPATCH = requests.Dispatch("r1", 1, 7, "o", "k", LIMIT, False, PAYLOAD)
+REPLY = requests.DispatchReply(
+    states.Outcome.COMPLETED, answer=requests.Answer(200, (), b"x" * 100_000)
+)
+CANCEL = requests.Cancel("r1", 1, 7)
+CANCEL_REPLY = requests.CancelReply(states.CancelAnswer.FINISHED, REPLY)
+STARTS = tuple(
+    tasks.TaskStart(
+        *("t", epoch, 1, 7, "o", "k", states.WorkClass.BATCH),
+        *(resources.NOTHING, LIMIT, "payload", None),
+    )
+    for epoch in (1, 2)
+)
+SYNC = tasks.TaskSync(1, 2, 3, ())
+SUBMISSION = tasks.Submission("o", "k", "i")
+SUBMITTED = taskcodec.SubmissionReply(states.SubmissionResult.ACCEPTED, "t")
+TASK_CANCEL = taskcodec.TaskCancel("o", "t")
+
+
+def build_agent() -> Any:
+    agent = mock.create_autospec(services.AgentService, instance=True)
+    agent.dispatch.return_value = REPLY
+    agent.cancel.return_value = CANCEL_REPLY
+    agent.start_tasks.return_value = (True, False)
+    agent.sync_tasks.return_value = tasks.SyncReply(True)
+    agent.push_config.return_value = 5
+    agent.read_config.return_value = declarations.EMPTY
+    return agent
+
+
+class Rig:
+    """A server with its agent, and what a test opens; closed at the end."""
+
+    def __init__(self, stack: contextlib.ExitStack) -> None:
+        self.stack = stack
+        self.agent = build_agent()
+        self.arrived = threading.Event()
+        self.released = threading.Event()
+        self.server = self.serve(self.agent)
+        self.address = self.server.address
+
+    def hold_dispatches(self) -> None:
+        """Lets dispatches wait until `released`."""
+
+        def wait(_: Any) -> Any:
+            self.arrived.set()
+            assert self.released.wait(10)
+            return REPLY
+
+        self.agent.dispatch.side_effect = wait
+
+    def serve(self, service: Any, **limits: Any) -> peerserver.PeerServer:
+        options = peerserver.ServerOptions(**limits)
+        server = peerserver.PeerServer(LOCAL, service, KEY, options)
+        self.stack.callback(server.close, LIMIT)
+        return server
+
+    def pool(self, key: bytes = KEY, **limits: Any) -> pool.ConnectionPool:
+        connections = pool.ConnectionPool(key, pool.PoolOptions(**limits))
+        self.stack.callback(connections.close)
+        return connections
+
+    def connect(self, **limits: Any) -> peers.ThriftAgentClient:
+        return peers.ThriftAgentClient(self.pool(**limits))
+
+    def greet(self, address: members.Address) -> framing.Connection:
+        connection = framing.Connection.open(address, 2**31, CALL)
+        self.stack.callback(connection.close)
+        handshake.greet_server(connection, KEY, CALL).unwrap()
+        return connection
+
+    def open_raw(self, address: members.Address) -> socket.socket:
+        sock = socket.create_connection((address.host, address.port), 10)
+        return self.stack.enter_context(sock)
+
+
+@pytest.fixture
+def rig() -> collections.abc.Iterator[Rig]:
+    with contextlib.ExitStack() as stack:
+        yield Rig(stack)
+
+
+def lost(sent: bool) -> events.DispatchLost:
+    return events.DispatchLost("r1", 1, sent)
+
+
+def test_every_call_reaches_the_service_and_returns(rig: Rig) -> None:
+    """Guards against a method wired to the wrong message or codec."""
+    client, address = rig.connect(), rig.address
+    answered = events.DispatchAnswered("r1", 1, REPLY)
+    assert client.dispatch(address, DISPATCH, LIMIT) == answered
+    assert client.cancel(address, CANCEL, LIMIT) == CANCEL_REPLY
+    assert client.start_tasks(address, STARTS) == (True, False)
+    assert client.sync_tasks(address, SYNC) == tasks.SyncReply(True)
+    assert client.push_config(address, declarations.EMPTY) == 5
+    assert client.read_config(address) == declarations.EMPTY
+    assert client.drain(address)
+    assert rig.agent.mock_calls == [
+        mock.call.dispatch(DISPATCH),
+        mock.call.cancel(CANCEL),
+        mock.call.start_tasks(STARTS),
+        mock.call.sync_tasks(SYNC),
+        mock.call.push_config(declarations.EMPTY),
+        mock.call.read_config(),
+        mock.call.drain(),
+    ]
+    service = mock.create_autospec(services.EntryService, instance=True)
+    service.submit.return_value = SUBMITTED
+    service.cancel_task.return_value = SUBMITTED
+    entry = rig.serve(service)
+    forwarder = peers.ThriftEntryClient(rig.pool())
+    assert forwarder.submit(entry.address, SUBMISSION) == SUBMITTED
+    assert forwarder.cancel_task(entry.address, TASK_CANCEL) == SUBMITTED
+    assert service.mock_calls == [
+        mock.call.submit(SUBMISSION),
+        mock.call.cancel_task(TASK_CANCEL),
+    ]
+
+
+def test_client_without_the_key_reaches_nothing(rig: Rig) -> None:
+    """Guards against a peer of another deployment, on either side."""
+    intruder = rig.connect(key=b"other key")
+    assert intruder.dispatch(rig.address, DISPATCH, LIMIT) == lost(False)
+    connections = rig.pool(b"other key")
+    refused = connections.take(rig.address, CALL).failure()
+    assert refused.kind is errors.ErrorKind.PEER_REFUSED
+    assert rig.agent.mock_calls == []
+
+
+def test_server_closes_before_it_reads_thrift_of_a_forged_proof(
+    rig: Rig,
+) -> None:
+    """Guards against an intruder that ignores the server's proof."""
+    sock = rig.open_raw(rig.address)
+    sock.sendall(b"GYP1" + b"n" * 32)
+    assert len(sock.recv(64, socket.MSG_WAITALL)) == 64
+    sock.sendall(b"p" * 32)
+    assert sock.recv(1) == b""
+    assert rig.agent.mock_calls == []
+
+
+@pytest.mark.parametrize("opening", [b"", b"GYP1", b"GET / HTTP/1.1" * 5])
+def test_unfinished_handshake_is_closed_in_time(
+    opening: bytes, rig: Rig
+) -> None:
+    """Guards against strangers that hold the server's threads."""
+    server = rig.serve(rig.agent, handshake_time=SHORT)
+    sock = rig.open_raw(server.address)
+    sock.sendall(opening)
+    with contextlib.suppress(ConnectionResetError):
+        assert sock.recv(1) == b""
+
+
+def frame(message: bytes) -> bytes:
+    return struct.pack("!I", len(message)) + message
+
+
+DISPATCH_CALL = b"\x82\x21\x01\x08dispatch"
+LENGTH_2_GB = b"\xff\xff\xff\xff\x07"
+
+
+MALFORMED = {
+    "garbage": frame(b"\xff" * 6),
+    "empty": frame(b""),
+    "length": struct.pack("!I", 2**32 - 1),
+    "string": frame(DISPATCH_CALL + b"\x1c\x18" + LENGTH_2_GB),
+    "list": frame(b"\x82\x21\x01\x0bstart_tasks\x19\xfc" + LENGTH_2_GB),
+    "no fields": frame(DISPATCH_CALL + b"\x1c\0\0"),
+    "no argument": frame(DISPATCH_CALL + b"\0"),
+}
+
+
+@pytest.mark.parametrize("fault", MALFORMED)
+def test_malformed_message_closes_only_its_connection(
+    fault: str, rig: Rig
+) -> None:
+    """Guards memory and the other connections against bad bytes."""
+    client = rig.connect()
+    assert client.drain(rig.address)
+    connection = rig.greet(rig.address)
+    connection.write(MALFORMED[fault], CALL)
+    with pytest.raises(framing.ConnectionLost):
+        connection.read(1, CALL)
+    assert client.drain(rig.address)
+    assert rig.agent.mock_calls == [mock.call.drain()] * 2
+
+
+def test_cut_inside_a_message_runs_nothing(rig: Rig) -> None:
+    """Guards against work that starts from half a message."""
+    connection = rig.greet(rig.address)
+    connection.write(struct.pack("!I", 100) + b"\x82\x21", CALL)
+    connection.close()
+    assert rig.connect().drain(rig.address)
+    assert rig.agent.mock_calls == [mock.call.drain()]
+
+
+class FaultyPeer:
+    """Accepts one connection and runs a script on it."""
+
+    def __init__(self, stack: contextlib.ExitStack, script: Any) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = members.Address(*self._listener.getsockname())
+        self._script = script
+        self._finished = False
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+        stack.callback(self._check)
+
+    def _run(self) -> None:
+        with self._listener, self._listener.accept()[0] as sock:
+            self._script(framing.Connection(sock, 2**20))
+        self._finished = True
+
+    def _check(self) -> None:
+        self._thread.join(10)
+        assert self._finished
+
+
+def close_at_once(connection: framing.Connection) -> None:
+    connection.close()
+
+
+def prove_wrongly(connection: framing.Connection) -> None:
+    connection.read(36, CALL)
+    connection.write(b"w" * 64, CALL)
+    with pytest.raises(framing.ConnectionLost):
+        connection.read(1, CALL)
+
+
+def read_call(connection: framing.Connection) -> bytes:
+    handshake.greet_client(connection, KEY, CALL).unwrap()
+    return connection.read_message(CALL)
+
+
+def answer_bytes(data: bytes) -> Any:
+    def script(connection: framing.Connection) -> None:
+        read_call(connection)
+        connection.write(data, CALL)
+
+    return script
+
+
+RESULT = b"\x0c\0" + wireformat.dump_struct(codec.encode_reply(REPLY)) + b"\0"
+
+
+def answer_call(result: bytes, kind: int = 0x41, offset: int = 0) -> Any:
+    """Answers with `result` under the call's own number plus `offset`."""
+
+    def script(connection: framing.Connection) -> None:
+        call = read_call(connection)
+        end = call.index(b"dispatch") + len(b"dispatch")
+        number = bytes([call[2] ^ offset]) + call[3:end]
+        reply = bytes([0x82, kind]) + number + result
+        connection.write(frame(reply), CALL)
+
+    return script
+
+
+FAULTS = {
+    "closed": (close_at_once, False),
+    "wrong proof": (prove_wrongly, False),
+    "no reply": (read_call, True),
+    "cut length": (answer_bytes(b"\0\0"), True),
+    "oversize length": (answer_bytes(b"\xff" * 4), True),
+    "garbage": (answer_bytes(frame(b"junk")), True),
+    "cut reply": (answer_call(RESULT[:-9]), True),
+    "reply to another call": (answer_call(RESULT, offset=1), True),
+    "no result": (answer_call(b"\0"), True),
+    "no fields": (answer_call(b"\x0c\0\0\0"), True),
+    "exception": (answer_call(b"\x18\x01x\0", kind=0x61), True),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_lost_dispatch_says_whether_it_may_have_been_sent(
+    fault: str, rig: Rig
+) -> None:
+    """Guards "not run": false only if no byte can have reached the agent."""
+    script, sent = FAULTS[fault]
+    peer = FaultyPeer(rig.stack, script)
+    client = rig.connect()
+    assert client.dispatch(peer.address, DISPATCH, LIMIT) == lost(sent)
+
+
+def test_whole_reply_of_the_faulty_peer_is_taken(rig: Rig) -> None:
+    """Guards the table above: its replies fail for the named fault only."""
+    peer = FaultyPeer(rig.stack, answer_call(RESULT))
+    answered = rig.connect().dispatch(peer.address, DISPATCH, LIMIT)
+    assert isinstance(answered, events.DispatchAnswered)
+
+
+def test_refused_connect_and_unencodable_message_are_not_sent(rig: Rig) -> None:
+    """Guards "not run" where the fault is on the client's own side."""
+    client = rig.connect(max_message=50)
+    assert client.dispatch(rig.address, DISPATCH, LIMIT) == lost(False)
+    rig.server.close(LIMIT)
+    assert client.dispatch(rig.address, DISPATCH, LIMIT) == lost(False)
+    assert rig.agent.mock_calls == []
+
+
+def test_timeout_is_reported_and_its_connection_not_used_again(
+    rig: Rig,
+) -> None:
+    """Guards against a late reply that is taken for the next call's."""
+    client = rig.connect()
+    rig.hold_dispatches()
+    assert client.dispatch(rig.address, DISPATCH, SHORT) == lost(True)
+    rig.released.set()
+    assert client.cancel(rig.address, CANCEL, LIMIT) == CANCEL_REPLY
+    assert client.drain(rig.address)
+
+
+def test_idle_connection_closed_by_the_server_is_replaced(rig: Rig) -> None:
+    """Guards against a needless loss on a pooled connection."""
+    server = rig.serve(rig.agent, idle_time=SHORT)
+    connections = rig.pool()
+    first = connections.take(server.address, CALL).unwrap()
+    connections.give_back(server.address, first)
+    with pytest.raises(framing.ConnectionLost):
+        first.read(1, CALL)
+    second = connections.take(server.address, CALL).unwrap()
+    assert second is not first
+    second.close()
+
+
+def test_pool_bounds_and_closes_idle_connections(rig: Rig) -> None:
+    """Guards against connections that pile up after a burst."""
+    connections = rig.pool(max_idle=1, idle_time=SHORT)
+    taken = [connections.take(rig.address, CALL).unwrap() for _ in "ab"]
+    for connection in taken:
+        connections.give_back(rig.address, connection)
+    assert not taken[1].is_quiet()
+    while taken[0].is_quiet():
+        threading.Event().wait(0.01)
+
+
+def test_close_waits_for_the_call_in_progress(rig: Rig) -> None:
+    """Guards the graceful stop: an answer under way is delivered."""
+    client, found = rig.connect(), []
+    rig.greet(rig.address)
+    rig.hold_dispatches()
+    caller = threading.Thread(
+        target=lambda: found.append(
+            client.dispatch(rig.address, DISPATCH, LIMIT)
+        )
+    )
+    caller.start()
+    assert rig.arrived.wait(10)
+    closer = threading.Thread(target=rig.server.close, args=(LIMIT,))
+    closer.start()
+    closer.join(0.1)
+    assert closer.is_alive()
+    rig.released.set()
+    closer.join(10)
+    caller.join(10)
+    assert isinstance(found[0], events.DispatchAnswered)
+
+
+def test_close_cuts_a_call_that_outlasts_the_grace(rig: Rig) -> None:
+    """Guards against a stop that never ends; the client learns of it."""
+    rig.hold_dispatches()
+    rig.stack.callback(rig.released.set)
+    closer = threading.Thread(
+        target=lambda: rig.arrived.wait(10) and rig.server.close(SHORT)
+    )
+    closer.start()
+    client = rig.connect()
+    assert client.dispatch(rig.address, DISPATCH, LIMIT) == lost(True)
+    closer.join(10)
+
+
+def test_handler_fault_loses_only_its_call(rig: Rig) -> None:
+    """Guards against an error in the agent that is read as "not run"."""
+    rig.agent.dispatch.side_effect = RuntimeError
+    client = rig.connect()
+    assert client.dispatch(rig.address, DISPATCH, LIMIT) == lost(True)
+    assert client.drain(rig.address)
+
+
+def test_connections_over_the_limit_are_refused_unsent(rig: Rig) -> None:
+    """Guards the server's threads against a flood of connections."""
+    server = rig.serve(rig.agent, max_connections=1)
+    rig.greet(server.address)
+    client = rig.connect()
+    assert client.dispatch(server.address, DISPATCH, LIMIT) == lost(False)
