--- a/idl/gypsumhold.thrift
+++ b/idl/gypsumhold.thrift
@@ -34,6 +34,7 @@
   UPSTREAM_TIMEOUT = 19
   AGENT_LOST = 20
   INCARNATION_GONE = 21
+  STOPPING = 22
 }
 
 enum MemberState { JOINING = 1, SERVING = 2, DRAINING = 3 }
@@ -44,6 +45,7 @@
   RUNNING = 3
   FINISHED = 4
   STALE_INCARNATION = 5
+  FORGOTTEN = 6
 }
 
 enum ExecutionState {
@@ -107,6 +109,7 @@
   6: required i64 remaining_us
   7: required bool keep_answer
   8: required Payload payload
+  9: required i64 valid_until_us
 }
 
 struct DispatchReply {
@@ -121,6 +124,7 @@
   2: required i64 attempt
   3: required i64 incarnation
   4: required bool remove_queued
+  5: required i64 valid_until_us
 }
 
 struct CancelReply {
--- a/src/gypsumhold/adapters/codec.py
+++ b/src/gypsumhold/adapters/codec.py
@@ -43,6 +43,7 @@
             _encode_headers(payload.headers),
             payload.body,
         ),
+        valid_until_us=wireparts.encode_time(dispatch.valid_until),
     )
 
 
@@ -63,6 +64,7 @@
         kind=raw.kind,
         remaining=wireparts.read_time(raw.remaining_us),
         keep_answer=raw.keep_answer,
+        valid_until=wireparts.read_time(raw.valid_until_us),
         payload=_read_payload(raw.payload),
     )
 
@@ -116,13 +118,18 @@
         cancel.attempt,
         cancel.incarnation,
         cancel.remove_queued,
+        wireparts.encode_time(cancel.valid_until),
     )
 
 
 def _read_cancel(raw: Any) -> requests.Cancel:
     raw.validate()
     return requests.Cancel(
-        raw.request_id, raw.attempt, raw.incarnation, raw.remove_queued
+        raw.request_id,
+        raw.attempt,
+        raw.incarnation,
+        raw.remove_queued,
+        wireparts.read_time(raw.valid_until_us),
     )
 
 
--- a/src/gypsumhold/adapters/handlers.py
+++ b/src/gypsumhold/adapters/handlers.py
@@ -3,7 +3,7 @@
 import datetime
 import uuid
 
-from gypsumhold.adapters import engine, peers
+from gypsumhold.adapters import engine, services, taskcodec
 from gypsumhold.model import (
     agent,
     declarations,
@@ -32,39 +32,41 @@
     return ids.TicketId(uuid.uuid4().hex)
 
 
-class EntryPeerService(peers.EntryService):
+class EntryPeerService(services.EntryService):
     """Calls of other entries."""
 
     def __init__(self, runtime: engine.Engine[entry.EntryState]) -> None:
         """Stores the engine."""
         self._runtime = runtime
 
-    def submit(self, submission: tasks.Submission) -> effects.AnswerTicket:
+    def submit(self, submission: tasks.Submission) -> taskcodec.SubmissionReply:
         """Queues a forwarded submission."""
         ticket = _name_ticket()
         event = events.SubmissionArrived(ticket, submission, forwarded=True)
         return self._ask(ticket, event)
 
     def cancel_task(
-        self, organisation: ids.OrganisationId, task_id: ids.TaskId
-    ) -> effects.AnswerTicket:
+        self, cancel: taskcodec.TaskCancel
+    ) -> taskcodec.SubmissionReply:
         """Cancels a task of a partition that this entry holds."""
         ticket = _name_ticket()
         event = events.TaskCancelArrived(
-            ticket, organisation, task_id, forwarded=True
+            ticket, cancel.organisation, cancel.task_id, forwarded=True
         )
         return self._ask(ticket, event)
 
     def _ask(
         self, ticket: ids.TicketId, event: events.Event
-    ) -> effects.AnswerTicket:
+    ) -> taskcodec.SubmissionReply:
         final = self._runtime.run_owner(ticket, event, TICKET_LIMIT)
         if isinstance(final, effects.AnswerTicket):
-            return final
-        return effects.AnswerTicket(ticket, states.SubmissionResult.UNKNOWN)
+            return taskcodec.SubmissionReply(
+                final.result, final.task_id, final.detail
+            )
+        return taskcodec.SubmissionReply(states.SubmissionResult.UNKNOWN)
 
 
-class AgentPeerService(peers.AgentService):
+class AgentPeerService(services.AgentService):
     """Calls of entries."""
 
     def __init__(self, runtime: engine.Engine[agent.AgentState]) -> None:
--- a/src/gypsumhold/adapters/runners.py
+++ b/src/gypsumhold/adapters/runners.py
@@ -1,17 +1,28 @@
 """Performs the effects of an entry and of an agent."""
 
+import datetime
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import logbook
 
-from gypsumhold.adapters import datagrams, engine, peers, platform
+from gypsumhold.adapters import (
+    datagrams,
+    engine,
+    peers,
+    platform,
+    taskcodec,
+)
 from gypsumhold.adapters import upstream as upstreams
 from gypsumhold.adapters import worker as workers
-from gypsumhold.model import effects, events
+from gypsumhold.decisions import dispatches
+from gypsumhold.model import effects, events, ids, members
 
 _LOG = logbook.Logger("gypsumhold.decisions")
 
+CANCEL_TIME = datetime.timedelta(seconds=2)
+"""Limit of a cancel; the caller waits for it beyond its own deadline."""
+
 Handler = Callable[[Any], events.Event | None]
 
 
@@ -68,13 +79,13 @@
 
     def _dispatch(self, effect: effects.SendDispatch) -> events.Event:
         return self._agents.dispatch(
-            effect.address, effect.dispatch, effect.dispatch.remaining
+            effect.address,
+            effect.dispatch,
+            effect.dispatch.remaining + dispatches.DISPATCH_GRACE,
         )
 
     def _cancel(self, effect: effects.SendCancel) -> events.Event:
-        reply = self._agents.cancel(
-            effect.address, effect.cancel, peers.CALL_LIMIT
-        )
+        reply = self._agents.cancel(effect.address, effect.cancel, CANCEL_TIME)
         return events.CancelAnswered(effect.owner, effect.cancel, reply)
 
     def _commit(self, effect: effects.Commit) -> events.Event:
@@ -90,14 +101,13 @@
     def _forward_submission(
         self, effect: effects.ForwardSubmission
     ) -> events.Event:
-        return self._entries.submit(
-            effect.address, effect.owner, effect.submission
-        )
+        reply = self._entries.submit(effect.address, effect.submission)
+        return _build_forwarded(effect.owner, reply)
 
     def _forward_cancel(self, effect: effects.ForwardCancel) -> events.Event:
-        return self._entries.cancel_task(
-            effect.address, effect.owner, effect.organisation, effect.task_id
-        )
+        cancel = taskcodec.TaskCancel(effect.organisation, effect.task_id)
+        reply = self._entries.cancel_task(effect.address, cancel)
+        return _build_forwarded(effect.owner, reply)
 
     def _start_tasks(self, effect: effects.SendStarts) -> events.Event:
         accepted = self._agents.start_tasks(effect.address, effect.starts)
@@ -115,6 +125,16 @@
         return events.PeerConfigRead(self._agents.read_config(effect.address))
 
 
+def _build_forwarded(
+    ticket: ids.TicketId, reply: taskcodec.SubmissionReply | None
+) -> events.ForwardAnswered:
+    if reply is None:
+        return events.ForwardAnswered(ticket, None)
+    return events.ForwardAnswered(
+        ticket, reply.result, reply.detail, reply.task_id
+    )
+
+
 class AgentRunner(_TableRunner):
     """Performs the effects of an agent."""
 
@@ -123,6 +143,8 @@
         upstream: upstreams.Upstream,
         worker: workers.Worker,
         sender: datagrams.Sender,
+        near: tuple[members.Address, ...],
+        far: tuple[members.Address, ...],
     ) -> None:
         """Stores the clients.
 
@@ -130,6 +152,8 @@
             upstream: The upstream beside the agent.
             worker: The worker of the instance.
             sender: Sends announcements to the entries.
+            near: Entries of the agent's own region.
+            far: Entries of other regions.
         """
         super().__init__(
             {
@@ -141,9 +165,12 @@
         )
         self._worker = worker
         self._sender = sender
+        self._near = near
+        self._far = far
 
     def _read_worker(self, effect: effects.ReadWorker) -> events.Event:
         return events.WorkerReported(self._worker.read(), effect.sent_at)
 
     def _announce(self, effect: effects.Announce) -> None:
-        self._sender.send(effect.announcement, effect.everywhere)
+        addresses = self._near + (self._far if effect.everywhere else ())
+        self._sender.send(effect.announcement, addresses)
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -21,19 +21,19 @@
     clock,
     datagrams,
     engine,
+    handlers,
     httpcalls,
     local,
     metrics,
-    peers,
+    peerserver,
     runners,
-    services,
     settings,
     upstream,
     web,
     worker,
 )
 from gypsumhold.decisions import reducer, suites
-from gypsumhold.model import agent, events, ids
+from gypsumhold.model import agent, events, members
 from gypsumhold.programs import process
 
 # The upstream reports once a second; the rest is for health and metrics.
@@ -58,14 +58,7 @@
         chosen.upstream_connections, chosen.max_body_bytes
     )
     stack.callback(calls.close)
-    sender = datagrams.Sender(
-        key,
-        options.region,
-        [
-            datagrams.Target(item.build(), ids.Region(item.region))
-            for item in chosen.entries
-        ],
-    )
+    sender = datagrams.Sender(key)
     stack.callback(sender.close)
     recorder = metrics.Recorder(
         "agent", chosen.instance, otlp_url=chosen.metrics.otlp_url
@@ -75,14 +68,20 @@
         state,
         reducer.reduce,
         time,
-        runners.AgentRunner(calls, worker.HttpWorker(worker_calls), sender),
+        runners.AgentRunner(
+            calls,
+            worker.HttpWorker(worker_calls),
+            sender,
+            near=_list_entries(chosen, near=True),
+            far=_list_entries(chosen, near=False),
+        ),
         recorder,
     )
     stack.callback(runtime.close)
-    server = peers.AgentServer(
-        options.address, key, services.AgentPeerService(runtime)
+    server = peerserver.PeerServer(
+        options.address, handlers.AgentPeerService(runtime), key
     )
-    stack.callback(server.close)
+    stack.callback(server.close, process.REPLY_TIME)
     listener = web.Listener(
         chosen.local.build(),
         local.LocalRoutes(
@@ -100,6 +99,16 @@
     )
 
 
+def _list_entries(
+    chosen: settings.AgentSettings, near: bool
+) -> tuple[members.Address, ...]:
+    return tuple(
+        item.build()
+        for item in chosen.entries
+        if (item.region == chosen.region) == near
+    )
+
+
 def main() -> int:
     """Runs the program and returns its exit code."""
     arguments = docopt.docopt(__doc__, version=gypsumhold.VERSION)
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -14,6 +14,7 @@
 import contextlib
 import random
 import sys
+import threading
 
 import docopt
 
@@ -24,14 +25,16 @@
     control,
     datagrams,
     engine,
+    handlers,
     httpcalls,
     metrics,
     operator_server,
     operators,
     peers,
+    peerserver,
     platform,
+    pool,
     runners,
-    services,
     settings,
     task_routes,
     web,
@@ -58,8 +61,11 @@
     stack.callback(table_calls.close)
     table = platform.HttpTable(table_calls)
     key = chosen.deployment_key.get_secret_value().encode()
-    agents = stack.enter_context(contextlib.closing(peers.AgentClient(key)))
-    entries = stack.enter_context(contextlib.closing(peers.EntryClient(key)))
+    connections = stack.enter_context(
+        contextlib.closing(pool.ConnectionPool(key, pool.PoolOptions()))
+    )
+    agents = peers.ThriftAgentClient(connections)
+    entries = peers.ThriftEntryClient(connections)
     recorder = metrics.Recorder(
         "entry",
         chosen.name,
@@ -79,16 +85,21 @@
         recorder,
     )
     stack.callback(runtime.close)
-    server = peers.EntryServer(
-        chosen.peers.build(), key, services.EntryPeerService(runtime)
-    )
-    stack.callback(server.close)
-    receiver = datagrams.Receiver(
-        chosen.announcements.build(),
-        key,
-        lambda told: runtime.dispatch(events.AnnouncementReceived(told)),
+    server = peerserver.PeerServer(
+        chosen.peers.build(), handlers.EntryPeerService(runtime), key
     )
+    stack.callback(server.close, process.REPLY_TIME)
+    receiver = datagrams.Receiver(chosen.announcements.build(), key)
     stack.callback(receiver.close)
+    reader = threading.Thread(
+        target=receiver.serve,
+        args=(
+            lambda told: runtime.dispatch(events.AnnouncementReceived(told)),
+        ),
+        name="announcements",
+        daemon=True,
+    )
+    reader.start()
     stack.enter_context(
         operator_server.OperatorServer(
             chosen.operators.build(),
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -26,6 +26,10 @@
 _LOG = logbook.Logger("gypsumhold.process")
 
 
+# Time for replies in progress to be written when a server closes.
+REPLY_TIME = datetime.timedelta(seconds=2)
+
+
 class Running:
     """A started role and how it is stopped."""
 
--- a/tests/contracts/test_peers.py
+++ b/tests/contracts/test_peers.py
@@ -39,11 +39,11 @@
 SHORT = datetime.timedelta(seconds=0.2)
 CALL = framing.Deadline(datetime.timedelta(hours=1))
 PAYLOAD = requests.Payload("POST", "/", (("a", "b"),), b"body")
-DISPATCH = requests.Dispatch("r1", 1, 7, "o", "k", LIMIT, False, PAYLOAD)
+DISPATCH = requests.Dispatch("r1", 1, 7, "o", "k", LIMIT, False, LIMIT, PAYLOAD)
 REPLY = requests.DispatchReply(
     states.Outcome.COMPLETED, answer=requests.Answer(200, (), b"x" * 100_000)
 )
-CANCEL = requests.Cancel("r1", 1, 7)
+CANCEL = requests.Cancel("r1", 1, 7, True, LIMIT)
 CANCEL_REPLY = requests.CancelReply(states.CancelAnswer.FINISHED, REPLY)
 STARTS = tuple(
     tasks.TaskStart(
--- a/tests/contracts/test_platform.py
+++ b/tests/contracts/test_platform.py
@@ -6,7 +6,6 @@
 import json
 from collections.abc import Callable
 
-import conftest
 import pytest
 from returns.result import Failure, Result, Success
 
@@ -22,6 +21,7 @@
     states,
 )
 from gypsumhold_standin import store
+from tests.contracts import conftest
 
 COMMITTED = states.CommitResult.COMMITTED
 CONFLICT = states.CommitResult.CONFLICT
@@ -252,6 +252,7 @@
 CLAIM = rows.ClaimRow(
     *(states.ClaimState.COMPLETED, "d", ids.EntryId("e"), 1, "r", 2, "i", 3),
     ADDRESS,
+    datetime.timedelta(microseconds=5),
     requests.Answer(200, (("X-A", "\xe9"), ("x-a", "")), bytes(range(256))),
 )
 VALUES: list[rows.RowValue] = [
--- a/tests/contracts/test_upstream.py
+++ b/tests/contracts/test_upstream.py
@@ -5,10 +5,10 @@
 import json
 import socket
 
-import conftest
 import pytest
 
 from gypsumhold.model import members
+from tests.contracts import conftest
 
 SETTINGS = {"kinds": ["k"], "slots": 2, "connections": 4}
 
--- a/tests/contracts/test_worker.py
+++ b/tests/contracts/test_worker.py
@@ -6,7 +6,6 @@
 import threading
 from collections.abc import Callable
 
-import conftest
 import pytest
 
 from gypsumhold.adapters import clock, httpcalls
@@ -21,6 +20,7 @@
     timers,
 )
 from gypsumhold_standin import worker
+from tests.contracts import conftest
 
 CAPACITY = resources.Resources(8000, 16000, 1)
 Action = timers.WorkerAction
