--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -23,6 +23,11 @@
 # Time beyond the longest accepted deadline for answers to be written.
 STOP_MARGIN = datetime.timedelta(seconds=5)
 
+# With the interpreter's 5 ms, a thread that has an answer waits for a busy one.
+# In a trial with eight callers in one process, the p99 of the caller listener
+# was 28 to 36 ms at 5 ms and 14 to 16 ms at 0.5 ms.
+SWITCH_INTERVAL_S = 0.0005
+
 _LOG = logbook.Logger("gypsumhold.process")
 
 
@@ -73,6 +78,7 @@
     if isinstance(read, Failure):
         return _report(read.failure())
     chosen = read.unwrap()
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
     # Blocked before any thread starts, so that only sigwait takes them.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     with contextlib.ExitStack() as stack:
