--- a/src/gypsumhold/adapters/engine.py
+++ b/src/gypsumhold/adapters/engine.py
@@ -107,7 +107,7 @@
         self._losses = itertools.count()
         self._dropped_answers = 0
         self._stopped = threading.Event()
-        self._timers = wakeups.WakeupThread(clock, self._deliver)
+        self._timers = wakeups.WakeupThread(clock, self.deliver)
         self._pools = {
             family: pools.EffectPool(family.value, threads, self._execute)
             for family, threads in pools.THREADS.items()
@@ -225,10 +225,13 @@
             _LOG.exception("effect {} failed", type(effect).__name__)
             event = losses.build_loss(effect, started=True)
         if event is not None:
-            self._deliver(event)
+            self.deliver(event)
 
-    def _deliver(self, event: events.Event) -> None:
-        """Dispatches in a thread that has to survive a faulty reducer."""
+    def deliver(self, event: events.Event) -> None:
+        """Dispatches in a thread that has to survive a faulty reducer.
+
+        The fault is logged.
+        """
         try:
             self.dispatch(event)
         except Exception:
--- a/src/gypsumhold/adapters/losses.py
+++ b/src/gypsumhold/adapters/losses.py
@@ -82,5 +82,7 @@
     effects.ReadPeerConfig: lambda effect, _: events.PeerConfigRead(None),
     effects.CallUpstream: _lose_upstream,
     effects.CommandWorker: _lose_command,
-    effects.ReadWorker: lambda effect, _: events.WorkerReported(None),
+    effects.ReadWorker: lambda effect, _: events.WorkerReported(
+        None, effect.sent_at
+    ),
 }
--- a/src/gypsumhold/adapters/runners.py
+++ b/src/gypsumhold/adapters/runners.py
@@ -5,10 +5,10 @@
 
 import logbook
 
-from gypsumhold.adapters import datagrams, engine, peers, platform
+from gypsumhold.adapters import datagrams, engine, peers, platform, taskcodec
 from gypsumhold.adapters import upstream as upstreams
 from gypsumhold.adapters import worker as workers
-from gypsumhold.model import effects, events
+from gypsumhold.model import effects, events, ids, members
 
 _LOG = logbook.Logger("gypsumhold.decisions")
 
@@ -73,7 +73,7 @@
 
     def _cancel(self, effect: effects.SendCancel) -> events.Event:
         reply = self._agents.cancel(
-            effect.address, effect.cancel, peers.CALL_LIMIT
+            effect.address, effect.cancel, peers.CALL_TIME
         )
         return events.CancelAnswered(effect.owner, effect.cancel, reply)
 
@@ -90,14 +90,13 @@
     def _forward_submission(
         self, effect: effects.ForwardSubmission
     ) -> events.Event:
-        return self._entries.submit(
-            effect.address, effect.owner, effect.submission
-        )
+        reply = self._entries.submit(effect.address, effect.submission)
+        return _build_forward_answer(effect.owner, reply)
 
     def _forward_cancel(self, effect: effects.ForwardCancel) -> events.Event:
-        return self._entries.cancel_task(
-            effect.address, effect.owner, effect.organisation, effect.task_id
-        )
+        cancel = taskcodec.TaskCancel(effect.organisation, effect.task_id)
+        reply = self._entries.cancel_task(effect.address, cancel)
+        return _build_forward_answer(effect.owner, reply)
 
     def _start_tasks(self, effect: effects.SendStarts) -> events.Event:
         accepted = self._agents.start_tasks(effect.address, effect.starts)
@@ -115,6 +114,16 @@
         return events.PeerConfigRead(self._agents.read_config(effect.address))
 
 
+def _build_forward_answer(
+    ticket: ids.TicketId, reply: taskcodec.SubmissionReply | None
+) -> events.ForwardAnswered:
+    if reply is None:
+        return events.ForwardAnswered(ticket, None)
+    return events.ForwardAnswered(
+        ticket, reply.result, reply.detail, reply.task_id
+    )
+
+
 class AgentRunner(_TableRunner):
     """Performs the effects of an agent."""
 
@@ -123,6 +132,8 @@
         upstream: upstreams.Upstream,
         worker: workers.Worker,
         sender: datagrams.Sender,
+        near: tuple[members.Address, ...],
+        far: tuple[members.Address, ...],
     ) -> None:
         """Stores the clients.
 
@@ -130,6 +141,8 @@
             upstream: The upstream beside the agent.
             worker: The worker of the instance.
             sender: Sends announcements to the entries.
+            near: Entries of the agent's own region.
+            far: Entries of the other regions.
         """
         super().__init__(
             {
@@ -141,9 +154,12 @@
         )
         self._worker = worker
         self._sender = sender
+        self._near = near
+        self._all = near + far
 
     def _read_worker(self, effect: effects.ReadWorker) -> events.Event:
-        return events.WorkerReported(self._worker.read())
+        return events.WorkerReported(self._worker.read(), effect.sent_at)
 
     def _announce(self, effect: effects.Announce) -> None:
-        self._sender.send(effect.announcement, effect.everywhere)
+        addresses = self._all if effect.everywhere else self._near
+        self._sender.send(effect.announcement, addresses)
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -159,6 +159,7 @@
     caller_threads: Count = 96
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: EntryTuning = EntryTuning()
 
     @pydantic.model_validator(mode="after")
@@ -196,8 +197,17 @@
     upstream_connections: Count = 64
     log: LogSettings = LogSettings()
     metrics: MetricsSettings = MetricsSettings()
+    policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: AgentTuning = AgentTuning()
 
+    def list_entries(self, near: bool) -> tuple[members.Address, ...]:
+        """Returns the entries inside or outside the agent's region."""
+        return tuple(
+            item.build()
+            for item in self.entries
+            if (item.region == self.region) == near
+        )
+
 
 SettingsT = TypeVar("SettingsT", bound=_Settings)
 
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -21,18 +21,18 @@
     clock,
     datagrams,
     engine,
+    handlers,
     httpcalls,
     local,
     metrics,
-    peers,
+    peerserver,
     runners,
-    services,
     settings,
     upstream,
     web,
     worker,
 )
-from gypsumhold.decisions import reducer
+from gypsumhold.decisions import reducer, suites
 from gypsumhold.model import agent, events
 from gypsumhold.programs import process
 
@@ -46,7 +46,9 @@
     """Builds an agent and starts to serve."""
     time = clock.SystemClock()
     options = settings.build_agent_options(chosen, time)
-    state = agent.AgentState(options)
+    state = agent.AgentState(
+        options, suites.build_agent_policies(chosen.policies)
+    )
     key = chosen.deployment_key.get_secret_value().encode()
     worker_calls = httpcalls.HttpCaller(
         httpcalls.CallOptions(chosen.worker.build())
@@ -56,9 +58,7 @@
         chosen.upstream_connections, chosen.max_body_bytes
     )
     stack.callback(calls.close)
-    sender = datagrams.Sender(
-        key, options.region, [item.build_entry() for item in chosen.entries]
-    )
+    sender = datagrams.Sender(key)
     stack.callback(sender.close)
     recorder = metrics.Recorder(
         "agent", chosen.instance, otlp_url=chosen.metrics.otlp_url
@@ -68,14 +68,20 @@
         state,
         reducer.reduce,
         time,
-        runners.AgentRunner(calls, worker.HttpWorker(worker_calls), sender),
+        runners.AgentRunner(
+            calls,
+            worker.HttpWorker(worker_calls),
+            sender,
+            chosen.list_entries(near=True),
+            chosen.list_entries(near=False),
+        ),
         recorder,
     )
     stack.callback(runtime.close)
-    server = peers.AgentServer(
-        options.address, key, services.AgentPeerService(runtime)
+    server = peerserver.PeerServer(
+        options.address, handlers.AgentPeerService(runtime), key
     )
-    stack.callback(server.close)
+    stack.callback(server.close, process.PEER_GRACE)
     listener = web.Listener(
         chosen.local.build(),
         local.LocalRoutes(
@@ -88,10 +94,8 @@
     )
     stack.callback(listener.close)
     runtime.dispatch(events.AgentStarted())
-    # Draining is announced at once, so that entries stop sending work while
-    # accepted work is finished.
     return process.Running(
-        runtime, listener, events.DrainRequested(), options.max_deadline
+        runtime, listener, events.StopRequested(), options.max_deadline
     )
 
 
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -12,6 +12,7 @@
 """
 
 import contextlib
+import random
 import sys
 
 import docopt
@@ -23,19 +24,21 @@
     control,
     datagrams,
     engine,
+    handlers,
     httpcalls,
     metrics,
     operator_server,
     operators,
     peers,
+    peerserver,
     platform,
+    pool,
     runners,
-    services,
     settings,
     task_routes,
     web,
 )
-from gypsumhold.decisions import reducer
+from gypsumhold.decisions import reducer, suites
 from gypsumhold.model import entry, events
 from gypsumhold.programs import process
 
@@ -46,15 +49,22 @@
     """Builds an entry and starts to serve."""
     time = clock.SystemClock()
     options = settings.build_entry_options(chosen, time)
-    state = entry.EntryState(options)
+    state = entry.EntryState(
+        options,
+        suites.build_entry_policies(chosen.policies),
+        random.Random(options.incarnation),
+    )
     table_calls = httpcalls.HttpCaller(
         httpcalls.CallOptions(chosen.table.build())
     )
     stack.callback(table_calls.close)
     table = platform.HttpTable(table_calls)
     key = chosen.deployment_key.get_secret_value().encode()
-    agents = stack.enter_context(contextlib.closing(peers.AgentClient(key)))
-    entries = stack.enter_context(contextlib.closing(peers.EntryClient(key)))
+    connections = stack.enter_context(
+        contextlib.closing(pool.ConnectionPool(key, pool.PoolOptions()))
+    )
+    agents = peers.ThriftAgentClient(connections)
+    entries = peers.ThriftEntryClient(connections)
     recorder = metrics.Recorder(
         "entry",
         chosen.name,
@@ -74,16 +84,13 @@
         recorder,
     )
     stack.callback(runtime.close)
-    server = peers.EntryServer(
-        chosen.peers.build(), key, services.EntryPeerService(runtime)
-    )
-    stack.callback(server.close)
-    receiver = datagrams.Receiver(
-        chosen.announcements.build(),
-        key,
-        lambda told: runtime.dispatch(events.AnnouncementReceived(told)),
+    server = peerserver.PeerServer(
+        options.address, handlers.EntryPeerService(runtime), key
     )
+    stack.callback(server.close, process.PEER_GRACE)
+    receiver = datagrams.Receiver(chosen.announcements.build(), key)
     stack.callback(receiver.close)
+    process.serve_announcements(receiver, runtime)
     stack.enter_context(
         operator_server.OperatorServer(
             chosen.operators.build(),
