--- a/src/gypsumhold/adapters/runners.py
+++ b/src/gypsumhold/adapters/runners.py
@@ -1,17 +1,28 @@
 """Performs the effects of an entry and of an agent."""
 
+import datetime
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import logbook
 
-from gypsumhold.adapters import datagrams, engine, peers, platform, taskcodec
+from gypsumhold.adapters import (
+    datagrams,
+    engine,
+    peers,
+    platform,
+    taskcodec,
+)
 from gypsumhold.adapters import upstream as upstreams
 from gypsumhold.adapters import worker as workers
+from gypsumhold.decisions import dispatches
 from gypsumhold.model import effects, events, ids, members
 
 _LOG = logbook.Logger("gypsumhold.decisions")
 
+CANCEL_TIME = datetime.timedelta(seconds=2)
+"""Limit of a cancel; the caller waits for it beyond its own deadline."""
+
 Handler = Callable[[Any], events.Event | None]
 
 
@@ -68,13 +79,13 @@
 
     def _dispatch(self, effect: effects.SendDispatch) -> events.Event:
         return self._agents.dispatch(
-            effect.address, effect.dispatch, effect.dispatch.remaining
+            effect.address,
+            effect.dispatch,
+            effect.dispatch.remaining + dispatches.DISPATCH_GRACE,
         )
 
     def _cancel(self, effect: effects.SendCancel) -> events.Event:
-        reply = self._agents.cancel(
-            effect.address, effect.cancel, peers.CALL_TIME
-        )
+        reply = self._agents.cancel(effect.address, effect.cancel, CANCEL_TIME)
         return events.CancelAnswered(effect.owner, effect.cancel, reply)
 
     def _commit(self, effect: effects.Commit) -> events.Event:
@@ -91,12 +102,12 @@
         self, effect: effects.ForwardSubmission
     ) -> events.Event:
         reply = self._entries.submit(effect.address, effect.submission)
-        return _build_forward_answer(effect.owner, reply)
+        return _build_forwarded(effect.owner, reply)
 
     def _forward_cancel(self, effect: effects.ForwardCancel) -> events.Event:
         cancel = taskcodec.TaskCancel(effect.organisation, effect.task_id)
         reply = self._entries.cancel_task(effect.address, cancel)
-        return _build_forward_answer(effect.owner, reply)
+        return _build_forwarded(effect.owner, reply)
 
     def _start_tasks(self, effect: effects.SendStarts) -> events.Event:
         accepted = self._agents.start_tasks(effect.address, effect.starts)
@@ -114,7 +125,7 @@
         return events.PeerConfigRead(self._agents.read_config(effect.address))
 
 
-def _build_forward_answer(
+def _build_forwarded(
     ticket: ids.TicketId, reply: taskcodec.SubmissionReply | None
 ) -> events.ForwardAnswered:
     if reply is None:
@@ -142,7 +153,7 @@
             worker: The worker of the instance.
             sender: Sends announcements to the entries.
             near: Entries of the agent's own region.
-            far: Entries of the other regions.
+            far: Entries of other regions.
         """
         super().__init__(
             {
@@ -155,11 +166,11 @@
         self._worker = worker
         self._sender = sender
         self._near = near
-        self._all = near + far
+        self._far = far
 
     def _read_worker(self, effect: effects.ReadWorker) -> events.Event:
         return events.WorkerReported(self._worker.read(), effect.sent_at)
 
     def _announce(self, effect: effects.Announce) -> None:
-        addresses = self._all if effect.everywhere else self._near
+        addresses = self._near + (self._far if effect.everywhere else ())
         self._sender.send(effect.announcement, addresses)
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -200,14 +200,6 @@
     policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: AgentTuning = AgentTuning()
 
-    def list_entries(self, near: bool) -> tuple[members.Address, ...]:
-        """Returns the entries inside or outside the agent's region."""
-        return tuple(
-            item.build()
-            for item in self.entries
-            if (item.region == self.region) == near
-        )
-
 
 SettingsT = TypeVar("SettingsT", bound=_Settings)
 
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -33,7 +33,7 @@
     worker,
 )
 from gypsumhold.decisions import reducer, suites
-from gypsumhold.model import agent, events
+from gypsumhold.model import agent, events, members
 from gypsumhold.programs import process
 
 # The upstream reports once a second; the rest is for health and metrics.
@@ -72,8 +72,8 @@
             calls,
             worker.HttpWorker(worker_calls),
             sender,
-            chosen.list_entries(near=True),
-            chosen.list_entries(near=False),
+            near=_list_entries(chosen, near=True),
+            far=_list_entries(chosen, near=False),
         ),
         recorder,
     )
@@ -81,7 +81,7 @@
     server = peerserver.PeerServer(
         options.address, handlers.AgentPeerService(runtime), key
     )
-    stack.callback(server.close, process.PEER_GRACE)
+    stack.callback(server.close, process.REPLY_TIME)
     listener = web.Listener(
         chosen.local.build(),
         local.LocalRoutes(
@@ -99,6 +99,16 @@
     )
 
 
+def _list_entries(
+    chosen: settings.AgentSettings, near: bool
+) -> tuple[members.Address, ...]:
+    return tuple(
+        item.build()
+        for item in chosen.entries
+        if (item.region == chosen.region) == near
+    )
+
+
 def main() -> int:
     """Runs the program and returns its exit code."""
     arguments = docopt.docopt(__doc__, version=gypsumhold.VERSION)
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -14,6 +14,7 @@
 import contextlib
 import random
 import sys
+import threading
 
 import docopt
 
@@ -85,12 +86,20 @@
     )
     stack.callback(runtime.close)
     server = peerserver.PeerServer(
-        options.address, handlers.EntryPeerService(runtime), key
+        chosen.peers.build(), handlers.EntryPeerService(runtime), key
     )
-    stack.callback(server.close, process.PEER_GRACE)
+    stack.callback(server.close, process.REPLY_TIME)
     receiver = datagrams.Receiver(chosen.announcements.build(), key)
     stack.callback(receiver.close)
-    process.serve_announcements(receiver, runtime)
+    reader = threading.Thread(
+        target=receiver.serve,
+        args=(
+            lambda told: runtime.dispatch(events.AnnouncementReceived(told)),
+        ),
+        name="announcements",
+        daemon=True,
+    )
+    reader.start()
     stack.enter_context(
         operator_server.OperatorServer(
             chosen.operators.build(),
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -5,15 +5,14 @@
 import errno
 import signal
 import sys
-import threading
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import logbook
 from returns.result import Failure
 
-from gypsumhold.adapters import datagrams, engine, logs, settings, web
-from gypsumhold.model import errors, events, members
+from gypsumhold.adapters import engine, logs, settings, web
+from gypsumhold.model import errors, events
 
 SettingsT = TypeVar("SettingsT", settings.EntrySettings, settings.AgentSettings)
 Start = Callable[[SettingsT, contextlib.ExitStack], "Running"]
@@ -29,9 +28,6 @@
 # was 28 to 36 ms at 5 ms and 14 to 16 ms at 0.5 ms.
 SWITCH_INTERVAL_S = 0.0005
 
-# Calls of peers that are in progress when a role has stopped.
-PEER_GRACE = datetime.timedelta(seconds=5)
-
 _LOG = logbook.Logger("gypsumhold.process")
 
 
@@ -67,22 +63,6 @@
             _LOG.error("work was still in progress after {}", limit)
 
 
-def serve_announcements(
-    receiver: datagrams.Receiver, runtime: engine.Engine[Any]
-) -> None:
-    """Brings announcements to the engine until the receiver is closed."""
-
-    def deliver(announcement: members.Announcement) -> None:
-        runtime.deliver(events.AnnouncementReceived(announcement))
-
-    threading.Thread(
-        target=receiver.serve,
-        args=(deliver,),
-        name="announcements",
-        daemon=True,
-    ).start()
-
-
 def run(path: str, model: type[SettingsT], start: Start[SettingsT]) -> int:
     """Runs a role until a stop signal arrives.
 
