--- a/src/gypsumhold/adapters/runners.py
+++ b/src/gypsumhold/adapters/runners.py
@@ -6,7 +6,13 @@
 
 import logbook
 
-from gypsumhold.adapters import datagrams, engine, peers, platform, taskcodec
+from gypsumhold.adapters import (
+    datagrams,
+    engine,
+    peers,
+    platform,
+    taskcodec,
+)
 from gypsumhold.adapters import upstream as upstreams
 from gypsumhold.adapters import worker as workers
 from gypsumhold.decisions import dispatches
@@ -96,12 +102,12 @@
         self, effect: effects.ForwardSubmission
     ) -> events.Event:
         reply = self._entries.submit(effect.address, effect.submission)
-        return _build_forward_answer(effect.owner, reply)
+        return _build_forwarded(effect.owner, reply)
 
     def _forward_cancel(self, effect: effects.ForwardCancel) -> events.Event:
         cancel = taskcodec.TaskCancel(effect.organisation, effect.task_id)
         reply = self._entries.cancel_task(effect.address, cancel)
-        return _build_forward_answer(effect.owner, reply)
+        return _build_forwarded(effect.owner, reply)
 
     def _start_tasks(self, effect: effects.SendStarts) -> events.Event:
         accepted = self._agents.start_tasks(effect.address, effect.starts)
@@ -119,7 +125,7 @@
         return events.PeerConfigRead(self._agents.read_config(effect.address))
 
 
-def _build_forward_answer(
+def _build_forwarded(
     ticket: ids.TicketId, reply: taskcodec.SubmissionReply | None
 ) -> events.ForwardAnswered:
     if reply is None:
@@ -147,7 +153,7 @@
             worker: The worker of the instance.
             sender: Sends announcements to the entries.
             near: Entries of the agent's own region.
-            far: Entries of the other regions.
+            far: Entries of other regions.
         """
         super().__init__(
             {
@@ -160,11 +166,11 @@
         self._worker = worker
         self._sender = sender
         self._near = near
-        self._all = near + far
+        self._far = far
 
     def _read_worker(self, effect: effects.ReadWorker) -> events.Event:
         return events.WorkerReported(self._worker.read(), effect.sent_at)
 
     def _announce(self, effect: effects.Announce) -> None:
-        addresses = self._all if effect.everywhere else self._near
+        addresses = self._near + (self._far if effect.everywhere else ())
         self._sender.send(effect.announcement, addresses)
