Answer a repeated submission only after the commit of the first

A repeat that arrived while the batch with the first submission was in flight was accepted at once, because only tasks that no batch carried yet were taken as uncommitted. A holder that is fenced then drops the task after it has told a caller that it was accepted.

Ruled out: the order of the commit and its answer in the table stand-in; the trace has no commit of the task before the answer.

The repeat now joins the tickets of the batch, or those that wait for one.

--- a/src/gypsumhold/decisions/submissions.py
+++ b/src/gypsumhold/decisions/submissions.py
@@ -54,12 +54,10 @@
     if task_id in partition.ended:
         return [_accept(event.ticket, task_id)]
     record = partition.tasks.get(task_id)
+    if record is not None and record.is_new:
+        _wait_for_insertion(partition, event.ticket, task_id)
+        return []
     if record is not None:
-        # A repeat of a submission in flight is answered with its commit.
-        if not record.row.epoch and task_id in partition.dirty:
-            ticket = entry.BatchTicket(event.ticket, task_id)
-            partition.tickets.append(ticket)
-            return []
         return [_accept(event.ticket, task_id)]
     row = rows.TaskRow(
         task_id=task_id,
@@ -72,6 +70,20 @@
     return queues.flush(state, partition, now)
 
 
+def _wait_for_insertion(
+    partition: entry.PartitionState,
+    ticket: ids.TicketId,
+    task_id: ids.TaskId,
+) -> None:
+    """Has a repeat of a submission answered with the commit of the first."""
+    waiting = entry.BatchTicket(ticket, task_id)
+    batch = partition.batch
+    if batch is not None and task_id in batch.changed:
+        batch.tickets = (*batch.tickets, waiting)
+    else:
+        partition.tickets.append(waiting)
+
+
 def _find_holder(
     state: entry.EntryState,
     partition: entry.PartitionState | None,
--- a/src/gypsumhold/model/entry.py
+++ b/src/gypsumhold/model/entry.py
@@ -78,6 +78,11 @@
     started: bool = False
     report: ids.InstanceId | None = None
 
+    @property
+    def is_new(self) -> bool:
+        """Whether the insertion of the task is not committed yet."""
+        return self.row is self.pending
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BatchTicket:
--- /dev/null
+++ b/tests/decisions/test_regressions.py
@@ -0,0 +1,77 @@
+"""Faults that the fuzz of tests/fuzz found, as fixed sequences of events."""
+
+import datetime
+
+import world
+
+from gypsumhold.model import (
+    declarations,
+    events,
+    ids,
+    requests,
+    states,
+    tasks,
+)
+
+SECOND = datetime.timedelta(seconds=1)
+ALPHA = world.ORGANISATIONS[0]
+
+
+def start_world() -> world.World:
+    """Returns a deployment in which every partition has its holder."""
+    started = world.World()
+    started.advance(12 * SECOND)
+    return started
+
+
+def submit(found: world.World, process: world.Process, key: str) -> None:
+    ticket = ids.TicketId(f"{process.name}-{len(found.oracle.tickets)}")
+    found.oracle.expect_ticket(process.name, ticket)
+    submission = tasks.Submission(ALPHA, world.BATCH, ids.IdempotencyKey(key))
+    found.feed(process, events.SubmissionArrived(ticket, submission))
+
+
+def send(
+    found: world.World,
+    process: world.Process,
+    kind: ids.KindName,
+    name: str,
+    delay_ms: int = 0,
+) -> None:
+    headers = (("x-standin-delay-ms", str(delay_ms)),)
+    request = requests.Request(
+        ids.RequestId(name),
+        ALPHA,
+        kind,
+        ids.IdempotencyKey("k"),
+        8 * SECOND,
+        "digest",
+        requests.Payload("POST", "/", headers, b"body"),
+    )
+    found.oracle.send(process.name, request)
+    found.feed(process, events.CallArrived(request))
+
+
+def find_holder(found: world.World) -> world.Process:
+    """Returns the entry that holds the partition of ALPHA."""
+    return next(
+        item
+        for item in found.entries
+        if item.state.partitions[0].phase is states.PartitionPhase.HELD
+    )
+
+
+def test_repeat_is_accepted_only_with_the_commit_of_the_first() -> None:
+    """Guards against accepting a task that a fenced holder never commits."""
+    found = start_world()
+    holder = find_holder(found)
+    found.scripts.append((world.Kind.COMMIT, world.Mishap.DELAYED, SECOND))
+    submit(found, holder, "k")
+    submit(found, holder, "k")
+    assert found.oracle.tickets == {
+        "%s-0" % holder.name: None,
+        "%s-1" % holder.name: None,
+    }
+    found.advance(2 * SECOND)
+    results = [item.result for item in found.oracle.tickets.values() if item]
+    assert results == [states.SubmissionResult.ACCEPTED] * 2
