Start no task before the upstream's reservation is known

A new agent whose worker had answered but whose upstream had not reported yet counted the reservation as nothing. It accepted three tasks that left no room for it, and held 1200 of 1000 mCPU after the first report.

Ruled out: a reservation that grew; the fake's reservation is constant.

Such an agent now announces itself as joining and refuses starts.

--- a/src/gypsumhold/decisions/agents.py
+++ b/src/gypsumhold/decisions/agents.py
@@ -77,7 +77,9 @@
 def _find_state(state: agent.AgentState) -> states.MemberState:
     if state.draining or state.stopping:
         return states.MemberState.DRAINING
-    if state.capacity is None or not state.configuration.version:
+    if state.capacity is None or state.upstream is None:
+        return states.MemberState.JOINING
+    if not state.configuration.version:
         return states.MemberState.JOINING
     return states.MemberState.SERVING
 
--- a/src/gypsumhold/decisions/executions.py
+++ b/src/gypsumhold/decisions/executions.py
@@ -37,8 +37,8 @@
 
 
 def count_free(state: agent.AgentState) -> resources.Resources:
-    """Returns what new tasks may use."""
-    if state.capacity is None:
+    """Returns what new tasks may use; nothing before both have reported."""
+    if state.capacity is None or state.upstream is None:
         return resources.NOTHING
     return state.capacity - count_committed(state)
 
@@ -74,7 +74,10 @@
         return False
     if start.incarnation != state.options.incarnation:
         return False
-    if state.draining or state.stopping or state.capacity is None:
+    if state.draining or state.stopping:
+        return False
+    # The reservation of the upstream is committed first, so it has to be known.
+    if state.capacity is None or state.upstream is None:
         return False
     if start.epoch <= state.fences.get(start.task_id, ids.Epoch(0)):
         return False
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -27,7 +27,9 @@
 def submit(found: world.World, process: world.Process, key: str) -> None:
     ticket = ids.TicketId(f"{process.name}-{len(found.oracle.tickets)}")
     found.oracle.expect_ticket(process.name, ticket)
-    submission = tasks.Submission(ALPHA, world.BATCH, ids.IdempotencyKey(key))
+    submission = tasks.Submission(
+        ALPHA, world.BATCH, ids.IdempotencyKey(key), '{"run_ms": 60000}'
+    )
     found.feed(process, events.SubmissionArrived(ticket, submission))
 
 
@@ -75,3 +77,22 @@
     found.advance(2 * SECOND)
     results = [item.result for item in found.oracle.tickets.values() if item]
     assert results == [states.SubmissionResult.ACCEPTED] * 2
+
+
+def test_no_start_before_the_reservation_of_the_upstream_is_known() -> None:
+    """Guards against committing what the upstream holds for itself."""
+    found = start_world()
+    for instance in found.instances[1:]:
+        found.drain(instance)
+    instance = found.instances[0]
+    instance.upstream_alive = False
+    found.kill(instance.agent)
+    found.revive_agent(instance)
+    found.advance(2 * SECOND)
+    for key in ("k0", "k1", "k2"):
+        submit(found, find_holder(found), key)
+    found.advance(2 * SECOND)
+    instance.upstream_alive = True
+    found.advance(5 * SECOND)
+    held = [item.committed for item in instance.agent.state.executions.values()]
+    assert held == [world.DECLARED] * 2
