--- a/src/gypsumhold/decisions/executions.py
+++ b/src/gypsumhold/decisions/executions.py
@@ -37,8 +37,8 @@
 
 
 def count_free(state: agent.AgentState) -> resources.Resources:
-    """Returns what new tasks may use."""
-    if state.capacity is None:
+    """Returns what new tasks may use; nothing before both have reported."""
+    if state.capacity is None or state.upstream is None:
         return resources.NOTHING
     return state.capacity - count_committed(state)
 
@@ -66,25 +66,9 @@
     known = state.executions.get(start.task_id)
     if known is not None and known.start.epoch == start.epoch:
         return True
-    # A start with a higher epoch shows that the end of the former placement
-    # was committed, so it also acknowledges that report.
-    if known is not None and known.state not in ENDED:
-        return False
-    if known is not None and start.epoch < known.start.epoch:
-        return False
-    if start.incarnation != state.options.incarnation:
-        return False
-    if state.draining or state.stopping or state.capacity is None:
+    if not _supersedes(start, known) or not _is_startable(state, start, now):
         return False
-    if start.epoch <= state.fences.get(start.task_id, ids.Epoch(0)):
-        return False
-    if start.expires <= now:
-        return False
-    learned = state.learned.get(start.kind, resources.NOTHING)
-    need = start.declared.take_larger(learned)
-    # A kind whose learned use exceeds the whole instance could never start.
-    if not need.fits_in(state.capacity):
-        need = start.declared
+    need = _compute_need(state, start)
     if not need.fits_in(count_free(state)):
         return False
     state.executions[start.task_id] = agent.Execution(
@@ -96,6 +80,41 @@
     return True
 
 
+def _supersedes(start: tasks.TaskStart, known: agent.Execution | None) -> bool:
+    """Tells whether a start may replace what the agent has of the task.
+
+    A start with a higher epoch shows that the end of the former placement was
+    committed, so it also acknowledges that report.
+    """
+    if known is None:
+        return True
+    return known.state in ENDED and start.epoch > known.start.epoch
+
+
+def _is_startable(
+    state: agent.AgentState, start: tasks.TaskStart, now: datetime.timedelta
+) -> bool:
+    leaving = state.draining or state.stopping
+    if leaving or start.incarnation != state.options.incarnation:
+        return False
+    # The reservation of the upstream is committed first, so it has to be known.
+    if state.capacity is None or state.upstream is None:
+        return False
+    fence = state.fences.get(start.task_id, ids.Epoch(0))
+    return start.epoch > fence and start.expires > now
+
+
+def _compute_need(
+    state: agent.AgentState, start: tasks.TaskStart
+) -> resources.Resources:
+    """Returns the larger of the declared and the learned size."""
+    assert state.capacity is not None
+    learned = state.learned.get(start.kind, resources.NOTHING)
+    need = start.declared.take_larger(learned)
+    # A kind whose learned use exceeds the whole instance could never start.
+    return need if need.fits_in(state.capacity) else start.declared
+
+
 def command_start(execution: agent.Execution) -> effects.Effect:
     """Gives the worker a task; a repeat is harmless."""
     return effects.CommandWorker(
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -85,7 +85,7 @@
     server = peerserver.PeerServer(
         options.address, handlers.AgentPeerService(runtime), key
     )
-    stack.callback(server.close, process.REPLY_TIME)
+    stack.callback(server.close, process.PEER_GRACE)
     listener = web.Listener(
         chosen.local.build(),
         local.LocalRoutes(
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -88,14 +88,12 @@
     server = peerserver.PeerServer(
         chosen.peers.build(), handlers.EntryPeerService(runtime), key
     )
-    stack.callback(server.close, process.REPLY_TIME)
+    stack.callback(server.close, process.PEER_GRACE)
     receiver = datagrams.Receiver(chosen.announcements.build(), key)
     stack.callback(receiver.close)
     reader = threading.Thread(
         target=receiver.serve,
-        args=(
-            lambda told: runtime.dispatch(events.AnnouncementReceived(told)),
-        ),
+        args=(lambda told: runtime.deliver(events.AnnouncementReceived(told)),),
         name="announcements",
         daemon=True,
     )
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -5,6 +5,7 @@
 import errno
 import signal
 import sys
+import threading
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -28,6 +29,9 @@
 # was 28 to 36 ms at 5 ms and 14 to 16 ms at 0.5 ms.
 SWITCH_INTERVAL_S = 0.0005
 
+# Calls of peers that are in progress when a role has stopped.
+PEER_GRACE = datetime.timedelta(seconds=5)
+
 _LOG = logbook.Logger("gypsumhold.process")
 
 
