End a call whose target was retired while it was in flight

A lost dispatch is followed by a cancel to the target's address, which was looked up among the members. A retired instance is not among them, so the event raised KeyError and the caller was never answered.

Ruled out: forgetting of silent instances, which keeps targets of calls.

Nobody can say any more what became of the attempt, so it counts as one that may have run.

--- a/src/gypsumhold/decisions/calls.py
+++ b/src/gypsumhold/decisions/calls.py
@@ -178,7 +178,7 @@
         return []
     dispatches.note_end(state, call, None, now)
     if event.sent:
-        return dispatches.send_cancel(state, call)
+        return _ask_target(state, call, now)
     result = dispatches.refuse(states.Reason.AGENT_LOST, dispatches.RETRY_AFTER)
     return _retry_or_conclude(state, call, result, now)
 
@@ -217,6 +217,15 @@
     return _doubt(state, call, states.Reason.INCARNATION_GONE, now)
 
 
+def _ask_target(
+    state: entry.EntryState, call: entry.Call, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Asks the target what became of the attempt, unless it was retired."""
+    if call.target not in state.members:
+        return _doubt(state, call, states.Reason.INCARNATION_GONE, now)
+    return dispatches.send_cancel(state, call)
+
+
 def _doubt(
     state: entry.EntryState,
     call: entry.Call,
@@ -240,5 +249,5 @@
     if call.phase is states.CallPhase.WAITING_RETRY:
         return _send_next(state, call, now)
     if call.phase is states.CallPhase.CANCELLING:
-        return dispatches.send_cancel(state, call)
+        return _ask_target(state, call, now)
     return claims.wake(state, call, now)
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -96,3 +96,17 @@
     found.advance(5 * SECOND)
     held = [item.committed for item in instance.agent.state.executions.values()]
     assert held == [world.DECLARED] * 2
+
+
+def test_call_ends_whose_target_is_retired() -> None:
+    """Guards against a caller that waits for an instance that is gone."""
+    found = start_world()
+    send(found, found.entries[0], world.PAY, "r", 3000)
+    # Between two announcements, so that none is under way at the retirement.
+    found.advance(SECOND / 2)
+    target = next(item for item in found.instances if item.upstream.busy)
+    found.retire(target)
+    found.advance(SECOND)
+    result = found.oracle.results[ids.RequestId("r")]
+    assert result.outcome is states.Outcome.INDETERMINATE
+    assert result.reason is states.Reason.INCARNATION_GONE
