Install a configuration only when its objects belong to its version

A new entry read the head and then the objects. A change accepted between the two reads was part of the objects, and the entry put the mixture in force, and pushed it to agents, under the older version. Agents that had it kept a content that no operator had declared for that version.

Ruled out: applying changes twice on top is harmless for the content of the next version; the fault concerns the version before it, and an object that was deleted in between.

The objects are now a candidate until the head is read again unchanged.

--- a/src/gypsumhold/decisions/changes.py
+++ b/src/gypsumhold/decisions/changes.py
@@ -69,10 +69,7 @@
     if not isinstance(head, rows.HeadRow) or head.version <= known:
         return [_poll_later(state)]
     if not known:
-        purpose = events.ReadPurpose(
-            timers.ReadKind.CONFIG_OBJECTS, owner=str(head.version)
-        )
-        return [effects.ReadRows(effects.NO_OWNER, rows.OBJECT_PREFIX, purpose)]
+        return _load_objects(state, head.version)
     purpose = events.ReadPurpose(timers.ReadKind.CONFIG_CHANGES)
     return [
         effects.ReadRows(
@@ -84,17 +81,30 @@
     ]
 
 
+def _load_objects(
+    state: entry.EntryState, version: ids.ConfigVersion
+) -> list[effects.Effect]:
+    """Installs the objects that were read, unless the head has moved on.
+
+    The objects are read after the head and may contain newer changes. Only
+    an unchanged head afterwards proves that they belong to its version.
+    """
+    candidate, state.candidate = state.candidate, None
+    if candidate is not None and candidate.version == version:
+        _install(state, candidate, ())
+        return [_poll_later(state)]
+    purpose = events.ReadPurpose(
+        timers.ReadKind.CONFIG_OBJECTS, owner=str(version)
+    )
+    return [effects.ReadRows(effects.NO_OWNER, rows.OBJECT_PREFIX, purpose)]
+
+
 def take_objects(
     state: entry.EntryState,
     event: events.RowsRead,
     now: datetime.timedelta,
 ) -> list[effects.Effect]:
-    """Builds the configuration from its objects, in a new entry.
-
-    The objects may be newer than the head that was read before them. The
-    changes after that head are applied on top; they put whole objects, so
-    applying one twice has no effect.
-    """
+    """Builds the configuration from its objects, in a new entry."""
     if event.found is None:
         return [_poll_later(state)]
     version = ids.ConfigVersion(int(event.read.owner))
@@ -112,9 +122,7 @@
             if isinstance(item, rows.OrganisationRow)
         ),
     )
-    if version > state.configuration.version:
-        built = declarations.apply_change(declarations.EMPTY, change)
-        _install(state, built, ())
+    state.candidate = declarations.apply_change(declarations.EMPTY, change)
     return [_read_head(now)]
 
 
--- a/src/gypsumhold/model/entry.py
+++ b/src/gypsumhold/model/entry.py
@@ -196,6 +196,8 @@
         random: Seeded source for all random choices.
         started_at: When the entry started.
         configuration: Highest accepted configuration seen.
+        candidate: Configuration read from its objects; in force once the head
+            is read again and unchanged.
         changes: Latest changes, to send instead of the whole configuration.
         members: Instances that announced themselves.
         calls: Requests that wait here.
@@ -216,6 +218,7 @@
     random: random.Random
     started_at: datetime.timedelta = datetime.timedelta(0)
     configuration: declarations.Configuration = declarations.EMPTY
+    candidate: declarations.Configuration | None = None
     changes: list[declarations.Change] = dataclasses.field(default_factory=list)
     members: dict[ids.InstanceId, roster.Member] = dataclasses.field(
         default_factory=dict
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -110,3 +110,23 @@
     result = found.oracle.results[ids.RequestId("r")]
     assert result.outcome is states.Outcome.INDETERMINATE
     assert result.reason is states.Reason.INCARNATION_GONE
+
+
+def test_objects_are_not_installed_under_an_older_version() -> None:
+    """Guards against two contents of one configuration version."""
+    found = start_world()
+    old, new = found.entries
+    found.kill(new)
+    found.revive_entry(new)
+    # The change takes effect between the new entry's reads of the head and
+    # of the objects; the oracle compares the content.
+    change = declarations.Change(
+        ids.ConfigVersion(1),
+        organisations=(world.build_organisation(ALPHA, 7),),
+        author="o",
+    )
+    ticket = ids.TicketId("o")
+    found.oracle.expect_ticket(old.name, ticket)
+    found.feed(old, events.ApplyArrived(ticket, ids.ConfigVersion(1), change))
+    found.advance(2 * SECOND)
+    assert new.state.configuration.version == 2
