--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
     database=None,
     phases=PHASES,
     stateful_step_count=40,
+    report_multiple_bugs=False,
     suppress_health_check=tuple(hypothesis.HealthCheck),
 )
 hypothesis.settings.register_profile(
@@ -31,6 +32,7 @@
     database=None,
     phases=PHASES,
     stateful_step_count=60,
+    report_multiple_bugs=False,
     suppress_health_check=tuple(hypothesis.HealthCheck),
 )
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
