--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -5,6 +5,7 @@
 import world
 
 from gypsumhold.model import (
+    declarations,
     events,
     ids,
     requests,
@@ -101,10 +102,31 @@
     """Guards against a caller that waits for an instance that is gone."""
     found = start_world()
     send(found, found.entries[0], world.PAY, "r", 3000)
-    found.advance(SECOND)
+    # Between two announcements, so that none is under way at the retirement.
+    found.advance(SECOND / 2)
     target = next(item for item in found.instances if item.upstream.busy)
     found.retire(target)
     found.advance(SECOND)
     result = found.oracle.results[ids.RequestId("r")]
     assert result.outcome is states.Outcome.INDETERMINATE
     assert result.reason is states.Reason.INCARNATION_GONE
+
+
+def test_objects_are_not_installed_under_an_older_version() -> None:
+    """Guards against two contents of one configuration version."""
+    found = start_world()
+    old, new = found.entries
+    found.kill(new)
+    found.revive_entry(new)
+    # The change takes effect between the new entry's reads of the head and
+    # of the objects; the oracle compares the content.
+    change = declarations.Change(
+        ids.ConfigVersion(1),
+        organisations=(world.build_organisation(ALPHA, 7),),
+        author="o",
+    )
+    ticket = ids.TicketId("o")
+    found.oracle.expect_ticket(old.name, ticket)
+    found.feed(old, events.ApplyArrived(ticket, ids.ConfigVersion(1), change))
+    found.advance(2 * SECOND)
+    assert new.state.configuration.version == 2
