Push only the changes that an agent lacks

Cause: each accepted change sent the whole configuration to every agent. Ruled out: compressing the whole configuration, which still grows with the number of organisations.

--- a/idl/gypsumhold.thrift
+++ b/idl/gypsumhold.thrift
@@ -206,6 +206,15 @@
   3: required list<Organisation> organisations
 }
 
+/** One accepted change; the audit fields stay in the table. */
+struct Change {
+  1: required i64 version
+  2: required list<Template> templates
+  3: required list<Organisation> organisations
+  4: required list<string> deleted_templates
+  5: required list<string> deleted_organisations
+}
+
 struct Submission {
   1: required string organisation
   2: required string kind
@@ -254,6 +263,8 @@
   SyncReply sync_tasks(1: TaskSync sync)
   /** Returns the version in force afterwards. */
   i64 push_config(1: Configuration configuration)
+  /** Applies the changes that follow its version without a gap. */
+  i64 push_changes(1: list<Change> changes)
   Configuration read_config()
   bool drain()
 }
--- a/src/gypsumhold/adapters/configcodec.py
+++ b/src/gypsumhold/adapters/configcodec.py
@@ -113,3 +113,41 @@
 ) -> Result[declarations.Configuration, errors.Error]:
     """Returns the configuration of a wire struct."""
     return wireparts.guard(_read_configuration, raw)
+
+
+def encode_changes(changes: tuple[declarations.Change, ...]) -> list[Any]:
+    """Returns the wire structs of changes, without their audit fields."""
+    return [
+        ttypes.Change(
+            version=change.version,
+            templates=[_encode_template(item) for item in change.templates],
+            organisations=[
+                _encode_organisation(item) for item in change.organisations
+            ],
+            deleted_templates=list(change.deleted_templates),
+            deleted_organisations=list(change.deleted_organisations),
+        )
+        for change in changes
+    ]
+
+
+def _read_change(raw: Any) -> declarations.Change:
+    raw.validate()
+    return declarations.Change(
+        version=raw.version,
+        templates=tuple(map(_read_template, raw.templates)),
+        organisations=tuple(map(_read_organisation, raw.organisations)),
+        deleted_templates=tuple(raw.deleted_templates),
+        deleted_organisations=tuple(raw.deleted_organisations),
+    )
+
+
+def _read_changes(raw: Any) -> tuple[declarations.Change, ...]:
+    return tuple(map(_read_change, raw))
+
+
+def decode_changes(
+    raw: Any,
+) -> Result[tuple[declarations.Change, ...], errors.Error]:
+    """Returns the changes of wire structs."""
+    return wireparts.guard(_read_changes, raw)
--- a/src/gypsumhold/adapters/handlers.py
+++ b/src/gypsumhold/adapters/handlers.py
@@ -130,12 +130,22 @@
     ) -> ids.ConfigVersion:
         """Takes a configuration and returns the version in force."""
         ticket = _name_ticket()
-        final = self._runtime.run_owner(
-            ticket, events.ConfigPushed(ticket, configuration), TICKET_LIMIT
-        )
+        return self._push(ticket, events.ConfigPushed(ticket, configuration))
+
+    def push_changes(
+        self, changes: tuple[declarations.Change, ...]
+    ) -> ids.ConfigVersion:
+        """Applies changes and returns the version in force."""
+        ticket = _name_ticket()
+        return self._push(ticket, events.ChangesPushed(ticket, changes))
+
+    def _push(
+        self, ticket: ids.TicketId, event: events.Event
+    ) -> ids.ConfigVersion:
+        final = self._runtime.run_owner(ticket, event, TICKET_LIMIT)
         if isinstance(final, effects.ReplyConfig):
             return final.version
-        raise NoReplyError("push_config")
+        raise NoReplyError("push")
 
     def read_config(self) -> declarations.Configuration:
         """Returns the configuration in force."""
--- a/src/gypsumhold/adapters/losses.py
+++ b/src/gypsumhold/adapters/losses.py
@@ -79,6 +79,9 @@
     effects.PushConfig: lambda effect, _: events.ConfigPushAnswered(
         effect.instance, None
     ),
+    effects.PushChanges: lambda effect, _: events.ConfigPushAnswered(
+        effect.instance, None
+    ),
     effects.ReadPeerConfig: lambda effect, _: events.PeerConfigRead(None),
     effects.CallUpstream: _lose_upstream,
     effects.CommandWorker: _lose_command,
--- a/src/gypsumhold/adapters/metrics.py
+++ b/src/gypsumhold/adapters/metrics.py
@@ -95,6 +95,8 @@
             events.WorkerReported: self._note_tasks,
             effects.PushConfig: self._note_pushed_config,
             events.ConfigPushed: self._note_pushed_config,
+            effects.PushChanges: self._note_pushed_changes,
+            events.ChangesPushed: self._note_pushed_changes,
         }
 
     def _create_instruments(self) -> None:
@@ -237,6 +239,12 @@
     ) -> None:
         self._config.set(item.configuration.version)
 
+    def _note_pushed_changes(
+        self, item: effects.PushChanges | events.ChangesPushed
+    ) -> None:
+        if item.changes:
+            self._config.set(item.changes[-1].version)
+
     def render(self) -> str:
         """Returns all values, one a line."""
         return render_metrics(self._reader.get_metrics_data())
--- a/src/gypsumhold/adapters/peers.py
+++ b/src/gypsumhold/adapters/peers.py
@@ -80,6 +80,14 @@
     ) -> ids.ConfigVersion | None:
         """Returns the version that the agent has in force afterwards."""
 
+    @abc.abstractmethod
+    def push_changes(
+        self,
+        address: members.Address,
+        changes: tuple[declarations.Change, ...],
+    ) -> ids.ConfigVersion | None:
+        """Returns the version that the agent has in force afterwards."""
+
     @abc.abstractmethod
     def read_config(
         self, address: members.Address
@@ -303,6 +311,21 @@
             None
         )
 
+    def push_changes(
+        self,
+        address: members.Address,
+        changes: tuple[declarations.Change, ...],
+    ) -> ids.ConfigVersion | None:
+        """Returns the version that the agent has in force afterwards."""
+
+        def invoke(client: Any) -> Result[ids.ConfigVersion, errors.Error]:
+            raw = configcodec.encode_changes(changes)
+            return Success(ids.ConfigVersion(client.push_changes(raw)))
+
+        return self._caller.call(address, self._call_time, invoke).value_or(
+            None
+        )
+
     def read_config(
         self, address: members.Address
     ) -> declarations.Configuration | None:
--- a/src/gypsumhold/adapters/pools.py
+++ b/src/gypsumhold/adapters/pools.py
@@ -78,6 +78,9 @@
     effects.PushConfig: lambda effect: Lane(
         Family.PEERS, ("config", effect.instance), True
     ),
+    effects.PushChanges: lambda effect: Lane(
+        Family.PEERS, ("config", effect.instance), True
+    ),
     effects.ReadPeerConfig: lambda effect: Lane(
         Family.PEERS, effect.address, True
     ),
--- a/src/gypsumhold/adapters/runners.py
+++ b/src/gypsumhold/adapters/runners.py
@@ -70,6 +70,7 @@
                 effects.SendStarts: self._start_tasks,
                 effects.SendSync: self._sync_tasks,
                 effects.PushConfig: self._push_config,
+                effects.PushChanges: self._push_changes,
                 effects.ReadPeerConfig: self._read_config,
             }
         )
@@ -121,6 +122,10 @@
         version = self._agents.push_config(effect.address, effect.configuration)
         return events.ConfigPushAnswered(effect.instance, version)
 
+    def _push_changes(self, effect: effects.PushChanges) -> events.Event:
+        version = self._agents.push_changes(effect.address, effect.changes)
+        return events.ConfigPushAnswered(effect.instance, version)
+
     def _read_config(self, effect: effects.ReadPeerConfig) -> events.Event:
         return events.PeerConfigRead(self._agents.read_config(effect.address))
 
--- a/src/gypsumhold/adapters/services.py
+++ b/src/gypsumhold/adapters/services.py
@@ -43,6 +43,12 @@
     ) -> ids.ConfigVersion:
         """Takes a configuration; returns the version in force."""
 
+    @abc.abstractmethod
+    def push_changes(
+        self, changes: tuple[declarations.Change, ...]
+    ) -> ids.ConfigVersion:
+        """Applies changes in order; returns the version in force."""
+
     @abc.abstractmethod
     def read_config(self) -> declarations.Configuration:
         """Returns the configuration in force."""
@@ -123,6 +129,11 @@
             configcodec.decode_configuration(raw), self._service.push_config
         )
 
+    def push_changes(self, raw: Any) -> Any:
+        return _serve(
+            configcodec.decode_changes(raw), self._service.push_changes
+        )
+
     def read_config(self) -> Any:
         return _serve(
             Success(None),
--- a/src/gypsumhold/decisions/agents.py
+++ b/src/gypsumhold/decisions/agents.py
@@ -11,6 +11,7 @@
 )
 from gypsumhold.model import (
     agent,
+    declarations,
     effects,
     events,
     members,
@@ -168,6 +169,25 @@
     return [effects.ReplyConfig(event.ticket, version), *made]
 
 
+def take_changes(
+    state: agent.AgentState,
+    event: events.ChangesPushed,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies the changes that follow the version in force without a gap."""
+    before = state.configuration.version
+    for change in event.changes:
+        if change.version == state.configuration.version + 1:
+            state.configuration = declarations.apply_change(
+                state.configuration, change
+            )
+    version = state.configuration.version
+    made: list[effects.Effect] = [effects.ReplyConfig(event.ticket, version)]
+    if version > before:
+        made.append(announce_now(state, now))
+    return made
+
+
 def drain(
     state: agent.AgentState,
     event: events.DrainRequested,
@@ -221,5 +241,6 @@
     events.WorkerReported: take_worker_report,
     events.WorkerAnswered: take_worker_answer,
     events.ConfigPushed: take_configuration,
+    events.ChangesPushed: take_changes,
     events.TimerFired: fire_timer,
 }
--- a/src/gypsumhold/decisions/changes.py
+++ b/src/gypsumhold/decisions/changes.py
@@ -186,9 +186,24 @@
     if member.pushed_at is not None and now < member.pushed_at + PUSH_PAUSE:
         return []
     member.pushed_at = now
-    return [
-        effects.PushConfig(member.instance, member.address, state.configuration)
-    ]
+    return [_build_push(state, member)]
+
+
+def _build_push(
+    state: entry.EntryState, member: roster.Member
+) -> effects.Effect:
+    """Sends only what is missing, if the kept changes reach back that far.
+
+    With 390 organisations the whole configuration is about a hundred times
+    the size of one change, too much for each of 18,000 changes a day.
+    """
+    version = member.announcement.config_version
+    missing = tuple(item for item in state.changes if item.version > version)
+    if version and missing and missing[0].version == version + 1:
+        return effects.PushChanges(member.instance, member.address, missing)
+    return effects.PushConfig(
+        member.instance, member.address, state.configuration
+    )
 
 
 def _read_from(
--- a/src/gypsumhold/model/effects.py
+++ b/src/gypsumhold/model/effects.py
@@ -145,6 +145,16 @@
     owner: str = NO_OWNER
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PushChanges:
+    """Sends the changes that an agent lacks; brings ConfigPushAnswered."""
+
+    instance: ids.InstanceId
+    address: members.Address
+    changes: tuple[declarations.Change, ...]
+    owner: str = NO_OWNER
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadPeerConfig:
     """Asks an agent for its configuration; brings PeerConfigRead."""
@@ -277,6 +287,7 @@
     | SendStarts
     | SendSync
     | PushConfig
+    | PushChanges
     | ReadPeerConfig
     | CallUpstream
     | ReplyDispatch
--- a/src/gypsumhold/model/events.py
+++ b/src/gypsumhold/model/events.py
@@ -269,6 +269,14 @@
     configuration: declarations.Configuration
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangesPushed:
+    """An entry sent changes of the configuration, in order."""
+
+    ticket: ids.TicketId
+    changes: tuple[declarations.Change, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainRequested:
     """An operator or the platform wants the instance to be left alone."""
@@ -331,6 +339,7 @@
     | WorkerReported
     | WorkerAnswered
     | ConfigPushed
+    | ChangesPushed
     | DrainRequested
     | TimerFired
 )
--- a/tests/contracts/test_peers.py
+++ b/tests/contracts/test_peers.py
@@ -65,6 +65,7 @@
     agent.start_tasks.return_value = (True, False)
     agent.sync_tasks.return_value = tasks.SyncReply(True)
     agent.push_config.return_value = 5
+    agent.push_changes.return_value = 6
     agent.read_config.return_value = declarations.EMPTY
     return agent
 
@@ -134,6 +135,8 @@
     assert client.start_tasks(address, STARTS) == (True, False)
     assert client.sync_tasks(address, SYNC) == tasks.SyncReply(True)
     assert client.push_config(address, declarations.EMPTY) == 5
+    change = declarations.Change(6)
+    assert client.push_changes(address, (change,)) == 6
     assert client.read_config(address) == declarations.EMPTY
     assert client.drain(address)
     assert rig.agent.mock_calls == [
@@ -142,6 +145,7 @@
         mock.call.start_tasks(STARTS),
         mock.call.sync_tasks(SYNC),
         mock.call.push_config(declarations.EMPTY),
+        mock.call.push_changes((change,)),
         mock.call.read_config(),
         mock.call.drain(),
     ]
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -678,6 +678,24 @@
             answer,
         )
 
+    def _push_changes(
+        self, caller: Process, effect: effects.PushChanges
+    ) -> None:
+        def answer(version: ids.ConfigVersion | None) -> events.Event:
+            return events.ConfigPushAnswered(effect.instance, version)
+
+        self._call_peer(
+            Kind.PUSH,
+            caller,
+            effect.address,
+            lambda ticket: (
+                ticket,
+                events.ChangesPushed(ticket, effect.changes),
+            ),
+            lambda _: answer(None),
+            answer,
+        )
+
     def _read_peer(
         self, caller: Process, effect: effects.ReadPeerConfig
     ) -> None:
@@ -944,6 +962,7 @@
     effects.SendStarts: World._send_starts,
     effects.SendSync: World._send_sync,
     effects.PushConfig: World._push,
+    effects.PushChanges: World._push_changes,
     effects.ReadPeerConfig: World._read_peer,
     effects.CallUpstream: World._call_upstream,
     effects.ReplyDispatch: World._reply_other,
