Park a task that fails again where it failed before

A task that had failed on one worker while the others were quarantined was placed on the same worker each second. Its failure there counted for neither side: the task already had this worker in its list, and the worker saw no unrelated task fail. The task was started 905 times in 900 s.

Ruled out: the pauses of quarantined workers, which double as intended.

It is placed on such a worker only if no other takes it, so a second failure there exhausts the workers that can be tried.

--- a/src/gypsumhold/decisions/blame.py
+++ b/src/gypsumhold/decisions/blame.py
@@ -100,11 +100,13 @@
         queues.propose(state, partition, failed)
         return
     failed_on = row.failed_on
-    if blamed and row.instance not in failed_on:
+    # It is only placed again where it failed if no other worker takes it.
+    exhausted = row.instance in failed_on
+    if blamed and not exhausted:
         failed_on = (*failed_on, row.instance)
     limit = template.max_failures if template else 1
     row = dataclasses.replace(row, failed_on=failed_on)
-    if len(failed_on) >= min(limit, max(1, len(state.members))):
+    if exhausted or len(failed_on) >= min(limit, max(1, len(state.members))):
         placements.park(
             state,
             partition,
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -276,6 +276,7 @@
         self.scripts: list[tuple[Kind, Mishap, datetime.timedelta]] = []
         self.flying: dict[Trip, None] = {}
         self.cut: set[tuple[str, str]] = set()
+        self.broken = False
         self.entries: list[Process] = []
         self.instances: list[Instance] = []
         self.processes: dict[members.Address, Process] = {}
@@ -358,9 +359,17 @@
         end = self.now + delay
         while self._heap and self._heap[0][0] <= end:
             self.now, _, run = heapq.heappop(self._heap)
-            run()
+            self._guard(run)
         self.now = end
 
+    def _guard(self, run: Callable[[], None]) -> None:
+        """Notes a failed check, after which the world makes no sense."""
+        try:
+            run()
+        except BaseException:
+            self.broken = True
+            raise
+
     # Processes.
 
     def feed(self, process: Process, event: events.Event) -> None:
@@ -370,6 +379,9 @@
         if process.paused:
             process.inbox.append(event)
             return
+        self._guard(lambda: self._reduce(process, event))
+
+    def _reduce(self, process: Process, event: events.Event) -> None:
         now = self.now + process.offset
         self.oracle.see_event(process.name, event)
         made = reducer.reduce(process.state, event, now)
