Go on with syncs while a batch is in doubt

While a batch of a partition was in doubt, the check for lapsed leases added a lease to the largest representable instant, which raised OverflowError as soon as an instance with a task was not serving. The event had already taken the sync timer, so this entry never synced or renewed a lease again.

Ruled out: a timer lost by the world's pauses and restarts; the trace has none of them.

The partition is now skipped before the instant is computed.

--- a/src/gypsumhold/decisions/syncs.py
+++ b/src/gypsumhold/decisions/syncs.py
@@ -232,14 +232,14 @@
         member = state.members.get(row.instance) if row.instance else None
         if member is not None and dispatches.is_serving(state, member, now):
             continue
+        if partition.settled_at == datetime.timedelta.max:
+            continue
         lease = queues.find_lease(state, row)
         # After an outage of the table the count starts again, so that it
         # does not end in a wave of reassignments.
         settled = max(record.granted_until, partition.settled_at + lease)
         if partition.settled_at == datetime.timedelta(0):
             settled = record.granted_until
-        if partition.settled_at == datetime.timedelta.max:
-            continue
         if now > settled + CLOCK_MARGIN * lease:
             blame.lose_placement(state, partition, record)
 
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -11,7 +11,9 @@
     requests,
     states,
     tasks,
+    timers,
 )
+from gypsumhold_standin import store
 
 SECOND = datetime.timedelta(seconds=1)
 ALPHA = world.ORGANISATIONS[0]
@@ -144,3 +146,23 @@
     assert {item.state for item in found.oracle.tasks.values()} == {
         states.TaskState.PARKED
     }
+
+
+def test_syncs_go_on_while_the_table_is_down_and_an_instance_is_silent() -> (
+    None
+):
+    """Guards against a sync timer that is lost with a failing event."""
+    found = start_world()
+    holder = find_holder(found)
+    submit(found, holder, "k")
+    found.advance(2 * SECOND)
+    row = next(iter(found.oracle.tasks.values()))
+    silent = next(
+        item for item in found.instances if item.agent.name == row.instance
+    )
+    found.kill(silent.agent)
+    down = store.SetFault(store.Fault.DOWN)
+    store.set_fault(found.store, down)
+    found.advance(20 * SECOND)
+    sync = timers.Timer(timers.TimerKind.SYNC)
+    assert sync in holder.due
