--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 import types
+from collections.abc import Callable
 
 import cluster_settings
 import urllib3
@@ -48,12 +49,14 @@
         shape: Size of the deployment.
         directory: Where settings and logs go; None uses a temporary directory
             that is removed at the end.
+        revise: Changes the planned settings before they are written.
     """
 
     def __init__(
         self,
         shape: cluster_settings.Shape,
         directory: pathlib.Path | None = None,
+        revise: Callable[[cluster_settings.Plan], None] | None = None,
     ) -> None:
         self._directory = directory
         self._stack = contextlib.ExitStack()
@@ -62,6 +65,8 @@
             cluster_settings.Member, subprocess.Popen[bytes]
         ] = {}
         self._plan = cluster_settings.plan_settings(shape)
+        if revise is not None:
+            revise(self._plan)
         self._pause = threading.Event()
 
     def __enter__(self) -> "Cluster":
@@ -109,6 +114,14 @@
             cluster_settings.Member(cluster_settings.Role.UPSTREAM, index)
         ].url
 
+    def name_url(self, member: cluster_settings.Member) -> str:
+        """Returns the base URL of a process's health route."""
+        return self._plan.health[member].url
+
+    def read_pid(self, member: cluster_settings.Member) -> int:
+        """Returns the process id of a member."""
+        return self._processes[member].pid
+
     @property
     def ctl_settings(self) -> pathlib.Path:
         """Settings file of gypsumctl."""
--- a/tools/cluster_settings.py
+++ b/tools/cluster_settings.py
@@ -43,6 +43,7 @@
         accelerators: Accelerators of each worker.
         tuning: Optional tuning of the entries.
         agent_tuning: Optional tuning of the agents.
+        policies: Policies of the entries and agents.
     """
 
     entries: int = 2
@@ -57,6 +58,7 @@
     accelerators: int = 1
     tuning: tuple[tuple[str, Any], ...] = ()
     agent_tuning: tuple[tuple[str, Any], ...] = ()
+    policies: str = "standard"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -158,6 +160,7 @@
         "max_body_bytes": MAX_BODY_BYTES,
         "caller_threads": CALLER_THREADS,
         "log": {"json": True, "level": "info"},
+        "policies": shape.policies,
     }
     if shape.tuning:
         document["tuning"] = dict(shape.tuning)
@@ -185,6 +188,7 @@
         "deployment_key": DEPLOYMENT_KEY,
         "max_body_bytes": MAX_BODY_BYTES,
         "log": {"json": True, "level": "info"},
+        "policies": shape.policies,
     }
     if shape.agent_tuning:
         document["tuning"] = dict(shape.agent_tuning)
