--- a/src/gypsumhold_standin/routes.py
+++ b/src/gypsumhold_standin/routes.py
@@ -30,12 +30,17 @@
         count: Operations that it concerns; null until the next change.
         slow_ms: Delay with the fault `slow`.
         draining: Whether the upstream says that it is leaving.
+        service_percent: Service time of the upstream, 100 as configured.
+        writes_per_s: Transactions that the table takes in a second; null for
+            no limit.
     """
 
     fault: str
     count: wire.Whole | None = None
     slow_ms: wire.Whole = 1000
     draining: bool = False
+    service_percent: wire.Whole = 100
+    writes_per_s: wire.Whole | None = None
 
 
 def parse_route(payload: requests.Payload) -> Route:
--- a/src/gypsumhold_standin/store.py
+++ b/src/gypsumhold_standin/store.py
@@ -6,6 +6,7 @@
 
 import bisect
 import dataclasses
+import datetime
 import enum
 import itertools
 from collections.abc import Iterator
@@ -142,6 +143,9 @@
         objects: Present objects.
         fault: What goes wrong.
         fault_count: Operations that the fault still concerns; None for all.
+        write_interval: Time between the turns of two transactions; zero for
+            no limit.
+        next_turn: Earliest instant of the next transaction's turn.
     """
 
     table: dict[ids.RowKey, rows.Row] = dataclasses.field(default_factory=dict)
@@ -152,6 +156,21 @@
     objects: dict[str, bytes] = dataclasses.field(default_factory=dict)
     fault: Fault = Fault.NONE
     fault_count: int | None = None
+    write_interval: datetime.timedelta = datetime.timedelta(0)
+    next_turn: datetime.timedelta = datetime.timedelta(0)
+
+
+def limit_writes(store: Store, writes_per_s: int | None) -> None:
+    """Lets transactions wait their turn; None or zero lifts the limit."""
+    second = datetime.timedelta(seconds=1)
+    store.write_interval = second / writes_per_s if writes_per_s else 0 * second
+
+
+def take_turn(store: Store, now: datetime.timedelta) -> datetime.timedelta:
+    """Returns how long a transaction that arrives now waits for its turn."""
+    turn = max(now, store.next_turn)
+    store.next_turn = turn + store.write_interval
+    return turn - now
 
 
 def set_fault(store: Store, script: SetFault) -> None:
--- a/src/gypsumhold_standin/storeservice.py
+++ b/src/gypsumhold_standin/storeservice.py
@@ -2,6 +2,7 @@
 
 import datetime
 import threading
+import time
 from collections.abc import Callable
 
 from returns.result import Result
@@ -51,6 +52,7 @@
         with self._lock:
             self._slow = datetime.timedelta(milliseconds=document.slow_ms)
             store.set_fault(self._store, script)
+            store.limit_writes(self._store, document.writes_per_s)
         return routes.answer_json({})
 
     def _serve_table(
@@ -68,11 +70,19 @@
                 return routes.answer_not_found(route)
 
     def _transact(self, body: bytes) -> Result[web.Response, errors.Error]:
+        self._wait_turn()
         document = wire.read_json(body, "transaction")
         return document.bind(rowcodec.read_transaction).map(
             lambda item: self._run(store.Commit(item), _answer_commit)
         )
 
+    def _wait_turn(self) -> None:
+        now = datetime.timedelta(seconds=time.monotonic())
+        with self._lock:
+            left = store.take_turn(self._store, now)
+        if left:
+            self._pause(left)
+
     def _serve_objects(
         self, route: routes.Route, name: str, body: bytes
     ) -> web.Response:
--- a/src/gypsumhold_standin/upstream.py
+++ b/src/gypsumhold_standin/upstream.py
@@ -86,7 +86,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Upstream:
-    """State of an upstream; `peak` is the highest busy count so far."""
+    """State of an upstream.
+
+    `peak` is the highest busy count so far. `service_percent` stretches the
+    service time, as a noisy neighbour on the worker does.
+    """
 
     options: Options
     generator: random.Random
@@ -95,6 +99,7 @@
     draining: bool = False
     seen: list[Seen] = dataclasses.field(default_factory=list)
     fault: Fault = Fault.NONE
+    service_percent: int = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -178,7 +183,7 @@
 def _choose_delay(
     upstream: Upstream, named: dict[str, str], slow: datetime.timedelta
 ) -> datetime.timedelta:
-    mean = upstream.options.service
+    mean = upstream.options.service * upstream.service_percent / 100
     service = mean * upstream.generator.uniform(0.5, 1.5)
     asked = named.get(DELAY_HEADER, "")
     if asked.isdecimal() and len(asked) <= MAX_DELAY_DIGITS:
--- a/src/gypsumhold_standin/upstreamservice.py
+++ b/src/gypsumhold_standin/upstreamservice.py
@@ -70,6 +70,7 @@
             self._slow = datetime.timedelta(milliseconds=document.slow_ms)
             self._upstream.fault = upstream.Fault(document.fault)
             self._upstream.draining = document.draining
+            self._upstream.service_percent = document.service_percent
         return routes.answer_json({})
 
     def _list_seen(self) -> web.Response:
--- a/tests/contracts/test_platform.py
+++ b/tests/contracts/test_platform.py
@@ -329,3 +329,17 @@
     """Guards against bodies in another alphabet than the page names."""
     body = rowcodec.render_row(rows.Row(KEY, 1, "op", CLAIM))["value"]
     assert base64.b64decode(body["answer"]["body"]) == bytes(range(256))
+
+
+def test_limited_transactions_wait_their_turn() -> None:
+    """Guards against a limit that saves up turns while the table is idle."""
+    second = datetime.timedelta(seconds=1)
+    limited = store.Store()
+    assert store.take_turn(limited, second) == 0 * second
+    store.limit_writes(limited, 4)
+    waits = [store.take_turn(limited, 10 * second) for _ in range(3)]
+    assert waits == [0 * second, second / 4, second / 2]
+    assert store.take_turn(limited, 20 * second) == 0 * second
+    store.limit_writes(limited, None)
+    assert store.take_turn(limited, 20 * second) == second / 4
+    assert store.take_turn(limited, 21 * second) == 0 * second
--- a/tools/cluster_settings.py
+++ b/tools/cluster_settings.py
@@ -129,6 +129,11 @@
         return [Address(item.getsockname()[1]) for item in sockets]
 
 
+def choose_port() -> int:
+    """Returns a TCP port that was free at the time of the call."""
+    return _choose_addresses(1, socket.SOCK_STREAM)[0].port
+
+
 def _name_place(shape: Shape, index: int) -> dict[str, str]:
     return {
         "data_centre": f"dc-{index % shape.data_centres}",
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -100,7 +100,7 @@
             running.wait_ready(member)
     for _ in range(CONFIG_ATTEMPTS):
         done = running.run_ctl("status", "--check", "--json")
-        if done.returncode == 0 and _count_serving(done.stdout) == len(
+        if done.returncode == 0 and count_serving(done.stdout) == len(
             running.list_members(cluster_settings.Role.AGENT)
         ):
             run_ctl(running, "status")
@@ -111,7 +111,7 @@
     )
 
 
-def _count_serving(text: str) -> int:
+def count_serving(text: str) -> int:
     """Returns the fewest serving instances that any entry reports."""
     counts = [
         sum(
