--- a/tools/load.py
+++ b/tools/load.py
@@ -13,6 +13,7 @@
 import load_stats
 
 OUTCOME = "Gypsumhold-Outcome"
+REASON = "Gypsumhold-Reason"
 TIMEOUT_S = 30.0
 
 
@@ -63,7 +64,8 @@
             return False, type(problem).__name__
         outcome = response.headers.get(OUTCOME, "completed")
         good = response.status == 200 and outcome == "completed"
-        return good, outcome if good else f"{outcome} {response.status}"
+        reason = response.headers.get(REASON, str(response.status))
+        return good, outcome if good else f"{outcome}: {reason}"
 
     def _connect(self, url: str) -> http.client.HTTPConnection:
         connection = self._connections.get(url)
--- a/tools/load_stats.py
+++ b/tools/load_stats.py
@@ -1,9 +1,12 @@
 """Percentiles, rates and ratios of measured requests."""
 
+import collections
 import dataclasses
 import math
 from collections.abc import Sequence
 
+SHOWN_FAILURES = 2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
@@ -33,6 +36,7 @@
         p50_ms: Median latency of completed requests.
         p99_ms: 99th percentile.
         p999_ms: 99.9th percentile.
+        failures: Most frequent outcomes of the others, with their numbers.
     """
 
     offered: int
@@ -41,12 +45,18 @@
     p50_ms: float
     p99_ms: float
     p999_ms: float
+    failures: tuple[tuple[str, int], ...] = ()
 
     @property
     def goodput(self) -> float:
         """Share of the offered requests that were completed."""
         return self.completed / self.offered if self.offered else math.nan
 
+    @property
+    def explanation(self) -> str:
+        """The most frequent failures as text."""
+        return ", ".join(f"{count} {name}" for name, count in self.failures)
+
 
 def find_percentile(values: Sequence[float], percent: float) -> float:
     """Returns the nearest-rank percentile; NaN without values."""
@@ -60,6 +70,9 @@
 
 def summarise(samples: Sequence[Sample], seconds: float) -> Summary:
     """Returns the figures of a stream that was offered for `seconds`."""
+    failures = collections.Counter(
+        item.outcome for item in samples if not item.completed
+    )
     latencies = [item.latency_s * 1000 for item in samples if item.completed]
     return Summary(
         offered=len(samples),
@@ -68,6 +81,7 @@
         p50_ms=find_percentile(latencies, 50),
         p99_ms=find_percentile(latencies, 99),
         p999_ms=find_percentile(latencies, 99.9),
+        failures=tuple(failures.most_common(SHOWN_FAILURES)),
     )
 
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 import measure_floods
+import measure_interference
 import measure_overhead
 import measure_report
 import measure_routing
@@ -23,6 +24,7 @@
     "floods": measure_floods.measure,
     "routing": measure_routing.measure,
     "starts": measure_starts.measure,
+    "interference": measure_interference.measure,
 }
 
 
--- a/tools/measure_setup.py
+++ b/tools/measure_setup.py
@@ -1,10 +1,11 @@
 """What the measurements share: declarations, headers, scripted faults."""
 
+import contextlib
 import json
 import pathlib
 import tempfile
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import cluster
@@ -15,12 +16,31 @@
 
 SEED = 20
 SETTLE_S = 1.5
+STARTS = 3
 POLICIES = ("standard", "baseline")
 Member = cluster_settings.Member
 Role = cluster_settings.Role
 _HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
 
 
+@contextlib.contextmanager
+def run_cluster(shape: cluster_settings.Shape) -> Iterator[cluster.Cluster]:
+    """Runs a deployment.
+
+    Ports are chosen before the processes bind them, so another program may
+    take one in between; the start is repeated then.
+    """
+    with contextlib.ExitStack() as stack:
+        for left in reversed(range(STARTS)):
+            try:
+                running = stack.enter_context(cluster.Cluster(shape))
+                break
+            except cluster.NotReadyError:
+                if not left:
+                    raise
+        yield running
+
+
 def request_kind(name: str, work_class: str, timeout_ms: int) -> dict[str, Any]:
     """Returns the template of a kind of requests."""
     return {
--- a/tools/measure_starts.py
+++ b/tools/measure_starts.py
@@ -97,7 +97,7 @@
         memory_mb=10**6,
         tuning=(("batch_rows", batch_rows),),
     )
-    with cluster.Cluster(shape) as running:
+    with measure_setup.run_cluster(shape) as running:
         measure_setup.apply(
             running,
             [measure_setup.task_kind("job", 100, 100)],
