--- a/tools/cluster_settings.py
+++ b/tools/cluster_settings.py
@@ -43,6 +43,7 @@
         accelerators: Accelerators of each worker.
         tuning: Optional tuning of the entries.
         agent_tuning: Optional tuning of the agents.
+        policies: Policies of the entries and agents.
     """
 
     entries: int = 2
@@ -57,6 +58,7 @@
     accelerators: int = 1
     tuning: tuple[tuple[str, Any], ...] = ()
     agent_tuning: tuple[tuple[str, Any], ...] = ()
+    policies: str = "standard"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +129,11 @@
         return [Address(item.getsockname()[1]) for item in sockets]
 
 
+def choose_port() -> int:
+    """Returns a TCP port that was free at the time of the call."""
+    return _choose_addresses(1, socket.SOCK_STREAM)[0].port
+
+
 def _name_place(shape: Shape, index: int) -> dict[str, str]:
     return {
         "data_centre": f"dc-{index % shape.data_centres}",
@@ -158,6 +165,7 @@
         "max_body_bytes": MAX_BODY_BYTES,
         "caller_threads": CALLER_THREADS,
         "log": {"json": True, "level": "info"},
+        "policies": shape.policies,
     }
     if shape.tuning:
         document["tuning"] = dict(shape.tuning)
@@ -185,6 +193,7 @@
         "deployment_key": DEPLOYMENT_KEY,
         "max_body_bytes": MAX_BODY_BYTES,
         "log": {"json": True, "level": "info"},
+        "policies": shape.policies,
     }
     if shape.agent_tuning:
         document["tuning"] = dict(shape.agent_tuning)
