--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,146 @@
+"""One deployment for all tests on processes, repaired after each test."""
+
+import json
+import pathlib
+from collections.abc import Iterator
+
+import cluster
+import cluster_settings
+import pytest
+
+from tests.processes import load
+
+Role = cluster_settings.Role
+
+SLOTS = 4
+MAX_DEADLINE_MS = 8000
+PARTITION_LEASE_MS = 2500
+LEASE_S = 5
+"""Shortest task lease that a template may declare."""
+
+DECLARATIONS = {
+    "templates": [
+        {"name": load.REPEATABLE, "work": "request", "class": "urgent"},
+        {
+            "name": load.ONCE,
+            "work": "request",
+            "class": "standard",
+            "repeatable": False,
+        },
+        {
+            "name": load.TASK,
+            "work": "task",
+            "class": "batch",
+            "cpu_millis": 500,
+            "memory_mb": 500,
+            "lease_s": LEASE_S,
+        },
+    ],
+    "organisations": [
+        {
+            "name": load.ORGANISATION,
+            "quota": {
+                "cpu_millis": 64_000,
+                "memory_mb": 250_000,
+                "accelerators": 4,
+            },
+            "queue_limit": 128,
+            "kinds": {load.REPEATABLE: {}, load.ONCE: {}, load.TASK: {}},
+        }
+    ],
+}
+
+
+@pytest.fixture(scope="session")
+def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[cluster.Cluster]:
+    """Runs the deployment with its configuration in force."""
+    directory = tmp_path_factory.mktemp("cluster")
+    shape = cluster_settings.Shape(
+        kinds=(load.REPEATABLE, load.ONCE),
+        slots=SLOTS,
+        service_ms=60,
+        tuning=(
+            ("max_deadline_ms", MAX_DEADLINE_MS),
+            ("partition_lease_ms", PARTITION_LEASE_MS),
+            ("partition_poll_ms", 300),
+            ("sync_interval_ms", 1000),
+        ),
+        agent_tuning=(("max_deadline_ms", MAX_DEADLINE_MS),),
+    )
+    with cluster.Cluster(shape, directory) as running:
+        declarations = directory / "declarations.json"
+        declarations.write_text(json.dumps(DECLARATIONS))
+        apply(running, declarations)
+        repair(running)
+        yield running
+
+
+def apply(running: cluster.Cluster, path: pathlib.Path) -> None:
+    """Applies declarations.
+
+    Raises:
+        AssertionError: They were not accepted.
+    """
+    done = running.run_ctl(
+        "apply", "--comment", "tests", "--author", "tests", str(path)
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+
+
+def repair(running: cluster.Cluster) -> None:
+    """Starts what has ended, ends every fault, waits until all serve."""
+    client = load.Client(running)
+    members = [
+        member
+        for role in cluster.START_ORDER
+        for member in running.list_members(role)
+    ]
+    for member in members:
+        if running.is_running(member):
+            running.thaw(member)
+        else:
+            running.restart(member)
+    for member in members:
+        running.wait_ready(member)
+        if member.role in (Role.PLATFORM, Role.WORKER, Role.UPSTREAM):
+            client.set_fault(member.role, member.index)
+    wait_serving(running)
+
+
+def wait_serving(running: cluster.Cluster) -> None:
+    """Waits until every entry reports every agent as serving, up to date."""
+    wanted = len(running.list_members(Role.AGENT))
+
+    def check() -> bool:
+        done = running.run_ctl("status", "--check", "--json")
+        if done.returncode != 0:
+            return False
+        return all(
+            sum(
+                item["state"] == "serving"
+                for item in report["answer"]["instances"]
+            )
+            == wanted
+            for report in json.loads(done.stdout)
+        )
+
+    load.attempt_until(check, "not every agent serves")
+
+
+@pytest.fixture
+def running(deployment: cluster.Cluster) -> Iterator[cluster.Cluster]:
+    """The deployment in good order, and its record of slots checked."""
+    yield deployment
+    repair(deployment)
+    client = load.Client(deployment)
+    for member in deployment.list_members(Role.UPSTREAM):
+        seen = client.read_seen(Role.UPSTREAM, member.index)
+        assert seen["peak_busy"] <= SLOTS, "more calls at once than slots"
+
+
+@pytest.fixture
+def client(running: cluster.Cluster) -> load.Client:
+    """Calls the deployment."""
+    return load.Client(running)
--- /dev/null
+++ b/tests/processes/test_deaths.py
@@ -0,0 +1,62 @@
+"""Processes that die under load."""
+
+import cluster
+import cluster_settings
+
+from tests.processes import load
+
+Member = cluster_settings.Member
+Role = cluster_settings.Role
+
+TASKS = 8
+TASK_RUN_MS = 1500
+
+
+def submit_tasks(client: load.Client, tag: str) -> list[str]:
+    """Submits the tasks of a test."""
+    return [
+        client.submit(f"{tag}-{number}", TASK_RUN_MS) for number in range(TASKS)
+    ]
+
+
+def check_tasks(client: load.Client, task_ids: list[str]) -> None:
+    """Waits for the tasks; each has to succeed after one whole run."""
+    ended = client.wait_tasks(task_ids)
+    assert set(ended.values()) == {"succeeded"}, ended
+    assert load.find_task_overlaps(client, ended, TASK_RUN_MS) == []
+
+
+def test_agent_dies_under_load(
+    running: cluster.Cluster, client: load.Client
+) -> None:
+    """Guards against lost, repeated or misreported requests of a dead agent.
+
+    The upstream still runs the dead agent's calls when the new agent starts;
+    the slots that they hold must not be handed out (checked by the fixture).
+    """
+    task_ids = submit_tasks(client, "agent-dies")
+    with load.Load(client, "agent-dies", threads=24, delay_ms=900) as work:
+        work.wait_more(24)
+        running.kill(Member(Role.AGENT, 0))
+        running.restart(Member(Role.AGENT, 0))
+        work.wait_more(48)
+    assert load.find_violations(client, work.ended) == []
+    check_tasks(client, task_ids)
+
+
+def test_entry_dies_under_load(
+    running: cluster.Cluster, client: load.Client
+) -> None:
+    """Guards against tasks and claimed keys that end with their entry."""
+    task_ids = submit_tasks(client, "entry-dies")
+    with load.Load(client, "entry-dies", delay_ms=300) as work:
+        work.wait_more(16)
+        running.kill(Member(Role.ENTRY, 0))
+        task_ids += [client.submit("entry-dies-late", TASK_RUN_MS)]
+        work.wait_more(48)
+    broken = [item for item in work.ended if item.request.key]
+    broken = [item for item in broken if item.answers[0].outcome == load.BROKEN]
+    assert broken, "no claimed request was in progress at the dead entry"
+    found = load.find_violations(client, work.ended, killed_entries=True)
+    assert found == []
+    check_tasks(client, task_ids)
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -10,6 +10,7 @@
 import tempfile
 import threading
 import types
+from collections.abc import Callable
 
 import cluster_settings
 import urllib3
@@ -48,12 +49,14 @@
         shape: Size of the deployment.
         directory: Where settings and logs go; None uses a temporary directory
             that is removed at the end.
+        revise: Changes the planned settings before they are written.
     """
 
     def __init__(
         self,
         shape: cluster_settings.Shape,
         directory: pathlib.Path | None = None,
+        revise: Callable[[cluster_settings.Plan], None] = lambda _: None,
     ) -> None:
         self._directory = directory
         self._stack = contextlib.ExitStack()
@@ -62,6 +65,7 @@
             cluster_settings.Member, subprocess.Popen[bytes]
         ] = {}
         self._plan = cluster_settings.plan_settings(shape)
+        revise(self._plan)
         self._pause = threading.Event()
 
     def __enter__(self) -> "Cluster":
@@ -105,9 +109,17 @@
 
     def name_upstream_url(self, index: int) -> str:
         """Returns the base URL of an upstream stand-in."""
-        return self._plan.health[
+        return self.name_health_url(
             cluster_settings.Member(cluster_settings.Role.UPSTREAM, index)
-        ].url
+        )
+
+    def name_health_url(self, member: cluster_settings.Member) -> str:
+        """Returns the base URL at which a process answers `/health`."""
+        return self._plan.health[member].url
+
+    def is_running(self, member: cluster_settings.Member) -> bool:
+        """Tells whether a process has not ended; a frozen one has not."""
+        return self._processes[member].poll() is None
 
     @property
     def ctl_settings(self) -> pathlib.Path:
