--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,5 +1,6 @@
 """One deployment for all tests on processes, repaired after each test."""
 
+import contextlib
 import json
 import pathlib
 from collections.abc import Iterator
@@ -8,10 +9,14 @@
 import cluster_settings
 import pytest
 
-from tests.processes import load
+from gypsumhold.model import members
+from tests.processes import forwarder, load
 
 Role = cluster_settings.Role
 
+CUT_AGENT = cluster_settings.Member(Role.AGENT, 2)
+"""The agent behind the forwarder; it alone serves the kinds of cuts."""
+
 SLOTS = 4
 MAX_DEADLINE_MS = 8000
 PARTITION_LEASE_MS = 2500
@@ -20,13 +25,19 @@
 
 DECLARATIONS = {
     "templates": [
-        {"name": load.REPEATABLE, "work": "request", "class": "urgent"},
-        {
-            "name": load.ONCE,
-            "work": "request",
-            "class": "standard",
-            "repeatable": False,
-        },
+        *(
+            {"name": name, "work": "request", "class": "urgent"}
+            for name in (load.REPEATABLE, load.CUT)
+        ),
+        *(
+            {
+                "name": name,
+                "work": "request",
+                "class": "standard",
+                "repeatable": False,
+            }
+            for name in (load.ONCE, load.CUT_ONCE)
+        ),
         {
             "name": load.TASK,
             "work": "task",
@@ -45,15 +56,61 @@
                 "accelerators": 4,
             },
             "queue_limit": 128,
-            "kinds": {load.REPEATABLE: {}, load.ONCE: {}, load.TASK: {}},
+            "kinds": {
+                name: {}
+                for name in (
+                    load.REPEATABLE,
+                    load.ONCE,
+                    load.CUT,
+                    load.CUT_ONCE,
+                    load.TASK,
+                )
+            },
         }
     ],
 }
 
 
+class Links:
+    """Puts a forwarder in front of the last agent when settings are made."""
+
+    def __init__(self) -> None:
+        self.stack = contextlib.ExitStack()
+        self.forwarder: forwarder.Forwarder | None = None
+
+    def revise(self, plan: cluster_settings.Plan) -> None:
+        """Has the last agent announce itself through the forwarder."""
+        document = plan.documents[f"{CUT_AGENT}.json"]
+        made = forwarder.Forwarder(
+            members.Address(**document["peers"]),
+            tuple(
+                members.Address(cluster_settings.HOST, item.port)
+                for item in plan.announcements
+            ),
+        )
+        self.stack.callback(made.close)
+        self.forwarder = made
+        told = {
+            "host": made.announcements.host,
+            "port": made.announcements.port,
+        }
+        document["entries"] = [{**told, "region": cluster_settings.REGION}]
+        upstream = cluster_settings.Member(Role.UPSTREAM, CUT_AGENT.index)
+        kinds = plan.documents[f"{upstream}.json"]["kinds"]
+        kinds += [load.CUT, load.CUT_ONCE]
+
+
+@pytest.fixture(scope="session")
+def links() -> Iterator[Links]:
+    """Owns the forwarder."""
+    made = Links()
+    with made.stack:
+        yield made
+
+
 @pytest.fixture(scope="session")
 def deployment(
-    tmp_path_factory: pytest.TempPathFactory,
+    tmp_path_factory: pytest.TempPathFactory, links: Links
 ) -> Iterator[cluster.Cluster]:
     """Runs the deployment with its configuration in force."""
     directory = tmp_path_factory.mktemp("cluster")
@@ -69,7 +126,7 @@
         ),
         agent_tuning=(("max_deadline_ms", MAX_DEADLINE_MS),),
     )
-    with cluster.Cluster(shape, directory) as running:
+    with cluster.Cluster(shape, directory, links.revise) as running:
         declarations = directory / "declarations.json"
         declarations.write_text(json.dumps(DECLARATIONS))
         apply(running, declarations)
@@ -103,9 +160,11 @@
         else:
             running.restart(member)
     for member in members:
-        running.wait_ready(member)
+        # A faulty upstream does not answer its health route either.
         if member.role in (Role.PLATFORM, Role.WORKER, Role.UPSTREAM):
             client.set_fault(member.role, member.index)
+    for member in members:
+        running.wait_ready(member)
     wait_serving(running)
 
 
--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -5,6 +5,7 @@
 import dataclasses
 import itertools
 import threading
+import zlib
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
@@ -15,6 +16,8 @@
 ORGANISATION = "print-house"
 REPEATABLE = "sketch"
 ONCE = "plate"
+CUT = "sketch-cut"
+CUT_ONCE = "plate-cut"
 TASK = "watch"
 BROKEN = "broken"
 """The connection broke after it was established."""
@@ -24,6 +27,7 @@
 
 FINAL = frozenset({"completed", "not-run", "indeterminate"})
 FINAL_STATES = frozenset({"succeeded", "failed", "cancelled", "parked"})
+PARTITIONS = 16
 ATTEMPTS = 100
 PAUSE_S = 0.25
 READ_TIMEOUT_S = 30.0
@@ -143,8 +147,8 @@
             response.data,
         )
 
-    def run(self, first: int, request: Request) -> Ended:
-        """Calls as a client behind a balancer: until the outcome is known.
+    def run(self, entries: Sequence[int], request: Request) -> Ended:
+        """Calls the entries in turn until the outcome is known.
 
         A broken call of a repeatable request ends there: a repeat would be
         another run. A request with a key is repeated under its key. After a
@@ -153,8 +157,7 @@
         """
         answers: list[Answer] = []
         for number in range(ATTEMPTS):
-            entry = (first + number) % len(self.urls)
-            answer = self.call(entry, request)
+            answer = self.call(entries[number % len(entries)], request)
             if answer.outcome == UNREACHED:
                 _pause.wait(PAUSE_S)
                 continue
@@ -172,18 +175,18 @@
         return Ended(request, tuple(answers) or (Answer(UNREACHED),))
 
     def submit(
-        self, key: str, run_ms: int, organisation: str = ORGANISATION
+        self, key: str, run_ms: int, entries: Sequence[int] = (0, 1)
     ) -> str:
-        """Submits a task through any entry until one has accepted it."""
-        entries = itertools.cycle(self.urls)
+        """Submits a task to entries in turn until one has accepted it."""
+        urls = itertools.cycle(self.urls[entry] for entry in entries)
 
         def post() -> str | None:
             try:
                 response = self.http.request(
                     "POST",
-                    f"{next(entries)}/gypsumhold/v1/tasks",
+                    f"{next(urls)}/gypsumhold/v1/tasks",
                     json={
-                        "organisation": organisation,
+                        "organisation": ORGANISATION,
                         "kind": TASK,
                         "payload": f'{{"run_ms": {run_ms}}}',
                     },
@@ -196,13 +199,13 @@
 
         return str(attempt_until(post, f"task {key} is not accepted"))
 
-    def list_tasks(self, organisation: str = ORGANISATION) -> dict[str, str]:
+    def list_tasks(self) -> dict[str, str]:
         """Returns the state of each task; empty if no entry answers."""
         for url in self.urls:
             try:
                 response = self.http.request(
                     "GET",
-                    f"{url}/gypsumhold/v1/tasks?organisation={organisation}",
+                    f"{url}/gypsumhold/v1/tasks?organisation={ORGANISATION}",
                 )
             except urllib3.exceptions.HTTPError:
                 continue
@@ -226,6 +229,26 @@
         ended: dict[str, str] = attempt_until(read, "tasks have not ended")
         return ended
 
+    def find_holder(self) -> int:
+        """Returns the entry that holds the organisation's partition."""
+        number = zlib.crc32(ORGANISATION.encode()) % PARTITIONS
+        found = self.read_rows(f"partition/{number:04d}")
+        return int(str(found[0]["value"]["holder"]).removeprefix("entry-"))
+
+    def read_epochs(self) -> dict[str, int]:
+        """Returns how often each task was placed."""
+        found = self.read_rows("task/")
+        return {row["value"]["task_id"]: row["value"]["epoch"] for row in found}
+
+    def read_rows(self, prefix: str) -> list[Any]:
+        """Reads rows of the table."""
+        platform = cluster_settings.Member(cluster_settings.Role.PLATFORM)
+        url = self._running.name_health_url(platform)
+        answer = self.http.request(
+            "GET", f"{url}/v1/table/rows?prefix={prefix}"
+        )
+        return list(answer.json()["rows"])
+
     def read_seen(self, role: cluster_settings.Role, index: int) -> Any:
         """Returns the record of a stand-in."""
         member = cluster_settings.Member(role, index)
@@ -302,7 +325,8 @@
                 key=path if once else None,
                 delay_ms=self._delay_ms,
             )
-            ended = self._client.run(number // 2, request)
+            entries = (0, 1) if number % 4 < 2 else (1, 0)
+            ended = self._client.run(entries, request)
             with self._changed:
                 self.ended.append(ended)
                 self._changed.notify_all()
@@ -364,9 +388,15 @@
 
 
 def find_task_overlaps(
-    client: Client, task_ids: Iterable[str], run_ms: int
+    client: Client, task_ids: Iterable[str], run_ms: int | None = None
 ) -> list[str]:
-    """Returns one line for each task that ran twice at once or to its end."""
+    """Returns one line for each task that ran in two places at once.
+
+    Args:
+        client: Reads the workers' records.
+        task_ids: The tasks, which have ended.
+        run_ms: If given, each task has to have run this long exactly once.
+    """
     runs = client.read_task_runs()
     found = []
     for name in task_ids:
@@ -377,8 +407,8 @@
         whole = [
             span
             for span in spans
-            if span[1] is not None and span[1] - span[0] >= run_ms
+            if run_ms and span[1] is not None and span[1] - span[0] >= run_ms
         ]
-        if len(whole) != 1:
+        if run_ms and len(whole) != 1:
             found.append(f"task {name} ran {len(whole)} times: {spans}")
     return found
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -3,8 +3,9 @@
 import cluster
 import cluster_settings
 
-from tests.processes import load
+from tests.processes import conftest, load
 
+SLOTS = conftest.SLOTS
 Member = cluster_settings.Member
 Role = cluster_settings.Role
 
@@ -34,12 +35,20 @@
     The upstream still runs the dead agent's calls when the new agent starts;
     the slots that they hold must not be handed out (checked by the fixture).
     """
+    agent = Member(Role.AGENT, 0)
     task_ids = submit_tasks(client, "agent-dies")
-    with load.Load(client, "agent-dies", threads=24, delay_ms=900) as work:
+    with load.Load(client, "agent-dies", threads=24) as work:
         work.wait_more(24)
-        running.kill(Member(Role.AGENT, 0))
-        running.restart(Member(Role.AGENT, 0))
-        work.wait_more(48)
+        client.set_fault(Role.UPSTREAM, 0, "slow", slow_ms=3000)
+        load.attempt_until(
+            lambda: client.read_seen(Role.UPSTREAM, 0)["busy"] == SLOTS,
+            "the upstream is not busy",
+        )
+        running.kill(agent)
+        running.restart(agent)
+        assert client.read_seen(Role.UPSTREAM, 0)["busy"] == SLOTS
+        client.set_fault(Role.UPSTREAM, 0)
+        work.wait_more(96)
     assert load.find_violations(client, work.ended) == []
     check_tasks(client, task_ids)
 
@@ -49,10 +58,12 @@
 ) -> None:
     """Guards against tasks and claimed keys that end with their entry."""
     task_ids = submit_tasks(client, "entry-dies")
+    holder = client.find_holder()
     with load.Load(client, "entry-dies", delay_ms=300) as work:
         work.wait_more(16)
-        running.kill(Member(Role.ENTRY, 0))
+        running.kill(Member(Role.ENTRY, holder))
         task_ids += [client.submit("entry-dies-late", TASK_RUN_MS)]
+        assert client.find_holder() != holder
         work.wait_more(48)
     broken = [item for item in work.ended if item.request.key]
     broken = [item for item in broken if item.answers[0].outcome == load.BROKEN]
