--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -137,8 +137,8 @@
             urllib3.exceptions.ConnectTimeoutError,
         ):
             return Answer(UNREACHED)
-        except urllib3.exceptions.HTTPError:
-            return Answer(BROKEN)
+        except urllib3.exceptions.HTTPError as problem:
+            return Answer(BROKEN, reason=repr(problem))
         return Answer(
             response.headers.get("Gypsumhold-Outcome", ""),
             response.status,
@@ -178,20 +178,11 @@
         self, key: str, run_ms: int, entries: Sequence[int] = (0, 1)
     ) -> str:
         """Submits a task to entries in turn until one has accepted it."""
-        urls = itertools.cycle(self.urls[entry] for entry in entries)
+        turns = itertools.cycle(entries)
 
         def post() -> str | None:
             try:
-                response = self.http.request(
-                    "POST",
-                    f"{next(urls)}/gypsumhold/v1/tasks",
-                    json={
-                        "organisation": ORGANISATION,
-                        "kind": TASK,
-                        "payload": f'{{"run_ms": {run_ms}}}',
-                    },
-                    headers={"Idempotency-Key": key},
-                )
+                response = self.post_task(next(turns), key, run_ms)
             except urllib3.exceptions.HTTPError:
                 return None
             accepted = response.status == 201
@@ -199,6 +190,21 @@
 
         return str(attempt_until(post, f"task {key} is not accepted"))
 
+    def post_task(
+        self, entry: int, key: str, run_ms: int
+    ) -> urllib3.BaseHTTPResponse:
+        """Submits a task to an entry, once."""
+        return self.http.request(
+            "POST",
+            f"{self.urls[entry]}/gypsumhold/v1/tasks",
+            json={
+                "organisation": ORGANISATION,
+                "kind": TASK,
+                "payload": f'{{"run_ms": {run_ms}}}',
+            },
+            headers={"Idempotency-Key": key},
+        )
+
     def list_tasks(self) -> dict[str, str]:
         """Returns the state of each task; empty if no entry answers."""
         for url in self.urls:
@@ -298,14 +304,21 @@
         tag: Prefix of the paths and keys, unique for each test.
         threads: Requests at once.
         delay_ms: Time that upstreams are told to take.
+        kinds: Kinds that take turns.
     """
 
     def __init__(
-        self, client: Client, tag: str, threads: int = 16, delay_ms: int = 60
+        self,
+        client: Client,
+        tag: str,
+        threads: int = 16,
+        delay_ms: int = 60,
+        kinds: Sequence[str] = (REPEATABLE, ONCE),
     ) -> None:
         self._client = client
         self._tag = tag
         self._delay_ms = delay_ms
+        self._kinds = kinds
         self._numbers = itertools.count()
         self._stopping = threading.Event()
         self._changed = threading.Condition()
@@ -318,11 +331,11 @@
             number = next(self._numbers)
             path = f"/{self._tag}/{number}"
             # Entries alternate with every second request, kinds with each.
-            once = number % 2 == 1
+            kind = self._kinds[number % len(self._kinds)]
             request = Request(
                 path,
-                ONCE if once else REPEATABLE,
-                key=path if once else None,
+                kind,
+                key=path if kind == ONCE else None,
                 delay_ms=self._delay_ms,
             )
             entries = (0, 1) if number % 4 < 2 else (1, 0)
@@ -370,10 +383,9 @@
         count = runs[request.path]
         if final.outcome == BROKEN and killed_entries and not request.key:
             continue
-        if not killed_entries and BROKEN in {
-            answer.outcome for answer in item.answers
-        }:
-            found.append(f"{request.path}: a connection broke")
+        broken = [one for one in item.answers if one.outcome == BROKEN]
+        if broken and not killed_entries:
+            found.append(f"{request.path}: a connection broke: {broken}")
         if final.outcome not in FINAL:
             found.append(f"{request.path}: no known outcome: {final}")
         if final.outcome == "completed" and final.body != request.read_body():
