--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -56,7 +56,7 @@
         self,
         shape: cluster_settings.Shape,
         directory: pathlib.Path | None = None,
-        revise: Callable[[cluster_settings.Plan], None] | None = None,
+        revise: Callable[[cluster_settings.Plan], None] = lambda _: None,
     ) -> None:
         self._directory = directory
         self._stack = contextlib.ExitStack()
@@ -65,8 +65,7 @@
             cluster_settings.Member, subprocess.Popen[bytes]
         ] = {}
         self._plan = cluster_settings.plan_settings(shape)
-        if revise is not None:
-            revise(self._plan)
+        revise(self._plan)
         self._pause = threading.Event()
 
     def __enter__(self) -> "Cluster":
@@ -110,14 +109,18 @@
 
     def name_upstream_url(self, index: int) -> str:
         """Returns the base URL of an upstream stand-in."""
-        return self._plan.health[
+        return self.name_health_url(
             cluster_settings.Member(cluster_settings.Role.UPSTREAM, index)
-        ].url
+        )
 
-    def name_url(self, member: cluster_settings.Member) -> str:
-        """Returns the base URL of a process's health route."""
+    def name_health_url(self, member: cluster_settings.Member) -> str:
+        """Returns the base URL at which a process answers `/health`."""
         return self._plan.health[member].url
 
+    def is_running(self, member: cluster_settings.Member) -> bool:
+        """Tells whether a process has not ended; a frozen one has not."""
+        return self._processes[member].poll() is None
+
     def read_pid(self, member: cluster_settings.Member) -> int:
         """Returns the process id of a member."""
         return self._processes[member].pid
