Accept a change in doubt that a later change has followed

A change whose answer was lost is sent again. If another operator had applied the next version in between, the head carried that operation, and the first operator was told of a conflict although the change was in force.

Ruled out: two changes under one version; the version of the head row allows only one.

The transaction now also requires the row of its own version to be absent, so that the conflict brings this row, which names its writer for good.

--- a/src/gypsumhold/decisions/changes.py
+++ b/src/gypsumhold/decisions/changes.py
@@ -272,8 +272,11 @@
         writes.append(rows.Write(rows.name_organisation_key(name), None))
     # The head is written by every change and by nothing else, so its row
     # version equals the configuration version.
-    condition = rows.Condition(rows.HEAD_KEY, ids.RowVersion(base))
-    return rows.Transaction(operation, (condition,), tuple(writes))
+    conditions = (
+        rows.Condition(rows.HEAD_KEY, ids.RowVersion(base)),
+        rows.Condition(rows.name_change_row(change.version), ids.RowVersion(0)),
+    )
+    return rows.Transaction(operation, conditions, tuple(writes))
 
 
 def take_apply_commit(
@@ -285,7 +288,10 @@
     operation = state.applies[event.operation]
     result = event.answer.result
     found = event.answer.find(rows.HEAD_KEY)
-    won = found is not None and found.operation == event.operation
+    # The head may already carry a later change; the row of this change
+    # tells whether an earlier sending of it took effect.
+    written = event.answer.find(rows.name_change_row(operation.change.version))
+    won = written is not None and written.operation == event.operation
     if result is states.CommitResult.UNKNOWN:
         operation.doubtful = True
     failed = result in (
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -61,6 +61,20 @@
     found.feed(process, events.CallArrived(request))
 
 
+def apply(
+    found: world.World, process: world.Process, name: str, base: int
+) -> None:
+    version = ids.ConfigVersion(base)
+    change = declarations.Change(
+        version,
+        organisations=(world.build_organisation(ALPHA, 7),),
+        author=name,
+    )
+    found.oracle.expect_ticket(process.name, ids.TicketId(name))
+    arrived = events.ApplyArrived(ids.TicketId(name), version, change)
+    found.feed(process, arrived)
+
+
 def find_holder(found: world.World) -> world.Process:
     """Returns the entry that holds the partition of ALPHA."""
     return next(
@@ -124,14 +138,7 @@
     found.revive_entry(new)
     # The change takes effect between the new entry's reads of the head and
     # of the objects; the oracle compares the content.
-    change = declarations.Change(
-        ids.ConfigVersion(1),
-        organisations=(world.build_organisation(ALPHA, 7),),
-        author="o",
-    )
-    ticket = ids.TicketId("o")
-    found.oracle.expect_ticket(old.name, ticket)
-    found.feed(old, events.ApplyArrived(ticket, ids.ConfigVersion(1), change))
+    apply(found, old, "o", 1)
     found.advance(2 * SECOND)
     assert new.state.configuration.version == 2
 
@@ -166,3 +173,16 @@
     found.advance(20 * SECOND)
     sync = timers.Timer(timers.TimerKind.SYNC)
     assert sync in holder.due
+
+
+def test_change_in_doubt_is_accepted_under_a_later_change() -> None:
+    """Guards against refusing a change that took effect unseen."""
+    found = start_world()
+    one, other = found.entries
+    found.scripts.append((world.Kind.COMMIT, world.Mishap.ANSWER_LOST, SECOND))
+    apply(found, one, "first", 1)
+    found.advance(SECOND / 100)
+    apply(found, other, "second", 2)
+    found.advance(2 * SECOND)
+    results = [item.result for item in found.oracle.tickets.values() if item]
+    assert results == [states.SubmissionResult.ACCEPTED] * 2
