--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -55,6 +55,7 @@
         self._answers: dict[str, requests.Answer] = {}
         self._keyed: collections.Counter[str] = collections.Counter()
         self._placed: dict[Placement, rows.TaskRow] = {}
+        self._checkpoints: dict[Placement, ids.CheckpointRef | None] = {}
         self._partitions: dict[ids.RowKey, ids.Epoch] = {}
         self._machines: list[Machine] = []
         self._versions: dict[tuple[str, int], ids.ConfigVersion] = {}
@@ -201,6 +202,9 @@
             final = known.state in states.FINAL_TASK_STATES
             assert not final or row == known, f"(h) {known} becomes {row}"
             assert row.epoch >= known.epoch, f"(h) {known} becomes {row}"
+            if row.evictions > known.evictions:
+                kept = self._checkpoints.get((row.task_id, row.epoch))
+                assert row.checkpoint == kept, f"(c) {row} loses {kept}"
         self.tasks[row.task_id] = row
         if row.state is states.TaskState.ASSIGNED:
             self._placed.setdefault((row.task_id, row.epoch), row)
@@ -278,6 +282,15 @@
             f"(i) {instance} starts {placement} while it drains"
         )
 
+    def see_commanded(
+        self, found: worker.Worker, command: effects.CommandWorker
+    ) -> None:
+        """Notes the checkpoint that a worker has after a command."""
+        task = found.tasks.get(command.task_id)
+        if task is not None:
+            placement = (command.task_id, task.start.epoch)
+            self._checkpoints[placement] = task.checkpoint
+
     def check_workers(self, now: datetime.timedelta) -> None:
         """Checks that no task runs in two workers at one instant."""
         spans = collections.defaultdict(list)
--- /dev/null
+++ b/tests/fuzz/test_replay.py
@@ -0,0 +1,73 @@
+"""The reducer gives the same effects and states for the same events."""
+
+import copy
+import random
+
+import pytest
+import test_world
+import world
+
+from gypsumhold.decisions import reducer
+
+# Demands on the interference policy reach an agent outside its events.
+FAILURES = [
+    item
+    for item in test_world.Failure
+    if item not in (test_world.Failure.EVICT, test_world.Failure.THROTTLE)
+]
+
+
+def record_run(seed: int) -> world.World:
+    """Returns a world after work, failures and repairs from a seed."""
+    source = random.Random(seed)
+    machine = test_world.WorldMachine()
+    found = machine.world
+    for number in range(40):
+        organisation = source.choice(world.ORGANISATIONS)
+        kind = source.choice((world.ASK, world.PAY))
+        machine.send(organisation, f"k{number % 5}", kind, b"", 200, "", 2, 0)
+        machine.submit_good(f"k{number}", organisation, 3000)
+        found.advance(source.random() * world.SECOND)
+        machine.fail(
+            pause=0 * world.SECOND,
+            failure=source.choice(FAILURES),
+            index=source.randrange(3),
+            other=number,
+        )
+        found.mend(source.choice(list(world.Mending)))
+    found.advance(20 * world.SECOND)
+    return found
+
+
+def describe(state: reducer.State) -> str:
+    """Returns a state as text, with the random source spelled out."""
+    plain = {
+        name: getattr(state, name)
+        for name in state.__dataclass_fields__
+        if name not in ("policies", "random")
+    }
+    source = getattr(state, "random", None)
+    return f"{plain} {source.getstate() if source else None}"
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_same_events_give_same_effects_and_states(seed: int) -> None:
+    """Guards against a clock, a shared object or an order by identity."""
+    found = record_run(seed)
+    for process in found.processes.values():
+        number = int(process.name[1:])
+        states = []
+        for _ in range(2):
+            state = build(process, number)
+            for now, event, made in copy.deepcopy(process.tape):
+                assert reducer.reduce(state, event, now) == made
+            states.append(describe(state))
+        assert process.tape
+        assert states[0] == states[1] == describe(process.state)
+
+
+def build(process: world.Process, number: int) -> reducer.State:
+    """Returns the state with which the present life of a process began."""
+    if process.name.startswith("e"):
+        return world.build_entry(number, process.life)
+    return world.build_agent(number, process.life, world.DemandInterference())
--- a/tests/fuzz/test_world.py
+++ b/tests/fuzz/test_world.py
@@ -53,6 +53,37 @@
     EVICT = enum.auto()
     THROTTLE = enum.auto()
     CUT = enum.auto()
+    ISOLATE = enum.auto()
+
+
+LOCAL_FAILURES = {
+    Failure.WORKER_RESTARTS,
+    Failure.WORKER_FAILS_ALL,
+    Failure.WORKER_SILENT,
+    Failure.WORKER_ANSWERS_LOST,
+    Failure.UPSTREAM_DIES,
+    Failure.UPSTREAM_RESTARTS,
+    Failure.UPSTREAM_DRAINS,
+    Failure.EVICT,
+    Failure.THROTTLE,
+}
+RACING_KINDS = (
+    world.Kind.DISPATCH,
+    world.Kind.STARTS,
+    world.Kind.COMMAND,
+    world.Kind.SYNC,
+    world.Kind.COMMIT,
+    world.Kind.UPSTREAM,
+)
+RACING_FAILURES = (
+    Failure.ENTRY_DIES,
+    Failure.AGENT_RESTARTS,
+    Failure.WORKER_RESTARTS,
+    Failure.UPSTREAM_DRAINS,
+    Failure.DRAIN,
+    Failure.EVICT,
+    Failure.ISOLATE,
+)
 
 
 class WorldMachine(stateful.RuleBasedStateMachine):
@@ -101,24 +132,46 @@
         homes,
     ):
         self.world.advance(pause)
+        for index in homes:
+            self.send(
+                organisation,
+                f"k{key}",
+                kind,
+                body,
+                delay_ms,
+                breaks,
+                deadline,
+                index,
+            )
+
+    def send(  # noqa: PLR0917
+        self,
+        organisation: ids.OrganisationId,
+        key: str,
+        kind: ids.KindName,
+        body: bytes,
+        delay_ms: int,
+        breaks: str,
+        deadline: float,
+        index: int,
+    ) -> None:
+        process = self.pick_entry(index)
         headers = (
             (upstream.DELAY_HEADER, str(delay_ms)),
             (upstream.BREAK_HEADER, breaks),
         )
-        for index in homes:
-            process = self.pick_entry(index)
-            request = requests.Request(
-                request_id=ids.RequestId(f"r{next(self.numbers)}"),
-                organisation=organisation,
-                kind=kind,
-                key=ids.IdempotencyKey(f"k{key}"),
-                deadline=deadline * SECOND,
-                digest=body.decode(),
-                payload=requests.Payload("POST", "/", headers, body),
-            )
-            if process.alive:
-                self.world.oracle.send(process.name, request)
-            self.world.feed(process, events.CallArrived(request))
+        request = requests.Request(
+            request_id=ids.RequestId(f"r{next(self.numbers)}"),
+            organisation=organisation,
+            kind=kind,
+            key=ids.IdempotencyKey(key),
+            deadline=deadline * SECOND,
+            digest=body.decode(),
+            payload=requests.Payload("POST", "/", headers, body),
+        )
+        if process.alive:
+            self.world.oracle.send(process.name, request)
+        self.world.feed(process, events.CallArrived(request))
 
     @stateful.rule(
         pause=PAUSE,
@@ -218,6 +271,14 @@
         entry = self.pick_entry(other)
         instances = self.world.instances
         instance = instances[index % len(instances)]
+        if failure in LOCAL_FAILURES:
+            self.fail_locally(failure, instance)
+        else:
+            self.fail_process(failure, entry, instance)
+
+    def fail_process(
+        self, failure: Failure, entry: world.Process, instance: world.Instance
+    ) -> None:
         match failure:
             case Failure.ENTRY_DIES:
                 self.world.kill(entry)
@@ -232,6 +293,19 @@
                 self.world.revive_agent(instance)
             case Failure.AGENT_PAUSES:
                 instance.agent.paused = instance.agent.alive
+            case Failure.DRAIN:
+                self.world.drain(instance)
+            case Failure.RETIRE:
+                self.world.retire(instance)
+                self.world.add_instance()
+            case Failure.CUT:
+                self.world.cut.add((entry.name, instance.agent.name))
+            case Failure.ISOLATE:
+                name = instance.agent.name
+                self.world.cut |= {(f"e{item}", name) for item in range(2)}
+
+    def fail_locally(self, failure: Failure, instance: world.Instance) -> None:
+        match failure:
             case Failure.WORKER_RESTARTS:
                 self.world.restart_worker(instance)
             case Failure.WORKER_FAILS_ALL:
@@ -245,17 +319,35 @@
                 self.world.restart_upstream(instance)
             case Failure.UPSTREAM_DRAINS:
                 instance.upstream.draining = True
-            case Failure.DRAIN:
-                self.world.drain(instance)
-            case Failure.RETIRE:
-                self.world.retire(instance)
-                self.world.add_instance()
             case Failure.EVICT:
                 instance.policy.evictions += 1
             case Failure.THROTTLE:
                 instance.policy.throttling = True
-            case Failure.CUT:
-                self.world.cut.add((entry.name, instance.agent.name))
+
+    @stateful.rule(
+        kind=st.sampled_from(RACING_KINDS),
+        mishap=st.sampled_from((world.Mishap.DELAYED, world.Mishap.LATE)),
+        delay=DELAY,
+        work=st.sampled_from((world.ASK, world.PAY, world.BATCH)),
+        failures=st.lists(
+            st.tuples(PAUSE, st.sampled_from(RACING_FAILURES), INDEX),
+            min_size=1,
+            max_size=3,
+        ),
+        rest=DELAY,
+    )
+    def race(self, *, kind, mishap, delay, work, failures, rest):
+        """Lets messages of new work arrive after failures."""
+        self.world.scripts += [(kind, mishap, delay)] * 3
+        name = f"race{next(self.numbers)}"
+        for organisation in world.ORGANISATIONS:
+            if work is world.BATCH:
+                self.submit_good(name, organisation, 60000)
+            else:
+                self.send(organisation, name, work, b"one", 3000, "", 8, 0)
+        for pause, failure, index in failures:
+            self.fail(pause=pause, failure=failure, index=index, other=index)
+        self.world.advance(rest)
 
     @stateful.rule(pause=PAUSE, kind=st.integers(0, 5))
     def mend(self, *, pause, kind):
@@ -278,19 +370,25 @@
             assert self.world.now < end, f"never ends: {left}"
             # Quarantined workers return with a task that succeeds.
             if self.world.now < end - 3 * HEAL_STEP:
-                self.submit_good(f"good{next(self.numbers)}")
+                for organisation in world.ORGANISATIONS:
+                    name = f"good{next(self.numbers)}"
+                    self.submit_good(name, organisation, 1000)
             self.world.advance(HEAL_STEP)
             self.check()
 
-    def submit_good(self, key: str) -> None:
-        """Submits a small task that succeeds, as normal traffic does."""
-        for organisation in world.ORGANISATIONS:
-            name = ids.IdempotencyKey(key)
-            submission = tasks.Submission(organisation, world.BATCH, name)
-            process = self.world.entries[0]
-            ticket = self.expect_ticket(process)
-            event = events.SubmissionArrived(ticket, submission)
-            self.world.feed(process, event)
+    def submit_good(
+        self, key: str, organisation: ids.OrganisationId, run_ms: int
+    ) -> None:
+        """Submits a task that succeeds, as normal traffic does."""
+        submission = tasks.Submission(
+            organisation,
+            world.BATCH,
+            ids.IdempotencyKey(key),
+            json.dumps({"run_ms": run_ms}),
+        )
+        process = self.pick_entry(0)
+        ticket = self.expect_ticket(process)
+        self.world.feed(process, events.SubmissionArrived(ticket, submission))
 
 
 TestWorld = WorldMachine.TestCase
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -676,6 +676,7 @@
             before = len(instance.worker.runs)
             clock = self.now + caller.offset
             reply = worker.apply(instance.worker, clock, effect)
+            self.oracle.see_commanded(instance.worker, effect)
             if len(instance.worker.runs) > before:
                 self.oracle.see_start(caller.name, effect.start)
             if reply is not None:
