Keep more connections to a listener open and waiting

cheroot accepts 5 waiting connections and keeps 10 idle ones by default. With more clients each answer closed its connection, and dropped connections were tried again after a second.

--- a/src/gypsumhold/adapters/web.py
+++ b/src/gypsumhold/adapters/web.py
@@ -33,6 +33,14 @@
 CHUNK_BYTES = 65536
 MAX_HEADER_BYTES = 65536
 
+# Connections that wait to be accepted. cheroot's default of 5 overflows under
+# 32 clients, and each dropped one is tried again after a second.
+BACKLOG = 256
+
+# Idle connections that stay open. Above cheroot's default of 10 each answer
+# closes its connection, and the client has to connect again.
+KEPT_CONNECTIONS = 1024
+
 # Silence of a client in the middle of a request before it is given up.
 CLIENT_TIMEOUT_S = 10
 
@@ -294,6 +302,8 @@
 
 class _HttpServer(cheroot_server.HTTPServer):
     ConnectionClass = _Connection
+    request_queue_size = BACKLOG
+    keep_alive_conn_limit = KEPT_CONNECTIONS
 
     def __init__(
         self,
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -78,3 +78,21 @@
             peer.shutdown(socket.SHUT_WR)
             assert read_all(peer) == b""
         assert not routes.arrived.is_set()
+
+
+def test_many_idle_clients_keep_their_connections() -> None:
+    """Failure: every answer closes its connection once eleven are open."""
+    routes = SlowRoutes()
+    routes.gate.set()
+    listener = web.Listener(FREE, routes, 2, 100)
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(contextlib.closing(listener))
+        peers = [stack.enter_context(open_client(listener)) for _ in range(32)]
+        for peer in peers * 2:
+            peer.sendall(REQUEST)
+            received = b""
+            while not received.endswith(b"\r\n\r\nwhole"):
+                part = peer.recv(65536)
+                assert part, "the connection was closed"
+                received += part
+            assert b"Connection: close" not in received
