--- a/src/gypsumhold/adapters/local.py
+++ b/src/gypsumhold/adapters/local.py
@@ -6,7 +6,15 @@
 import pydantic
 
 from gypsumhold.adapters import documents, web
-from gypsumhold.model import agent, declarations, errors, events, ids, members
+from gypsumhold.model import (
+    agent,
+    declarations,
+    errors,
+    events,
+    ids,
+    members,
+    requests,
+)
 
 
 class UpstreamDocument(pydantic.BaseModel):
@@ -20,6 +28,7 @@
     slots: int = pydantic.Field(ge=0)
     connections: int = pydantic.Field(ge=0)
     busy: int = pydantic.Field(ge=0)
+    running: tuple[tuple[str, int], ...] | None = None
     draining: bool = False
     reserved: documents.ResourcesDocument = documents.ResourcesDocument()
 
@@ -109,6 +118,18 @@
         slots=document.slots,
         connections=document.connections,
         busy=document.busy,
+        running=_build_running(document.running),
         draining=document.draining,
         reserved=documents.build_resources(document.reserved),
     )
+
+
+def _build_running(
+    listed: tuple[tuple[str, int], ...] | None,
+) -> frozenset[requests.AttemptKey] | None:
+    if listed is None:
+        return None
+    return frozenset(
+        requests.AttemptKey(ids.RequestId(request_id), ids.Attempt(attempt))
+        for request_id, attempt in listed
+    )
--- a/src/gypsumhold/adapters/web.py
+++ b/src/gypsumhold/adapters/web.py
@@ -36,6 +36,14 @@
 CHUNK_BYTES = 65536
 MAX_HEADER_BYTES = 65536
 
+# Connections that wait to be accepted. cheroot's default of 5 overflows under
+# 32 clients, and each dropped one is tried again after a second.
+BACKLOG = 256
+
+# Idle connections that stay open. Above cheroot's default of 10 each answer
+# closes its connection, and the client has to connect again.
+KEPT_CONNECTIONS = 1024
+
 # Silence of a client in the middle of a request before it is given up.
 CLIENT_TIMEOUT_S = 10
 
@@ -335,6 +343,8 @@
 class _HttpServer(cheroot_server.HTTPServer):
     ConnectionClass = _Connection
     _connections: cheroot_connections.ConnectionManager
+    request_queue_size = BACKLOG
+    keep_alive_conn_limit = KEPT_CONNECTIONS
 
     def __init__(
         self,
--- a/src/gypsumhold/decisions/admission.py
+++ b/src/gypsumhold/decisions/admission.py
@@ -20,6 +20,14 @@
 RETRY_AFTER = datetime.timedelta(seconds=1)
 """Pause that is suggested after a refusal for load."""
 
+GAIN_UP = 0.02
+GAIN_DOWN = 0.2
+"""Gains of the service time estimate; it settles near the tenth percentile,
+so that a call that might end in time is rarely dropped."""
+
+ESTIMATE_DECAY = 0.98
+"""Factor for the estimate at each call that is dropped because of it."""
+
 MAX_KEPT_BYTES = 64 * 1024
 """Largest body that is kept for an entry that may ask for it again."""
 
@@ -148,10 +156,43 @@
         queued = state.policies.queue.pop()
         if queued is None:
             break
-        made.append(_call_upstream(state, queued.key, now))
+        if _is_futile(state, queued, now):
+            made.append(_end_unrun(state, queued.key, states.Reason.EXPIRED))
+        else:
+            made.append(_call_upstream(state, queued.key, now))
     return [*made, *_set_queue_timer(state, now)]
 
 
+def _is_futile(
+    state: agent.AgentState,
+    queued: policies.QueuedCall,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a call would hold a slot beyond its deadline.
+
+    Under overload the earliest deadlines are the ones that cannot be met.
+    Running such calls would waste the slots and leave them in doubt.
+    """
+    kind = state.calls[queued.key].template.name
+    expected = state.service_times.get(kind, 0.0)
+    if (queued.deadline - now).total_seconds() >= expected:
+        return False
+    # The estimate has to come down again although nothing is measured.
+    state.service_times[kind] = expected * ESTIMATE_DECAY
+    return True
+
+
+def _learn_service_time(
+    state: agent.AgentState, call: agent.AgentCall, now: datetime.timedelta
+) -> None:
+    """Follows the short end of the service times of a kind."""
+    kind = call.template.name
+    actual = (now - call.started_at).total_seconds()
+    expected = state.service_times.get(kind, actual)
+    gain = GAIN_UP if actual > expected else GAIN_DOWN
+    state.service_times[kind] = expected + gain * (actual - expected)
+
+
 def _set_queue_timer(
     state: agent.AgentState, now: datetime.timedelta
 ) -> list[effects.Effect]:
@@ -209,6 +250,7 @@
     call = state.calls.get(event.key)
     if call is None or call.phase is not states.DispatchPhase.RUNNING:
         return []
+    _learn_service_time(state, call, now)
     running = [
         item.start.kind
         for item in state.executions.values()
@@ -247,7 +289,7 @@
     if call is None or call.phase is not states.DispatchPhase.RUNNING:
         return []
     if event.sent:
-        occupancy.add_lingering(state, 1, now)
+        occupancy.add_lingering(state, [event.key], now)
         reply = requests.DispatchReply(
             states.Outcome.INDETERMINATE, event.reason
         )
--- a/src/gypsumhold/decisions/calls.py
+++ b/src/gypsumhold/decisions/calls.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions import claims, dispatches
+from gypsumhold.decisions import claims, dispatches, shares
 from gypsumhold.model import (
     effects,
     entry,
@@ -31,7 +31,7 @@
 ) -> list[effects.Effect]:
     """Checks a new request and sends its first attempt or its claim."""
     request = event.request
-    refusal = _check_request(state, request)
+    refusal = _check_request(state, request, now)
     if refusal is not None:
         return [effects.AnswerCall(request.request_id, refusal)]
     template = state.configuration.resolve(request.organisation, request.kind)
@@ -43,6 +43,7 @@
     )
     state.calls[request.request_id] = call
     state.waiting[template.work_class] += 1
+    state.demand[template.work_class][request.organisation].waiting += 1
     state.policies.retries.count_call()
     if template.repeatable:
         return _send_next(state, call, now)
@@ -50,7 +51,9 @@
 
 
 def _check_request(
-    state: entry.EntryState, request: requests.Request
+    state: entry.EntryState,
+    request: requests.Request,
+    now: datetime.timedelta,
 ) -> requests.Result | None:
     if state.stopping:
         return dispatches.refuse(states.Reason.STOPPING, dispatches.RETRY_AFTER)
@@ -67,10 +70,7 @@
         return dispatches.refuse(states.Reason.EXPIRED)
     if not template.repeatable and request.key is None:
         return dispatches.refuse(states.Reason.KEY_REQUIRED)
-    # Waiting calls hold a thread each, so a flood of one class must not take
-    # the threads of the others.
-    limit = state.options.waiting_limits[template.work_class]
-    if state.waiting[template.work_class] >= limit:
+    if not shares.admit(state, request, template.work_class, now):
         return dispatches.refuse(
             states.Reason.OVERLOADED, dispatches.RETRY_AFTER
         )
--- a/src/gypsumhold/decisions/dispatches.py
+++ b/src/gypsumhold/decisions/dispatches.py
@@ -19,6 +19,10 @@
 DISPATCH_GRACE = datetime.timedelta(milliseconds=500)
 """How long after the deadline an agent's own verdict is still awaited."""
 
+SAMPLE_SIZE = 32
+"""Instances that are looked at for one request, so that its cost does not
+grow with their number; about two of them are in each of 13 data centres."""
+
 VALIDITY_MARGIN = datetime.timedelta(seconds=5)
 """Time beyond the deadline in which a delayed dispatch is still accepted."""
 
@@ -37,19 +41,50 @@
     state: entry.EntryState, call: entry.Call, now: datetime.timedelta
 ) -> roster.Member | None:
     """Returns the instance for the next attempt, untried ones first."""
-    candidates = [
-        member
-        for member in state.members.values()
-        if is_serving(state, member, now)
-        and call.template.name in member.announcement.kinds
-        and member.excluded_until <= now
-    ]
+    candidates = _list_candidates(state, call.template.name, now)
     untried = [item for item in candidates if item.instance not in call.tried]
     return state.policies.routing.choose(
         untried or candidates, state.options.data_centre, state.random
     )
 
 
+def _list_candidates(
+    state: entry.EntryState, kind: ids.KindName, now: datetime.timedelta
+) -> list[roster.Member]:
+    """Returns eligible instances; of many, those in a random sample."""
+    if state.servers is None:
+        state.servers = _index_servers(state)
+    servers = state.servers.get(kind, [])
+    if len(servers) > SAMPLE_SIZE:
+        sample = state.random.sample(servers, SAMPLE_SIZE)
+        found = _select_eligible(state, sample, now)
+        if found:
+            return found
+    return _select_eligible(state, servers, now)
+
+
+def _index_servers(
+    state: entry.EntryState,
+) -> dict[ids.KindName, list[roster.Member]]:
+    index: dict[ids.KindName, list[roster.Member]] = {}
+    for member in state.members.values():
+        for kind in member.announcement.kinds:
+            index.setdefault(kind, []).append(member)
+    return index
+
+
+def _select_eligible(
+    state: entry.EntryState,
+    servers: list[roster.Member],
+    now: datetime.timedelta,
+) -> list[roster.Member]:
+    serving = [item for item in servers if is_serving(state, item, now)]
+    trusted = [item for item in serving if item.excluded_until <= now]
+    # If most instances fail, leaving them all out would only overload the
+    # rest; then the failures say more about the load than about them.
+    return trusted if 2 * len(trusted) >= len(serving) else serving
+
+
 def set_target(
     state: entry.EntryState,
     call: entry.Call,
@@ -127,6 +162,8 @@
     request_id = call.request.request_id
     del state.calls[request_id]
     state.waiting[call.template.work_class] -= 1
+    demand = state.demand[call.template.work_class]
+    demand[call.request.organisation].waiting -= 1
     answer = effects.AnswerCall(request_id, result)
     return [answer, *report_stopped(state)]
 
--- a/src/gypsumhold/decisions/occupancy.py
+++ b/src/gypsumhold/decisions/occupancy.py
@@ -1,8 +1,9 @@
 """Slots of the upstream: who may hold them, including abandoned calls."""
 
 import datetime
+from collections.abc import Iterable
 
-from gypsumhold.model import agent, events, members, states
+from gypsumhold.model import agent, events, members, requests, states
 
 
 def count_free(state: agent.AgentState, now: datetime.timedelta) -> int:
@@ -21,12 +22,13 @@
 
 
 def add_lingering(
-    state: agent.AgentState, count: int, now: datetime.timedelta
+    state: agent.AgentState,
+    keys: Iterable[requests.AttemptKey | None],
+    now: datetime.timedelta,
 ) -> None:
     """Holds slots back that abandoned calls may still use."""
     until = now + state.options.max_deadline
-    item = agent.Lingering(now, until)
-    state.lingering += [item] * count
+    state.lingering += [agent.Lingering(key, now, until) for key in keys]
 
 
 def is_usable(state: agent.AgentState, now: datetime.timedelta) -> bool:
@@ -50,7 +52,7 @@
     former, former_at = state.upstream, state.upstream_at
     if former is None:
         # Whatever is busy now was left by the agent's predecessor.
-        add_lingering(state, report.busy, now)
+        add_lingering(state, _list_busy(report), now)
     elif former.address != report.address:
         state.lingering = []
     else:
@@ -59,6 +61,14 @@
     state.upstream_at = now
 
 
+def _list_busy(
+    report: members.UpstreamReport,
+) -> list[requests.AttemptKey | None]:
+    if report.running is not None and len(report.running) == report.busy:
+        return list(report.running)
+    return [None] * report.busy
+
+
 def _release_lingering(
     state: agent.AgentState,
     report: members.UpstreamReport,
@@ -66,20 +76,35 @@
 ) -> None:
     """Frees slots that the upstream no longer counts as busy.
 
-    The report was built after the former one had arrived. Calls that have
-    run since before then are in its count; what is left may be abandoned
-    calls. Those that were abandoned after that may be missing from it.
+    The report was built after the former one had arrived, so it may miss
+    calls that were abandoned after that; these are kept.
+    """
+    old = [item for item in state.lingering if item.since < former_at]
+    new = [item for item in state.lingering if item.since >= former_at]
+    if report.running is not None:
+        kept = [item for item in old if item.key in report.running]
+    else:
+        kept = _keep_counted(state, report, old, former_at)
+    state.lingering = kept + new
+
+
+def _keep_counted(
+    state: agent.AgentState,
+    report: members.UpstreamReport,
+    old: list[agent.Lingering],
+    former_at: datetime.timedelta,
+) -> list[agent.Lingering]:
+    """Keeps as many slots as the busy count leaves for abandoned calls.
+
+    Calls that have run since before the former report are in the count.
     """
     counted = sum(
         call.phase is states.DispatchPhase.RUNNING
         and call.started_at < former_at
         for call in state.calls.values()
     )
-    abandoned = max(0, report.busy - counted)
-    old = [item for item in state.lingering if item.since < former_at]
-    new = [item for item in state.lingering if item.since >= former_at]
-    kept = sorted(old, key=_get_end)[len(old) - min(len(old), abandoned) :]
-    state.lingering = kept + new
+    abandoned = min(len(old), max(0, report.busy - counted))
+    return sorted(old, key=_get_end)[len(old) - abandoned :]
 
 
 def _get_end(item: agent.Lingering) -> datetime.timedelta:
--- a/src/gypsumhold/decisions/placement.py
+++ b/src/gypsumhold/decisions/placement.py
@@ -5,6 +5,10 @@
 
 from gypsumhold.model import policies, resources, roster
 
+SAMPLE_SIZE = 24
+"""Instances that are looked at for one task, so that its cost does not grow
+with their number."""
+
 
 class FirstFit(policies.Placement):
     """Baseline: the first candidate with room."""
@@ -31,11 +35,25 @@
         candidates: Sequence[roster.Member],
         source: random.Random,
     ) -> roster.Member | None:
-        """Returns the candidate with the largest free share that fits."""
-        fitting = [
-            item for item in candidates if need.fits_in(item.count_free())
-        ]
-        return max(fitting, key=_estimate_room, default=None)
+        """Returns the candidate with the largest free share that fits.
+
+        Of many candidates a random sample is looked at first.
+        """
+        looked_at = candidates
+        if len(candidates) > SAMPLE_SIZE:
+            looked_at = source.sample(candidates, SAMPLE_SIZE)
+        return _find_roomiest(need, looked_at) or (
+            _find_roomiest(need, candidates)
+            if looked_at is not candidates
+            else None
+        )
+
+
+def _find_roomiest(
+    need: resources.Resources, candidates: Sequence[roster.Member]
+) -> roster.Member | None:
+    fitting = [item for item in candidates if need.fits_in(item.count_free())]
+    return max(fitting, key=_estimate_room, default=None)
 
 
 def _estimate_room(member: roster.Member) -> float:
--- a/src/gypsumhold/decisions/placements.py
+++ b/src/gypsumhold/decisions/placements.py
@@ -74,7 +74,11 @@
         organisation.quota
     ):
         return False
-    fresh = [item for item in candidates if item.instance not in row.failed_on]
+    fresh = candidates
+    if row.failed_on:
+        fresh = [
+            item for item in candidates if item.instance not in row.failed_on
+        ]
     member = state.policies.placement.choose(
         row.declared, fresh or candidates, state.random
     )
--- a/src/gypsumhold/decisions/rosters.py
+++ b/src/gypsumhold/decisions/rosters.py
@@ -28,10 +28,13 @@
     if member is None:
         member = roster.Member(announcement, now)
         state.members[announcement.instance] = member
+        state.servers = None
     elif _is_older(announcement, member.announcement):
         return []
     elif announcement.incarnation != member.announcement.incarnation:
         _reset_member(member)
+    if announcement.kinds != member.announcement.kinds:
+        state.servers = None
     member.announcement = announcement
     member.received_at = now
     _drop_visible_reservations(member)
@@ -89,4 +92,5 @@
     ]
     for instance in silent:
         del state.members[instance]
+        state.servers = None
     return [effects.SetTimer(timer, ROSTER_TICK)]
--- a/src/gypsumhold/decisions/syncs.py
+++ b/src/gypsumhold/decisions/syncs.py
@@ -251,6 +251,7 @@
 ) -> list[effects.Effect]:
     """Requeues the tasks of an instance that is gone for good."""
     state.members.pop(event.instance, None)
+    state.servers = None
     made: list[effects.Effect] = []
     for partition in state.partitions.values():
         for record in list(partition.tasks.values()):
--- a/src/gypsumhold/model/agent.py
+++ b/src/gypsumhold/model/agent.py
@@ -29,8 +29,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Lingering:
-    """A slot that an abandoned call may still hold in the upstream."""
+    """A slot that an abandoned call may still hold in the upstream.
 
+    Attributes:
+        key: The call; None if a former agent started it.
+        since: When the slot was held back.
+        until: When no accepted call can still run.
+    """
+
+    key: requests.AttemptKey | None
     since: datetime.timedelta
     until: datetime.timedelta
 
@@ -102,6 +109,7 @@
         holder_epochs: Highest epoch of a holder seen, by partition.
         syncs: Syncs that wait for the worker.
         learned: Largest measured use by kind of task.
+        service_times: Short service time of each kind of request, in seconds.
         sequence: Number of the latest announcement.
         announced_far: Sequence of the latest one sent to all regions.
         draining: Whether new work is refused.
@@ -138,6 +146,9 @@
     learned: dict[ids.KindName, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    service_times: dict[ids.KindName, float] = dataclasses.field(
+        default_factory=dict
+    )
     sequence: int = 0
     draining: bool = False
     stopping: bool = False
--- a/src/gypsumhold/model/entry.py
+++ b/src/gypsumhold/model/entry.py
@@ -60,6 +60,21 @@
     result: requests.Result | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class Demand:
+    """Calls of one organisation in one class.
+
+    Attributes:
+        weight: Share of the organisation.
+        arrived_at: When its latest call arrived, admitted or not.
+        waiting: How many of its calls wait.
+    """
+
+    weight: int
+    arrived_at: datetime.timedelta
+    waiting: int = 0
+
+
 @dataclasses.dataclass(slots=True)
 class TaskRecord:
     """A task that has not ended, in the partition's holder.
@@ -200,8 +215,11 @@
             is read again and unchanged.
         changes: Latest changes, to send instead of the whole configuration.
         members: Instances that announced themselves.
+        servers: Instances by kind of request that they serve; None if it has
+            to be built again.
         calls: Requests that wait here.
         waiting: Number of those by class.
+        demand: Waiting calls and latest arrival by class and organisation.
         operations: Transactions in flight.
         recordings: Claim results still to be written.
         applies: Configuration changes in flight.
@@ -223,10 +241,16 @@
     members: dict[ids.InstanceId, roster.Member] = dataclasses.field(
         default_factory=dict
     )
+    servers: dict[ids.KindName, list[roster.Member]] | None = None
     calls: dict[ids.RequestId, Call] = dataclasses.field(default_factory=dict)
     waiting: dict[states.WorkClass, int] = dataclasses.field(
         default_factory=lambda: dict.fromkeys(states.WorkClass, 0)
     )
+    demand: dict[states.WorkClass, dict[ids.OrganisationId, Demand]] = (
+        dataclasses.field(
+            default_factory=lambda: {item: {} for item in states.WorkClass}
+        )
+    )
     operations: dict[ids.OperationId, Operation] = dataclasses.field(
         default_factory=dict
     )
--- a/src/gypsumhold/model/members.py
+++ b/src/gypsumhold/model/members.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from gypsumhold.model import ids, resources, states
+from gypsumhold.model import ids, requests, resources, states
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +70,7 @@
         slots: Requests that it runs at once.
         connections: Connections that it accepts.
         busy: Slots in use when the report was built.
+        running: Attempts that hold those slots; None if it does not tell.
         draining: Whether it is leaving and wants no new work.
         reserved: Resources that it keeps for itself on the worker.
     """
@@ -79,5 +80,6 @@
     slots: int
     connections: int
     busy: int
+    running: frozenset[requests.AttemptKey] | None = None
     draining: bool = False
     reserved: resources.Resources = resources.NOTHING
--- a/src/gypsumhold_standin/upstream.py
+++ b/src/gypsumhold_standin/upstream.py
@@ -95,6 +95,7 @@
     options: Options
     generator: random.Random
     busy: int = 0
+    running: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     peak: int = 0
     draining: bool = False
     seen: list[Seen] = dataclasses.field(default_factory=list)
@@ -111,12 +112,14 @@
         delay: Time between arrival and answer.
         breaks: Where the connection breaks.
         answer: The answer, if the connection does not break before.
+        key: Request id and attempt, as the headers name them.
     """
 
     runs: bool
     delay: datetime.timedelta
     breaks: Break
     answer: requests.Answer
+    key: tuple[str, str] = ("", "")
 
 
 def build_upstream(options: Options) -> Upstream:
@@ -135,6 +138,8 @@
         return Plan(False, NOTHING, Break.BEFORE, requests.Answer(500))
     named = {name.lower(): value for name, value in payload.headers}
     _record(upstream, payload, named)
+    key = (named.get(REQUEST_HEADER, ""), named.get(ATTEMPT_HEADER, ""))
+    upstream.running.append(key)
     upstream.busy += 1
     upstream.peak = max(upstream.peak, upstream.busy)
     return Plan(
@@ -142,12 +147,14 @@
         delay=_choose_delay(upstream, named, slow),
         breaks=_choose_break(upstream, named),
         answer=_echo(payload, named),
+        key=key,
     )
 
 
-def finish(upstream: Upstream) -> None:
+def finish(upstream: Upstream, plan: Plan) -> None:
     """Frees the slot of a request that ran."""
     upstream.busy -= 1
+    upstream.running.remove(plan.key)
 
 
 def build_report(
@@ -161,11 +168,24 @@
         slots=options.slots,
         connections=options.connections,
         busy=upstream.busy,
+        running=_list_running(upstream),
         draining=upstream.draining,
         reserved=options.reserved,
     )
 
 
+def _list_running(
+    upstream: Upstream,
+) -> frozenset[requests.AttemptKey] | None:
+    """Returns the running attempts; None if some request named none."""
+    if not all(attempt.isdecimal() for _, attempt in upstream.running):
+        return None
+    return frozenset(
+        requests.AttemptKey(ids.RequestId(name), ids.Attempt(int(attempt)))
+        for name, attempt in upstream.running
+    )
+
+
 def _record(
     upstream: Upstream, payload: requests.Payload, named: dict[str, str]
 ) -> None:
--- a/src/gypsumhold_standin/upstreamservice.py
+++ b/src/gypsumhold_standin/upstreamservice.py
@@ -53,6 +53,9 @@
             "slots": report.slots,
             "connections": report.connections,
             "busy": report.busy,
+            "running": None
+            if report.running is None
+            else [[key.request_id, key.attempt] for key in report.running],
             "draining": report.draining,
             "reserved": documents.render_resources(report.reserved),
         }
@@ -92,7 +95,7 @@
         if plan.runs:
             self._pause(plan.delay)
             with self._lock:
-                upstream.finish(self._upstream)
+                upstream.finish(self._upstream, plan)
         return web.Response(plan.answer, plan.breaks)
 
 
--- a/tests/contracts/test_upstream.py
+++ b/tests/contracts/test_upstream.py
@@ -109,5 +109,5 @@
     nothing = {"cpu_millis": 0, "memory_mb": 0, "accelerators": 0}
     assert report == {
         **{"host": served.host, "port": served.port, **SETTINGS},
-        **{"busy": 0, "draining": False, "reserved": nothing},
+        **{"busy": 0, "running": [], "draining": False, "reserved": nothing},
     }
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -638,7 +638,7 @@
                 if instance.upstream_life != life:
                     self._settle(trip, trip.lose(True))
                     return
-                upstream.finish(instance.upstream)
+                upstream.finish(instance.upstream, plan)
                 self._answer(trip, events.UpstreamAnswered(key, plan.answer))
 
             self.at(plan.delay, finish)
