--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+import pytest
 import world
 
 from gypsumhold.model import (
@@ -9,6 +10,7 @@
     events,
     ids,
     requests,
+    rows,
     states,
     tasks,
     timers,
@@ -186,3 +188,39 @@
     found.advance(2 * SECOND)
     results = [item.result for item in found.oracle.tickets.values() if item]
     assert results == [states.SubmissionResult.ACCEPTED] * 2
+
+
+def find_task(found: world.World) -> rows.TaskRow:
+    return next(iter(found.oracle.tasks.values()))
+
+
+def find_instance(found: world.World, name: str | None) -> world.Instance:
+    return next(item for item in found.instances if item.agent.name == name)
+
+
+def test_fenced_start_is_refused_after_the_worker_lost_its_fences() -> None:
+    """Guards against an agent that leaves the epoch to the worker alone."""
+    found = start_world()
+    found.scripts.append((world.Kind.STARTS, world.Mishap.LATE, 11 * SECOND))
+    submit(found, find_holder(found), "k")
+    found.advance(SECOND / 10)
+    first = find_task(found).instance
+    found.advance(8 * SECOND)
+    assert find_task(found).epoch == 2
+    assert find_task(found).instance != first
+    found.restart_worker(find_instance(found, first))
+    found.advance(20 * SECOND)
+    found.oracle.check_workers(found.now)
+
+
+@pytest.mark.parametrize("seconds", range(9))
+def test_task_moves_only_after_its_lease_ended(seconds: int) -> None:
+    """Guards against a lease that counts from the receipt of the grant."""
+    found = start_world()
+    submit(found, find_holder(found), "k")
+    found.advance(SECOND / 10 + seconds * SECOND)
+    silent = find_task(found).instance
+    found.cut |= {(item.name, str(silent)) for item in found.entries}
+    found.advance(50 * SECOND)
+    assert find_task(found).instance != silent
+    found.oracle.check_workers(found.now)
