--- a/src/gypsumhold/decisions/occupancy.py
+++ b/src/gypsumhold/decisions/occupancy.py
@@ -49,15 +49,18 @@
 ) -> None:
     """Applies the upstream's own count of busy slots."""
     report = event.report
-    former, former_at = state.upstream, state.upstream_at
+    former = state.upstream
     if former is None:
         # Whatever is busy now was left by the agent's predecessor.
         add_lingering(state, _list_busy(report), now)
     elif former.address != report.address:
         state.lingering = []
+    elif report.running is not None:
+        _keep_named(state, report.running)
     else:
-        _release_lingering(state, report, former_at)
+        _keep_counted(state, former)
     state.upstream = report
+    state.upstream_before = state.upstream_at
     state.upstream_at = now
 
 
@@ -69,42 +72,42 @@
     return [None] * report.busy
 
 
-def _release_lingering(
-    state: agent.AgentState,
-    report: members.UpstreamReport,
-    former_at: datetime.timedelta,
+def _keep_named(
+    state: agent.AgentState, running: frozenset[requests.AttemptKey]
 ) -> None:
-    """Frees slots that the upstream no longer counts as busy.
+    """Frees slots of abandoned calls that the upstream does not name.
 
     The report was built after the former one had arrived, so it may miss
     calls that were abandoned after that; these are kept.
     """
-    old = [item for item in state.lingering if item.since < former_at]
-    new = [item for item in state.lingering if item.since >= former_at]
-    if report.running is not None:
-        kept = [item for item in old if item.key in report.running]
-    else:
-        kept = _keep_counted(state, report, old, former_at)
-    state.lingering = kept + new
+    state.lingering = [
+        item
+        for item in state.lingering
+        if item.since >= state.upstream_at or item.key in running
+    ]
 
 
 def _keep_counted(
-    state: agent.AgentState,
-    report: members.UpstreamReport,
-    old: list[agent.Lingering],
-    former_at: datetime.timedelta,
-) -> list[agent.Lingering]:
-    """Keeps as many slots as the busy count leaves for abandoned calls.
+    state: agent.AgentState, report: members.UpstreamReport
+) -> None:
+    """Frees slots that the latest report but one does not count as busy.
 
-    Calls that have run since before the former report are in the count.
+    That report was built after the one before it had arrived. Calls that have
+    run since before then, and still run one report later, are in its count;
+    what is left may be abandoned calls. Those that were abandoned after that
+    may be missing from it. The latest report itself says too little: a call
+    that runs here may have freed its slot there, with its answer under way.
     """
+    since = state.upstream_before
     counted = sum(
-        call.phase is states.DispatchPhase.RUNNING
-        and call.started_at < former_at
+        call.phase is states.DispatchPhase.RUNNING and call.started_at < since
         for call in state.calls.values()
     )
-    abandoned = min(len(old), max(0, report.busy - counted))
-    return sorted(old, key=_get_end)[len(old) - abandoned :]
+    abandoned = max(0, report.busy - counted)
+    old = [item for item in state.lingering if item.since <= since]
+    new = [item for item in state.lingering if item.since > since]
+    kept = sorted(old, key=_get_end)[len(old) - min(len(old), abandoned) :]
+    state.lingering = kept + new
 
 
 def _get_end(item: agent.Lingering) -> datetime.timedelta:
--- a/src/gypsumhold/decisions/submissions.py
+++ b/src/gypsumhold/decisions/submissions.py
@@ -59,6 +59,8 @@
         return []
     if record is not None:
         return [_accept(event.ticket, task_id)]
+    if _is_table_down(state, partition, now):
+        return [_report_table_down(event.ticket)]
     row = rows.TaskRow(
         task_id=task_id,
         organisation=submission.organisation,
@@ -84,6 +86,15 @@
         partition.tickets.append(waiting)
 
 
+def _is_table_down(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    now: datetime.timedelta,
+) -> bool:
+    in_doubt = partition.settled_at == datetime.timedelta.max
+    return in_doubt or now < state.table_failed_at + state.options.table_pause
+
+
 def _find_holder(
     state: entry.EntryState,
     partition: entry.PartitionState | None,
@@ -123,6 +134,14 @@
     )
 
 
+def _report_table_down(ticket: ids.TicketId) -> effects.Effect:
+    return effects.AnswerTicket(
+        ticket,
+        states.SubmissionResult.UNAVAILABLE,
+        "the table does not answer; send it again with the same key later",
+    )
+
+
 def take_cancel(
     state: entry.EntryState,
     event: events.TaskCancelArrived,
