Send claimed attempts on a fresh connection to the upstream

Cause: a kept connection that the upstream closes while the request is written is lost as sent; a request that is not repeatable then ends as indeterminate although it did not run. Ruled out: sending it again on another connection, which could run it twice. Conclusion: claimed attempts open a connection of their own.

--- a/src/gypsumhold/adapters/upstream.py
+++ b/src/gypsumhold/adapters/upstream.py
@@ -136,10 +136,21 @@
 
     def _exchange(
         self, effect: effects.CallUpstream, end: float
+    ) -> requests.Answer:
+        if not effect.fresh:
+            return self._exchange_over(
+                self._find_pool(effect.address), effect, end
+            )
+        address = effect.address
+        with _Pool(address.host, address.port, maxsize=1) as single:
+            return self._exchange_over(single, effect, end)
+
+    def _exchange_over(
+        self, pool: _Pool, effect: effects.CallUpstream, end: float
     ) -> requests.Answer:
         payload = effect.payload
         seconds = max(0.001, end - time.monotonic())
-        response = self._find_pool(effect.address).urlopen(
+        response = pool.urlopen(
             payload.method,
             "/",
             body=payload.body or None,
--- a/src/gypsumhold/decisions/admission.py
+++ b/src/gypsumhold/decisions/admission.py
@@ -232,6 +232,7 @@
         state.upstream.address,
         call.queued.deadline - now,
         call.dispatch.payload,
+        fresh=call.dispatch.keep_answer,
     )
 
 
--- a/src/gypsumhold/model/effects.py
+++ b/src/gypsumhold/model/effects.py
@@ -168,12 +168,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallUpstream:
-    """Calls the upstream; brings UpstreamAnswered or UpstreamLost."""
+    """Calls the upstream; brings UpstreamAnswered or UpstreamLost.
+
+    A `fresh` connection cannot be one that the upstream is just closing, so
+    that a claimed attempt is not left in doubt without need.
+    """
 
     owner: requests.AttemptKey
     address: members.Address
     timeout: datetime.timedelta
     payload: requests.Payload
+    fresh: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/adapters/test_upstream_client.py
+++ b/tests/adapters/test_upstream_client.py
@@ -1,6 +1,7 @@
 """Guards the client of the upstream against faults on the wire."""
 
 import contextlib
+import dataclasses
 import datetime
 import re
 import socket
@@ -45,6 +46,7 @@
         self.scripts = list(scripts)
         self.hang = hang
         self.seen: list[bytes] = []
+        self.connections = 0
         self.closing = threading.Event()
         self.socket = socket.create_server(("127.0.0.1", 0))
         self.address = members.Address(*self.socket.getsockname())
@@ -55,6 +57,7 @@
         with contextlib.suppress(OSError):
             while self.scripts:
                 with self.socket.accept()[0] as peer:
+                    self.connections += 1
                     self._answer(peer)
 
     def _answer(self, peer: socket.socket) -> None:
@@ -153,6 +156,19 @@
         assert len(server.seen) == 2
 
 
+def test_claimed_call_takes_a_fresh_connection(
+    client: upstream.HttpUpstream,
+) -> None:
+    """Failure: a kept connection that is being closed leaves it in doubt."""
+    whole = OK + b"Content-Length: 0\r\n\r\n"
+    with contextlib.closing(RawServer(whole, whole)) as server:
+        claimed = dataclasses.replace(build_call(server.address), fresh=True)
+        for _ in range(2):
+            answered = client.call(claimed)
+            assert isinstance(answered, events.UpstreamAnswered)
+        assert server.connections == 2
+
+
 def test_request_is_sent_unchanged(client: upstream.HttpUpstream) -> None:
     """Failure: the library rewrites the target, headers or body."""
     body = bytes(range(256))
