Bound the answers that an agent keeps

Cause: every attempt was remembered for ten minutes with its answer; at 160 requests/s with answers of 10 KB that is 1.1 GB (docs/CAPACITY.md) against 256 MB for the process. Ruled out: forgetting earlier without saying so, which would call an attempt unseen that has run. Conclusion: attempts that are not claimed keep no answer and are remembered for 30 s after they became invalid, 4.5 MB at the same rate (95 s x 160/s x 300 B); claimed answers are kept up to 32 MB; beyond its memory the agent says forgotten, which ends as indeterminate.

--- a/src/gypsumhold/decisions/admission.py
+++ b/src/gypsumhold/decisions/admission.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions import occupancy
+from gypsumhold.decisions import memories, occupancy
 from gypsumhold.model import (
     agent,
     declarations,
@@ -14,9 +14,6 @@
     timers,
 )
 
-MEMORY_TIME = datetime.timedelta(minutes=10)
-"""How long an ended attempt is remembered after it became invalid."""
-
 RETRY_AFTER = datetime.timedelta(seconds=1)
 """Pause that is suggested after a refusal for load."""
 
@@ -28,9 +25,6 @@
 ESTIMATE_DECAY = 0.98
 """Factor for the estimate at each call that is dropped because of it."""
 
-MAX_KEPT_BYTES = 64 * 1024
-"""Largest body that is kept for an entry that may ask for it again."""
-
 
 def take_dispatch(
     state: agent.AgentState,
@@ -40,7 +34,7 @@
     """Accepts a dispatch into the queue or refuses it."""
     dispatch = event.dispatch
     key = requests.AttemptKey(dispatch.request_id, dispatch.attempt)
-    known = _answer_known(state, key)
+    known = memories.recall(state, key)
     if known is not None:
         return [effects.ReplyDispatch(key, known)]
     template = state.configuration.resolve(dispatch.organisation, dispatch.kind)
@@ -68,21 +62,6 @@
     return [*made, *fill_slots(state, now)]
 
 
-def _answer_known(
-    state: agent.AgentState, key: requests.AttemptKey
-) -> requests.DispatchReply | None:
-    memory = state.memories.get(key)
-    if memory is not None:
-        return memory.reply or requests.DispatchReply(
-            states.Outcome.NOT_RUN, states.Reason.TOMBSTONED
-        )
-    if key in state.calls:
-        return requests.DispatchReply(
-            states.Outcome.INDETERMINATE, states.Reason.DUPLICATE
-        )
-    return None
-
-
 def _find_refusal(
     state: agent.AgentState,
     dispatch: requests.Dispatch,
@@ -126,25 +105,10 @@
         states.Outcome.NOT_RUN, reason, retry_after=RETRY_AFTER
     )
     if dispatch.keep_answer and reason is not states.Reason.STALE_INCARNATION:
-        _remember(state, key, dispatch, reply)
+        memories.remember(state, dispatch, reply)
     return effects.ReplyDispatch(key, reply)
 
 
-def _remember(
-    state: agent.AgentState,
-    key: requests.AttemptKey,
-    dispatch: requests.Dispatch,
-    reply: requests.DispatchReply,
-) -> None:
-    """Remembers an ended attempt, so that it never counts as unseen."""
-    answer = reply.answer
-    small = answer is None or len(answer.body) <= MAX_KEPT_BYTES
-    if not dispatch.keep_answer and not small:
-        reply = requests.DispatchReply(states.Outcome.INDETERMINATE)
-    forget_at = dispatch.valid_until + MEMORY_TIME
-    state.memories[key] = agent.Memory(reply, forget_at)
-
-
 def fill_slots(
     state: agent.AgentState, now: datetime.timedelta
 ) -> list[effects.Effect]:
@@ -245,7 +209,7 @@
     reply = requests.DispatchReply(
         states.Outcome.NOT_RUN, reason, retry_after=RETRY_AFTER
     )
-    _remember(state, key, call.dispatch, reply)
+    memories.remember(state, call.dispatch, reply)
     return effects.ReplyDispatch(key, reply)
 
 
@@ -289,7 +253,7 @@
     call = state.calls.pop(key)
     state.running -= 1
     state.policies.queue.settle(call.queued, now - call.started_at)
-    _remember(state, key, call.dispatch, reply)
+    memories.remember(state, call.dispatch, reply)
     ended = effects.ReplyDispatch(key, reply)
     return [ended, *fill_slots(state, now)]
 
@@ -334,10 +298,7 @@
     call = state.calls.get(key)
     if call is not None:
         return _cancel_call(state, event, key, call, now)
-    if now >= cancel.valid_until + MEMORY_TIME:
-        return [_reply_cancel(event, states.CancelAnswer.FORGOTTEN)]
-    state.memories[key] = agent.Memory(None, cancel.valid_until + MEMORY_TIME)
-    return [_reply_cancel(event, states.CancelAnswer.NEVER_SEEN)]
+    return [_reply_cancel(event, memories.fence(state, cancel, now))]
 
 
 def _cancel_call(
@@ -364,15 +325,6 @@
     return effects.ReplyCancel(event.ticket, requests.CancelReply(answer))
 
 
-def forget_attempts(state: agent.AgentState, now: datetime.timedelta) -> None:
-    """Drops memories of attempts that can no longer be repeated."""
-    old = [
-        key for key, memory in state.memories.items() if memory.forget_at <= now
-    ]
-    for key in old:
-        del state.memories[key]
-
-
 def report_stopped(state: agent.AgentState) -> list[effects.Effect]:
     """Reports the end of all calls, once, after a stop was requested."""
     if not state.stopping or state.stopped or state.calls:
--- a/src/gypsumhold/decisions/agents.py
+++ b/src/gypsumhold/decisions/agents.py
@@ -6,6 +6,7 @@
 from gypsumhold.decisions import (
     admission,
     executions,
+    memories,
     occupancy,
     workers,
 )
@@ -89,7 +90,7 @@
     state: agent.AgentState, timer: timers.Timer, now: datetime.timedelta
 ) -> list[effects.Effect]:
     """Announces the instance and does what is due each second."""
-    admission.forget_attempts(state, now)
+    memories.forget(state, now)
     everywhere = state.sequence % FAR_EVERY == 0
     return [
         announce_now(state, now, everywhere),
--- /dev/null
+++ b/src/gypsumhold/decisions/memories.py
@@ -0,0 +1,82 @@
+"""An agent's memory of ended and fenced attempts.
+
+An attempt must never count as unseen once it has run, so it is remembered
+until no cancel of it can still be believed. After that the agent says that it
+has forgotten, which proves nothing.
+"""
+
+import datetime
+
+from gypsumhold.model import agent, requests, states
+
+CLAIM_MEMORY = datetime.timedelta(minutes=10)
+"""How long a claimed attempt is remembered after it became invalid; the time
+in which another entry can resolve the claim by asking."""
+
+CANCEL_MEMORY = datetime.timedelta(seconds=30)
+"""The same for other attempts; only the entry that sent one asks, and it
+waits no longer than the deadline and a few seconds."""
+
+KEPT_BYTES_LIMIT = 32_000_000
+"""Bytes of answers that are kept in all, out of 256 MB for the process."""
+
+
+def recall(
+    state: agent.AgentState, key: requests.AttemptKey
+) -> requests.DispatchReply | None:
+    """Returns the reply to a repeated dispatch of a known attempt."""
+    memory = state.memories.get(key)
+    if memory is not None:
+        return memory.reply or requests.DispatchReply(
+            states.Outcome.NOT_RUN, states.Reason.TOMBSTONED
+        )
+    if key in state.calls:
+        return requests.DispatchReply(
+            states.Outcome.INDETERMINATE, states.Reason.DUPLICATE
+        )
+    return None
+
+
+def remember(
+    state: agent.AgentState,
+    dispatch: requests.Dispatch,
+    reply: requests.DispatchReply,
+) -> None:
+    """Remembers an ended attempt; only claimed ones keep their answer."""
+    key = requests.AttemptKey(dispatch.request_id, dispatch.attempt)
+    size = _count_bytes(reply)
+    full = state.kept_bytes + size > KEPT_BYTES_LIMIT
+    if reply.answer is not None and (full or not dispatch.keep_answer):
+        reply = requests.DispatchReply(states.Outcome.INDETERMINATE)
+        size = 0
+    state.kept_bytes += size
+    kept = CLAIM_MEMORY if dispatch.keep_answer else CANCEL_MEMORY
+    state.memories[key] = agent.Memory(reply, dispatch.valid_until + kept)
+
+
+def fence(
+    state: agent.AgentState, cancel: requests.Cancel, now: datetime.timedelta
+) -> states.CancelAnswer:
+    """Refuses an unknown attempt from now on, or admits to have forgotten."""
+    kept = CANCEL_MEMORY if cancel.remove_queued else CLAIM_MEMORY
+    forget_at = cancel.valid_until + kept
+    if now >= forget_at:
+        return states.CancelAnswer.FORGOTTEN
+    key = requests.AttemptKey(cancel.request_id, cancel.attempt)
+    state.memories[key] = agent.Memory(None, forget_at)
+    return states.CancelAnswer.NEVER_SEEN
+
+
+def forget(state: agent.AgentState, now: datetime.timedelta) -> None:
+    """Drops memories whose time is over."""
+    old = [
+        key for key, memory in state.memories.items() if memory.forget_at <= now
+    ]
+    for key in old:
+        memory = state.memories.pop(key)
+        if memory.reply is not None:
+            state.kept_bytes -= _count_bytes(memory.reply)
+
+
+def _count_bytes(reply: requests.DispatchReply) -> int:
+    return len(reply.answer.body) if reply.answer else 0
--- a/src/gypsumhold/model/agent.py
+++ b/src/gypsumhold/model/agent.py
@@ -104,6 +104,7 @@
         running: How many of them hold a slot.
         lingering: Slots that abandoned calls may still hold.
         memories: Ended and fenced attempts.
+        kept_bytes: Bytes of the answers in them.
         capacity: Resources of the worker, once it has answered.
         executions: Tasks on the worker, and ended ones not acknowledged.
         fences: Highest refused epoch of tasks that are not here.
@@ -132,6 +133,7 @@
     memories: dict[requests.AttemptKey, Memory] = dataclasses.field(
         default_factory=dict
     )
+    kept_bytes: int = 0
     capacity: resources.Resources | None = None
     executions: dict[ids.TaskId, Execution] = dataclasses.field(
         default_factory=dict
