Keep large recorded answers in the object store

Cause: a claimed answer was written into its row whatever its size, up to max_body_bytes; the table is shared and takes several hundred writes a second. Ruled out: dropping large bodies, because a repeat has to get the same answer. Conclusion: bodies above 64 KiB become objects named in the row. If the store fails the caller is still answered, and a repeat asks the agent. The record of results has a module of its own.

--- a/src/gypsumhold/adapters/losses.py
+++ b/src/gypsumhold/adapters/losses.py
@@ -64,6 +64,12 @@
     ),
     effects.Commit: _lose_commit,
     effects.ReadRows: lambda effect, _: events.RowsRead(effect.purpose, None),
+    effects.StoreObject: lambda effect, _: events.ObjectStored(
+        effect.owner, False
+    ),
+    effects.LoadObject: lambda effect, _: events.ObjectLoaded(
+        effect.owner, None
+    ),
     effects.ForwardSubmission: lambda effect, _: events.ForwardAnswered(
         effect.owner, None
     ),
--- a/src/gypsumhold/adapters/pools.py
+++ b/src/gypsumhold/adapters/pools.py
@@ -73,6 +73,8 @@
         Family.TABLE, effect.owner or effect.transaction.operation
     ),
     effects.ReadRows: _choose_read_lane,
+    effects.StoreObject: lambda effect: Lane(Family.TABLE, effect.owner),
+    effects.LoadObject: lambda effect: Lane(Family.TABLE, effect.owner),
     effects.SendStarts: lambda effect: Lane(Family.PEERS, effect.instance),
     effects.SendSync: lambda effect: Lane(Family.PEERS, effect.instance),
     effects.PushConfig: lambda effect: Lane(
--- a/src/gypsumhold/adapters/rowvalues.py
+++ b/src/gypsumhold/adapters/rowvalues.py
@@ -63,6 +63,7 @@
     valid_until_us: wire.Whole
     answer: _AnswerDocument | None
     reason: states.Reason
+    body_object: str = ""
 
 
 class _HeadDocument(wire.Document):
@@ -167,6 +168,7 @@
         valid_until=datetime.timedelta(microseconds=document.valid_until_us),
         answer=None if answer is None else _build_answer(answer),
         reason=document.reason,
+        body_object=document.body_object,
     )
 
 
@@ -260,6 +262,7 @@
         "valid_until_us": value.valid_until // MICROSECOND,
         "answer": None if answer is None else _render_answer(answer),
         "reason": value.reason.value,
+        "body_object": value.body_object,
     }
 
 
--- a/src/gypsumhold/adapters/runners.py
+++ b/src/gypsumhold/adapters/runners.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import logbook
+from returns.result import Success
 
 from gypsumhold.adapters import (
     datagrams,
@@ -49,6 +50,7 @@
     def __init__(
         self,
         table: platform.Table,
+        objects: platform.ObjectStore,
         agents: peers.AgentClient,
         entries: peers.EntryClient,
     ) -> None:
@@ -56,6 +58,7 @@
 
         Args:
             table: The platform's table.
+            objects: The platform's object store.
             agents: Calls agents.
             entries: Calls other entries.
         """
@@ -65,6 +68,8 @@
                 effects.SendCancel: self._cancel,
                 effects.Commit: self._commit,
                 effects.ReadRows: self._read_rows,
+                effects.StoreObject: self._store_object,
+                effects.LoadObject: self._load_object,
                 effects.ForwardSubmission: self._forward_submission,
                 effects.ForwardCancel: self._forward_cancel,
                 effects.SendStarts: self._start_tasks,
@@ -75,6 +80,7 @@
             }
         )
         self._table = table
+        self._objects = objects
         self._agents = agents
         self._entries = entries
 
@@ -99,6 +105,15 @@
         found = self._table.read_rows(effect.prefix, effect.after)
         return events.RowsRead(effect.purpose, found)
 
+    def _store_object(self, effect: effects.StoreObject) -> events.Event:
+        stored = self._objects.put(effect.name, effect.body)
+        return events.ObjectStored(effect.owner, isinstance(stored, Success))
+
+    def _load_object(self, effect: effects.LoadObject) -> events.Event:
+        found = self._objects.get(effect.name)
+        body = found.unwrap() if isinstance(found, Success) else None
+        return events.ObjectLoaded(effect.owner, body)
+
     def _forward_submission(
         self, effect: effects.ForwardSubmission
     ) -> events.Event:
--- a/src/gypsumhold/decisions/calls.py
+++ b/src/gypsumhold/decisions/calls.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions import claims, dispatches, shares
+from gypsumhold.decisions import claims, dispatches, results, shares
 from gypsumhold.model import (
     effects,
     entry,
@@ -105,7 +105,7 @@
 ) -> list[effects.Effect]:
     if call.template.repeatable:
         return dispatches.finish(state, call, result)
-    return claims.record(state, call, result, now)
+    return results.record(state, call, result, now)
 
 
 def _retry_or_conclude(
--- a/src/gypsumhold/decisions/claims.py
+++ b/src/gypsumhold/decisions/claims.py
@@ -4,10 +4,9 @@
 so that any entry can later ask the agent what became of it.
 """
 
-import dataclasses
 import datetime
 
-from gypsumhold.decisions import dispatches
+from gypsumhold.decisions import dispatches, results
 from gypsumhold.model import (
     effects,
     entry,
@@ -23,12 +22,6 @@
 RESEND = datetime.timedelta(milliseconds=100)
 """Pause before a transaction in doubt is sent again."""
 
-RECORD_RETRY = datetime.timedelta(seconds=1)
-"""Pause before an unrecorded result is written again after the answer."""
-
-RECORD_LIMIT = datetime.timedelta(minutes=10)
-"""How long an unrecorded result is written again."""
-
 
 def begin(
     state: entry.EntryState, call: entry.Call, now: datetime.timedelta
@@ -66,55 +59,7 @@
         address=member.address,
         valid_until=call.valid_until,
     )
-    return _write(state, call, row)
-
-
-def record(
-    state: entry.EntryState,
-    call: entry.Call,
-    result: requests.Result,
-    now: datetime.timedelta,
-) -> list[effects.Effect]:
-    """Writes the result into the claim; the caller is answered after it."""
-    if result.outcome is states.Outcome.NOT_RUN and call.may_have_run:
-        result = requests.Result(states.Outcome.INDETERMINATE, result.reason)
-    if call.claim is None or not isinstance(call.claim.value, rows.ClaimRow):
-        return dispatches.finish(state, call, result)
-    call.result = result
-    call.phase = states.CallPhase.RECORDING
-    row = dataclasses.replace(
-        call.claim.value,
-        state=_CLAIM_STATES[result.outcome],
-        answer=result.answer,
-        reason=result.reason,
-    )
-    return _write(state, call, row)
-
-
-_CLAIM_STATES = {
-    states.Outcome.COMPLETED: states.ClaimState.COMPLETED,
-    states.Outcome.NOT_RUN: states.ClaimState.NOT_RUN,
-    states.Outcome.INDETERMINATE: states.ClaimState.INDETERMINATE,
-}
-
-
-def _write(
-    state: entry.EntryState, call: entry.Call, row: rows.ClaimRow
-) -> list[effects.Effect]:
-    request = call.request
-    assert request.key is not None
-    key = rows.name_claim_row(request.organisation, request.key)
-    version = call.claim.version if call.claim else ids.RowVersion(0)
-    transaction = rows.Transaction(
-        operation=state.next_operation(),
-        conditions=(rows.Condition(key, version),),
-        writes=(rows.Write(key, row),),
-    )
-    call.transaction = transaction
-    state.operations[transaction.operation] = entry.Operation(
-        states.OperationKind.CLAIM, request.request_id
-    )
-    return [effects.Commit(request.request_id, transaction)]
+    return results.write_claim(state, call, row)
 
 
 def take_commit(
@@ -163,7 +108,7 @@
         result = dispatches.refuse(
             states.Reason.EXPIRED, dispatches.RETRY_AFTER
         )
-        return record(state, call, result, now)
+        return results.record(state, call, result, now)
     return dispatches.send_dispatch(state, call, now)
 
 
@@ -178,17 +123,7 @@
     operation = call.transaction.operation
     if call.phase is states.CallPhase.RECORDING:
         # The outcome is known: the caller does not wait for the record.
-        assert call.result is not None
-        state.operations[operation] = entry.Operation(
-            states.OperationKind.RECORD, operation
-        )
-        state.recordings[operation] = entry.Recording(
-            call.transaction, now + RECORD_LIMIT
-        )
-        return [
-            *dispatches.finish(state, call, call.result),
-            _set_record_timer(operation),
-        ]
+        return results.record_later(state, call, now)
     if result is states.CommitResult.UNAVAILABLE or now >= call.deadline:
         # A claim that took effect unseen names an attempt that was never
         # sent; whoever meets it learns so from the agent.
@@ -206,40 +141,6 @@
     return dispatches.finish(state, call, result)
 
 
-def _set_record_timer(operation: ids.OperationId) -> effects.Effect:
-    timer = timers.Timer(timers.TimerKind.CLAIM_RECORD, operation)
-    return effects.SetTimer(timer, RECORD_RETRY)
-
-
-def resend_record(
-    state: entry.EntryState, timer: timers.Timer, now: datetime.timedelta
-) -> list[effects.Effect]:
-    """Writes a result again whose record failed after the answer."""
-    operation = ids.OperationId(timer.subject)
-    recording = state.recordings.get(operation)
-    if recording is None:
-        return []
-    return [effects.Commit(effects.NO_OWNER, recording.transaction)]
-
-
-def take_record(
-    state: entry.EntryState,
-    event: events.CommitAnswered,
-    now: datetime.timedelta,
-) -> list[effects.Effect]:
-    """Applies the table's answer to a record written after the answer."""
-    recording = state.recordings[event.operation]
-    failed = event.answer.result in (
-        states.CommitResult.UNAVAILABLE,
-        states.CommitResult.UNKNOWN,
-    )
-    if failed and now < recording.give_up_at:
-        return [_set_record_timer(event.operation)]
-    del state.recordings[event.operation]
-    del state.operations[event.operation]
-    return []
-
-
 def _evaluate(
     state: entry.EntryState,
     call: entry.Call,
@@ -257,6 +158,9 @@
     if call.claim is None or call.claim.version != found.version:
         call.claim_seen_at = now
     call.claim = found
+    if claim.state is states.ClaimState.COMPLETED and claim.body_object:
+        call.phase = states.CallPhase.FETCHING
+        return [effects.LoadObject(call.request.request_id, claim.body_object)]
     if claim.state is states.ClaimState.COMPLETED:
         result = requests.Result(
             states.Outcome.COMPLETED, claim.reason, claim.answer
@@ -310,7 +214,7 @@
         final = reply.reply
         if final.outcome is states.Outcome.NOT_RUN:
             return begin(state, call, now)
-        return record(
+        return results.record(
             state,
             call,
             requests.Result(final.outcome, final.reason, final.answer),
@@ -324,7 +228,7 @@
     result = requests.Result(
         states.Outcome.INDETERMINATE, states.Reason.INCARNATION_GONE
     )
-    return record(state, call, result, now)
+    return results.record(state, call, result, now)
 
 
 def wake(
--- a/src/gypsumhold/decisions/entries.py
+++ b/src/gypsumhold/decisions/entries.py
@@ -10,6 +10,7 @@
     dispatches,
     partitions,
     placements,
+    results,
     rosters,
     submissions,
     syncs,
@@ -49,7 +50,7 @@
 
 _COMMITS = {
     states.OperationKind.CLAIM: claims.take_commit,
-    states.OperationKind.RECORD: claims.take_record,
+    states.OperationKind.RECORD: results.take_record,
     states.OperationKind.PARTITION: submissions.take_batch,
     states.OperationKind.APPLY: changes.take_apply_commit,
 }
@@ -88,7 +89,7 @@
 
 _TIMERS = {
     timers.TimerKind.CALL: calls.wake_call,
-    timers.TimerKind.CLAIM_RECORD: claims.resend_record,
+    timers.TimerKind.CLAIM_RECORD: results.resend_record,
     timers.TimerKind.BATCH_RETRY: partitions.resend_batch,
     timers.TimerKind.PARTITION_POLL: partitions.poll_partitions,
     timers.TimerKind.LOAD: submissions.reload_partition,
@@ -117,6 +118,8 @@
     events.CancelAnswered: calls.take_cancel_answer,
     events.CommitAnswered: take_commit,
     events.RowsRead: take_rows,
+    events.ObjectStored: results.take_stored,
+    events.ObjectLoaded: results.take_loaded,
     events.AnnouncementReceived: rosters.take_announcement,
     events.SubmissionArrived: submissions.take_submission,
     events.TaskCancelArrived: submissions.take_cancel,
--- /dev/null
+++ b/src/gypsumhold/decisions/results.py
@@ -0,0 +1,195 @@
+"""Results of claimed requests: the claim's row, large bodies, late records."""
+
+import dataclasses
+import datetime
+
+from gypsumhold.decisions import dispatches
+from gypsumhold.model import (
+    effects,
+    entry,
+    events,
+    ids,
+    requests,
+    rows,
+    states,
+    timers,
+)
+
+MAX_ROW_BODY = 64 * 1024
+"""Largest answer body in a claim's row; a larger one becomes an object."""
+
+RECORD_RETRY = datetime.timedelta(seconds=1)
+"""Pause before an unrecorded result is written again after the answer."""
+
+RECORD_LIMIT = datetime.timedelta(minutes=10)
+"""How long an unrecorded result is written again."""
+
+
+def record(
+    state: entry.EntryState,
+    call: entry.Call,
+    result: requests.Result,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Writes the result into the claim; the caller is answered after it."""
+    if result.outcome is states.Outcome.NOT_RUN and call.may_have_run:
+        result = requests.Result(states.Outcome.INDETERMINATE, result.reason)
+    if call.claim is None or not isinstance(call.claim.value, rows.ClaimRow):
+        return dispatches.finish(state, call, result)
+    call.result = result
+    answer = result.answer
+    if answer is None or len(answer.body) <= MAX_ROW_BODY:
+        return _write_result(state, call, call.claim.value, "")
+    call.phase = states.CallPhase.STORING
+    request_id = call.request.request_id
+    return [
+        effects.StoreObject(request_id, _name_object(request_id), answer.body)
+    ]
+
+
+def _name_object(request_id: ids.RequestId) -> str:
+    return f"results/{request_id}"
+
+
+def _write_result(
+    state: entry.EntryState,
+    call: entry.Call,
+    claim: rows.ClaimRow,
+    body_object: str,
+) -> list[effects.Effect]:
+    assert call.result is not None
+    answer = call.result.answer
+    if answer is not None and body_object:
+        answer = dataclasses.replace(answer, body=b"")
+    call.phase = states.CallPhase.RECORDING
+    row = dataclasses.replace(
+        claim,
+        state=_CLAIM_STATES[call.result.outcome],
+        answer=answer,
+        reason=call.result.reason,
+        body_object=body_object,
+    )
+    return write_claim(state, call, row)
+
+
+def take_stored(
+    state: entry.EntryState,
+    event: events.ObjectStored,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Records the result once its large body is stored.
+
+    Without the object the caller is still answered; whoever repeats the
+    request gets the answer from the agent while it keeps it.
+    """
+    call = state.calls.get(event.owner)
+    if call is None or call.phase is not states.CallPhase.STORING:
+        return []
+    assert call.result is not None
+    claim = call.claim.value if call.claim else None
+    if not event.stored or not isinstance(claim, rows.ClaimRow):
+        return dispatches.finish(state, call, call.result)
+    return _write_result(state, call, claim, _name_object(event.owner))
+
+
+def take_loaded(
+    state: entry.EntryState,
+    event: events.ObjectLoaded,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Answers a repeated request with the recorded large body."""
+    call = state.calls.get(event.owner)
+    if call is None or call.phase is not states.CallPhase.FETCHING:
+        return []
+    claim = call.claim.value if call.claim else None
+    known = isinstance(claim, rows.ClaimRow) and claim.answer is not None
+    if event.body is None or not known:
+        result = requests.Result(
+            states.Outcome.IN_PROGRESS, states.Reason.TABLE_UNAVAILABLE
+        )
+        return dispatches.finish(state, call, result)
+    assert isinstance(claim, rows.ClaimRow)
+    assert claim.answer is not None
+    answer = dataclasses.replace(claim.answer, body=event.body)
+    result = requests.Result(states.Outcome.COMPLETED, claim.reason, answer)
+    return dispatches.finish(state, call, result)
+
+
+_CLAIM_STATES = {
+    states.Outcome.COMPLETED: states.ClaimState.COMPLETED,
+    states.Outcome.NOT_RUN: states.ClaimState.NOT_RUN,
+    states.Outcome.INDETERMINATE: states.ClaimState.INDETERMINATE,
+}
+
+
+def write_claim(
+    state: entry.EntryState, call: entry.Call, row: rows.ClaimRow
+) -> list[effects.Effect]:
+    """Writes the claim under the condition of its known version."""
+    request = call.request
+    assert request.key is not None
+    key = rows.name_claim_row(request.organisation, request.key)
+    version = call.claim.version if call.claim else ids.RowVersion(0)
+    transaction = rows.Transaction(
+        operation=state.next_operation(),
+        conditions=(rows.Condition(key, version),),
+        writes=(rows.Write(key, row),),
+    )
+    call.transaction = transaction
+    state.operations[transaction.operation] = entry.Operation(
+        states.OperationKind.CLAIM, request.request_id
+    )
+    return [effects.Commit(request.request_id, transaction)]
+
+
+def record_later(
+    state: entry.EntryState, call: entry.Call, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Answers the caller although the record failed; it is written later."""
+    assert call.transaction is not None
+    assert call.result is not None
+    operation = call.transaction.operation
+    state.operations[operation] = entry.Operation(
+        states.OperationKind.RECORD, operation
+    )
+    state.recordings[operation] = entry.Recording(
+        call.transaction, now + RECORD_LIMIT
+    )
+    return [
+        *dispatches.finish(state, call, call.result),
+        _set_record_timer(operation),
+    ]
+
+
+def _set_record_timer(operation: ids.OperationId) -> effects.Effect:
+    timer = timers.Timer(timers.TimerKind.CLAIM_RECORD, operation)
+    return effects.SetTimer(timer, RECORD_RETRY)
+
+
+def resend_record(
+    state: entry.EntryState, timer: timers.Timer, now: datetime.timedelta
+) -> list[effects.Effect]:
+    """Writes a result again whose record failed after the answer."""
+    operation = ids.OperationId(timer.subject)
+    recording = state.recordings.get(operation)
+    if recording is None:
+        return []
+    return [effects.Commit(effects.NO_OWNER, recording.transaction)]
+
+
+def take_record(
+    state: entry.EntryState,
+    event: events.CommitAnswered,
+    now: datetime.timedelta,
+) -> list[effects.Effect]:
+    """Applies the table's answer to a record written after the answer."""
+    recording = state.recordings[event.operation]
+    failed = event.answer.result in (
+        states.CommitResult.UNAVAILABLE,
+        states.CommitResult.UNKNOWN,
+    )
+    if failed and now < recording.give_up_at:
+        return [_set_record_timer(event.operation)]
+    del state.recordings[event.operation]
+    del state.operations[event.operation]
+    return []
--- a/src/gypsumhold/model/effects.py
+++ b/src/gypsumhold/model/effects.py
@@ -85,6 +85,23 @@
     after: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreObject:
+    """Puts an object into the object store; brings ObjectStored."""
+
+    owner: ids.RequestId
+    name: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadObject:
+    """Gets an object from the object store; brings ObjectLoaded."""
+
+    owner: ids.RequestId
+    name: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerTicket:
     """Ends an operation on a task or on the configuration."""
@@ -286,6 +303,8 @@
     | SendCancel
     | Commit
     | ReadRows
+    | StoreObject
+    | LoadObject
     | AnswerTicket
     | ForwardSubmission
     | ForwardCancel
--- a/src/gypsumhold/model/events.py
+++ b/src/gypsumhold/model/events.py
@@ -75,6 +75,22 @@
     found: tuple[rows.Row, ...] | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectStored:
+    """The object store took an object, or it failed."""
+
+    owner: ids.RequestId
+    stored: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectLoaded:
+    """The object store returned an object; None if it failed."""
+
+    owner: ids.RequestId
+    body: bytes | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnnouncementReceived:
     """An agent announced itself."""
@@ -317,6 +333,8 @@
     | CancelAnswered
     | CommitAnswered
     | RowsRead
+    | ObjectStored
+    | ObjectLoaded
     | AnnouncementReceived
     | SubmissionArrived
     | TaskCancelArrived
--- a/src/gypsumhold/model/rows.py
+++ b/src/gypsumhold/model/rows.py
@@ -82,6 +82,8 @@
     valid_until: datetime.timedelta
     answer: requests.Answer | None = None
     reason: states.Reason = states.Reason.NONE
+    body_object: str = ""
+    """Name of the object that holds the answer's body, if it is large."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/model/states.py
+++ b/src/gypsumhold/model/states.py
@@ -72,7 +72,9 @@
     CANCELLING = "cancelling"
     WAITING_RESULT = "waiting-result"
     PROBING = "probing"
+    STORING = "storing"
     RECORDING = "recording"
+    FETCHING = "fetching"
 
 
 class OperationKind(enum.StrEnum):
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -60,6 +60,11 @@
     )
     stack.callback(table_calls.close)
     table = platform.HttpTable(table_calls)
+    object_calls = httpcalls.HttpCaller(
+        httpcalls.CallOptions(chosen.objects.build())
+    )
+    stack.callback(object_calls.close)
+    objects = platform.HttpObjectStore(object_calls)
     key = chosen.deployment_key.get_secret_value().encode()
     connections = stack.enter_context(
         contextlib.closing(pool.ConnectionPool(key, pool.PoolOptions()))
@@ -81,7 +86,7 @@
         state,
         reducer.reduce,
         time,
-        runners.EntryRunner(table, agents, entries),
+        runners.EntryRunner(table, objects, agents, entries),
         recorder,
     )
     stack.callback(runtime.close)
