--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)/src
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: env format check test fuzz demo measure slopes generate dist clean
+.PHONY: env format check test fuzz demo measure slopes reference generate dist clean
 
 # A shared environment belongs to whoever made it and is used as it is.
 ifeq ($(VENV),.venv)
@@ -44,6 +44,10 @@
 slopes: env
 	$(PY) tools/slopes.py
 
+# docs/settings.md is made from the checked types; a test compares them.
+reference: env
+	$(PY) tools/settings_reference.py
+
 # Needs Debian's thrift-compiler; the output is committed.
 generate:
 	rm -rf src/gypsumhold/adapters/generated
--- /dev/null
+++ b/tools/settings_reference.py
@@ -0,0 +1,140 @@
+"""Writes docs/settings.md from the checked types of the settings.
+
+`--check` compares only and exits 1 if the page is out of date.
+"""
+
+import argparse
+import dataclasses
+import datetime
+import enum
+import pathlib
+import sys
+import types
+import typing
+from typing import Annotated, Any
+
+import pydantic
+from pydantic_core import PydanticUndefined
+
+from gypsumhold.adapters import settings
+from gypsumhold.model import options
+
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "settings.md"
+ROLES: tuple[tuple[str, type[pydantic.BaseModel], type], ...] = (
+    ("gypsumhold-entry", settings.EntrySettings, options.EntryOptions),
+    ("gypsumhold-agent", settings.AgentSettings, options.AgentOptions),
+)
+TYPE_NAMES = {
+    "str": "text",
+    "int": "integer",
+    "bool": "true or false",
+    "SecretStr": "secret",
+    "IPvAnyAddress": "IP number",
+    "IPv4Address": "IP number",
+    "IPv6Address": "IP number",
+}
+HEADER = """# Settings
+
+Made by `make reference` from the checked types; do not edit. Files are JSON
+with comments. A secret is a string or `{"file": "path"}`. Keys under `tuning`
+that are left out keep the default of the options object.
+"""
+
+
+def name_type(annotation: Any) -> str:
+    """Returns a short name of a field's type."""
+    if isinstance(annotation, type) and issubclass(annotation, enum.Enum):
+        return ", ".join(repr(item.value) for item in annotation)
+    if isinstance(annotation, type) and not typing.get_args(annotation):
+        return TYPE_NAMES.get(annotation.__name__, annotation.__name__)
+    if typing.get_origin(annotation) is Annotated:
+        return name_type(typing.get_args(annotation)[0])
+    parts = [
+        name_type(item)
+        for item in typing.get_args(annotation)
+        if item not in (types.NoneType, Ellipsis)
+    ]
+    if typing.get_origin(annotation) is tuple:
+        return f"list of {parts[0]}"
+    if typing.get_origin(annotation) is typing.Literal:
+        return ", ".join(map(repr, typing.get_args(annotation)))
+    return " or ".join(dict.fromkeys(parts))
+
+
+def find_models(annotation: Any) -> list[type[pydantic.BaseModel]]:
+    """Returns the models that an annotation contains."""
+    if isinstance(annotation, type) and issubclass(
+        annotation, pydantic.BaseModel
+    ):
+        return [annotation]
+    return [
+        model
+        for item in typing.get_args(annotation)
+        for model in find_models(item)
+    ]
+
+
+def describe_default(name: str, default: Any, defaults: dict[str, Any]) -> str:
+    """Returns the default of a field, or *required*."""
+    if default is PydanticUndefined:
+        return "*required*"
+    if isinstance(default, pydantic.BaseModel):
+        return ""
+    if isinstance(default, bool):
+        return f"`{str(default).lower()}`"
+    if default is not None:
+        return f"`{getattr(default, 'value', default)}`"
+    chosen = defaults.get(name.removesuffix("_ms"))
+    if isinstance(chosen, datetime.timedelta):
+        return f"`{chosen // datetime.timedelta(milliseconds=1)}`"
+    return f"`{chosen}`" if isinstance(chosen, int) else "none"
+
+
+def list_rows(
+    model: type[pydantic.BaseModel], prefix: str, defaults: dict[str, Any]
+) -> list[str]:
+    """Returns the table rows of a model and of the models inside it."""
+    rows = []
+    for name, field in model.model_fields.items():
+        key = f"{prefix}{field.alias or name}"
+        shown = describe_default(name, field.default, defaults)
+        nested = find_models(field.annotation)
+        if nested:
+            many = typing.get_origin(field.annotation) is tuple
+            inner = f"{key}[]." if many else f"{key}."
+            rows += list_rows(nested[0], inner, defaults)
+        else:
+            rows.append(
+                f"| `{key}` | {name_type(field.annotation)} | {shown} |"
+            )
+    return rows
+
+
+def list_defaults(model: type) -> dict[str, Any]:
+    """Returns the defaults of an options object by field name."""
+    return {item.name: item.default for item in dataclasses.fields(model)}
+
+
+def render() -> str:
+    """Returns the whole page."""
+    parts = [HEADER]
+    for program, model, chosen in ROLES:
+        parts.append(
+            f"\n## {program}\n\n| key | type | default |\n|---|---|---|"
+        )
+        parts += list_rows(model, "", list_defaults(chosen))
+    return "\n".join(parts) + "\n"
+
+
+def main() -> int:
+    """Writes or checks the page and returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    if not parser.parse_args().check:
+        PAGE.write_text(render(), "utf-8")
+        return 0
+    return int(PAGE.read_text("utf-8") != render())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
