Keep an abandoned call's slot while another answer is under way

Cause: the agent subtracted every call that it was running from the upstream's busy count. A call whose slot the upstream had already freed, with the answer still under way, hid one abandoned call, and its slot was given out again.

Ruled out: expiry of lingering slots (the calls were younger than the longest deadline) and calls that had not reached the upstream yet (they had started more than a report interval before).

Conclusion: a report is evaluated one report later, and only calls that still run then are taken as counted in it.

--- a/src/gypsumhold/decisions/occupancy.py
+++ b/src/gypsumhold/decisions/occupancy.py
@@ -47,37 +47,38 @@
 ) -> None:
     """Applies the upstream's own count of busy slots."""
     report = event.report
-    former, former_at = state.upstream, state.upstream_at
+    former = state.upstream
     if former is None:
         # Whatever is busy now was left by the agent's predecessor.
         add_lingering(state, report.busy, now)
     elif former.address != report.address:
         state.lingering = []
     else:
-        _release_lingering(state, report, former_at)
+        _release_lingering(state, former)
     state.upstream = report
+    state.upstream_before = state.upstream_at
     state.upstream_at = now
 
 
 def _release_lingering(
-    state: agent.AgentState,
-    report: members.UpstreamReport,
-    former_at: datetime.timedelta,
+    state: agent.AgentState, report: members.UpstreamReport
 ) -> None:
-    """Frees slots that the upstream no longer counts as busy.
+    """Frees slots that the latest report but one does not count as busy.
 
-    The report was built after the former one had arrived. Calls that have
-    run since before then are in its count; what is left may be abandoned
-    calls. Those that were abandoned after that may be missing from it.
+    That report was built after the one before it had arrived. Calls that have
+    run since before then, and still run one report later, are in its count;
+    what is left may be abandoned calls. Those that were abandoned after that
+    may be missing from it. The latest report itself says too little: a call
+    that runs here may have freed its slot there, with its answer under way.
     """
+    since = state.upstream_before
     counted = sum(
-        call.phase is states.DispatchPhase.RUNNING
-        and call.started_at < former_at
+        call.phase is states.DispatchPhase.RUNNING and call.started_at < since
         for call in state.calls.values()
     )
     abandoned = max(0, report.busy - counted)
-    old = [item for item in state.lingering if item.since < former_at]
-    new = [item for item in state.lingering if item.since >= former_at]
+    old = [item for item in state.lingering if item.since <= since]
+    new = [item for item in state.lingering if item.since > since]
     kept = sorted(old, key=_get_end)[len(old) - min(len(old), abandoned) :]
     state.lingering = kept + new
 
--- a/src/gypsumhold/model/agent.py
+++ b/src/gypsumhold/model/agent.py
@@ -92,6 +92,7 @@
         configuration: Highest configuration received.
         upstream: Latest report of the upstream.
         upstream_at: When it arrived.
+        upstream_before: When the report before it arrived.
         calls: Accepted dispatches that have not ended.
         running: How many of them hold a slot.
         lingering: Slots that abandoned calls may still hold.
@@ -114,6 +115,7 @@
     configuration: declarations.Configuration = declarations.EMPTY
     upstream: members.UpstreamReport | None = None
     upstream_at: datetime.timedelta = datetime.timedelta(0)
+    upstream_before: datetime.timedelta = datetime.timedelta(0)
     calls: dict[requests.AttemptKey, AgentCall] = dataclasses.field(
         default_factory=dict
     )
