Send waiting calls back when the upstream drains

Cause: the agent refused new dispatches for a draining upstream but still gave it the calls that waited in its queue, however long that took.

Ruled out: dispatches accepted after the report (is_usable refuses them) and late announcements.

Before: test_upstream_drains saw 3 requests begin more than 3 s after the upstream had said that it was leaving.

Conclusion: waiting calls are refused as draining, which proves that they did not run, and entries send them elsewhere. The end of all calls is reported wherever waiting calls end, so that a stop does not miss it.

--- a/src/gypsumhold/decisions/admission.py
+++ b/src/gypsumhold/decisions/admission.py
@@ -144,12 +144,26 @@
     made: list[effects.Effect] = []
     for expired in state.policies.queue.pop_expired(now):
         made.append(_end_unrun(state, expired.key, states.Reason.EXPIRED))
+    if state.upstream is not None and state.upstream.draining:
+        return [*made, *_refuse_waiting(state), *report_stopped(state)]
     while state.policies.queue.count() and occupancy.count_free(state, now):
         queued = state.policies.queue.pop()
         if queued is None:
             break
         made.append(_call_upstream(state, queued.key, now))
-    return [*made, *_set_queue_timer(state, now)]
+    return [*made, *_set_queue_timer(state, now), *report_stopped(state)]
+
+
+def _refuse_waiting(state: agent.AgentState) -> list[effects.Effect]:
+    """Sends waiting calls back, so that an upstream that leaves gets none."""
+    waiting = [
+        key
+        for key, call in state.calls.items()
+        if call.phase is states.DispatchPhase.QUEUED
+    ]
+    for key in waiting:
+        state.policies.queue.remove(key)
+    return [_end_unrun(state, key, states.Reason.DRAINING) for key in waiting]
 
 
 def _set_queue_timer(
@@ -234,7 +248,7 @@
     state.policies.queue.settle(call.queued, now - call.started_at)
     _remember(state, key, call.dispatch, reply)
     ended = effects.ReplyDispatch(key, reply)
-    return [ended, *fill_slots(state, now), *report_stopped(state)]
+    return [ended, *fill_slots(state, now)]
 
 
 def take_upstream_loss(
