Accept a repeated submission only after its commit

Cause: a repeat of a submission was accepted at once when the first copy was in the batch in flight, because only the rows that waited for the next batch were taken as uncommitted. New submissions were not refused while the table was known to be down, but waited for 30 s and were answered with 504.

Ruled out: a commit whose answer was lost (the row was absent from the table when the repeat was answered).

Before: test_submission_waits_for_commit failed, with 201 for a task that the table did not have; test_table_outage saw 504 for a new submission. After: both pass.

Conclusion: a row that was never committed is its own pending row, and its repeats wait for the batch that writes it. While a batch is in doubt, or right after the table failed, new submissions are refused with a retry time.

--- a/src/gypsumhold/decisions/submissions.py
+++ b/src/gypsumhold/decisions/submissions.py
@@ -55,12 +55,13 @@
         return [_accept(event.ticket, task_id)]
     record = partition.tasks.get(task_id)
     if record is not None:
-        # A repeat of a submission in flight is answered with its commit.
-        if not record.row.epoch and task_id in partition.dirty:
-            ticket = entry.BatchTicket(event.ticket, task_id)
-            partition.tickets.append(ticket)
-            return []
+        # A row that was never committed is its own pending row. A repeat of
+        # its submission is answered with its commit too.
+        if record.pending is record.row:
+            return _wait_for_commit(partition, event.ticket, task_id)
         return [_accept(event.ticket, task_id)]
+    if _is_table_down(state, partition, now):
+        return [_report_table_down(event.ticket)]
     row = rows.TaskRow(
         task_id=task_id,
         organisation=submission.organisation,
@@ -72,6 +73,29 @@
     return queues.flush(state, partition, now)
 
 
+def _wait_for_commit(
+    partition: entry.PartitionState,
+    ticket: ids.TicketId,
+    task_id: ids.TaskId,
+) -> list[effects.Effect]:
+    item = entry.BatchTicket(ticket, task_id)
+    batch = partition.batch
+    if batch is None or task_id not in batch.changed:
+        partition.tickets.append(item)
+    else:
+        batch.tickets = (*batch.tickets, item)
+    return []
+
+
+def _is_table_down(
+    state: entry.EntryState,
+    partition: entry.PartitionState,
+    now: datetime.timedelta,
+) -> bool:
+    in_doubt = partition.settled_at == datetime.timedelta.max
+    return in_doubt or now < state.table_failed_at + state.options.table_pause
+
+
 def _find_holder(
     state: entry.EntryState,
     partition: entry.PartitionState | None,
@@ -111,6 +135,14 @@
     )
 
 
+def _report_table_down(ticket: ids.TicketId) -> effects.Effect:
+    return effects.AnswerTicket(
+        ticket,
+        states.SubmissionResult.UNAVAILABLE,
+        "the table does not answer; send it again with the same key later",
+    )
+
+
 def take_cancel(
     state: entry.EntryState,
     event: events.TaskCancelArrived,
