--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -256,6 +256,20 @@
         )
         return list(answer.json()["rows"])
 
+    def call_operator(
+        self, entry: int, target: str, document: Any = None
+    ) -> urllib3.BaseHTTPResponse:
+        """Calls an operator route, named by method and path, of an entry."""
+        method, path = target.split()
+        member = cluster_settings.Member(cluster_settings.Role.ENTRY, entry)
+        token = f"Bearer {cluster_settings.OPERATOR_TOKEN}"
+        return self.http.request(
+            method,
+            f"{self._running.name_health_url(member)}{path}",
+            json=document,
+            headers={"Authorization": token},
+        )
+
     def read_seen(self, role: cluster_settings.Role, index: int) -> Any:
         """Returns the record of a stand-in."""
         member = cluster_settings.Member(role, index)
