--- a/tests/test_occupancy.py
+++ b/tests/decisions/test_occupancy.py
@@ -56,7 +56,7 @@
     start(state, "abandoned", 0.1)
     start(state, "answered", 0.1)
     end(state, "abandoned")
-    occupancy.add_lingering(state, 1, seconds(0.5))
+    occupancy.add_lingering(state, [None], seconds(0.5))
     report(state, 1, busy=2)
     report(state, 2, busy=1)
     end(state, "answered")
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -207,7 +207,7 @@
     first = find_task(found).instance
     # The second placement has to be elsewhere, whatever the random source.
     for item in found.entries:
-        item.state.members[first].quarantined_until = 99 * SECOND
+        item.state.members[first].quarantined_until = datetime.timedelta(days=1)
     found.advance(8 * SECOND)
     assert find_task(found).epoch == 2
     assert find_task(found).instance != first
