--- a/src/gypsumhold/decisions/executions.py
+++ b/src/gypsumhold/decisions/executions.py
@@ -68,9 +68,9 @@
         return True
     # A start with a higher epoch shows that the end of the former placement
     # was committed, so it also acknowledges that report.
-    if known is not None and known.state not in ENDED:
-        return False
-    if known is not None and start.epoch < known.start.epoch:
+    if known is not None and (
+        known.state not in ENDED or start.epoch < known.start.epoch
+    ):
         return False
     if start.incarnation != state.options.incarnation:
         return False
