Repeat a lost start while the worker lists an older epoch

An evicted task came back to the same worker, which still listed the former epoch, and the start command was lost. The listed epoch was not the execution's, so the entry was skipped, and because the task was listed it did not count as missing either. It stayed in its start, with its lease renewed, for ever.

Ruled out: the worker's answer to a repeated start; none was sent.

An execution now counts as listed only at its own epoch.

--- a/src/gypsumhold/decisions/workers.py
+++ b/src/gypsumhold/decisions/workers.py
@@ -41,12 +41,12 @@
         return []
     first = state.capacity is None
     state.capacity = report.capacity
-    listed = {item.task_id: item for item in report.tasks}
+    listed = {(item.task_id, item.epoch) for item in report.tasks}
     made: list[effects.Effect] = []
     for item in report.tasks:
         made += _take_listed(state, item, first, now)
     for execution in list(state.executions.values()):
-        if execution.start.task_id not in listed:
+        if (execution.start.task_id, execution.start.epoch) not in listed:
             made += _take_missing(execution, event.sent_at)
     return [*made, *control_interference(state, now)]
 
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -224,3 +224,23 @@
     found.advance(50 * SECOND)
     assert find_task(found).instance != silent
     found.oracle.check_workers(found.now)
+
+
+def test_lost_start_is_repeated_while_an_older_epoch_is_listed() -> None:
+    """Guards against a task that stays in its start for ever."""
+    found = start_world()
+    for instance in found.instances[1:]:
+        found.drain(instance)
+    submit(found, find_holder(found), "k")
+    found.advance(2 * SECOND)
+    found.instances[0].policy.evictions = 1
+    while find_task(found).epoch == 1:
+        found.advance(world.LATENCY)
+    found.scripts.append((world.Kind.COMMAND, world.Mishap.LOST, SECOND))
+    found.advance(5 * SECOND)
+    assert not found.scripts
+    states_found = [
+        item.state
+        for item in found.instances[0].agent.state.executions.values()
+    ]
+    assert states_found == [states.ExecutionState.RUNNING]
