--- a/tests/decisions/test_occupancy.py
+++ b/tests/decisions/test_occupancy.py
@@ -69,7 +69,7 @@
     """Guards against slots that stay taken after the upstream freed them."""
     state = build_state()
     report(state, 0, busy=0)
-    occupancy.add_lingering(state, SLOTS, seconds(0.5))
+    occupancy.add_lingering(state, [None] * SLOTS, seconds(0.5))
     for at in (1, 2, 3):
         report(state, at, busy=0)
     assert occupancy.count_free(state, seconds(3)) == SLOTS
