Weigh routing by how slow an instance is

Cause, from make measure (part routing): with one slow upstream among five the p99 of the standard policy was 332 ms against 45 ms without faults, since the load alone does not tell that answers take longer; both samples could also be the same instance. Ruled out: leaving slow instances out, which loses their capacity. Conclusion: the load is weighed by the latency beside the usual one of the kind; it fades with a half-life of 5 s, so that the instance is tried again.

--- a/src/gypsumhold/decisions/dispatches.py
+++ b/src/gypsumhold/decisions/dispatches.py
@@ -44,7 +44,7 @@
     candidates = _list_candidates(state, call.template.name, now)
     untried = [item for item in candidates if item.instance not in call.tried]
     return state.policies.routing.choose(
-        untried or candidates, state.options.data_centre, state.random
+        untried or candidates, state.options.data_centre, now, state.random
     )
 
 
@@ -201,7 +201,9 @@
     if member is None:
         return
     member.in_flight = max(0, member.in_flight - 1)
-    state.policies.routing.observe(member, reply, now - call.sent_at, now)
+    state.policies.routing.observe(
+        member, call.template.name, reply, now - call.sent_at, now
+    )
 
 
 def is_current(
--- a/src/gypsumhold/decisions/routing.py
+++ b/src/gypsumhold/decisions/routing.py
@@ -15,6 +15,18 @@
 MAX_DOUBLINGS = 5
 """Limits the pause to 32 s, so that a mended upstream returns."""
 
+MIN_LATENCY_S = 0.001
+"""Shorter latencies are noise and would make ratios meaningless."""
+
+USUAL_GAIN = 0.1
+"""Weight of one answer in the usual latency of a kind."""
+
+SLOWNESS_GAIN = 0.3
+"""Weight of one answer in an instance's slowness."""
+
+SLOWNESS_HALF_LIFE = datetime.timedelta(seconds=5)
+"""Time in which half of a slowness that is not measured again is forgotten."""
+
 FAR_PENALTY = 0.5
 """Added load of another data centre, in shares of an instance's slots."""
 
@@ -26,6 +38,7 @@
         self,
         candidates: Sequence[roster.Member],
         data_centre: ids.DataCentre,
+        now: datetime.timedelta,
         source: random.Random,
     ) -> roster.Member | None:
         """Returns a random candidate."""
@@ -34,6 +47,7 @@
     def observe(
         self,
         member: roster.Member,
+        kind: ids.KindName,
         reply: requests.DispatchReply | None,
         latency: datetime.timedelta,
         now: datetime.timedelta,
@@ -42,12 +56,21 @@
 
 
 class TwoChoices(policies.Routing):
-    """Takes the less loaded of two random candidates, near ones first."""
+    """Takes the better of two random candidates, near ones first.
+
+    The load is weighed by how slow an instance is beside the usual latency of
+    each kind. The measured slowness fades, so that a slow instance is tried
+    again.
+    """
+
+    def __init__(self) -> None:
+        self._usual: dict[ids.KindName, float] = {}
 
     def choose(
         self,
         candidates: Sequence[roster.Member],
         data_centre: ids.DataCentre,
+        now: datetime.timedelta,
         source: random.Random,
     ) -> roster.Member | None:
         """Returns the better of two candidates."""
@@ -59,20 +82,24 @@
             if item.announcement.data_centre == data_centre
         ]
         first = source.choice(near or candidates)
-        second = source.choice(candidates)
+        others = [item for item in candidates if item is not first]
+        second = source.choice(others) if others else first
         return min(
             (first, second),
-            key=lambda item: _estimate_load(item, data_centre),
+            key=lambda item: _estimate_cost(item, data_centre, now),
         )
 
     def observe(
         self,
         member: roster.Member,
+        kind: ids.KindName,
         reply: requests.DispatchReply | None,
         latency: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
         """Leaves failing instances out; the next call is the probe."""
+        if reply is not None and reply.outcome is states.Outcome.COMPLETED:
+            self._note_latency(member, kind, latency, now)
         failed = reply is None or (
             reply.outcome is states.Outcome.INDETERMINATE
         )
@@ -85,6 +112,37 @@
             pause = FIRST_PAUSE * 2 ** min(excess, MAX_DOUBLINGS)
             member.excluded_until = now + pause
 
+    def _note_latency(
+        self,
+        member: roster.Member,
+        kind: ids.KindName,
+        latency: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        seconds = max(latency.total_seconds(), MIN_LATENCY_S)
+        usual = self._usual.get(kind, seconds)
+        # Slow answers raise the usual latency little, so that one slow
+        # instance does not pass for normal.
+        gain = USUAL_GAIN if seconds < usual else USUAL_GAIN / 10
+        self._usual[kind] = usual + gain * (seconds - usual)
+        faded = _fade(member, now)
+        member.slowness = faded + SLOWNESS_GAIN * (seconds / usual - faded)
+        member.slowness_at = now
+
+
+def _fade(member: roster.Member, now: datetime.timedelta) -> float:
+    """Returns the slowness, drawn to normal by the time since it was seen."""
+    share = 0.5 ** ((now - member.slowness_at) / SLOWNESS_HALF_LIFE)
+    return float(1.0 + (member.slowness - 1.0) * share)
+
+
+def _estimate_cost(
+    member: roster.Member,
+    data_centre: ids.DataCentre,
+    now: datetime.timedelta,
+) -> float:
+    return _estimate_load(member, data_centre) * max(1.0, _fade(member, now))
+
 
 def _estimate_load(member: roster.Member, data_centre: ids.DataCentre) -> float:
     """Estimates the load; fresh in-flight counts go before the report.
--- a/src/gypsumhold/model/policies.py
+++ b/src/gypsumhold/model/policies.py
@@ -17,6 +17,7 @@
         self,
         candidates: Sequence[roster.Member],
         data_centre: ids.DataCentre,
+        now: datetime.timedelta,
         source: random.Random,
     ) -> roster.Member | None:
         """Returns one of the eligible candidates, or None to shed."""
@@ -25,6 +26,7 @@
     def observe(
         self,
         member: roster.Member,
+        kind: ids.KindName,
         reply: requests.DispatchReply | None,
         latency: datetime.timedelta,
         now: datetime.timedelta,
--- a/tests/decisions/test_overload.py
+++ b/tests/decisions/test_overload.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gypsumhold.decisions import reducer, shares, suites
+from gypsumhold.decisions import reducer, routing, shares, suites
 from gypsumhold.model import (
     agent,
     declarations,
@@ -18,6 +18,7 @@
     options,
     requests,
     resources,
+    roster,
     states,
 )
 
@@ -196,3 +197,35 @@
             if isinstance(item, effects.SendDispatch):
                 targets.add(state.calls[item.owner].target)
     assert targets == {"i0", "i1", "i2"}
+
+
+def test_slow_instance_is_avoided_and_tried_again() -> None:
+    """Guards against a slow upstream in the tail, and against losing it."""
+    slow, fast = (
+        roster.Member(
+            members.Announcement(
+                *(ids.InstanceId(name), ids.Incarnation(1), 1),
+                *(states.MemberState.SERVING, ADDRESS, ids.DataCentre("d")),
+                *(ids.Region("r"), ids.Rack("k"), SECOND, frozenset({KIND})),
+                *(8, 0, resources.NOTHING, resources.NOTHING),
+                ids.ConfigVersion(1),
+            ),
+            SECOND,
+        )
+        for name in ("slow", "fast")
+    )
+    policy, source = routing.TwoChoices(), random.Random(1)
+    done = requests.DispatchReply(
+        states.Outcome.COMPLETED, answer=requests.Answer(200)
+    )
+    for _ in range(5):
+        policy.observe(fast, KIND, done, 20 * MS, SECOND)
+        policy.observe(slow, KIND, done, 320 * MS, SECOND)
+    where = ids.DataCentre("d")
+    chosen = [
+        policy.choose((slow, fast), where, SECOND, source) for _ in range(20)
+    ]
+    assert chosen == [fast] * 20
+    fast.in_flight = 4
+    later = policy.choose((slow, fast), where, 40 * SECOND, source)
+    assert later is slow
