--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -244,3 +244,21 @@
         for item in found.instances[0].agent.state.executions.values()
     ]
     assert states_found == [states.ExecutionState.RUNNING]
+
+
+def test_late_start_of_a_former_agent_is_fenced_in_the_worker() -> None:
+    """Guards against calling a task unknown that may still start."""
+    found = start_world()
+    # Between two polls of the worker, which would repeat the start.
+    found.advance(SECOND / 3)
+    found.scripts.append((world.Kind.COMMAND, world.Mishap.LATE, 11 * SECOND))
+    submit(found, find_holder(found), "k")
+    found.advance(SECOND / 10)
+    first = find_instance(found, find_task(found).instance)
+    found.kill(first.agent)
+    found.revive_agent(first)
+    found.advance(3 * SECOND)
+    found.drain(first)
+    found.advance(30 * SECOND)
+    assert find_task(found).instance != first.agent.name
+    found.oracle.check_workers(found.now)
