Let a timer fire again whose handler failed

Cause: a fault in a handler (an overflow, found by the fuzz) ended the timer that it would have set again; the entry never synced or renewed a lease again. Conclusion: the engine sets the timer again after 1 s; the fault is logged.

--- a/src/gypsumhold/adapters/engine.py
+++ b/src/gypsumhold/adapters/engine.py
@@ -47,6 +47,8 @@
 # Keeps a reducer that retries a refused effect from filling a pool again at
 # once.
 REFUSAL_PAUSE = datetime.timedelta(milliseconds=200)
+# Pause before a timer fires again whose handler failed.
+FAULT_PAUSE = datetime.timedelta(seconds=1)
 CLOSE_LIMIT_S = 5.0
 
 _LOG = logbook.Logger("gypsumhold.engine")
@@ -230,9 +232,12 @@
     def deliver(self, event: events.Event) -> None:
         """Dispatches in a thread that has to survive a faulty reducer.
 
-        The fault is logged.
+        The fault is logged. A timer fires again, since the handler that failed
+        may be the one that sets it for the next time.
         """
         try:
             self.dispatch(event)
         except Exception:
             _LOG.exception("event {} failed", type(event).__name__)
+            if isinstance(event, events.TimerFired):
+                self._timers.set(event.timer, FAULT_PAUSE, event)
--- a/tests/adapters/test_engine.py
+++ b/tests/adapters/test_engine.py
@@ -45,6 +45,7 @@
     def __init__(self) -> None:
         self.effects: collections.deque[effects.Effects] = collections.deque()
         self.events: list[events.Event] = []
+        self.faults: collections.deque[Exception] = collections.deque()
         self.arrived = threading.Condition()
 
     def reduce(
@@ -53,6 +54,8 @@
         with self.arrived:
             self.events.append(event)
             self.arrived.notify_all()
+            if self.faults:
+                raise self.faults.popleft()
         return self.effects.popleft() if self.effects else ()
 
     def wait_events(self, number: int) -> list[events.Event]:
@@ -182,6 +185,15 @@
     assert len(rig.script.wait_events(2)) == 2
 
 
+def test_timer_survives_a_failing_handler(rig: Rig) -> None:
+    """Failure: periodic work ends for good after one fault of the reducer."""
+    rig.script.effects.append((set_timer("t", 0.01),))
+    rig.runtime.dispatch(DONE)
+    rig.script.faults.append(OverflowError())
+    fired = events.TimerFired(set_timer("t", 0).timer)
+    assert rig.script.wait_events(3) == [DONE, fired, fired]
+
+
 def test_full_pool_refuses_and_keeps_one_periodic_effect() -> None:
     """Failure: periodic effects pile up behind a peer that hangs."""
     gate, started = threading.Event(), threading.Semaphore(0)
