--- a/src/gypsumhold/adapters/peers.py
+++ b/src/gypsumhold/adapters/peers.py
@@ -223,6 +223,7 @@
     ) -> None:
         self._caller = _Caller(connections, Agent.Client)
         self._call_time = call_time
+        self._encoded: tuple[declarations.Configuration, Any] | None = None
 
     def dispatch(
         self,
@@ -296,13 +297,25 @@
         """Returns the version that the agent has in force afterwards."""
 
         def invoke(client: Any) -> Result[ids.ConfigVersion, errors.Error]:
-            raw = configcodec.encode_configuration(configuration)
+            raw = self._encode(configuration)
             return Success(ids.ConfigVersion(client.push_config(raw)))
 
         return self._caller.call(address, self._call_time, invoke).value_or(
             None
         )
 
+    def _encode(self, configuration: declarations.Configuration) -> Any:
+        """Returns the struct of a configuration, built once for all agents.
+
+        Threads that push a new one at the same time may build it twice.
+        """
+        known = self._encoded
+        if known is None or known[0] is not configuration:
+            built = configcodec.encode_configuration(configuration)
+            known = (configuration, built)
+            self._encoded = known
+        return known[1]
+
     def read_config(
         self, address: members.Address
     ) -> declarations.Configuration | None:
