--- a/tools/measure_floods.py
+++ b/tools/measure_floods.py
@@ -190,7 +190,10 @@
         "floods",
         "Goodput of the work inside its own share",
         "completed / offered",
-        [label.replace(", ", "\n") for label in labels],
+        [
+            label.replace(" flood", "\nflood").replace(", ", "\n")
+            for label in labels
+        ],
         {
             policy: [
                 found[policy, phase][name].goodput
--- a/tools/measure_report.py
+++ b/tools/measure_report.py
@@ -14,7 +14,7 @@
 OUTPUT = (
     pathlib.Path(__file__).resolve().parent.parent / "docs" / "measurements"
 )
-PLOT_INCHES = (6.4, 3.2)
+PLOT_INCHES = (7.6, 3.4)
 PLOT_DPI = 72
 
 
@@ -115,7 +115,8 @@
     axes.set_title(bars.title, fontsize=10)
     if bars.logarithmic:
         axes.set_yscale("log")
-    axes.legend(fontsize=8)
+    # Beside the bars, which may be as high as the axis.
+    axes.legend(fontsize=8, loc="upper left", bbox_to_anchor=(1, 1))
     figure.tight_layout()
     figure.savefig(
         directory / f"{bars.name}.png",
