Look at a claim before refusing for want of an upstream

Cause: with no upstream in reach a repeated request was answered not run without a look at its claim, although an earlier call may have run. Conclusion: the claim is read first and its recorded result returned; with the table down the refusal stays, and speaks of this call only.

--- a/src/gypsumhold/decisions/claims.py
+++ b/src/gypsumhold/decisions/claims.py
@@ -30,12 +30,18 @@
     if now < state.table_failed_at + state.options.table_pause:
         return _refuse_without_table(state, call)
     member = dispatches.choose_target(state, call, now)
-    if member is None:
-        result = dispatches.refuse(
-            states.Reason.NO_UPSTREAM, dispatches.RETRY_AFTER
-        )
-        return dispatches.finish(state, call, result)
-    return move(state, call, member, now)
+    if member is not None:
+        return move(state, call, member, now)
+    if call.claim is None and not call.claim_read:
+        # An earlier call with this key may have run; its result needs no
+        # upstream.
+        call.claim_read = True
+        call.phase = states.CallPhase.WAITING_RESULT
+        return _read_claim(call, now)
+    result = dispatches.refuse(
+        states.Reason.NO_UPSTREAM, dispatches.RETRY_AFTER
+    )
+    return dispatches.finish(state, call, result)
 
 
 def move(
@@ -239,6 +245,12 @@
         return [effects.Commit(call.request.request_id, call.transaction)]
     if call.phase is not states.CallPhase.WAITING_RESULT:
         return []
+    return _read_claim(call, now)
+
+
+def _read_claim(
+    call: entry.Call, now: datetime.timedelta
+) -> list[effects.Effect]:
     request = call.request
     assert request.key is not None
     purpose = events.ReadPurpose(
--- a/src/gypsumhold/model/entry.py
+++ b/src/gypsumhold/model/entry.py
@@ -39,6 +39,7 @@
         transaction: Claim transaction in flight.
         claim: Present row of the claim, as far as known.
         claim_seen_at: Since when that version of the claim is known.
+        claim_read: Whether the claim was looked at without a target.
         result: Result that is being recorded in the claim.
     """
 
@@ -57,6 +58,7 @@
     transaction: rows.Transaction | None = None
     claim: rows.Row | None = None
     claim_seen_at: datetime.timedelta = datetime.timedelta(0)
+    claim_read: bool = False
     result: requests.Result | None = None
 
 
--- a/tests/decisions/test_results.py
+++ b/tests/decisions/test_results.py
@@ -123,3 +123,31 @@
     (final,) = run_first(build_entry(), stored=False)
     assert isinstance(final, effects.AnswerCall)
     assert final.result.answer == LARGE
+
+
+def test_recorded_result_needs_no_upstream() -> None:
+    """Guards against *not run* for work that an earlier call has done."""
+    state = build_entry()
+    state.members.clear()
+    state.servers = None
+    request = requests.Request(
+        *(ids.RequestId("late"), ids.OrganisationId("a"), test_overload.KIND),
+        *(ids.IdempotencyKey("key"), 9 * SECOND, "digest"),
+        requests.Payload("POST", "/"),
+    )
+    (read,) = reducer.reduce(state, events.CallArrived(request), SECOND)
+    assert isinstance(read, effects.ReadRows)
+    answer = requests.Answer(200, (), b"done")
+    claim = rows.ClaimRow(
+        *(states.ClaimState.COMPLETED, "digest", ids.EntryId("e")),
+        *(ids.Incarnation(1), ids.RequestId("first"), ids.Attempt(1)),
+        *(ids.InstanceId("i"), ids.Incarnation(1), test_overload.ADDRESS),
+        *(SECOND, answer),
+    )
+    key = rows.name_claim_row(request.organisation, ids.IdempotencyKey("key"))
+    row = rows.Row(key, ids.RowVersion(2), ids.OperationId("o"), claim)
+    (final,) = reducer.reduce(
+        state, events.RowsRead(read.purpose, (row,)), SECOND
+    )
+    assert isinstance(final, effects.AnswerCall)
+    assert final.result.answer == answer
