Count only living holders in the balance; keep answers while there is room

Cause, found by the tests on processes: after the death of an entry the other one counted it as a holder, so the dead entry's partitions were beyond the survivor's share and nobody took them. And a cut dispatch of a repeatable request ran twice, since its answer was no longer kept for the cancel. Ruled out: the takeover itself; before the balance it took all partitions. Conclusion: a holder counts while its rows change; answers of attempts that are not claimed are kept in half of the 32 MB.

--- a/src/gypsumhold/decisions/balance.py
+++ b/src/gypsumhold/decisions/balance.py
@@ -56,10 +56,14 @@
 
 
 def _count_entries(state: entry.EntryState, now: datetime.timedelta) -> int:
+    lease = state.options.partition_lease
     holders = {
         partition.row.holder
         for partition in state.partitions.values()
-        if partition.row is not None and partition.row.holder is not None
+        if partition.row is not None
+        and partition.row.holder is not None
+        # A holder that no longer writes has died; its share is free.
+        and now - (partition.unchanged_since or now) < lease
     }
     own = {state.options.entry}
     return len(holders | _list_wishing(state, now) | own)
--- a/src/gypsumhold/decisions/memories.py
+++ b/src/gypsumhold/decisions/memories.py
@@ -18,7 +18,8 @@
 waits no longer than the deadline and a few seconds."""
 
 KEPT_BYTES_LIMIT = 32_000_000
-"""Bytes of answers that are kept in all, out of 256 MB for the process."""
+"""Bytes of answers that are kept in all, out of 256 MB for the process. Half
+of them are for claimed attempts only."""
 
 
 def recall(
@@ -42,15 +43,16 @@
     dispatch: requests.Dispatch,
     reply: requests.DispatchReply,
 ) -> None:
-    """Remembers an ended attempt; only claimed ones keep their answer."""
+    """Remembers an ended attempt, with its answer while there is room."""
     key = requests.AttemptKey(dispatch.request_id, dispatch.attempt)
     size = _count_bytes(reply)
-    full = state.kept_bytes + size > KEPT_BYTES_LIMIT
-    if reply.answer is not None and (full or not dispatch.keep_answer):
+    claimed = dispatch.keep_answer
+    limit = KEPT_BYTES_LIMIT if claimed else KEPT_BYTES_LIMIT // 2
+    if reply.answer is not None and state.kept_bytes + size > limit:
         reply = requests.DispatchReply(states.Outcome.INDETERMINATE)
         size = 0
     state.kept_bytes += size
-    kept = CLAIM_MEMORY if dispatch.keep_answer else CANCEL_MEMORY
+    kept = CLAIM_MEMORY if claimed else CANCEL_MEMORY
     state.memories[key] = agent.Memory(reply, dispatch.valid_until + kept)
 
 
