Limit how long one slow answer keeps an instance out of routing

Cause, found by the tests on processes: within one kind service times vary a lot; after one long request an instance counted as hundreds of times slower and got no request for more than ten seconds. Conclusion: one answer shows a slowness of 3 at most, below 1.5 it is noise, and it fades with a half-life of 3 s.

--- a/src/gypsumhold/decisions/routing.py
+++ b/src/gypsumhold/decisions/routing.py
@@ -24,7 +24,14 @@
 SLOWNESS_GAIN = 0.3
 """Weight of one answer in an instance's slowness."""
 
-SLOWNESS_HALF_LIFE = datetime.timedelta(seconds=5)
+MAX_SLOWNESS = 3.0
+"""Largest slowness that one answer can show; service times within a kind vary,
+and one long request must not keep an instance out for long."""
+
+MIN_SLOWNESS = 1.5
+"""Slowness below this is taken as noise."""
+
+SLOWNESS_HALF_LIFE = datetime.timedelta(seconds=3)
 """Time in which half of a slowness that is not measured again is forgotten."""
 
 FAR_PENALTY = 0.5
@@ -126,7 +133,8 @@
         gain = USUAL_GAIN if seconds < usual else USUAL_GAIN / 10
         self._usual[kind] = usual + gain * (seconds - usual)
         faded = _fade(member, now)
-        member.slowness = faded + SLOWNESS_GAIN * (seconds / usual - faded)
+        ratio = min(MAX_SLOWNESS, seconds / usual)
+        member.slowness = faded + SLOWNESS_GAIN * (ratio - faded)
         member.slowness_at = now
 
 
@@ -141,7 +149,9 @@
     data_centre: ids.DataCentre,
     now: datetime.timedelta,
 ) -> float:
-    return _estimate_load(member, data_centre) * max(1.0, _fade(member, now))
+    slowness = _fade(member, now)
+    weight = slowness if slowness >= MIN_SLOWNESS else 1.0
+    return _estimate_load(member, data_centre) * weight
 
 
 def _estimate_load(member: roster.Member, data_centre: ids.DataCentre) -> float:
