Count a wish only once it is rewritten

Cause: a wish row of an entry that has died looked fresh to an entry that read it for the first time; the reader left part of the partitions to it, or gave some up, for a partition lease. Conclusion: a row counts from its first change on.

--- a/src/gypsumhold/decisions/balance.py
+++ b/src/gypsumhold/decisions/balance.py
@@ -29,13 +29,20 @@
     found: tuple[rows.Row, ...],
     sent_at: datetime.timedelta,
 ) -> None:
-    """Notes which wishes have been rewritten."""
+    """Notes which wishes have been rewritten.
+
+    A row that is seen for the first time may be left from an entry that has
+    died, so it counts only once it changes.
+    """
+    lease = state.options.partition_lease
     for row in found:
         if not isinstance(row.value, rows.WishRow):
             continue
         name = row.value.entry
         known = state.wishes.get(name)
-        if known is None or known[0] != row.version:
+        if known is None:
+            state.wishes[name] = (row.version, sent_at - lease)
+        elif known[0] != row.version:
             state.wishes[name] = (row.version, sent_at)
 
 
--- a/tests/decisions/test_balance.py
+++ b/tests/decisions/test_balance.py
@@ -89,13 +89,18 @@
     assert len(taken) == 4
 
 
-@pytest.mark.parametrize(("wish", "left"), [(0, 4), (1, 2)])
-def test_holder_gives_up_what_another_wants(wish: int, left: int) -> None:
-    """Guards against one entry that holds all partitions for good."""
+@pytest.mark.parametrize(
+    ("wishes", "left"), [((0, 0), 4), ((1, 2), 2), ((1, 1), 4)]
+)
+def test_holder_gives_up_what_another_wants(
+    wishes: tuple[int, int], left: int
+) -> None:
+    """Guards against one entry that holds all, and against old wishes."""
     state = build_entry()
     for partition in state.partitions.values():
         partition.phase = states.PartitionPhase.HELD
         partition.row = OTHER
-    read(state, 1, 1, wish)
+    for second, wish in enumerate(wishes, start=1):
+        read(state, 1, second, wish)
     staying = [item for item in state.partitions.values() if not item.leaving]
     assert len(staying) == left
