Give the stand-ins health, metrics, JSON logs and checked settings

Conclusion: one wrapper serves both routes for all roles; settings are read like those of the product.

--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -201,7 +201,7 @@
     tuning: AgentTuning = AgentTuning()
 
 
-SettingsT = TypeVar("SettingsT", bound=_Settings)
+SettingsT = TypeVar("SettingsT", bound=pydantic.BaseModel)
 
 
 def read_settings(
@@ -211,7 +211,7 @@
 
     Args:
         path: Path of the file.
-        model: EntrySettings or AgentSettings.
+        model: Type of the settings, such as EntrySettings.
 
     Returns:
         The settings, or an error that names the faulty key and the remedy.
--- a/src/gypsumhold_standin/program.py
+++ b/src/gypsumhold_standin/program.py
@@ -13,7 +13,6 @@
 
 import contextlib
 import datetime
-import pathlib
 import signal
 import sys
 import threading
@@ -21,14 +20,15 @@
 from collections.abc import Callable
 
 import docopt
-import jsonc
+import logbook
 import pydantic
-from returns.result import Failure, Result, Success
+from returns.result import Failure
 
 import gypsumhold
-from gypsumhold.adapters import clock, documents, wire
-from gypsumhold.model import errors, ids, members
+from gypsumhold.adapters import clock, documents, logs, settings, wire
+from gypsumhold.model import ids, members
 from gypsumhold_standin import (
+    monitoring,
     storeservice,
     upstream,
     upstreamservice,
@@ -43,6 +43,8 @@
 STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
 BAD_USAGE = 2
 
+_LOG = logbook.Logger("gypsumhold.standin")
+
 
 class _ListenDocument(wire.Document):
     host: str
@@ -53,12 +55,14 @@
     """Settings of the platform; port 0 takes a free port."""
 
     listen: _ListenDocument
+    log: settings.LogSettings = settings.LogSettings()
 
 
 class WorkerSettings(wire.Document):
     """Settings of a worker."""
 
     listen: _ListenDocument
+    log: settings.LogSettings = settings.LogSettings()
     capacity: documents.ResourcesDocument
 
 
@@ -66,6 +70,7 @@
     """Settings of an upstream; without `agent` it reports to nobody."""
 
     listen: _ListenDocument
+    log: settings.LogSettings = settings.LogSettings()
     agent: wire.AddressDocument | None = None
     kinds: tuple[str, ...]
     slots: int = pydantic.Field(ge=1)
@@ -83,65 +88,45 @@
 }
 
 
-def read_settings(role: str, text: str) -> Result[Settings, errors.Error]:
-    """Checks the settings of a role."""
-    try:
-        return Success(ROLES[role].model_validate(jsonc.loads(text)))
-    except pydantic.ValidationError as problem:
-        return Failure(
-            documents.describe_problem(
-                problem, errors.ErrorKind.BAD_SETTING, "settings"
-            )
-        )
-    except (ValueError, RecursionError) as problem:
-        return Failure(
-            errors.Error(
-                errors.ErrorKind.BAD_SETTING,
-                f"settings are not JSON with comments: {problem}",
-                "correct the file",
-            )
-        )
-
-
 def _sleep(time_left: datetime.timedelta) -> None:
     time.sleep(time_left.total_seconds())
 
 
 def _build_service(
-    settings: Settings, pause: Callable[[datetime.timedelta], None]
+    chosen: Settings, pause: Callable[[datetime.timedelta], None]
 ) -> web.Service:
-    match settings:
+    match chosen:
         case PlatformSettings():
             return storeservice.StoreService(pause)
         case WorkerSettings():
-            capacity = documents.build_resources(settings.capacity)
+            capacity = documents.build_resources(chosen.capacity)
             return workerservice.WorkerService(
                 capacity, clock.SystemClock(), pause
             )
         case UpstreamSettings():
             return upstreamservice.UpstreamService(
-                _build_options(settings), _sleep
+                _build_options(chosen), _sleep
             )
 
 
-def _build_options(settings: UpstreamSettings) -> upstream.Options:
+def _build_options(chosen: UpstreamSettings) -> upstream.Options:
     return upstream.Options(
-        kinds=frozenset(map(ids.KindName, settings.kinds)),
-        slots=settings.slots,
-        connections=settings.connections,
-        service=datetime.timedelta(milliseconds=settings.service_ms),
-        reserved=documents.build_resources(settings.reserved),
-        seed=settings.seed,
+        kinds=frozenset(map(ids.KindName, chosen.kinds)),
+        slots=chosen.slots,
+        connections=chosen.connections,
+        service=datetime.timedelta(milliseconds=chosen.service_ms),
+        reserved=documents.build_resources(chosen.reserved),
+        seed=chosen.seed,
     )
 
 
-def _count_threads(settings: Settings) -> int:
-    if isinstance(settings, UpstreamSettings):
-        return settings.connections + SPARE_THREADS
+def _count_threads(chosen: Settings) -> int:
+    if isinstance(chosen, UpstreamSettings):
+        return chosen.connections + SPARE_THREADS
     return SERVER_THREADS
 
 
-def run(role: str, settings: Settings) -> None:
+def run(role: str, chosen: Settings) -> None:
     """Serves until SIGTERM or SIGINT.
 
     Raises:
@@ -150,17 +135,20 @@
     # Blocked before any thread starts, so that only sigwait takes them.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     stopping = threading.Event()
-    service = _build_service(settings, lambda left: _wait(stopping, left))
-    listen = members.Address(settings.listen.host, settings.listen.port)
-    server = web.build_server(listen, _count_threads(settings), service)
+    service = _build_service(chosen, lambda left: _wait(stopping, left))
+    listen = members.Address(chosen.listen.host, chosen.listen.port)
+    monitored = monitoring.MonitoredService(role, service)
+    server = web.build_server(listen, _count_threads(chosen), monitored)
     address = members.Address(*server.bind_addr[:2])
     with contextlib.ExitStack() as stack:
+        logs.open_log(stack, chosen.log.level, chosen.log.as_json)
         thread = threading.Thread(target=server.serve, name="server")
         thread.start()
         stack.callback(thread.join)
         stack.callback(server.stop)
         stack.callback(stopping.set)
-        _start_reporter(stack, settings, service, address)
+        _start_reporter(stack, chosen, service, address)
+        _LOG.info("{} listening on {}", role, address)
         print(f"{role} listening on {address}", flush=True)
         signal.sigwait(STOP_SIGNALS)
 
@@ -171,14 +159,14 @@
 
 def _start_reporter(
     stack: contextlib.ExitStack,
-    settings: Settings,
+    chosen: Settings,
     service: web.Service,
     address: members.Address,
 ) -> None:
-    if not isinstance(settings, UpstreamSettings) or settings.agent is None:
+    if not isinstance(chosen, UpstreamSettings) or chosen.agent is None:
         return
     assert isinstance(service, upstreamservice.UpstreamService)
-    agent = wire.build_address(settings.agent)
+    agent = wire.build_address(chosen.agent)
     reporter = upstreamservice.Reporter(service, address, agent)
     reporter.start()
     stack.callback(reporter.close)
@@ -188,13 +176,11 @@
     """Entry point of `gypsumhold-standin`."""
     arguments = docopt.docopt(__doc__, version=gypsumhold.VERSION)
     role = next(name for name in ROLES if arguments[name])
+    read = settings.read_settings(arguments["--config"], ROLES[role])
+    if isinstance(read, Failure):
+        _fail(str(read.failure()))
     try:
-        text = pathlib.Path(arguments["--config"]).read_text("utf-8")
-        match read_settings(role, text):
-            case Success(settings):
-                run(role, settings)
-            case Failure(error):
-                _fail(str(error))
+        run(role, read.unwrap())
     except OSError as problem:
         _fail(f"{problem} (check the file and the listen address)")
 
--- a/src/gypsumhold_standin/storeservice.py
+++ b/src/gypsumhold_standin/storeservice.py
@@ -31,8 +31,6 @@
         """Serves one request."""
         route = routes.parse_route(payload)
         match route.method, route.path:
-            case "GET", ("health",):
-                return routes.answer_json({"status": "ok"})
             case "POST", ("v1", "faults"):
                 return routes.answer_result(
                     routes.read_fault(payload.body).map(self._set_fault)
