--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -4,7 +4,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import ordering, pacing, pressures
-from gypsumhold.model.jobs import policies, progress, runs, scheduler
+from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
 
 RACK_PREFIX = "r"
 """Labels of racks begin so; the others name the kind of the worker."""
@@ -82,12 +82,11 @@
     spec = step.spec
     room.memory_mb -= spec.memory_mb
     room.accelerators -= spec.accelerators
-    if spec.fills and not yields:
-        room.filler_millis += spec.cpu_millis
-        cores = room.fillers.get(spec.image, 0.0)
-        cores += spec.cpu_millis / pressures.CORE_MILLIS
-        room.fillers[spec.image] = cores
-    elif not spec.fills:
+    if spec.fills:
+        _add_cores(room.fillers, spec)
+        if yields:
+            _add_cores(room.yielding, spec)
+    else:
         room.cpu_millis -= spec.cpu_millis
         serves = bool(spec.target_latency_ms)
         used = pacing.SERVING_USE if serves else 1.0
@@ -98,6 +97,34 @@
     room.steps[key] = room.steps.get(key, 0) + 1
 
 
+def _add_cores(cores: dict[specs.Image, float], spec: specs.StepSpec) -> None:
+    used = spec.cpu_millis / pressures.CORE_MILLIS
+    cores[spec.image] = cores.get(spec.image, 0.0) + used
+
+
+def measure_fillers(
+    room: policies.Room, *, yields: bool = False
+) -> dict[specs.Image, float]:
+    """Returns the cores of the fillers that one more filler runs beside.
+
+    Args:
+        room: The room.
+        yields: Whether the further one gives way to others.
+    """
+    if yields:
+        return dict(room.fillers)
+    return {
+        image: cores - room.yielding.get(image, 0.0)
+        for image, cores in room.fillers.items()
+    }
+
+
+def measure_idle(room: policies.Room, *, yields: bool = False) -> float:
+    """Returns the cores that are left to one more filler."""
+    idle = room.idle_millis / pressures.CORE_MILLIS
+    return idle - sum(measure_fillers(room, yields=yields).values())
+
+
 def fits(room: policies.Room, job: progress.Job, step: progress.Step) -> bool:
     """Tells whether a task of a step may run in a room."""
     spec = step.spec
@@ -137,6 +164,7 @@
         steps=dict(room.steps),
         serving=dict(room.serving),
         fillers=dict(room.fillers),
+        yielding=dict(room.yielding),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/pacing.py
+++ b/src/gypsumhold/decisions/jobs/pacing.py
@@ -9,7 +9,7 @@
 LOW_HEADROOM = 1.1
 """Headroom below which fillers stand still."""
 
-TARGET_HEADROOM = 1.45
+TARGET_HEADROOM = 1.5
 """Headroom that fillers leave to serving tasks.
 
 Readings cover the last half second, in which the load of a serving task may
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -3,7 +3,7 @@
 import datetime
 from collections.abc import Iterator
 
-from gypsumhold.decisions.jobs import capacity, lifecycle
+from gypsumhold.decisions.jobs import capacity, lifecycle, ordering
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -72,6 +72,7 @@
     made: Made = []
     misses = 0
     full: set[int] = set()
+    late = ordering.is_late(job, now)
     starved = _is_starved(job, now)
     for step, index in list(_list_ready(job)):
         if id(step) in full:
@@ -81,7 +82,7 @@
             made += _place_gang(state, holding, job, step, rooms=rooms, now=now)
             continue
         task = step.tasks[index]
-        room = _choose(state, job, step, task, rooms)
+        room = _choose(state, job, step, task, rooms, late=late)
         if room is None and starved:
             room = _choose_any(job, step, task, rooms)
             starved = False
@@ -114,7 +115,7 @@
     fitting = _list_fitting(job, step, task, rooms)
     return max(
         fitting,
-        key=lambda room: room.idle_millis - room.filler_millis,
+        key=capacity.measure_idle,
         default=None,
     )
 
@@ -151,9 +152,11 @@
     step: progress.Step,
     task: progress.Task,
     rooms: dict[str, policies.Room],
+    *,
+    late: bool = False,
 ) -> policies.Room | None:
     fitting = _list_fitting(job, step, task, rooms)
-    return state.policies.placement.choose(step, task, fitting)
+    return state.policies.placement.choose(step, task, fitting, yields=late)
 
 
 def _place(
@@ -168,7 +171,7 @@
     ref = lifecycle.build_ref(job, step, index)
     task = step.tasks[index]
     free = room.cpu_millis
-    capacity.fill(room, step, ref)
+    capacity.fill(room, step, ref, yields=ordering.is_late(job, now))
     view = holding.agents[room.instance]
     lifecycle.place(holding, view, scheduler.Placed(job, step, task), ref, now)
     return effects.Log(
@@ -179,7 +182,7 @@
             ("task", str(ref)),
             ("run", str(task.run)),
             ("free_millis", str(free)),
-            ("filler_millis", str(room.filler_millis)),
+            ("filler_cores", f"{sum(room.fillers.values()):.1f}"),
             ("report_ms", str(lifecycle.to_ms(now - view.heard_at))),
         ),
     )
--- a/src/gypsumhold/decisions/jobs/pressures.py
+++ b/src/gypsumhold/decisions/jobs/pressures.py
@@ -24,7 +24,7 @@
 LEAST = 0.004
 """Headroom per core below which images are not told apart."""
 
-NEGLIGIBLE = 0.025
+NEGLIGIBLE = 0.03
 """Headroom per core below which a filler does not slow an image down."""
 
 DOMINANCE = 0.7
--- a/src/gypsumhold/decisions/jobs/spreading.py
+++ b/src/gypsumhold/decisions/jobs/spreading.py
@@ -5,9 +5,6 @@
 from gypsumhold.decisions.jobs import capacity, pressures
 from gypsumhold.model.jobs import policies, progress, specs
 
-FILLER_SHARE = 1.0
-"""Share of the cpu that others leave unused which fillers may ask for."""
-
 
 class FirstFit(policies.Placement):
     """Baseline: the first worker with room."""
@@ -17,6 +14,8 @@
         step: progress.Step,
         task: progress.Task,
         rooms: Sequence[policies.Room],
+        *,
+        yields: bool = False,
     ) -> policies.Room | None:
         """Returns the first room."""
         return rooms[0] if rooms else None
@@ -36,10 +35,14 @@
         step: progress.Step,
         task: progress.Task,
         rooms: Sequence[policies.Room],
+        *,
+        yields: bool = False,
     ) -> policies.Room | None:
         """Returns the best room, or None if the task has to wait."""
         if step.spec.fills:
-            rooms = [room for room in rooms if may_fill(step, room)]
+            rooms = [
+                room for room in rooms if may_fill(step, room, yields=yields)
+            ]
         if not rooms:
             return None
         return max(rooms, key=lambda room: _rate(step, room))
@@ -55,23 +58,35 @@
     ]
 
 
-def may_fill(step: progress.Step, room: policies.Room) -> bool:
-    """Tells whether a filler can run at full speed at most times."""
-    idle = room.idle_millis * FILLER_SHARE - room.filler_millis
-    if idle < step.spec.cpu_millis:
+def may_fill(
+    step: progress.Step, room: policies.Room, *, yields: bool = False
+) -> bool:
+    """Tells whether a filler can run at full speed at most times.
+
+    Args:
+        step: Step of the filler.
+        room: The room.
+        yields: Whether it gives way to others.
+    """
+    more = step.spec.cpu_millis / pressures.CORE_MILLIS
+    if capacity.measure_idle(room, yields=yields) < more:
         return False
     return all(
-        _measure_left(step, room, serving) >= 0
+        _measure_left(step, room, serving, yields=yields) >= 0
         for serving in find_slowed(step, room)
     )
 
 
 def _measure_left(
-    step: progress.Step, room: policies.Room, serving: specs.Image
+    step: progress.Step,
+    room: policies.Room,
+    serving: specs.Image,
+    *,
+    yields: bool,
 ) -> float:
     """Returns the headroom left to others beside one more filler."""
     spec = step.spec
-    cores = dict(room.fillers)
+    cores = capacity.measure_fillers(room, yields=yields)
     more = spec.cpu_millis / pressures.CORE_MILLIS
     cores[spec.image] = cores.get(spec.image, 0.0) + more
     allowed = room.allowed.get(serving, 0.0)
@@ -82,21 +97,25 @@
     spec = step.spec
     near = bool(spec.data_rack) and capacity.read_rack(room) == spec.data_rack
     serves = bool(room.serving)
-    spare = room.cpu_millis - room.filler_millis
+    idle = capacity.measure_idle(room)
     if spec.fills:
         slowed = find_slowed(step, room)
         left = min(
-            (_measure_left(step, room, serving) for serving in slowed),
+            (
+                _measure_left(step, room, serving, yields=False)
+                for serving in slowed
+            ),
             default=0.0,
         )
         # Workers without serving tasks are left to fillers that fit nowhere
         # else.
-        return (near, not slowed, serves, left, spare)
+        return (near, not slowed, serves, left, idle)
     if spec.target_latency_ms:
         # Images of one kind together, so that fillers find workers on which
         # they slow nobody down.
         same = spec.image in room.serving
-        return (near, same, serves, -room.filler_millis, -spare)
+        fillers = sum(room.fillers.values())
+        return (near, same, serves, -fillers, -room.cpu_millis)
     # The smallest gap that fits: larger ones are kept for serving tasks,
     # which otherwise spread to the workers of the fillers.
     return (near, serves, -room.cpu_millis, room.memory_mb)
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -20,12 +20,11 @@
         cpu_millis: Not requested by tasks that reserve cpu.
         memory_mb: Not requested by any task.
         accelerators: Not requested by any task.
-        filler_millis: Cpu that filling tasks here ask for.
         idle_millis: Cpu that other tasks are expected to leave to fillers.
         serving: Tasks with a latency target, by image.
         allowed: Headroom that fillers may take from each of these images.
-        fillers: Cores that fillers here ask for, by image; without those that
-            give way to others.
+        fillers: Cores that fillers here ask for, by image.
+        yielding: Cores of those fillers that give way to others, by image.
         known: Headroom that a core of fillers takes from a serving image.
         steps: Tasks of each step that are here.
     """
@@ -35,11 +34,11 @@
     cpu_millis: int
     memory_mb: int
     accelerators: int
-    filler_millis: int = 0
     idle_millis: int = 0
     serving: dict[specs.Image, int] = dataclasses.field(default_factory=dict)
     allowed: dict[specs.Image, float] = dataclasses.field(default_factory=dict)
     fillers: dict[specs.Image, float] = dataclasses.field(default_factory=dict)
+    yielding: dict[specs.Image, float] = dataclasses.field(default_factory=dict)
     known: Mapping[runs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
@@ -67,6 +66,8 @@
         step: progress.Step,
         task: progress.Task,
         rooms: Sequence[Room],
+        *,
+        yields: bool = False,
     ) -> Room | None:
         """Returns a room that the task fits into, or None to wait.
 
@@ -74,6 +75,7 @@
             step: Step of the task.
             task: The task.
             rooms: Rooms with enough capacity.
+            yields: Whether it is a filler that gives way to others.
         """
 
 
