Pass submissions on to the holder when the store does not answer an entry

Now: after the first refused or unanswered write the job is passed on to the holder, which inserts the same row under the same condition. While the store counts as lost (no answer for 1 s and a failed call) new jobs are passed on without a try, or refused at once with Retry-After; that answer is only given if no try of ours or the holder's can still be stored. A call that was not sent is told apart from one without an answer. Two tests, both failed first (unavailable instead of accepted; no answer at all within 100 ms).

--- a/src/gypsumhold/adapters/jobs/peers.py
+++ b/src/gypsumhold/adapters/jobs/peers.py
@@ -2,7 +2,7 @@
 
 import datetime
 import uuid
-from typing import Any, TypeVar
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
@@ -24,8 +24,6 @@
 WAIT_TIME = datetime.timedelta(milliseconds=1300)
 """How long a server lets a caller wait; shorter than the call's limit."""
 
-_Answer = TypeVar("_Answer", messages.Directives, messages.Answer)
-
 
 class JobClient:
     """Sends messages; None means that no valid answer came."""
@@ -38,41 +36,35 @@
         self, address: members.Address, report: messages.Report
     ) -> messages.Directives | None:
         """Reports to the holder."""
-        return self._ask(address, report, messages.Directives)
+        match self._call(address, report):
+            case Success(messages.Directives() as directives):
+                return directives
+        return None
 
     def query(
         self, address: members.Address, query: messages.Query
     ) -> messages.Answer | None:
         """Asks the holder."""
-        return self._ask(address, query, messages.Answer)
+        match self._call(address, query):
+            case Success(messages.Answer() as answer):
+                return answer
+            case Failure(lost) if not lost.sent:
+                return messages.Answer(messages.Verdict.NOT_SENT)
+        return None
 
     def direct(
         self, address: members.Address, directives: messages.Directives
     ) -> bool:
         """Sends directives to an agent; tells whether it has them."""
-        return self._call(address, directives) is not None
-
-    def _ask(
-        self,
-        address: members.Address,
-        message: messages.Message,
-        kind: type[_Answer],
-    ) -> _Answer | None:
-        answer = self._call(address, message)
-        return answer if isinstance(answer, kind) else None
+        return isinstance(self._call(address, directives), Success)
 
     def _call(
         self, address: members.Address, message: messages.Message
-    ) -> messages.Message | None:
+    ) -> Result[messages.Message, peers.CallLost]:
         def invoke(client: Any) -> Result[messages.Message, errors.Error]:
             return codec.decode_message(client.exchange(codec.encode(message)))
 
-        match self._caller.call(address, CALL_TIME, invoke):
-            case Success(answer):
-                return answer
-            case Failure(_):
-                return None
-        raise AssertionError("a Result is a Success or a Failure")
+        return self._caller.call(address, CALL_TIME, invoke)
 
 
 def name_ticket() -> ids.TicketId:
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -4,6 +4,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
+    contact,
     directives,
     holders,
     lifecycle,
@@ -112,6 +113,15 @@
     now: datetime.timedelta,
 ) -> Made:
     """Applies the answer to a batch."""
+    made = contact.note_store(state, event.write.result, now)
+    return [*made, *_apply(state, event, now)]
+
+
+def _apply(
+    state: scheduler.SchedulerState,
+    event: events.BatchCommitted,
+    now: datetime.timedelta,
+) -> Made:
     holding = state.holding
     if holding is None or holding.in_flight is None:
         return []
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -8,7 +8,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, pressures
+from gypsumhold.decisions.jobs import contact, lifecycle, pressures
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
 from gypsumhold.model.jobs import (
@@ -85,6 +85,15 @@
     now: datetime.timedelta,
 ) -> Made:
     """Takes over if nobody holds the queue."""
+    made = contact.note_call(state, event.row is not None, now)
+    return [*made, *_apply_read(state, event, now)]
+
+
+def _apply_read(
+    state: scheduler.SchedulerState,
+    event: events.HolderRead,
+    now: datetime.timedelta,
+) -> Made:
     if state.role is not scheduler.Role.FOLLOWER or state.stopping:
         return []
     row = event.row
--- a/src/gypsumhold/decisions/jobs/intake.py
+++ b/src/gypsumhold/decisions/jobs/intake.py
@@ -1,8 +1,8 @@
-"""What callers hand in and ask."""
+"""What callers and other entries ask."""
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.decisions.jobs import acceptance, contact, lifecycle
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -17,9 +17,6 @@
 Made = list[base_effects.Effect]
 
 WRITE_PAUSE = datetime.timedelta(milliseconds=80)
-MAX_REFUSED_TRIES = 5
-"""Refusals by the store before the caller is told to come back."""
-
 RETRY_AFTER_S = 1
 
 
@@ -37,122 +34,14 @@
     return max(fitting, key=lambda queue: len(queue.prefix), default=None)
 
 
-def submit(
-    state: scheduler.SchedulerState,
-    event: events.SubmitArrived,
-    now: datetime.timedelta,
-) -> Made:
-    """Stores a job, or refuses it at once."""
-    spec = event.spec
-    holding = state.holding
-    if holding is not None and spec.job_id in holding.jobs:
-        return [_accept(event.ticket)]
-    if holding is not None and state.role is scheduler.Role.HOLDER:
-        pause = state.policies.admission.choose_retry(
-            spec, list(holding.open_jobs.values())
-        )
-        if pause is not None:
-            return _refuse(event, pause, len(holding.open_jobs))
-    if spec.queue.advised:
-        # Its starts need tickets of an outside service, which is not asked yet.
-        log = effects.Log("submit", spec.job_id, "refused: advised queue")
-        return [log, *_end(event.ticket, messages.Verdict.UNAVAILABLE)]
-    deadline = now + event.remaining
-    state.tickets[event.ticket] = scheduler.Ticket(deadline, spec=spec)
-    return [effects.WriteJob(event.ticket, spec)]
-
-
-def _accept(ticket: ids.TicketId) -> effects.AnswerQuery:
-    return effects.AnswerQuery(
-        ticket, messages.Answer(messages.Verdict.ACCEPTED)
-    )
-
-
-def _refuse(
-    event: events.SubmitArrived, pause: datetime.timedelta, open_jobs: int
-) -> Made:
-    answer = messages.Answer(
-        messages.Verdict.OVERLOADED,
-        retry_after_s=max(1, round(pause.total_seconds())),
-    )
-    log = effects.Log(
-        "submit",
-        event.spec.job_id,
-        "refused: overloaded",
-        (("queue", event.spec.queue.name), ("open_jobs", str(open_jobs))),
-    )
-    return [log, effects.AnswerQuery(event.ticket, answer)]
-
-
-def note_written(
-    state: scheduler.SchedulerState,
-    event: events.JobWritten,
-    now: datetime.timedelta,
-) -> Made:
-    """Answers a submission, or tries again."""
-    ticket = state.tickets.get(event.ticket)
-    if ticket is None or ticket.spec is None:
-        return []
-    ticket.tries += 1
-    stored = (storage.WriteResult.STORED, storage.WriteResult.CONFLICT)
-    if event.result in stored:
-        return _finish(state, event, ticket, now)
-    if event.result is storage.WriteResult.UNKNOWN:
-        ticket.doubtful = True
-    refused = ticket.tries >= MAX_REFUSED_TRIES and not ticket.doubtful
-    if now + WRITE_PAUSE < ticket.deadline and not refused:
-        return [effects.WriteJob(event.ticket, ticket.spec, WRITE_PAUSE)]
-    del state.tickets[event.ticket]
-    verdict = messages.Verdict.UNAVAILABLE
-    if ticket.doubtful:
-        verdict = messages.Verdict.UNKNOWN
-    log = effects.Log(
-        "submit",
-        ticket.spec.job_id,
-        verdict.value,
-        (("tries", str(ticket.tries)), ("last", event.result.value)),
-    )
-    answer = messages.Answer(verdict, retry_after_s=RETRY_AFTER_S)
-    return [log, effects.AnswerQuery(event.ticket, answer)]
-
-
-def _finish(
-    state: scheduler.SchedulerState,
-    event: events.JobWritten,
-    ticket: scheduler.Ticket,
-    now: datetime.timedelta,
-) -> Made:
-    del state.tickets[event.ticket]
-    spec = ticket.spec
-    assert spec is not None
-    inputs = (
-        ("queue", spec.queue.name),
-        ("steps", str(len(spec.steps))),
-        ("tries", str(ticket.tries)),
-    )
-    made: Made = [
-        effects.Log("submit", spec.job_id, "accepted", inputs),
-        _accept(event.ticket),
-    ]
-    if event.result is storage.WriteResult.CONFLICT:
-        # An earlier submission of the same id may have been another one.
-        return made
-    if state.role is scheduler.Role.HOLDER and state.holding is not None:
-        lifecycle.add_job(state.holding, storage.JobRows(spec), now)
-    elif (address := state.find_holder()) is not None:
-        query = messages.Query(
-            messages.Question.ACCEPTED, spec.job_id, spec=spec
-        )
-        made.append(effects.TellHolder(address, query))
-    return made
-
-
 def ask(
     state: scheduler.SchedulerState,
     event: events.QueryArrived,
     now: datetime.timedelta,
 ) -> Made:
     """Answers a question from memory, from the holder or from the table."""
+    if event.query.question is messages.Question.SUBMIT:
+        return acceptance.take_passed_on(state, event, now)
     deadline = now + event.remaining
     ticket = scheduler.Ticket(
         deadline, query=event.query, forwarded=event.forwarded
@@ -233,14 +122,20 @@
 def note_answered(
     state: scheduler.SchedulerState,
     event: events.QueryAnswered,
-    _now: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> Made:
     """Passes the holder's answer on, or reads the table instead."""
     ticket = state.tickets.get(event.ticket)
     if ticket is None:
         return []
+    if ticket.spec is not None:
+        return acceptance.note_passed_on(state, event, ticket, now)
     answer = event.answer
-    failed = (messages.Verdict.NOT_HOLDER, messages.Verdict.UNAVAILABLE)
+    failed = (
+        messages.Verdict.NOT_HOLDER,
+        messages.Verdict.NOT_SENT,
+        messages.Verdict.UNAVAILABLE,
+    )
     if answer is not None and answer.verdict not in failed:
         del state.tickets[event.ticket]
         return [effects.AnswerQuery(event.ticket, answer)]
@@ -285,6 +180,15 @@
     now: datetime.timedelta,
 ) -> Made:
     """Answers a cancellation that this entry stored itself."""
+    made = contact.note_store(state, event.result, now)
+    return [*made, *_settle_cancel(state, event, now)]
+
+
+def _settle_cancel(
+    state: scheduler.SchedulerState,
+    event: events.CancelWritten,
+    now: datetime.timedelta,
+) -> Made:
     ticket = state.tickets.get(event.ticket)
     if ticket is None or ticket.query is None:
         return []
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from gypsumhold.decisions.jobs import batches, holders, intake, reports
+from gypsumhold.decisions.jobs import (
+    acceptance,
+    batches,
+    holders,
+    intake,
+    reports,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import events as base_events
 from gypsumhold.model import ids, timers
@@ -90,8 +96,8 @@
 
 
 _ACTIVE: Mapping[type, Handler] = {
-    events.SubmitArrived: intake.submit,
-    events.JobWritten: intake.note_written,
+    events.SubmitArrived: acceptance.submit,
+    events.JobWritten: acceptance.note_written,
     events.QueryArrived: intake.ask,
     events.QueryAnswered: intake.note_answered,
     events.JobRead: intake.note_read,
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -106,6 +106,8 @@
     CANCEL = "cancel"
     WAITING = "waiting"
     ACCEPTED = "accepted"
+    SUBMIT = "submit"
+    """Another entry can't store the job of a caller."""
 
 
 class Query(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -115,7 +117,7 @@
         question: What is asked.
         job_id: The job; empty for a question about a queue.
         queue: The queue; empty for a question about a job.
-        spec: The job that was just stored, for `ACCEPTED`.
+        spec: The job, for `ACCEPTED` (just stored) and `SUBMIT`.
     """
 
     question: Question
@@ -157,6 +159,8 @@
     CANCELLED = "cancelled"
     NO_SUCH_JOB = "no-such-job"
     NOT_HOLDER = "not-holder"
+    NOT_SENT = "not-sent"
+    """The holder was not reached, so it has seen nothing of the query."""
 
 
 class Answer(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -129,7 +129,8 @@
         doubtful: Whether an earlier try may have been or may be stored.
         tries: Tries so far.
         cancelling: Whether the answer waits for a stored cancellation.
-        forwarded: Whether another entry asks, which must not be sent on.
+        forwarded: Whether another entry asks, or was asked; it is not asked
+            again.
     """
 
     deadline: datetime.timedelta
@@ -222,6 +223,8 @@
         registered: Whether agents can find this entry.
         source: Source of random numbers.
         stopping: Whether the process was asked to stop.
+        store_heard_at: When the store last answered a call.
+        store_failing: Whether a call has failed since.
     """
 
     options: SchedulerOptions
@@ -237,6 +240,8 @@
     registered: bool = False
     source: random.Random = dataclasses.field(default_factory=random.Random)
     stopping: bool = False
+    store_heard_at: datetime.timedelta = ZERO
+    store_failing: bool = False
 
     def find_holder(self) -> members.Address | None:
         """Returns where another entry that holds the queue answers."""
--- a/src/gypsumhold/platform/callers.py
+++ b/src/gypsumhold/platform/callers.py
@@ -44,6 +44,7 @@
     messages.Verdict.UNAVAILABLE: 503,
     messages.Verdict.UNKNOWN: 504,
     messages.Verdict.NOT_HOLDER: 504,
+    messages.Verdict.NOT_SENT: 504,
     messages.Verdict.NO_SUCH_JOB: 410,
 }
 
--- a/tests/jobs/test_regressions.py
+++ b/tests/jobs/test_regressions.py
@@ -131,3 +131,47 @@
         view.report.incarnation
         == world.nodes["agent-0"].state.options.incarnation
     )
+
+
+def test_entry_cut_off_from_the_store_passes_jobs_on() -> None:
+    """A store that refuses some entries cost their callers whole retries."""
+    world = worlds.World(9)
+    world.run(3000)
+    holder = find_holder(world)
+    other = next(
+        node
+        for node in world.nodes.values()
+        if node.name.startswith("entry") and node is not holder
+    )
+    other.cut_store = True
+    tickets = []
+    for number in range(5):
+        spec = worlds.build_job(f"j{number}", (1,))
+        tickets.append(world.submit(other.name, spec))
+        world.run(900)
+    accepted = messages.Verdict.ACCEPTED
+    assert [world.verdicts[it].verdict for it in tickets] == [accepted] * 5
+    assert len(world.store.jobs) == 5
+    world.run(6000)
+    states = {it.state for it in world.store.progress.values()}
+    assert states == {messages.JobState.COMPLETED}
+
+
+def test_jobs_are_refused_at_once_while_the_store_is_lost() -> None:
+    """Callers were held until their deadline though nothing could be stored."""
+    world = worlds.World(10)
+    world.run(3000)
+    world.store_down = True
+    world.run(3000)
+    tickets = [
+        world.submit(name, worlds.build_job(f"j-{name}", (1,)))
+        for name in ("entry-0", "entry-1")
+    ]
+    world.run(100)
+    for ticket in tickets:
+        answer = world.verdicts[ticket]
+        assert answer.verdict is messages.Verdict.UNAVAILABLE
+        assert answer.retry_after_s > 0
+    world.store_down = False
+    world.run(20_000)
+    assert not world.store.jobs
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -96,6 +96,7 @@
         self.by_address: dict[members.Address, Node] = {}
         self.workers: dict[str, worker_fake.FakeWorker] = {}
         self.verdicts: dict[str, messages.Answer] = {}
+        self.waiting: dict[str, Callable[[messages.Answer], None]] = {}
         self.accepted: dict[specs.JobId, float] = {}
         self.cancelled: set[specs.JobId] = set()
         self.failed_runs: dict[runs.TaskRef, int] = {}
@@ -211,6 +212,9 @@
                 self.lines.append((self.now_ms, node.name, effect))
             case effects.AnswerQuery():
                 self.verdicts[effect.owner] = effect.answer
+                reply = self.waiting.pop(effect.owner, None)
+                if reply is not None:
+                    reply(effect.answer)
             case effects.ReplyReport() | base_effects.Stopped():
                 pass
             case effects.FollowConfig():
@@ -355,11 +359,19 @@
         fate = self._draw_fate()
         sent_at = self.read_clock()
         broken = node.cut or target.cut or not target.alive or target.frozen
+        if fate == "refused" and isinstance(effect, effects.ForwardQuery):
+            unsent = messages.Answer(messages.Verdict.NOT_SENT)
+            event = events.QueryAnswered(effect.owner, unsent)
+            self._answer(node, 5, event)
+            return
         if broken or fate in ("refused", "late"):
             self._answer(node, 1500, losses.build_loss(effect, True))
             return
 
         def arrive() -> None:
+            if isinstance(effect, effects.ForwardQuery):
+                self._forward(node, target, effect, lost=fate == "lost")
+                return
             event = self._exchange(target, effect, sent_at)
             if fate == "lost" or event is None:
                 event = losses.build_loss(effect, True)
@@ -367,6 +379,37 @@
 
         self.after(self._draw_latency(), arrive)
 
+    def _forward(
+        self,
+        node: Node,
+        target: Node,
+        effect: effects.ForwardQuery,
+        *,
+        lost: bool,
+    ) -> None:
+        """Asks another entry, which may store something before it answers."""
+        ticket = ids.TicketId(f"t{next(self.numbers)}")
+        life = node.life
+
+        def reply(answer: messages.Answer | None) -> None:
+            event = events.QueryAnswered(effect.owner, answer)
+            self.after(
+                self._draw_latency(),
+                lambda: self._redeliver(node, life, event),
+            )
+
+        def give_up() -> None:
+            if self.waiting.pop(ticket, None) is not None:
+                reply(None)
+
+        self.waiting[ticket] = (lambda _: reply(None)) if lost else reply
+        self.after(1500, give_up)
+        wait = datetime.timedelta(seconds=1)
+        self.deliver(
+            target,
+            events.QueryArrived(ticket, effect.query, wait, forwarded=True),
+        )
+
     def _exchange(
         self, target: Node, effect: Any, sent_at: datetime.timedelta
     ) -> base_events.Event | None:
@@ -399,8 +442,6 @@
                     sent_at,
                     made.directives,
                 )
-            elif isinstance(made, effects.AnswerQuery):
-                reply = events.QueryAnswered(effect.owner, made.answer)
             else:
                 self._perform(target, made)
         return reply
