--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -113,9 +113,14 @@
 
 
 class NodeFileSettings(_Settings):
-    """Settings of `gypsumhold-node`; addresses come from the platform."""
+    """Settings of `gypsumhold-node`; addresses come from the platform.
+
+    `advertised_port` is where other processes reach this one if a forwarder
+    stands in front of it.
+    """
 
     deployment_key: Secret
+    advertised_port: int | None = pydantic.Field(default=None, ge=1, le=65535)
     metrics_port: int = pydantic.Field(default=9464, ge=1, le=65535)
     log: LogSettings = LogSettings()
 
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -44,7 +44,13 @@
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import events as base_events
 from gypsumhold.model import ids, members
-from gypsumhold.model.jobs import effects, events, executor, scheduler
+from gypsumhold.model.jobs import (
+    effects,
+    events,
+    executor,
+    messages,
+    scheduler,
+)
 from gypsumhold.platform import (
     callers,
     heartbeats,
@@ -131,10 +137,17 @@
     )
 
 
+def find_endpoint(parts: Parts) -> messages.Endpoint:
+    """Returns where other processes reach this one."""
+    own = parts.place.peers
+    port = parts.chosen.advertised_port
+    return own if port is None else messages.Endpoint(own.host, port)
+
+
 def start_entry(parts: Parts, stack: contextlib.ExitStack) -> Running:
     """Builds an entry and starts to serve."""
     options = scheduler.SchedulerOptions(
-        parts.place.instance, parts.incarnation, parts.place.peers
+        parts.place.instance, parts.incarnation, find_endpoint(parts)
     )
     state = scheduler.SchedulerState(
         options,
@@ -175,7 +188,7 @@
 def start_agent(parts: Parts, stack: contextlib.ExitStack) -> Running:
     """Builds an agent and starts to serve."""
     options = executor.ExecutorOptions(
-        parts.place.instance, parts.incarnation, parts.place.peers
+        parts.place.instance, parts.incarnation, find_endpoint(parts)
     )
     state = executor.ExecutorState(options, suites.build_executor_policies())
     calls = worker.PlatformWorker(parts.time)
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -21,6 +21,12 @@
 THREADS = 40
 MAX_BODY_BYTES = 1024 * 1024
 SILENCE_S = 4.0
+SLOW_S = (0.2, 0.9)
+DOWN_MS = 700
+LATE_SHARE = 0.3
+CANCEL_S = 12.0
+"""Grants that were given before a cancellation have lapsed after this."""
+
 BEAT_S = 0.5
 POOL = "pool"
 HOST = "queue.example"
@@ -44,7 +50,11 @@
 
 
 class TableStandin(web.Routes):
-    """The table service; `fault` is silent, busy, lost or empty."""
+    """The table service.
+
+    `fault` is silent, busy, lost, slow, late (writes are done seconds after
+    their callers have given up) or empty.
+    """
 
     def __init__(self, seed: int) -> None:
         self.fault = ""
@@ -56,6 +66,7 @@
             ("op", "", "config"): (1, config)
         }
         self._history: list[tuple[int, RowKey]] = [(1, ("op", "", "config"))]
+        self._forgotten = 0
         self._listener = httpserver.Listener(
             ANY_PORT, self, THREADS, MAX_BODY_BYTES
         )
@@ -71,6 +82,10 @@
         if fault == "silent":
             time.sleep(SILENCE_S)
             return web.Outgoing(503)
+        if fault == "slow":
+            time.sleep(self._random.uniform(*SLOW_S))
+        if fault == "late" and self._random.random() < LATE_SHARE:
+            time.sleep(SILENCE_S)
         answer = self._serve(incoming)
         if fault == "lost" and self._random.random() < 0.3:
             time.sleep(SILENCE_S)
@@ -110,6 +125,13 @@
             self._changed.notify_all()
             return self._render(200, [])
 
+    def forget_history(self) -> None:
+        """Drops all changes; readers that wait for them have to begin anew."""
+        with self._changed:
+            self._forgotten = self._version
+            self._history.clear()
+            self._changed.notify_all()
+
     def _find(self, key: RowKey) -> int:
         return self._rows.get(key, (0, b""))[0]
 
@@ -130,6 +152,8 @@
         end = time.monotonic() + int(query["waitMs"]) / 1000
         with self._changed:
             while True:
+                if after < self._forgotten:
+                    return web.Outgoing(410)
                 keys = [
                     key
                     for version, key in self._history
@@ -164,13 +188,51 @@
         self.lock = threading.Lock()
         self.workers: list[WorkerStandin] = []
         self.problems: list[str] = []
-        self.done: dict[runs.TaskRef, int] = {}
+        self.started: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled: dict[str, float] = {}
+        self.done: dict[str, set[runs.TaskRef]] = {}
+
+    def note_refused(self, job: str) -> None:
+        """A job that was refused has not run and never runs."""
+        with self.lock:
+            self.refused.add(job)
+            if job in self.started:
+                self.problems.append(f"{job} ran before it was refused")
+
+    def note_cancelled(self, job: str) -> None:
+        """Nothing of a cancelled job starts after a while."""
+        with self.lock:
+            self.cancelled[job] = time.monotonic()
+
+    def check_completed(self, job: str) -> None:
+        """A job is shown as completed only if each step has ended done."""
+        with self.lock:
+            steps = {ref.step for ref in self.done.get(job, set())}
+            if steps != {0, 1}:
+                self.problems.append(f"{job} is shown as completed too early")
+
+    def note_ends(self, worker: "WorkerStandin") -> None:
+        """Notes what has ended done on a worker."""
+        for end in worker.fake.ends:
+            if end.end is runs.RunEnd.DONE:
+                task = end.ref.task
+                self.done.setdefault(task.job_id, set()).add(task)
 
     def check_start(self, started: "WorkerStandin", ref: runs.RunRef) -> None:
+        """Checks what must hold when a run starts."""
+        job = ref.task.job_id
+        self.started.add(job)
+        if job in self.refused:
+            self.problems.append(f"{ref.task} of a refused job runs")
+        at = self.cancelled.get(job)
+        if at is not None and time.monotonic() > at + CANCEL_S:
+            self.problems.append(f"{ref.task} of a cancelled job runs")
         for other in self.workers:
             if other is started:
                 continue
             other.advance()
+            self.note_ends(other)
             if ref.task in other.fake.running:
                 self.problems.append(f"{ref.task} runs twice")
         used = sum(it.cpu_millis for it in started.fake.running.values())
@@ -182,7 +244,11 @@
     """One worker over HTTP, and its heartbeats."""
 
     def __init__(self, name: str, judge: Judge, seed: int) -> None:
-        self.fake = worker_fake.FakeWorker(name, int(time.time() * 1000))
+        # The clock of a worker may be 2% slow.
+        rate = random.Random(seed).choice((1.0, 0.98))
+        self.fake = worker_fake.FakeWorker(
+            name, int(time.time() * 1000), rate=rate
+        )
         self.fake.started_ms = time.monotonic() * 1000
         self.agent = ""
         self._judge = judge
@@ -202,14 +268,26 @@
         self._thread.join(5)
         self._listener.close()
 
+    def _is_down(self) -> bool:
+        return time.monotonic() * 1000 < self.fake.started_ms
+
     def advance(self) -> float:
         now_ms = time.monotonic() * 1000
         self.fake.advance(now_ms)
         return now_ms
 
+    def restart(self) -> None:
+        """Ends everything; the next life comes up under the same name."""
+        with self._judge.lock:
+            now_ms = self.advance()
+            self._judge.note_ends(self)
+            self.fake.reborn(now_ms, DOWN_MS)
+
     def _beat(self) -> None:
         pool = urllib3.PoolManager(retries=False)
         while not self._stopped.wait(BEAT_S):
+            if self._is_down():
+                continue
             self.fake.heartbeats += 1
             beat = documents.Heartbeat(
                 POOL,
@@ -234,8 +312,14 @@
         body: Any = msgspec.json.decode(incoming.body)
         if incoming.read_path() == "/hold" and body.get("waitMs"):
             time.sleep(min(0.2, body["waitMs"] / 1000))
+        if self._is_down():
+            return web.Outgoing(503)
+        meant = dict(incoming.headers).get("X-Expected-Instance", "")
+        if meant and meant != self.fake.name:
+            return web.Outgoing(421)
         with self._judge.lock:
             now_ms = self.advance()
+            self._judge.note_ends(self)
             result = self._apply(incoming.read_path(), body, now_ms)
             return self._render(incoming.read_path(), result, now_ms)
 
