Spread submissions over eight parts of the store

A part handles one transaction after another, 0.3 s each then, and all rows lay in one part. Now: submissions lie in eight parts by a hash of their id; the holder's row, progress and entries stay in one. Old jobs lose their submission first and their progress after that. The cancellation row that the holder wrote besides the final state is gone. Tests without network: the parts of submissions and batches, loading, the order of deletion; the first failed before (one part).

--- a/src/gypsumhold/adapters/jobs/interfaces.py
+++ b/src/gypsumhold/adapters/jobs/interfaces.py
@@ -28,6 +28,12 @@
     def write_cancel(self, job_id: specs.JobId) -> storage.WriteResult:
         """Stores a cancellation."""
 
+    @abc.abstractmethod
+    def remove_jobs(
+        self, job_ids: tuple[specs.JobId, ...]
+    ) -> storage.WriteResult:
+        """Deletes submissions and cancellations; their progress stays."""
+
     @abc.abstractmethod
     def read_holder(self) -> storage.HolderRow | None:
         """Returns the holder's row, or None if the read failed."""
--- a/src/gypsumhold/adapters/jobs/runners.py
+++ b/src/gypsumhold/adapters/jobs/runners.py
@@ -67,6 +67,7 @@
                 effects.TakeHolder: self._take_holder,
                 effects.RegisterEntry: self._register,
                 effects.LoadJobs: self._load,
+                effects.RemoveJobs: self._remove_jobs,
                 effects.FollowJobs: self._follow_jobs,
                 effects.CommitBatch: self._commit,
                 effects.PushDirectives: self._push,
@@ -124,6 +125,10 @@
         loaded = self._store.load_jobs()
         return events.JobsLoaded(effect.term, loaded, self._read_wall_ms())
 
+    def _remove_jobs(self, effect: effects.RemoveJobs) -> events.Event:
+        result = self._store.remove_jobs(effect.job_ids)
+        return events.JobsRemoved(effect.term, effect.job_ids, result)
+
     def _follow_jobs(self, effect: effects.FollowJobs) -> events.Event:
         _pause(effect.pause)
         changes = self._store.follow_jobs(effect.after, FEED_WAIT)
--- a/src/gypsumhold/adapters/pools.py
+++ b/src/gypsumhold/adapters/pools.py
@@ -118,6 +118,7 @@
     job_effects.TakeHolder: lambda effect: Lane(Family.TABLE, "holder"),
     job_effects.RegisterEntry: lambda effect: Lane(Family.TABLE, "register"),
     job_effects.LoadJobs: lambda effect: Lane(Family.TABLE, "load"),
+    job_effects.RemoveJobs: lambda effect: Lane(Family.TABLE, "remove"),
     job_effects.CommitBatch: lambda effect: Lane(Family.TABLE, "batch"),
     job_effects.TellHolder: lambda effect: Lane(
         Family.PEERS, ("tell", effect.address, effect.query.job_id)
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -46,7 +46,6 @@
         made += moves.move_still(state, holding, now)
     changed = (
         holding.dirty
-        or holding.cancels
         or holding.removed
         or holding.force_batch
         or holding.giving_up
@@ -77,12 +76,7 @@
         writes.append(
             storage.ProgressWrite(job_id, lifecycle.build_record(job))
         )
-    left = MAX_ROWS - len(chosen)
-    cancels = sorted(holding.cancels)[:left]
-    holding.cancels.difference_update(cancels)
-    for job_id in cancels:
-        holding.jobs[job_id].cancel_batch = number
-    removed = sorted(holding.removed)[: (left - len(cancels)) // 3]
+    removed = sorted(holding.removed)[: MAX_ROWS - len(chosen)]
     holding.removed.difference_update(removed)
     holding.force_batch = False
     if not holding.dirty:
@@ -95,9 +89,7 @@
         state.options.endpoint,
         number,
     )
-    return storage.Batch(
-        holding.version, record, tuple(writes), tuple(cancels), tuple(removed)
-    )
+    return storage.Batch(holding.version, record, tuple(writes), tuple(removed))
 
 
 def _number_acknowledgements(holding: scheduler.Holding, number: int) -> None:
@@ -217,7 +209,7 @@
     if not waiting.cancelling or waiting.query is None:
         return []
     job = holding.jobs.get(waiting.query.job_id)
-    if job is None or not job.is_cancel_stored(holding.stored):
+    if job is None or not job.is_end_stored():
         return []
     del state.tickets[ticket]
     answer = messages.Answer(messages.Verdict.CANCELLED)
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -21,6 +21,9 @@
     storage,
 )
 
+MAX_REMOVED = 40
+"""Jobs that are deleted at a time; two rows each in one transaction."""
+
 LOAD_RETRY = datetime.timedelta(milliseconds=300)
 FOLLOW_RETRY = datetime.timedelta(milliseconds=200)
 GRANT_MARGIN = datetime.timedelta(milliseconds=300)
@@ -210,6 +213,10 @@
         lifecycle.add_job(holding, rows, now)
         if rows.cancelled and spec is not None:
             lifecycle.cancel(holding, holding.jobs[spec.job_id], now)
+    # While the queue is held, jobs come and are placed during the reads.
+    holding.removed.update(
+        job_id for job_id in event.loaded.orphans if job_id not in holding.jobs
+    )
     holding.intake_version = max(holding.intake_version, event.loaded.version)
     state.role = scheduler.Role.HOLDER
     inputs = (
@@ -309,7 +316,7 @@
     for job in list(holding.open_jobs.values()):
         if job.next_repetition < job.spec.repetitions:
             lifecycle.open_repetitions(holding, job, now)
-    _remove_old(state, holding, now)
+    made += _remove_old(state, holding, now)
     holding.pressures = pressures.combine(
         view.influences.values() for view in holding.agents.values()
     )
@@ -343,9 +350,38 @@
     state: scheduler.SchedulerState,
     holding: scheduler.Holding,
     now: datetime.timedelta,
-) -> None:
-    for job_id, job in holding.jobs.items():
-        if job.is_open() or job_id in holding.removed:
-            continue
-        if now >= job.ended_at + state.options.retention:
-            holding.removed.add(job_id)
+) -> Made:
+    """Deletes the submissions of jobs that ended long ago.
+
+    Their progress goes only after that: a submission without progress would
+    begin anew.
+    """
+    if holding.removing:
+        return []
+    old = [
+        job_id
+        for job_id, job in holding.jobs.items()
+        if not job.is_open()
+        and job_id not in holding.removed
+        and now >= job.ended_at + state.options.retention
+    ]
+    if not old:
+        return []
+    chosen = tuple(old[:MAX_REMOVED])
+    holding.removing.update(chosen)
+    return [effects.RemoveJobs(holding.term, chosen)]
+
+
+def note_removed(
+    state: scheduler.SchedulerState,
+    event: events.JobsRemoved,
+    _now: datetime.timedelta,
+) -> Made:
+    """Deletes the progress of jobs whose submissions are gone."""
+    holding = state.holding
+    if holding is None or event.term != holding.term:
+        return []
+    holding.removing.clear()
+    if event.result is storage.WriteResult.STORED:
+        holding.removed.update(event.job_ids)
+    return []
--- a/src/gypsumhold/decisions/jobs/intake.py
+++ b/src/gypsumhold/decisions/jobs/intake.py
@@ -94,12 +94,11 @@
         return _read(state, event.ticket, ticket)
     if query.question is messages.Question.STATE:
         return _end(event.ticket, messages.Verdict.STATE, job.shown)
-    if job.is_cancel_stored(holding.stored):
+    if job.is_end_stored():
         return _end(event.ticket, messages.Verdict.CANCELLED)
     ticket.cancelling = True
     state.tickets[event.ticket] = ticket
     lifecycle.cancel(holding, job, now)
-    holding.cancels.add(query.job_id)
     log = effects.Log(
         "cancel", query.job_id, "storing", (("state", job.shown.value),)
     )
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -104,6 +104,7 @@
     events.CancelWritten: intake.note_cancelled,
     events.HolderTaken: holders.note_taken,
     events.JobsLoaded: holders.note_loaded,
+    events.JobsRemoved: holders.note_removed,
     events.JobsChanged: holders.note_changes,
     events.BatchCommitted: batches.settle,
     events.ReportArrived: reports.take,
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -135,6 +135,15 @@
     owner: str = NO_OWNER
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoveJobs:
+    """Deletes the submissions of jobs that ended long ago."""
+
+    term: ids.Epoch
+    job_ids: tuple[specs.JobId, ...]
+    owner: str = NO_OWNER
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowJobs:
     """Reads submissions and cancellations above a version."""
@@ -256,6 +265,7 @@
     | TakeHolder
     | RegisterEntry
     | LoadJobs
+    | RemoveJobs
     | FollowJobs
     | CommitBatch
     | PushDirectives
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -113,6 +113,15 @@
     wall_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobsRemoved:
+    """A try to delete submissions ended."""
+
+    term: ids.Epoch
+    job_ids: tuple[specs.JobId, ...]
+    result: storage.WriteResult
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobsChanged:
     """What came since was read, at `wall_ms` (Unix); None if that failed."""
@@ -297,6 +306,7 @@
     | HolderRead
     | HolderTaken
     | JobsLoaded
+    | JobsRemoved
     | JobsChanged
     | BatchCommitted
     | EntryRegistered
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -85,7 +85,6 @@
         state: State that callers see once `batch` is stored.
         shown: State that is stored.
         batch: Batch that stores the latest change of the state.
-        cancel_batch: Batch that stores the cancellation.
         steps: Steps of the repetitions that are due, in order.
         next_repetition: First repetition that is not yet due.
         fresh: Placements that no batch stores yet.
@@ -98,7 +97,6 @@
     state: messages.JobState = messages.JobState.QUEUED
     shown: messages.JobState = messages.JobState.QUEUED
     batch: int = 0
-    cancel_batch: int = NOT_STORED
     steps: list[Step] = dataclasses.field(default_factory=list)
     next_repetition: int = 0
     fresh: list[Task] = dataclasses.field(default_factory=list)
@@ -109,15 +107,9 @@
         """Tells whether tasks of the job may still be placed."""
         return self.state not in messages.FINAL_STATES
 
-    def is_cancel_stored(self, stored: int) -> bool:
-        """Tells whether a caller may be told that the job is cancelled.
-
-        Args:
-            stored: Number of the latest stored batch.
-        """
-        return self.cancel_batch <= stored or (
-            self.shown in messages.FINAL_STATES
-        )
+    def is_end_stored(self) -> bool:
+        """Tells whether a caller may be told that the job has ended."""
+        return self.shown in messages.FINAL_STATES
 
     def find_task(self, ref: runs.TaskRef) -> Task | None:
         """Returns a task, or None if it does not exist (yet)."""
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -157,8 +157,8 @@
         began_at: When the term began.
         jobs: All jobs that are not yet removed.
         dirty: Jobs whose progress changed since the last batch.
-        cancels: Cancellations that wait for a batch.
-        removed: Jobs whose rows are to be deleted.
+        removing: Jobs whose submissions are being deleted.
+        removed: Jobs whose progress is to be deleted.
         agents: Agents by instance.
         orphans: Tasks that were placed on instances that have not reported
             in this term.
@@ -185,7 +185,7 @@
         default_factory=dict
     )
     dirty: set[specs.JobId] = dataclasses.field(default_factory=set)
-    cancels: set[specs.JobId] = dataclasses.field(default_factory=set)
+    removing: set[specs.JobId] = dataclasses.field(default_factory=set)
     removed: set[specs.JobId] = dataclasses.field(default_factory=set)
     agents: dict[ids.InstanceId, AgentView] = dataclasses.field(
         default_factory=dict
--- a/src/gypsumhold/model/jobs/storage.py
+++ b/src/gypsumhold/model/jobs/storage.py
@@ -55,10 +55,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadedJobs:
-    """Every job in the table as of `version`."""
+    """Every job in the table as of `version`.
+
+    Attributes:
+        jobs: Rows of each job.
+        version: Where to continue to read changes.
+        orphans: Jobs of which only the progress is left.
+    """
 
     jobs: tuple[JobRows, ...]
     version: ids.RowVersion
+    orphans: tuple[specs.JobId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,14 +84,12 @@
         expected: Version that the holder's row must have.
         holder: New content of the holder's row.
         writes: Progress of jobs that changed.
-        cancels: Jobs whose cancellation is stored with it.
-        removed: Jobs whose rows are deleted.
+        removed: Jobs whose progress is deleted.
     """
 
     expected: ids.RowVersion
     holder: records.HolderRecord
     writes: tuple[ProgressWrite, ...] = ()
-    cancels: tuple[specs.JobId, ...] = ()
     removed: tuple[specs.JobId, ...] = ()
 
 
--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -1,6 +1,7 @@
 """The rows of jobs in the platform's store."""
 
 import datetime
+import zlib
 from typing import TypeVar
 
 import logbook
@@ -19,6 +20,13 @@
 JOB_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
 
+QUEUE_PART = "queue"
+"""Rows that change together lie in one part: a transaction has only one."""
+
+JOB_PARTS = 8
+"""A part handles one transaction after another, so submissions are kept out of
+the way of the holder and of each other."""
+
 # Fixed by the platform.
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
@@ -42,17 +50,18 @@
         absent = table.Condition(JOB_TABLE, spec.job_id, ids.RowVersion(0))
         record = records.JobRecord(records.FORMAT, spec)
         put = table.Put(JOB_TABLE, spec.job_id, codec.encode(record))
-        return self._client.transact((absent,), (put,)).result
+        part = find_part(spec.job_id)
+        return self._client.transact(part, (absent,), (put,)).result
 
     def read_job(self, job_id: specs.JobId) -> storage.JobRows | None:
         """Returns the rows of a job, or None if the read failed."""
         end = job_id + AFTER_SUFFIX
-        found = self._client.read(JOB_TABLE, job_id, end)
+        found = self._client.read(JOB_TABLE, find_part(job_id), job_id, end)
         if found is None:
             return None
         if not found.rows:
             return storage.JobRows(None)
-        progress = self._client.read(PROGRESS_TABLE, job_id, end)
+        progress = self._client.read(PROGRESS_TABLE, QUEUE_PART, job_id, end)
         if progress is None:
             return None
         return _join(found.rows, progress.rows).get(
@@ -61,11 +70,29 @@
 
     def write_cancel(self, job_id: specs.JobId) -> storage.WriteResult:
         """Stores a cancellation."""
-        return self._client.transact((), (_build_cancel(job_id),)).result
+        record = records.CancelRecord(records.FORMAT, job_id)
+        key = job_id + CANCEL_SUFFIX
+        put = table.Put(JOB_TABLE, key, codec.encode(record))
+        return self._client.transact(find_part(job_id), (), (put,)).result
+
+    def remove_jobs(
+        self, job_ids: tuple[specs.JobId, ...]
+    ) -> storage.WriteResult:
+        """Deletes submissions and cancellations."""
+        by_part: dict[str, list[table.Name]] = {}
+        for job_id in job_ids:
+            names = by_part.setdefault(find_part(job_id), [])
+            names.append(table.Name(JOB_TABLE, job_id))
+            names.append(table.Name(JOB_TABLE, job_id + CANCEL_SUFFIX))
+        for part, names in by_part.items():
+            result = self._client.transact(part, (), (), tuple(names)).result
+            if result is not storage.WriteResult.STORED:
+                return result
+        return storage.WriteResult.STORED
 
     def read_holder(self) -> storage.HolderRow | None:
         """Returns the holder's row, or None if the read failed."""
-        found = self._client.read(HOLDER_TABLE, HOLDER_KEY)
+        found = self._client.read(HOLDER_TABLE, QUEUE_PART, HOLDER_KEY)
         return None if found is None else _read_holder(found.rows)
 
     def take_holder(
@@ -88,15 +115,8 @@
             table.Put(PROGRESS_TABLE, it.job_id, codec.encode(it.record))
             for it in batch.writes
         ]
-        puts += [_build_cancel(job_id) for job_id in batch.cancels]
         removed = [
-            name
-            for job_id in batch.removed
-            for name in (
-                table.Name(JOB_TABLE, job_id),
-                table.Name(JOB_TABLE, job_id + CANCEL_SUFFIX),
-                table.Name(PROGRESS_TABLE, job_id),
-            )
+            table.Name(PROGRESS_TABLE, job_id) for job_id in batch.removed
         ]
         return self._write_holder(
             batch.expected, batch.holder, tuple(puts), tuple(removed)
@@ -111,7 +131,9 @@
     ) -> storage.HolderWrite:
         condition = table.Condition(HOLDER_TABLE, HOLDER_KEY, expected)
         put = table.Put(HOLDER_TABLE, HOLDER_KEY, codec.encode(holder))
-        outcome = self._client.transact((condition,), (put, *puts), removed)
+        outcome = self._client.transact(
+            QUEUE_PART, (condition,), (put, *puts), removed
+        )
         present = None
         if outcome.result is storage.WriteResult.CONFLICT:
             present = _read_holder(outcome.rows)
@@ -119,15 +141,25 @@
 
     def load_jobs(self) -> storage.LoadedJobs | None:
         """Returns all jobs, or None if a read failed."""
-        found = self._client.read_all(JOB_TABLE)
-        if found is None:
-            return None
-        progress = self._client.read_all(PROGRESS_TABLE)
+        rows: list[documents.Row] = []
+        version: int | None = None
+        for part in map(_name_part, range(JOB_PARTS)):
+            found = self._client.read_all(JOB_TABLE, part)
+            if found is None:
+                return None
+            rows += found.rows
+            version = found.row_version if version is None else version
+        progress = self._client.read_all(PROGRESS_TABLE, QUEUE_PART)
         if progress is None:
             return None
-        joined = _join(found.rows, progress.rows)
+        joined = _join(tuple(rows), progress.rows)
+        orphans = tuple(
+            specs.JobId(row.key)
+            for row in progress.rows
+            if row.key not in joined
+        )
         return storage.LoadedJobs(
-            tuple(joined.values()), ids.RowVersion(found.row_version)
+            tuple(joined.values()), ids.RowVersion(version or 0), orphans
         )
 
     def follow_jobs(
@@ -151,7 +183,7 @@
     def register(self, record: records.EntryRecord) -> storage.WriteResult:
         """Stores where an entry answers."""
         put = table.Put(ENTRY_TABLE, f"at/{record.name}", codec.encode(record))
-        return self._client.transact((), (put,)).result
+        return self._client.transact(QUEUE_PART, (), (put,)).result
 
     def follow_entries(
         self, after: ids.RowVersion, wait: datetime.timedelta
@@ -165,7 +197,7 @@
             return None
         rows, version = feed.rows, feed.version
         if feed.result is events.ReadResult.GAP:
-            found = self._client.read_all(ENTRY_TABLE)
+            found = self._client.read_all(ENTRY_TABLE, QUEUE_PART)
             if found is None:
                 return None
             rows = found.rows
@@ -186,7 +218,7 @@
             feed = self._client.follow(CONFIG_TABLE, after, wait)
             config = _find_config(feed.rows)
             return events.ConfigRead(config, feed.version, feed.result)
-        found = self._client.read(CONFIG_TABLE, CONFIG_KEY, part=CONFIG_PART)
+        found = self._client.read(CONFIG_TABLE, CONFIG_PART, CONFIG_KEY)
         if found is None:
             return events.ConfigRead(None, after, events.ReadResult.LOST)
         return events.ConfigRead(
@@ -196,9 +228,13 @@
         )
 
 
-def _build_cancel(job_id: specs.JobId) -> table.Put:
-    record = records.CancelRecord(records.FORMAT, job_id)
-    return table.Put(JOB_TABLE, job_id + CANCEL_SUFFIX, codec.encode(record))
+def find_part(job_id: specs.JobId) -> str:
+    """Returns the part in which a job's submission lies."""
+    return _name_part(zlib.crc32(job_id.encode()) % JOB_PARTS)
+
+
+def _name_part(number: int) -> str:
+    return f"jobs-{number}"
 
 
 def _decode(row: documents.Row, kind: type[_Record]) -> _Record | None:
--- a/src/gypsumhold/platform/table.py
+++ b/src/gypsumhold/platform/table.py
@@ -14,9 +14,6 @@
 
 _LOG = logbook.Logger("gypsumhold.platform.table")
 
-PART = "queue"
-"""All rows of one queue lie in one part, so that a transaction spans them."""
-
 PAGE_ROWS = 500
 
 FEED_SILENCE = datetime.timedelta(milliseconds=600)
@@ -88,21 +85,22 @@
 
     def transact(
         self,
+        part: str,
         conditions: tuple[Condition, ...],
         puts: tuple[Put, ...],
         removed: tuple[Name, ...] = (),
     ) -> Outcome:
-        """Applies all changes or none."""
+        """Applies all changes of rows of one part, or none."""
         body = documents.Transaction(
             tuple(
-                documents.ExpectedRow(it.table, PART, it.key, it.version)
+                documents.ExpectedRow(it.table, part, it.key, it.version)
                 for it in conditions
             ),
             tuple(
-                documents.PutRow(it.table, PART, it.key, it.value)
+                documents.PutRow(it.table, part, it.key, it.value)
                 for it in puts
             ),
-            tuple(documents.RowName(it.table, PART, it.key) for it in removed),
+            tuple(documents.RowName(it.table, part, it.key) for it in removed),
         )
         called = self._calls.call("POST", "/rows-tx", documents.encode(body))
         if not isinstance(called, Success):
@@ -110,7 +108,7 @@
         return _read_outcome(called.unwrap())
 
     def read(
-        self, table: str, start: str, end: str = "", part: str = PART
+        self, table: str, part: str, start: str, end: str = ""
     ) -> documents.Rows | None:
         """Returns up to 500 rows from `start` on, or None."""
         query = {"table": table, "part": part, "from": start}
@@ -126,13 +124,13 @@
             return None
         return _decode_rows(reply.body)
 
-    def read_all(self, table: str) -> documents.Rows | None:
-        """Returns all rows of a table and the version of the first page."""
+    def read_all(self, table: str, part: str) -> documents.Rows | None:
+        """Returns all rows of a part and the version of the first page."""
         rows: list[documents.Row] = []
         version: int | None = None
         start = ""
         while True:
-            page = self.read(table, start)
+            page = self.read(table, part, start)
             if page is None:
                 return None
             rows += page.rows
--- a/tests/jobs/store_fake.py
+++ b/tests/jobs/store_fake.py
@@ -44,6 +44,12 @@
         self.intake.append((self._next(), job_id, True))
         return Result.STORED
 
+    def remove_jobs(self, job_ids: tuple[specs.JobId, ...]) -> Result:
+        for job_id in job_ids:
+            self.jobs.pop(job_id, None)
+            self.cancelled.discard(job_id)
+        return Result.STORED
+
     def read_job(self, job_id: specs.JobId) -> storage.JobRows:
         return storage.JobRows(
             self.jobs.get(job_id),
@@ -70,10 +76,7 @@
         if written.result is Result.STORED:
             for write in batch.writes:
                 self.progress[write.job_id] = write.record
-            for job_id in batch.cancels:
-                self.cancelled.add(job_id)
             for job_id in batch.removed:
-                self.jobs.pop(job_id, None)
                 self.progress.pop(job_id, None)
         return written
 
--- /dev/null
+++ b/tests/jobs/test_parts.py
@@ -0,0 +1,101 @@
+"""Where rows lie in the store, for days on which a transaction takes long.
+
+A part of the store handles one transaction after another and refuses more than
+a second of them. All rows lay in one part, so on a slow store a handful of
+submissions a second kept the holder of the queue from storing anything.
+"""
+
+import dataclasses
+
+from gypsumhold.model import ids
+from gypsumhold.model.jobs import messages, records, specs, storage
+from gypsumhold.platform import documents, jobstore, table
+from tests.jobs import world as worlds
+
+
+@dataclasses.dataclass(slots=True)
+class PartsClient(table.TableClient):
+    """Notes the part of each transaction; holds no rows."""
+
+    parts: list[str] = dataclasses.field(default_factory=list)
+    rows: dict[tuple[str, str], tuple[documents.Row, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def transact(
+        self,
+        part: str,
+        conditions: tuple[table.Condition, ...],
+        puts: tuple[table.Put, ...],
+        removed: tuple[table.Name, ...] = (),
+    ) -> table.Outcome:
+        self.parts.append(part)
+        for put in puts:
+            row = documents.Row(put.table, put.key, 1, part, put.value)
+            known = self.rows.get((put.table, part), ())
+            self.rows[put.table, part] = (*known, row)
+        return table.Outcome(storage.WriteResult.STORED, ids.RowVersion(1))
+
+    def read_all(self, table: str, part: str) -> documents.Rows | None:
+        return documents.Rows(self.rows.get((table, part), ()), 1)
+
+
+def build_batch(job_id: specs.JobId) -> storage.Batch:
+    holder = records.HolderRecord(
+        records.FORMAT,
+        ids.Epoch(1),
+        "entry",
+        ids.Incarnation(1),
+        messages.Endpoint("h", 1),
+        1,
+    )
+    progress = records.ProgressRecord(
+        records.FORMAT, messages.JobState.RUNNING, ()
+    )
+    write = storage.ProgressWrite(job_id, progress)
+    return storage.Batch(ids.RowVersion(1), holder, (write,))
+
+
+def test_submissions_leave_the_part_of_the_holder_alone() -> None:
+    client = PartsClient()
+    store = jobstore.PlatformJobStore(client)
+    for number in range(40):
+        store.write_job(worlds.build_job(f"{number:016x}", (1,)))
+    submissions = set(client.parts)
+    client.parts.clear()
+    store.commit(build_batch(specs.JobId("0" * 16)))
+    assert len(client.parts) == 1
+    assert not submissions & set(client.parts)
+    assert len(submissions) == jobstore.JOB_PARTS
+
+
+def test_all_parts_are_loaded_with_their_progress() -> None:
+    client = PartsClient()
+    store = jobstore.PlatformJobStore(client)
+    names = [specs.JobId(f"{number:016x}") for number in range(12)]
+    for name in names:
+        store.write_job(worlds.build_job(name, (1,)))
+    store.commit(build_batch(names[0]))
+    store.commit(build_batch(specs.JobId("gone")))
+    loaded = store.load_jobs()
+    assert loaded is not None
+    assert {it.spec.job_id for it in loaded.jobs if it.spec} == set(names)
+    assert sum(it.progress is not None for it in loaded.jobs) == 1
+    assert loaded.orphans == (specs.JobId("gone"),)
+
+
+def test_old_jobs_lose_their_submission_before_their_progress() -> None:
+    """A submission without progress would begin anew."""
+    world = worlds.World(11)
+    world.run(3000)
+    world.submit("entry-0", worlds.build_job("j", (1,)))
+    world.run(170_000)
+    assert "j" in world.store.jobs
+    world.faults = worlds.Faults(refused=0.5)
+    for _ in range(400):
+        world.run(100)
+        assert "j" not in world.store.jobs or "j" in world.store.progress
+    world.faults = worlds.NO_FAULTS
+    world.run(5000)
+    assert "j" not in world.store.jobs
+    assert "j" not in world.store.progress
--- a/tests/jobs/test_regressions.py
+++ b/tests/jobs/test_regressions.py
@@ -39,7 +39,8 @@
     world.run(2500)
     cancelled = messages.Verdict.CANCELLED
     assert world.verdicts[second].verdict is cancelled
-    assert JOB in world.store.cancelled
+    state = world.store.progress[JOB].state
+    assert state is messages.JobState.CANCELLED
 
 
 def test_conflict_with_the_own_former_row_keeps_the_queue() -> None:
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -346,6 +346,9 @@
                 return events.JobsLoaded(
                     effect.term, store.load(), int(self.now_ms)
                 )
+            case effects.RemoveJobs():
+                result = store.remove_jobs(effect.job_ids)
+                return events.JobsRemoved(effect.term, effect.job_ids, result)
             case effects.CommitBatch():
                 holder = effect.batch.holder
                 written = store.commit(effect.batch)
