--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -81,11 +81,10 @@
 
 def _log_agent(report: messages.Report, outcome: str) -> effects.Log:
     worker = report.worker
-    life = (
-        "none"
-        if worker is None
-        else f"{worker.life.name}@{worker.life.born_ms}"
-    )
+    life = labels = "none"
+    if worker is not None:
+        life = f"{worker.life.name}@{worker.life.born_ms}"
+        labels = ",".join(worker.labels)
     return effects.Log(
         "agent",
         report.instance,
@@ -94,6 +93,7 @@
             ("incarnation", str(report.incarnation)),
             ("report", str(report.sequence)),
             ("worker", life),
+            ("labels", labels),
         ),
     )
 
