Tell every image that changed by a reading; send pressures with each push

Each image is now given what the others are not known to have caused. A filler that was placed by a push was paced by the prior for up to a second; pushes bring pressures too.

--- a/src/gypsumhold/decisions/jobs/colocation.py
+++ b/src/gypsumhold/decisions/jobs/colocation.py
@@ -16,7 +16,7 @@
     if before is None:
         state.sample = sample
     elif now - before.at >= pressures.SPACING:
-        told = pressures.learn(state.influences, state.serving, before, sample)
+        told = pressures.learn(state, before, sample)
         state.unreported |= told
         state.sample = sample
     _forget_left(state)
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -59,7 +59,7 @@
         _list_starts(holding, view, life),
         _list_stops(view),
         _list_found(view),
-        _list_pressures(holding, view) if answers else (),
+        _list_pressures(holding, view),
         _list_deferred(view, now) if answers else None,
     )
 
--- a/src/gypsumhold/decisions/jobs/pressures.py
+++ b/src/gypsumhold/decisions/jobs/pressures.py
@@ -14,7 +14,7 @@
 
 from gypsumhold.model.jobs import executor, runs, specs
 
-PRIOR = 0.08
+PRIOR = 0.1
 """Headroom per core that an unknown pair of images is taken to need."""
 
 PRIOR_WEIGHT = 12.0
@@ -27,8 +27,8 @@
 NEGLIGIBLE = 0.03
 """Headroom per core below which a filler does not slow an image down."""
 
-DOMINANCE = 0.7
-"""Share of a change of cpu that one image must make to be told by it."""
+LEAST_SHARE = 0.25
+"""Share of a change of cpu that an image must make to be told by it."""
 
 LEAST_CHANGE = 0.7
 """Smallest change of cpu in cores that says something."""
@@ -67,39 +67,43 @@
 
 
 def learn(
-    influences: dict[runs.ImagePair, runs.Influence],
-    serving: Mapping[specs.Image, executor.Headroom],
+    state: executor.ExecutorState,
     before: executor.Sample,
     after: executor.Sample,
 ) -> set[runs.ImagePair]:
     """Adds the difference of two readings; returns what it told about.
 
-    While the fillers use the same cpu, the change of headroom is that of the
-    serving load, which goes on for a while.
+    Where several images changed, each is given what the others are not known
+    to have caused. While no filler changes, the change of headroom is that of
+    the serving load, which goes on for a while.
     """
     seconds = (after.at - before.at) / SECOND
     changes = _measure_changes(before.cores, after.cores)
-    filler = _find_dominant(changes)
+    total = sum(map(abs, changes.values()))
     told: set[runs.ImagePair] = set()
-    for image, known in serving.items():
+    for image, known in state.serving.items():
         moved = _measure_move(
             before.headrooms.get(image, {}), after.headrooms.get(image, {})
         )
         if moved is None:
             continue
-        if filler is None:
-            still = sum(map(abs, changes.values())) < LEAST_CHANGE
-            known.drift = moved / seconds if still else known.drift / 2
+        if total < LEAST_CHANGE:
+            known.drift = moved / seconds
             continue
-        pair = runs.ImagePair(image, filler)
-        change = changes[filler]
-        influences[pair] = _add(
-            influences.get(pair, runs.Influence(pair, 0.0, 0.0)),
-            moved - known.drift * seconds,
-            change,
-        )
+        rest = moved - known.drift * seconds
+        rest += measure(state.pressures, image, changes)
         known.drift /= 2
-        told.add(pair)
+        for filler, change in changes.items():
+            if abs(change) < max(LEAST_CHANGE, LEAST_SHARE * total):
+                continue
+            pair = runs.ImagePair(image, filler)
+            own = state.pressures.get(pair, PRIOR) * change
+            state.influences[pair] = _add(
+                state.influences.get(pair, runs.Influence(pair, 0.0, 0.0)),
+                rest - own,
+                change,
+            )
+            told.add(pair)
     return told
 
 
@@ -131,17 +135,6 @@
     }
 
 
-def _find_dominant(
-    changes: Mapping[specs.Image, float],
-) -> specs.Image | None:
-    """Returns the image that made nearly all of a change of cpu, if any."""
-    total = sum(map(abs, changes.values()))
-    for image, change in changes.items():
-        if abs(change) >= max(LEAST_CHANGE, DOMINANCE * total):
-            return image
-    return None
-
-
 def combine(
     measured: Iterable[Iterable[runs.Influence]],
 ) -> dict[runs.ImagePair, float]:
