Take pressures cautiously; keep fillers off serving tasks that just started

Now: an estimate carries its uncertainty, so a pair is harmless only after enough readings; fillers that slow an image stand still for 1.5 s after a task of it has started; idle cpu on a worker counts what fillers use, not what they ask.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -6,6 +6,9 @@
 from gypsumhold.decisions.jobs import ordering, pacing, pressures
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
 
+LEAST_USE_PERCENT = 40
+"""Percent of its request that a filler counts with while it stands still."""
+
 RACK_PREFIX = "r"
 """Labels of racks begin so; the others name the kind of the worker."""
 
@@ -58,9 +61,11 @@
         allowed={it.serving: it.headroom for it in view.report.allowed},
         known=known,
     )
+    usages = {row.ref: row.usage for row in view.report.rows}
     for ref, placed in view.placed.items():
         late = placed.step.spec.fills and ordering.is_late(placed.job, now)
-        fill(room, placed.step, ref, yields=late)
+        usage = usages.get(runs.RunRef(ref, placed.task.run))
+        fill(room, placed.step, ref, yields=late, usage=usage)
     return room
 
 
@@ -70,6 +75,7 @@
     ref: runs.TaskRef,
     *,
     yields: bool = False,
+    usage: int | None = None,
 ) -> None:
     """Takes the request of one task from a room.
 
@@ -78,19 +84,27 @@
         step: Step of the task.
         ref: Name of the task.
         yields: Whether it is a filler that gives way to others.
+        usage: Cpu that it was last seen to use; None if it is not at work.
     """
     spec = step.spec
     room.memory_mb -= spec.memory_mb
     room.accelerators -= spec.accelerators
     if spec.fills:
+        used = spec.cpu_millis
+        if usage is not None:
+            # A filler that stands still leaves its cpu to those that slow
+            # nobody down, but it may go on at any time.
+            used = max(usage, spec.cpu_millis * LEAST_USE_PERCENT // 100)
         _add_cores(room.fillers, spec)
+        room.filler_millis += used
         if yields:
             _add_cores(room.yielding, spec)
+            room.yielding_millis += used
     else:
         room.cpu_millis -= spec.cpu_millis
         serves = bool(spec.target_latency_ms)
-        used = pacing.SERVING_USE if serves else 1.0
-        room.idle_millis -= int(spec.cpu_millis * used)
+        share = pacing.SERVING_USE if serves else 1.0
+        room.idle_millis -= int(spec.cpu_millis * share)
     if spec.target_latency_ms:
         room.serving[spec.image] = room.serving.get(spec.image, 0) + 1
     key = (ref.job_id, ref.repetition, ref.step)
@@ -121,8 +135,10 @@
 
 def measure_idle(room: policies.Room, *, yields: bool = False) -> float:
     """Returns the cores that are left to one more filler."""
-    idle = room.idle_millis / pressures.CORE_MILLIS
-    return idle - sum(measure_fillers(room, yields=yields).values())
+    used = room.filler_millis
+    if not yields:
+        used -= room.yielding_millis
+    return (room.idle_millis - used) / pressures.CORE_MILLIS
 
 
 def fits(room: policies.Room, job: progress.Job, step: progress.Step) -> bool:
--- a/src/gypsumhold/decisions/jobs/colocation.py
+++ b/src/gypsumhold/decisions/jobs/colocation.py
@@ -69,6 +69,8 @@
             known.latest,
         )
     )
+    if _is_young(state, serving, now):
+        known.allowed = 0.0
     known.mean_allowed = pacing.smooth(known.mean_allowed, known.allowed)
     known.latest = headroom
     if headroom >= pacing.LOW_HEADROOM:
@@ -79,6 +81,21 @@
     known.strained = since is not None and now - since >= pacing.STRAIN_TIME
 
 
+def _is_young(
+    state: executor.ExecutorState,
+    serving: specs.Image,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a task of an image has only just started."""
+    return any(
+        local.order is not None
+        and local.order.target_latency_ms
+        and local.order.image == serving
+        and now < local.confirmed_at + pacing.YOUNG_TIME
+        for local in state.active.values()
+    )
+
+
 def _list(
     state: executor.ExecutorState,
 ) -> list[tuple[executor.LocalRun, pacing.Demand]]:
--- a/src/gypsumhold/decisions/jobs/pacing.py
+++ b/src/gypsumhold/decisions/jobs/pacing.py
@@ -29,6 +29,10 @@
 FIRST_ALLOWED = 0.3
 """Headroom that is allowed when a task begins to serve."""
 
+YOUNG_TIME = datetime.timedelta(milliseconds=1500)
+"""Time after the start of a serving task in which fillers that slow it down
+stand still: its tail is not known yet."""
+
 STRAIN_TIME = datetime.timedelta(milliseconds=250)
 """How long an image may have hardly any headroom before every filler stands
 still, also those that are not known to slow it down."""
--- a/src/gypsumhold/decisions/jobs/pressures.py
+++ b/src/gypsumhold/decisions/jobs/pressures.py
@@ -9,6 +9,7 @@
 """
 
 import datetime
+import math
 import statistics
 from collections.abc import Iterable, Mapping
 
@@ -24,7 +25,11 @@
 LEAST = 0.004
 """Headroom per core below which images are not told apart."""
 
-NEGLIGIBLE = 0.03
+UNCERTAINTY = 0.15
+"""Added to an estimate, over the root of its weight: an image is taken to slow
+others down until readings show that it does not."""
+
+NEGLIGIBLE = 0.04
 """Headroom per core below which a filler does not slow an image down."""
 
 LEAST_SHARE = 0.25
@@ -153,9 +158,10 @@
 
 
 def estimate(moment: float, weight: float) -> float:
-    """Returns the headroom that one core takes, drawn to the prior."""
-    found = (PRIOR * PRIOR_WEIGHT - moment) / (weight + PRIOR_WEIGHT)
-    return max(LEAST, found)
+    """Returns the headroom that one core takes, at a cautious estimate."""
+    whole = weight + PRIOR_WEIGHT
+    found = max(LEAST, (PRIOR * PRIOR_WEIGHT - moment) / whole)
+    return found + UNCERTAINTY / math.sqrt(whole)
 
 
 def measure(
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -25,6 +25,8 @@
         allowed: Headroom that fillers may take from each of these images.
         fillers: Cores that fillers here ask for, by image.
         yielding: Cores of those fillers that give way to others, by image.
+        filler_millis: Cpu that all fillers here are expected to use.
+        yielding_millis: The part of it of those that give way.
         known: Headroom that a core of fillers takes from a serving image.
         steps: Tasks of each step that are here.
     """
@@ -39,6 +41,8 @@
     allowed: dict[specs.Image, float] = dataclasses.field(default_factory=dict)
     fillers: dict[specs.Image, float] = dataclasses.field(default_factory=dict)
     yielding: dict[specs.Image, float] = dataclasses.field(default_factory=dict)
+    filler_millis: int = 0
+    yielding_millis: int = 0
     known: Mapping[runs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -189,6 +189,33 @@
         assert low < learnt < high
 
 
+def test_fillers_stand_still_beside_a_task_that_just_started() -> None:
+    """Its tail went far over the target before the first reading of it."""
+    state = build_state(SENSITIVE, HEAVY, pacing.PaceByTail())
+    state.pressures.update(TRUTH)
+    play(state, 20)
+    add_run(state, "t", 0, SENSITIVE, fills=False)
+    young = next(reversed(state.active.values()))
+    young.confirmed_at = datetime.timedelta(seconds=20)
+    colocation.adjust_pace(state, datetime.timedelta(seconds=20.3))
+    fillers = [it for it in state.active.values() if is_filler(it)]
+    assert [it.percent for it in fillers] == [0] * 4
+    young.confirmed_at = -pacing.YOUNG_TIME
+    play(state, 5)
+    assert any(it.percent for it in fillers)
+
+
+def is_filler(local: executor.LocalRun) -> bool:
+    return local.order is not None and local.order.fills
+
+
+def test_unknown_pair_is_taken_to_slow_down() -> None:
+    """A few lucky readings let dozens of cores run unpaced."""
+    assert pressures.estimate(0.0, 0.0) > pressures.PRIOR
+    assert pressures.estimate(0.0, 5.0) > pressures.NEGLIGIBLE
+    assert pressures.estimate(0.0, 200.0) < pressures.NEGLIGIBLE
+
+
 def test_late_filler_gives_way() -> None:
     """Tasks of jobs that are late held back those that could be on time."""
     state = build_state(SENSITIVE, HEAVY, pacing.PaceByTail())
