--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -1,5 +1,7 @@
 """Processes that die under load."""
 
+import time
+
 import cluster
 import cluster_settings
 
@@ -48,9 +50,12 @@
             return begun >= SLOTS and seen["busy"] == SLOTS
 
         load.attempt_until(is_full, "the upstream is not busy")
+        began = time.monotonic()
         running.kill(agent)
         running.restart(agent)
-        assert client.read_seen(Role.UPSTREAM, 0)["busy"]
+        took = time.monotonic() - began
+        busy = client.read_seen(Role.UPSTREAM, 0)["busy"]
+        assert busy, f"the restart took {took:.1f} s of the calls' 6 s"
         client.set_fault(Role.UPSTREAM, 0)
         work.wait_more(96)
     assert load.find_violations(client, work.ended) == []
