--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -35,9 +35,11 @@
 DEAF = specs.Image("deaf")
 HEAVY = specs.Image("heavy")
 LIGHT = specs.Image("light")
+FIERCE = specs.Image("fierce")
 TRUTH = {
     runs.ImagePair(SENSITIVE, HEAVY): 0.2,
     runs.ImagePair(SENSITIVE, LIGHT): 0.01,
+    runs.ImagePair(SENSITIVE, FIERCE): 0.6,
     runs.ImagePair(DEAF, HEAVY): 0.01,
     runs.ImagePair(DEAF, LIGHT): 0.01,
 }
@@ -101,6 +103,7 @@
 
     over: float
     cores: float
+    longest_over: datetime.timedelta
 
 
 def play(
@@ -116,6 +119,7 @@
     looks = int(seconds / LOOK.total_seconds())
     over = 0
     cores = 0.0
+    since = longest = datetime.timedelta(0)
     for number in range(looks):
         now = LOOK * number
         load = 0.42 * (1 + 0.5 * math.sin(now.total_seconds() * 0.63))
@@ -137,10 +141,19 @@
                 tail = TARGET_MS / max(0.05, left)
                 over += tail > TARGET_MS
                 local.row = runs.RunRow(local.ref, usage=round(tail))
+        if all(
+            it.row and it.row.usage <= TARGET_MS for it in list_serving(state)
+        ):
+            since = now
+        longest = max(longest, now - since)
         colocation.adjust_pace(state, now)
         found = pressures.combine([state.influences.values()])
         state.pressures.update(found)
-    return Played(over / (4 * looks), cores / looks)
+    return Played(over / (4 * looks), cores / looks, longest)
+
+
+def list_serving(state: executor.ExecutorState) -> list[executor.LocalRun]:
+    return [it for it in state.active.values() if not is_filler(it)]
 
 
 def measure_taken(state: executor.ExecutorState, serving: specs.Image) -> float:
@@ -173,6 +186,21 @@
     assert paced.cores > 0.85 * 8
 
 
+def test_unexpected_pressure_is_ended_in_time() -> None:
+    """A task over its target for four seconds beside fillers breaks HARM.
+
+    The fillers turn out to press five times as hard as was known.
+    """
+    state = build_state(SENSITIVE, FIERCE, pacing.PaceByTail())
+    pair = runs.ImagePair(SENSITIVE, FIERCE)
+    known = runs.Influence(pair, -20.0, 1000.0)
+    state.influences[pair] = known
+    state.pressures[pair] = pressures.estimate(known.moment, known.weight)
+    played = play(state, 60)
+    assert datetime.timedelta(0) < played.longest_over
+    assert played.longest_over < datetime.timedelta(seconds=2)
+
+
 def test_pressure_is_learnt_for_each_pair() -> None:
     """One pressure a filler hid that it slows one serving image only.
 
--- a/tests/jobs/test_kinds.py
+++ b/tests/jobs/test_kinds.py
@@ -93,6 +93,23 @@
     assert record.state is messages.JobState.RUNNING
 
 
+def test_draining_worker_gets_no_new_runs() -> None:
+    """A start later than the drain time after the heartbeat breaks DRAIN."""
+    world = worlds.World(13)
+    world.run(3000)
+    leaving = world.workers["agent-0"]
+    leaving.draining = True
+    world.run(1300)
+    for number in range(8):
+        spec = worlds.build_job(f"j{number}", (4,))
+        world.submit(f"entry-{number % 2}", spec)
+        world.run(500)
+        assert not leaving.running
+    world.run(8000)
+    states = {it.state for it in world.store.progress.values()}
+    assert states == {messages.JobState.COMPLETED}
+
+
 def test_advised_queue_is_refused_at_once() -> None:
     """Its starts would be rejected for want of a ticket, again and again."""
     world = worlds.World(8)
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -41,6 +41,7 @@
     noted: int = 0
     heartbeats: int = 0
     stuck: bool = False
+    draining: bool = False
 
     def describe(self) -> runs.Worker:
         self.heartbeats += 1
@@ -49,7 +50,9 @@
             "pool",
             f"{self.name}:1",
             "zone",
-            runs.WorkerState.READY,
+            runs.WorkerState.DRAINING
+            if self.draining
+            else runs.WorkerState.READY,
             self.cpu_millis,
             64000,
             0,
