--- /dev/null
+++ b/tests/jobs/store_calls.py
@@ -0,0 +1,41 @@
+"""What the world's store answers to each effect."""
+
+from typing import Any
+
+from gypsumhold.model.jobs import effects, events, storage
+from tests.jobs import store_fake
+
+
+def apply(store: store_fake.FakeStore, effect: Any, now_ms: float) -> Any:
+    """Does what an effect asks of the store; returns the event."""
+    match effect:
+        case effects.WriteJob():
+            result = store.write_job(effect.spec)
+            return events.JobWritten(effect.owner, result)
+        case effects.ReadJob():
+            rows = store.read_job(effect.job_id)
+            return events.JobRead(effect.owner, rows)
+        case effects.WriteCancel():
+            result = store.write_cancel(effect.job_id)
+            return events.CancelWritten(effect.owner, result)
+        case effects.ReadHolder():
+            return events.HolderRead(store.holder)
+        case effects.TakeHolder():
+            written = store.write_holder(effect.expected, effect.holder)
+            if written.result is storage.WriteResult.STORED:
+                store.entries["holder"] = effect.entry
+            return events.HolderTaken(written)
+        case effects.RegisterEntry():
+            name = f"at/{effect.record.name}"
+            result = store.register(name, effect.record)
+            return events.EntryRegistered(result)
+        case effects.LoadJobs():
+            return events.JobsLoaded(effect.term, store.load(), int(now_ms))
+        case effects.RemoveJobs():
+            result = store.remove_jobs(effect.job_ids)
+            return events.JobsRemoved(effect.term, effect.job_ids, result)
+        case effects.CommitBatch():
+            holder = effect.batch.holder
+            written = store.commit(effect.batch)
+            return events.BatchCommitted(holder.term, holder.batch, written)
+    raise AssertionError(f"no fake for {type(effect).__name__}")
--- /dev/null
+++ b/tests/jobs/test_oracle.py
@@ -0,0 +1,56 @@
+"""The oracle of the world sees what it is there for."""
+
+import pytest
+
+from gypsumhold.model.jobs import runs
+from tests.jobs import oracle, store_fake, worker_fake
+from tests.jobs import world as worlds
+
+
+def start(worker: worker_fake.FakeWorker, order: runs.StartOrder) -> None:
+    worker.until_ms = 10_000
+    worker.running[order.ref.task] = worker_fake.FakeRun(
+        order.ref, 5000.0, runs.RunEnd.DONE, order.cpu_millis
+    )
+
+
+def build_order(cpu_millis: int) -> runs.StartOrder:
+    task = runs.TaskRef(worlds.build_job("j", (1,)).job_id, 0, 0, 0)
+    ref = runs.RunRef(task, runs.RunNumber(1))
+    checkpoint = runs.Checkpoint("")
+    return runs.StartOrder(ref, "", checkpoint, cpu_millis, 100, 0)
+
+
+@pytest.mark.parametrize(
+    ("cpu_millis", "twice", "said"),
+    [
+        (1000, True, "runs on two workers"),
+        (1000, False, "without a stored placement"),
+    ],
+)
+def test_broken_promises_are_seen(
+    cpu_millis: int, twice: bool, said: str
+) -> None:
+    """Guards against a search that passes since it checks nothing."""
+    workers = {
+        name: worker_fake.FakeWorker(name, 1) for name in ("first", "second")
+    }
+    judge = oracle.Oracle(store_fake.FakeStore(), workers)
+    order = build_order(cpu_millis)
+    if twice:
+        start(workers["second"], order)
+    with pytest.raises(oracle.Violation, match=said):
+        judge.check_start(workers["first"], order, 100.0)
+
+
+def test_start_over_the_capacity_is_seen() -> None:
+    world = worlds.World(1)
+    world.run(3000)
+    world.submit("entry-0", worlds.build_job("j", (1,)))
+    world.run(300)
+    worker = next(it for it in world.workers.values() if it.running)
+    order = build_order(worker.cpu_millis)
+    start(worker, order)
+    worker.running[order.ref.task].cpu_millis = worker.cpu_millis + 1
+    with pytest.raises(oracle.Violation, match="millis of work"):
+        world.oracle.check_start(worker, order, world.now_ms)
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -1,7 +1,7 @@
 """Entries, agents, workers and a store in simulated time, with faults.
 
 Everything that crosses a process may be late, lost or done later. The world
-checks what only an observer of all workers can see; see `Violation`.
+checks what only an observer of all workers can see; see `oracle`.
 """
 
 import dataclasses
@@ -23,13 +23,12 @@
     events,
     executor,
     messages,
-    records,
     runs,
     scheduler,
     specs,
     storage,
 )
-from tests.jobs import store_fake, worker_fake
+from tests.jobs import oracle, store_calls, store_fake, worker_fake
 
 QUEUE = specs.Queue(
     specs.QueueName("q"), "host", "/q/", specs.PoolName("pool"), 0, 3, 1.5, 300
@@ -40,10 +39,6 @@
 LATE_MS = (1000, 9000)
 
 
-class Violation(AssertionError):
-    """A promise was broken: twice, order, room, or an end forgotten."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Faults:
     """Shares of calls that go wrong.
@@ -95,6 +90,7 @@
         self.nodes: dict[str, Node] = {}
         self.by_address: dict[members.Address, Node] = {}
         self.workers: dict[str, worker_fake.FakeWorker] = {}
+        self.oracle = oracle.Oracle(self.store, self.workers)
         self.verdicts: dict[str, messages.Answer] = {}
         self.waiting: dict[str, Callable[[messages.Answer], None]] = {}
         self.accepted: dict[specs.JobId, float] = {}
@@ -305,7 +301,12 @@
             return
         if fate in ("lost", "late"):
             late = self.random.uniform(*LATE_MS) if fate == "late" else 0
-            self.after(delay + late, lambda: self._apply(effect) and None)
+            self.after(
+                delay + late,
+                lambda: (
+                    store_calls.apply(self.store, effect, self.now_ms) and None
+                ),
+            )
             self._answer(node, delay + 1500, losses.build_loss(effect, True))
             return
         life = node.life
@@ -320,40 +321,7 @@
         self.after(delay, act)
 
     def _apply(self, effect: Any) -> Any:
-        store = self.store
-        match effect:
-            case effects.WriteJob():
-                result = store.write_job(effect.spec)
-                return events.JobWritten(effect.owner, result)
-            case effects.ReadJob():
-                rows = store.read_job(effect.job_id)
-                return events.JobRead(effect.owner, rows)
-            case effects.WriteCancel():
-                result = store.write_cancel(effect.job_id)
-                return events.CancelWritten(effect.owner, result)
-            case effects.ReadHolder():
-                return events.HolderRead(store.holder)
-            case effects.TakeHolder():
-                written = store.write_holder(effect.expected, effect.holder)
-                if written.result is storage.WriteResult.STORED:
-                    store.entries["holder"] = effect.entry
-                return events.HolderTaken(written)
-            case effects.RegisterEntry():
-                name = f"at/{effect.record.name}"
-                result = store.register(name, effect.record)
-                return events.EntryRegistered(result)
-            case effects.LoadJobs():
-                return events.JobsLoaded(
-                    effect.term, store.load(), int(self.now_ms)
-                )
-            case effects.RemoveJobs():
-                result = store.remove_jobs(effect.job_ids)
-                return events.JobsRemoved(effect.term, effect.job_ids, result)
-            case effects.CommitBatch():
-                holder = effect.batch.holder
-                written = store.commit(effect.batch)
-                return events.BatchCommitted(holder.term, holder.batch, written)
-        raise AssertionError(f"no fake for {type(effect).__name__}")
+        return store_calls.apply(self.store, effect, self.now_ms)
 
     # Calls between processes.
 
@@ -508,7 +476,7 @@
         if isinstance(effect, effects.LookAtWorker):
             listed = list(worker.ends)
             result = worker.look(effect, self.now_ms)
-            self._check_noted(worker, listed)
+            self.oracle.check_noted(worker, listed)
             rows = tuple(
                 runs.RunRow(run.ref) for run in worker.running.values()
             )
@@ -544,7 +512,7 @@
         known = ref.task in worker.running
         result = worker.start(effect, self.now_ms, finish, end)
         if result is events.OrderResult.DONE and not known:
-            self._check_start(worker, effect.order)
+            self.oracle.check_start(worker, effect.order, self.now_ms)
         return result
 
     def _draw_work(self, task: runs.TaskRef) -> float:
@@ -553,50 +521,6 @@
             return 1e9
         return self.random.uniform(300, 2500)
 
-    # What must hold.
-
-    def _check_start(
-        self, worker: worker_fake.FakeWorker, order: runs.StartOrder
-    ) -> None:
-        task = order.ref.task
-        for other in self.workers.values():
-            other.advance(self.now_ms)
-            if other is not worker and task in other.running:
-                raise Violation(f"{task} runs on two workers")
-        record = self.store.progress.get(task.job_id)
-        if task.job_id not in self.store.jobs or record is None:
-            raise Violation(f"{task} was started without a stored placement")
-        self._check_order(task, record)
-        used = sum(run.cpu_millis for run in worker.running.values())
-        if used > worker.cpu_millis:
-            raise Violation(f"{worker.name} has {used} millis of work")
-
-    def _check_order(
-        self, task: runs.TaskRef, record: records.ProgressRecord
-    ) -> None:
-        stored = {step.step: step.tasks for step in record.steps}
-        spec = self.store.jobs[task.job_id]
-        for before in spec.steps[task.step].after:
-            done = records.TaskState.DONE
-            if any(it.state is not done for it in stored.get(before, ())):
-                raise Violation(f"{task} started before step {before}")
-
-    def _check_noted(
-        self, worker: worker_fake.FakeWorker, listed: list[runs.EndRow]
-    ) -> None:
-        """Ends may be forgotten only once what they say is stored."""
-        for end in listed:
-            if end.number > worker.noted:
-                continue
-            record = self.store.progress.get(end.ref.task.job_id)
-            if record is None or record.state in messages.FINAL_STATES:
-                continue
-            task = _find(record, end.ref.task)
-            if task is None or task.run != end.ref.run:
-                continue
-            if task.state is records.TaskState.PLACED:
-                raise Violation(f"the end of {end.ref.task} was forgotten")
-
     # Callers.
 
     def submit(self, entry: str, spec: specs.JobSpec) -> str:
@@ -619,15 +543,6 @@
         return ticket
 
 
-def _find(
-    record: records.ProgressRecord, ref: runs.TaskRef
-) -> records.TaskRecord | None:
-    for step in record.steps:
-        if (step.repetition, step.step) == (ref.repetition, ref.step):
-            return step.tasks[ref.index]
-    return None
-
-
 def _to_ms(time: datetime.timedelta) -> float:
     return time / datetime.timedelta(milliseconds=1)
 
