--- a/src/gypsumhold/decisions/jobs/colocation.py
+++ b/src/gypsumhold/decisions/jobs/colocation.py
@@ -58,7 +58,7 @@
         default=pacing.TARGET_HEADROOM,
     )
     wanted = sum(
-        demand.pressures.get(serving, 0.0) for _, demand in _list(state)
+        demand.pressures.get(serving, 0.0) for _, demand in _list_fillers(state)
     )
     known.allowed = state.policies.pacing.adjust(
         policies.PaceReading(
@@ -73,6 +73,12 @@
         known.allowed = 0.0
     known.mean_allowed = pacing.smooth(known.mean_allowed, known.allowed)
     known.latest = headroom
+    _note_strain(known, headroom, now)
+
+
+def _note_strain(
+    known: executor.Headroom, headroom: float, now: datetime.timedelta
+) -> None:
     if headroom >= pacing.LOW_HEADROOM:
         known.low_since = None
     elif known.low_since is None:
@@ -96,7 +102,7 @@
     )
 
 
-def _list(
+def _list_fillers(
     state: executor.ExecutorState,
 ) -> list[tuple[executor.LocalRun, pacing.Demand]]:
     """Returns the running fillers, those that run at full speed first in front.
@@ -168,7 +174,7 @@
     worker = state.worker
     if worker is None:
         return []
-    fillers = _list(state)
+    fillers = _list_fillers(state)
     allowed = {image: it.allowed for image, it in state.serving.items()}
     demands = [demand for _, demand in fillers]
     percents = pacing.share(allowed, _measure_idle(state), demands)
--- a/src/gypsumhold/decisions/jobs/pacing.py
+++ b/src/gypsumhold/decisions/jobs/pacing.py
@@ -38,6 +38,7 @@
 still, also those that are not known to slow it down."""
 
 UNLIMITED = 1000.0
+"""Headroom that no filler can take."""
 
 SERVING_USE = 0.6
 """Part of its request that a serving task uses at most times."""
