Place fillers by what is left of the headroom, and by a hopeful estimate

An unknown pair of images counted with its cautious estimate in placement too, so few fillers were placed and little was learnt; and the allowance that agents told rises in small steps and only while fillers run, so idle workers took one filler after the other. Now: agents tell the mean of what fillers could take at all; the holder places by a hopeful estimate (0.04 a core for an unknown pair), agents pace by the cautious one.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -22,9 +22,7 @@
     rooms = {}
     for view in holding.agents.values():
         if _is_usable(state, view, now):
-            rooms[str(view.instance)] = _build_room(
-                view, holding.pressures, now
-            )
+            rooms[str(view.instance)] = _build_room(view, holding.expected, now)
     return rooms
 
 
--- a/src/gypsumhold/decisions/jobs/colocation.py
+++ b/src/gypsumhold/decisions/jobs/colocation.py
@@ -60,18 +60,18 @@
     wanted = sum(
         demand.pressures.get(serving, 0.0) for _, demand in _list_fillers(state)
     )
+    taken = pressures.measure(state.pressures, serving, sample.cores)
     known.allowed = state.policies.pacing.adjust(
         policies.PaceReading(
-            known.allowed,
-            pressures.measure(state.pressures, serving, sample.cores),
-            wanted,
-            headroom,
-            known.latest,
+            known.allowed, taken, wanted, headroom, known.latest
         )
     )
     if _is_young(state, serving, now):
         known.allowed = 0.0
-    known.mean_allowed = pacing.smooth(known.mean_allowed, known.allowed)
+    whole = max(0.0, headroom + taken - pacing.TARGET_HEADROOM)
+    if known.latest is None:
+        known.mean_allowed = whole
+    known.mean_allowed = pacing.smooth(known.mean_allowed, whole)
     known.latest = headroom
     _note_strain(known, headroom, now)
 
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -317,9 +317,17 @@
         if job.next_repetition < job.spec.repetitions:
             lifecycle.open_repetitions(holding, job, now)
     made += _remove_old(state, holding, now)
-    holding.pressures = pressures.combine(
+    combined = pressures.combine(
         view.influences.values() for view in holding.agents.values()
     )
+    holding.pressures = {
+        pair: pressures.estimate(it.moment, it.weight)
+        for pair, it in combined.items()
+    }
+    holding.expected = {
+        pair: pressures.expect(it.moment, it.weight)
+        for pair, it in combined.items()
+    }
     holding.plan_due = holding.plan_due or bool(holding.open_jobs)
     return made
 
--- a/src/gypsumhold/decisions/jobs/pacing.py
+++ b/src/gypsumhold/decisions/jobs/pacing.py
@@ -56,7 +56,7 @@
 a job may not be left without a run."""
 
 MEAN_WEIGHT = 0.04
-"""Weight of the latest reading in the allowance that is reported."""
+"""Weight of the latest reading in the mean that is reported."""
 
 
 class NeverPace(policies.Pacing):
@@ -91,12 +91,12 @@
         return min(most, reading.taken + step)
 
 
-def smooth(mean: float, allowed: float) -> float:
-    """Returns the mean allowance after one more reading.
+def smooth(mean: float, whole: float) -> float:
+    """Returns the mean of what fillers may take after one more reading.
 
     Serving load swings faster than tasks run, so placement goes by the mean.
     """
-    return mean + MEAN_WEIGHT * (allowed - mean)
+    return mean + MEAN_WEIGHT * (whole - mean)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/decisions/jobs/pressures.py
+++ b/src/gypsumhold/decisions/jobs/pressures.py
@@ -18,6 +18,9 @@
 PRIOR = 0.1
 """Headroom per core that an unknown pair of images is taken to need."""
 
+HOPED = 0.04
+"""Headroom per core that an unknown pair is hoped to need."""
+
 PRIOR_WEIGHT = 12.0
 """Weight of the prior in cores squared; serving load moves headroom as well, so
 the first few readings say little."""
@@ -142,8 +145,8 @@
 
 def combine(
     measured: Iterable[Iterable[runs.Influence]],
-) -> dict[runs.ImagePair, float]:
-    """Returns the pressure of each pair from what all agents measured."""
+) -> dict[runs.ImagePair, runs.Influence]:
+    """Adds up what all agents measured of each pair."""
     moments: dict[runs.ImagePair, float] = {}
     weights: dict[runs.ImagePair, float] = {}
     for influences in measured:
@@ -152,20 +155,35 @@
             moments[pair] = moments.get(pair, 0.0) + item.moment
             weights[pair] = weights.get(pair, 0.0) + item.weight
     return {
-        pair: estimate(moment, weights[pair])
+        pair: runs.Influence(pair, moment, weights[pair])
         for pair, moment in moments.items()
     }
 
 
 def estimate(moment: float, weight: float) -> float:
-    """Returns the headroom that one core takes, at a cautious estimate."""
+    """Returns the headroom that one core takes, at a cautious estimate.
+
+    Fillers are paced by it.
+    """
     whole = weight + PRIOR_WEIGHT
     found = max(LEAST, (PRIOR * PRIOR_WEIGHT - moment) / whole)
     return found + UNCERTAINTY / math.sqrt(whole)
 
 
+def expect(moment: float, weight: float) -> float:
+    """Returns the headroom that one core takes, at a hopeful estimate.
+
+    Fillers are placed by it: a pair is only learnt where both run.
+    """
+    whole = weight + PRIOR_WEIGHT
+    return max(LEAST, (HOPED * PRIOR_WEIGHT - moment) / whole)
+
+
 def measure(
-    known: Known, serving: specs.Image, cores: Mapping[specs.Image, float]
+    known: Known,
+    serving: specs.Image,
+    cores: Mapping[specs.Image, float],
+    unknown: float = PRIOR,
 ) -> float:
     """Returns the headroom that fillers take from one serving image.
 
@@ -173,13 +191,19 @@
         known: What is known of pairs of images.
         serving: The image that serves.
         cores: Cpu of the fillers by their image.
+        unknown: What is taken for a pair that is not known.
     """
     return sum(
-        known.get(runs.ImagePair(serving, filler), PRIOR) * used
+        known.get(runs.ImagePair(serving, filler), unknown) * used
         for filler, used in cores.items()
     )
 
 
-def slows(known: Known, serving: specs.Image, filler: specs.Image) -> bool:
+def slows(
+    known: Known,
+    serving: specs.Image,
+    filler: specs.Image,
+    unknown: float = PRIOR,
+) -> bool:
     """Tells whether fillers of an image slow a serving image down."""
-    return known.get(runs.ImagePair(serving, filler), PRIOR) >= NEGLIGIBLE
+    return known.get(runs.ImagePair(serving, filler), unknown) >= NEGLIGIBLE
--- a/src/gypsumhold/decisions/jobs/spreading.py
+++ b/src/gypsumhold/decisions/jobs/spreading.py
@@ -54,7 +54,7 @@
     return [
         serving
         for serving in room.serving
-        if pressures.slows(room.known, serving, filler)
+        if pressures.slows(room.known, serving, filler, pressures.HOPED)
     ]
 
 
@@ -90,7 +90,9 @@
     more = spec.cpu_millis / pressures.CORE_MILLIS
     cores[spec.image] = cores.get(spec.image, 0.0) + more
     allowed = room.allowed.get(serving, 0.0)
-    return allowed - pressures.measure(room.known, serving, cores)
+    return allowed - pressures.measure(
+        room.known, serving, cores, pressures.HOPED
+    )
 
 
 def _rate(step: progress.Step, room: policies.Room) -> tuple[float, ...]:
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -107,7 +107,8 @@
 
     Attributes:
         allowed: Headroom that fillers may take from it.
-        mean_allowed: Mean of `allowed` over the last seconds.
+        mean_allowed: What fillers could take on average over the last
+            seconds, also if none ran.
         latest: Least headroom of its tasks at the last look.
         drift: Change of headroom a second by the load of the tasks.
         low_since: Since when it has had hardly any headroom.
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -169,7 +169,9 @@
         commit_tries: Tries of the batch that is under way.
         force_batch: Whether a batch is due though no job changed, because
             ends wait for one that is under way.
-        pressures: Headroom that a core of fillers takes from a serving image.
+        pressures: Headroom that a core of fillers takes from a serving image,
+            cautiously.
+        expected: The same, hopefully.
         giving_up: Whether the next batch leaves the queue without a holder.
     """
 
@@ -205,6 +207,9 @@
     pressures: dict[runs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
+    expected: dict[runs.ImagePair, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -147,8 +147,9 @@
             since = now
         longest = max(longest, now - since)
         colocation.adjust_pace(state, now)
-        found = pressures.combine([state.influences.values()])
-        state.pressures.update(found)
+        for pair, it in state.influences.items():
+            learnt = pressures.estimate(it.moment, it.weight)
+            state.pressures[pair] = learnt
     return Played(over / (4 * looks), cores / looks, longest)
 
 
@@ -237,6 +238,28 @@
     return local.order is not None and local.order.fills
 
 
+def test_room_for_fillers_is_told_before_any_has_run() -> None:
+    """Fillers were placed by the present allowance, which rises in small steps
+    and only while fillers run, so jobs came late on idle workers."""
+    state = build_state(SENSITIVE, HEAVY, pacing.PaceByTail())
+    for local in list(state.active.values()):
+        if is_filler(local):
+            del state.active[local.ref]
+        else:
+            local.row = runs.RunRow(local.ref, usage=TARGET_MS // 3)
+    colocation.adjust_pace(state, datetime.timedelta(seconds=5))
+    told = state.serving[SENSITIVE].mean_allowed
+    assert told > 0.9 * (3.0 - pacing.TARGET_HEADROOM)
+
+
+def test_placement_hopes_and_pacing_is_cautious() -> None:
+    """Unknown pairs were placed nowhere, so nothing was learnt of them."""
+    assert pressures.expect(0.0, 0.0) <= pressures.NEGLIGIBLE
+    assert pressures.estimate(0.0, 0.0) > pressures.PRIOR
+    heavy = -0.2 * 100.0
+    assert pressures.expect(heavy, 100.0) > pressures.NEGLIGIBLE
+
+
 def test_unknown_pair_is_taken_to_slow_down() -> None:
     """A few lucky readings let dozens of cores run unpaced."""
     assert pressures.estimate(0.0, 0.0) > pressures.PRIOR
