--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -239,8 +239,7 @@
 
 
 def test_room_for_fillers_is_told_before_any_has_run() -> None:
-    """Fillers were placed by the present allowance, which rises in small steps
-    and only while fillers run, so jobs came late on idle workers."""
+    """Fillers were placed by an allowance that only rises while they run."""
     state = build_state(SENSITIVE, HEAVY, pacing.PaceByTail())
     for local in list(state.active.values()):
         if is_filler(local):
