Learn run times of best-effort tasks from their progress

Cause: a few tasks of a large job take several times the declared time. By the declared times such a job counts as late while its last task runs, so that task was halted in favour of every other job. Lateness was also worked out anew for each placed task of a job in each plan. Change: an estimate policy (declared, learned) behind an abstract base class; lateness is worked out once per job and plan and kept with the job.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from gypsumhold.decisions.jobs import interference, ordering, throttling
+from gypsumhold.decisions.jobs import interference, throttling
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
 
 MIN_USE_PERCENT = 40
@@ -70,7 +70,7 @@
     )
     usages = {row.ref: row.usage for row in view.report.rows}
     for ref, placed in view.placed.items():
-        late = placed.step.spec.fills and ordering.is_late(placed.job, now)
+        late = placed.step.spec.fills and placed.job.late
         usage = usages.get(runs.RunRef(ref, placed.task.run))
         reserve(candidate, placed.step, ref, deferred=late, usage=usage)
     return candidate
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, ordering
+from gypsumhold.decisions.jobs import lifecycle
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -93,7 +93,7 @@
     return tuple(
         runs.RunRef(ref, placed.task.run)
         for ref, placed in view.placed.items()
-        if placed.step.spec.fills and ordering.is_late(placed.job, now)
+        if placed.step.spec.fills and placed.job.late
     )
 
 
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -0,0 +1,188 @@
+"""Estimates of how long tasks and jobs run at full speed.
+
+Callers declare one rough run time per step. A few tasks take several times as
+long as the rest of their step, and whole steps are off by a common factor, so
+the learned estimates follow the progress that workers report.
+"""
+
+import datetime
+import statistics
+
+from gypsumhold.model.jobs import policies, progress, records, runs
+
+MIN_MEASURED_PERCENT = 8
+"""Progress within one run from which the run time of a task is measured."""
+
+DECLARED_WEIGHT = 1.0
+"""Weight of the declared run time, in measured tasks."""
+
+MAX_MEASURED_INTERVAL = datetime.timedelta(seconds=2)
+"""Longest time between two listings of a run over which its CPU use counts as
+constant."""
+
+PERCENT = 100
+
+
+class DeclaredEstimates(policies.EstimatePolicy):
+    """Baseline: every task takes the time that its step declares."""
+
+    def estimate_tasks(self, step: progress.Step) -> list[datetime.timedelta]:
+        """Returns the declared run time for each task."""
+        return [step.spec.estimate] * len(step.tasks)
+
+
+class LearnedEstimates(policies.EstimatePolicy):
+    """Corrects declared run times by the measured progress of the tasks.
+
+    The run time of a task that has been measured is its own. The other tasks
+    of its step are taken to run as long as the median of the measured ones,
+    shrunk towards the declared time while few were measured.
+    """
+
+    def estimate_tasks(self, step: progress.Step) -> list[datetime.timedelta]:
+        """Returns the measured or expected run time of each task."""
+        typical = _estimate_typical(step)
+        return [
+            typical if task.measured_time is None else task.measured_time
+            for task in step.tasks
+        ]
+
+
+def _estimate_typical(step: progress.Step) -> datetime.timedelta:
+    """Returns the run time of a typical task of a step."""
+    measured = [
+        task.measured_time
+        for task in step.tasks
+        if task.measured_time is not None
+    ]
+    if not measured:
+        return step.spec.estimate
+    total = step.spec.estimate * DECLARED_WEIGHT
+    total += statistics.median_low(measured) * len(measured)
+    return total / (DECLARED_WEIGHT + len(measured))
+
+
+def measure_progress(
+    step: progress.Step,
+    task: progress.Task,
+    row: runs.RunRow,
+    now: datetime.timedelta,
+) -> None:
+    """Updates the measured run time of a task from a listing of its run.
+
+    The time at full speed is the CPU time used over the requested CPU, so a
+    throttled run counts as far as it was allowed to work.
+    """
+    reading = task.reading
+    if reading is None or row.progress_percent < reading.first_percent:
+        task.reading = progress.ProgressReading(row.progress_percent, now)
+        return
+    interval = min(now - reading.read_at, MAX_MEASURED_INTERVAL)
+    share = min(1.0, row.usage / max(1, step.spec.cpu_millis))
+    reading.worked += interval * share
+    reading.read_at = now
+    percent = row.progress_percent - reading.first_percent
+    if percent >= MIN_MEASURED_PERCENT:
+        task.measured_time = reading.worked * (PERCENT / percent)
+
+
+def estimate_critical_path(
+    job: progress.Job, policy: policies.EstimatePolicy
+) -> datetime.timedelta:
+    """Returns the estimated duration of the longest chain of dependent steps.
+
+    The longest task of each step counts. One repetition is considered.
+    """
+    return _sum_longest_chain(
+        job,
+        [_estimate_longest(job, number, policy) for number in _numbers(job)],
+    )
+
+
+def estimate_remaining_time(
+    job: progress.Job, policy: policies.EstimatePolicy
+) -> datetime.timedelta:
+    """Returns the estimated duration of the rest of the critical path."""
+    return _sum_longest_chain(
+        job,
+        [_estimate_remaining(job, number, policy) for number in _numbers(job)],
+    )
+
+
+def estimate_remaining_work(
+    job: progress.Job, policy: policies.EstimatePolicy
+) -> datetime.timedelta:
+    """Returns the estimated core time of all tasks that are not done."""
+    work = datetime.timedelta(0)
+    for step in job.steps:
+        cores = max(1, step.spec.cpu_millis) / progress.CORE_MILLIS
+        remaining = _list_remaining(step, policy)
+        work += sum(remaining, datetime.timedelta(0)) * cores
+    return work
+
+
+def _list_remaining(
+    step: progress.Step, policy: policies.EstimatePolicy
+) -> list[datetime.timedelta]:
+    """Returns the remaining run times of the tasks that are not done."""
+    return [
+        run_time * (1 - task.progress_percent / PERCENT)
+        for task, run_time in zip(
+            step.tasks, policy.estimate_tasks(step), strict=True
+        )
+        if task.state is not records.TaskState.DONE
+    ]
+
+
+def _numbers(job: progress.Job) -> range:
+    return range(len(job.spec.steps))
+
+
+def _list_repetitions(job: progress.Job, number: int) -> list[progress.Step]:
+    """Returns the step with this number of every repetition that is due."""
+    return job.steps[number :: len(job.spec.steps)]
+
+
+def _estimate_longest(
+    job: progress.Job, number: int, policy: policies.EstimatePolicy
+) -> datetime.timedelta:
+    """Returns the run time of the longest task of a step."""
+    return max(
+        (
+            run_time
+            for step in _list_repetitions(job, number)
+            for run_time in policy.estimate_tasks(step)
+        ),
+        default=job.spec.steps[number].estimate,
+    )
+
+
+def _estimate_remaining(
+    job: progress.Job, number: int, policy: policies.EstimatePolicy
+) -> datetime.timedelta:
+    """Returns the longest remaining run time among the tasks of a step."""
+    steps = _list_repetitions(job, number)
+    if not steps:
+        return job.spec.steps[number].estimate
+    return max(
+        (
+            remaining
+            for step in steps
+            for remaining in _list_remaining(step, policy)
+        ),
+        default=datetime.timedelta(0),
+    )
+
+
+def _sum_longest_chain(
+    job: progress.Job, durations: list[datetime.timedelta]
+) -> datetime.timedelta:
+    """Returns the longest sum of durations along the dependencies."""
+    ends: list[datetime.timedelta] = []
+    for step, duration in zip(job.spec.steps, durations, strict=True):
+        start = max(
+            (ends[number] for number in step.after),
+            default=datetime.timedelta(0),
+        )
+        ends.append(start + duration)
+    return max(ends, default=datetime.timedelta(0))
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -180,6 +180,7 @@
     task.batch = progress.NOT_STORED
     task.reported = False
     task.migrating = False
+    task.reading = None
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
     view.placed[ref] = placed
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import capacity, ordering, spreading
+from gypsumhold.decisions.jobs import capacity, spreading
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, policies, runs, scheduler
 
@@ -43,7 +43,7 @@
         return False
     if now - task.progressed_at < STALL_TIME or not placed.job.is_open():
         return False
-    if ordering.is_late(placed.job, now):
+    if placed.job.late:
         # A late task gives way to others on every worker.
         return False
     return spec.checkpoints or task.progress_percent <= MAX_LOST_PERCENT
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -32,6 +32,9 @@
     now: datetime.timedelta,
 ) -> EffectList:
     """Places ready tasks as far as the free capacity allows."""
+    for job in holder_state.open_jobs.values():
+        if job.has_best_effort_steps():
+            job.late = ordering.is_late(job, now, state.policies.estimates)
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
         return []
@@ -95,7 +98,6 @@
     emitted: EffectList = []
     misses = 0
     skipped_steps: set[int] = set()
-    late = ordering.is_late(job, now)
     for step, index in list(_iterate_ready_tasks(job)):
         if id(step) in skipped_steps:
             continue
@@ -107,7 +109,7 @@
             continue
         task = step.tasks[index]
         candidate = _choose_candidate(
-            state, job, step, task, candidates, late=late
+            state, job, step, task, candidates, late=job.late
         )
         if candidate is None and starved:
             candidate = _choose_emptiest(job, step, task, candidates)
@@ -214,7 +216,7 @@
     ref = lifecycle.build_task_ref(job, step, index)
     task = step.tasks[index]
     free_millis = candidate.cpu_millis
-    capacity.reserve(candidate, step, ref, deferred=ordering.is_late(job, now))
+    capacity.reserve(candidate, step, ref, deferred=job.late)
     view = holder_state.agents[candidate.instance]
     lifecycle.place_task(
         holder_state, view, scheduler.PlacedTask(job, step, task), ref, now
--- a/src/gypsumhold/decisions/jobs/policy_sets.py
+++ b/src/gypsumhold/decisions/jobs/policy_sets.py
@@ -2,6 +2,7 @@
 
 from gypsumhold.decisions.jobs import (
     admission,
+    estimates,
     ordering,
     spreading,
     throttling,
@@ -11,8 +12,10 @@
 
 def build_scheduler_policies() -> policies.SchedulerPolicies:
     """Returns the policies of a scheduler."""
+    learned = estimates.LearnedEstimates()
     return policies.SchedulerPolicies(
-        ordering.ByObjective(),
+        learned,
+        ordering.ByObjective(learned),
         spreading.InterferenceAware(),
         admission.AcceptAll(),
     )
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -2,7 +2,12 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import directives, holders, lifecycle
+from gypsumhold.decisions.jobs import (
+    directives,
+    estimates,
+    holders,
+    lifecycle,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -295,6 +300,7 @@
             continue
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
+        estimates.measure_progress(placed.step, placed.task, row, now)
         if row.progress_percent > placed.task.progress_percent:
             placed.task.progress_percent = row.progress_percent
             placed.task.progressed_at = now
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -60,6 +60,14 @@
     )
 
 
+class EstimatePolicy(abc.ABC):
+    """Estimates how long tasks run at full speed."""
+
+    @abc.abstractmethod
+    def estimate_tasks(self, step: progress.Step) -> list[datetime.timedelta]:
+        """Returns the whole run time of each task of a step, by index."""
+
+
 class OrderingPolicy(abc.ABC):
     """Chooses the order in which jobs get free capacity."""
 
@@ -136,6 +144,7 @@
 class SchedulerPolicies:
     """Policies of a scheduler."""
 
+    estimates: EstimatePolicy
     ordering: OrderingPolicy
     placement: PlacementPolicy
     admission: AdmissionPolicy
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -9,11 +9,29 @@
 
 ZERO = datetime.timedelta(0)
 
+CORE_MILLIS = 1000
+"""Thousandths of a core in a core."""
+
 NOT_STORED = sys.maxsize
 """Stands for the number of a batch that has not been built yet; the number of
 a stored batch never reaches it."""
 
 
+@dataclasses.dataclass(slots=True)
+class ProgressReading:
+    """Progress of the current run of a task since it was first listed.
+
+    Attributes:
+        first_percent: Progress at that listing.
+        read_at: When the run was last listed.
+        worked: Time that it has worked since, in terms of full speed.
+    """
+
+    first_percent: int
+    read_at: datetime.timedelta
+    worked: datetime.timedelta = ZERO
+
+
 @dataclasses.dataclass(slots=True)
 class Task:
     """One task.
@@ -30,6 +48,9 @@
         placed_at: When the task was placed.
         progress_percent: Highest reported progress of the run.
         progressed_at: When the progress last rose.
+        reading: Progress of the current run; None before its first listing.
+        measured_time: Run time of the whole task at full speed, extrapolated
+            from its progress; None if it has made too little.
         migrating: Whether the run is being stopped to continue elsewhere.
         excluded_instances: Instances on which the task failed or was refused.
     """
@@ -45,6 +66,8 @@
     placed_at: datetime.timedelta = ZERO
     progress_percent: int = 0
     progressed_at: datetime.timedelta = ZERO
+    reading: ProgressReading | None = None
+    measured_time: datetime.timedelta | None = None
     migrating: bool = False
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
@@ -93,6 +116,8 @@
         next_repetition: First repetition that is not yet due.
         unstored_placements: Tasks whose latest placement is in no batch yet.
         ended_at: When the job reached a final state.
+        late: Whether the job was estimated to miss its objective when the
+            latest plan was made.
         starved_since: Since when plans have found no task of the job placed;
             None if the latest plan found one.
     """
@@ -106,6 +131,7 @@
     next_repetition: int = 0
     unstored_placements: list[Task] = dataclasses.field(default_factory=list)
     ended_at: datetime.timedelta = ZERO
+    late: bool = False
     starved_since: datetime.timedelta | None = None
 
     def is_open(self) -> bool:
@@ -116,6 +142,10 @@
         """Tells whether a final state is stored, so callers may see it."""
         return self.stored_state in messages.FINAL_STATES
 
+    def has_best_effort_steps(self) -> bool:
+        """Tells whether some of the steps have best-effort tasks."""
+        return any(step.fills for step in self.spec.steps)
+
     def find_task(self, ref: runs.TaskRef) -> Task | None:
         """Returns a task, or None if it does not exist or is not due yet."""
         number = ref.repetition * len(self.spec.steps) + ref.step
--- a/src/gypsumhold/model/jobs/specs.py
+++ b/src/gypsumhold/model/jobs/specs.py
@@ -1,5 +1,6 @@
 """Jobs as callers submit them, and the queues that accept them."""
 
+import datetime
 from typing import NewType
 
 import msgspec
@@ -60,6 +61,11 @@
     fills: bool = False
     may_miss: int = 0
 
+    @property
+    def estimate(self) -> datetime.timedelta:
+        """Returns the declared run time of a task."""
+        return datetime.timedelta(milliseconds=self.estimate_ms)
+
 
 class Queue(msgspec.Struct, frozen=True, omit_defaults=True):
     """A queue of jobs as the configuration declares it.
