Let the largest entry hold the queue

Front machines differ by a factor of four in processor capacity. Change: the holder's row carries the capacity of the holder. An entry with 1.5 times that capacity replaces a live holder by the conditional write that also takes over; a much smaller one waits a second before it takes a free queue. After a live holder was replaced, unreported runs wait for its whole grant window. Rows of former versions are read as before.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -102,6 +102,7 @@
         state.options.incarnation,
         state.options.endpoint,
         number,
+        state.options.cores,
     )
     return storage.Batch(
         holder_state.version, record, tuple(writes), tuple(removed)
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -6,6 +6,10 @@
 its own name and a higher term, on condition that the row is still the same.
 From then on the conditional writes of the former holder fail.
 
+The work of the holder grows with the fleet, and entries run on instances of
+different sizes. So an entry with several times the processor capacity of the
+holder takes the queue from it, and a smaller entry lets larger ones go first.
+
 The new holder places the runs of an instance that does not report again only
 after every grant of the former holder has expired.
 """
@@ -25,6 +29,8 @@
     storage,
 )
 
+ZERO = datetime.timedelta(0)
+
 MAX_DELETED_SUBMISSIONS = 40
 """Most submissions deleted by one transaction; each has two rows."""
 
@@ -34,6 +40,13 @@
 GRANT_MARGIN = datetime.timedelta(milliseconds=300)
 """Allows for the drift between two clocks during a grant."""
 
+LARGER_FACTOR = 1.5
+"""Ratio of processor capacities from which one entry counts as larger."""
+
+SMALLER_ENTRY_DELAY = datetime.timedelta(milliseconds=1000)
+"""How long an entry leaves a free queue to entries as large as its former
+holder; longer than two polls of the holder's row."""
+
 POLL_TIMER = timers.Timer(timers.TimerKind.HOLDER_POLL)
 TICK_TIMER = timers.Timer(timers.TimerKind.HOLDER_TICK)
 REGISTER_TIMER = timers.Timer(timers.TimerKind.REGISTER)
@@ -123,7 +136,9 @@
         emitted += _log_holder_change(state, row)
         state.holder_seen_at = now
     state.holder_row = row
-    if not _is_queue_free(state, row, now):
+    free = _is_queue_free(state, row, now)
+    state.replacing_live_holder = not free and _is_holder_small(state, row)
+    if not free and not state.replacing_live_holder:
         return [*emitted, *_schedule_poll(state)]
     return [*emitted, *_take_queue(state, row, now)]
 
@@ -144,14 +159,31 @@
     row: storage.HolderRow,
     now: datetime.timedelta,
 ) -> bool:
-    """Tells whether the queue has no holder, or one that seems to be gone."""
+    """Tells whether the queue has no holder, or one that seems to be gone.
+
+    An entry that is much smaller than the last holder waits a little longer.
+    """
     record = row.record
-    if record is None or not record.holder:
-        return True
-    if record.holder == state.options.name:
-        # An earlier incarnation of this entry held the queue.
+    if record is None:
         return True
-    return now >= state.holder_seen_at + state.options.takeover_delay
+    # An earlier incarnation of this entry may have held the queue.
+    is_released = record.holder in {"", state.options.name}
+    delay = ZERO if is_released else state.options.takeover_delay
+    if record.cores >= state.options.cores * LARGER_FACTOR:
+        delay += SMALLER_ENTRY_DELAY
+    return now >= state.holder_seen_at + delay
+
+
+def _is_holder_small(
+    state: scheduler.SchedulerState, row: storage.HolderRow
+) -> bool:
+    """Tells whether this entry is larger than the holder."""
+    record = row.record
+    return (
+        record is not None
+        and record.cores > 0
+        and state.options.cores >= record.cores * LARGER_FACTOR
+    )
 
 
 def _take_queue(
@@ -170,12 +202,21 @@
         options.incarnation,
         options.endpoint,
         0,
+        options.cores,
     )
     entry = records.EntryRecord(
         records.FORMAT, options.name, options.endpoint, True, term
     )
     age = lifecycle.to_ms(now - state.holder_seen_at)
-    inputs = (("term", str(term)), ("unchanged_ms", str(age)))
+    inputs = (
+        ("term", str(term)),
+        ("unchanged_ms", str(age)),
+        ("cores", str(options.cores)),
+        (
+            "former_cores",
+            "none" if row.record is None else str(row.record.cores),
+        ),
+    )
     return [
         effects.Log("take-queue", options.name, "tried", inputs),
         effects.TakeQueue(row.version, holder, entry),
@@ -201,7 +242,13 @@
     former = None if state.holder_row is None else state.holder_row.record
     term = ids.Epoch(1 if former is None else former.term + 1)
     state.role = scheduler.Role.LOADING
-    state.holder_state = scheduler.HolderState(term, write.version, now, now)
+    state.holder_state = scheduler.HolderState(
+        term,
+        write.version,
+        now,
+        now,
+        replaced_live_holder=state.replacing_live_holder,
+    )
     log = effects.Log(
         "take-queue", state.options.name, "taken", (("term", str(term)),)
     )
@@ -330,8 +377,10 @@
     options = state.options
     # The former holder may have issued grants for up to `grant_window` after
     # the last change of the row, which was seen at least `takeover_delay`
-    # before the takeover.
-    left = options.grant_window - options.takeover_delay
+    # before the takeover unless the former holder was still active.
+    left = options.grant_window
+    if not holder_state.replaced_live_holder:
+        left -= options.takeover_delay
     return holder_state.term_started_at + left + options.grant + GRANT_MARGIN
 
 
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -83,6 +83,8 @@
         incarnation: Incarnation of the entry's process.
         endpoint: Where the holder answers.
         batch: Rises with each batch of one term.
+        cores: Processor capacity of the holder, in cores; 0 in rows of
+            versions that did not write it.
     """
 
     version: int
@@ -91,6 +93,7 @@
     incarnation: ids.Incarnation
     endpoint: messages.Endpoint
     batch: int
+    cores: float = 0.0
 
 
 class EntryRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -37,6 +37,7 @@
         report_timeout: Time without a report after which an agent gets no new
             runs.
         retention: How long ended jobs are kept.
+        cores: Processor capacity of the instance, in cores.
         seed: Seed of the random number generator.
     """
 
@@ -50,6 +51,7 @@
     poll_interval: datetime.timedelta = datetime.timedelta(milliseconds=700)
     report_timeout: datetime.timedelta = datetime.timedelta(milliseconds=2500)
     retention: datetime.timedelta = datetime.timedelta(seconds=180)
+    cores: float = 1.0
     seed: int = 0
 
 
@@ -197,6 +199,8 @@
             takes from a serving image, by a cautious estimate.
         optimistic_estimates: The same by an optimistic estimate.
         releasing: Whether the next batch leaves the queue without a holder.
+        replaced_live_holder: Whether the queue was taken from a holder that
+            was still storing batches.
     """
 
     term: ids.Epoch
@@ -232,6 +236,7 @@
     commit_attempts: int = 0
     force_batch: bool = False
     releasing: bool = False
+    replaced_live_holder: bool = False
     cautious_estimates: dict[runs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
@@ -254,6 +259,8 @@
             in this version, or a later failure to read it, to take the queue or
             to keep it.
         holder_state: Set while this scheduler loads or holds the queue.
+        replacing_live_holder: Whether the latest write that takes the queue
+            replaces a holder that was still storing batches.
         tickets: Requests that wait for their answer.
         registered: Whether the row that lets agents find this entry is stored.
         rng: Random number generator, for the jitter of polls.
@@ -269,6 +276,7 @@
     holder_row: storage.HolderRow | None = None
     holder_seen_at: datetime.timedelta = ZERO
     holder_state: HolderState | None = None
+    replacing_live_holder: bool = False
     tickets: dict[ids.TicketId, Ticket] = dataclasses.field(
         default_factory=dict
     )
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -305,6 +305,15 @@
     address: str
 
 
+class ProcessLimits(PlatformDocument, frozen=True):
+    """What the platform lets a process use."""
+
+    # Share of the time in which the process may run.
+    cpu_share: float = 1.0
+    # Speed while it runs, in cores.
+    cpu_cores: float = 1.0
+
+
 class Settings(PlatformDocument, frozen=True):
     """The settings file that the platform writes for a process."""
 
@@ -320,6 +329,7 @@
     # The table store.
     platform: StoreSettings
     heartbeat_interval_ms: int = 1000
+    limits: ProcessLimits = ProcessLimits()
 
 
 def parse(
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -26,6 +26,7 @@
         workers: Address for the worker's heartbeats; None on an entry.
         peers: Address for the other processes of the system.
         store: Address of the platform's store.
+        cores: Processor capacity of the instance, in cores.
     """
 
     instance: ids.InstanceId
@@ -36,6 +37,7 @@
     workers: members.Address | None
     peers: messages.Endpoint
     store: members.Address
+    cores: float = 1.0
 
 
 def read_settings() -> Result[NodeSettings, errors.Error]:
@@ -72,6 +74,7 @@
                     document.ip_address, document.internal_port_range[0]
                 ),
                 _parse_address(document.platform.address),
+                document.limits.cpu_share * document.limits.cpu_cores,
             )
         )
     except ValueError as problem:
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -187,6 +187,7 @@
         shared.platform_settings.instance,
         shared.incarnation,
         build_peer_endpoint(shared),
+        cores=shared.platform_settings.cores,
     )
     state = scheduler.SchedulerState(
         options,
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -9,7 +9,8 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 from gypsumhold.adapters import failure_events
@@ -92,7 +93,14 @@
 class World:
     """A small deployment: its processes, workers, store and virtual clock."""
 
-    def __init__(self, seed: int, entries: int = 2, agents: int = 4) -> None:
+    def __init__(
+        self,
+        seed: int,
+        entries: int = 2,
+        agents: int = 4,
+        entry_cores: Mapping[str, float] = MappingProxyType({}),
+    ) -> None:
+        self.entry_cores = entry_cores
         self.random = random.Random(seed)
         self.now_ms = 1000.0
         self.wall_skew_ms = 0
@@ -140,7 +148,12 @@
         incarnation = ids.Incarnation(wall_ms)
         if node.name.startswith("entry"):
             node.state = scheduler.SchedulerState(
-                scheduler.SchedulerOptions(node.name, incarnation, endpoint),
+                scheduler.SchedulerOptions(
+                    node.name,
+                    incarnation,
+                    endpoint,
+                    cores=self.entry_cores.get(node.name, 1.0),
+                ),
                 policy_sets.build_scheduler_policies(),
                 rng=random.Random(node.incarnation),
             )
