Let the holder's work follow what changes

Cause: each plan counted the capacity of every worker anew from all placed tasks, twice; each stored batch looked for new directives of every agent; each job was estimated in every plan; each log line went through a thread pool. Change: capacity is kept per agent and counted anew where a report, an end or lateness changed it; a batch is pushed to the agents that it concerns; estimates of a job are kept for 0.4 s; stalled tasks are looked for once a tick; log lines are queued by the deciding thread and counted per event.

--- a/src/gypsumhold/adapters/effect_pools.py
+++ b/src/gypsumhold/adapters/effect_pools.py
@@ -127,7 +127,6 @@
         PoolKind.LOCAL, ("announce", effect.all_regions), True
     ),
     effects.LogMessage: lambda effect: Lane(PoolKind.LOCAL, "note"),
-    job_effects.Log: lambda effect: Lane(PoolKind.LOCAL, "note"),
     job_effects.FollowConfig: lambda effect: Lane(PoolKind.LONG_POLL, "config"),
     job_effects.FollowJobs: lambda effect: Lane(PoolKind.LONG_POLL, "jobs"),
     job_effects.FollowEntries: lambda effect: Lane(
--- a/src/gypsumhold/adapters/engine.py
+++ b/src/gypsumhold/adapters/engine.py
@@ -3,10 +3,11 @@
 The thread that delivers an event applies it under a single lock. The owner of
 an effect is the request, attempt or ticket that it belongs to. If a thread
 waits for the owner in `run_owner`, the effect goes to its mailbox and runs in
-that thread. A timer goes to the timer thread, and any other effect to a bounded
-thread pool. If the pool is full, the effect is not run: after a delay, the
-reducer receives the event for an effect that failed before it started. Every
-thread blocks while it waits; none polls.
+that thread. A timer goes to the timer thread, an effect that never blocks runs
+at once, and any other effect goes to a bounded thread pool. If the pool is
+full, the effect is not run: after a delay, the reducer receives the event for
+an effect that failed before it started. Every thread blocks while it waits;
+none polls.
 """
 
 import abc
@@ -53,6 +54,10 @@
     job_effects.ForwardQuery,
 )
 
+# Effects that never block, such as queueing a line of the log. The thread that
+# applied their event runs them, which costs less than a change of threads.
+_IMMEDIATE = (job_effects.Log,)
+
 # Delay of the failure event for an effect that a full pool rejected. It keeps
 # a reducer that retries the effect from filling the pool again at once.
 REJECTION_DELAY = datetime.timedelta(milliseconds=200)
@@ -146,7 +151,11 @@
             # Routed under the lock, so that the effects of one owner keep the
             # order in which the reducer emitted them.
             for effect in emitted:
-                self._route(effect)
+                if not isinstance(effect, _IMMEDIATE):
+                    self._route(effect)
+        for effect in emitted:
+            if isinstance(effect, _IMMEDIATE):
+                self._execute(effect)
         if self._observer is not None:
             self._observer.observe(event, emitted)
 
--- a/src/gypsumhold/adapters/jobs/metrics.py
+++ b/src/gypsumhold/adapters/jobs/metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of the job subsystem."""
 
 import datetime
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -67,7 +68,6 @@
         self._commit_sent_at: datetime.timedelta | None = None
         self._handlers: dict[type, Callable[[Any], None]] = {
             effects.AnswerQuery: self._count_answer,
-            effects.Log: self._count_decision,
             effects.CommitBatch: self._record_commit_start,
             events.BatchCommitted: self._record_commit_end,
             events.CommandAnswered: self._count_command,
@@ -78,17 +78,20 @@
         self, event: base_events.Event, emitted: base_effects.Effects
     ) -> None:
         """Counts an event and the effects that it led to."""
+        decisions: Counter[str] = Counter()
         for item in (event, *emitted):
+            if isinstance(item, effects.Log):
+                decisions[item.decision] += 1
+                continue
             handler = self._handlers.get(type(item))
             if handler is not None:
                 handler(item)
+        for decision, count in decisions.items():
+            self._decisions.add(count, {"decision": decision})
 
     def _count_answer(self, effect: effects.AnswerQuery) -> None:
         self._answers.add(1, {"verdict": effect.answer.verdict.value})
 
-    def _count_decision(self, effect: effects.Log) -> None:
-        self._decisions.add(1, {"decision": effect.decision})
-
     def _record_commit_start(self, effect: effects.CommitBatch) -> None:
         self._commit_sent_at = self._clock.read_monotonic()
 
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -49,7 +49,11 @@
     if holder_state.plan_due and not holder_state.releasing:
         holder_state.plan_due = False
         emitted += plans.place_ready_tasks(state, holder_state, now)
-        emitted += migrations.migrate_stalled_tasks(state, holder_state, now)
+        if holder_state.migrations_due:
+            holder_state.migrations_due = False
+            emitted += migrations.migrate_stalled_tasks(
+                state, holder_state, now
+            )
     has_changes = (
         holder_state.dirty
         or holder_state.deletable_progress
@@ -91,6 +95,8 @@
     ]
     holder_state.deletable_progress.difference_update(removed)
     holder_state.force_batch = False
+    holder_state.batch_instances |= holder_state.changed_instances
+    holder_state.changed_instances.clear()
     if not holder_state.dirty:
         # An end is acknowledged only after its effect on its job is stored, so
         # no changed job may be left for a later batch.
@@ -220,8 +226,23 @@
     emitted: EffectList = []
     for ticket_id, ticket in list(state.tickets.items()):
         emitted += _answer_cancellation(state, holder_state, ticket_id, ticket)
-    for view in holder_state.agents.values():
-        emitted += directives.push_directives(state, holder_state, view, now)
+    return [*emitted, *_push_changes(state, holder_state, now)]
+
+
+def _push_changes(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Sends directives to the agents for which the stored batch changed any."""
+    emitted: EffectList = []
+    for instance in sorted(holder_state.batch_instances):
+        view = holder_state.agents.get(instance)
+        if view is not None:
+            emitted += directives.push_directives(
+                state, holder_state, view, now
+            )
+    holder_state.batch_instances.clear()
     return emitted
 
 
--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -20,13 +20,21 @@
     holder_state: scheduler.HolderState,
     now: datetime.timedelta,
 ) -> dict[str, policies.Candidate]:
-    """Returns the free capacity of each instance that may get new runs."""
+    """Returns the free capacity of each instance that may get new runs.
+
+    The candidates are kept between plans: a plan reserves what it places, and
+    the capacity is counted anew only where something else has changed.
+    """
     candidates = {}
     for view in holder_state.agents.values():
-        if _is_usable(state, view, now):
-            candidates[str(view.instance)] = _build_candidate(
-                view, holder_state.optimistic_estimates, now
-            )
+        if not _is_usable(state, view, now):
+            continue
+        if view.candidate is None:
+            view.candidate = _build_candidate(view)
+        view.candidate.interference_estimates = (
+            holder_state.optimistic_estimates
+        )
+        candidates[str(view.instance)] = view.candidate
     return candidates
 
 
@@ -49,8 +57,6 @@
 
 def _build_candidate(
     view: scheduler.AgentView,
-    estimates: interference.Estimates,
-    now: datetime.timedelta,
 ) -> policies.Candidate:
     """Returns the capacity of a worker minus that of its placed tasks."""
     worker = view.report.worker
@@ -66,7 +72,6 @@
             allowance.serving: allowance.headroom
             for allowance in view.report.allowances
         },
-        interference_estimates=estimates,
     )
     usages = {row.ref: row.usage for row in view.report.rows}
     for ref, placed in view.placed.items():
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -432,6 +432,7 @@
         pair: interference.estimate_optimistic(sums.moment, sums.weight)
         for pair, sums in combined.items()
     }
+    holder_state.migrations_due = True
     holder_state.plan_due = holder_state.plan_due or bool(
         holder_state.open_jobs
     )
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -184,6 +184,7 @@
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
     view.placed[ref] = placed
+    holder_state.changed_instances.add(view.instance)
     placed.job.unstored_placements.append(task)
     if placed.job.state is messages.JobState.QUEUED:
         placed.job.state = messages.JobState.RUNNING
@@ -207,6 +208,8 @@
     view = holder_state.agents.get(placed.task.instance)
     if view is not None:
         view.placed.pop(ref, None)
+        view.candidate = None
+    holder_state.changed_instances.add(placed.task.instance)
     orphans = holder_state.orphans.get(placed.task.instance)
     if orphans is not None:
         orphans.pop(ref, None)
@@ -385,6 +388,8 @@
         for task in step.tasks:
             if task.state is records.TaskState.READY:
                 task.state = records.TaskState.CLOSED
+            elif task.is_placed():
+                holder_state.changed_instances.add(task.instance)
     holder_state.plan_due = True
     mark_dirty(holder_state, job)
 
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -32,7 +32,9 @@
         view = holder_state.agents[candidate.instance]
         for ref, placed in list(view.placed.items()):
             if _is_stalled(placed, now):
-                emitted += _start_migration(placed, ref, candidates, instance)
+                emitted += _start_migration(
+                    holder_state, placed, ref, candidates, instance
+                )
     return emitted
 
 
@@ -50,6 +52,7 @@
 
 
 def _start_migration(
+    holder_state: scheduler.HolderState,
     placed: scheduler.PlacedTask,
     ref: runs.TaskRef,
     candidates: dict[str, policies.Candidate],
@@ -65,6 +68,8 @@
         if not capacity.fits(candidate, placed.job, step):
             continue
         capacity.reserve(candidate, step, ref)
+        holder_state.agents[candidate.instance].candidate = None
+        holder_state.changed_instances.add(placed.task.instance)
         placed.task.migrating = True
         inputs = (
             ("task", str(ref)),
--- a/src/gypsumhold/decisions/jobs/ordering.py
+++ b/src/gypsumhold/decisions/jobs/ordering.py
@@ -10,6 +10,11 @@
 """Multiple of its objective up to which a late job is still useful."""
 
 
+OUTLOOK_INTERVAL = datetime.timedelta(milliseconds=400)
+"""How long the estimates of a job are used; plans come more often, and each
+estimate walks all tasks of the job."""
+
+
 def compute_objective(
     job: progress.Job, policy: policies.EstimatePolicy
 ) -> datetime.timedelta:
@@ -20,14 +25,44 @@
     return critical_path * queue.stretch + target
 
 
+def refresh_outlook(
+    job: progress.Job,
+    now: datetime.timedelta,
+    policy: policies.EstimatePolicy,
+) -> progress.Outlook:
+    """Returns the estimates of a job, made anew if they are too old."""
+    outlook = job.outlook
+    if outlook is None or not (
+        outlook.made_at <= now < outlook.made_at + OUTLOOK_INTERVAL
+    ):
+        outlook = _make_outlook(job, now, policy)
+        job.outlook = outlook
+    return outlook
+
+
+def _make_outlook(
+    job: progress.Job,
+    now: datetime.timedelta,
+    policy: policies.EstimatePolicy,
+) -> progress.Outlook:
+    objective = compute_objective(job, policy)
+    return progress.Outlook(
+        now,
+        job.submitted_at + objective,
+        job.submitted_at + objective * LATE_FACTOR,
+        estimates.estimate_remaining_time(job, policy),
+        estimates.estimate_remaining_work(job, policy),
+    )
+
+
 def is_late(
     job: progress.Job,
     now: datetime.timedelta,
     policy: policies.EstimatePolicy,
 ) -> bool:
     """Tells whether a job is estimated to miss its objective."""
-    expected_end = now + estimates.estimate_remaining_time(job, policy)
-    return expected_end > job.submitted_at + compute_objective(job, policy)
+    outlook = refresh_outlook(job, now, policy)
+    return now + outlook.remaining_time > outlook.due_at
 
 
 class FirstComeFirstServed(policies.OrderingPolicy):
@@ -64,19 +99,17 @@
         is_long_running = any(step.long_running for step in job.spec.steps)
         if is_long_running:
             return (0, job.spec.queue.priority, job.submitted_at)
-        objective = compute_objective(job, self._estimates)
-        remaining = estimates.estimate_remaining_time(job, self._estimates)
-        expected_end = now + remaining
+        outlook = refresh_outlook(job, now, self._estimates)
+        expected_end = now + outlook.remaining_time
         lateness = 2
-        if expected_end <= job.submitted_at + objective:
+        if expected_end <= outlook.due_at:
             lateness = 0
-        elif expected_end <= job.submitted_at + objective * LATE_FACTOR:
+        elif expected_end <= outlook.useful_until:
             lateness = 1
         priority = job.spec.queue.priority
         if job.has_best_effort_steps():
             # CPU for best-effort tasks is scarce. Under overload, earliest
             # deadline first would make every job late, so the job with the
             # least remaining work goes first.
-            work = estimates.estimate_remaining_work(job, self._estimates)
-            return (lateness, priority, work)
-        return (lateness, priority, job.submitted_at + objective)
+            return (lateness, priority, outlook.remaining_work)
+        return (lateness, priority, outlook.due_at)
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -32,9 +32,7 @@
     now: datetime.timedelta,
 ) -> EffectList:
     """Places ready tasks as far as the free capacity allows."""
-    for job in holder_state.open_jobs.values():
-        if job.has_best_effort_steps():
-            job.late = ordering.is_late(job, now, state.policies.estimates)
+    _update_lateness(state, holder_state, now)
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
         return []
@@ -63,6 +61,30 @@
     return emitted
 
 
+def _update_lateness(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
+) -> None:
+    """Works out which open best-effort jobs are late.
+
+    Their tasks give way to others, so the capacity where they are placed has
+    to be counted anew.
+    """
+    for job in holder_state.open_jobs.values():
+        if not job.has_best_effort_steps():
+            continue
+        late = ordering.is_late(job, now, state.policies.estimates)
+        if late is job.late:
+            continue
+        job.late = late
+        for step in job.steps:
+            for task in step.tasks:
+                view = holder_state.agents.get(task.instance)
+                if view is not None and task.is_placed():
+                    view.candidate = None
+
+
 def _has_ready_task(job: progress.Job) -> bool:
     return any(True for _ in _iterate_ready_tasks(job))
 
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -136,6 +136,7 @@
         view.sequence = 0
     view.report = report
     view.last_report_at = now
+    view.candidate = None
     view.stops_sent.clear()
     for sums in report.interference_sums:
         view.interference_sums[sums.pair] = sums
@@ -243,6 +244,7 @@
     if pending or holder_state.in_flight is not None:
         batch = progress.NOT_STORED
     pending.append(scheduler.Acknowledgement(view.last_handled_end, batch))
+    holder_state.changed_instances.add(view.instance)
     if batch == progress.NOT_STORED and not holder_state.dirty:
         holder_state.force_batch = True
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -101,6 +101,25 @@
         return all(task.state is records.TaskState.DONE for task in self.tasks)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a job can still achieve, by the estimates of a moment.
+
+    Attributes:
+        made_at: When the estimates were made.
+        due_at: When the job has to end to meet its objective.
+        useful_until: When the job has to end to be of use at all.
+        remaining_time: Duration of the rest of its critical path.
+        remaining_work: Core time of all its tasks that are not done.
+    """
+
+    made_at: datetime.timedelta
+    due_at: datetime.timedelta
+    useful_until: datetime.timedelta
+    remaining_time: datetime.timedelta
+    remaining_work: datetime.timedelta
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """One accepted job.
@@ -116,6 +135,7 @@
         next_repetition: First repetition that is not yet due.
         unstored_placements: Tasks whose latest placement is in no batch yet.
         ended_at: When the job reached a final state.
+        outlook: Latest estimates; None before the first.
         late: Whether the job was estimated to miss its objective when the
             latest plan was made.
         starved_since: Since when plans have found no task of the job placed;
@@ -131,6 +151,7 @@
     next_repetition: int = 0
     unstored_placements: list[Task] = dataclasses.field(default_factory=list)
     ended_at: datetime.timedelta = ZERO
+    outlook: Outlook | None = None
     late: bool = False
     starved_since: datetime.timedelta | None = None
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -117,6 +117,8 @@
         stops_sent: Stops that were pushed since the latest report.
         interference_sums: Interference that the agent measured, by pair of
             images.
+        candidate: Free capacity of the worker; None if something that it
+            depends on has changed.
     """
 
     instance: ids.InstanceId
@@ -139,6 +141,7 @@
     interference_sums: dict[runs.ImagePair, runs.InterferenceSums] = (
         dataclasses.field(default_factory=dict)
     )
+    candidate: policies.Candidate | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -188,6 +191,11 @@
             reported in this term.
         open_jobs: Jobs whose tasks may still be placed.
         plan_due: Whether something that placement depends on has changed.
+        migrations_due: Whether the next plan also looks for stalled tasks.
+        changed_instances: Instances whose directives have changed since the
+            latest batch was built.
+        batch_instances: Instances whose directives the batch in flight
+            changes.
         next_read_version: Version from which the next read of changes
             continues.
         wall_offset_ms: Unix time minus the scheduler's clock.
@@ -231,6 +239,13 @@
         default_factory=dict
     )
     plan_due: bool = True
+    migrations_due: bool = False
+    changed_instances: set[ids.InstanceId] = dataclasses.field(
+        default_factory=set
+    )
+    batch_instances: set[ids.InstanceId] = dataclasses.field(
+        default_factory=set
+    )
     next_read_version: ids.RowVersion = ids.RowVersion(0)
     wall_offset_ms: int = 0
     commit_attempts: int = 0
--- a/tests/jobs/test_estimates.py
+++ b/tests/jobs/test_estimates.py
@@ -85,6 +85,7 @@
     now = 8 * SECOND
     run_until(job, now)
     assert ordering.is_late(job, now, estimates.DeclaredEstimates())
+    job.outlook = None
     assert not ordering.is_late(job, now, estimates.LearnedEstimates())
 
 
