Hold new connections back while a listener closes

Cause: a connection that arrived between the last accept of a stopping listener and the close of its socket was reset, so that its caller could not tell whether the request had run (known red: test_planned_stop[entry-0], test_replace_everything). Change: the listener attaches a packet filter that drops the packets that open connections, accepts what has arrived, and then closes its socket.

--- a/src/gypsumhold/adapters/http_server.py
+++ b/src/gypsumhold/adapters/http_server.py
@@ -17,7 +17,7 @@
 from cheroot import connections as cheroot_connections
 from cheroot import server as cheroot_server
 
-from gypsumhold.adapters import http_routes
+from gypsumhold.adapters import connection_filter, http_routes
 from gypsumhold.model import errors, members
 
 _LOG = logbook.Logger("gypsumhold.web")
@@ -47,6 +47,9 @@
 # Longest wait at the close of the server for responses that are in progress.
 CLOSE_TIMEOUT_S = 10
 
+# Longest wait for the next connection that was being opened during the close.
+FINAL_ACCEPT_TIMEOUT_S = 0.02
+
 # Longest wait for the request on a connection accepted during the close.
 FINAL_READ_TIMEOUT_S = 1
 
@@ -258,6 +261,10 @@
         """Ends the selector loop, then serves the waiting connections."""
         super().stop()
         server = self.server
+        try:
+            connection_filter.drop_new_connections(server.socket)
+        except OSError as problem:
+            _LOG.info("new connections cannot be held back: {}", problem)
         for _ in range(server.request_queue_size):
             connection = self._accept()
             if connection is None:
@@ -273,7 +280,7 @@
 
     def _accept(self) -> Any:
         """Returns the next waiting connection, or None."""
-        self.server.socket.setblocking(False)
+        self.server.socket.settimeout(FINAL_ACCEPT_TIMEOUT_S)
         return self._from_server_socket(self.server.socket)
 
 
--- a/tests/adapters/test_listener.py
+++ b/tests/adapters/test_listener.py
@@ -4,6 +4,8 @@
 import socket
 import threading
 
+import pytest
+
 from gypsumhold.adapters import http_routes, http_server
 from gypsumhold.model import members
 
@@ -62,6 +64,42 @@
     assert b"Connection: close" in received
 
 
+def test_stop_resets_no_connection_that_comes_last(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a caller who can't tell whether its request ran.
+
+    The caller connects after the last connection was accepted, just before
+    the listening socket closes. It must be refused rather than reset.
+    """
+    results: list[type[Exception] | bytes] = []
+    callers: list[threading.Thread] = []
+    listener = http_server.Listener(ANY_PORT, SlowRoutes(), 1, 100)
+    manager = http_server._ConnectionManager
+    accept = manager._accept
+
+    def call() -> None:
+        try:
+            with open_client(listener) as peer:
+                peer.sendall(REQUEST)
+                results.append(read_all(peer))
+        except OSError as problem:
+            results.append(type(problem))
+
+    def accept_and_connect(self: http_server._ConnectionManager) -> object:
+        connection = accept(self)
+        if connection is None and not callers:
+            callers.append(threading.Thread(target=call))
+            callers[0].start()
+            callers[0].join(0.1)
+        return connection
+
+    monkeypatch.setattr(manager, "_accept", accept_and_connect)
+    listener.close()
+    callers[0].join(WAIT)
+    assert results == [ConnectionRefusedError]
+
+
 def test_internal_error_is_answered_with_status_500() -> None:
     """Guards against reporting work that may have run as a bad request."""
     listener = http_server.Listener(ANY_PORT, FailingRoutes(), 1, 100)
