Set a faulty job aside instead of failing every plan

Cause: a plan estimated and placed all open jobs in one pass. A job with which that raised an exception (a declared run time of 10^18 ms overflows a timedelta) ended every later plan of every holder, since the job is stored: one submission stopped the whole queue. Negative resources, unbounded repetitions and endless deadlines were taken as well. Change: submissions are checked by decisions/jobs/validation.py (moved out of the platform folder, which only translates) with limits on all amounts; a plan sets a job aside for which it raises and logs job-set-aside; a deadline header of more than nine digits counts as missing.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -31,17 +31,20 @@
     holder_state: scheduler.HolderState,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Places ready tasks as far as the free capacity allows."""
-    _update_lateness(state, holder_state, now)
+    """Places ready tasks as far as the free capacity allows.
+
+    A job for which this raises an exception is set aside, so that it does not
+    stop the others.
+    """
+    emitted = _estimate_jobs(state, holder_state, now)
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
-        return []
-    emitted: EffectList = []
+        return emitted
     jobs = state.policies.ordering.sort(
         [
             job
             for job in holder_state.open_jobs.values()
-            if _has_ready_task(job)
+            if not job.set_aside and _has_ready_task(job)
         ],
         now,
     )
@@ -53,36 +56,65 @@
             break
         if misses >= MISSES_BEFORE_SKIP and not starved:
             continue
-        placements, new_misses = _place_job(
-            state, holder_state, job, candidates, starved=starved, now=now
-        )
+        try:
+            placements, new_misses = _place_job(
+                state, holder_state, job, candidates, starved=starved, now=now
+            )
+        except Exception as problem:
+            emitted.append(_set_aside(job, problem))
+            continue
         emitted += placements
         misses += new_misses
     return emitted
 
 
-def _update_lateness(
+def _set_aside(job: progress.Job, problem: Exception) -> base_effects.Effect:
+    """Excludes a job from all plans of this holder; returns the log line.
+
+    Tasks that were placed already go on.
+    """
+    job.set_aside = True
+    inputs = (("problem", repr(problem)),)
+    return effects.Log(
+        "job-set-aside", job.spec.job_id, "cancel and correct it", inputs
+    )
+
+
+def _estimate_jobs(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     now: datetime.timedelta,
-) -> None:
-    """Works out which open best-effort jobs are late.
-
-    Their tasks give way to others, so the capacity where they are placed has
-    to be counted anew.
-    """
+) -> EffectList:
+    """Estimates the open jobs and works out which best-effort ones are late."""
+    emitted: EffectList = []
     for job in holder_state.open_jobs.values():
-        if not job.has_best_effort_steps():
+        best_effort = job.has_best_effort_steps()
+        if job.set_aside or not (best_effort or _has_ready_task(job)):
             continue
-        late = ordering.is_late(job, now, state.policies.estimates)
-        if late is job.late:
+        try:
+            late = ordering.is_late(job, now, state.policies.estimates)
+        except Exception as problem:
+            emitted.append(_set_aside(job, problem))
             continue
-        job.late = late
-        for step in job.steps:
-            for task in step.tasks:
-                view = holder_state.agents.get(task.instance)
-                if view is not None and task.is_placed():
-                    view.candidate = None
+        if best_effort and late is not job.late:
+            _change_lateness(holder_state, job, late)
+    return emitted
+
+
+def _change_lateness(
+    holder_state: scheduler.HolderState, job: progress.Job, late: bool
+) -> None:
+    """Marks a job as late or not.
+
+    The tasks of a late job give way to others, so the capacity where they are
+    placed has to be counted anew.
+    """
+    job.late = late
+    for step in job.steps:
+        for task in step.tasks:
+            view = holder_state.agents.get(task.instance)
+            if view is not None and task.is_placed():
+                view.candidate = None
 
 
 def _has_ready_task(job: progress.Job) -> bool:
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -140,6 +140,8 @@
             latest plan was made.
         starved_since: Since when plans have found no task of the job placed;
             None if the latest plan found one.
+        set_aside: Whether a plan failed for this job; its tasks are no longer
+            placed.
     """
 
     spec: specs.JobSpec
@@ -154,6 +156,7 @@
     outlook: Outlook | None = None
     late: bool = False
     starved_since: datetime.timedelta | None = None
+    set_aside: bool = False
 
     def is_open(self) -> bool:
         """Tells whether the job has not ended, so its tasks may be placed."""
--- a/src/gypsumhold/platform/job_routes.py
+++ b/src/gypsumhold/platform/job_routes.py
@@ -10,7 +10,7 @@
 from gypsumhold.adapters import engine, http_routes
 from gypsumhold.adapters import headers as header_lines
 from gypsumhold.adapters.jobs import peers
-from gypsumhold.decisions.jobs import queries
+from gypsumhold.decisions.jobs import queries, validation
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import errors, ids
 from gypsumhold.model.jobs import (
@@ -30,8 +30,8 @@
 ANSWER_MARGIN = datetime.timedelta(milliseconds=60)
 """Part of the caller's timeout that is reserved for sending the answer."""
 
-MAX_PAYLOAD_BYTES = 4000
-MAX_TASKS = 100_000
+MAX_DEADLINE_DIGITS = 9
+"""Most digits of a deadline in milliseconds that counts as valid."""
 
 Runtime = engine.Engine[scheduler.SchedulerState]
 
@@ -116,7 +116,7 @@
             case Success(document):
                 now_ms = int(self._clock.read_wall().timestamp() * 1000)
                 spec = build_spec(queue, job_id, document, now_ms)
-        error = check_spec(spec)
+        error = validation.check_job(spec)
         if error is not None:
             return http_routes.render_error(400, error)
         ticket = peers.create_ticket_id()
@@ -180,7 +180,7 @@
 def _read_timeout(headers: dict[str, str]) -> datetime.timedelta:
     """Returns the time for the answer; the default without a valid header."""
     text = headers.get(DEADLINE_HEADER, "")
-    if not text.isdecimal():
+    if not text.isdecimal() or len(text) > MAX_DEADLINE_DIGITS:
         return DEFAULT_TIMEOUT
     requested = datetime.timedelta(milliseconds=int(text))
     return max(requested - ANSWER_MARGIN, datetime.timedelta(0))
@@ -228,28 +228,6 @@
     )
 
 
-def check_spec(spec: specs.JobSpec) -> errors.Error | None:
-    """Returns an error for one problem of a job, or None if it is valid."""
-    problem = None
-    task_count = sum(step.count for step in spec.steps)
-    if not spec.steps or any(step.count < 1 for step in spec.steps):
-        problem = "a job needs at least one step, and each step a task"
-    elif task_count > MAX_TASKS:
-        problem = f"a job may have at most {MAX_TASKS} tasks"
-    elif len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
-        problem = (
-            f"the specification may have at most {MAX_PAYLOAD_BYTES} bytes"
-        )
-    for number, step in enumerate(spec.steps):
-        if any(not 0 <= earlier < number for earlier in step.after):
-            problem = f"step {number} depends on a step that is not before it"
-    if problem is None:
-        return None
-    return errors.Error(
-        errors.ErrorKind.BAD_BODY, problem, "correct the job and send it again"
-    )
-
-
 class ReadyRoutes(http_routes.Routes):
     """Answers the platform's readiness check."""
 
