--- a/src/gypsumhold/adapters/engine.py
+++ b/src/gypsumhold/adapters/engine.py
@@ -63,6 +63,9 @@
 REJECTION_DELAY = datetime.timedelta(milliseconds=200)
 # Delay before a timer fires again after its handler raised an exception.
 TIMER_RETRY_DELAY = datetime.timedelta(seconds=1)
+# Delay of the failure event for an effect whose result the reducer could not
+# apply.
+RESULT_RETRY_DELAY = datetime.timedelta(seconds=1)
 # Longest wait for the end of each thread.
 CLOSE_TIMEOUT_S = 5.0
 
@@ -256,14 +259,29 @@
         self, effect: effects.Effect, delay: datetime.timedelta
     ) -> None:
         """Delivers, after a delay, the failure event of an unstarted effect."""
-        event = failure_events.build_failure_event(effect, started=False)
+        self._fail(effect, delay, started=False)
+
+    def _fail(
+        self,
+        effect: effects.Effect,
+        delay: datetime.timedelta,
+        *,
+        started: bool,
+    ) -> None:
+        """Delivers, after a delay, the failure event of an effect."""
+        event = failure_events.build_failure_event(effect, started=started)
         if event is not None:
             self._timers.set(
                 ("loss", next(self._failure_numbers)), delay, event
             )
 
     def _execute(self, effect: effects.Effect) -> None:
-        """Runs an effect and delivers its event, or that of its failure."""
+        """Runs an effect and delivers its event, or that of its failure.
+
+        If the reducer raises for the result, it receives the failure event
+        later: a handler that requests the next read or call with each result
+        would otherwise never be called again.
+        """
         try:
             event = self._runner.run(effect)
         except Exception:
@@ -271,21 +289,26 @@
                 "running effect {} raised an exception", type(effect).__name__
             )
             event = failure_events.build_failure_event(effect, started=True)
-        if event is not None:
-            self.deliver(event)
+        if event is not None and not self.deliver(event):
+            self._fail(effect, RESULT_RETRY_DELAY, started=True)
 
-    def deliver(self, event: events.Event) -> None:
+    def deliver(self, event: events.Event) -> bool:
         """Applies an event and logs exceptions instead of raising them.
 
         Timer and pool threads use it, because they have to survive a faulty
         reducer. If a timer's event failed, the timer fires again after a
         delay, since its handler may be the one that sets it the next time.
+
+        Returns:
+            Whether the event was applied.
         """
         try:
             self.dispatch(event)
+            return True
         except Exception:
             _LOG.exception(
                 "applying event {} raised an exception", type(event).__name__
             )
             if isinstance(event, events.TimerFired):
                 self._timers.set(event.timer, TIMER_RETRY_DELAY, event)
+            return False
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -275,13 +275,9 @@
     if event.loaded is None:
         return [effects.LoadJobs(holder_state.term, LOAD_RETRY_DELAY)]
     holder_state.wall_offset_ms = event.wall_ms - lifecycle.to_ms(now)
+    emitted: EffectList = []
     for rows in event.loaded.jobs:
-        spec = rows.spec
-        lifecycle.add_job(holder_state, rows, now)
-        if rows.cancelled and spec is not None:
-            lifecycle.cancel_job(
-                holder_state, holder_state.jobs[spec.job_id], now
-            )
+        emitted += _add_stored_job(holder_state, rows, now)
     # During a term, jobs are added and placed while the rows are being read, so
     # progress without a submission in the reply may belong to a new job.
     holder_state.deletable_progress.update(
@@ -300,11 +296,35 @@
         ("row_version", str(event.loaded.version)),
     )
     return [
+        *emitted,
         effects.Log("jobs-loaded", state.options.name, "scheduling", inputs),
         effects.FollowJobs(holder_state.term, holder_state.next_read_version),
     ]
 
 
+def _add_stored_job(
+    holder_state: scheduler.HolderState,
+    rows: storage.JobRows,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Adds a job from its rows; leaves it out if that raises an exception.
+
+    One faulty row must not keep the other jobs from being read.
+    """
+    spec = rows.spec
+    try:
+        lifecycle.add_job(holder_state, rows, now)
+        if rows.cancelled and spec is not None:
+            lifecycle.cancel_job(
+                holder_state, holder_state.jobs[spec.job_id], now
+            )
+    except Exception as problem:
+        job_id = "" if spec is None else spec.job_id
+        inputs = (("problem", repr(problem)),)
+        return [effects.Log("job-left-out", job_id, "delete its row", inputs)]
+    return []
+
+
 def handle_jobs_changed(
     state: scheduler.SchedulerState,
     event: events.JobsChanged,
@@ -327,8 +347,9 @@
         log = effects.Log("history-lost", state.options.name, "read all jobs")
         return [log, effects.LoadJobs(holder_state.term)]
     holder_state.wall_offset_ms = event.wall_ms - lifecycle.to_ms(now)
+    emitted: EffectList = []
     for spec in changes.submitted:
-        lifecycle.add_job(holder_state, storage.JobRows(spec), now)
+        emitted += _add_stored_job(holder_state, storage.JobRows(spec), now)
     for job_id in changes.cancelled:
         job = holder_state.jobs.get(job_id)
         if job is not None:
@@ -337,7 +358,8 @@
         holder_state.next_read_version, changes.version
     )
     return [
-        effects.FollowJobs(holder_state.term, holder_state.next_read_version)
+        *emitted,
+        effects.FollowJobs(holder_state.term, holder_state.next_read_version),
     ]
 
 
--- a/tests/adapters/test_engine.py
+++ b/tests/adapters/test_engine.py
@@ -251,3 +251,22 @@
     rig.script.effects.append((effects.Stopped(),))
     rig.runtime.dispatch(DONE)
     assert rig.runtime.wait_stopped(LIMIT)
+
+
+def test_result_that_cannot_be_applied_is_reported_as_failed(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a chain of reads that ends with one faulty result.
+
+    A scheduler requests the next read of a feed when it handles the result of
+    the last one, so without an event it would never read again.
+    """
+    monkeypatch.setattr(engine, "RESULT_RETRY_DELAY", datetime.timedelta(0))
+    rig.runner.error = RuntimeError("no answer")
+    rig.script.effects.append((build_commit("1"),))
+    rig.runtime.dispatch(DONE)
+    rig.script.wait_events(1)
+    rig.script.errors.append(ArithmeticError("faulty"))
+    rig.script.wait_events(3)
+    answers = rig.script.events[1:]
+    assert [type(event) for event in answers] == [events.CommitAnswered] * 2
--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -19,10 +19,16 @@
     """Checks invariants against the store and the workers themselves.
 
     The state of entries and agents is not used.
+
+    Attributes:
+        store: The store.
+        workers: Workers by instance.
+        started: Every run that a worker has started, in order.
     """
 
     store: store_fake.FakeStore
     workers: dict[str, worker_fake.FakeWorker]
+    started: list[runs.RunRef] = dataclasses.field(default_factory=list)
 
     def check_start(
         self,
@@ -32,6 +38,7 @@
     ) -> None:
         """Checks a run that was just started on a worker."""
         task = command.ref.task
+        self.started.append(command.ref)
         for other in self.workers.values():
             other.advance(now_ms)
             if other is not worker and task in other.running:
--- a/tests/jobs/test_faulty_jobs.py
+++ b/tests/jobs/test_faulty_jobs.py
@@ -121,3 +121,28 @@
         JOB, job_id=specs.JobId("faulty"), steps=(step,)
     )
     submit_beside(faulty, world)
+
+
+def test_row_that_cannot_be_added_is_left_out() -> None:
+    """Guards against one stored row that keeps a holder from reading the rest.
+
+    The holder is lost after the row was stored, so the next one loads it.
+    """
+    world = worlds.World(1)
+    world.run(3000)
+    world.submit("entry-0", JOB)
+    world.run(100)
+    faulty = msgspec.structs.replace(
+        JOB,
+        job_id=specs.JobId("faulty"),
+        repetitions=2,
+        submitted_ms=-(10**30),
+    )
+    world.store.write_job(faulty)
+    world.kill("entry-0", 60_000)
+    world.run(20_000)
+    record = world.store.progress[JOB.job_id]
+    assert record.state is messages.JobState.COMPLETED
+    assert any(
+        line.decision == "job-left-out" for _, _, line in world.log_lines
+    )
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -32,6 +32,7 @@
         running: Running tasks.
         highest_runs: Highest run that was started or stopped, by task.
         ends: Ends that are not acknowledged.
+        finished: All ends, also those that were acknowledged.
         last_end: Number of the latest end.
         acknowledged: Highest acknowledged end.
         heartbeats: Number of heartbeats sent.
@@ -53,6 +54,7 @@
         default_factory=dict
     )
     ends: list[runs.EndRow] = dataclasses.field(default_factory=list)
+    finished: list[runs.EndRow] = dataclasses.field(default_factory=list)
     last_end: int = 0
     acknowledged: int = 0
     heartbeats: int = 0
@@ -99,9 +101,9 @@
     def _end(self, run: FakeRun, end: runs.RunEnd) -> None:
         del self.running[run.ref.task]
         self.last_end += 1
-        self.ends.append(
-            runs.EndRow(runs.EndNumber(self.last_end), run.ref, end)
-        )
+        row = runs.EndRow(runs.EndNumber(self.last_end), run.ref, end)
+        self.ends.append(row)
+        self.finished.append(row)
 
     def poll(self, effect: effects.PollWorker, now_ms: float) -> Result:
         if effect.fence < self.fence:
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -73,6 +73,7 @@
         alive: Whether the process runs.
         cut: Whether the process is cut off from the other processes.
         cut_store: Whether the process is cut off from the store.
+        cut_worker: Whether the process is cut off from its worker.
         frozen: Whether the process is paused.
         backlog: Actions that wait until the process is no longer paused.
         timers: Number of the latest setting of each timer.
@@ -85,6 +86,7 @@
     alive: bool = True
     cut: bool = False
     cut_store: bool = False
+    cut_worker: bool = False
     frozen: bool = False
     backlog: list[Callable[[], None]] = dataclasses.field(default_factory=list)
     timers: dict[Any, int] = dataclasses.field(default_factory=dict)
@@ -105,6 +107,10 @@
         self.now_ms = 1000.0
         self.wall_skew_ms = 0
         self.faults = NO_FAULTS
+        # Faults of the next calls, by type of effect.
+        self.scripted_faults: dict[type, list[str]] = {}
+        # Pause before an effect is performed, by type of effect.
+        self.pauses_ms: dict[type, Callable[[], float]] = {}
         self.store_down = False
         self.store = store_fake.FakeStore()
         self.scheduled: list[tuple[float, int, Callable[[], None]]] = []
@@ -237,6 +243,15 @@
             )
 
     def _perform(self, node: Node, effect: base_effects.Effect) -> None:
+        draw_pause = self.pauses_ms.get(type(effect))
+        pause_ms = 0.0 if draw_pause is None else draw_pause()
+        if pause_ms:
+            perform = self._unless_restarted(node, effect, self._perform_now)
+            self.after(pause_ms, perform)
+            return
+        self._perform_now(node, effect)
+
+    def _perform_now(self, node: Node, effect: base_effects.Effect) -> None:
         match effect:
             case base_effects.SetTimer():
                 self._set_timer(node, effect)
@@ -294,7 +309,10 @@
     def _draw_latency(self) -> float:
         return self.random.uniform(2, 30)
 
-    def _draw_fault(self) -> str:
+    def _draw_fault(self, effect: Any) -> str:
+        scripted = self.scripted_faults.get(type(effect))
+        if scripted:
+            return scripted.pop(0)
         drawn = self.random.random()
         for name in ("lost", "late", "refused"):
             probability = getattr(self.faults, name)
@@ -339,7 +357,7 @@
                 failure_events.build_failure_event(effect, True),
             )
             return
-        fault = self._draw_fault()
+        fault = self._draw_fault(effect)
         if fault == "refused":
             self._schedule_event(
                 node, delay, failure_events.build_failure_event(effect, False)
@@ -379,7 +397,7 @@
 
     def _call_peer(self, node: Node, effect: Any) -> None:
         target = self.nodes_by_address[effect.address]
-        fault = self._draw_fault()
+        fault = self._draw_fault(effect)
         sent_at = self.read_clock()
         unreachable = (
             node.cut or target.cut or not target.alive or target.frozen
@@ -487,8 +505,13 @@
         self.after(HEARTBEAT_MS, lambda: self._send_heartbeat(name))
 
     def _call_worker(self, node: Node, effect: Any) -> None:
-        fault = self._draw_fault()
+        fault = self._draw_fault(effect)
         delay = self.random.uniform(1, 7)
+        if node.cut_worker:
+            self._schedule_event(
+                node, 1000, failure_events.build_failure_event(effect, True)
+            )
+            return
         if fault == "refused":
             fault = "done"
         incarnation = node.incarnation
