--- a/src/gypsumhold/adapters/timer_thread.py
+++ b/src/gypsumhold/adapters/timer_thread.py
@@ -17,13 +17,13 @@
     """
 
     def __init__(
-        self, clock: clocks.Clock, deliver: Callable[[events.Event], None]
+        self, clock: clocks.Clock, deliver: Callable[[events.Event], object]
     ) -> None:
         """Starts the thread.
 
         Args:
             clock: Clock whose monotonic time the timers use.
-            deliver: Called with the event of each due timer; must not raise.
+            deliver: Called with the event of each due timer; its result is ignored, and it must not raise.
         """
         self._clock = clock
         self._deliver = deliver
