--- a/src/gypsumhold/adapters/timer_thread.py
+++ b/src/gypsumhold/adapters/timer_thread.py
@@ -23,7 +23,8 @@
 
         Args:
             clock: Clock whose monotonic time the timers use.
-            deliver: Called with the event of each due timer; its result is ignored, and it must not raise.
+            deliver: Called with the event of each due timer; its result is
+                ignored, and it must not raise.
         """
         self._clock = clock
         self._deliver = deliver
