Let only probes prolong the exclusion of an upstream

Cause: every failed call doubled the time for which its upstream was left out, also the calls that were in flight when it broke. Eight of them at once excluded a repaired upstream for 32 s, longer than the 25 s that the known red test test_one_upstream_breaks[request-lost] waits. Change: a failure during an exclusion does not count. That this is the cause of the known red is by reading; its entry stays until the pair of tests has been repeated.

--- a/src/gypsumhold/decisions/routing.py
+++ b/src/gypsumhold/decisions/routing.py
@@ -114,7 +114,8 @@
         A dispatch has failed if there was no reply or if its outcome is
         unknown; a refusal is no failure. The first dispatch after an exclusion
         serves as a probe: if it fails, the instance is excluded again for
-        longer.
+        longer. Failures during an exclusion are of dispatches that were sent
+        before it, and do not prolong it.
         """
         if reply is not None and reply.outcome is states.Outcome.COMPLETED:
             self._record_latency(member, kind, latency, now)
@@ -124,6 +125,8 @@
         if not has_failed:
             member.failures = 0
             return
+        if now < member.excluded_until:
+            return
         member.failures += 1
         excess = member.failures - FAILURES_BEFORE_EXCLUSION
         if excess >= 0:
--- a/tests/decisions/test_overload.py
+++ b/tests/decisions/test_overload.py
@@ -202,24 +202,41 @@
     assert targets == {"i0", "i1", "i2"}
 
 
+def build_member(name: str) -> membership.Member:
+    return membership.Member(
+        members.Announcement(
+            *(ids.InstanceId(name), ids.Incarnation(1), 1),
+            *(states.MemberState.SERVING, ADDRESS, ids.DataCentre("d")),
+            *(ids.Region("r"), ids.Rack("k"), SECOND, frozenset({KIND})),
+            *(8, 0, resources.NOTHING, resources.NOTHING),
+            ids.ConfigVersion(1),
+        ),
+        SECOND,
+    )
+
+
+def test_calls_in_flight_at_a_failure_do_not_prolong_the_exclusion() -> None:
+    """Guards against a repaired upstream that is not used for half a minute.
+
+    All calls in flight fail when an upstream breaks. Each of them doubled the
+    exclusion, as if as many probes had failed.
+    """
+    member = build_member("broken")
+    policy = routing.PowerOfTwoChoices()
+    for _ in range(8):
+        policy.observe(member, KIND, None, SECOND, SECOND)
+    assert member.excluded_until == SECOND + routing.INITIAL_EXCLUSION
+    probed_at = member.excluded_until
+    policy.observe(member, KIND, None, MILLISECOND, probed_at)
+    assert member.excluded_until == probed_at + 2 * routing.INITIAL_EXCLUSION
+
+
 def test_slow_instance_is_avoided_and_tried_again() -> None:
     """Guards against a slow upstream that dominates tail latency.
 
     It also has to be tried again later, so that a recovered one is used.
     """
-    slow_member, fast_member = (
-        membership.Member(
-            members.Announcement(
-                *(ids.InstanceId(name), ids.Incarnation(1), 1),
-                *(states.MemberState.SERVING, ADDRESS, ids.DataCentre("d")),
-                *(ids.Region("r"), ids.Rack("k"), SECOND, frozenset({KIND})),
-                *(8, 0, resources.NOTHING, resources.NOTHING),
-                ids.ConfigVersion(1),
-            ),
-            SECOND,
-        )
-        for name in ("slow", "fast")
-    )
+    slow_member, fast_member = build_member("slow"), build_member("fast")
     policy, rng = routing.PowerOfTwoChoices(), random.Random(1)
     completed = requests.DispatchReply(
         states.Outcome.COMPLETED, answer=requests.Answer(200)
