Start a migrating task again at once; count throttled runs in the log

By reading: a task that was stopped for a migration waited for a worker without interference if its target was full by then, up to the 1.8 s after which a job counts as starved, on top of stop and start. Change: such a task is placed in any case, and its job is never skipped. The line pace tells how many runs are at full speed, slowed and halted. Result: test_stopped_task_starts_again_although_its_target_is_full failed before and passes now.

--- a/src/gypsumhold/decisions/jobs/colocation.py
+++ b/src/gypsumhold/decisions/jobs/colocation.py
@@ -13,6 +13,9 @@
 
 EffectList = list[base_effects.Effect]
 
+FULL_PERCENT = 100
+"""Percent of full speed at which a run is not throttled."""
+
 
 def adjust_throttling(
     state: executor.ExecutorState, now: datetime.timedelta
@@ -257,7 +260,8 @@
     """Returns the log line of changed run speeds.
 
     It has the allowance, the least measured headroom and the estimated headroom
-    that best-effort tasks take, for each serving image.
+    that best-effort tasks take, for each serving image, and how many
+    best-effort runs work at full speed, are slowed and are halted.
     """
 
     def describe(image: specs.Image) -> str:
@@ -272,9 +276,19 @@
         for image, serving_image in state.serving.items()
     )
     headrooms = ", ".join(map(describe, state.serving))
+    percents = [
+        local_run.throttle_percent
+        for local_run, _ in _list_best_effort_runs(state)
+    ]
+    full, halted = percents.count(FULL_PERCENT), percents.count(0)
     return effects.Log(
         "pace",
         state.options.instance,
         f"allowed {allowances or 'all'}",
-        (("headroom", headrooms),),
+        (
+            ("headroom", headrooms),
+            ("full", str(full)),
+            ("slowed", str(len(percents) - full - halted)),
+            ("halted", str(halted)),
+        ),
     )
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -22,8 +22,8 @@
 """Time without a run after which a job gets one that the policy delays."""
 
 MISSES_BEFORE_SKIP = 40
-"""Tasks without a candidate after which a plan skips all but starved jobs,
-which have to get a run in the end."""
+"""Tasks without a candidate after which a plan skips all but starved jobs, which
+have to get a run in the end, and those of which a task is migrating."""
 
 
 def place_ready_tasks(
@@ -57,7 +57,7 @@
         if len(holder_state.dirty) >= MAX_CHANGED_JOBS:
             holder_state.plan_due = True
             break
-        if misses >= MISSES_BEFORE_SKIP and not starved:
+        if misses >= MISSES_BEFORE_SKIP and not (starved or job.is_migrating()):
             continue
         try:
             if migrations_due:
@@ -150,7 +150,8 @@
 ) -> tuple[EffectList, int]:
     """Places the ready tasks of one job.
 
-    A starved job gets one task placed regardless of the placement policy.
+    A starved job gets one task placed regardless of the placement policy, and
+    a migrating task is placed in any case.
 
     Returns:
         The emitted effects and the number of tasks without a candidate.
@@ -171,7 +172,8 @@
         candidate = _choose_candidate(
             state, job, step, task, candidates, late=job.gives_way
         )
-        if candidate is None and starved:
+        if candidate is None and (starved or task.migrating):
+            # A task that was stopped for a migration had a worker before.
             candidate = _choose_emptiest(job, step, task, candidates)
             starved = False
         if candidate is None:
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -189,6 +189,10 @@
         """Tells whether some of the steps have best-effort tasks."""
         return any(step.fills for step in self.spec.steps)
 
+    def is_migrating(self) -> bool:
+        """Tells whether a task is on its way to another instance."""
+        return any(task.migrating for step in self.steps for task in step.tasks)
+
     def find_task(self, ref: runs.TaskRef) -> Task | None:
         """Returns a task, or None if it does not exist or is not due yet."""
         number = ref.repetition * len(self.spec.steps) + ref.step
--- a/tests/jobs/test_migrations.py
+++ b/tests/jobs/test_migrations.py
@@ -68,6 +68,18 @@
         self.slow = self.add_job("slow", STEP)
         self._place(self.slow, self.busy)
 
+    def fill_free_worker(self) -> None:
+        """Places a serving task, which has no headroom left, beside it."""
+        serving = specs.StepSpec(
+            1,
+            1000,
+            1000,
+            long_running=True,
+            image=SERVING,
+            target_latency_ms=18,
+        )
+        self._place(self.add_job("more serving", serving), self.free)
+
     def read_clock(self) -> datetime.timedelta:
         return self.world.read_clock()
 
@@ -174,6 +186,21 @@
     assert fleet.slow.gives_way
 
 
+def test_stopped_task_starts_again_although_its_target_is_full() -> None:
+    """Guards against a job without any run while there is room (rule LOST).
+
+    It was running before it was stopped, so it must not wait for a worker on
+    which it slows nobody down.
+    """
+    fleet = Fleet()
+    fleet.report_speed(0.1)
+    fleet.make_plan()
+    fleet.fill_free_worker()
+    fleet.end_slow_run()
+    fleet.make_plan()
+    assert fleet.slow.steps[0].tasks[0].state is records.TaskState.PLACED
+
+
 def test_reservation_ends_with_a_job_that_is_cancelled() -> None:
     """Guards against capacity that stays reserved for ever."""
     fleet = Fleet()
