--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -22,8 +22,8 @@
 """Time without a run after which a job gets one that the policy delays."""
 
 MISSES_BEFORE_SKIP = 40
-"""Tasks without a candidate after which a plan skips all but starved jobs, which
-have to get a run in the end, and those of which a task is migrating."""
+"""Tasks without a candidate after which a plan skips all but starved jobs,
+which have to get a run in the end, and those of which a task is migrating."""
 
 
 def place_ready_tasks(
