--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -5,7 +5,7 @@
 
 from gypsumhold.decisions.jobs import (
     directives,
-    holders,
+    elections,
     lifecycle,
     plans,
     store_health,
@@ -162,7 +162,7 @@
         if rebased_batch is not None:
             holder_state.in_flight = rebased_batch
             return [effects.CommitBatch(rebased_batch)]
-        return holders.handle_queue_lost(state, current_row, now)
+        return elections.handle_queue_lost(state, current_row, now)
     # Repeat the same transaction until its result is known.
     holder_state.commit_attempts += 1
     delay = min(RETRY_DELAY * holder_state.commit_attempts, MAX_RETRY_DELAY)
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -1,29 +1,18 @@
-"""Election of the entry that holds the queue, and the holder's periodic work.
+"""The work of the entry that holds the queue, apart from its plans.
 
-One entry at a time holds the queue, which stands for the jobs of all configured
-queues, and places their tasks. The holder rewrites its row with each batch. An
-entry that sees the row unchanged for `takeover_delay` replaces it by a row with
-its own name and a higher term, on condition that the row is still the same.
-From then on the conditional writes of the former holder fail.
-
-The work of the holder grows with the fleet, and entries run on instances of
-different sizes. So an entry with several times the processor capacity of the
-holder takes the queue from it, and a smaller entry lets larger ones go first.
-
-The new holder places the runs of an instance that does not report again only
-after every grant of the former holder has expired.
+The holder reads all jobs after it has taken the queue, follows submissions and
+cancellations, and has periodic work. It places the runs of an instance that
+does not report to it only after every grant of the former holder has expired.
 """
 
 import datetime
 
-from gypsumhold.decisions.jobs import interference, lifecycle, store_health
+from gypsumhold.decisions.jobs import interference, lifecycle
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
 from gypsumhold.model.jobs import (
     effects,
     events,
-    messages,
-    records,
     runs,
     scheduler,
     storage,
@@ -40,225 +29,12 @@
 GRANT_MARGIN = datetime.timedelta(milliseconds=300)
 """Allows for the drift between two clocks during a grant."""
 
-LARGER_FACTOR = 1.5
-"""Ratio of processor capacities from which one entry counts as larger."""
-
-SMALLER_ENTRY_DELAY = datetime.timedelta(milliseconds=1000)
-"""How long an entry leaves a free queue to entries as large as its former
-holder; longer than two polls of the holder's row."""
-
-POLL_TIMER = timers.Timer(timers.TimerKind.HOLDER_POLL)
 TICK_TIMER = timers.Timer(timers.TimerKind.HOLDER_TICK)
-REGISTER_TIMER = timers.Timer(timers.TimerKind.REGISTER)
 TICK_INTERVAL = datetime.timedelta(milliseconds=200)
-REGISTER_RETRY_DELAY = datetime.timedelta(seconds=1)
 
 EffectList = list[base_effects.Effect]
 
 
-def handle_started(
-    state: scheduler.SchedulerState, _now: datetime.timedelta
-) -> EffectList:
-    """Starts to read the configuration and the holder's row, and registers."""
-    return [
-        effects.FollowConfig(ids.RowVersion(0)),
-        effects.ReadHolder(),
-        _build_registration(state),
-    ]
-
-
-def _build_registration(
-    state: scheduler.SchedulerState,
-) -> effects.RegisterEntry:
-    """Returns the write that lets agents find this entry."""
-    return effects.RegisterEntry(
-        records.EntryRecord(
-            records.FORMAT, state.options.name, state.options.endpoint
-        )
-    )
-
-
-def retry_registration(state: scheduler.SchedulerState) -> EffectList:
-    """Repeats the registration of this entry if it has not succeeded."""
-    return [] if state.registered else [_build_registration(state)]
-
-
-def handle_entry_registered(
-    state: scheduler.SchedulerState, event: events.EntryRegistered
-) -> EffectList:
-    """Records the result of a registration; schedules a retry if it failed."""
-    state.registered = event.result is storage.WriteResult.STORED
-    if state.registered:
-        return []
-    return [base_effects.SetTimer(REGISTER_TIMER, REGISTER_RETRY_DELAY)]
-
-
-def handle_poll_timer(state: scheduler.SchedulerState) -> EffectList:
-    """Reads the holder's row if this scheduler is a follower."""
-    if state.role is not scheduler.Role.FOLLOWER or state.stopping:
-        return []
-    return [effects.ReadHolder()]
-
-
-def _schedule_poll(state: scheduler.SchedulerState) -> EffectList:
-    """Sets the timer of the next read, with jitter of 20 percent."""
-    jitter = 0.8 + 0.4 * state.rng.random()
-    return [
-        base_effects.SetTimer(POLL_TIMER, state.options.poll_interval * jitter)
-    ]
-
-
-def handle_holder_read(
-    state: scheduler.SchedulerState,
-    event: events.HolderRead,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Records the holder's row; tries to take a queue without a live holder."""
-    emitted = store_health.record_call(state, event.row is not None, now)
-    return [*emitted, *_apply_holder_read(state, event, now)]
-
-
-def _apply_holder_read(
-    state: scheduler.SchedulerState,
-    event: events.HolderRead,
-    now: datetime.timedelta,
-) -> EffectList:
-    if state.role is not scheduler.Role.FOLLOWER or state.stopping:
-        return []
-    row = event.row
-    if row is None:
-        # While the store does not answer, an unchanged row does not show that
-        # the holder is gone: restart the takeover delay.
-        state.holder_seen_at = now
-        return _schedule_poll(state)
-    emitted: EffectList = []
-    if state.holder_row is None or row.version != state.holder_row.version:
-        emitted += _log_holder_change(state, row)
-        state.holder_seen_at = now
-    state.holder_row = row
-    free = _is_queue_free(state, row, now)
-    state.replacing_live_holder = not free and _is_holder_small(state, row)
-    if not free and not state.replacing_live_holder:
-        return [*emitted, *_schedule_poll(state)]
-    return [*emitted, *_take_queue(state, row, now)]
-
-
-def _log_holder_change(
-    state: scheduler.SchedulerState, row: storage.HolderRow
-) -> EffectList:
-    old = None if state.holder_row is None else state.holder_row.record
-    new = row.record
-    if new is None or (old is not None and old.term == new.term):
-        return []
-    inputs = (("term", str(new.term)), ("row_version", str(row.version)))
-    return [effects.Log("holder-changed", new.holder, "followed", inputs)]
-
-
-def _is_queue_free(
-    state: scheduler.SchedulerState,
-    row: storage.HolderRow,
-    now: datetime.timedelta,
-) -> bool:
-    """Tells whether the queue has no holder, or one that seems to be gone.
-
-    An entry that is much smaller than the last holder waits a little longer.
-    """
-    record = row.record
-    if record is None:
-        return True
-    # An earlier incarnation of this entry may have held the queue.
-    is_released = record.holder in {"", state.options.name}
-    delay = ZERO if is_released else state.options.takeover_delay
-    if record.cores >= state.options.cores * LARGER_FACTOR:
-        delay += SMALLER_ENTRY_DELAY
-    return now >= state.holder_seen_at + delay
-
-
-def _is_holder_small(
-    state: scheduler.SchedulerState, row: storage.HolderRow
-) -> bool:
-    """Tells whether this entry is larger than the holder."""
-    record = row.record
-    return (
-        record is not None
-        and record.cores > 0
-        and state.options.cores >= record.cores * LARGER_FACTOR
-    )
-
-
-def _take_queue(
-    state: scheduler.SchedulerState,
-    row: storage.HolderRow,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Returns the conditional write that makes this entry the holder."""
-    term = ids.Epoch(1 if row.record is None else row.record.term + 1)
-    options = state.options
-    state.role = scheduler.Role.TAKING
-    holder = records.HolderRecord(
-        records.FORMAT,
-        term,
-        options.name,
-        options.incarnation,
-        options.endpoint,
-        0,
-        options.cores,
-    )
-    entry = records.EntryRecord(
-        records.FORMAT, options.name, options.endpoint, True, term
-    )
-    age = lifecycle.to_ms(now - state.holder_seen_at)
-    inputs = (
-        ("term", str(term)),
-        ("unchanged_ms", str(age)),
-        ("cores", str(options.cores)),
-        (
-            "former_cores",
-            "none" if row.record is None else str(row.record.cores),
-        ),
-    )
-    return [
-        effects.Log("take-queue", options.name, "tried", inputs),
-        effects.TakeQueue(row.version, holder, entry),
-    ]
-
-
-def handle_queue_taken(
-    state: scheduler.SchedulerState,
-    event: events.QueueTaken,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Loads the jobs after a successful takeover, or follows again."""
-    if state.role is not scheduler.Role.TAKING:
-        return []
-    write = event.write
-    if write.result is not storage.WriteResult.STORED:
-        # After an unknown result the next read of the row shows the holder.
-        state.role = scheduler.Role.FOLLOWER
-        state.holder_seen_at = now
-        outcome = f"not taken: {write.result.value}"
-        log = effects.Log("take-queue", state.options.name, outcome)
-        return [log, *_schedule_poll(state)]
-    former = None if state.holder_row is None else state.holder_row.record
-    term = ids.Epoch(1 if former is None else former.term + 1)
-    state.role = scheduler.Role.LOADING
-    state.holder_state = scheduler.HolderState(
-        term,
-        write.version,
-        now,
-        now,
-        replaced_live_holder=state.replacing_live_holder,
-    )
-    log = effects.Log(
-        "take-queue", state.options.name, "taken", (("term", str(term)),)
-    )
-    return [
-        log,
-        effects.LoadJobs(term),
-        base_effects.SetTimer(TICK_TIMER, TICK_INTERVAL),
-    ]
-
-
 def handle_jobs_loaded(
     state: scheduler.SchedulerState,
     event: events.JobsLoaded,
@@ -363,35 +139,6 @@
     ]
 
 
-def handle_queue_lost(
-    state: scheduler.SchedulerState,
-    current_row: storage.HolderRow | None,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Follows again after another entry has taken the queue.
-
-    Callers that wait for a stored cancellation get an unknown result.
-    """
-    holder_state = state.holder_state
-    assert holder_state is not None
-    state.holder_state = None
-    state.role = scheduler.Role.FOLLOWER
-    state.holder_row = current_row
-    state.holder_seen_at = now
-    record = None if current_row is None else current_row.record
-    name = "" if record is None else record.holder
-    log = effects.Log(
-        "queue-lost", name, "following", (("term", str(holder_state.term)),)
-    )
-    emitted: EffectList = [log, *_schedule_poll(state)]
-    for ticket_id, ticket in list(state.tickets.items()):
-        if ticket.cancelling:
-            del state.tickets[ticket_id]
-            unknown = messages.Answer(messages.Verdict.UNKNOWN)
-            emitted.append(effects.AnswerQuery(ticket_id, unknown))
-    return emitted
-
-
 def compute_former_grant_expiry(
     state: scheduler.SchedulerState, holder_state: scheduler.HolderState
 ) -> datetime.timedelta:
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -2,10 +2,8 @@
 
 import datetime
 
-from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
-    effects,
     messages,
     progress,
     records,
@@ -19,15 +17,6 @@
 # wall clock of another process, which may differ from the local one.
 MAX_AGE = datetime.timedelta(seconds=60)
 
-# An instance is quarantined once runs of this many different jobs have failed
-# on it without a success in between.
-MAX_FAILED_JOBS = 2
-
-# The first quarantine; each further one without a success in between doubles
-# it, up to the maximum.
-FIRST_QUARANTINE = datetime.timedelta(seconds=3)
-MAX_QUARANTINE = datetime.timedelta(seconds=12)
-
 
 def add_job(
     holder_state: scheduler.HolderState,
@@ -110,7 +99,7 @@
                 ref = build_task_ref(job, step, index)
                 orphans = holder_state.orphans.setdefault(task.instance, {})
                 orphans[ref] = scheduler.PlacedTask(job, step, task)
-    _open_steps(job)
+    open_steps(job)
 
 
 def build_task_ref(
@@ -144,10 +133,10 @@
             break
         _open_repetition(job)
         holder_state.plan_due = True
-    _open_steps(job)
+    open_steps(job)
 
 
-def _open_steps(job: progress.Job) -> None:
+def open_steps(job: progress.Job) -> None:
     """Opens the steps whose predecessors are done."""
     steps_per_repetition = len(job.spec.steps)
     for step in job.steps:
@@ -237,159 +226,6 @@
         view.candidate = None
 
 
-def handle_run_end(
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    row: runs.EndRow,
-    now: datetime.timedelta,
-) -> list[base_effects.Effect]:
-    """Applies the end of a run that the worker of an agent listed."""
-    ref = row.ref.task
-    placed = view.placed.get(ref)
-    if placed is None or placed.task.run != row.ref.run:
-        return [
-            _log_end(
-                view, row, _handle_former_run_end(holder_state, view, row, now)
-            )
-        ]
-    if row.checkpoint:
-        placed.task.checkpoint = row.checkpoint
-    release_task(holder_state, ref, placed)
-    if not placed.job.is_open():
-        return [_log_end(view, row, "job is closed")]
-    if row.end is runs.RunEnd.DONE:
-        _finish_task(holder_state, view, placed, now)
-    elif row.end is runs.RunEnd.FAILED:
-        _fail_task(holder_state, view, placed, row.ref.run, now)
-    return [_log_end(view, row, f"job {placed.job.state.value}")]
-
-
-def _handle_former_run_end(
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    row: runs.EndRow,
-    now: datetime.timedelta,
-) -> str:
-    """Applies the end of a run that the holder had already released.
-
-    This happens when an agent is cut off until its grant expires and reports
-    the end afterwards. A run that is done completes its task, and the run that
-    was started elsewhere in the meantime is stopped. A run that failed counts
-    as an attempt.
-
-    Returns:
-        The outcome for the decision log.
-    """
-    ref = row.ref.task
-    job = holder_state.jobs.get(ref.job_id)
-    task = None if job is None else job.find_task(ref)
-    if job is None or task is None or not job.is_open():
-        return "ignored: job is closed"
-    spec = job.find_step(ref).spec
-    needs_current_run = spec.long_running or spec.gang
-    is_former = row.ref.run <= task.run
-    if needs_current_run or not is_former or task.is_done():
-        return "ignored: not the present run"
-    placed = scheduler.PlacedTask(job, job.find_step(ref), task)
-    if row.end is runs.RunEnd.FAILED:
-        _fail_task(holder_state, view, placed, row.ref.run, now)
-        return f"a former run failed; job {job.state.value}"
-    if row.end is not runs.RunEnd.DONE:
-        return "ignored: not the present run"
-    release_task(holder_state, ref, placed)
-    _finish_task(holder_state, view, placed, now)
-    return f"a former run was done; job {job.state.value}"
-
-
-def _log_end(
-    view: scheduler.AgentView, row: runs.EndRow, outcome: str
-) -> effects.Log:
-    return effects.Log(
-        "run-ended",
-        row.ref.task.job_id,
-        outcome,
-        (
-            ("task", str(row.ref.task)),
-            ("run", str(row.ref.run)),
-            ("end", row.end.value),
-            ("instance", view.instance),
-            ("number", str(row.number)),
-        ),
-    )
-
-
-def _finish_task(
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    placed: scheduler.PlacedTask,
-    now: datetime.timedelta,
-) -> None:
-    """Marks a task as done; completes the job with its last task.
-
-    In a gang, all tasks are done with the first one. A long-running task stays
-    ready and starts anew, without a checkpoint.
-    """
-    view.failed_jobs.clear()
-    view.quarantines = 0
-    if placed.step.spec.long_running:
-        placed.task.checkpoint = runs.Checkpoint("")
-        return
-    finished = placed.step.tasks if placed.step.spec.gang else [placed.task]
-    for task in finished:
-        task.state = records.TaskState.DONE
-    if placed.step.is_done():
-        _open_steps(placed.job)
-    repetitions = max(1, placed.job.spec.repetitions)
-    all_due = placed.job.next_repetition >= repetitions
-    if all_due and all(step.is_done() for step in placed.job.steps):
-        close_job(holder_state, placed.job, messages.JobState.COMPLETED, now)
-
-
-def _fail_task(
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    placed: scheduler.PlacedTask,
-    run: runs.RunNumber,
-    now: datetime.timedelta,
-) -> None:
-    """Counts a failed run once; fails the job after the last attempt.
-
-    The runs of a gang are counted together. Long-running tasks may fail any
-    number of times.
-    """
-    if run in placed.task.failed_runs:
-        return
-    _count_failed_job(view, placed.job, now)
-    placed.task.excluded_instances.add(view.instance)
-    if placed.step.spec.long_running:
-        return
-    placed.task.failures += 1
-    placed.task.failed_runs.add(run)
-    mark_dirty(holder_state, placed.job)
-    failures = placed.task.failures
-    if placed.step.spec.gang:
-        failures = sum(task.failures for task in placed.step.tasks)
-    if failures >= placed.job.spec.queue.max_attempts:
-        close_job(holder_state, placed.job, messages.JobState.FAILED, now)
-
-
-def _count_failed_job(
-    view: scheduler.AgentView, job: progress.Job, now: datetime.timedelta
-) -> None:
-    """Records a failure; quarantines an instance that fails unrelated jobs.
-
-    Failures of one job alone may be the fault of the job.
-    """
-    view.failed_jobs.add(job.spec.job_id)
-    if len(view.failed_jobs) < MAX_FAILED_JOBS:
-        return
-    view.quarantined_until = now + min(
-        FIRST_QUARANTINE * 2**view.quarantines, MAX_QUARANTINE
-    )
-    view.quarantines += 1
-    view.failed_jobs.clear()
-
-
 def cancel_job(
     holder_state: scheduler.HolderState,
     job: progress.Job,
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -7,6 +7,7 @@
     estimates,
     holders,
     lifecycle,
+    run_ends,
 )
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
@@ -145,7 +146,7 @@
     for row in report.ends:
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
-            emitted += lifecycle.handle_run_end(holder_state, view, row, now)
+            emitted += run_ends.handle_run_end(holder_state, view, row, now)
     _queue_acknowledgement(holder_state, view)
     for refused in report.refused:
         emitted += _handle_refusal(holder_state, view, refused, now)
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -6,6 +6,7 @@
 
 from gypsumhold.decisions.jobs import (
     batches,
+    elections,
     holders,
     queries,
     reports,
@@ -56,11 +57,11 @@
     """Calls the handler of the timer that fired."""
     match event.timer.kind:
         case timers.TimerKind.HOLDER_POLL:
-            return holders.handle_poll_timer(state)
+            return elections.handle_poll_timer(state)
         case timers.TimerKind.HOLDER_TICK:
             return holders.handle_tick_timer(state, now)
         case timers.TimerKind.REGISTER:
-            return holders.retry_registration(state)
+            return elections.retry_registration(state)
     return []
 
 
@@ -113,7 +114,7 @@
     events.QueryAnswered: queries.handle_query_answered,
     events.JobRead: queries.handle_job_read,
     events.CancelWritten: queries.handle_cancel_written,
-    events.QueueTaken: holders.handle_queue_taken,
+    events.QueueTaken: elections.handle_queue_taken,
     events.JobsLoaded: holders.handle_jobs_loaded,
     events.SubmissionsDeleted: holders.handle_submissions_deleted,
     events.JobsChanged: holders.handle_jobs_changed,
@@ -128,12 +129,12 @@
         kind: _with_commit(handler)
         for kind, handler in _COMMITTING_HANDLERS.items()
     },
-    events.SchedulerStarted: lambda state, _, now: holders.handle_started(
+    events.SchedulerStarted: lambda state, _, now: elections.handle_started(
         state, now
     ),
-    events.HolderRead: holders.handle_holder_read,
+    events.HolderRead: elections.handle_holder_read,
     events.EntryRegistered: lambda state, event, _: (
-        holders.handle_entry_registered(state, event)
+        elections.handle_entry_registered(state, event)
     ),
     events.ConfigRead: _handle_config_read,
     events.DirectivesPushed: _handle_directives_pushed,
--- a/tests/jobs/test_migrations.py
+++ b/tests/jobs/test_migrations.py
@@ -16,6 +16,7 @@
     estimates,
     lifecycle,
     plans,
+    run_ends,
 )
 from gypsumhold.model.jobs import (
     effects,
@@ -128,7 +129,7 @@
         end = runs.EndRow(
             runs.EndNumber(1), runs.RunRef(ref, task.run), runs.RunEnd.STOPPED
         )
-        lifecycle.handle_run_end(
+        run_ends.handle_run_end(
             self.holder_state, self.busy, end, self.read_clock()
         )
 
--- a/tests/jobs/test_regressions.py
+++ b/tests/jobs/test_regressions.py
@@ -1,6 +1,6 @@
 """Regression tests of faults that random searches and reviews found."""
 
-from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.decisions.jobs import lifecycle, run_ends
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     messages,
@@ -246,7 +246,7 @@
     end = runs.EndRow(
         runs.EndNumber(99), runs.RunRef(ref, run), runs.RunEnd.DONE
     )
-    lifecycle.handle_run_end(holder_state, view, end, world.read_clock())
+    run_ends.handle_run_end(holder_state, view, end, world.read_clock())
     assert placed.task.state is records.TaskState.DONE
 
 
@@ -262,7 +262,7 @@
         runs.RunRef(ref, runs.RunNumber(1)),
         runs.RunEnd.DONE,
     )
-    lifecycle.handle_run_end(holder_state, views[-1], end, world.read_clock())
+    run_ends.handle_run_end(holder_state, views[-1], end, world.read_clock())
     assert placed.task.state is records.TaskState.DONE
     assert ref not in views[0].placed
 
@@ -283,7 +283,7 @@
         runs.EndNumber(99), runs.RunRef(ref, run), runs.RunEnd.FAILED
     )
     for _ in range(2):
-        lifecycle.handle_run_end(holder_state, view, end, world.read_clock())
+        run_ends.handle_run_end(holder_state, view, end, world.read_clock())
     assert placed.task.failures == 1
     stored = lifecycle.build_record(placed.job)
     assert stored.steps[0].tasks[ref.index].failed_runs == (run,)
@@ -303,5 +303,5 @@
             runs.RunRef(ref, runs.RunNumber(number)),
             runs.RunEnd.FAILED,
         )
-        lifecycle.handle_run_end(holder_state, view, end, world.read_clock())
+        run_ends.handle_run_end(holder_state, view, end, world.read_clock())
     assert placed.job.state is messages.JobState.FAILED
