Release the queue when a successor stops while it takes it

Cause: a scheduler that got its stop signal while it was taking the queue, or while it loaded the jobs, stopped at once and left its name in the holder's row. The others then waited the 2.5 s after which a holder counts as dead; a rolling stop of the entries does that to one after the other. A holder that lost the queue while it was stopping followed again and held its process up until the stop timeout. Change: the next batch releases the queue from any role that has it; a scheduler in the middle of taking it learns first whether it has it.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -40,7 +40,9 @@
     `renew_interval`, to renew the holder's row.
     """
     holder_state = state.holder_state
-    if holder_state is None or state.role is not scheduler.Role.HOLDER:
+    if holder_state is None:
+        return []
+    if state.role is not scheduler.Role.HOLDER and not holder_state.releasing:
         return []
     if holder_state.in_flight is not None:
         return []
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -218,11 +218,13 @@
         return []
     write = event.write
     if write.result is not storage.WriteResult.STORED:
+        outcome = f"not taken: {write.result.value}"
+        log = effects.Log("take-queue", state.options.name, outcome)
+        if state.stopping:
+            return [log, *stop_following(state)]
         # After an unknown result the next read of the row shows the holder.
         state.role = scheduler.Role.FOLLOWER
         state.holder_seen_at = now
-        outcome = f"not taken: {write.result.value}"
-        log = effects.Log("take-queue", state.options.name, outcome)
         return [log, *_schedule_poll(state)]
     former = None if state.holder_row is None else state.holder_row.record
     term = ids.Epoch(1 if former is None else former.term + 1)
@@ -237,6 +239,10 @@
     log = effects.Log(
         "take-queue", state.options.name, "taken", (("term", str(term)),)
     )
+    if state.stopping:
+        # The queue was taken after the stop signal; the next batch releases it.
+        state.holder_state.releasing = True
+        return [log]
     return [
         log,
         effects.LoadJobs(term),
@@ -264,10 +270,19 @@
     log = effects.Log(
         "queue-lost", name, "following", (("term", str(holder_state.term)),)
     )
-    emitted: EffectList = [log, *_schedule_poll(state)]
+    emitted: EffectList = [log]
+    emitted += (
+        stop_following(state) if state.stopping else _schedule_poll(state)
+    )
     for ticket_id, ticket in list(state.tickets.items()):
         if ticket.cancelling:
             del state.tickets[ticket_id]
             unknown = messages.Answer(messages.Verdict.UNKNOWN)
             emitted.append(effects.AnswerQuery(ticket_id, unknown))
     return emitted
+
+
+def stop_following(state: scheduler.SchedulerState) -> EffectList:
+    """Stops a scheduler that does not hold the queue."""
+    state.role = scheduler.Role.STOPPED
+    return [base_effects.Stopped()]
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -84,16 +84,17 @@
 ) -> EffectList:
     """Releases the queue, so that another entry takes it at once.
 
-    The next batch releases it and then the scheduler stops. A scheduler that is
-    not the holder stops immediately.
+    The next batch releases it and then the scheduler stops, also if the jobs
+    are still being loaded. A scheduler that is taking the queue learns first
+    whether it has it. One that does not hold the queue stops immediately.
     """
     state.stopping = True
-    holder_state = state.holder_state
-    if holder_state is None or state.role is not scheduler.Role.HOLDER:
-        state.role = scheduler.Role.STOPPED
-        return [base_effects.Stopped()]
-    holder_state.releasing = True
-    return []
+    if state.holder_state is not None:
+        state.holder_state.releasing = True
+        return []
+    if state.role is scheduler.Role.TAKING:
+        return []
+    return elections.stop_following(state)
 
 
 def _with_commit(handler: Handler) -> Handler:
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import dataclasses
 
 import pytest
 
@@ -17,6 +18,32 @@
 TASKS = (4, 4)
 HAND_OVERS = ("stopped", "killed", "frozen", "cut off from the store")
 FROZEN_MS = 6000
+STEP_MS = 10
+
+RELEASED_QUEUE_MS = 1500
+"""A poll interval, two calls to the store and some jitter; the delay after
+which a holder counts as dead is 2500 ms."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """An attempt of an entry to take the queue."""
+
+    entry: str
+    at_ms: float
+
+
+def find_takeover(
+    world: worlds.World, after_ms: float, but: str = ""
+) -> Takeover:
+    """Runs the world until an entry but one tries to take the queue."""
+    for _ in range(1000):
+        for at_ms, name, line in world.log_lines:
+            is_attempt = line.decision == "take-queue"
+            if is_attempt and at_ms > after_ms and name != but:
+                return Takeover(name, at_ms)
+        world.run(STEP_MS)
+    raise AssertionError("nobody takes the queue")
 
 
 def find_holder(world: worlds.World) -> str:
@@ -85,3 +112,25 @@
     ]
     assert len(holders) == 1
     assert holders[0] != former
+
+
+@pytest.mark.parametrize("offset_ms", range(0, 400, 20))
+def test_successor_that_stops_as_well_releases_the_queue(
+    offset_ms: int,
+) -> None:
+    """Guards against a queue that nobody holds during a rolling restart.
+
+    Pattern: entries are stopped in turn, so the successor gets its stop signal
+    while it takes the queue or loads the jobs. A released queue is taken with
+    the next poll, and not after the delay for a holder that died.
+    """
+    world = worlds.World(offset_ms, entries=3)
+    world.run(4000)
+    holder = find_holder(world)
+    hand_over(world, holder, "stopped")
+    taken = find_takeover(world, after_ms=world.now_ms)
+    world.run(max(0.0, taken.at_ms + offset_ms - world.now_ms))
+    hand_over(world, taken.entry, "stopped")
+    stopped_ms = world.now_ms
+    third = find_takeover(world, after_ms=stopped_ms, but=taken.entry)
+    assert third.at_ms - stopped_ms < RELEASED_QUEUE_MS
