--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -26,12 +26,15 @@
 ) -> EffectList:
     """Stores the worker that a heartbeat describes and polls it.
 
-    Heartbeats that are older than the latest one are ignored.
+    Heartbeats that are older than the latest one are ignored, unless the
+    latest one is of an incarnation that has answered no poll and has failed
+    one: a stray heartbeat must not hide the worker that runs.
     """
     new = event.worker
     old = state.worker
     if old is not None:
-        if new.incarnation.started_ms < old.incarnation.started_ms:
+        is_older = new.incarnation.started_ms < old.incarnation.started_ms
+        if is_older and (state.polled or state.answering):
             return []
         if new.incarnation == old.incarnation and new.sequence <= old.sequence:
             return []
--- a/src/gypsumhold/platform/heartbeats.py
+++ b/src/gypsumhold/platform/heartbeats.py
@@ -11,6 +11,7 @@
 _LOG = logbook.Logger("gypsumhold.platform.heartbeats")
 
 PREFIX = "/instances/"
+MAX_PORT = 65535
 _STATES = {
     "ready": runs.WorkerState.READY,
     "draining": runs.WorkerState.DRAINING,
@@ -71,11 +72,11 @@
 ) -> runs.Worker | None:
     """Converts a heartbeat to a worker; None if a field is invalid.
 
-    The state must be a known one and the address have the form HOST:PORT.
+    The state must be a known one and the address have the form HOST:PORT with a
+    valid port.
     """
     state = _STATES.get(document.state)
-    host, _, port = document.address.rpartition(":")
-    if state is None or not host or not port.isdecimal():
+    if state is None or not _is_address(document.address):
         return None
     return runs.Worker(
         runs.WorkerIncarnation(name, document.born),
@@ -90,3 +91,10 @@
         document.sequence,
         document.drain_remaining_ms,
     )
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdecimal()
+    is_short = len(port) <= len(str(MAX_PORT))
+    return bool(host) and is_number and is_short and 0 < int(port) <= MAX_PORT
--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -258,13 +258,13 @@
         """
         if after:
             feed = self._client.follow(CONFIG_TABLE, after, wait)
-            config = _find_config(feed.rows)
+            config = find_config(feed.rows)
             return events.ConfigRead(config, feed.version, feed.result)
         page = self._client.read(CONFIG_TABLE, CONFIG_PART, CONFIG_KEY)
         if page is None:
             return events.ConfigRead(None, after, events.ReadResult.FAILED)
         return events.ConfigRead(
-            _find_config(page.rows),
+            find_config(page.rows),
             ids.RowVersion(page.row_version),
             events.ReadResult.DONE,
         )
@@ -325,9 +325,10 @@
     return joined
 
 
-def _find_config(
+def find_config(
     rows: tuple[documents.Row, ...],
 ) -> specs.QueueConfig | None:
+    """Returns the latest readable configuration among some rows."""
     for row in reversed(rows):
         if row.key != CONFIG_KEY or row.deleted:
             continue
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -19,6 +19,9 @@
 ANSWER_TIMEOUT = datetime.timedelta(milliseconds=1000)
 """Time after which a call on the same instance counts as unanswered."""
 
+MAX_INDEX_DIGITS = 9
+"""Most digits of each number in the name of a task."""
+
 EXPECTED_HEADER = "X-Expected-Instance"
 
 _REASONS = {
@@ -72,8 +75,8 @@
                     events.CommandResult.DONE,
                     events.WorkerClock(poll.clock_ms, sent_at, received_at),
                     poll.born or incarnation.started_ms,
-                    _parse_running(poll.running),
-                    _parse_ended(poll.ended),
+                    parse_running(poll.running),
+                    parse_ended(poll.ended),
                 )
             case Failure(error):
                 _LOG.error(
@@ -231,12 +234,16 @@
 def parse_task_ref(name: str) -> runs.TaskRef | None:
     """Parses a name of the form JOB.REPETITION.STEP.INDEX; None if invalid."""
     parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+    if len(parts) != 4 or not all(map(_is_index, parts[1:])):
         return None
     repetition, step, index = map(int, parts[1:])
     return runs.TaskRef(specs.JobId(parts[0]), repetition, step, index)
 
 
+def _is_index(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_INDEX_DIGITS
+
+
 # Task, run, checkpoint, percent done, usage.
 _RUNNING_DECODER = msgspec.json.Decoder(tuple[str, int, str, int, float])
 # Some rows lack the usage.
@@ -245,7 +252,7 @@
 _ENDED_DECODER = msgspec.json.Decoder(tuple[int, str, int, str, str])
 
 
-def _parse_running(rows: tuple[msgspec.Raw, ...]) -> tuple[runs.RunRow, ...]:
+def parse_running(rows: tuple[msgspec.Raw, ...]) -> tuple[runs.RunRow, ...]:
     """Parses the rows of running tasks; logs and omits unreadable ones."""
     parsed = []
     for raw in rows:
@@ -279,7 +286,7 @@
     return tuple(parsed)
 
 
-def _parse_ended(rows: tuple[msgspec.Raw, ...]) -> tuple[runs.EndRow, ...]:
+def parse_ended(rows: tuple[msgspec.Raw, ...]) -> tuple[runs.EndRow, ...]:
     """Parses the rows of ended tasks; logs and omits unreadable ones."""
     parsed = []
     for raw in rows:
--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -54,14 +54,22 @@
     def _check_step_order(
         self, task: runs.TaskRef, record: records.ProgressRecord
     ) -> None:
-        stored = {step.step: step.tasks for step in record.steps}
+        stored = {
+            (step.repetition, step.step): step.tasks for step in record.steps
+        }
         spec = self.store.jobs[task.job_id]
         for predecessor in spec.steps[task.step].after:
-            done = records.TaskState.DONE
-            if any(
-                task_record.state is not done
-                for task_record in stored.get(predecessor, ())
-            ):
+            key = (task.repetition, predecessor)
+            if key in stored and not stored[key]:
+                # A done step may be stored without its tasks.
+                continue
+            tasks = stored.get(key, ())
+            done = [
+                task_record
+                for task_record in tasks
+                if task_record.state is records.TaskState.DONE
+            ]
+            if len(done) != spec.steps[predecessor].count:
                 raise Violation(f"{task} started before step {predecessor}")
 
     def check_discarded_ends(
@@ -87,6 +95,7 @@
     record: records.ProgressRecord, ref: runs.TaskRef
 ) -> records.TaskRecord | None:
     for step in record.steps:
-        if (step.repetition, step.step) == (ref.repetition, ref.step):
+        is_step = (step.repetition, step.step) == (ref.repetition, ref.step)
+        if is_step and step.tasks:
             return step.tasks[ref.index]
     return None
