Keep rows and transactions within what the store accepts

Cause: the progress of a job lies in one row of at most 64 KiB, and one transaction takes 1 MB. Nothing kept batches below that. The store refuses a transaction that is too large every time, so one job with some two thousand tasks, or many wide jobs that change at once, stopped the whole queue for good. Change: a plan places only as many tasks of a large job as its row can hold; done steps of large jobs are stored without their tasks; a batch ends before it is too large; a repetition may have 3,000 tasks and a gang 300. Rows of small jobs are written as before. The fake store of the tests has the same limits.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -8,6 +8,7 @@
     elections,
     lifecycle,
     plans,
+    record_sizes,
     store_health,
 )
 from gypsumhold.model import effects as base_effects
@@ -19,6 +20,7 @@
     progress,
     records,
     scheduler,
+    specs,
     storage,
 )
 
@@ -74,7 +76,7 @@
     """Returns the next batch and removes its changes from the pending ones."""
     number = holder_state.next_batch
     holder_state.next_batch += 1
-    job_ids = sorted(holder_state.dirty)[:MAX_BATCH_JOBS]
+    job_ids = _choose_jobs(holder_state)
     writes = []
     for job_id in job_ids:
         holder_state.dirty.discard(job_id)
@@ -111,6 +113,20 @@
     )
 
 
+def _choose_jobs(holder_state: scheduler.HolderState) -> list[specs.JobId]:
+    """Returns the changed jobs that fit into one transaction, one at least."""
+    chosen: list[specs.JobId] = []
+    size = 0
+    for job_id in sorted(holder_state.dirty):
+        size += record_sizes.estimate_record(holder_state.jobs[job_id])
+        if chosen and size > record_sizes.MAX_TRANSACTION_BYTES:
+            break
+        chosen.append(job_id)
+        if len(chosen) == MAX_BATCH_JOBS:
+            break
+    return chosen
+
+
 def _assign_acknowledgements(
     holder_state: scheduler.HolderState, number: int
 ) -> None:
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from gypsumhold.decisions.jobs import record_sizes
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     messages,
@@ -84,6 +85,8 @@
             _open_repetition(job)
         number = step_record.repetition * len(job.spec.steps) + step_record.step
         step = job.steps[number]
+        if not step_record.tasks:
+            _restore_done_step(step)
         for index, saved in enumerate(step_record.tasks):
             task = step.tasks[index]
             task.state = saved.state
@@ -102,6 +105,13 @@
     open_steps(job)
 
 
+def _restore_done_step(step: progress.Step) -> None:
+    """Applies the record of a step that is stored without its tasks."""
+    for task in step.tasks:
+        task.state = records.TaskState.DONE
+        task.run = runs.RunNumber(max(1, task.run))
+
+
 def build_task_ref(
     job: progress.Job, step: progress.Step, index: int
 ) -> runs.TaskRef:
@@ -264,7 +274,9 @@
         records.StepRecord(
             step.repetition,
             step.number,
-            tuple(_build_task_record(task) for task in step.tasks),
+            ()
+            if record_sizes.is_compact(job, step)
+            else tuple(_build_task_record(task) for task in step.tasks),
         )
         for step in job.steps
         if any(task.run for task in step.tasks)
@@ -274,11 +286,12 @@
 
 def _build_task_record(task: progress.Task) -> records.TaskRecord:
     if task.state is not records.TaskState.PLACED:
+        checkpoint = runs.Checkpoint("") if task.is_done() else task.checkpoint
         return records.TaskRecord(
             task.state,
             task.run,
             task.failures,
-            checkpoint=task.checkpoint,
+            checkpoint=checkpoint,
             failed_runs=tuple(sorted(task.failed_runs)),
         )
     return records.TaskRecord(
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -3,7 +3,13 @@
 import datetime
 from collections.abc import Iterator
 
-from gypsumhold.decisions.jobs import capacity, lifecycle, migrations, ordering
+from gypsumhold.decisions.jobs import (
+    capacity,
+    lifecycle,
+    migrations,
+    ordering,
+    record_sizes,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -159,11 +165,17 @@
     emitted: EffectList = []
     misses = 0
     skipped_steps: set[int] = set()
+    row_bytes = state.options.row_bytes
+    storable = record_sizes.count_storable_placements(job, row_bytes)
     for step, index in list(_iterate_ready_tasks(job)):
+        if len(emitted) >= storable:
+            break
         if id(step) in skipped_steps:
             continue
         if step.spec.gang:
             skipped_steps.add(id(step))
+            if len(step.tasks) > storable - len(emitted):
+                continue
             emitted += _place_gang(
                 state, holder_state, job, step, candidates=candidates, now=now
             )
--- a/src/gypsumhold/decisions/jobs/validation.py
+++ b/src/gypsumhold/decisions/jobs/validation.py
@@ -12,6 +12,13 @@
 MAX_TASKS = 100_000
 """Most tasks of a job, over all of its repetitions."""
 
+MAX_REPETITION_TASKS = 3000
+"""Most tasks of a job in one repetition; their progress is stored in one
+row."""
+
+MAX_GANG_TASKS = 300
+"""Most tasks of a gang, which are all placed at the same time."""
+
 MAX_AMOUNT = 10**9
 """Largest value of a resource, a count or a latency of a step."""
 
@@ -47,8 +54,10 @@
         return f"the first run must be between 0 and {MAX_TIME_MS} ms"
     if not 0 <= spec.interval_ms <= MAX_TIME_MS:
         return f"the interval must be between 0 and {MAX_TIME_MS} ms"
-    tasks = sum(step.count for step in spec.steps) * max(1, spec.repetitions)
-    if tasks > MAX_TASKS:
+    tasks = sum(step.count for step in spec.steps)
+    if tasks > MAX_REPETITION_TASKS:
+        return f"the steps may have at most {MAX_REPETITION_TASKS} tasks"
+    if tasks * spec.repetitions > MAX_TASKS:
         return f"a job may have at most {MAX_TASKS} tasks"
     if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
         return f"the specification may have at most {MAX_PAYLOAD_BYTES} bytes"
@@ -59,6 +68,8 @@
     """Describes the first problem of a step; None if there is none."""
     if step.count < 1:
         return "needs at least one task"
+    if step.gang and step.count > MAX_GANG_TASKS:
+        return f"is a gang of more than {MAX_GANG_TASKS} tasks"
     if any(not 0 <= earlier < number for earlier in step.after):
         return "depends on a step that is not before it"
     if not 0 <= step.estimate_ms <= MAX_ESTIMATE_MS:
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -38,7 +38,10 @@
 
 
 class StepRecord(msgspec.Struct, frozen=True, array_like=True):
-    """All tasks of one step of one repetition."""
+    """All tasks of one step of one repetition.
+
+    A step without tasks is done; its tasks are left out to save space.
+    """
 
     repetition: int
     step: int
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -38,6 +38,7 @@
             runs.
         retention: How long ended jobs are kept.
         cores: Processor capacity of the instance, in cores.
+        row_bytes: Most bytes of one row in the store.
         seed: Seed of the random number generator.
     """
 
@@ -52,6 +53,7 @@
     report_timeout: datetime.timedelta = datetime.timedelta(milliseconds=2500)
     retention: datetime.timedelta = datetime.timedelta(seconds=180)
     cores: float = 1.0
+    row_bytes: int = 65_536
     seed: int = 0
 
 
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -303,6 +303,8 @@
     """Settings of the platform's table store."""
 
     address: str
+    # Most bytes of the value of one row.
+    row_bytes: int = 65_536
 
 
 class ProcessLimits(PlatformDocument, frozen=True):
@@ -344,7 +346,7 @@
         return Success(
             msgspec.json.decode(data, type=document_type, strict=False)
         )
-    except (msgspec.MsgspecError, ValueError) as problem:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as problem:
         return Failure(
             errors.Error(
                 errors.ErrorKind.DECODING,
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -27,6 +27,7 @@
         peers: Address for the other processes of the system.
         store: Address of the platform's store.
         cores: Processor capacity of the instance, in cores.
+        row_bytes: Most bytes of one row in the store.
     """
 
     instance: ids.InstanceId
@@ -38,6 +39,7 @@
     peers: messages.Endpoint
     store: members.Address
     cores: float = 1.0
+    row_bytes: int = 65_536
 
 
 def read_settings() -> Result[NodeSettings, errors.Error]:
@@ -75,6 +77,7 @@
                 ),
                 _parse_address(document.platform.address),
                 document.limits.cpu_share * document.limits.cpu_cores,
+                document.platform.row_bytes,
             )
         )
     except ValueError as problem:
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -188,6 +188,7 @@
         shared.incarnation,
         build_peer_endpoint(shared),
         cores=shared.platform_settings.cores,
+        row_bytes=shared.platform_settings.row_bytes,
     )
     state = scheduler.SchedulerState(
         options,
--- a/tests/jobs/store_fake.py
+++ b/tests/jobs/store_fake.py
@@ -2,11 +2,16 @@
 
 import dataclasses
 
+from gypsumhold.adapters.jobs import codec
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import records, specs, storage
 
 Result = storage.WriteResult
 
+MAX_ROW_BYTES = 65_536
+MAX_TRANSACTION_BYTES = 1_000_000
+"""Most bytes of the rows of one transaction in base64."""
+
 
 @dataclasses.dataclass(slots=True)
 class FakeStore:
@@ -83,6 +88,10 @@
         return storage.HolderWrite(Result.STORED, version)
 
     def commit(self, batch: storage.Batch) -> storage.HolderWrite:
+        sizes = [len(codec.encode(write.record)) for write in batch.writes]
+        is_row_too_large = max(sizes, default=0) > MAX_ROW_BYTES
+        if is_row_too_large or sum(sizes) * 4 / 3 > MAX_TRANSACTION_BYTES:
+            return storage.HolderWrite(Result.UNAVAILABLE)
         written = self.write_holder(batch.expected, batch.holder)
         if written.result is Result.STORED:
             for write in batch.writes:
--- /dev/null
+++ b/tests/jobs/test_large_jobs.py
@@ -0,0 +1,149 @@
+"""Tests of jobs whose stored progress would exceed what the store accepts.
+
+Pattern: a job with many hundreds of tasks, or many wide jobs that change at
+once. A transaction that is too large is refused each time, so the holder could
+store nothing any more.
+"""
+
+import datetime
+import random
+
+import pytest
+
+from gypsumhold.adapters.jobs import codec
+from gypsumhold.decisions.jobs import (
+    batches,
+    lifecycle,
+    policy_sets,
+    validation,
+)
+from gypsumhold.model import ids
+from gypsumhold.model.jobs import (
+    effects,
+    messages,
+    records,
+    runs,
+    scheduler,
+    specs,
+    storage,
+)
+from tests.jobs import store_fake, test_world
+from tests.jobs import world as worlds
+
+WIDE = 2500
+JOBS = 60
+NOW = datetime.timedelta(seconds=100)
+RUN_TIME_MS = 60_000
+
+
+def build_wide_job(name: str, widths: tuple[int, ...]) -> specs.JobSpec:
+    """Returns a job whose tasks all fit onto the workers at the same time."""
+    steps = tuple(
+        specs.StepSpec(
+            width,
+            cpu_millis=1,
+            memory_mb=1,
+            estimate_ms=1000,
+            after=(number - 1,) if number else (),
+        )
+        for number, width in enumerate(widths)
+    )
+    return worlds.build_job_of(name, steps)
+
+
+def list_states(world: worlds.World) -> set[messages.JobState]:
+    return {record.state for record in world.store.progress.values()}
+
+
+def test_wide_job_does_not_stop_the_others() -> None:
+    """Guards against a row of progress that the store refuses."""
+    world = worlds.World(1)
+    world.run(3000)
+    wide = build_wide_job("wide", (WIDE, 3))
+    assert validation.check_job(wide) is None
+    world.submit("entry-0", wide)
+    world.run(500)
+    world.submit("entry-1", worlds.build_job("narrow", (2, 2)))
+    world.run(6000)
+    narrow = world.store.progress[specs.JobId("narrow")]
+    assert narrow.state is messages.JobState.COMPLETED
+    world.run(RUN_TIME_MS)
+    assert list_states(world) == {messages.JobState.COMPLETED}
+
+
+def test_many_changed_jobs_are_stored_in_several_batches() -> None:
+    """Guards against a transaction that the store refuses."""
+    state = scheduler.SchedulerState(
+        scheduler.SchedulerOptions(
+            "entry", ids.Incarnation(1), messages.Endpoint("10.0.0.1", 1000)
+        ),
+        policy_sets.build_scheduler_policies(),
+        rng=random.Random(1),
+    )
+    state.role = scheduler.Role.HOLDER
+    state.holder_state = scheduler.HolderState(
+        ids.Epoch(1), ids.RowVersion(1), NOW, NOW
+    )
+    for number in range(JOBS):
+        spec = build_wide_job(f"j{number}", (290,))
+        lifecycle.add_job(state.holder_state, storage.JobRows(spec), NOW)
+        job = state.holder_state.jobs[spec.job_id]
+        for task in job.steps[0].tasks:
+            task.state = records.TaskState.PLACED
+            task.run = runs.RunNumber(1)
+            task.instance = ids.InstanceId("side-andina-c-31")
+            task.worker_incarnation = runs.WorkerIncarnation(
+                "i-9ce584d334", 10**12
+            )
+            task.checkpoint = runs.Checkpoint("00000bb87a21d94b")
+        lifecycle.mark_dirty(state.holder_state, job)
+    (commit,) = [
+        effect
+        for effect in batches.commit_if_due(state, NOW)
+        if isinstance(effect, effects.CommitBatch)
+    ]
+    size = sum(len(codec.encode(write.record)) for write in commit.batch.writes)
+    assert 0 < size * 4 / 3 <= store_fake.MAX_TRANSACTION_BYTES
+    written = len(commit.batch.writes)
+    assert written + len(state.holder_state.dirty) == JOBS
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_next_holder_knows_the_done_steps_of_a_wide_job(seed: int) -> None:
+    """Guards against done tasks that run again after a hand-over."""
+    world = worlds.World(seed)
+    world.run(3000)
+    spec = build_wide_job("wide", (400, 400))
+    world.submit("entry-0", spec)
+    world.run(500)
+    for _ in range(100):
+        if has_compact_step(world.store.progress.get(spec.job_id)):
+            break
+        world.run(100)
+    world.kill("entry-0", 60_000)
+    world.kill("entry-1", 500)
+    world.run(RUN_TIME_MS)
+    test_world.check_all_ended(world)
+    started = [ref.task for ref in world.oracle.started]
+    first_step = {task for task in started if task.step == 0}
+    assert len(first_step) == 400
+    assert sum(task.step == 0 for task in started) == 400
+
+
+def has_compact_step(record: records.ProgressRecord | None) -> bool:
+    return record is not None and any(not step.tasks for step in record.steps)
+
+
+def test_record_of_a_small_job_lists_its_done_tasks() -> None:
+    """Guards against rows that a former version would run again."""
+    holder_state = scheduler.HolderState(
+        ids.Epoch(1), ids.RowVersion(1), NOW, NOW
+    )
+    spec = build_wide_job("small", (3,))
+    job = lifecycle.add_job(holder_state, storage.JobRows(spec), NOW)
+    assert job is not None
+    for task in job.steps[0].tasks:
+        task.state = records.TaskState.DONE
+        task.run = runs.RunNumber(1)
+    (step,) = lifecycle.build_record(job).steps
+    assert [task.state for task in step.tasks] == [records.TaskState.DONE] * 3
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -130,7 +130,9 @@
         for number in range(agents):
             name = f"agent-{number}"
             self.workers[name] = worker_fake.FakeWorker(
-                f"w-{number}", 1_000_000, rate=self.random.choice((1.0, 0.98))
+                f"i-9ce584d33{number}",
+                1_000_000,
+                rate=self.random.choice((1.0, 0.98)),
             )
             self._add_node(name, 100 + number)
             self.after(
