Close the decision log without its reader; name the fault of a request

Cause: closing the log waited for room in its queue, so a process whose output nobody reads could not stop. Requests without a queue, with a malformed id or with another method were told to try again later, which never helps. Change: the close waits for a second at most; such answers name what to correct. Result: test_close_does_not_wait_for_a_stuck_reader failed before.

--- a/src/gypsumhold/adapters/jobs/decision_log.py
+++ b/src/gypsumhold/adapters/jobs/decision_log.py
@@ -1,5 +1,6 @@
 """Writes the log of decisions without blocking the threads that decide."""
 
+import contextlib
 import queue
 import sys
 import threading
@@ -13,6 +14,9 @@
 MAX_QUEUED_LINES = 2000
 """Most lines that wait while the reader of the output is slow."""
 
+CLOSE_TIMEOUT_S = 1.0
+"""Longest wait for a slow reader of the output when the log is closed."""
+
 _ENCODER = msgspec.json.Encoder()
 
 
@@ -66,9 +70,14 @@
         self._dropped = 0
 
     def close(self) -> None:
-        """Ends the thread after the waiting lines; waits up to a second."""
-        self._waiting.put(None)
-        self._thread.join(1)
+        """Ends the thread after the waiting lines.
+
+        Waits up to `CLOSE_TIMEOUT_S`; lines that the reader of the output has
+        not taken by then are lost.
+        """
+        with contextlib.suppress(queue.Full):
+            self._waiting.put(None, timeout=CLOSE_TIMEOUT_S / 2)
+            self._thread.join(CLOSE_TIMEOUT_S / 2)
 
     def _write_waiting(self) -> None:
         while (line := self._waiting.get()) is not None:
--- a/src/gypsumhold/platform/job_routes.py
+++ b/src/gypsumhold/platform/job_routes.py
@@ -80,15 +80,21 @@
             )
         queue = queries.find_queue(config, host, path)
         if queue is None:
-            return _render_refusal(
-                404, "no queue has this host and path prefix"
+            return _render_bad_request(
+                404,
+                f"no queue has the host {host!r} and a prefix of {path!r}",
+                "use the host and the prefix of a configured queue",
             )
         job_id_text = path.removeprefix(queue.prefix)
         remaining = _read_timeout(headers)
         if not job_id_text and incoming.method == "GET":
             return self._count_waiting(queue, remaining)
         if not JOB_ID.fullmatch(job_id_text):
-            return _render_refusal(404, "a job id has 16 hexadecimal digits")
+            return _render_bad_request(
+                404,
+                f"{job_id_text!r} is not the id of a job",
+                "use 16 hexadecimal digits",
+            )
         job_id = specs.JobId(job_id_text)
         match incoming.method:
             case "POST":
@@ -101,7 +107,11 @@
                 return self._query_job(
                     messages.QueryKind.CANCEL, job_id, remaining
                 )
-        return _render_refusal(405, "use POST, GET or DELETE")
+        return _render_bad_request(
+            405,
+            f"a job does not support {incoming.method}",
+            "use POST, GET or DELETE",
+        )
 
     def _submit(
         self,
@@ -169,7 +179,16 @@
     return http_routes.HttpResponse(status, headers, content)
 
 
+def _render_bad_request(
+    status: int, message: str, remedy: str
+) -> http_routes.HttpResponse:
+    """Renders the answer to a request that fails each time it is sent."""
+    error = errors.Error(errors.ErrorKind.BAD_HEADER, message, remedy)
+    return http_routes.render_error(status, error)
+
+
 def _render_refusal(status: int, message: str) -> http_routes.HttpResponse:
+    """Renders the answer to a request that may succeed later."""
     error = errors.Error(
         errors.ErrorKind.PEER_UNAVAILABLE, message, "try again later"
     )
