Refuse jobs whose submission does not fit into a row

Cause: a submission lies in one row of 64 KiB. A job with thousands of steps or an endless image name passed the checks, and its caller was told to come back later, each time. Change: the size of a submission is estimated and checked with the others. Result: two cases of test_faulty_job_is_refused failed before.

--- a/src/gypsumhold/decisions/jobs/validation.py
+++ b/src/gypsumhold/decisions/jobs/validation.py
@@ -16,6 +16,14 @@
 """Most tasks of a job in one repetition; their progress is stored in one
 row."""
 
+MAX_SPEC_BYTES = 60_000
+"""Most bytes of a whole job; it is stored in one row."""
+
+STEP_BYTES = 100
+"""Most bytes of the numbers of one step."""
+
+DEPENDENCY_BYTES = 5
+
 MAX_GANG_TASKS = 300
 """Most tasks of a gang, which are all placed at the same time."""
 
@@ -48,12 +56,22 @@
         problem = _find_step_problem(step, number)
         if problem is not None:
             return f"step {number} {problem}"
+    return _find_time_problem(spec) or _find_size_problem(spec)
+
+
+def _find_time_problem(spec: specs.JobSpec) -> str | None:
+    """Describes the first problem of the repetitions; None if there is none."""
     if not 0 <= spec.repetitions <= MAX_TASKS:
         return f"repetitions must be between 0 and {MAX_TASKS}"
     if not 0 <= spec.first_run_ms <= MAX_TIME_MS:
         return f"the first run must be between 0 and {MAX_TIME_MS} ms"
     if not 0 <= spec.interval_ms <= MAX_TIME_MS:
         return f"the interval must be between 0 and {MAX_TIME_MS} ms"
+    return None
+
+
+def _find_size_problem(spec: specs.JobSpec) -> str | None:
+    """Describes in what way a job is too large; None if it is not."""
     tasks = sum(step.count for step in spec.steps)
     if tasks > MAX_REPETITION_TASKS:
         return f"the steps may have at most {MAX_REPETITION_TASKS} tasks"
@@ -61,9 +79,21 @@
         return f"a job may have at most {MAX_TASKS} tasks"
     if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
         return f"the specification may have at most {MAX_PAYLOAD_BYTES} bytes"
+    if _estimate_spec(spec) > MAX_SPEC_BYTES:
+        return f"the steps may have at most {MAX_SPEC_BYTES} bytes"
     return None
 
 
+def _estimate_spec(spec: specs.JobSpec) -> int:
+    """Returns the most bytes that the submission takes when it is stored."""
+    size = len(spec.payload.encode())
+    for step in spec.steps:
+        texts = (step.image, step.label, step.data_rack)
+        size += STEP_BYTES + DEPENDENCY_BYTES * len(step.after)
+        size += sum(len(text.encode()) for text in texts)
+    return size
+
+
 def _find_step_problem(step: specs.StepSpec, number: int) -> str | None:
     """Describes the first problem of a step; None if there is none."""
     if step.count < 1:
--- a/tests/jobs/test_faulty_jobs.py
+++ b/tests/jobs/test_faulty_jobs.py
@@ -50,6 +50,8 @@
         {"repetitions": 2, "first_run_ms": HUGE},
         {"repetitions": 2, "interval_ms": -HUGE},
         {"payload": "x" * 4001},
+        {"steps": (STEP,) * 1000},
+        {"steps": (msgspec.structs.replace(STEP, image="x" * 66_000),)},
     ],
     ids=str,
 )
