Report to the next holder at once after the holder is lost

Another entry took the queue at 4.28 s, and all 71 agents knew it then, but their first reports reached it up to 2.7 s later, and without reports nothing is placed: each agent waited for its report to the former holder, whose timeout then made it forget the new one; and an entry that was still taking the queue redirected its agents to other entries, which were cut off as well. Change: with a newer term an agent reports at once, and the end of a former report changes nothing; an entry that takes the queue or loads the jobs answers the reports afterwards; followers read the holder's row when it is due, and not with the next regular poll.

--- a/src/gypsumhold/adapters/effect_pools.py
+++ b/src/gypsumhold/adapters/effect_pools.py
@@ -50,7 +50,7 @@
     PoolKind.LONG_POLL: 2,
 }
 EXECUTOR_THREADS = {
-    PoolKind.PEERS: 2,
+    PoolKind.PEERS: 3,
     PoolKind.WORKER: 6,
     PoolKind.LOCAL: 1,
     PoolKind.LONG_POLL: 2,
@@ -147,7 +147,9 @@
     job_effects.PushDirectives: lambda effect: Lane(
         PoolKind.PEERS, ("push", effect.instance)
     ),
-    job_effects.SendReport: lambda effect: Lane(PoolKind.PEERS, "report"),
+    job_effects.SendReport: lambda effect: Lane(
+        PoolKind.PEERS, ("report", effect.address)
+    ),
     job_effects.StartRun: lambda effect: Lane(
         PoolKind.WORKER, effect.command.ref.task
     ),
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -34,6 +34,10 @@
 """How long an entry leaves a free queue to entries as large as its former
 holder; longer than two polls of the holder's row."""
 
+TAKEOVER_SPREAD = datetime.timedelta(milliseconds=80)
+"""Time over which the entries spread their attempts to take the queue, so that
+most of them see that another one has it."""
+
 POLL_TIMER = timers.Timer(timers.TimerKind.HOLDER_POLL)
 REGISTER_TIMER = timers.Timer(timers.TimerKind.REGISTER)
 REGISTER_RETRY_DELAY = datetime.timedelta(seconds=1)
@@ -85,12 +89,22 @@
     return [effects.ReadHolder()]
 
 
-def _schedule_poll(state: scheduler.SchedulerState) -> EffectList:
-    """Sets the timer of the next read, with jitter of 20 percent."""
+def _schedule_poll(
+    state: scheduler.SchedulerState, now: datetime.timedelta
+) -> EffectList:
+    """Sets the timer of the next read, with jitter of 20 percent.
+
+    The read comes earlier if the queue can be taken by then.
+    """
     jitter = 0.8 + 0.4 * state.rng.random()
-    return [
-        base_effects.SetTimer(POLL_TIMER, state.options.poll_interval * jitter)
-    ]
+    delay = state.options.poll_interval * jitter
+    record = None if state.holder_row is None else state.holder_row.record
+    if record is not None:
+        due_at = state.holder_seen_at + _compute_takeover_delay(state, record)
+        spread = TAKEOVER_SPREAD * state.rng.random()
+        if due_at > now:
+            delay = min(delay, due_at + spread - now)
+    return [base_effects.SetTimer(POLL_TIMER, delay)]
 
 
 def handle_holder_read(
@@ -115,7 +129,7 @@
         # While the store does not answer, an unchanged row does not show that
         # the holder is gone: restart the takeover delay.
         state.holder_seen_at = now
-        return _schedule_poll(state)
+        return _schedule_poll(state, now)
     emitted: EffectList = []
     if state.holder_row is None or row.version != state.holder_row.version:
         emitted += _log_holder_change(state, row)
@@ -124,7 +138,7 @@
     free = _is_queue_free(state, row, now)
     state.replacing_live_holder = not free and _is_holder_small(state, row)
     if not free and not state.replacing_live_holder:
-        return [*emitted, *_schedule_poll(state)]
+        return [*emitted, *_schedule_poll(state, now)]
     return [*emitted, *_take_queue(state, row, now)]
 
 
@@ -151,12 +165,19 @@
     record = row.record
     if record is None:
         return True
+    return now >= state.holder_seen_at + _compute_takeover_delay(state, record)
+
+
+def _compute_takeover_delay(
+    state: scheduler.SchedulerState, record: records.HolderRecord
+) -> datetime.timedelta:
+    """Returns how long the row of a holder must stay unchanged."""
     # An earlier incarnation of this entry may have held the queue.
     is_released = record.holder in {"", state.options.name}
     delay = ZERO if is_released else state.options.takeover_delay
     if record.cores >= state.options.cores * LARGER_FACTOR:
         delay += SMALLER_ENTRY_DELAY
-    return now >= state.holder_seen_at + delay
+    return delay
 
 
 def _is_holder_small(
@@ -225,7 +246,7 @@
         # After an unknown result the next read of the row shows the holder.
         state.role = scheduler.Role.FOLLOWER
         state.holder_seen_at = now
-        return [log, *_schedule_poll(state)]
+        return [log, *_schedule_poll(state, now)]
     former = None if state.holder_row is None else state.holder_row.record
     term = ids.Epoch(1 if former is None else former.term + 1)
     state.role = scheduler.Role.LOADING
@@ -272,7 +293,7 @@
     )
     emitted: EffectList = [log]
     emitted += (
-        stop_following(state) if state.stopping else _schedule_poll(state)
+        stop_following(state) if state.stopping else _schedule_poll(state, now)
     )
     for ticket_id, ticket in list(state.tickets.items()):
         if ticket.cancelling:
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -58,14 +58,27 @@
     state: executor.ExecutorState, record: records.EntryRecord
 ) -> EffectList:
     """Follows the holder of a newer term; all sums are reported to it again."""
-    state.term = record.term
-    state.sequence = 0
-    state.unreported_pairs = set(state.interference_sums)
-    state.holder = record.endpoint.build_address()
+    _begin_term(state, record.term, record.endpoint.build_address())
     inputs = (("term", str(record.term)),)
     return [effects.Log("holder-changed", record.name, "followed", inputs)]
 
 
+def _begin_term(
+    state: executor.ExecutorState, term: ids.Epoch, holder: members.Address
+) -> None:
+    """Reports to the holder of a newer term from now on, and at once.
+
+    A report that is under way is not waited for: it may have gone to the former
+    holder, which may be lost, and would end only with its timeout.
+    """
+    state.term = term
+    state.sequence = 0
+    state.unreported_pairs = set(state.interference_sums)
+    state.holder = holder
+    state.report_pending = False
+    state.report_due = True
+
+
 def handle_report_timer(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> EffectList:
@@ -159,22 +172,20 @@
 ) -> EffectList:
     """Applies the directives that answer a report.
 
-    If the call failed, the next report goes to another entry.
+    If the call failed, the next report goes to another entry, unless a newer
+    term has begun meanwhile.
     """
-    state.report_pending = False
+    is_latest = event.sequence == state.report_number
+    is_current = is_latest and state.report_pending
+    if is_current:
+        state.report_pending = False
     if event.directives is None:
-        # Another entry may have the address of the current holder.
-        emitted: EffectList = []
-        if state.holder is not None:
-            emitted.append(
-                effects.Log("holder", str(event.address), "no answer")
-            )
-        state.holder = None
-        state.next_entry += 1
-        return emitted
+        return _handle_lost_report(state, event.address) if is_current else []
     holder = event.directives.holder
+    if not holder and not is_current:
+        return []
     emitted = handle_directives(state, event.directives, now, event.sent_at)
-    if holder and event.directives.term >= state.term:
+    if holder and is_latest and event.directives.term >= state.term:
         for ref in state.reported_refusals:
             state.refused.pop(ref, None)
         for item in state.reported_sums:
@@ -183,6 +194,21 @@
     return emitted
 
 
+def _handle_lost_report(
+    state: executor.ExecutorState, address: members.Address
+) -> EffectList:
+    """Lets the next report go to another entry.
+
+    That entry may have the address of the current holder.
+    """
+    emitted: EffectList = []
+    if state.holder is not None:
+        emitted.append(effects.Log("holder", str(address), "no answer"))
+    state.holder = None
+    state.next_entry += 1
+    return emitted
+
+
 def handle_directives(
     state: executor.ExecutorState,
     directives: messages.Directives,
@@ -206,12 +232,10 @@
         return []
     emitted: EffectList = []
     if directives.term > state.term or state.holder is None:
-        is_newer = directives.term > state.term
-        state.term = directives.term
-        if is_newer:
-            state.sequence = 0
-            state.unreported_pairs = set(state.interference_sums)
-        state.holder = directives.endpoint.build_address()
+        address = directives.endpoint.build_address()
+        if directives.term > state.term:
+            _begin_term(state, directives.term, address)
+        state.holder = address
         inputs = (("term", str(directives.term)),)
         emitted.append(
             effects.Log("holder-changed", directives.holder, "followed", inputs)
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -31,6 +31,9 @@
 one."""
 
 
+_UNDECIDED_ROLES = (scheduler.Role.TAKING, scheduler.Role.LOADING)
+
+
 def handle_report_arrived(
     state: scheduler.SchedulerState,
     event: events.ReportArrived,
@@ -39,10 +42,16 @@
     """Applies a report and answers it with directives.
 
     An entry that does not hold the queue redirects the agent to the holder. An
-    outdated report is not applied.
+    outdated report is not applied. While this entry takes the queue or loads
+    the jobs, the report waits for its answer: a redirected agent would report
+    to other entries, which may be lost.
     """
     holder_state = state.holder_state
     report = event.report
+    if state.role in _UNDECIDED_ROLES and not state.stopping:
+        waiting = scheduler.WaitingReport(event.ticket, report)
+        state.waiting_reports[report.instance] = waiting
+        return []
     if holder_state is None or state.role is not scheduler.Role.HOLDER:
         return [
             effects.ReplyReport(event.ticket, _build_redirect(state, report))
@@ -65,6 +74,21 @@
     return [*emitted, effects.ReplyReport(event.ticket, reply)]
 
 
+def answer_waiting_reports(
+    state: scheduler.SchedulerState, now: datetime.timedelta
+) -> EffectList:
+    """Answers the reports that waited, once the role of this entry is known."""
+    if state.role in _UNDECIDED_ROLES:
+        return []
+    waiting_reports = list(state.waiting_reports.values())
+    state.waiting_reports.clear()
+    emitted: EffectList = []
+    for waiting in waiting_reports:
+        event = events.ReportArrived(waiting.ticket, waiting.report)
+        emitted += handle_report_arrived(state, event, now)
+    return emitted
+
+
 def _is_outdated(
     view: scheduler.AgentView,
     report: messages.Report,
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -98,12 +98,18 @@
 
 
 def _with_commit(handler: Handler) -> Handler:
-    """Wraps a handler to send the next batch if its event makes one due."""
+    """Wraps a handler to send the next batch if its event makes one due.
+
+    Reports that waited for the event are answered before.
+    """
 
     def handle(
         state: scheduler.SchedulerState, event: Any, now: datetime.timedelta
     ) -> EffectList:
-        return [*handler(state, event, now), *batches.commit_if_due(state, now)]
+        emitted = handler(state, event, now)
+        if state.waiting_reports:
+            emitted = [*emitted, *reports.answer_waiting_reports(state, now)]
+        return [*emitted, *batches.commit_if_due(state, now)]
 
     return handle
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -176,6 +176,19 @@
     forwarded: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingReport:
+    """A report that arrived while this entry was taking the queue.
+
+    Attributes:
+        ticket: Ticket of the call, which waits for directives.
+        report: The report.
+    """
+
+    ticket: ids.TicketId
+    report: messages.Report
+
+
 @dataclasses.dataclass(slots=True)
 class HolderState:
     """State of a scheduler that holds the queue; discarded with its term.
@@ -289,6 +302,8 @@
         stopping: Whether the process was asked to stop.
         store_answered_at: When the store last answered a call.
         store_failing: Whether a call has failed since then.
+        waiting_reports: Reports that arrived while this entry takes the queue
+            or loads the jobs; they are answered afterwards.
     """
 
     options: SchedulerOptions
@@ -307,6 +322,9 @@
     stopping: bool = False
     store_answered_at: datetime.timedelta = ZERO
     store_failing: bool = False
+    waiting_reports: dict[ids.InstanceId, WaitingReport] = dataclasses.field(
+        default_factory=dict
+    )
 
     def find_holder_address(self) -> members.Address | None:
         """Returns the address of the holder; None if unknown or this entry."""
--- /dev/null
+++ b/tests/jobs/test_holder_loss.py
@@ -0,0 +1,94 @@
+"""Tests of how fast work starts again after the holder of the queue is lost.
+
+Pattern: the holder is cut off or frozen, as when a zone loses its links. Every
+agent has a report under way to it, which only ends with its timeout.
+"""
+
+import pytest
+
+from gypsumhold.model.jobs import messages, specs
+from tests.jobs import test_handover
+from tests.jobs import world as worlds
+
+JOIN_MS = 400
+"""A change of the table, a call and some jitter. The timeout of a report to
+the former holder is 1500 ms."""
+
+MAX_UNCHANGED_MS = 2700
+"""The delay after which a holder counts as dead, the time over which entries
+spread their attempts, and one call to the store."""
+
+RECOVERY_MS = 4000
+"""That delay, a poll interval, the calls to the store and the reports."""
+
+MAX_RUN_MS = 2600
+"""The longest run of the fake workers, and its report."""
+
+TAKEOVER = ("take-queue", "tried")
+JOB = specs.JobId("j")
+
+
+def lose_holder(world: worlds.World, way: str) -> str:
+    """Loses the holder for good; returns its name."""
+    holder = test_handover.find_holder(world)
+    if way == "frozen":
+        world.freeze(holder, 60_000)
+        return holder
+    world.nodes[holder].cut = True
+    world.nodes[holder].cut_store = True
+    return holder
+
+
+def find_line_ms(world: worlds.World, decision: str, after_ms: float) -> float:
+    """Returns the time of the last such line after a moment."""
+    return max(
+        at_ms
+        for at_ms, _, line in world.log_lines
+        if line.decision == decision and at_ms > after_ms
+    )
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("way", ["cut off", "frozen"])
+def test_agents_report_at_once_to_the_next_holder(way: str, seed: int) -> None:
+    """Guards against agents that wait for their report to the former holder."""
+    world = worlds.World(seed, entries=4, agents=6)
+    world.run(4000 + 130 * seed)
+    lost_ms = world.now_ms
+    lose_holder(world, way)
+    world.run(9000)
+    loaded_ms = find_line_ms(world, "jobs-loaded", lost_ms)
+    joined_ms = find_line_ms(world, "agent", lost_ms)
+    assert joined_ms - loaded_ms < JOIN_MS
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_queue_of_a_lost_holder_is_taken_when_it_is_due(seed: int) -> None:
+    """Guards against a takeover that waits for one more regular poll."""
+    world = worlds.World(seed, entries=2)
+    world.run(4000 + 130 * seed)
+    lost_ms = world.now_ms
+    lose_holder(world, "cut off")
+    world.run(9000)
+    (unchanged_ms,) = [
+        int(dict(line.inputs)["unchanged_ms"])
+        for at_ms, _, line in world.log_lines
+        if at_ms > lost_ms and (line.decision, line.outcome) == TAKEOVER
+    ]
+    assert unchanged_ms < MAX_UNCHANGED_MS
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_late_failure_of_a_report_keeps_the_next_holder(seed: int) -> None:
+    """Guards against a job that waits although a holder is known."""
+    world = worlds.World(seed, entries=4, agents=3)
+    world.run(4000)
+    former = lose_holder(world, "cut off")
+    entry = next(
+        name
+        for name in world.nodes
+        if name.startswith("entry") and name != former
+    )
+    world.submit(entry, worlds.build_job(JOB, (3,)))
+    world.run(RECOVERY_MS + JOIN_MS + MAX_RUN_MS)
+    assert world.store.progress[JOB].state is messages.JobState.COMPLETED
