Load the jobs in two rounds of reads, the progress first

A job that was deleted between the read of its submission and that of its progress looked new and would have run again. Change: the progress is read first, then all parts at the same time; changes are followed from the lowest version of the reads.

--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -7,6 +7,7 @@
 
 import datetime
 import zlib
+from concurrent import futures
 from typing import TypeVar
 
 import logbook
@@ -157,22 +158,24 @@
     def load_jobs(self) -> storage.LoadedJobs | None:
         """Returns all jobs, or None if a read failed.
 
-        The version is that of the first read, so that `follow_jobs` from it
-        on returns every change that the later reads may have missed. Progress
-        without a submission is listed in `leftover_progress`.
+        The progress is read first: a job is deleted submission first, so one
+        that is read without its progress has certainly none. The parts of the
+        submissions are read concurrently. The version is the lowest one of the
+        reads, so that `follow_jobs` from it on returns every change that one
+        of them missed. Progress without a submission is listed in
+        `leftover_progress`.
         """
-        rows: list[documents.Row] = []
-        version: int | None = None
-        for part in map(_name_part, range(JOB_PARTS)):
-            part_rows = self._client.read_all(JOB_TABLE, part)
-            if part_rows is None:
-                return None
-            rows += part_rows.rows
-            version = part_rows.row_version if version is None else version
         progress = self._client.read_all(PROGRESS_TABLE, QUEUE_PART)
         if progress is None:
             return None
-        joined = _join_rows(tuple(rows), progress.rows)
+        with futures.ThreadPoolExecutor(JOB_PARTS) as pool:
+            reads = list(pool.map(self._read_part, range(JOB_PARTS)))
+        parts = [part_rows for part_rows in reads if part_rows is not None]
+        if len(parts) < JOB_PARTS:
+            return None
+        rows = tuple(row for part_rows in parts for row in part_rows.rows)
+        versions = [part_rows.row_version for part_rows in (progress, *parts)]
+        joined = _join_rows(rows, progress.rows)
         leftover_progress = tuple(
             specs.JobId(row.key)
             for row in progress.rows
@@ -180,10 +183,14 @@
         )
         return storage.LoadedJobs(
             tuple(joined.values()),
-            ids.RowVersion(version or 0),
+            ids.RowVersion(min(versions)),
             leftover_progress,
         )
 
+    def _read_part(self, number: int) -> documents.Rows | None:
+        """Returns the submissions in one of the parts."""
+        return self._client.read_all(JOB_TABLE, _name_part(number))
+
     def follow_jobs(
         self, after: ids.RowVersion, wait: datetime.timedelta
     ) -> storage.JobChanges | None:
--- a/tests/jobs/test_parts.py
+++ b/tests/jobs/test_parts.py
@@ -6,12 +6,15 @@
 """
 
 import dataclasses
+import threading
 
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, records, specs, storage
 from gypsumhold.platform import documents, jobstore, table
 from tests.jobs import world as worlds
 
+WAIT_S = 5.0
+
 
 @dataclasses.dataclass(slots=True)
 class RecordingClient(table.TableClient):
@@ -86,6 +89,36 @@
     assert loaded.leftover_progress == (specs.JobId("gone"),)
 
 
+class ConcurrentClient(table.TableClient):
+    """Answers the reads of the parts once all of them have arrived."""
+
+    def __init__(self) -> None:
+        self.read_tables: list[str] = []
+        self._arrived = threading.Barrier(jobstore.JOB_PARTS)
+
+    def read_all(self, table: str, part: str) -> documents.Rows | None:
+        self.read_tables.append(table)
+        if table == jobstore.PROGRESS_TABLE:
+            return documents.Rows((), 7)
+        self._arrived.wait(WAIT_S)
+        return documents.Rows((), 9)
+
+
+def test_parts_are_read_concurrently_after_the_progress() -> None:
+    """Guards against a takeover that waits for nine reads one by one.
+
+    Also against a job whose submission is read before, and whose progress is
+    read after, it was deleted: it would run again.
+    """
+    client = ConcurrentClient()
+    loaded = jobstore.PlatformJobStore(client).load_jobs()
+    assert loaded is not None
+    assert loaded.version == 7
+    first, *others = client.read_tables
+    assert first == jobstore.PROGRESS_TABLE
+    assert others == [jobstore.JOB_TABLE] * jobstore.JOB_PARTS
+
+
 def test_old_jobs_lose_their_submission_before_their_progress() -> None:
     """Guards against jobs that run again: progress must be deleted last."""
     world = worlds.World(11)
