--- a/tests/jobs/test_decoders.py
+++ b/tests/jobs/test_decoders.py
@@ -8,7 +8,6 @@
 import copy
 import datetime
 import json
-import random
 from typing import Any
 
 import hypothesis
@@ -27,7 +26,6 @@
     messages,
     records,
     runs,
-    scheduler,
     specs,
     storage,
 )
@@ -38,6 +36,7 @@
     jobstore,
     worker,
 )
+from tests.jobs import builders
 from tests.jobs import world as worlds
 
 NOW = datetime.timedelta(seconds=100)
@@ -366,24 +365,6 @@
     assert config is None or isinstance(config, specs.QueueConfig)
 
 
-def build_holder() -> scheduler.SchedulerState:
-    """Returns a scheduler that holds the queue with one open job."""
-    state = scheduler.SchedulerState(
-        scheduler.SchedulerOptions(
-            "entry", ids.Incarnation(1), messages.Endpoint("10.0.0.1", 1000)
-        ),
-        policy_sets.build_scheduler_policies(),
-        rng=random.Random(1),
-    )
-    state.role = scheduler.Role.HOLDER
-    state.holder_state = scheduler.HolderState(
-        ids.Epoch(1), ids.RowVersion(1), NOW, NOW
-    )
-    job = worlds.build_job("5c0e7a21d94b36f8", (2,))
-    lifecycle.add_job(state.holder_state, storage.JobRows(job), NOW)
-    return state
-
-
 REPORT = messages.Report(
     ids.InstanceId("a"),
     ids.Incarnation(1),
@@ -442,7 +423,10 @@
         report = msgspec.convert(fields, messages.Report)
     except msgspec.ValidationError:
         return
-    state = build_holder()
+    state = builders.build_holder(NOW)
+    assert state.holder_state is not None
+    job = worlds.build_job("5c0e7a21d94b36f8", (2,))
+    lifecycle.add_job(state.holder_state, storage.JobRows(job), NOW)
     for message in (report, REPORT):
         event = events.ReportArrived(ids.TicketId("t"), message)
         reducer.reduce(state, event, NOW)
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -6,7 +6,6 @@
 """
 
 import datetime
-import random
 
 import pytest
 
@@ -14,7 +13,6 @@
 from gypsumhold.decisions.jobs import (
     batches,
     lifecycle,
-    policy_sets,
     validation,
 )
 from gypsumhold.model import ids
@@ -23,11 +21,10 @@
     messages,
     records,
     runs,
-    scheduler,
     specs,
     storage,
 )
-from tests.jobs import store_fake, test_world
+from tests.jobs import builders, store_fake, test_world
 from tests.jobs import world as worlds
 
 WIDE = 2500
@@ -73,17 +70,8 @@
 
 def test_many_changed_jobs_are_stored_in_several_batches() -> None:
     """Guards against a transaction that the store refuses."""
-    state = scheduler.SchedulerState(
-        scheduler.SchedulerOptions(
-            "entry", ids.Incarnation(1), messages.Endpoint("10.0.0.1", 1000)
-        ),
-        policy_sets.build_scheduler_policies(),
-        rng=random.Random(1),
-    )
-    state.role = scheduler.Role.HOLDER
-    state.holder_state = scheduler.HolderState(
-        ids.Epoch(1), ids.RowVersion(1), NOW, NOW
-    )
+    state = builders.build_holder(NOW)
+    assert state.holder_state is not None
     for number in range(JOBS):
         spec = build_wide_job(f"j{number}", (290,))
         lifecycle.add_job(state.holder_state, storage.JobRows(spec), NOW)
@@ -136,9 +124,8 @@
 
 def test_record_of_a_small_job_lists_its_done_tasks() -> None:
     """Guards against rows that a former version would run again."""
-    holder_state = scheduler.HolderState(
-        ids.Epoch(1), ids.RowVersion(1), NOW, NOW
-    )
+    holder_state = builders.build_holder(NOW).holder_state
+    assert holder_state is not None
     spec = build_wide_job("small", (3,))
     job = lifecycle.add_job(holder_state, storage.JobRows(spec), NOW)
     assert job is not None
