Take the queue from a holder that has lost the store

It lives, so nobody takes over for 2.5 s after its last batch, and it can neither place anything nor release the queue: jobs waited up to 3.3 s. Change: a holder without the store says so to the entries that notify it of submissions. They have just reached the store, so one of them takes the queue by the same conditional row; runs keep the whole grant of a replaced live holder. A much smaller entry leaves it to others.

--- a/src/gypsumhold/adapters/failure_events.py
+++ b/src/gypsumhold/adapters/failure_events.py
@@ -134,6 +134,9 @@
     job_effects.ForwardQuery: lambda effect, _: job_events.QueryAnswered(
         effect.owner, None
     ),
+    job_effects.NotifyHolder: lambda effect, _: job_events.HolderNotified(
+        effect.address, None
+    ),
     job_effects.ReadHolder: lambda _, __: job_events.HolderRead(None),
     job_effects.TakeQueue: lambda _, started: job_events.QueueTaken(
         storage.HolderWrite(_choose_write_result(started))
--- a/src/gypsumhold/adapters/jobs/effect_runners.py
+++ b/src/gypsumhold/adapters/jobs/effect_runners.py
@@ -116,10 +116,9 @@
         answer = self._client.send_query(effect.address, effect.query)
         return events.QueryAnswered(effect.owner, answer)
 
-    def _notify_holder(self, effect: effects.NotifyHolder) -> None:
-        # The result is ignored: the holder also finds the row in the table, a
-        # little later.
-        self._client.send_query(effect.address, effect.query)
+    def _notify_holder(self, effect: effects.NotifyHolder) -> events.Event:
+        answer = self._client.send_query(effect.address, effect.query)
+        return events.HolderNotified(effect.address, answer)
 
     def _read_holder(self, _effect: effects.ReadHolder) -> events.Event:
         return events.HolderRead(self._store.read_holder())
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -6,6 +6,9 @@
 its own name and a higher term, on condition that the row is still the same.
 From then on the conditional writes of the former holder fail.
 
+A holder that lost the store tells the entries that notify it of submissions,
+which have just reached the store; one of them takes the queue at once.
+
 The work of the holder grows with the fleet, and entries run on instances of
 different sizes. So an entry with several times the processor capacity of the
 holder takes the queue from it, and a smaller entry lets larger ones go first.
@@ -136,7 +139,9 @@
         state.holder_seen_at = now
     state.holder_row = row
     free = _is_queue_free(state, row, now)
-    state.replacing_live_holder = not free and _is_holder_small(state, row)
+    state.replacing_live_holder = not free and (
+        _is_holder_small(state, row) or _is_holder_unable(state, row)
+    )
     if not free and not state.replacing_live_holder:
         return [*emitted, *_schedule_poll(state, now)]
     return [*emitted, *_take_queue(state, row, now)]
@@ -192,6 +197,36 @@
     )
 
 
+def _is_holder_unable(
+    state: scheduler.SchedulerState, row: storage.HolderRow
+) -> bool:
+    """Tells whether the holder has said that it does not reach the store."""
+    return row.record is not None and row.record.term == state.unable_term
+
+
+def handle_holder_notified(
+    state: scheduler.SchedulerState, event: events.HolderNotified
+) -> EffectList:
+    """Takes the queue from a holder that does not reach the store.
+
+    Such a holder lives, but it can neither place anything nor release the
+    queue. An entry that is much smaller leaves it to others.
+    """
+    answer, row = event.answer, state.holder_row
+    if answer is None or answer.verdict is not messages.Verdict.UNAVAILABLE:
+        return []
+    if state.role is not scheduler.Role.FOLLOWER or state.stopping:
+        return []
+    if row is None or row.record is None:
+        return []
+    if event.address != row.record.endpoint.build_address():
+        return []
+    if row.record.cores >= state.options.cores * LARGER_FACTOR:
+        return []
+    state.unable_term = row.record.term
+    return [effects.ReadHolder()]
+
+
 def _take_queue(
     state: scheduler.SchedulerState,
     row: storage.HolderRow,
--- a/src/gypsumhold/decisions/jobs/queries.py
+++ b/src/gypsumhold/decisions/jobs/queries.py
@@ -91,7 +91,11 @@
         return _answer(event.ticket, messages.Verdict.WAITING, waiting=waiting)
     if query.kind is messages.QueryKind.ACCEPTED:
         lifecycle.add_job(holder_state, storage.JobRows(query.spec), now)
-        return _answer(event.ticket, messages.Verdict.ACCEPTED)
+        verdict = messages.Verdict.ACCEPTED
+        if store_health.is_store_unreachable(state, now):
+            # The entry that notifies this one has just reached the store.
+            verdict = messages.Verdict.UNAVAILABLE
+        return _answer(event.ticket, verdict)
     job = holder_state.jobs.get(query.job_id)
     if job is None:
         # Another entry may have just accepted the job.
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -140,6 +140,9 @@
         state, now
     ),
     events.HolderRead: elections.handle_holder_read,
+    events.HolderNotified: lambda state, event, _: (
+        elections.handle_holder_notified(state, event)
+    ),
     events.EntryRegistered: lambda state, event, _: (
         elections.handle_entry_registered(state, event)
     ),
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -117,8 +117,8 @@
 class NotifyHolder:
     """Notifies the holder of a submission that was just stored.
 
-    The holder finds the submission in the store as well, so a failure is
-    ignored.
+    The holder finds the submission in the store as well, so nothing is repeated
+    after a failure. Results in `HolderNotified`.
     """
 
     address: members.Address
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -97,6 +97,19 @@
     result: storage.WriteResult
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HolderNotified:
+    """The holder was notified of a submission.
+
+    Attributes:
+        address: Address of the holder.
+        answer: Its answer; None if the call failed.
+    """
+
+    address: members.Address
+    answer: messages.Answer | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HolderRead:
     """A read of the holder's row ended; `row` is None on failure."""
@@ -342,6 +355,7 @@
     | QueryAnswered
     | JobRead
     | CancelWritten
+    | HolderNotified
     | HolderRead
     | QueueTaken
     | JobsLoaded
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -302,6 +302,8 @@
         stopping: Whether the process was asked to stop.
         store_answered_at: When the store last answered a call.
         store_failing: Whether a call has failed since then.
+        unable_term: Latest term whose holder said that it does not reach the
+            store; 0 if none did.
         waiting_reports: Reports that arrived while this entry takes the queue
             or loads the jobs; they are answered afterwards.
     """
@@ -322,6 +324,7 @@
     stopping: bool = False
     store_answered_at: datetime.timedelta = ZERO
     store_failing: bool = False
+    unable_term: ids.Epoch = ids.Epoch(0)
     waiting_reports: dict[ids.InstanceId, WaitingReport] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/jobs/test_holder_loss.py
+++ b/tests/jobs/test_holder_loss.py
@@ -4,6 +4,8 @@
 agent has a report under way to it, which only ends with its timeout.
 """
 
+import collections
+
 import pytest
 
 from gypsumhold.model.jobs import messages, specs
@@ -24,6 +26,13 @@
 MAX_RUN_MS = 2600
 """The longest run of the fake workers, and its report."""
 
+HANDED_OVER_MS = 2200
+"""The time after which the store counts as unreachable, a failed call, the
+pause between two submissions, and the calls of a takeover. A holder counts as
+dead after 2500 ms."""
+
+SETTLE_MS = 20_000
+
 TAKEOVER = ("take-queue", "tried")
 JOB = specs.JobId("j")
 
@@ -92,3 +101,55 @@
     world.submit(entry, worlds.build_job(JOB, (3,)))
     world.run(RECOVERY_MS + JOIN_MS + MAX_RUN_MS)
     assert world.store.progress[JOB].state is messages.JobState.COMPLETED
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_holder_without_the_store_hands_the_queue_over(seed: int) -> None:
+    """Guards against a queue whose holder lives but cannot store anything.
+
+    Pattern: the store turns one entry away, the holder; the others accept jobs.
+    """
+    world = worlds.World(seed, entries=3)
+    world.run(4000 + 130 * seed)
+    lost_ms = world.now_ms
+    former = test_handover.find_holder(world)
+    world.nodes[former].cut_store = True
+    others = [
+        name
+        for name in world.nodes
+        if name.startswith("entry") and name != former
+    ]
+    for number in range(20):
+        spec = worlds.build_job(f"j{number}", (2,))
+        entry = others[number % len(others)]
+        world.after(
+            150 * number,
+            lambda entry=entry, spec=spec: world.submit(entry, spec),
+        )
+    world.run(SETTLE_MS)
+    loaded_ms = find_line_ms(world, "jobs-loaded", lost_ms)
+    assert loaded_ms - lost_ms < HANDED_OVER_MS
+    record = world.store.holder.record
+    assert record is not None
+    assert record.holder in others
+    states = {record.state for record in world.store.progress.values()}
+    assert states == {messages.JobState.COMPLETED}
+    starts = collections.Counter(ref.task for ref in world.oracle.started)
+    assert set(starts.values()) == {1}
+
+
+def test_small_entry_leaves_the_queue_of_a_large_holder() -> None:
+    """Guards against a hand-over that a larger entry soon undoes."""
+    cores = {"entry-0": 2.0, "entry-1": 0.5}
+    world = worlds.World(1, entries=2, entry_cores=cores)
+    world.run(4000)
+    world.nodes["entry-0"].cut_store = True
+    for number in range(14):
+        world.after(
+            100 * number,
+            lambda number=number: world.submit(
+                "entry-1", worlds.build_job(f"j{number}", (1,))
+            ),
+        )
+    world.run(2400)
+    assert test_handover.find_holder(world) == "entry-0"
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -514,7 +514,8 @@
             target,
             events.QueryArrived(ticket, effect.query, wait, forwarded=True),
         )
-        return None
+        answer = self.verdicts.get(ticket)
+        return events.HolderNotified(effect.address, answer)
 
     # Workers.
 
