Log that a holder is unable; bound batches cheaply

Cause: an operator could not tell from the log why a live holder was replaced. The sizes of all changed jobs were added up task by task for each batch. Change: the line holder-unable; the exact sizes are added up only if the number of tasks leaves it open whether the batch fits. Result: tests/jobs pass.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -20,7 +20,6 @@
     progress,
     records,
     scheduler,
-    specs,
     storage,
 )
 
@@ -76,11 +75,14 @@
     """Returns the next batch and removes its changes from the pending ones."""
     number = holder_state.next_batch
     holder_state.next_batch += 1
-    job_ids = _choose_jobs(holder_state)
+    changed = sorted(holder_state.dirty)[:MAX_BATCH_JOBS]
+    jobs = record_sizes.choose_storable_jobs(
+        [holder_state.jobs[job_id] for job_id in changed]
+    )
     writes = []
-    for job_id in job_ids:
+    for job in jobs:
+        job_id = job.spec.job_id
         holder_state.dirty.discard(job_id)
-        job = holder_state.jobs[job_id]
         for task in job.unstored_placements:
             task.batch = number
         job.unstored_placements.clear()
@@ -89,7 +91,7 @@
             storage.ProgressWrite(job_id, lifecycle.build_record(job))
         )
     removed = sorted(holder_state.deletable_progress)[
-        : MAX_BATCH_JOBS - len(job_ids)
+        : MAX_BATCH_JOBS - len(jobs)
     ]
     holder_state.deletable_progress.difference_update(removed)
     holder_state.force_batch = False
@@ -113,20 +115,6 @@
     )
 
 
-def _choose_jobs(holder_state: scheduler.HolderState) -> list[specs.JobId]:
-    """Returns the changed jobs that fit into one transaction, one at least."""
-    chosen: list[specs.JobId] = []
-    size = 0
-    for job_id in sorted(holder_state.dirty):
-        size += record_sizes.estimate_record(holder_state.jobs[job_id])
-        if chosen and size > record_sizes.MAX_TRANSACTION_BYTES:
-            break
-        chosen.append(job_id)
-        if len(chosen) == MAX_BATCH_JOBS:
-            break
-    return chosen
-
-
 def _assign_acknowledgements(
     holder_state: scheduler.HolderState, number: int
 ) -> None:
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -224,7 +224,9 @@
     if row.record.cores >= state.options.cores * LARGER_FACTOR:
         return []
     state.unable_term = row.record.term
-    return [effects.ReadHolder()]
+    inputs = (("term", str(row.record.term)),)
+    log = effects.Log("holder-unable", row.record.holder, "told so", inputs)
+    return [log, effects.ReadHolder()]
 
 
 def _take_queue(
--- a/src/gypsumhold/decisions/jobs/record_sizes.py
+++ b/src/gypsumhold/decisions/jobs/record_sizes.py
@@ -6,6 +6,8 @@
 upper bounds for any compact encoding of the records.
 """
 
+from collections.abc import Sequence
+
 from gypsumhold.model.jobs import progress, records
 
 MAX_TRANSACTION_BYTES = 600_000
@@ -19,6 +21,10 @@
 """Bytes of a placed task, with the names of its instance and worker."""
 
 FAILED_RUN_BYTES = 5
+"""Bytes of the number of a failed run."""
+
+MAX_TASK_BYTES = 220
+"""Bytes of a placed task with a checkpoint and some failed runs."""
 
 LARGE_JOB_TASKS = 300
 """Tasks from which a job counts as large: fewer always fit into one row."""
@@ -29,6 +35,21 @@
     return sum(len(step.tasks) for step in job.steps) > LARGE_JOB_TASKS
 
 
+def choose_storable_jobs(jobs: Sequence[progress.Job]) -> list[progress.Job]:
+    """Returns the first jobs that one batch can store; at least one."""
+    tasks = sum(len(step.tasks) for job in jobs for step in job.steps)
+    if tasks * MAX_TASK_BYTES <= MAX_TRANSACTION_BYTES:
+        return list(jobs)
+    chosen: list[progress.Job] = []
+    size = 0
+    for job in jobs:
+        size += estimate_record(job)
+        if chosen and size > MAX_TRANSACTION_BYTES:
+            break
+        chosen.append(job)
+    return chosen
+
+
 def estimate_record(job: progress.Job) -> int:
     """Returns the most bytes that the stored progress of a job takes."""
     if not job.is_open():
--- a/src/gypsumhold/decisions/jobs/validation.py
+++ b/src/gypsumhold/decisions/jobs/validation.py
@@ -23,6 +23,7 @@
 """Most bytes of the numbers of one step."""
 
 DEPENDENCY_BYTES = 5
+"""Most bytes of the number of a step before it."""
 
 MAX_GANG_TASKS = 300
 """Most tasks of a gang, which are all placed at the same time."""
