Add gypsumctl explain: the story of a job from log files

Cause: the way from the id of a job to its cause was a search by hand through the logs of all processes. Change: gypsumctl explain ID [LOG...] tells the lines of one job in order, with the inputs of each decision, the seconds between and the changes of the queue meanwhile, and names the cause and what to look at next. The lines are events of a reducer whose state is the story. tools/job_times.py uses the same parser.

--- a/src/gypsumhold/programs/ctl.py
+++ b/src/gypsumhold/programs/ctl.py
@@ -21,6 +21,7 @@
     ctl_answers,
     ctl_calls,
     ctl_client,
+    ctl_explain,
     ctl_options,
     ctl_status,
 )
@@ -192,10 +193,12 @@
 def run(options: ctl_options.Options) -> ctl_answers.Report:
     """Runs one command and returns its report, also if it fails.
 
-    All commands except `validate` read the settings file.
+    All commands except `validate` and `explain` read the settings file.
     """
     if isinstance(options.command, ctl_options.Validate):
         return _validate(options.command)
+    if isinstance(options.command, ctl_options.Explain):
+        return ctl_explain.report_story(options.command, options.raw)
     settings = _read_text(options.settings or "").bind(ctl_client.read_settings)
     match settings:
         case Success(client_settings):
--- a/src/gypsumhold/programs/ctl_options.py
+++ b/src/gypsumhold/programs/ctl_options.py
@@ -26,6 +26,7 @@
   gypsumctl task --config SETTINGS --organisation NAME [--json] ID
   gypsumctl list --config SETTINGS --organisation NAME [--json]
   gypsumctl cancel --config SETTINGS --organisation NAME [--json] ID
+  gypsumctl explain [--json] ID [LOG...]
   gypsumctl --help
   gypsumctl --version
 
@@ -41,6 +42,8 @@
   task      Show one task.
   list      Show the tasks of an organisation.
   cancel    Cancel a task.
+  explain   Tell the story of a job from log files of gypsumhold-node, and the
+            cause of its end; needs no entry. Reads standard input without LOG.
 
 Options:
   --config SETTINGS    Settings file: {entries: [{operators: {host, port},
@@ -59,7 +62,7 @@
   --cpu-millis N       Declared processors, in thousandths of a core.
   --memory-mb N        Declared memory; needed together with --cpu-millis.
   --accelerators N     Declared accelerators.
-  --json               Print the entry's answer unchanged.
+  --json               Print the entry's answer unchanged, or the story.
   --help               Show this text.
   --version            Show the version.
 
@@ -193,6 +196,19 @@
     task_id: ids.TaskId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explain:
+    """Options of `explain`, which reads log files offline.
+
+    Attributes:
+        job_id: The job.
+        files: Names of the log files; none for standard input.
+    """
+
+    job_id: str
+    files: tuple[str, ...]
+
+
 # Commands that send calls to entries.
 OnlineCommand = (
     Diff
@@ -206,7 +222,7 @@
     | ListTasks
     | Cancel
 )
-Command = Validate | OnlineCommand
+Command = Validate | Explain | OnlineCommand
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -297,6 +313,7 @@
         "task": lambda: ShowTask(organisation, task_id),
         "list": lambda: ListTasks(organisation),
         "cancel": lambda: Cancel(organisation, task_id),
+        "explain": lambda: Explain(task_id, tuple(arguments["LOG"])),
     }
     name = next(name for name in parsers if arguments[name])
     return parsers[name]()
--- a/tools/job_times.py
+++ b/tools/job_times.py
@@ -11,22 +11,24 @@
   --queue=NAME  Only jobs of this queue, one line for each job.
   --plot=FILE   Also write a bar chart of the queues.
 
-Without LOG the lines are read from standard input.
+Without LOG the lines are read from standard input. Needs the sources on the
+path (PYTHONPATH=src).
 """
 
 import collections
 import dataclasses
 import datetime
 import enum
-import json
 import statistics
 import sys
 from collections.abc import Iterable, Iterator
-from typing import Any
 
 import docopt
 import matplotlib.pyplot as plt
 
+from gypsumhold.adapters.jobs import log_lines
+from gypsumhold.model.jobs import stories
+
 TAIL_SHARE = 0.25
 """Share of the tasks of a step below which the step waits for its last ones."""
 
@@ -99,46 +101,34 @@
 
 
 def read_jobs(lines: Iterable[str]) -> list[Job]:
-    """Returns the jobs whose acceptance was logged.
-
-    Text before the JSON object of a line is ignored, and so are lines without
-    one.
-    """
+    """Returns the jobs whose acceptance was logged."""
     jobs: dict[str, Job] = {}
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            fields = json.loads(line[start:])
-        except json.JSONDecodeError:
-            continue
-        if "decision" in fields:
-            _apply_line(jobs, fields)
+    for line in log_lines.parse_lines(lines):
+        _apply_line(jobs, line)
     return list(jobs.values())
 
 
-def _apply_line(jobs: dict[str, Job], fields: dict[str, Any]) -> None:
-    at = datetime.datetime.fromisoformat(fields["time"])
-    job_id, outcome = fields["id"], fields["outcome"]
-    if fields["decision"] == "submit" and outcome == "accepted":
+def _apply_line(jobs: dict[str, Job], line: stories.LogLine) -> None:
+    at, fields = line.at, line.inputs
+    if line.decision == "submit" and line.outcome == "accepted":
+        job_id = line.subject
         jobs.setdefault(job_id, Job(job_id, fields["queue"], at))
         return
-    job = jobs.get(job_id)
+    job = jobs.get(line.subject)
     if job is None or "task" not in fields:
         return
     key = (fields["task"], fields.get("run", ""))
     _, _, step, index = fields["task"].split(".")
-    if fields["decision"] == "place":
+    if line.decision == "place":
         job.runs[key] = Run(int(step), int(index), at)
-    elif fields["decision"] == "start" and outcome == "started":
+    elif line.decision == "start" and line.outcome == "started":
         if key in job.runs:
             job.runs[key].started_at = at
-    elif fields["decision"] == "run-ended":
+    elif line.decision == "run-ended":
         if key in job.runs:
             job.runs[key].ended_at = at
             job.runs[key].done = fields["end"] == "done"
-        if outcome in ENDED:
+        if line.outcome in ENDED:
             job.ended_at = at
 
 
