Evict tasks that were starting when a drain was requested

Cause: a drain evicted the running tasks once. Change: while the instance drains, each report of the worker evicts what runs. Result: test_task_that_starts_during_a_drain_is_evicted failed before.

--- a/src/gypsumhold/decisions/workers.py
+++ b/src/gypsumhold/decisions/workers.py
@@ -39,8 +39,8 @@
 ) -> list[effects.Effect]:
     """Reconciles the executions with the tasks that the worker lists.
 
-    Also evicts a task if memory is short, and throttles or evicts tasks that
-    interfere with the service.
+    Also evicts a task if memory is short, or all tasks during a drain, and
+    throttles or evicts tasks that interfere with the service.
     """
     report = event.report
     if report is None:
@@ -54,6 +54,9 @@
     for execution in list(state.executions.values()):
         if (execution.start.task_id, execution.start.epoch) not in listed:
             emitted += _handle_missing_task(execution, event.sent_at)
+    if state.draining:
+        # Tasks that were starting when the drain was requested.
+        emitted += evict_all(state)
     emitted += relieve_memory_pressure(state)
     return [*emitted, *control_interference(state, now)]
 
@@ -285,7 +288,8 @@
 def evict_all(state: agent.AgentState) -> list[effects.Effect]:
     """Evicts every running task of an instance that is being drained.
 
-    Tasks that are still starting are not evicted.
+    Tasks that are still starting are evicted with the next report of the
+    worker.
     """
     emitted: list[effects.Effect] = []
     for execution in state.executions.values():
--- a/tests/decisions/test_regressions.py
+++ b/tests/decisions/test_regressions.py
@@ -300,3 +300,32 @@
     deployment.advance(30 * SECOND)
     assert find_task(deployment).instance != origin.agent.name
     deployment.oracle.check_exclusive_runs(deployment.now)
+
+
+def test_task_that_starts_during_a_drain_is_evicted() -> None:
+    """Guards against a task that stays on an instance until it is gone.
+
+    The drain comes between the start command and its answer.
+    """
+    deployment = start_deployment()
+    submit_task(deployment, find_holder(deployment), "k")
+
+    def list_starting() -> list[world.Instance]:
+        return [
+            instance
+            for instance in deployment.instances
+            if any(
+                item.state is states.ExecutionState.STARTING
+                for item in instance.agent.state.executions.values()
+            )
+        ]
+
+    while not list_starting():
+        deployment.advance(SECOND / 1000)
+    (drained,) = list_starting()
+    deployment.drain(drained)
+    deployment.advance(10 * SECOND)
+    task = find_task(deployment)
+    assert task.instance != drained.agent.name
+    assert task.epoch == 2
+    deployment.oracle.check_exclusive_runs(deployment.now)
