--- a/tests/jobs/test_interleavings.py
+++ b/tests/jobs/test_interleavings.py
@@ -2,9 +2,9 @@
 
 Pattern: the next calls of holder, successor and agent after a hand-over are
 each carried out at once, after the other side has had time to act, or only
-after every permission has run out. All combinations are played, so that no
-order of two calls is left to chance. `ENUMERATED_CALLS` sets how many calls
-are enumerated; each further one multiplies the runs by three.
+after every permission has run out. All combinations are played, so the order of
+these calls is not left to chance. `ENUMERATED_CALLS` sets how many calls are
+enumerated; each further one multiplies the runs by three.
 """
 
 import collections
