Leave the queue to its holder after an outage for all entries

Change: an entry takes the queue from a holder without the store only if the store has answered itself without a failure for 2 s.

--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -205,12 +205,15 @@
 
 
 def handle_holder_notified(
-    state: scheduler.SchedulerState, event: events.HolderNotified
+    state: scheduler.SchedulerState,
+    event: events.HolderNotified,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Takes the queue from a holder that does not reach the store.
 
     Such a holder lives, but it can neither place anything nor release the
-    queue. An entry that is much smaller leaves it to others.
+    queue. An entry that is much smaller leaves it to others, and one that has
+    just lost the store as well lets the holder recover.
     """
     answer, row = event.answer, state.holder_row
     if answer is None or answer.verdict is not messages.Verdict.UNAVAILABLE:
@@ -223,6 +226,8 @@
         return []
     if row.record.cores >= state.options.cores * LARGER_FACTOR:
         return []
+    if not store_health.is_store_reliable(state, now):
+        return []
     state.unable_term = row.record.term
     inputs = (("term", str(row.record.term)),)
     log = effects.Log("holder-unable", row.record.holder, "told so", inputs)
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -140,9 +140,7 @@
         state, now
     ),
     events.HolderRead: elections.handle_holder_read,
-    events.HolderNotified: lambda state, event, _: (
-        elections.handle_holder_notified(state, event)
-    ),
+    events.HolderNotified: elections.handle_holder_notified,
     events.EntryRegistered: lambda state, event, _: (
         elections.handle_entry_registered(state, event)
     ),
--- a/src/gypsumhold/decisions/jobs/store_health.py
+++ b/src/gypsumhold/decisions/jobs/store_health.py
@@ -11,6 +11,10 @@
 """Time without any answer, and with a failed call, after which the store counts
 as unreachable."""
 
+RELIABLE_TIME = datetime.timedelta(seconds=2)
+"""Time after the end of an outage for which the other entries may still be
+recovering; longer than the timeout of a call."""
+
 ANSWERED_RESULTS = (storage.WriteResult.STORED, storage.WriteResult.CONFLICT)
 """Results that show that the store answered."""
 
@@ -28,6 +32,15 @@
     )
 
 
+def is_store_reliable(
+    state: scheduler.SchedulerState, now: datetime.timedelta
+) -> bool:
+    """Tells whether the store has answered every call for some time."""
+    recovered_at = state.store_recovered_at
+    has_recovered = recovered_at is None or now >= recovered_at + RELIABLE_TIME
+    return has_recovered and not state.store_failing
+
+
 def record_write_result(
     state: scheduler.SchedulerState,
     result: storage.WriteResult,
@@ -49,6 +62,7 @@
         if not state.store_failing:
             return []
         state.store_failing = False
+        state.store_recovered_at = now
         return _log_change(state, "answers again", silent_ms)
     if state.store_failing:
         return []
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -302,6 +302,7 @@
         stopping: Whether the process was asked to stop.
         store_answered_at: When the store last answered a call.
         store_failing: Whether a call has failed since then.
+        store_recovered_at: When the store first answered after failed calls.
         unable_term: Latest term whose holder said that it does not reach the
             store; 0 if none did.
         waiting_reports: Reports that arrived while this entry takes the queue
@@ -324,6 +325,7 @@
     stopping: bool = False
     store_answered_at: datetime.timedelta = ZERO
     store_failing: bool = False
+    store_recovered_at: datetime.timedelta | None = None
     unable_term: ids.Epoch = ids.Epoch(0)
     waiting_reports: dict[ids.InstanceId, WaitingReport] = dataclasses.field(
         default_factory=dict
--- a/tests/jobs/test_holder_loss.py
+++ b/tests/jobs/test_holder_loss.py
@@ -153,3 +153,39 @@
         )
     world.run(2400)
     assert test_handover.find_holder(world) == "entry-0"
+
+
+@pytest.mark.parametrize("outage_ms", [1500, 2500, 4200])
+@pytest.mark.parametrize("seed", range(4))
+def test_holder_keeps_the_queue_after_an_outage_of_the_store(
+    seed: int, outage_ms: int
+) -> None:
+    """Guards against a hand-over when the store comes back for everyone.
+
+    Pattern: the store is silent for all entries. Those that reach it first
+    accept jobs and notify the holder, whose own call has not yet ended. Agents
+    learn of a next holder late, because their reads have to recover as well.
+    """
+    world = worlds.World(seed, entries=3)
+    world.run(4000 + 130 * seed)
+    holder = test_handover.find_holder(world)
+    takeovers = count_takeovers(world)
+    world.store_down = True
+    world.run(outage_ms)
+    world.store_down = False
+    for number in range(12):
+        entry = f"entry-{number % 3}"
+        world.submit(entry, worlds.build_job(f"j{number}", (2,)))
+        world.run(100)
+    world.run(SETTLE_MS)
+    assert test_handover.find_holder(world) == holder
+    assert count_takeovers(world) == takeovers
+    states = {record.state for record in world.store.progress.values()}
+    assert states == {messages.JobState.COMPLETED}
+
+
+def count_takeovers(world: worlds.World) -> int:
+    return sum(
+        (line.decision, line.outcome) == TAKEOVER
+        for _, _, line in world.log_lines
+    )
