Let a task run again where it failed if no other worker has room

A serving task failed twice and did not run again. A worker on which a task failed is left out for as long as another one would have room if it were empty, and workers full of serving tasks never are.

--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -180,6 +180,7 @@
     task.batch = progress.NOT_STORED
     task.reported = False
     task.migration_target = None
+    task.blocked_since = None
     task.speed_share = 1.0
     task.slow_since = None
     task.reading = None
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -176,11 +176,16 @@
             skipped_steps.add(id(step))
             if len(step.tasks) > storable - len(emitted):
                 continue
+            if starved:
+                _clear_exclusions(step)
             emitted += _place_gang(
                 state, holder_state, job, step, candidates=candidates, now=now
             )
             continue
         task = step.tasks[index]
+        if starved or _is_blocked(step, task, now):
+            # No worker that it has not tried has room: it may run anywhere.
+            task.excluded_instances.clear()
         candidate = _choose_candidate(
             state, job, step, task, candidates, late=job.gives_way
         )
@@ -190,6 +195,7 @@
             starved = False
         if candidate is None:
             misses += 1
+            task.blocked_since = task.blocked_since or now
             # Where a task without exclusions finds no candidate, the other
             # tasks of its step find none either.
             if not step.tasks[index].excluded_instances:
@@ -216,6 +222,26 @@
     return now - job.starved_since >= STARVATION_TIME
 
 
+def _clear_exclusions(step: progress.Step) -> None:
+    for task in step.tasks:
+        task.excluded_instances.clear()
+
+
+def _is_blocked(
+    step: progress.Step, task: progress.Task, now: datetime.timedelta
+) -> bool:
+    """Tells whether a long-running task has had no worker for too long.
+
+    Tasks of other kinds wait while the rest of their job runs, so that their
+    attempts are not used up on the same workers.
+    """
+    return (
+        step.spec.long_running
+        and task.blocked_since is not None
+        and now - task.blocked_since >= STARVATION_TIME
+    )
+
+
 def _choose_emptiest(
     job: progress.Job,
     step: progress.Step,
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -58,6 +58,8 @@
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
+        blocked_since: Since when plans have found no worker for the task
+            although it is ready; None if the latest plan found one.
     """
 
     state: records.TaskState = records.TaskState.READY
@@ -80,6 +82,7 @@
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
     )
+    blocked_since: datetime.timedelta | None = None
 
     @property
     def migrating(self) -> bool:
