--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -94,11 +94,11 @@
         expired = self.read_clock(now_ms) >= self.until_ms
         for run in list(self.running.values()):
             if run.finish_ms <= now_ms and not self.stuck:
-                self._end(run, run.end)
+                self.end_run(run, run.end)
             elif expired:
-                self._end(run, runs.RunEnd.EXPIRED)
+                self.end_run(run, runs.RunEnd.EXPIRED)
 
-    def _end(self, run: FakeRun, end: runs.RunEnd) -> None:
+    def end_run(self, run: FakeRun, end: runs.RunEnd) -> None:
         del self.running[run.ref.task]
         self.last_end += 1
         row = runs.EndRow(runs.EndNumber(self.last_end), run.ref, end)
@@ -149,5 +149,5 @@
         self.highest_runs[task] = max(highest, effect.ref.run)
         current = self.running.get(task)
         if current is not None and current.ref.run == effect.ref.run:
-            self._end(current, runs.RunEnd.STOPPED)
+            self.end_run(current, runs.RunEnd.STOPPED)
         return Result.DONE
