Release the tasks of a worker that its agent no longer reports

Callers saw ready tasks that did not run for good while workers were free. A worker was lost for good, or came back with an earlier start after its clock had jumped, and its agent restarted before the leases had expired. The new agent process knew no worker, so it never reported that the runs had ended; the holder heard the agent, so it did not take the tasks for silent either. They stayed placed, also after a change of the holder.

Cause: a grant was tied to the agent, and a lease to the worker. Now a grant extends only leases of the worker incarnation that the report named, and a task is released once its incarnation was not reported for a whole grant.

--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -176,16 +176,8 @@
                 holder_state.orphans[instance],
                 "unheard",
             )
-    for view in list(holder_state.agents.values()):
-        grant_expiry = view.last_report_at + state.options.grant + GRANT_MARGIN
-        if (
-            now >= grant_expiry
-            and now >= compute_former_grant_expiry(state, holder_state)
-            and view.placed
-        ):
-            emitted += release_tasks(
-                holder_state, view.instance, view.placed, "silent"
-            )
+        for view in holder_state.agents.values():
+            emitted += _release_silent_runs(state, holder_state, view, now)
     for job in list(holder_state.open_jobs.values()):
         if job.next_repetition < job.spec.repetitions:
             lifecycle.open_repetitions(holder_state, job, now)
@@ -208,6 +200,29 @@
     return emitted
 
 
+def _release_silent_runs(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Releases the tasks of an instance whose worker was not reported.
+
+    An agent extends the leases of the worker incarnation that it reported. It
+    may be silent, or not know the worker after a restart, or report another
+    incarnation.
+    """
+    reported_after = now - state.options.grant - GRANT_MARGIN
+    silent_runs = {
+        ref: placed
+        for ref, placed in view.placed.items()
+        if placed.task.worker_reported_at <= reported_after
+    }
+    if not silent_runs:
+        return []
+    return release_tasks(holder_state, view.instance, silent_runs, "silent")
+
+
 def release_tasks(
     holder_state: scheduler.HolderState,
     instance: ids.InstanceId,
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -98,6 +98,7 @@
             task.checkpoint = saved.checkpoint
             task.batch = 0
             task.placed_at = task.progressed_at = now
+            task.worker_reported_at = now
             if task.is_placed():
                 ref = build_task_ref(job, step, index)
                 orphans = holder_state.orphans.setdefault(task.instance, {})
@@ -186,6 +187,7 @@
     task.reading = None
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
+    task.worker_reported_at = now
     view.placed[ref] = placed
     holder_state.changed_instances.add(view.instance)
     placed.job.unstored_placements.append(task)
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -240,14 +240,14 @@
         emitted.append(
             effects.Log("holder-changed", directives.holder, "followed", inputs)
         )
-    if sent_at is not None and directives.grant_ms:
-        grant = datetime.timedelta(milliseconds=directives.grant_ms)
-        state.grant_end = max(state.grant_end, sent_at + grant)
     if (
         state.worker is None
         or directives.worker_incarnation != state.worker.incarnation
     ):
         return emitted
+    if sent_at is not None and directives.grant_ms:
+        grant = datetime.timedelta(milliseconds=directives.grant_ms)
+        state.grant_end = max(state.grant_end, sent_at + grant)
     _acknowledge(state, directives.acknowledged)
     if directives.sequence <= state.sequence:
         return emitted
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -167,6 +167,7 @@
         view.interference_sums[sums.pair] = sums
     _adopt_orphans(holder_state, view)
     emitted += _release_ended_runs(holder_state, view)
+    _record_worker_report(view, now)
     for row in report.ends:
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
@@ -251,6 +252,18 @@
     )
 
 
+def _record_worker_report(
+    view: scheduler.AgentView, now: datetime.timedelta
+) -> None:
+    """Records the report for the tasks placed on the reported worker."""
+    worker = view.report.worker
+    if worker is None:
+        return
+    for placed in view.placed.values():
+        if placed.task.worker_incarnation == worker.incarnation:
+            placed.task.worker_reported_at = now
+
+
 def _queue_acknowledgement(
     holder_state: scheduler.HolderState, view: scheduler.AgentView
 ) -> None:
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -68,6 +68,7 @@
     state.ends.clear()
     state.refused.clear()
     state.clock = None
+    state.grant_end = datetime.timedelta(0)
     state.polled = False
     state.acknowledged = runs.EndNumber(0)
     state.answering = True
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -155,8 +155,8 @@
         refused: Runs that never start; kept until the holder has answered a
             report that lists them.
         acknowledged: Highest acknowledged end of this worker incarnation.
-        grant_end: Until when the holder lets runs continue, on the agent's
-            clock.
+        grant_end: Until when the holder lets runs of the current worker
+            incarnation continue, on the agent's clock.
         term: Highest term seen.
         sequence: Highest sequence of directives seen in that term.
         holder: Where reports are sent; None if the holder is unknown.
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -46,6 +46,8 @@
         checkpoint: Latest saved progress.
         batch: Number of the batch that stores the latest placement.
         reported: Whether the latest report of the agent lists the run.
+        worker_reported_at: When the agent last reported the worker incarnation
+            of the latest placement; only then is its lease extended.
         placed_at: When the task was placed.
         progress_percent: Highest reported progress of the run.
         progressed_at: When the progress last rose.
@@ -71,6 +73,7 @@
     checkpoint: runs.Checkpoint = runs.Checkpoint("")
     batch: int = NOT_STORED
     reported: bool = False
+    worker_reported_at: datetime.timedelta = ZERO
     placed_at: datetime.timedelta = ZERO
     progress_percent: int = 0
     progressed_at: datetime.timedelta = ZERO
