Keep a task done that was done with its gang

Callers saw a job that stayed running although its gang had done its work.

Cause: the first member that ends as done makes all members done, but they stay with their instances until their own runs end. A lapse or a new life of a worker made such a task ready again, and a gang is only placed as a whole. A failed end counted as an attempt of the done task, and a member whose start had not been carried out yet was started again.

The test released its runs too late to complete the last step; it now lets them finish once the worker has restarted, and checks the same state.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -116,6 +116,7 @@
         build_start_command(ref, placed)
         for ref, placed in view.placed.items()
         if not placed.task.reported
+        and placed.task.is_placed()
         and placed.task.batch <= holder_state.stored_batch
         and placed.task.worker_incarnation == worker_incarnation
         and placed.job.is_open()
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -208,7 +208,8 @@
 ) -> None:
     """Removes a task from its instance.
 
-    The task becomes ready again, or is closed if its job has ended.
+    The task becomes ready again, or is closed if its job has ended. A task that
+    was done with its gang stays done.
     """
     view = holder_state.agents.get(placed.task.instance)
     if view is not None:
@@ -219,10 +220,11 @@
     orphans = holder_state.orphans.get(placed.task.instance)
     if orphans is not None:
         orphans.pop(ref, None)
-    is_open = placed.job.is_open()
-    placed.task.state = (
-        records.TaskState.READY if is_open else records.TaskState.CLOSED
-    )
+    if not placed.task.is_done():
+        is_open = placed.job.is_open()
+        placed.task.state = (
+            records.TaskState.READY if is_open else records.TaskState.CLOSED
+        )
     placed.task.reported = False
     holder_state.plan_due = True
     mark_dirty(holder_state, placed.job)
--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -43,6 +43,8 @@
     lifecycle.release_task(holder_state, ref, placed)
     if not placed.job.is_open():
         return [_log_end(view, row, "job is closed")]
+    if placed.task.is_done():
+        return [_log_end(view, row, "its gang is done")]
     if row.end is runs.RunEnd.DONE:
         _finish_task(holder_state, view, placed, now)
     elif row.end is runs.RunEnd.FAILED:
--- a/tests/jobs/test_lost_tasks.py
+++ b/tests/jobs/test_lost_tasks.py
@@ -132,6 +132,7 @@
     first.end_run(run, runs.RunEnd.DONE)
     world.run(50)
     second.restart(world.now_ms, 500)
+    first.stuck = second.stuck = False
     world.run(MAX_LAPSE_MS)
     job = world.store.progress[specs.JobId("j")]
     assert job.state is messages.JobState.COMPLETED
