Place lasting tasks however many best-effort jobs find no worker

Callers saw a lasting task without a run although workers had room for it.

Cause: after 40 tasks without a candidate a plan skipped every job of which any task was placed. A job with lasting tasks behind as many best-effort jobs that found no idle CPU got no run for its failed task for as long as the others waited. Jobs with lasting tasks are no longer skipped.

--- a/src/gypsumhold/decisions/jobs/ordering.py
+++ b/src/gypsumhold/decisions/jobs/ordering.py
@@ -136,8 +136,7 @@
         self, job: progress.Job, now: datetime.timedelta
     ) -> tuple[int, int, datetime.timedelta]:
         """Returns the sort key of a job; long-running jobs are never late."""
-        is_long_running = any(step.long_running for step in job.spec.steps)
-        if is_long_running:
+        if job.is_long_running():
             return (0, job.spec.queue.priority, job.submitted_at)
         if job.has_best_effort_steps():
             return self._rank_best_effort(job, now)
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -29,7 +29,7 @@
 
 MISSES_BEFORE_SKIP = 40
 """Tasks without a candidate after which a plan skips all but starved jobs,
-which have to get a run in the end, and those of which a task is migrating."""
+which have to get a run in the end, and those of which a task may not wait."""
 
 
 def place_ready_tasks(
@@ -63,7 +63,9 @@
         if len(holder_state.dirty) >= MAX_CHANGED_JOBS:
             holder_state.plan_due = True
             break
-        if misses >= MISSES_BEFORE_SKIP and not (starved or job.is_migrating()):
+        if misses >= MISSES_BEFORE_SKIP and not (
+            starved or job.is_migrating() or job.is_long_running()
+        ):
             continue
         try:
             if migrations_due:
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -195,6 +195,10 @@
         """Tells whether some of the steps have best-effort tasks."""
         return any(step.fills for step in self.spec.steps)
 
+    def is_long_running(self) -> bool:
+        """Tells whether some of the steps run until the job is cancelled."""
+        return any(step.long_running for step in self.spec.steps)
+
     def is_migrating(self) -> bool:
         """Tells whether a task is on its way to another instance."""
         return any(task.migrating for step in self.steps for task in step.tasks)
