Renew the holder's row while the jobs are being loaded

Callers saw no task start: three entries took the queue from each other.

Cause: an entry renewed its row only once it had loaded the jobs. Where that takes longer than the takeover delay of 2.5 s, as from a slow store, the next entry took the queue before, and so on for good. The row is now renewed while the jobs are loaded, for 10 s at most, so that an entry which cannot read leaves the queue to another one.

Measured: with loads of 4 s and three entries no run started in 20 s before; the test passes now, and so do tests/jobs and tests/decisions.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -28,6 +28,10 @@
 MAX_BATCH_JOBS = 80
 """Most jobs in one batch; the store accepts 100 entries per transaction."""
 
+MAX_LOADING_TIME = datetime.timedelta(seconds=10)
+"""How long an entry that loads the jobs keeps the queue; an entry that cannot
+read leaves it to another one."""
+
 RETRY_DELAY = datetime.timedelta(milliseconds=100)
 MAX_RETRY_DELAY = datetime.timedelta(milliseconds=500)
 
@@ -38,17 +42,22 @@
     """Makes a plan if one is due, and sends the next batch if one is due.
 
     Only one batch is in flight at a time. Without changes a batch is due after
-    `renew_interval`, to renew the holder's row.
+    `renew_interval`, to renew the holder's row, also while the jobs are loaded.
     """
     holder_state = state.holder_state
     if holder_state is None:
         return []
-    if state.role is not scheduler.Role.HOLDER and not holder_state.releasing:
+    is_holder = state.role is scheduler.Role.HOLDER
+    if not (
+        is_holder
+        or holder_state.releasing
+        or _may_go_on_loading(state, holder_state, now)
+    ):
         return []
     if holder_state.in_flight is not None:
         return []
     emitted: EffectList = []
-    if holder_state.plan_due and not holder_state.releasing:
+    if is_holder and holder_state.plan_due and not holder_state.releasing:
         holder_state.plan_due = False
         emitted += plans.place_ready_tasks(state, holder_state, now)
     has_changes = (
@@ -69,6 +78,20 @@
     return [*emitted, effects.CommitBatch(batch)]
 
 
+def _may_go_on_loading(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether an entry that still loads the jobs renews its row.
+
+    Otherwise the entries would take the queue from each other for good where
+    loading takes longer than the takeover delay.
+    """
+    is_loading = state.role is scheduler.Role.LOADING
+    return is_loading and now < holder_state.term_started_at + MAX_LOADING_TIME
+
+
 def _build_batch(
     state: scheduler.SchedulerState, holder_state: scheduler.HolderState
 ) -> storage.Batch:
