Add a failing test of a job that waits while all workers are quarantined

Callers see a job without a run although every worker is free.

The former test of the same pattern passed because the other jobs failed one after another, so that one worker was always out of quarantine.

--- a/tests/jobs/test_lost_tasks.py
+++ b/tests/jobs/test_lost_tasks.py
@@ -151,7 +151,10 @@
     assert [ref.task.job_id for ref in world.oracle.started] == ["j"]
 
 
-def test_job_runs_although_other_jobs_failed_on_every_worker() -> None:
+@pytest.mark.parametrize("long_running", [False, True])
+def test_job_runs_although_other_jobs_failed_on_every_worker(
+    long_running: bool,
+) -> None:
     """Guards against a job that waits until all workers leave quarantine.
 
     Jobs that cannot be done have failed on each of them.
@@ -160,11 +163,14 @@
     world.run(3000)
     world.faults = worlds.Faults(failing=1.0)
     for number in range(30):
-        spec = worlds.build_job(f"failing-{number}", (2,), 8000)
+        spec = worlds.build_job(f"failing-{number}", (2,))
         world.submit("entry-0", spec)
-    world.run(25_000)
+    world.run(4100)
     world.faults = worlds.NO_FAULTS
-    world.submit("entry-0", worlds.build_job("j", (1,)))
+    step = specs.StepSpec(
+        1, 1000, 1000, estimate_ms=1000, long_running=long_running
+    )
+    world.submit("entry-0", worlds.build_job_of("j", (step,)))
     world.run(MAX_WAIT_MS)
     started = {ref.task.job_id for ref in world.oracle.started}
     assert "j" in started
