Ignore quarantines while most workers are in one

Callers saw a job, or a lasting task, without a run for up to 12 s while the workers were free.

Cause: an instance is quarantined once runs of two jobs failed on it. Where many jobs come that cannot be done, all instances are soon in quarantine, and nothing was placed at all. Quarantines now have to leave half of the usable instances over; otherwise the jobs are at fault and not the workers, and the exclusions of the single tasks remain.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -10,6 +10,9 @@
 """A running best-effort task counts as using at least this percent of its CPU
 request."""
 
+MIN_SOUND_SHARE = 0.5
+"""Share of the usable instances that quarantines have to leave over."""
+
 RACK_PREFIX = "r"
 """Prefix of rack labels, which also contain a hyphen; the other labels name
 the kind of the worker."""
@@ -26,9 +29,7 @@
     the capacity is counted anew only where something else has changed.
     """
     candidates = {}
-    for view in holder_state.agents.values():
-        if not _is_usable(state, view, now):
-            continue
+    for view in _list_usable(state, holder_state, now):
         if view.candidate is None:
             view.candidate = _build_candidate(view)
         view.candidate.interference_estimates = (
@@ -38,12 +39,31 @@
     return candidates
 
 
+def _list_usable(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
+) -> list[scheduler.AgentView]:
+    """Returns the instances that may get new runs.
+
+    Where jobs fail on most workers, the jobs are at fault: the quarantines are
+    ignored, so that other jobs need not wait for their end.
+    """
+    usable = [
+        view
+        for view in holder_state.agents.values()
+        if _is_usable(state, view, now)
+    ]
+    sound = [view for view in usable if now >= view.quarantined_until]
+    return sound if len(sound) >= len(usable) * MIN_SOUND_SHARE else usable
+
+
 def _is_usable(
     state: scheduler.SchedulerState,
     view: scheduler.AgentView,
     now: datetime.timedelta,
 ) -> bool:
-    """Tells whether an instance may get new runs."""
+    """Tells whether an instance may get new runs, apart from a quarantine."""
     report = view.report
     return (
         report.worker is not None
@@ -51,7 +71,6 @@
         and report.answering
         and not report.runs_ended
         and now < view.last_report_at + state.options.report_timeout
-        and now >= view.quarantined_until
     )
 
 
