Add a failing test of a late notice that a worker has left

Callers would see tasks without a run, with a worker free for good.

A worker may start again under its name, and the notice of its former life has nothing but that name. If it arrives after the first heartbeat of the new life, the agent refuses every start until it is restarted. A second test, which passes, checks that no task runs twice then.

--- a/tests/jobs/test_lost_tasks.py
+++ b/tests/jobs/test_lost_tasks.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from gypsumhold.model.jobs import effects, messages, runs, specs
+from gypsumhold.model.jobs import effects, events, messages, runs, specs
 from tests.jobs import world as worlds
 
 FOREVER_MS = 1e9
@@ -174,3 +174,35 @@
     world.run(MAX_WAIT_MS)
     started = {ref.task.job_id for ref in world.oracle.started}
     assert "j" in started
+
+
+def test_worker_that_did_not_leave_gets_tasks() -> None:
+    """Guards against a worker that is taken to have left for good.
+
+    The notice of its former life, under the same name, arrives late.
+    """
+    world = worlds.World(1, agents=1)
+    world.run(3000)
+    (worker,) = world.workers.values()
+    worker.restart(world.now_ms, 200)
+    world.run(3000)
+    left = events.WorkerLeft(worker.name)
+    world.deliver(world.nodes["agent-0"], left)
+    world.run(3000)
+    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.run(MAX_WAIT_MS)
+    assert count_running(world, "j") == 1
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_late_notice_of_a_former_life_ends_no_runs(seed: int) -> None:
+    """Guards against two runs of a task whose worker did not leave."""
+    world = worlds.World(seed, agents=2)
+    world.run(3000)
+    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.run(1000)
+    name = find_instance(world, "j")
+    left = events.WorkerLeft(world.workers[name].name)
+    world.deliver(world.nodes[name], left)
+    world.run(MAX_LAPSE_MS)
+    assert count_running(world, "j") == 1
