Let a heartbeat end the departure of a worker

Callers would see a worker without tasks until its agent restarts.

Cause: the notice that a worker leaves names it without its incarnation, so that a late one hits the next life under the same name. A worker that has left sends no heartbeats, so the next heartbeat shows that it did not leave.

Measured: the test failed before and passes now, as do test_withdrawals, test_world, test_pauses and test_liveness.

--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -44,6 +44,12 @@
     elif new.state is not old.state:
         state.report_due = True
         emitted.append(_log_worker(new, new.state.value))
+    if state.worker_left:
+        # A worker that has left sends no heartbeats: the notice was that of
+        # its former incarnation, under the same name.
+        state.worker_left = False
+        state.report_due = True
+        emitted.append(_log_worker(new, "did not leave"))
     state.worker = new
     emitted += poll_worker(state, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
