Add a failing test of a worker that restarts with an earlier start

Callers would see a worker without tasks until its agent restarts.

The agent ignores heartbeats with an earlier start than that of the worker it knows once that one has answered a poll, even after it has been silent until all its leases expired. With an earlier clock the new life is never adopted.

--- a/tests/jobs/test_lost_tasks.py
+++ b/tests/jobs/test_lost_tasks.py
@@ -206,3 +206,19 @@
     world.deliver(world.nodes[name], left)
     world.run(MAX_LAPSE_MS)
     assert count_running(world, "j") == 1
+
+
+def test_worker_with_an_earlier_start_gets_tasks() -> None:
+    """Guards against a worker that its agent ignores for good.
+
+    The clock of its machine went back before it restarted.
+    """
+    world = worlds.World(1, agents=1)
+    world.run(3000)
+    (worker,) = world.workers.values()
+    worker.restart(world.now_ms, 200)
+    worker.started_ms -= 3000
+    world.run(MAX_LAPSE_MS)
+    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.run(MAX_WAIT_MS)
+    assert count_running(world, "j") == 1
