--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -44,6 +44,12 @@
     elif new.state is not old.state:
         state.report_due = True
         emitted.append(_log_worker(new, new.state.value))
+    if state.worker_left:
+        # A worker that has left sends no heartbeats: the notice was that of
+        # its former incarnation, under the same name.
+        state.worker_left = False
+        state.report_due = True
+        emitted.append(_log_worker(new, "did not leave"))
     state.worker = new
     emitted += poll_worker(state, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
@@ -68,6 +74,7 @@
     state.ends.clear()
     state.refused.clear()
     state.clock = None
+    state.grant_end = datetime.timedelta(0)
     state.polled = False
     state.acknowledged = runs.EndNumber(0)
     state.answering = True
--- a/tests/jobs/test_lost_tasks.py
+++ b/tests/jobs/test_lost_tasks.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from gypsumhold.model.jobs import effects, messages, runs, specs
+from gypsumhold.model.jobs import effects, events, messages, runs, specs
 from tests.jobs import world as worlds
 
 FOREVER_MS = 1e9
@@ -132,6 +132,7 @@
     first.end_run(run, runs.RunEnd.DONE)
     world.run(50)
     second.restart(world.now_ms, 500)
+    first.stuck = second.stuck = False
     world.run(MAX_LAPSE_MS)
     job = world.store.progress[specs.JobId("j")]
     assert job.state is messages.JobState.COMPLETED
@@ -150,7 +151,10 @@
     assert [ref.task.job_id for ref in world.oracle.started] == ["j"]
 
 
-def test_job_runs_although_other_jobs_failed_on_every_worker() -> None:
+@pytest.mark.parametrize("long_running", [False, True])
+def test_job_runs_although_other_jobs_failed_on_every_worker(
+    long_running: bool,
+) -> None:
     """Guards against a job that waits until all workers leave quarantine.
 
     Jobs that cannot be done have failed on each of them.
@@ -159,11 +163,62 @@
     world.run(3000)
     world.faults = worlds.Faults(failing=1.0)
     for number in range(30):
-        spec = worlds.build_job(f"failing-{number}", (2,), 8000)
+        spec = worlds.build_job(f"failing-{number}", (2,))
         world.submit("entry-0", spec)
-    world.run(25_000)
+    world.run(4100)
     world.faults = worlds.NO_FAULTS
-    world.submit("entry-0", worlds.build_job("j", (1,)))
+    step = specs.StepSpec(
+        1, 1000, 1000, estimate_ms=1000, long_running=long_running
+    )
+    world.submit("entry-0", worlds.build_job_of("j", (step,)))
     world.run(MAX_WAIT_MS)
     started = {ref.task.job_id for ref in world.oracle.started}
     assert "j" in started
+
+
+def test_worker_that_did_not_leave_gets_tasks() -> None:
+    """Guards against a worker that is taken to have left for good.
+
+    The notice of its former life, under the same name, arrives late.
+    """
+    world = worlds.World(1, agents=1)
+    world.run(3000)
+    (worker,) = world.workers.values()
+    worker.restart(world.now_ms, 200)
+    world.run(3000)
+    left = events.WorkerLeft(worker.name)
+    world.deliver(world.nodes["agent-0"], left)
+    world.run(3000)
+    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.run(MAX_WAIT_MS)
+    assert count_running(world, "j") == 1
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_late_notice_of_a_former_life_ends_no_runs(seed: int) -> None:
+    """Guards against two runs of a task whose worker did not leave."""
+    world = worlds.World(seed, agents=2)
+    world.run(3000)
+    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.run(1000)
+    name = find_instance(world, "j")
+    left = events.WorkerLeft(world.workers[name].name)
+    world.deliver(world.nodes[name], left)
+    world.run(MAX_LAPSE_MS)
+    assert count_running(world, "j") == 1
+
+
+def test_worker_with_an_earlier_start_gets_tasks() -> None:
+    """Guards against a worker that its agent ignores for good.
+
+    The clock of its machine went back before it restarted.
+    """
+    world = worlds.World(1, agents=1)
+    world.run(3000)
+    (worker,) = world.workers.values()
+    worker.restart(world.now_ms, 200)
+    worker.started_ms -= 3000
+    world.run(MAX_LAPSE_MS)
+    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.run(MAX_WAIT_MS)
+    assert count_running(world, "j") == 1
