Give a best-effort job that lost its last run another one in time

Callers saw jobs of which nothing ran for more than 3 s although workers had room.

Cause: two waits that follow each other, each limited by itself. The holder kept a job waiting for 1.8 s for a worker on which it slows no serving task down, and the agent then kept the start waiting for up to 0.7 s for an allowance. With the plan, the batch and the calls in between that is 2.8 s beside an idle holder; a busy holder or a slow store makes it more than the 3 s that a job may be without a run. Change: the agent starts a run at once if nothing else of its job is placed, as the holder has waited for it already. The wait of the holder is half of the limit, so that the other half is left for the plan, the batch and the start.

--- a/src/gypsumhold/decisions/jobs/colocation.py
+++ b/src/gypsumhold/decisions/jobs/colocation.py
@@ -209,11 +209,13 @@
     """Tells whether a best-effort run must not be started yet.
 
     That is the case for at most `throttling.MAX_START_DELAY`, while a serving
-    image that the run slows down has hardly any allowance.
+    image that the run slows down has hardly any allowance. A run without which
+    its job has none does not wait: the holder has waited for it already.
     """
     command = local_run.command
     if (
         command is None
+        or command.only_run
         or now >= local_run.received_at + throttling.MAX_START_DELAY
     ):
         return False
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -137,6 +137,7 @@
         spec.fills,
         spec.target_latency_ms,
         spec.image,
+        only_run=placed.task.is_only_run,
     )
 
 
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -24,8 +24,12 @@
 MAX_CHANGED_JOBS = 60
 """Changed jobs at which a plan stops, so that one batch can store them."""
 
-STARVATION_TIME = datetime.timedelta(milliseconds=1800)
-"""Time without a run after which a job gets one that the policy delays."""
+MAX_TIME_WITHOUT_RUN = datetime.timedelta(seconds=3)
+"""Longest time that a job may be without a run while workers have room."""
+
+STARVATION_TIME = MAX_TIME_WITHOUT_RUN / 2
+"""Time without a run after which a job gets one that the policy delays. The
+rest is for the plan, the batch that stores it, and the start."""
 
 MISSES_BEFORE_SKIP = 40
 """Tasks without a candidate after which a plan skips all but starved jobs,
@@ -201,6 +205,7 @@
             if not step.tasks[index].excluded_instances:
                 skipped_steps.add(id(step))
             continue
+        task.is_only_run = job.starved_since is not None and not emitted
         emitted.append(
             _place_task(
                 holder_state, job, step, index, candidate=candidate, now=now
--- a/src/gypsumhold/decisions/jobs/throttling.py
+++ b/src/gypsumhold/decisions/jobs/throttling.py
@@ -55,8 +55,7 @@
 speed until its first throttle command reaches the worker."""
 
 MAX_START_DELAY = datetime.timedelta(milliseconds=700)
-"""How long a best-effort run waits for an allowance before it starts anyway;
-a job may not be left without a run."""
+"""How long a best-effort run waits for an allowance before it starts anyway."""
 
 MEAN_WEIGHT = 0.04
 """Weight of the latest reading in the mean that is reported."""
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -58,6 +58,8 @@
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
+        is_only_run: Whether nothing else of the job was placed at the latest
+            placement, so that the agent starts the run without delay.
         blocked_since: Since when plans have found no worker for the task
             although it is ready; None if the latest plan found one.
     """
@@ -82,6 +84,7 @@
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
     )
+    is_only_run: bool = False
     blocked_since: datetime.timedelta | None = None
 
     @property
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -222,6 +222,8 @@
         target_latency_ms: Latency target of a serving task; 0 for others.
         image: Image of the task, by which interference is estimated.
         ticket: Ticket of an advised queue; always empty, as none is requested.
+        only_run: Whether nothing else of the job is placed, so that the start
+            must not wait for an allowance.
     """
 
     ref: RunRef
@@ -234,3 +236,4 @@
     target_latency_ms: int = 0
     image: specs.Image = specs.Image("")
     ticket: str = ""
+    only_run: bool = False
