Adopt a worker with an earlier start once the former one has no runs

Callers would see a worker without tasks until its agent restarts.

Cause: a heartbeat with an earlier start was ignored for good once the known incarnation had answered a poll. It is now ignored only while that one answers or may still have runs under an unexpired lease.

Measured: the test failed before and passes now; test_decoders, test_withdrawals, test_liveness, test_world, test_silence and test_lost_answers pass.

--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -27,14 +27,14 @@
     """Stores the worker that a heartbeat describes and polls it.
 
     Heartbeats that are older than the latest one are ignored, unless the
-    latest one is of an incarnation that has answered no poll and has failed
-    one: a stray heartbeat must not hide the worker that runs.
+    latest one is of an incarnation that fails polls and has no runs left: a
+    stray heartbeat must not hide the worker that runs.
     """
     new = event.worker
     old = state.worker
     if old is not None:
         is_older = new.incarnation.started_ms < old.incarnation.started_ms
-        if is_older and (state.polled or state.answering):
+        if is_older and _may_be_running(state, now):
             return []
         if new.incarnation == old.incarnation and new.sequence <= old.sequence:
             return []
@@ -55,6 +55,18 @@
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
+def _may_be_running(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> bool:
+    """Tells whether the known worker answers, or may have runs although not.
+
+    One that has never answered a poll has none that the agent started.
+    """
+    if state.answering:
+        return True
+    return state.polled and not leases.have_runs_ended(state, now)
+
+
 def _log_worker(worker: runs.Worker, outcome: str) -> effects.Log:
     inputs = (
         ("born_ms", str(worker.incarnation.started_ms)),
