Release the tasks of an ended job whose start was never sent

Callers saw tasks that could run and did not, with most of the capacity free, after others had cancelled jobs right after they were accepted.

Cause: when a job ends, the tasks that are placed and were not started yet stayed with their instance. No start is sent for an ended job, so no worker ever lists the run, and nothing that the holder hears releases it: its capacity was reserved until the worker restarted or the queue passed on. Members of a done gang stayed in the same way. Change: directives name such runs as withdrawn. The agent stops those that it knows and refuses the others, older directives are ignored by then, and the refusal releases the task. So the holder learns it the way it learns that any run never starts.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -69,6 +69,7 @@
         _list_found_commands(view),
         _list_interference(holder_state, view),
         _list_deferred(view, now) if is_answer else None,
+        _list_withdrawn(view),
     )
 
 
@@ -157,6 +158,32 @@
     )
 
 
+def _list_withdrawn(
+    view: scheduler.AgentView,
+) -> tuple[runs.RunRef, ...]:
+    """Returns the placed runs that are not to run and were never listed.
+
+    Their start command may be under way or not sent at all. They keep their
+    capacity until the agent has refused them.
+    """
+    return tuple(
+        ref
+        for ref, placed in _list_unreported(view)
+        if not (placed.task.is_placed() and _should_run(view, ref))
+    )
+
+
+def _list_unreported(
+    view: scheduler.AgentView,
+) -> list[tuple[runs.RunRef, scheduler.PlacedTask]]:
+    """Returns the placed runs that the latest report does not list."""
+    return [
+        (runs.RunRef(ref, placed.task.run), placed)
+        for ref, placed in view.placed.items()
+        if not placed.task.reported
+    ]
+
+
 def _list_found_commands(
     view: scheduler.AgentView,
 ) -> tuple[runs.StartCommand, ...]:
@@ -190,7 +217,8 @@
         and placed.task.worker_incarnation == worker_incarnation
         for placed in view.placed.values()
     )
-    stops = [ref for ref in _list_stops(view) if ref not in view.stops_sent]
+    unwanted = (*_list_stops(view), *_list_withdrawn(view))
+    stops = [ref for ref in unwanted if ref not in view.stops_sent]
     pending = view.acknowledgements
     has_ends = bool(pending) and pending[0].batch <= holder_state.stored_batch
     if not has_starts and not has_ends and not stops:
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -273,11 +273,33 @@
             local_run.throttle_percent = -1
     for ref in directives.stops:
         emitted += commands.stop_run(state, ref)
+    for ref in directives.withdrawn:
+        emitted += _refuse_withdrawn(state, ref)
     for command in directives.starts:
         emitted += _accept_start(state, command, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
+def _refuse_withdrawn(
+    state: executor.ExecutorState, ref: runs.RunRef
+) -> EffectList:
+    """Stops a run that is not to run any more, or refuses it if it is unknown.
+
+    The holder releases the task once it knows that the run never starts. Older
+    directives, with the start command, are ignored from now on.
+    """
+    if ref in state.active:
+        return commands.stop_run(state, ref)
+    if ref in state.refused or _has_ended(state, ref):
+        return []
+    return commands.refuse_run(state, ref, runs.Refusal.STALE)
+
+
+def _has_ended(state: executor.ExecutorState, ref: runs.RunRef) -> bool:
+    """Tells whether an end of a run has still to be acknowledged."""
+    return any(end.ref == ref for end in state.ends.values())
+
+
 def _handle_redirect(
     state: executor.ExecutorState, directives: messages.Directives
 ) -> EffectList:
@@ -315,7 +337,7 @@
     """
     if command.ref in state.active or command.ref in state.refused:
         return []
-    if any(end.ref == command.ref for end in state.ends.values()):
+    if _has_ended(state, command.ref):
         return []
     worker = state.worker
     assert worker is not None
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -84,6 +84,8 @@
             agent's worker, from the measurements of all agents.
         deferred: Best-effort tasks that give way to others because their jobs
             are late; None in messages that answer no report.
+        withdrawn: Placed runs that the report does not list and that are not to
+            run any more; the agent refuses those that it does not know.
     """
 
     term: ids.Epoch
@@ -99,6 +101,7 @@
     found: tuple[runs.StartCommand, ...] = ()
     interference_estimates: tuple[runs.InterferenceEstimate, ...] = ()
     deferred: tuple[runs.RunRef, ...] | None = None
+    withdrawn: tuple[runs.RunRef, ...] = ()
 
 
 class Received(msgspec.Struct, frozen=True, tag=True, array_like=True):
