Test workers whose capacity shrinks and grows

Callers saw nothing of it yet: the users' pages now let the capacity of a worker change while it runs, and no test did so. The fake worker can be resized and may take time to stop a run, its heartbeats tell of memory and accelerators, and the oracle checks all three amounts with every start.

An order may rely on a capacity that shrank for the contact time and one heartbeat; tests without faults allow one heartbeat and one call, or one call where the heartbeat comes at once. A run that is being stopped counts.

--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -5,6 +5,10 @@
 from gypsumhold.model.jobs import messages, records, runs
 from tests.jobs import store_fake, worker_fake
 
+RESIZE_GRACE_MS = 4100
+"""How long an order may rely on a capacity that has shrunk: the time for which
+a machine must be undisturbed to be judged, and one heartbeat."""
+
 
 class Violation(AssertionError):
     """An invariant is violated.
@@ -24,19 +28,33 @@
         store: The store.
         workers: Workers by instance.
         started: Every run that a worker has started, in order.
+        resize_grace_ms: How long an order may rely on a capacity that has
+            shrunk.
+        unfrozen_ms: When the agent of a worker was last unfrozen, by the name
+            of the worker.
     """
 
     store: store_fake.FakeStore
     workers: dict[str, worker_fake.FakeWorker]
     started: list[runs.RunRef] = dataclasses.field(default_factory=list)
+    resize_grace_ms: float = RESIZE_GRACE_MS
+    unfrozen_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def check_start(
         self,
         worker: worker_fake.FakeWorker,
         command: runs.StartCommand,
         now_ms: float,
+        ordered_ms: float | None = None,
     ) -> None:
-        """Checks a run that was just started on a worker."""
+        """Checks a run that was just started on a worker.
+
+        Args:
+            worker: The worker.
+            command: The start command.
+            now_ms: Current time.
+            ordered_ms: When the command was sent; None if it was just sent.
+        """
         task = command.ref.task
         self.started.append(command.ref)
         for other in self.workers.values():
@@ -47,9 +65,22 @@
         if task.job_id not in self.store.jobs or record is None:
             raise Violation(f"{task} was started without a stored placement")
         self._check_step_order(task, record)
-        used = sum(run.cpu_millis for run in worker.running.values())
-        if used > worker.cpu_millis:
-            raise Violation(f"{worker.name} has {used} CPU millis in use")
+        self._check_capacity(
+            worker, now_ms if ordered_ms is None else ordered_ms
+        )
+
+    def _check_capacity(
+        self, worker: worker_fake.FakeWorker, ordered_ms: float
+    ) -> None:
+        since_ms = ordered_ms - self.resize_grace_ms
+        if self.unfrozen_ms.get(worker.name, -self.resize_grace_ms) > since_ms:
+            since_ms = 0.0
+        used = worker.sum_requests()
+        if not used.fits_in(worker.find_largest_capacity(since_ms)):
+            raise Violation(
+                f"{worker.name} has {used.cpu_millis} CPU millis in use,"
+                f" {used.memory_mb} MB and {used.accelerators} accelerators"
+            )
 
     def _check_step_order(
         self, task: runs.TaskRef, record: records.ProgressRecord
--- a/tests/jobs/test_migrations.py
+++ b/tests/jobs/test_migrations.py
@@ -210,3 +210,25 @@
     lifecycle.cancel_job(fleet.holder_state, fleet.slow, fleet.read_clock())
     fleet.end_slow_run()
     assert fleet.free.expected == {}
+
+
+def test_reserved_capacity_that_is_gone_is_not_waited_for() -> None:
+    """Guards against a task without a run while another worker has room.
+
+    Its target shrinks while the task is being stopped (rules LIMIT and LOST).
+    """
+    fleet = Fleet()
+    fleet.report_speed(0.1)
+    fleet.make_plan()
+    report = fleet.free.report
+    assert report.worker is not None
+    fleet.free.report = msgspec.structs.replace(
+        report, worker=msgspec.structs.replace(report.worker, memory_mb=500)
+    )
+    fleet.free.candidate = None
+    fleet.end_slow_run()
+    fleet.make_plan()
+    task = fleet.slow.steps[0].tasks[0]
+    assert task.state is records.TaskState.PLACED
+    assert task.instance == fleet.busy.instance
+    assert fleet.free.expected == {}
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from gypsumhold.model import resources
 from gypsumhold.model.jobs import effects, events, runs
 
 Result = events.CommandResult
@@ -9,12 +10,25 @@
 
 @dataclasses.dataclass(slots=True)
 class FakeRun:
-    """A running task; `finish_ms` is a reading of the simulation's clock."""
+    """A running task; its times are readings of the simulation's clock.
+
+    Attributes:
+        ref: The run.
+        finish_ms: When it ends by itself.
+        end: How it then ends.
+        cpu_millis: CPU that it reserves, in thousandths of a core.
+        memory_mb: Memory that it reserves.
+        accelerators: Accelerators that it reserves.
+        stopped_at_ms: When a stop command takes effect; None without one.
+    """
 
     ref: runs.RunRef
     finish_ms: float
     end: runs.RunEnd
     cpu_millis: int
+    memory_mb: int = 0
+    accelerators: int = 0
+    stopped_at_ms: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,6 +39,8 @@
         name: Name of the worker.
         started_ms: Start of the incarnation in Unix milliseconds.
         cpu_millis: CPU capacity in thousandths of a core.
+        memory_mb: Memory capacity.
+        accelerators: Number of accelerators.
         rate: Speed of the worker's clock; at most 2% slow.
         up_at_ms: When the incarnation is up; its clock counts from then.
         fence: Highest fence seen.
@@ -38,11 +54,15 @@
         heartbeats: Number of heartbeats sent.
         stuck: Whether no run finishes by itself.
         draining: Whether heartbeats report a drain.
+        stop_ms: How long a run goes on after a stop command.
+        former_capacities: Capacities before each change, with its time.
     """
 
     name: str
     started_ms: int
     cpu_millis: int = 8000
+    memory_mb: int = 64_000
+    accelerators: int = 0
     rate: float = 1.0
     up_at_ms: float = 0.0
     fence: int = 0
@@ -60,6 +80,39 @@
     heartbeats: int = 0
     stuck: bool = False
     draining: bool = False
+    stop_ms: float = 0.0
+    former_capacities: list[tuple[float, resources.Resources]] = (
+        dataclasses.field(default_factory=list)
+    )
+
+    def read_capacity(self) -> resources.Resources:
+        return resources.Resources(
+            self.cpu_millis, self.memory_mb, self.accelerators
+        )
+
+    def resize(self, now_ms: float, capacity: resources.Resources) -> None:
+        """Changes the capacity; what runs goes on."""
+        self.former_capacities.append((now_ms, self.read_capacity()))
+        self.cpu_millis = capacity.cpu_millis
+        self.memory_mb = capacity.memory_mb
+        self.accelerators = capacity.accelerators
+
+    def find_largest_capacity(self, since_ms: float) -> resources.Resources:
+        """Returns the largest amounts that it has had since then."""
+        largest = self.read_capacity()
+        for until_ms, capacity in self.former_capacities:
+            if until_ms > since_ms:
+                largest = largest.take_larger(capacity)
+        return largest
+
+    def sum_requests(self) -> resources.Resources:
+        """Returns what all runs reserve, also those that are being stopped."""
+        total = resources.NOTHING
+        for run in self.running.values():
+            total += resources.Resources(
+                run.cpu_millis, run.memory_mb, run.accelerators
+            )
+        return total
 
     def describe(self) -> runs.Worker:
         self.heartbeats += 1
@@ -72,8 +125,8 @@
             if self.draining
             else runs.WorkerState.READY,
             self.cpu_millis,
-            64000,
-            0,
+            self.memory_mb,
+            self.accelerators,
             ("a", "r1-1"),
             self.heartbeats,
         )
@@ -95,6 +148,8 @@
         for run in list(self.running.values()):
             if run.finish_ms <= now_ms and not self.stuck:
                 self._end(run, run.end)
+            elif run.stopped_at_ms is not None and run.stopped_at_ms <= now_ms:
+                self._end(run, runs.RunEnd.STOPPED)
             elif expired:
                 self._end(run, runs.RunEnd.EXPIRED)
 
@@ -137,10 +192,17 @@
             return Result.STALE
         self.highest_runs[task] = run
         cpu_millis = 0 if command.best_effort else command.cpu_millis
-        self.running[task] = FakeRun(command.ref, finish_ms, end, cpu_millis)
+        self.running[task] = FakeRun(
+            command.ref,
+            finish_ms,
+            end,
+            cpu_millis,
+            command.memory_mb,
+            command.accelerators,
+        )
         return Result.DONE
 
-    def stop(self, effect: effects.StopRun) -> Result:
+    def stop(self, effect: effects.StopRun, now_ms: float = 0.0) -> Result:
         if effect.fence < self.fence:
             return Result.FENCED
         self.fence = effect.fence
@@ -148,6 +210,10 @@
         highest = self.highest_runs.get(task, 0)
         self.highest_runs[task] = max(highest, effect.ref.run)
         current = self.running.get(task)
-        if current is not None and current.ref.run == effect.ref.run:
+        if current is None or current.ref.run != effect.ref.run:
+            return Result.DONE
+        if not self.stop_ms:
             self._end(current, runs.RunEnd.STOPPED)
+        elif current.stopped_at_ms is None:
+            current.stopped_at_ms = now_ms + self.stop_ms
         return Result.DONE
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -210,6 +210,9 @@
 
     def _unfreeze(self, node: Node) -> None:
         node.frozen = False
+        if node.name in self.workers:
+            name = self.workers[node.name].name
+            self.oracle.unfrozen_ms[name] = self.now_ms
         actions, node.backlog = node.backlog, []
         for action in actions:
             action()
@@ -522,10 +525,13 @@
     def _send_heartbeat(self, name: str) -> None:
         worker = self.workers[name]
         if worker.up_at_ms <= self.now_ms:
-            heartbeat = events.HeartbeatReceived(worker.describe())
-            self.deliver(self.nodes[name], heartbeat)
+            self.deliver_heartbeat(name)
         self.after(HEARTBEAT_MS, lambda: self._send_heartbeat(name))
 
+    def deliver_heartbeat(self, name: str) -> None:
+        heartbeat = events.HeartbeatReceived(self.workers[name].describe())
+        self.deliver(self.nodes[name], heartbeat)
+
     def _call_worker(self, node: Node, effect: Any) -> None:
         fault = self._draw_fault(effect)
         delay = self.random.uniform(1, 7)
@@ -539,7 +545,11 @@
         incarnation = node.incarnation
         if fault == "late":
             late = self.random.uniform(*LATE_MS)
-            self.after(late, lambda: self._deliver_late_to_worker(node, effect))
+            sent_ms = self.now_ms
+            self.after(
+                late,
+                lambda: self._deliver_late_to_worker(node, effect, sent_ms),
+            )
             self._schedule_event(
                 node, 1000, failure_events.build_failure_event(effect, True)
             )
@@ -566,9 +576,11 @@
         retry_delay = _to_ms(getattr(effect, "delay", effects.NO_DELAY))
         self.after(retry_delay + delay, apply_effect)
 
-    def _deliver_late_to_worker(self, node: Node, effect: Any) -> None:
+    def _deliver_late_to_worker(
+        self, node: Node, effect: Any, sent_ms: float
+    ) -> None:
         if self._is_addressed(node, effect):
-            self._deliver_to_worker(node, effect)
+            self._deliver_to_worker(node, effect, sent_ms)
 
     def _is_addressed(self, node: Node, effect: Any) -> bool:
         """Tells whether the worker incarnation that a call names is up.
@@ -581,7 +593,9 @@
         )
         return same_incarnation and worker.up_at_ms <= self.now_ms
 
-    def _deliver_to_worker(self, node: Node, effect: Any) -> Any:
+    def _deliver_to_worker(
+        self, node: Node, effect: Any, sent_ms: float | None = None
+    ) -> Any:
         worker = self.workers[node.name]
         worker.advance(self.now_ms)
         now = self.read_clock()
@@ -604,10 +618,10 @@
                 tuple(worker.ends),
             )
         if isinstance(effect, effects.StartRun):
-            result = self._start(worker, effect)
+            result = self._start(worker, effect, sent_ms)
             kind, ref = events.CommandKind.START, effect.command.ref
         elif isinstance(effect, effects.StopRun):
-            result = worker.stop(effect)
+            result = worker.stop(effect, self.now_ms)
             kind, ref = events.CommandKind.STOP, effect.ref
         else:
             result = events.CommandResult.DONE
@@ -617,7 +631,10 @@
         )
 
     def _start(
-        self, worker: worker_fake.FakeWorker, effect: effects.StartRun
+        self,
+        worker: worker_fake.FakeWorker,
+        effect: effects.StartRun,
+        sent_ms: float | None,
     ) -> events.CommandResult:
         ref = effect.command.ref
         finish_ms = self.now_ms + self._draw_work_ms(ref.task)
@@ -626,7 +643,9 @@
         already_running = ref.task in worker.running
         result = worker.start(effect, self.now_ms, finish_ms, end)
         if result is events.CommandResult.DONE and not already_running:
-            self.oracle.check_start(worker, effect.command, self.now_ms)
+            self.oracle.check_start(
+                worker, effect.command, self.now_ms, sent_ms
+            )
         return result
 
     def _draw_work_ms(self, task: runs.TaskRef) -> float:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -378,7 +378,11 @@
         if path == "/pace":
             return events.CommandResult.DONE
         call.command = types.SimpleNamespace(
-            ref=call.ref, best_effort=False, cpu_millis=1000
+            ref=call.ref,
+            best_effort=False,
+            cpu_millis=1000,
+            memory_mb=100,
+            accelerators=0,
         )
         is_known = task in self.fake.running
         work_ms = self._random.uniform(100, 900)
