Report a change of a worker's capacity at once

Callers saw work wait up to a second longer than it had to: after a worker grew, lasting tasks that fitted started only after the next periodic report, and after it shrank the holder ordered runs there that the agent refused.

Cause: a heartbeat with another capacity was stored, but it neither made a report due nor counted as a change of the worker at the holder. Now it does both, and the agent logs `worker` `resized` with the new amounts.

--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -198,10 +198,12 @@
 
 
 def _has_worker_changed(old: messages.Report, new: messages.Report) -> bool:
-    """Tells whether the state of the worker or its connection has changed."""
+    """Tells whether the worker, or the connection to it, has changed."""
     if old.answering != new.answering or old.worker is None:
         return True
-    return new.worker is None or old.worker.state is not new.worker.state
+    if new.worker is None or old.worker.state is not new.worker.state:
+        return True
+    return old.worker.capacity != new.worker.capacity
 
 
 def _adopt_orphans(
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -41,18 +41,44 @@
     emitted: EffectList = []
     if old is None or new.incarnation != old.incarnation:
         emitted += _reset_for_incarnation(state, new)
-    elif new.state is not old.state:
-        state.report_due = True
-        emitted.append(_log_worker(new, new.state.value))
+    else:
+        emitted += _handle_changes(state, old, new)
     state.worker = new
     emitted += poll_worker(state, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
-def _log_worker(worker: runs.Worker, outcome: str) -> effects.Log:
+def _handle_changes(
+    state: executor.ExecutorState, old: runs.Worker, new: runs.Worker
+) -> EffectList:
+    """Reports a changed state or capacity at once, so that plans consider it.
+
+    What runs on a worker that has shrunk goes on.
+    """
+    emitted: EffectList = []
+    if new.state is not old.state:
+        emitted.append(_log_worker(new, new.state.value))
+    if new.capacity != old.capacity:
+        amounts = (
+            ("cpu_millis", str(new.cpu_millis)),
+            ("memory_mb", str(new.memory_mb)),
+            ("accelerators", str(new.accelerators)),
+        )
+        emitted.append(_log_worker(new, "resized", amounts))
+    if emitted:
+        state.report_due = True
+    return emitted
+
+
+def _log_worker(
+    worker: runs.Worker,
+    outcome: str,
+    details: tuple[tuple[str, str], ...] = (),
+) -> effects.Log:
     inputs = (
         ("born_ms", str(worker.incarnation.started_ms)),
         ("heartbeat", str(worker.sequence)),
+        *details,
     )
     return effects.Log("worker", worker.incarnation.name, outcome, inputs)
 
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from gypsumhold.model import ids
+from gypsumhold.model import ids, resources
 from gypsumhold.model.jobs import specs
 
 RunNumber = NewType("RunNumber", int)
@@ -100,6 +100,8 @@
 class Worker(msgspec.Struct, frozen=True, array_like=True):
     """A worker as described by its latest heartbeat.
 
+    Its capacity may change while it runs.
+
     Attributes:
         incarnation: Incarnation of the worker process.
         pool: Pool that the worker belongs to.
@@ -126,6 +128,13 @@
     sequence: int = 0
     drain_left_ms: int = 0
 
+    @property
+    def capacity(self) -> resources.Resources:
+        """The whole capacity, also what runs hold."""
+        return resources.Resources(
+            self.cpu_millis, self.memory_mb, self.accelerators
+        )
+
 
 class RunRow(msgspec.Struct, frozen=True, array_like=True):
     """A run in the worker's list of running tasks.
