Order no best-effort run on a worker that is short of CPU

Callers saw a best-effort task that made no progress while its runs were refused again and again (4 to 5 times in 3 s), each with a stored batch.

Cause: the holder counted no CPU for a best-effort task, also where a worker had shrunk below what its tasks reserve; the agent starts nothing there. The holder now applies the agent's rule: the task waits, or goes elsewhere.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -168,7 +168,10 @@
         return False
     if spec.label and spec.label not in candidate.worker.labels:
         return False
-    if not spec.fills and spec.cpu_millis > candidate.cpu_millis:
+    # A worker that has shrunk may have less CPU than its tasks reserve. It
+    # then starts no best-effort task either, though that reserves none.
+    reserved_millis = 0 if spec.fills else spec.cpu_millis
+    if reserved_millis > candidate.cpu_millis:
         return False
     if spec.memory_mb > candidate.memory_mb:
         return False
