Count runs that are to stop although no job places them there

Callers saw jobs whose runs were ordered and refused by the same worker some 90 times a second, each time with a stored batch and a new run number, while tasks of a cancelled job were being stopped there.

Cause: a holder that reads a closed job does not know where its tasks ran, so it took their room as free; the same holds for a run that was stopped because a former run was done. The agent still counted them and refused. The holder now also counts the runs that a report lists and that are not placed there.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -30,7 +30,7 @@
         if not _is_usable(state, view, now):
             continue
         if view.candidate is None:
-            view.candidate = _build_candidate(view)
+            view.candidate = _build_candidate(holder_state, view)
         view.candidate.interference_estimates = (
             holder_state.optimistic_estimates
         )
@@ -56,9 +56,13 @@
 
 
 def _build_candidate(
-    view: scheduler.AgentView,
+    holder_state: scheduler.HolderState, view: scheduler.AgentView
 ) -> policies.Candidate:
-    """Returns the capacity of a worker minus that of its placed tasks."""
+    """Returns the capacity of a worker minus that of its placed tasks.
+
+    Runs that the worker still lists although they are no longer placed there
+    hold their capacity until they have ended.
+    """
     worker = view.report.worker
     assert worker is not None
     candidate = policies.Candidate(
@@ -80,9 +84,31 @@
         reserve(candidate, placed.step, ref, deferred=late, usage=usage)
     for ref, placed in view.expected.items():
         reserve(candidate, placed.step, ref, deferred=placed.job.gives_way)
+    for row in view.report.rows:
+        current = view.placed.get(row.ref.task)
+        if current is None or current.task.run != row.ref.run:
+            _reserve_former_run(holder_state, candidate, row)
     return candidate
 
 
+def _reserve_former_run(
+    holder_state: scheduler.HolderState,
+    candidate: policies.Candidate,
+    row: runs.RunRow,
+) -> None:
+    """Subtracts the request of a run that is to stop, if its job is known.
+
+    A holder that has read a closed job does not know where its tasks ran.
+    """
+    ref = row.ref.task
+    job = holder_state.jobs.get(ref.job_id)
+    if job is None or not 0 <= ref.step < len(job.spec.steps):
+        return
+    spec = job.spec.steps[ref.step]
+    step = progress.Step(spec, ref.repetition, ref.step, [])
+    reserve(candidate, step, ref, usage=row.usage)
+
+
 def reserve(
     candidate: policies.Candidate,
     step: progress.Step,
