Known red: a gang waits for a member that was refused

Callers see a gang that waits until its runs give up, and an end `alone` without a disturbance breaks the rule GANG: a worker shrinks between plan and order, its agent refuses the member, and the others go on without it.

--- a/tests/jobs/test_resizing.py
+++ b/tests/jobs/test_resizing.py
@@ -368,3 +368,31 @@
     assert inputs["cpu_millis"] == str(capacity.cpu_millis)
     assert inputs["memory_mb"] == str(capacity.memory_mb)
     assert inputs["accelerators"] == str(capacity.accelerators)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_gang_does_not_wait_for_a_member_that_was_refused(seed: int) -> None:
+    """Guards against a gang that waits until its runs give up (rule GANG).
+
+    The member whose worker shrank was refused, and could only start again with
+    all the others, which waited for it.
+    """
+    world = build_world(seed)
+    for worker in world.workers.values():
+        worker.stuck = True
+    gang = specs.StepSpec(8, 1500, 1000, estimate_ms=1000, gang=True)
+    submit(world, JOB, gang)
+    chosen, _ = wait_for_plan(world)
+    resize(world, chosen, resources.Resources(4000, 64_000, 8))
+    world.run(SOON_MS)
+    assert count_refusals(world) > 0
+    assert not list_running(world, JOB)
+    resize(world, chosen, FULL)
+    world.run(SOON_MS)
+    assert len(list_running(world, JOB)) == gang.count
+    numbers = {
+        run.ref.run
+        for worker in world.workers.values()
+        for run in worker.running.values()
+    }
+    assert len(numbers) == 1
