Stop the other runs of a gang that has lost a member

Cause: a released member becomes ready, but the gang only starts again as a whole, and nothing stopped the runs that were left. Directives now list them as stops; their agents get them with the next push or report, so with the periodic report at the latest if a start was not reported before.

The bound of the test, added red with 400 ms, is 1500 ms, because a start alone is not reported at once; without the change it fails at 1500 ms as well.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -145,6 +145,8 @@
     placed = view.placed.get(ref.task)
     if placed is None or placed.task.run != ref.run:
         return False
+    if placed.step.lacks_gang_member():
+        return False
     return placed.job.is_open() and not placed.task.migrating
 
 
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -206,7 +206,8 @@
 ) -> None:
     """Removes a task from its instance.
 
-    The task becomes ready again, or is closed if its job has ended.
+    The task becomes ready again, or is closed if its job has ended. The next
+    directives stop the other runs of a gang.
     """
     view = holder_state.agents.get(placed.task.instance)
     if view is not None:
@@ -222,6 +223,10 @@
         records.TaskState.READY if is_open else records.TaskState.CLOSED
     )
     placed.task.reported = False
+    if placed.step.spec.gang:
+        holder_state.changed_instances.update(
+            task.instance for task in placed.step.tasks if task.is_placed()
+        )
     holder_state.plan_due = True
     mark_dirty(holder_state, placed.job)
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -120,6 +120,15 @@
         """Tells whether every task is done."""
         return all(task.state is records.TaskState.DONE for task in self.tasks)
 
+    def lacks_gang_member(self) -> bool:
+        """Tells whether this is a gang in which a task has no run.
+
+        Its runs cannot work, and it only starts again as a whole.
+        """
+        return self.spec.gang and any(
+            task.state is records.TaskState.READY for task in self.tasks
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outlook:
--- a/tests/jobs/test_resizing.py
+++ b/tests/jobs/test_resizing.py
@@ -31,6 +31,10 @@
 SOON_MS = 400
 """A report, a batch, a push and a start, with the time of each call."""
 
+GANG_STOP_MS = 1500
+"""A periodic report, which lists runs that have started, and such calls. The
+runs of a gang give up after 3000 ms."""
+
 STOP_MS = 2000
 LONG_STOP_MS = 9000
 """Long enough for another entry to take the queue meanwhile."""
@@ -384,7 +388,7 @@
     submit(world, JOB, gang)
     chosen, _ = wait_for_plan(world)
     resize(world, chosen, resources.Resources(4000, 64_000, 8))
-    world.run(SOON_MS)
+    world.run(GANG_STOP_MS)
     assert count_refusals(world) > 0
     assert not list_running(world, JOB)
     resize(world, chosen, FULL)
