Known red: a done gang has a ready task again

Callers see a job that never ends: one run of a gang was done, which stands for all, and the worker of another run is lost before it lists its end.

Seen in tests/jobs/test_regressions.py, test_gang_stays_done_when_a_worker_is _lost_afterwards: the stored record of the done step has a ready task.

--- a/tests/jobs/test_regressions.py
+++ b/tests/jobs/test_regressions.py
@@ -305,3 +305,30 @@
         )
         run_ends.handle_run_end(holder_state, view, end, world.read_clock())
     assert placed.job.state is messages.JobState.FAILED
+
+
+def test_gang_stays_done_when_a_worker_is_lost_afterwards() -> None:
+    """Guards against a job that never ends (rule LOST).
+
+    The end of one run stands for the whole gang. The worker of another run
+    restarted before it listed that run's end, and its task was ready again.
+    """
+    world = worlds.World(14, agents=2)
+    world.run(3000)
+    gang = specs.StepSpec(2, 6000, 1000, estimate_ms=1000, gang=True)
+    last = specs.StepSpec(1, 1000, 1000, estimate_ms=1000, after=(0,))
+    world.submit("entry-0", worlds.build_job_of(JOB, (gang, last)))
+    world.run(200)
+    first, second = world.workers.values()
+    for run in first.running.values():
+        run.finish_ms = world.now_ms
+    for run in second.running.values():
+        run.finish_ms = 1e9
+    assert first.running
+    assert second.running
+    world.run(1000)
+    second.restart(world.now_ms, 500)
+    world.run(20_000)
+    assert world.store.progress[JOB].state is messages.JobState.COMPLETED
+    starts = [ref.task.step for ref in world.oracle.started]
+    assert starts.count(0) == gang.count
