Leave the tasks of a done gang done

Callers saw a job that never ended: one run of a gang was done, which stands for all of them, then the worker of another run was lost before it listed its end. The task of that run became ready again, alone in a gang that only starts as a whole.

Cause: a released task became ready whatever its state. A task that is done now stays done; it only leaves its instance.

--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -206,7 +206,8 @@
 ) -> None:
     """Removes a task from its instance.
 
-    The task becomes ready again, or is closed if its job has ended. The next
+    The task becomes ready again, or is closed if its job has ended; a task that
+    is done by the end of another run of its gang stays done. The next
     directives stop the other runs of a gang.
     """
     view = holder_state.agents.get(placed.task.instance)
@@ -219,9 +220,10 @@
     if orphans is not None:
         orphans.pop(ref, None)
     is_open = placed.job.is_open()
-    placed.task.state = (
-        records.TaskState.READY if is_open else records.TaskState.CLOSED
-    )
+    if not placed.task.is_done():
+        placed.task.state = (
+            records.TaskState.READY if is_open else records.TaskState.CLOSED
+        )
     placed.task.reported = False
     if placed.step.spec.gang:
         holder_state.changed_instances.update(
