Known red: a start into room that a stopped run still holds

Callers see the rule LIMIT broken if a worker does not list a run as running while it stops it: the agent drops a run that is in neither list, and the next holder does not know where the tasks of a closed job ran.

--- a/tests/jobs/test_resizing.py
+++ b/tests/jobs/test_resizing.py
@@ -8,7 +8,7 @@
 import pytest
 
 from gypsumhold.model import resources
-from gypsumhold.model.jobs import effects, messages, specs
+from gypsumhold.model.jobs import effects, events, messages, specs
 from tests.jobs import test_regressions, test_world
 from tests.jobs import world as worlds
 
@@ -400,3 +400,28 @@
         for run in worker.running.values()
     }
     assert len(numbers) == 1
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_stopped_run_counts_until_its_end_is_listed(seed: int) -> None:
+    """Guards against starts into room that is not free yet (rule LIMIT).
+
+    The worker no longer lists a run as running once it is being stopped, and
+    the next holder does not know where the tasks of a closed job ran.
+    """
+    world = build_world(seed, agents=1)
+    worker = world.workers["agent-0"]
+    worker.stop_ms = 1800
+    worker.hides_stopping = True
+    full_step = specs.StepSpec(8, 1000, 8000, 1, long_running=True)
+    submit(world, JOB, full_step)
+    world.run(1500)
+    holder = test_regressions.find_holder(world)
+    world.send_query(holder.name, messages.QueryKind.CANCEL, JOB)
+    world.run(150)
+    world.deliver(holder, events.SchedulerStopping())
+    world.run(20)
+    other = next(name for name in ("entry-0", "entry-1") if name != holder.name)
+    world.submit(other, worlds.build_job_of(LATER, (STEP,)))
+    world.run(SETTLE_MS)
+    check_completed(world, LATER)
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -55,6 +55,7 @@
         stuck: Whether no run finishes by itself.
         draining: Whether heartbeats report a drain.
         stop_ms: How long a run goes on after a stop command.
+        hides_stopping: Whether runs that are being stopped are not listed.
         former_capacities: Capacities before each change, with its time.
     """
 
@@ -81,6 +82,7 @@
     stuck: bool = False
     draining: bool = False
     stop_ms: float = 0.0
+    hides_stopping: bool = False
     former_capacities: list[tuple[float, resources.Resources]] = (
         dataclasses.field(default_factory=list)
     )
@@ -105,6 +107,13 @@
                 largest = largest.take_larger(capacity)
         return largest
 
+    def list_runs(self) -> tuple[runs.RunRow, ...]:
+        return tuple(
+            runs.RunRow(run.ref)
+            for run in self.running.values()
+            if not (self.hides_stopping and run.stopped_at_ms is not None)
+        )
+
     def sum_requests(self) -> resources.Resources:
         """Returns what all runs reserve, also those that are being stopped."""
         total = resources.NOTHING
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -605,9 +605,7 @@
             listed = list(worker.ends)
             result = worker.poll(effect, self.now_ms)
             self.oracle.check_discarded_ends(worker, listed)
-            rows = tuple(
-                runs.RunRow(run.ref) for run in worker.running.values()
-            )
+            rows = worker.list_runs()
             return events.WorkerPolled(
                 effect.worker.incarnation,
                 effect.fence,
