Count a stopped run until its end is listed

Callers saw the rule LIMIT broken where a worker does not list a run as running while it stops it, and the queue was handed over meanwhile.

Cause: the agent dropped a running run that was in neither list, as if its end had been acknowledged. A run that was told to stop now stays, and holds its capacity, until its end is listed, for at most 2 s.

--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -16,6 +16,10 @@
 """Delay between polls while the worker lists ends that the holder has not
 acknowledged; the worker then answers without waiting."""
 
+MAX_STOP_TIME = datetime.timedelta(seconds=2)
+"""Longest time from the moment when a stopped run is no longer listed as
+running until its end is listed."""
+
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -271,12 +275,13 @@
             state.report_due = True
             emitted.append(_log_found_run(row))
         local_run.row = row
+        local_run.unlisted_since = None
         if local_run.state is not executor.LocalState.RUNNING:
             local_run.state = executor.LocalState.RUNNING
             local_run.confirmed_at = now
     for local_run in list(state.active.values()):
         if local_run.ref not in listed:
-            emitted += _handle_missing_run(state, local_run, event)
+            emitted += _handle_missing_run(state, local_run, event, now)
     return emitted
 
 
@@ -289,12 +294,14 @@
     state: executor.ExecutorState,
     local_run: executor.LocalRun,
     event: events.WorkerPolled,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Handles a run that the worker does not list.
 
     A start in doubt is refused if the poll had the fence that decides it. A
     running run has ended, and is dropped, if the poll was sent after its start
-    was confirmed. Runs in other states are left as they are.
+    was confirmed. While it is being stopped, it still holds its capacity until
+    its end is listed. Runs in other states are left as they are.
     """
     assert event.clock is not None
     if local_run.state is executor.LocalState.IN_DOUBT:
@@ -304,7 +311,12 @@
             )
         return []
     running = local_run.state is executor.LocalState.RUNNING
-    if running and event.clock.sent_at > local_run.confirmed_at:
+    if not running or event.clock.sent_at <= local_run.confirmed_at:
+        return []
+    if local_run.unlisted_since is None:
+        local_run.unlisted_since = now
+    stops_until = local_run.unlisted_since + MAX_STOP_TIME
+    if not local_run.stop_sent or now >= stops_until:
         # The run has ended, and its end was acknowledged earlier.
         del state.active[local_run.ref]
     return []
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -82,6 +82,8 @@
         fence: Least fence of a poll that decides a start in doubt.
         confirmed_at: When the start was confirmed.
         stop_sent: Whether a stop command is unanswered or was carried out.
+        unlisted_since: Since when the worker has no longer listed the run as
+            running; None if it lists it.
         throttle_percent: Percent of full speed that was last commanded; -1 if
             unknown, so that the next throttling sends it again.
     """
@@ -94,6 +96,7 @@
     fence: int = 0
     confirmed_at: datetime.timedelta = ZERO
     stop_sent: bool = False
+    unlisted_since: datetime.timedelta | None = None
     throttle_percent: int = 100
 
 
