--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -208,8 +208,9 @@
 ) -> None:
     """Removes a task from its instance.
 
-    The task becomes ready again, or is closed if its job has ended. A task that
-    was done with its gang stays done.
+    The task becomes ready again, or is closed if its job has ended; a task that
+    is done by the end of another run of its gang stays done. The next
+    directives stop the other runs of a gang.
     """
     view = holder_state.agents.get(placed.task.instance)
     if view is not None:
@@ -220,12 +221,16 @@
     orphans = holder_state.orphans.get(placed.task.instance)
     if orphans is not None:
         orphans.pop(ref, None)
+    is_open = placed.job.is_open()
     if not placed.task.is_done():
-        is_open = placed.job.is_open()
         placed.task.state = (
             records.TaskState.READY if is_open else records.TaskState.CLOSED
         )
     placed.task.reported = False
+    if placed.step.spec.gang:
+        holder_state.changed_instances.update(
+            task.instance for task in placed.step.tasks if task.is_placed()
+        )
     holder_state.plan_due = True
     mark_dirty(holder_state, placed.job)
 
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -16,6 +16,10 @@
 """Delay between polls while the worker lists ends that the holder has not
 acknowledged; the worker then answers without waiting."""
 
+MAX_STOP_TIME = datetime.timedelta(seconds=2)
+"""Longest time from the moment when a stopped run is no longer listed as
+running until its end is listed."""
+
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -41,9 +45,8 @@
     emitted: EffectList = []
     if old is None or new.incarnation != old.incarnation:
         emitted += _reset_for_incarnation(state, new)
-    elif new.state is not old.state:
-        state.report_due = True
-        emitted.append(_log_worker(new, new.state.value))
+    else:
+        emitted += _handle_changes(state, old, new)
     if state.worker_left:
         # A worker that has left sends no heartbeats: the notice was that of
         # its former incarnation, under the same name.
@@ -67,10 +70,37 @@
     return state.polled and not leases.have_runs_ended(state, now)
 
 
-def _log_worker(worker: runs.Worker, outcome: str) -> effects.Log:
+def _handle_changes(
+    state: executor.ExecutorState, old: runs.Worker, new: runs.Worker
+) -> EffectList:
+    """Reports a changed state or capacity at once, so that plans consider it.
+
+    What runs on a worker that has shrunk goes on.
+    """
+    emitted: EffectList = []
+    if new.state is not old.state:
+        emitted.append(_log_worker(new, new.state.value))
+    if new.capacity != old.capacity:
+        amounts = (
+            ("cpu_millis", str(new.cpu_millis)),
+            ("memory_mb", str(new.memory_mb)),
+            ("accelerators", str(new.accelerators)),
+        )
+        emitted.append(_log_worker(new, "resized", amounts))
+    if emitted:
+        state.report_due = True
+    return emitted
+
+
+def _log_worker(
+    worker: runs.Worker,
+    outcome: str,
+    details: tuple[tuple[str, str], ...] = (),
+) -> effects.Log:
     inputs = (
         ("born_ms", str(worker.incarnation.started_ms)),
         ("heartbeat", str(worker.sequence)),
+        *details,
     )
     return effects.Log("worker", worker.incarnation.name, outcome, inputs)
 
@@ -264,12 +294,13 @@
             state.report_due = True
             emitted.append(_log_found_run(row))
         local_run.row = row
+        local_run.unlisted_since = None
         if local_run.state is not executor.LocalState.RUNNING:
             local_run.state = executor.LocalState.RUNNING
             local_run.confirmed_at = now
     for local_run in list(state.active.values()):
         if local_run.ref not in listed:
-            emitted += _handle_missing_run(state, local_run, event)
+            emitted += _handle_missing_run(state, local_run, event, now)
     return emitted
 
 
@@ -282,12 +313,14 @@
     state: executor.ExecutorState,
     local_run: executor.LocalRun,
     event: events.WorkerPolled,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Handles a run that the worker does not list.
 
     A start in doubt is refused if the poll had the fence that decides it. A
     running run has ended, and is dropped, if the poll was sent after its start
-    was confirmed. Runs in other states are left as they are.
+    was confirmed. While it is being stopped, it still holds its capacity until
+    its end is listed. Runs in other states are left as they are.
     """
     assert event.clock is not None
     if local_run.state is executor.LocalState.IN_DOUBT:
@@ -297,7 +330,12 @@
             )
         return []
     running = local_run.state is executor.LocalState.RUNNING
-    if running and event.clock.sent_at > local_run.confirmed_at:
+    if not running or event.clock.sent_at <= local_run.confirmed_at:
+        return []
+    if local_run.unlisted_since is None:
+        local_run.unlisted_since = now
+    stops_until = local_run.unlisted_since + MAX_STOP_TIME
+    if not local_run.stop_sent or now >= stops_until:
         # The run has ended, and its end was acknowledged earlier.
         del state.active[local_run.ref]
     return []
