Turn every failure to decode foreign bytes into a typed error

Agents that read one deeply nested row among the entries knew no entry at all: the read ended in a RecursionError, was reported as failed and was repeated for ever. Loading and following jobs, and the polls of the holder's row, ended in the same way. Cause: the codec of rows and messages caught the errors of msgspec only, and the codec of documents had a list of its own. Change: adapters/decoding.py decodes for both, and knows all exceptions.

--- a/src/gypsumhold/adapters/jobs/codec.py
+++ b/src/gypsumhold/adapters/jobs/codec.py
@@ -1,15 +1,18 @@
 """Encodes table rows and messages between processes as MessagePack."""
 
+import functools
 from typing import Any, TypeVar
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
+from gypsumhold.adapters import decoding
 from gypsumhold.model import errors
 from gypsumhold.model.jobs import messages
 
 _Value = TypeVar("_Value")
 
+_ADVICE = "run compatible versions in all processes"
 _ENCODER = msgspec.msgpack.Encoder()
 _MESSAGE_DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(
     messages.Message
@@ -25,23 +28,14 @@
     data: bytes, value_type: type[_Value]
 ) -> Result[_Value, errors.Error]:
     """Decodes a row or message of type `value_type`."""
-    try:
-        return Success(msgspec.msgpack.decode(data, type=value_type))
-    except msgspec.MsgspecError as problem:
-        return Failure(_build_error(problem))
+    decode_value = functools.partial(msgspec.msgpack.decode, type=value_type)
+    # A union of types has no name.
+    name = getattr(value_type, "__name__", str(value_type))
+    return decoding.decode_foreign(decode_value, data, name, _ADVICE)
 
 
 def decode_message(data: bytes) -> Result[messages.Message, errors.Error]:
     """Decodes a message, whose type is given by its tag."""
-    try:
-        return Success(_MESSAGE_DECODER.decode(data))
-    except msgspec.MsgspecError as problem:
-        return Failure(_build_error(problem))
-
-
-def _build_error(problem: msgspec.MsgspecError) -> errors.Error:
-    return errors.Error(
-        errors.ErrorKind.DECODING,
-        str(problem),
-        "run compatible versions in all processes",
+    return decoding.decode_foreign(
+        _MESSAGE_DECODER.decode, data, "message", _ADVICE
     )
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -4,11 +4,13 @@
 are in camel case. A comment explains a field whose name is not clear.
 """
 
+import functools
 from typing import TypeVar
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
+from gypsumhold.adapters import decoding
 from gypsumhold.model import errors
 
 _Document = TypeVar("_Document")
@@ -342,18 +344,14 @@
     Returns:
         The document, or an error of kind DECODING.
     """
-    try:
-        return Success(
-            msgspec.json.decode(data, type=document_type, strict=False)
-        )
-    except (msgspec.MsgspecError, ValueError, RecursionError) as problem:
-        return Failure(
-            errors.Error(
-                errors.ErrorKind.DECODING,
-                f"not a valid {document_type.__name__}: {problem}",
-                "send the document in the platform's documented format",
-            )
-        )
+    return decoding.decode_foreign(
+        functools.partial(
+            msgspec.json.decode, type=document_type, strict=False
+        ),
+        data,
+        document_type.__name__,
+        "send the document in the platform's documented format",
+    )
 
 
 def render(document: PlatformDocument) -> bytes:
