Refuse hosts and ports that no call can reach, where they are decoded

An entry, a holder or an agent with the port 70000, -5 or 2^62, or a host that is no name, was used like any other. A call to port 70000 goes to port 4464 of that host, as the resolver takes the port modulo 65536; a port of 2^64-1 and a label of 70 characters raise errors that are no OSError. Cause: an endpoint took any integer and any text. Change: the type of an endpoint bounds both, so that decoding refuses the row or message; the Thrift messages of the product bound their ports in the same way, and 0 is no port to call.

--- a/src/gypsumhold/adapters/thrift_fields.py
+++ b/src/gypsumhold/adapters/thrift_fields.py
@@ -14,12 +14,11 @@
 from thrift import Thrift
 
 from gypsumhold.adapters.generated.wire import ttypes
-from gypsumhold.model import errors, resources, states
+from gypsumhold.model import errors, members, resources, states
 
 _Enum = TypeVar("_Enum", bound=enum.Enum)
 _Value = TypeVar("_Value")
 _MICROSECOND = datetime.timedelta(microseconds=1)
-_MAX_PORT = 65535
 
 
 class EnumTable(dict[int, _Enum]):
@@ -29,12 +28,12 @@
     ValueError.
     """
 
-    def __init__(self, members: type[_Enum], thrift_enum: Any) -> None:
+    def __init__(self, model_enum: type[_Enum], thrift_enum: Any) -> None:
         super().__init__(
-            {int(thrift_enum[member.name]): member for member in members}
+            {int(thrift_enum[member.name]): member for member in model_enum}
         )
         self.numbers = {member: number for number, member in self.items()}
-        self._name = members.__name__
+        self._name = model_enum.__name__
 
     def __missing__(self, number: int) -> _Enum:
         raise ValueError(f"{number} is not a valid {self._name}")
@@ -102,8 +101,8 @@
     """Returns `port` if it is a valid TCP or UDP port.
 
     Raises:
-        ValueError: It is outside the range from 0 to 65535.
+        ValueError: It is outside the range from 1 to 65535.
     """
-    if not 0 <= port <= _MAX_PORT:
+    if not members.MIN_PORT <= port <= members.MAX_PORT:
         raise ValueError(f"{port} is not a valid port")
     return port
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -1,18 +1,34 @@
 """Messages between the processes of the job subsystem."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import runs, specs
 
+MAX_HOST_LENGTH = 253
+HOST_PATTERN = (
+    r"\A(?:[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*"
+    r"|[0-9A-Fa-f]*:[0-9A-Fa-f:]+)\Z"
+)
+"""A name or an IPv4 address, in labels of 1 to 63 characters; or IPv6."""
+
+Host = Annotated[
+    str, msgspec.Meta(pattern=HOST_PATTERN, max_length=MAX_HOST_LENGTH)
+]
+Port = Annotated[int, msgspec.Meta(ge=members.MIN_PORT, le=members.MAX_PORT)]
+
 
 class Endpoint(msgspec.Struct, frozen=True, array_like=True):
-    """Encoded address at which a process answers other processes."""
+    """Encoded address at which a process answers other processes.
+
+    Decoding refuses a host or a port that no call can reach.
+    """
 
-    host: str
-    port: int
+    host: Host
+    port: Port
 
     def build_address(self) -> members.Address:
         """Returns the endpoint as an address."""
--- a/src/gypsumhold/model/members.py
+++ b/src/gypsumhold/model/members.py
@@ -5,6 +5,9 @@
 
 from gypsumhold.model import ids, requests, resources, states
 
+MIN_PORT = 1
+MAX_PORT = 65_535
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
--- a/src/gypsumhold/platform/heartbeats.py
+++ b/src/gypsumhold/platform/heartbeats.py
@@ -4,14 +4,13 @@
 from returns.result import Failure, Success
 
 from gypsumhold.adapters import engine, http_routes
-from gypsumhold.model import errors, ids
+from gypsumhold.model import errors, ids, members
 from gypsumhold.model.jobs import events, executor, runs, specs
 from gypsumhold.platform import documents
 
 _LOG = logbook.Logger("gypsumhold.platform.heartbeats")
 
 PREFIX = "/instances/"
-MAX_PORT = 65535
 _STATES = {
     "ready": runs.WorkerState.READY,
     "draining": runs.WorkerState.DRAINING,
@@ -96,5 +95,10 @@
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
     is_number = port.isascii() and port.isdecimal()
-    is_short = len(port) <= len(str(MAX_PORT))
-    return bool(host) and is_number and is_short and 0 < int(port) <= MAX_PORT
+    is_short = len(port) <= len(str(members.MAX_PORT))
+    return (
+        bool(host)
+        and is_number
+        and is_short
+        and members.MIN_PORT <= int(port) <= members.MAX_PORT
+    )
