Let a call to an impossible address fail like any other

A port of 2^64 or a host with a label of 70 characters raised an OverflowError or a UnicodeError through the pool of connections and the HTTP client; the first odd address ended the sending of announcements to the others. A heartbeat with such a host made the agent fail to build a client with each poll. Cause: the clauses around a connect named OSError only, and the address of a heartbeat was checked for its port, not for its host. Change: a connect turns these errors into the failure of the call, with a log line; heartbeats are checked as endpoints are.

--- a/src/gypsumhold/adapters/datagrams.py
+++ b/src/gypsumhold/adapters/datagrams.py
@@ -89,7 +89,9 @@
         for address in addresses:
             try:
                 self._socket.sendto(datagram, (address.host, address.port))
-            except OSError as problem:
+            # An invalid host or port is no OSError, and a null character in
+            # the host is a TypeError.
+            except (OSError, ValueError, OverflowError, TypeError) as problem:
                 _log.warning(
                     "cannot send the announcement to {}: {}", address, problem
                 )
--- a/src/gypsumhold/adapters/framing.py
+++ b/src/gypsumhold/adapters/framing.py
@@ -68,10 +68,15 @@
 
         Raises:
             OSError: The peer refuses the connection or does not answer in time.
+            ConnectionFailedError: The address is invalid.
         """
-        sock = socket.create_connection(
-            (address.host, address.port), deadline.get_remaining_seconds()
-        )
+        try:
+            sock = socket.create_connection(
+                (address.host, address.port), deadline.get_remaining_seconds()
+            )
+        # A host that is no name, or a port that fits no machine word.
+        except (ValueError, OverflowError) as problem:
+            raise ConnectionFailedError(f"connect: {problem}") from problem
         return cls(sock, max_message)
 
     def write(self, data: bytes, deadline: Deadline) -> None:
--- a/src/gypsumhold/adapters/http_client.py
+++ b/src/gypsumhold/adapters/http_client.py
@@ -13,11 +13,14 @@
 from types import MappingProxyType
 from typing import Any
 
+import logbook
 import urllib3
 from returns.result import Failure, Result, Success
 
 from gypsumhold.model import members
 
+_LOG = logbook.Logger("gypsumhold.http_client")
+
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 """Limit on the size of a reply, so that a faulty peer cannot exhaust memory."""
 
@@ -65,6 +68,11 @@
     """Calls one peer over a pool of connections; safe for several threads."""
 
     def __init__(self, options: CallOptions) -> None:
+        """Creates a client without connections.
+
+        Raises:
+            ValueError: The host is empty or has characters that no host has.
+        """
         self._options = options
         self._lock = threading.Lock()
         self._pool = _build_pool(options)
@@ -150,7 +158,14 @@
             return Failure(
                 CallFailure.NOT_SENT if refused else CallFailure.UNKNOWN
             )
-        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+        # An invalid host or port is no OSError.
+        except (
+            urllib3.exceptions.HTTPError,
+            OSError,
+            ValueError,
+            OverflowError,
+        ) as problem:
+            _LOG.info("call to {} failed: {}", self._options.address, problem)
             return Failure(CallFailure.UNKNOWN)
 
     def call_json(
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -1,6 +1,7 @@
 """Messages between the processes of the job subsystem."""
 
 import enum
+import re
 from typing import Annotated
 
 import msgspec
@@ -35,6 +36,12 @@
         return members.Address(self.host, self.port)
 
 
+def is_reachable(host: str, port: int) -> bool:
+    """Tells whether an endpoint may have this host and this port."""
+    is_host = len(host) <= MAX_HOST_LENGTH and re.search(HOST_PATTERN, host)
+    return bool(is_host) and members.MIN_PORT <= port <= members.MAX_PORT
+
+
 class Report(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Report of an agent to the holder of the queue.
 
--- a/src/gypsumhold/platform/heartbeats.py
+++ b/src/gypsumhold/platform/heartbeats.py
@@ -5,7 +5,7 @@
 
 from gypsumhold.adapters import engine, http_routes
 from gypsumhold.model import errors, ids, members
-from gypsumhold.model.jobs import events, executor, runs, specs
+from gypsumhold.model.jobs import events, executor, messages, runs, specs
 from gypsumhold.platform import documents
 
 _LOG = logbook.Logger("gypsumhold.platform.heartbeats")
@@ -95,10 +95,6 @@
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
     is_number = port.isascii() and port.isdecimal()
-    is_short = len(port) <= len(str(members.MAX_PORT))
-    return (
-        bool(host)
-        and is_number
-        and is_short
-        and members.MIN_PORT <= int(port) <= members.MAX_PORT
-    )
+    if not is_number or len(port) > len(str(members.MAX_PORT)):
+        return False
+    return messages.is_reachable(host.strip("[]"), int(port))
--- a/tests/jobs/test_odd_numbers.py
+++ b/tests/jobs/test_odd_numbers.py
@@ -102,6 +102,17 @@
         assert status == 400
 
 
+def test_heartbeat_with_an_odd_address_is_refused() -> None:
+    """Guards against a client that cannot be built, with each poll."""
+    agent = Agent()
+    for host in ("", "x" * 70, "a..b", "a\0b", "a b", "h" * 60_000):
+        status = agent.send_heartbeat(sequence=5, address=f"{host}:8080")
+        assert status == 400
+    for host in ("10.0.0.1", "[fd00::1]", "worker-1.example"):
+        status = agent.send_heartbeat(sequence=5, address=f"{host}:8080")
+        assert status == 200
+
+
 GOOD_RUNNING = ["5c0e7a21d94b36f8.0.1.18", 1, "", 4, 2]
 GOOD_ENDED = [59, "5c0e7a21d94b36f8.0.1.19", 1, "done", ""]
 TASK = "5c0e7a21d94b36f8.0.1.17"
