Log a row that cannot be read once, not with each read

Every entry reads the holder's row about twice a second, so that one unreadable row wrote lines at error level for as long as it stayed; an unreadable entry or job was logged with each read of its list. Change: RowReader decodes the rows of the store and logs each version of a row once.

--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -8,7 +8,6 @@
 import datetime
 import zlib
 from concurrent import futures
-from typing import TypeVar
 
 import logbook
 from returns.result import Failure, Success
@@ -16,10 +15,9 @@
 from gypsumhold.adapters.jobs import codec, interfaces
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import events, records, specs, storage
-from gypsumhold.platform import documents, table
+from gypsumhold.platform import documents, row_reader, table
 
 _LOG = logbook.Logger("gypsumhold.platform.jobstore")
-_Record = TypeVar("_Record")
 
 HOLDER_TABLE = "holder"
 ENTRY_TABLE = "entries"
@@ -56,6 +54,7 @@
     def __init__(self, client: table.TableClient) -> None:
         """Creates a store that uses `client` for all calls."""
         self._client = client
+        self._reader = row_reader.RowReader()
 
     def write_job(self, spec: specs.JobSpec) -> storage.WriteResult:
         """Stores a submission; CONFLICT if a job with its id exists."""
@@ -76,7 +75,7 @@
         progress = self._client.read(PROGRESS_TABLE, QUEUE_PART, job_id, end)
         if progress is None:
             return None
-        return _join_rows(jobs.rows, progress.rows).get(
+        return self._join_rows(jobs.rows, progress.rows).get(
             job_id, storage.JobRows(None)
         )
 
@@ -108,7 +107,7 @@
     def read_holder(self) -> storage.HolderRow | None:
         """Returns the holder's row, or None if the read failed."""
         page = self._client.read(HOLDER_TABLE, QUEUE_PART, HOLDER_KEY)
-        return None if page is None else _find_holder(page.rows)
+        return None if page is None else self._find_holder(page.rows)
 
     def take_queue(
         self,
@@ -152,7 +151,7 @@
         )
         current = None
         if outcome.result is storage.WriteResult.CONFLICT:
-            current = _find_holder(outcome.rows)
+            current = self._find_holder(outcome.rows)
         return storage.HolderWrite(outcome.result, outcome.version, current)
 
     def load_jobs(self) -> storage.LoadedJobs | None:
@@ -175,7 +174,7 @@
             return None
         rows = tuple(row for part_rows in parts for row in part_rows.rows)
         versions = [part_rows.row_version for part_rows in (progress, *parts)]
-        joined = _join_rows(rows, progress.rows)
+        joined = self._join_rows(rows, progress.rows)
         leftover_progress = tuple(
             specs.JobId(row.key)
             for row in progress.rows
@@ -208,7 +207,7 @@
             return None
         if feed.result is events.ReadResult.GAP:
             return storage.JobChanges(gap=True)
-        joined = _join_rows(feed.rows, ())
+        joined = self._join_rows(feed.rows, ())
         cancelled = tuple(
             specs.JobId(row.key.removesuffix(CANCEL_SUFFIX))
             for row in feed.rows
@@ -249,7 +248,8 @@
             record
             for row in rows
             if not row.deleted
-            if (record := _decode(row, records.EntryRecord)) is not None
+            if (record := self._reader.decode(row, records.EntryRecord))
+            is not None
         ]
         return storage.EntryChanges(tuple(entries), version)
 
@@ -276,6 +276,44 @@
             events.ReadResult.DONE,
         )
 
+    def _find_holder(
+        self, rows: tuple[documents.Row, ...]
+    ) -> storage.HolderRow:
+        for row in rows:
+            if row.key == HOLDER_KEY and not row.deleted:
+                record = self._reader.decode(row, records.HolderRecord)
+                version = ids.RowVersion(row.row_version)
+                return storage.HolderRow(version, record)
+        return storage.HolderRow(ids.RowVersion(0), None)
+
+    def _join_rows(
+        self,
+        rows: tuple[documents.Row, ...],
+        progress: tuple[documents.Row, ...],
+    ) -> dict[specs.JobId, storage.JobRows]:
+        """Returns submission, cancellation and progress of each job."""
+        progress_by_key = {
+            row.key: self._reader.decode(row, records.ProgressRecord)
+            for row in progress
+        }
+        cancelled = {
+            row.key.removesuffix(CANCEL_SUFFIX)
+            for row in rows
+            if row.key.endswith(CANCEL_SUFFIX) and not row.deleted
+        }
+        joined = {}
+        for row in rows:
+            if row.deleted or row.key.endswith(CANCEL_SUFFIX):
+                continue
+            record = self._reader.decode(row, records.JobRecord)
+            if record is not None:
+                joined[record.spec.job_id] = storage.JobRows(
+                    record.spec,
+                    progress_by_key.get(row.key),
+                    row.key in cancelled,
+                )
+        return joined
+
 
 def find_part(job_id: specs.JobId) -> str:
     """Returns the part of the job table that holds a job's submission."""
@@ -286,52 +324,6 @@
     return f"jobs-{number}"
 
 
-def _decode(row: documents.Row, record_type: type[_Record]) -> _Record | None:
-    decoded = codec.decode(row.value, record_type)
-    if not isinstance(decoded, Success):
-        _LOG.error(
-            "cannot decode row {} of table {}: {}",
-            row.key,
-            row.table,
-            decoded.failure(),
-        )
-        return None
-    record: _Record = decoded.unwrap()
-    return record
-
-
-def _find_holder(rows: tuple[documents.Row, ...]) -> storage.HolderRow:
-    for row in rows:
-        if row.key == HOLDER_KEY and not row.deleted:
-            record = _decode(row, records.HolderRecord)
-            return storage.HolderRow(ids.RowVersion(row.row_version), record)
-    return storage.HolderRow(ids.RowVersion(0), None)
-
-
-def _join_rows(
-    rows: tuple[documents.Row, ...], progress: tuple[documents.Row, ...]
-) -> dict[specs.JobId, storage.JobRows]:
-    """Returns submission, cancellation and progress of each submitted job."""
-    progress_by_key = {
-        row.key: _decode(row, records.ProgressRecord) for row in progress
-    }
-    cancelled = {
-        row.key.removesuffix(CANCEL_SUFFIX)
-        for row in rows
-        if row.key.endswith(CANCEL_SUFFIX) and not row.deleted
-    }
-    joined = {}
-    for row in rows:
-        if row.deleted or row.key.endswith(CANCEL_SUFFIX):
-            continue
-        record = _decode(row, records.JobRecord)
-        if record is not None:
-            joined[record.spec.job_id] = storage.JobRows(
-                record.spec, progress_by_key.get(row.key), row.key in cancelled
-            )
-    return joined
-
-
 def find_config(
     rows: tuple[documents.Row, ...],
 ) -> specs.QueueConfig | None:
