Leave out a job whose rows cannot be read, and keep its progress

A job whose progress could not be read was loaded as a new one, so that a holder would have run its finished tasks again. The progress of a job whose submission could not be read counted as left over, and was deleted. A caller who asked for such a job was told that it does not exist.

--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -65,7 +65,7 @@
         return self._client.transact(part, (absent,), (put,)).result
 
     def read_job(self, job_id: specs.JobId) -> storage.JobRows | None:
-        """Returns the rows of a job, or None if the read failed."""
+        """Returns the rows of a job; None if a read failed or one is faulty."""
         end = job_id + AFTER_SUFFIX
         jobs = self._client.read(JOB_TABLE, find_part(job_id), job_id, end)
         if jobs is None:
@@ -75,9 +75,10 @@
         progress = self._client.read(PROGRESS_TABLE, QUEUE_PART, job_id, end)
         if progress is None:
             return None
-        return self._join_rows(jobs.rows, progress.rows).get(
-            job_id, storage.JobRows(None)
-        )
+        joined = self._join_rows(jobs.rows, progress.rows)
+        if job_id not in joined and job_id in _list_submitted(jobs.rows):
+            return None
+        return joined.get(job_id, storage.JobRows(None))
 
     def write_cancel(self, job_id: specs.JobId) -> storage.WriteResult:
         """Stores the cancellation of a job."""
@@ -175,10 +176,11 @@
         rows = tuple(row for part_rows in parts for row in part_rows.rows)
         versions = [part_rows.row_version for part_rows in (progress, *parts)]
         joined = self._join_rows(rows, progress.rows)
+        submitted = _list_submitted(rows)
         leftover_progress = tuple(
             specs.JobId(row.key)
             for row in progress.rows
-            if row.key not in joined
+            if row.key not in submitted
         )
         return storage.LoadedJobs(
             tuple(joined.values()),
@@ -291,7 +293,11 @@
         rows: tuple[documents.Row, ...],
         progress: tuple[documents.Row, ...],
     ) -> dict[specs.JobId, storage.JobRows]:
-        """Returns submission, cancellation and progress of each job."""
+        """Returns submission, cancellation and progress of each job.
+
+        A job is left out if its submission cannot be read, or its progress:
+        without it, its tasks would run again.
+        """
         progress_by_key = {
             row.key: self._reader.decode(row, records.ProgressRecord)
             for row in progress
@@ -303,10 +309,13 @@
         }
         joined = {}
         for row in rows:
-            if row.deleted or row.key.endswith(CANCEL_SUFFIX):
+            if not _is_submission(row):
                 continue
             record = self._reader.decode(row, records.JobRecord)
-            if record is not None:
+            has_faulty_progress = (
+                row.key in progress_by_key and progress_by_key[row.key] is None
+            )
+            if record is not None and not has_faulty_progress:
                 joined[record.spec.job_id] = storage.JobRows(
                     record.spec,
                     progress_by_key.get(row.key),
@@ -315,6 +324,15 @@
         return joined
 
 
+def _is_submission(row: documents.Row) -> bool:
+    return not row.deleted and not row.key.endswith(CANCEL_SUFFIX)
+
+
+def _list_submitted(rows: tuple[documents.Row, ...]) -> set[str]:
+    """Returns the ids of all submitted jobs, also of unreadable ones."""
+    return {row.key for row in rows if _is_submission(row)}
+
+
 def find_part(job_id: specs.JobId) -> str:
     """Returns the part of the job table that holds a job's submission."""
     return _name_part(zlib.crc32(job_id.encode()) % JOB_PARTS)
