Bound the numbers of heartbeats, lists, grants and configurations

A heartbeat with a number of 2^64 or more, or a row of a worker's list with a usage of 1e308, was taken, and from then on no report of the agent could be encoded: its worker was lost to the holder. A clock of the worker of that size kept each lease from being sent. A grant of 2^62 ms raised an OverflowError in the handler; a configuration with the latency target "inf" raised out of the read, and one with the stretch "nan" was used. A NaN in the sums of one agent would have spoilt the estimates for all. Cause: JSON has integers of any size, and no type bounded them. Change: the types of the fields bound them, so that decoding refuses the message; rows of a worker are decoded one by one in one place.

--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -9,6 +9,9 @@
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import runs, specs
 
+MAX_GRANT_MS = 60_000
+GrantMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_GRANT_MS)]
+
 MAX_HOST_LENGTH = 253
 HOST_PATTERN = (
     r"\A(?:[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*"
@@ -115,7 +118,7 @@
     incarnation: ids.Incarnation
     sequence: int
     worker_incarnation: runs.WorkerIncarnation
-    grant_ms: int = 0
+    grant_ms: GrantMs = 0
     acknowledged: runs.EndNumber = runs.EndNumber(0)
     starts: tuple[runs.StartCommand, ...] = ()
     stops: tuple[runs.RunRef, ...] = ()
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -97,7 +97,7 @@
     incarnation: ids.Incarnation
     endpoint: messages.Endpoint
     batch: int
-    cores: float = 0.0
+    cores: runs.Measured = 0.0
 
 
 class EntryRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -1,13 +1,18 @@
 """Runs of tasks, their ends, the workers that run them and interference."""
 
 import enum
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import specs
 
+MAX_MEASURED = 1e15
+
+Measured = Annotated[float, msgspec.Meta(ge=-MAX_MEASURED, le=MAX_MEASURED)]
+"""A finite number; decoding refuses others, which no comparison orders."""
+
 RunNumber = NewType("RunNumber", int)
 """Number of a run among the runs of one task, from 1."""
 
@@ -182,8 +187,8 @@
     """
 
     pair: ImagePair
-    moment: float
-    weight: float
+    moment: Measured
+    weight: Measured
 
 
 class InterferenceEstimate(msgspec.Struct, frozen=True, array_like=True):
@@ -195,14 +200,14 @@
     """
 
     pair: ImagePair
-    per_core: float
+    per_core: Measured
 
 
 class Allowance(msgspec.Struct, frozen=True, array_like=True):
     """Headroom that best-effort tasks may take from an image on one worker."""
 
     serving: specs.Image
-    headroom: float
+    headroom: Measured
 
 
 class StartCommand(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -5,7 +5,7 @@
 """
 
 import functools
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 from returns.result import Result
@@ -15,6 +15,17 @@
 
 _Document = TypeVar("_Document")
 
+MAX_NUMBER = 2**53 - 1
+"""Largest integer that every JSON implementation represents exactly."""
+
+MAX_STRETCH = 1_000_000
+
+Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Measured = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Millis = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Stretch = Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)]
+
 
 class PlatformDocument(
     msgspec.Struct, frozen=True, rename="camel", omit_defaults=True
@@ -30,9 +41,9 @@
     """Resources that a worker offers or that a task requests."""
 
     # Thousandths of a core.
-    cpu: int = 0
-    memory_request_mb: int = 0
-    gpus: int = 0
+    cpu: Amount = 0
+    memory_request_mb: Amount = 0
+    gpus: Amount = 0
 
 
 class Heartbeat(PlatformDocument, frozen=True):
@@ -48,14 +59,14 @@
     state: str
     # Rises with each heartbeat of a worker process, so that the agent ignores
     # heartbeats that arrive late.
-    sequence: int
+    sequence: Amount
     # Unix time in milliseconds at which the worker started.
-    born: int = 0
+    born: Amount = 0
     capacity: Capacity = Capacity()
     # The worker's kind and its rack.
     labels: tuple[str, ...] = ()
     # Time until a draining worker shuts down.
-    drain_remaining_ms: int = 0
+    drain_remaining_ms: Number = 0
 
 
 class Step(PlatformDocument, frozen=True):
@@ -131,20 +142,20 @@
     # Name of the pool of workers that run the queue's tasks.
     service: str
     # 0 is the most urgent.
-    priority: int = 0
+    priority: Number = 0
     # Number of failed runs of one task after which the job fails.
-    max_attempts: int = 1
+    max_attempts: Number = 1
     # A job is on time if it ends within its longest chain of steps, multiplied
     # by `stretch`, plus `latency_target_ms`.
-    stretch: float = 1.0
-    latency_target_ms: float = 0
+    stretch: Stretch = 1.0
+    latency_target_ms: Millis = 0
     advice: Advice | None = None
 
 
 class Config(PlatformDocument, frozen=True):
     """The operators' configuration of the queues."""
 
-    version: int
+    version: Number
     routes: tuple[Route, ...]
 
 
@@ -255,7 +266,7 @@
     """A worker's answer to a command."""
 
     # Reading of the worker's clock.
-    clock_ms: int | None = None
+    clock_ms: Amount | None = None
     # Why the worker refused the command; empty if it did not.
     reason: str = ""
 
@@ -268,9 +279,9 @@
     """
 
     # Reading of the worker's clock.
-    clock_ms: int
+    clock_ms: Amount
     # Unix time in milliseconds at which the worker started; 0 if unknown.
-    born: int = 0
+    born: Amount = 0
     # Arrays of task, run, checkpoint, percent done and usage.
     running: tuple[msgspec.Raw, ...] = ()
     # Arrays of number, task, run, how it ended and checkpoint.
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -1,12 +1,14 @@
 """HTTP client of the worker on the agent's instance."""
 
 import datetime
+from collections.abc import Callable
+from typing import TypeVar
 
 import logbook
 import msgspec
 from returns.result import Failure, Success
 
-from gypsumhold.adapters import http_client
+from gypsumhold.adapters import decoding, http_client
 from gypsumhold.adapters.jobs import interfaces
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import members
@@ -14,6 +16,7 @@
 from gypsumhold.platform import documents
 
 _LOG = logbook.Logger("gypsumhold.platform.worker")
+_Row = TypeVar("_Row", runs.RunRow, runs.EndRow)
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
 ANSWER_TIMEOUT = datetime.timedelta(milliseconds=1000)
@@ -22,6 +25,9 @@
 MAX_INDEX_DIGITS = 9
 """Most digits of each number in the name of a task."""
 
+MAX_LOGGED_NAME = 100
+"""Most characters of a malformed name that a line shows."""
+
 EXPECTED_HEADER = "X-Expected-Instance"
 
 _REASONS = {
@@ -244,71 +250,87 @@
     return text.isdecimal() and len(text) <= MAX_INDEX_DIGITS
 
 
-# Task, run, checkpoint, percent done, usage.
-_RUNNING_DECODER = msgspec.json.Decoder(tuple[str, int, str, int, float])
-# Some rows lack the usage.
-_RUNNING_WITHOUT_USAGE_DECODER = msgspec.json.Decoder(tuple[str, int, str, int])
+_RunningRow = tuple[
+    str, documents.Amount, str, documents.Number, documents.Measured
+]
+"""Task, run, checkpoint, percent done and usage."""
+
+_RunningRowWithoutUsage = tuple[str, documents.Amount, str, documents.Number]
+
+_RUNNING_DECODER: msgspec.json.Decoder[tuple[str, int, str, int, float]] = (
+    msgspec.json.Decoder(_RunningRow)
+)
+_RUNNING_WITHOUT_USAGE_DECODER: msgspec.json.Decoder[
+    tuple[str, int, str, int]
+] = msgspec.json.Decoder(_RunningRowWithoutUsage)
+
 # Number, task, run, how it ended, checkpoint.
-_ENDED_DECODER = msgspec.json.Decoder(tuple[int, str, int, str, str])
+_ENDED_DECODER: msgspec.json.Decoder[tuple[int, str, int, str, str]] = (
+    msgspec.json.Decoder(
+        tuple[documents.Amount, str, documents.Amount, str, str]
+    )
+)
 
 
 def parse_running(rows: tuple[msgspec.Raw, ...]) -> tuple[runs.RunRow, ...]:
     """Parses the rows of running tasks; logs and omits unreadable ones."""
-    parsed = []
-    for raw in rows:
-        try:
-            name, run, checkpoint, percent, usage = _RUNNING_DECODER.decode(raw)
-        except msgspec.ValidationError:
-            try:
-                name, run, checkpoint, percent = (
-                    _RUNNING_WITHOUT_USAGE_DECODER.decode(raw)
-                )
-                usage = 0
-            except msgspec.ValidationError as problem:
-                _LOG.warning(
-                    "ignored an unreadable row of a running task: {}", problem
-                )
-                continue
-        task = parse_task_ref(name)
-        if task is None:
-            _LOG.warning(
-                "ignored a row with the malformed task name {!r}", name
-            )
-            continue
-        parsed.append(
-            runs.RunRow(
-                runs.RunRef(task, runs.RunNumber(run)),
-                runs.Checkpoint(checkpoint),
-                percent,
-                round(usage),
-            )
-        )
-    return tuple(parsed)
+    return _parse_rows(_build_running, rows, "row of a running task")
 
 
 def parse_ended(rows: tuple[msgspec.Raw, ...]) -> tuple[runs.EndRow, ...]:
     """Parses the rows of ended tasks; logs and omits unreadable ones."""
+    return _parse_rows(_build_ended, rows, "row of an ended task")
+
+
+def _parse_rows(
+    build: Callable[[msgspec.Raw], _Row],
+    rows: tuple[msgspec.Raw, ...],
+    subject: str,
+) -> tuple[_Row, ...]:
     parsed = []
     for raw in rows:
-        try:
-            number, name, run, how, checkpoint = _ENDED_DECODER.decode(raw)
-            task, end = parse_task_ref(name), runs.RunEnd(how)
-        except (msgspec.ValidationError, ValueError) as problem:
-            _LOG.warning(
-                "ignored an unreadable row of an ended task: {}", problem
-            )
-            continue
-        if task is None:
-            _LOG.warning(
-                "ignored a row with the malformed task name {!r}", name
-            )
-            continue
-        parsed.append(
-            runs.EndRow(
-                runs.EndNumber(number),
-                runs.RunRef(task, runs.RunNumber(run)),
-                end,
-                runs.Checkpoint(checkpoint),
-            )
-        )
+        decoded = decoding.decode_foreign(build, raw, subject, "ignored")
+        if isinstance(decoded, Success):
+            parsed.append(decoded.unwrap())
+        else:
+            _LOG.warning("ignored a row: {}", decoded.failure())
     return tuple(parsed)
+
+
+def _build_running(raw: msgspec.Raw) -> runs.RunRow:
+    try:
+        name, run, checkpoint, percent, usage = _RUNNING_DECODER.decode(raw)
+    except msgspec.ValidationError:
+        # Some rows lack the usage.
+        name, run, checkpoint, percent = _RUNNING_WITHOUT_USAGE_DECODER.decode(
+            raw
+        )
+        usage = 0
+    return runs.RunRow(
+        runs.RunRef(_require_task(name), runs.RunNumber(run)),
+        runs.Checkpoint(checkpoint),
+        percent,
+        round(usage),
+    )
+
+
+def _build_ended(raw: msgspec.Raw) -> runs.EndRow:
+    number, name, run, how, checkpoint = _ENDED_DECODER.decode(raw)
+    return runs.EndRow(
+        runs.EndNumber(number),
+        runs.RunRef(_require_task(name), runs.RunNumber(run)),
+        runs.RunEnd(how),
+        runs.Checkpoint(checkpoint),
+    )
+
+
+def _require_task(name: str) -> runs.TaskRef:
+    """Returns the task of this name.
+
+    Raises:
+        ValueError: The name is malformed.
+    """
+    task = parse_task_ref(name)
+    if task is None:
+        raise ValueError(f"malformed task name {name[:MAX_LOGGED_NAME]!r}")
+    return task
--- a/tests/jobs/test_odd_numbers.py
+++ b/tests/jobs/test_odd_numbers.py
@@ -11,6 +11,7 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
 from returns.result import Failure
 
 from gypsumhold.adapters import http_routes
@@ -26,6 +27,7 @@
     records,
     runs,
     scheduler,
+    specs,
     storage,
 )
 from gypsumhold.platform import heartbeats, worker
@@ -252,6 +254,22 @@
         assert isinstance(decoded, Failure)
 
 
+def test_report_with_a_number_that_nothing_orders_is_refused() -> None:
+    """Guards against estimates that one agent spoils for all."""
+    pair = runs.ImagePair(specs.Image("s"), specs.Image("b"))
+    report = Agent().send_report()
+    for odd in (float("nan"), float("inf"), -float("inf"), 1e308):
+        sums = runs.InterferenceSums(pair, odd, 1.0)
+        allowance = runs.Allowance(specs.Image("s"), odd)
+        for fields in (
+            {"interference_sums": (sums,)},
+            {"allowances": (allowance,)},
+        ):
+            message = msgspec.structs.replace(report, **fields)
+            decoded = codec.decode_message(codec.encode(message))
+            assert isinstance(decoded, Failure)
+
+
 def test_queue_with_an_odd_row_gets_a_term_above_all_others() -> None:
     """Guards against a holder that all agents take for a former one.
 
