Bound terms by the version of their row, and start above a faulty row

An entry's row with the term 2^64-1 was followed for good: the agents took the real holder for a former one. An odd row of the holder with such a term left no higher one to take, and one that could not be read made the next holder start at term 1, which every agent ignores; the holder that may still have been alive was not waited for. Cause: a term was believed whatever it was, and an unreadable row was taken for none. Change: each term is one transaction, so one above the version of its row is refused, as is an entry under another's key. After an unreadable row the term follows that version, and the grants of a live holder are waited for.

--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -139,8 +139,10 @@
         state.holder_seen_at = now
     state.holder_row = row
     free = _is_queue_free(state, row, now)
-    state.replacing_live_holder = not free and (
-        _is_holder_small(state, row) or _is_holder_unable(state, row)
+    # Behind a row that cannot be read there may be a live holder.
+    state.replacing_live_holder = _is_row_unreadable(row) or (
+        not free
+        and (_is_holder_small(state, row) or _is_holder_unable(state, row))
     )
     if not free and not state.replacing_live_holder:
         return [*emitted, *_schedule_poll(state, now)]
@@ -185,6 +187,23 @@
     return delay
 
 
+def _is_row_unreadable(row: storage.HolderRow) -> bool:
+    """Tells whether the holder's row exists but names no holder."""
+    return row.record is None and row.version > 0
+
+
+def _choose_term(row: storage.HolderRow | None) -> ids.Epoch:
+    """Returns the term that follows the one of a row.
+
+    If the row cannot be read, the term follows all that it may have had: no
+    term exceeds the version of its row.
+    """
+    if row is None:
+        return ids.Epoch(1)
+    former = row.version if row.record is None else row.record.term
+    return ids.Epoch(former + 1)
+
+
 def _is_holder_small(
     state: scheduler.SchedulerState, row: storage.HolderRow
 ) -> bool:
@@ -240,7 +259,7 @@
     now: datetime.timedelta,
 ) -> EffectList:
     """Returns the conditional write that makes this entry the holder."""
-    term = ids.Epoch(1 if row.record is None else row.record.term + 1)
+    term = _choose_term(row)
     options = state.options
     state.role = scheduler.Role.TAKING
     holder = records.HolderRecord(
@@ -289,8 +308,7 @@
         state.role = scheduler.Role.FOLLOWER
         state.holder_seen_at = now
         return [log, *_schedule_poll(state, now)]
-    former = None if state.holder_row is None else state.holder_row.record
-    term = ids.Epoch(1 if former is None else former.term + 1)
+    term = _choose_term(state.holder_row)
     state.role = scheduler.Role.LOADING
     state.holder_state = scheduler.HolderState(
         term,
--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -42,7 +42,6 @@
 CONFIG_KEY = "config"
 CONFIG_PART = ""
 
-HOLDER_KEY = "holder"
 CANCEL_SUFFIX = "!cancel"
 AFTER_SUFFIX = "~"
 """Suffix of a key that sorts after all keys that begin with a job's id."""
@@ -107,7 +106,9 @@
 
     def read_holder(self) -> storage.HolderRow | None:
         """Returns the holder's row, or None if the read failed."""
-        page = self._client.read(HOLDER_TABLE, QUEUE_PART, HOLDER_KEY)
+        page = self._client.read(
+            HOLDER_TABLE, QUEUE_PART, row_reader.HOLDER_KEY
+        )
         return None if page is None else self._find_holder(page.rows)
 
     def take_queue(
@@ -120,7 +121,11 @@
         return self._write_holder(
             expected,
             holder,
-            (table.Put(ENTRY_TABLE, HOLDER_KEY, codec.encode(entry)),),
+            (
+                table.Put(
+                    ENTRY_TABLE, row_reader.HOLDER_KEY, codec.encode(entry)
+                ),
+            ),
             (),
         )
 
@@ -145,8 +150,12 @@
         puts: tuple[table.Put, ...],
         removed: tuple[table.Removal, ...],
     ) -> storage.HolderWrite:
-        condition = table.Condition(HOLDER_TABLE, HOLDER_KEY, expected)
-        put = table.Put(HOLDER_TABLE, HOLDER_KEY, codec.encode(holder))
+        condition = table.Condition(
+            HOLDER_TABLE, row_reader.HOLDER_KEY, expected
+        )
+        put = table.Put(
+            HOLDER_TABLE, row_reader.HOLDER_KEY, codec.encode(holder)
+        )
         outcome = self._client.transact(
             QUEUE_PART, (condition,), (put, *puts), removed
         )
@@ -220,7 +229,11 @@
 
     def register(self, record: records.EntryRecord) -> storage.WriteResult:
         """Stores the address on which an entry accepts calls."""
-        put = table.Put(ENTRY_TABLE, f"at/{record.name}", codec.encode(record))
+        put = table.Put(
+            ENTRY_TABLE,
+            row_reader.build_entry_key(record.name),
+            codec.encode(record),
+        )
         return self._client.transact(QUEUE_PART, (), (put,)).result
 
     def follow_entries(
@@ -250,8 +263,7 @@
             record
             for row in rows
             if not row.deleted
-            if (record := self._reader.decode(row, records.EntryRecord))
-            is not None
+            if (record := self._reader.decode_entry(row)) is not None
         ]
         return storage.EntryChanges(tuple(entries), version)
 
@@ -282,8 +294,8 @@
         self, rows: tuple[documents.Row, ...]
     ) -> storage.HolderRow:
         for row in rows:
-            if row.key == HOLDER_KEY and not row.deleted:
-                record = self._reader.decode(row, records.HolderRecord)
+            if row.key == row_reader.HOLDER_KEY and not row.deleted:
+                record = self._reader.decode_holder(row)
                 version = ids.RowVersion(row.row_version)
                 return storage.HolderRow(version, record)
         return storage.HolderRow(ids.RowVersion(0), None)
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -97,6 +97,20 @@
     )
 
 
+def test_entry_under_the_name_of_another_is_left_out() -> None:
+    """Guards against an odd row that replaces the address of an entry."""
+    good = odd_entries.build_row("at/e1", odd_entries.build_entry("e1"), 9)
+    other = odd_entries.build_row("at/x", odd_entries.build_entry("e1", 1), 9)
+    holds = odd_entries.encode_entry("e1", term=3)
+    _, store = build_store(
+        good, other, odd_entries.build_row("at/e1", holds, 9)
+    )
+    changes = store.follow_entries(NO_VERSION, odd_entries.SHORT)
+    assert changes is not None
+    assert [record.endpoint.port for record in changes.entries] == [7000]
+    assert not changes.entries[0].holds
+
+
 def test_odd_row_of_the_holder_is_no_holder() -> None:
     """Guards against a poll of the holder's row that ends in an exception."""
     for value in list_odd_rows(encode_holder(3)):
