Return from a holder that does not exist

An agent that read a row of a holder with a higher term sent its reports there and, when nothing answered, asked the entries in turn, but ignored the directives of the real holder as those of a former term, for good: its runs ended with their lease. Cause: the term of a row counted as much as that of a living holder. Change: a term of which only a row was read is forgotten when the report to its holder is lost or sent on. Until a successor answers, the agent is then like one that has not read the row yet, whose grants a successor waits for anyway. The tests of handovers, lost holders, lost answers and interleavings pass.

--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -72,7 +72,6 @@
     holder, which may be lost, and would end only with its timeout.
     """
     state.term = term
-    state.sequence = 0
     state.unreported_pairs = set(state.interference_sums)
     state.holder = holder
     state.report_pending = False
@@ -199,9 +198,11 @@
 ) -> EffectList:
     """Lets the next report go to another entry.
 
-    That entry may have the address of the current holder.
+    That entry may have the address of the current holder. A term of which only
+    a row was read is forgotten: its holder may not exist.
     """
     emitted: EffectList = []
+    state.term = state.confirmed_term
     if state.holder is not None:
         emitted.append(effects.Log("holder", str(address), "no answer"))
     state.holder = None
@@ -231,6 +232,9 @@
     if directives.term < state.term or directives.endpoint is None:
         return []
     emitted: EffectList = []
+    if directives.term > state.confirmed_term:
+        state.confirmed_term = directives.term
+        state.sequence = 0
     if directives.term > state.term or state.holder is None:
         address = directives.endpoint.build_address()
         if directives.term > state.term:
@@ -284,11 +288,13 @@
     """Applies directives of an entry that does not hold the queue.
 
     The next report goes to the holder that the directives name, or else to the
-    next entry.
+    next entry. Then a term of which only a row was read is forgotten, as after
+    a report without an answer.
     """
     if directives.endpoint is not None and directives.term >= state.term:
         state.holder = directives.endpoint.build_address()
     else:
+        state.term = state.confirmed_term
         state.holder = None
         state.next_entry += 1
     return []
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -158,6 +158,7 @@
         grant_end: Until when the holder lets runs continue, on the agent's
             clock.
         term: Highest term seen.
+        confirmed_term: Highest term whose holder has sent directives.
         sequence: Highest sequence of directives seen in that term.
         holder: Where reports are sent; None if the holder is unknown.
         entries: Registered entries by name.
@@ -202,6 +203,7 @@
     acknowledged: runs.EndNumber = runs.EndNumber(0)
     grant_end: datetime.timedelta = ZERO
     term: ids.Epoch = ids.Epoch(0)
+    confirmed_term: ids.Epoch = ids.Epoch(0)
     sequence: int = 0
     holder: members.Address | None = None
     entries: dict[str, records.EntryRecord] = dataclasses.field(
--- a/tests/jobs/test_odd_numbers.py
+++ b/tests/jobs/test_odd_numbers.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 import msgspec
+import pytest
 from returns.result import Failure
 
 from gypsumhold.adapters import http_routes
@@ -224,26 +225,35 @@
     )
 
 
-def test_agent_returns_from_a_holder_that_does_not_exist() -> None:
-    """Guards against a term that no real holder reaches."""
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_agent_returns_from_a_holder_that_holds_nothing(
+    is_answered: bool,
+) -> None:
+    """Guards against a term that no real holder reaches.
+
+    The address of the holder may lead nowhere, or to an entry that does not
+    hold the queue.
+    """
     agent = Agent()
     answer_report(agent, HOLDER, build_directives(5, grant_ms=7000))
     entry = records.EntryRecord(1, "e", messages.Endpoint("10.0.0.9", 1000))
     odd = records.EntryRecord(
         1, "odd", messages.Endpoint("10.0.0.7", 1), True, ids.Epoch(900)
     )
-    agent.apply(
-        events.EntriesChanged(
-            storage.EntryChanges((entry, odd), ids.RowVersion(900))
-        )
-    )
+    changes = storage.EntryChanges((entry, odd), ids.RowVersion(900))
+    agent.apply(events.EntriesChanged(changes))
     nowhere = odd.endpoint.build_address()
     assert agent.state.holder == nowhere
-    answer_report(agent, nowhere, None)
+    sequence = agent.state.sequence
+    redirect = msgspec.structs.replace(
+        build_directives(5), holder="", endpoint=None
+    )
+    answer_report(agent, nowhere, redirect if is_answered else None)
     agent.now += LATER
     answer_report(agent, HOLDER, build_directives(5, grant_ms=7000))
     assert agent.state.holder == members.Address("10.0.0.1", 1000)
     assert agent.state.grant_end == agent.now + datetime.timedelta(seconds=7)
+    assert agent.state.sequence == sequence > 0
 
 
 def test_directives_with_an_endless_grant_are_refused() -> None:
