Recover from a heartbeat and a clock whose number is far too high

A heartbeat with the sequence 2^52 hid the drain and the capacity of its worker until the worker started anew. A reading of the worker's clock that was far too high stayed, so that every later lease ended too late. Cause: both kept the highest number for good. Change: a lower sequence is late only within 3 s of the known heartbeat; a lower reading counts if its call was sent after the known one arrived.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -176,11 +176,18 @@
 ) -> None:
     """Stores a clock reading unless it is older than the stored one.
 
-    Answers to polls and to commands may overtake each other.
+    Answers to polls and to commands may overtake each other. A lower reading of
+    a call that was sent after the stored one arrived shows that the stored one
+    was wrong.
     """
     if clock is None:
         return
-    if state.clock is None or clock.clock_ms >= state.clock.clock_ms:
+    known = state.clock
+    if (
+        known is None
+        or clock.clock_ms >= known.clock_ms
+        or clock.sent_at >= known.received_at
+    ):
         state.clock = clock
 
 
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -16,6 +16,9 @@
 """Delay between polls while the worker lists ends that the holder has not
 acknowledged; the worker then answers without waiting."""
 
+MAX_HEARTBEAT_DELAY = datetime.timedelta(seconds=3)
+"""Time after which a heartbeat with a lower number does not count as late."""
+
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -28,16 +31,13 @@
 
     Heartbeats that are older than the latest one are ignored, unless the
     latest one is of an incarnation that has answered no poll and has failed
-    one: a stray heartbeat must not hide the worker that runs.
+    one: a stray heartbeat must not hide the worker that runs. A number that is
+    far too high hides later heartbeats for `MAX_HEARTBEAT_DELAY` only.
     """
     new = event.worker
     old = state.worker
-    if old is not None:
-        is_older = new.incarnation.started_ms < old.incarnation.started_ms
-        if is_older and (state.polled or state.answering):
-            return []
-        if new.incarnation == old.incarnation and new.sequence <= old.sequence:
-            return []
+    if old is not None and _is_late(state, old, new, now):
+        return []
     emitted: EffectList = []
     if old is None or new.incarnation != old.incarnation:
         emitted += _reset_for_incarnation(state, new)
@@ -45,10 +45,25 @@
         state.report_due = True
         emitted.append(_log_worker(new, new.state.value))
     state.worker = new
+    state.heartbeat_at = now
     emitted += poll_worker(state, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
+def _is_late(
+    state: executor.ExecutorState,
+    old: runs.Worker,
+    new: runs.Worker,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a heartbeat is older than the one that is known."""
+    if new.incarnation == old.incarnation:
+        is_recent = now < state.heartbeat_at + MAX_HEARTBEAT_DELAY
+        return new.sequence <= old.sequence and is_recent
+    is_older = new.incarnation.started_ms < old.incarnation.started_ms
+    return is_older and (state.polled or state.answering)
+
+
 def _log_worker(worker: runs.Worker, outcome: str) -> effects.Log:
     inputs = (
         ("born_ms", str(worker.incarnation.started_ms)),
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -145,6 +145,7 @@
         options: Options.
         policies: Policies of the executor.
         worker: The worker beside the agent, by its latest heartbeat.
+        heartbeat_at: When that heartbeat arrived.
         clock: Latest reading of the worker's clock.
         polled: Whether the current worker incarnation has answered a poll.
         poll_pending: Whether a poll is unanswered.
@@ -187,6 +188,7 @@
     options: ExecutorOptions
     policies: policies.ExecutorPolicies
     worker: runs.Worker | None = None
+    heartbeat_at: datetime.timedelta = ZERO
     clock: events.WorkerClock | None = None
     polled: bool = False
     poll_pending: bool = False
