Read the rows beside one whose value cannot be read

A row whose value was no base64, or no text at all, made every read of its table fail: the entries, the jobs and the progress beside it were not read either, for as long as the row stayed. Cause: a page of rows was parsed as a whole. Change: if that fails, the rows are parsed one by one, and one with a readable key but no readable value gets an empty value, which no record has; it is left out with its line as any odd row is. A row without a readable key still fails the read, as it may be anybody's.

--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -206,6 +206,24 @@
     deleted: bool = False
 
 
+class RowHead(PlatformDocument, frozen=True):
+    """A row without its value."""
+
+    table: str
+    key: str
+    row_version: int
+    part: str = ""
+    deleted: bool = False
+
+
+class UndecodedRows(PlatformDocument, frozen=True):
+    """`Rows` whose rows are decoded one by one."""
+
+    rows: tuple[msgspec.Raw, ...] = ()
+    row_version: int = 0
+    has_more: bool = False
+
+
 class Rows(PlatformDocument, frozen=True):
     """Rows of a read, a feed or a conflict, and the store's version."""
 
--- a/src/gypsumhold/platform/table.py
+++ b/src/gypsumhold/platform/table.py
@@ -5,10 +5,10 @@
 import urllib.parse
 
 import logbook
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from gypsumhold.adapters import http_client
-from gypsumhold.model import ids
+from gypsumhold.model import errors, ids
 from gypsumhold.model.jobs import events, storage
 from gypsumhold.platform import documents
 
@@ -215,17 +215,56 @@
 
 
 def _parse_rows(body: bytes) -> documents.Rows | None:
-    parsed = documents.parse(body, documents.Rows)
-    if not isinstance(parsed, Success):
+    """Returns the rows; None if one of them cannot be told from others.
+
+    A row whose value is not readable gets an empty value.
+    """
+    result = documents.parse(body, documents.Rows).lash(
+        lambda _: _parse_each(body)
+    )
+    if not isinstance(result, Success):
         _LOG.error(
             "cannot parse the rows that the store returned: {}",
-            parsed.failure(),
+            result.failure(),
         )
         return None
-    rows: documents.Rows = parsed.unwrap()
+    rows: documents.Rows = result.unwrap()
     return rows
 
 
+def _parse_each(body: bytes) -> Result[documents.Rows, errors.Error]:
+    """Parses the rows one by one."""
+    parsed = documents.parse(body, documents.UndecodedRows)
+    if not isinstance(parsed, Success):
+        return Failure(parsed.failure())
+    page: documents.UndecodedRows = parsed.unwrap()
+    rows = []
+    for raw in page.rows:
+        row = _parse_row(bytes(raw))
+        if not isinstance(row, Success):
+            return Failure(row.failure())
+        rows.append(row.unwrap())
+    return Success(documents.Rows(tuple(rows), page.row_version, page.has_more))
+
+
+def _parse_row(data: bytes) -> Result[documents.Row, errors.Error]:
+    """Parses a row, without its value if that is not readable."""
+    row = documents.parse(data, documents.Row)
+    return row.lash(
+        lambda _: documents.parse(data, documents.RowHead).map(_build_empty_row)
+    )
+
+
+def _build_empty_row(head: documents.RowHead) -> documents.Row:
+    return documents.Row(
+        head.table,
+        head.key,
+        head.row_version,
+        head.part,
+        deleted=head.deleted,
+    )
+
+
 def _parse_outcome(reply: http_client.Reply) -> TransactionOutcome:
     if reply.status in (429, 503):
         return TransactionOutcome(storage.WriteResult.UNAVAILABLE)
