Ignore an end whose number is far above those before it

The holder acknowledges the ends of a worker up to a number. One end with the number 2^40 made the agent and the worker take all later ends for acknowledged: their jobs never ended, or their tasks ran again. Cause: any higher number counted. Change: an end more than 1,000,000 above the lowest listed one and the acknowledged one is left out, with one line (`end-ignored`).

--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -19,6 +19,9 @@
 MAX_HEARTBEAT_DELAY = datetime.timedelta(seconds=3)
 """Time after which a heartbeat with a lower number does not count as late."""
 
+MAX_END_GAP = 1_000_000
+"""Most numbers between an end and those before it."""
+
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -81,6 +84,7 @@
     """
     state.active.clear()
     state.ends.clear()
+    state.ignored_ends.clear()
     state.refused.clear()
     state.clock = None
     state.polled = False
@@ -244,7 +248,10 @@
     """
     assert event.clock is not None
     emitted: EffectList = []
+    emitted += _ignore_impossible_ends(state, event)
     for end in event.ends:
+        if end.number in state.ignored_ends:
+            continue
         if end.number > state.acknowledged and end.number not in state.ends:
             state.ends[end.number] = end
             state.report_due = True
@@ -269,6 +276,30 @@
     return emitted
 
 
+def _ignore_impossible_ends(
+    state: executor.ExecutorState, event: events.WorkerPolled
+) -> EffectList:
+    """Ignores ends whose number is far above all before it.
+
+    The holder acknowledges ends up to a number, so that such an end would hide
+    all later ones.
+    """
+    listed = min((end.number for end in event.ends), default=0)
+    limit = max(state.acknowledged, listed) + MAX_END_GAP
+    emitted: EffectList = []
+    for end in event.ends:
+        if end.number <= limit or end.number in state.ignored_ends:
+            continue
+        state.ignored_ends.add(end.number)
+        inputs = (("number", str(end.number)), ("task", str(end.ref.task)))
+        emitted.append(
+            effects.Log(
+                "end-ignored", end.ref.task.job_id, "impossible number", inputs
+            )
+        )
+    return emitted
+
+
 def _log_found_run(row: runs.RunRow) -> effects.Log:
     inputs = (("task", str(row.ref.task)), ("run", str(row.ref.run)))
     return effects.Log("run-found", row.ref.task.job_id, "reported", inputs)
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -153,6 +153,7 @@
             incarnation or a call that the worker refused for its fence.
         active: Runs that were requested or found and have not ended.
         ends: Ends that the holder has not acknowledged.
+        ignored_ends: Numbers of ends that cannot be right.
         refused: Runs that never start; kept until the holder has answered a
             report that lists them.
         acknowledged: Highest acknowledged end of this worker incarnation.
@@ -199,6 +200,7 @@
     ends: dict[runs.EndNumber, runs.EndRow] = dataclasses.field(
         default_factory=dict
     )
+    ignored_ends: set[runs.EndNumber] = dataclasses.field(default_factory=set)
     refused: dict[runs.RunRef, runs.Refusal] = dataclasses.field(
         default_factory=dict
     )
