--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -98,4 +98,7 @@
     host, colon, port = text.rpartition(":")
     if not colon or not port.isdecimal():
         raise ValueError(f"{text!r} is not an address")
-    return members.Address(host, int(port))
+    number = int(port)
+    if number > members.MAX_PORT:
+        raise ValueError(f"{text!r} has no valid port")
+    return members.Address(host, number)
