Show the odd bodies that the operators' calls do not refuse

A body of 2,000 nested arrays raises a RecursionError through the route that applies a configuration, and an answer of that kind ends gypsumctl with a traceback.

--- a/tests/adapters/test_operator_routes.py
+++ b/tests/adapters/test_operator_routes.py
@@ -148,6 +148,17 @@
     assert reply.body == snapshot
 
 
+@pytest.mark.parametrize(
+    "body", [b"[" * 2_000, b'{"put":' * 100_000, b"\xff", b"1" * 5_000]
+)
+def test_odd_body_is_refused(body: bytes) -> None:
+    """Guards against a body whose error is none of the JSON parser's."""
+    control = operator_fake.FakeControl()
+    reply = send_call(control, "POST", "/v1/config", body)
+    assert reply.status == 400
+    assert not control.applied
+
+
 def test_history_is_newest_first_across_pages() -> None:
     """Guards against a history with only the first page of the table's rows."""
     changes = tuple(
--- a/tests/programs/test_ctl_client.py
+++ b/tests/programs/test_ctl_client.py
@@ -76,3 +76,15 @@
         )
         client = ctl_client.Client(ctl_client.Settings(entries, "t"))
         assert client.send_to_one(call).status == status
+
+
+def test_deeply_nested_answer_is_shown_as_text() -> None:
+    """Guards against an answer that ends the program with a traceback."""
+    body = b"[" * 100_000
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    with serve_once(head + body) as port:
+        address = members.Address("127.0.0.1", port)
+        entry = ctl_client.Entry(address, address)
+        client = ctl_client.Client(ctl_client.Settings((entry,), "token"))
+        answer = client.send(entry, READ)
+    assert answer.body == body.decode()
