Test that an address with no valid port is refused, 0 included

Since the bounds of ports were made the same everywhere, test_every_message_survives_a_round_trip[announcement] failed (one run of the jobs, contract, adapters, decisions and programs tests): it drew the port 0 as a valid one, to which no call can go. Change: it draws the ports from 1 to 65535, and a new test draws all others, 0 included, and asks for a typed error, where none was asked for before.

--- a/tests/contracts/test_thrift_codecs.py
+++ b/tests/contracts/test_thrift_codecs.py
@@ -35,7 +35,7 @@
 strategies.register_type_strategy(
     members.Address,
     strategies.builds(
-        members.Address, strategies.text(), strategies.integers(0, 65535)
+        members.Address, strategies.text(), strategies.integers(1, 65535)
     ),
 )
 strategies.register_type_strategy(
@@ -162,3 +162,20 @@
 ) -> None:
     """Guards against unknown enum values and inconsistent replies."""
     assert decode(struct).failure().kind is errors.ErrorKind.DECODING
+
+
+@hypothesis.given(
+    strategies.from_type(members.Announcement),
+    strategies.one_of(
+        strategies.integers(-(2**31), 0),
+        strategies.integers(65536, 2**31 - 1),
+    ),
+)
+def test_address_without_a_valid_port_is_refused(
+    announcement: members.Announcement, port: int
+) -> None:
+    """Guards against an agent that no call can reach."""
+    struct = request_codec.encode_announcement(announcement)
+    struct.address.port = port
+    error = request_codec.decode_announcement(struct).failure()
+    assert error.kind is errors.ErrorKind.DECODING
