--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -20,6 +20,10 @@
 """Longest time from the moment when a stopped run is no longer listed as
 running until its end is listed."""
 
+MAX_NUMBER_GAP = 1_000_000
+"""Most numbers between a heartbeat or an end and those before it; one that is
+further ahead is faulty."""
+
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -32,16 +36,13 @@
 
     Heartbeats that are older than the latest one are ignored, unless the
     latest one is of an incarnation that fails polls and has no runs left: a
-    stray heartbeat must not hide the worker that runs.
+    stray heartbeat must not hide the worker that runs. Nor must one whose
+    number is far too high.
     """
     new = event.worker
     old = state.worker
-    if old is not None:
-        is_older = new.incarnation.started_ms < old.incarnation.started_ms
-        if is_older and _may_be_running(state, now):
-            return []
-        if new.incarnation == old.incarnation and new.sequence <= old.sequence:
-            return []
+    if old is not None and _is_late(state, old, new, now):
+        return []
     emitted: EffectList = []
     if old is None or new.incarnation != old.incarnation:
         emitted += _reset_for_incarnation(state, new)
@@ -58,6 +59,19 @@
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
+def _is_late(
+    state: executor.ExecutorState,
+    old: runs.Worker,
+    new: runs.Worker,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a heartbeat is older than the one that is known."""
+    if new.incarnation == old.incarnation:
+        return 0 <= old.sequence - new.sequence <= MAX_NUMBER_GAP
+    is_older = new.incarnation.started_ms < old.incarnation.started_ms
+    return is_older and _may_be_running(state, now)
+
+
 def _may_be_running(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> bool:
@@ -114,6 +128,7 @@
     """
     state.active.clear()
     state.ends.clear()
+    state.ignored_ends.clear()
     state.refused.clear()
     state.clock = None
     state.grant_end = datetime.timedelta(0)
@@ -278,7 +293,10 @@
     """
     assert event.clock is not None
     emitted: EffectList = []
+    emitted += _ignore_impossible_ends(state, event)
     for end in event.ends:
+        if end.number in state.ignored_ends:
+            continue
         if end.number > state.acknowledged and end.number not in state.ends:
             state.ends[end.number] = end
             state.report_due = True
@@ -304,6 +322,30 @@
     return emitted
 
 
+def _ignore_impossible_ends(
+    state: executor.ExecutorState, event: events.WorkerPolled
+) -> EffectList:
+    """Ignores ends whose number is far above all before it.
+
+    The holder acknowledges ends up to a number, so that such an end would hide
+    all later ones.
+    """
+    listed = min((end.number for end in event.ends), default=0)
+    limit = max(state.acknowledged, listed) + MAX_NUMBER_GAP
+    emitted: EffectList = []
+    for end in event.ends:
+        if end.number <= limit or end.number in state.ignored_ends:
+            continue
+        state.ignored_ends.add(end.number)
+        inputs = (("number", str(end.number)), ("task", str(end.ref.task)))
+        emitted.append(
+            effects.Log(
+                "end-ignored", end.ref.task.job_id, "impossible number", inputs
+            )
+        )
+    return emitted
+
+
 def _log_found_run(row: runs.RunRow) -> effects.Log:
     inputs = (("task", str(row.ref.task)), ("run", str(row.ref.run)))
     return effects.Log("run-found", row.ref.task.job_id, "reported", inputs)
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -155,12 +155,14 @@
             incarnation or a call that the worker refused for its fence.
         active: Runs that were requested or found and have not ended.
         ends: Ends that the holder has not acknowledged.
+        ignored_ends: Numbers of ends that cannot be right.
         refused: Runs that never start; kept until the holder has answered a
             report that lists them.
         acknowledged: Highest acknowledged end of this worker incarnation.
         grant_end: Until when the holder lets runs of the current worker
             incarnation continue, on the agent's clock.
         term: Highest term seen.
+        confirmed_term: Highest term whose holder has sent directives.
         sequence: Highest sequence of directives seen in that term.
         holder: Where reports are sent; None if the holder is unknown.
         entries: Registered entries by name.
@@ -199,12 +201,14 @@
     ends: dict[runs.EndNumber, runs.EndRow] = dataclasses.field(
         default_factory=dict
     )
+    ignored_ends: set[runs.EndNumber] = dataclasses.field(default_factory=set)
     refused: dict[runs.RunRef, runs.Refusal] = dataclasses.field(
         default_factory=dict
     )
     acknowledged: runs.EndNumber = runs.EndNumber(0)
     grant_end: datetime.timedelta = ZERO
     term: ids.Epoch = ids.Epoch(0)
+    confirmed_term: ids.Epoch = ids.Epoch(0)
     sequence: int = 0
     holder: members.Address | None = None
     entries: dict[str, records.EntryRecord] = dataclasses.field(
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -1,24 +1,50 @@
 """Messages between the processes of the job subsystem."""
 
 import enum
+import re
+from typing import Annotated
 
 import msgspec
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import runs, specs
 
+MAX_GRANT_MS = 60_000
+GrantMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_GRANT_MS)]
+
+MAX_HOST_LENGTH = 253
+HOST_PATTERN = (
+    r"\A(?:[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*"
+    r"|[0-9A-Fa-f]*:[0-9A-Fa-f:]+)\Z"
+)
+"""A name or an IPv4 address, in labels of 1 to 63 characters; or IPv6."""
+
+Host = Annotated[
+    str, msgspec.Meta(pattern=HOST_PATTERN, max_length=MAX_HOST_LENGTH)
+]
+Port = Annotated[int, msgspec.Meta(ge=members.MIN_PORT, le=members.MAX_PORT)]
+
 
 class Endpoint(msgspec.Struct, frozen=True, array_like=True):
-    """Encoded address at which a process answers other processes."""
+    """Encoded address at which a process answers other processes.
 
-    host: str
-    port: int
+    Decoding refuses a host or a port that no call can reach.
+    """
+
+    host: Host
+    port: Port
 
     def build_address(self) -> members.Address:
         """Returns the endpoint as an address."""
         return members.Address(self.host, self.port)
 
 
+def is_reachable(host: str, port: int) -> bool:
+    """Tells whether an endpoint may have this host and this port."""
+    is_host = len(host) <= MAX_HOST_LENGTH and re.search(HOST_PATTERN, host)
+    return bool(is_host) and members.MIN_PORT <= port <= members.MAX_PORT
+
+
 class Report(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Report of an agent to the holder of the queue.
 
@@ -94,7 +120,7 @@
     incarnation: ids.Incarnation
     sequence: int
     worker_incarnation: runs.WorkerIncarnation
-    grant_ms: int = 0
+    grant_ms: GrantMs = 0
     acknowledged: runs.EndNumber = runs.EndNumber(0)
     starts: tuple[runs.StartCommand, ...] = ()
     stops: tuple[runs.RunRef, ...] = ()
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -4,15 +4,28 @@
 are in camel case. A comment explains a field whose name is not clear.
 """
 
-from typing import TypeVar
+import functools
+from typing import Annotated, TypeVar
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
+from gypsumhold.adapters import decoding
 from gypsumhold.model import errors
 
 _Document = TypeVar("_Document")
 
+MAX_NUMBER = 2**53 - 1
+"""Largest integer that every JSON implementation represents exactly."""
+
+MAX_STRETCH = 1_000_000
+
+Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Measured = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Millis = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Stretch = Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)]
+
 
 class PlatformDocument(
     msgspec.Struct, frozen=True, rename="camel", omit_defaults=True
@@ -28,9 +41,9 @@
     """Resources that a worker offers or that a task requests."""
 
     # Thousandths of a core.
-    cpu: int = 0
-    memory_request_mb: int = 0
-    gpus: int = 0
+    cpu: Amount = 0
+    memory_request_mb: Amount = 0
+    gpus: Amount = 0
 
 
 class Heartbeat(PlatformDocument, frozen=True):
@@ -46,14 +59,14 @@
     state: str
     # Rises with each heartbeat of a worker process, so that the agent ignores
     # heartbeats that arrive late.
-    sequence: int
+    sequence: Amount
     # Unix time in milliseconds at which the worker started.
-    born: int = 0
+    born: Amount = 0
     capacity: Capacity = Capacity()
     # The worker's kind and its rack.
     labels: tuple[str, ...] = ()
     # Time until a draining worker shuts down.
-    drain_remaining_ms: int = 0
+    drain_remaining_ms: Number = 0
 
 
 class Step(PlatformDocument, frozen=True):
@@ -129,20 +142,20 @@
     # Name of the pool of workers that run the queue's tasks.
     service: str
     # 0 is the most urgent.
-    priority: int = 0
+    priority: Number = 0
     # Number of failed runs of one task after which the job fails.
-    max_attempts: int = 1
+    max_attempts: Number = 1
     # A job is on time if it ends within its longest chain of steps, multiplied
     # by `stretch`, plus `latency_target_ms`.
-    stretch: float = 1.0
-    latency_target_ms: float = 0
+    stretch: Stretch = 1.0
+    latency_target_ms: Millis = 0
     advice: Advice | None = None
 
 
 class Config(PlatformDocument, frozen=True):
     """The operators' configuration of the queues."""
 
-    version: int
+    version: Number
     routes: tuple[Route, ...]
 
 
@@ -193,6 +206,24 @@
     deleted: bool = False
 
 
+class RowHead(PlatformDocument, frozen=True):
+    """A row without its value."""
+
+    table: str
+    key: str
+    row_version: int
+    part: str = ""
+    deleted: bool = False
+
+
+class UndecodedRows(PlatformDocument, frozen=True):
+    """`Rows` whose rows are decoded one by one."""
+
+    rows: tuple[msgspec.Raw, ...] = ()
+    row_version: int = 0
+    has_more: bool = False
+
+
 class Rows(PlatformDocument, frozen=True):
     """Rows of a read, a feed or a conflict, and the store's version."""
 
@@ -253,7 +284,7 @@
     """A worker's answer to a command."""
 
     # Reading of the worker's clock.
-    clock_ms: int | None = None
+    clock_ms: Amount | None = None
     # Why the worker refused the command; empty if it did not.
     reason: str = ""
 
@@ -266,9 +297,9 @@
     """
 
     # Reading of the worker's clock.
-    clock_ms: int
+    clock_ms: Amount
     # Unix time in milliseconds at which the worker started; 0 if unknown.
-    born: int = 0
+    born: Amount = 0
     # Arrays of task, run, checkpoint, percent done and usage.
     running: tuple[msgspec.Raw, ...] = ()
     # Arrays of number, task, run, how it ended and checkpoint.
@@ -342,18 +373,14 @@
     Returns:
         The document, or an error of kind DECODING.
     """
-    try:
-        return Success(
-            msgspec.json.decode(data, type=document_type, strict=False)
-        )
-    except (msgspec.MsgspecError, ValueError, RecursionError) as problem:
-        return Failure(
-            errors.Error(
-                errors.ErrorKind.DECODING,
-                f"not a valid {document_type.__name__}: {problem}",
-                "send the document in the platform's documented format",
-            )
-        )
+    return decoding.decode_foreign(
+        functools.partial(
+            msgspec.json.decode, type=document_type, strict=False
+        ),
+        data,
+        document_type.__name__,
+        "send the document in the platform's documented format",
+    )
 
 
 def render(document: PlatformDocument) -> bytes:
--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -8,7 +8,6 @@
 import datetime
 import zlib
 from concurrent import futures
-from typing import TypeVar
 
 import logbook
 from returns.result import Failure, Success
@@ -16,10 +15,9 @@
 from gypsumhold.adapters.jobs import codec, interfaces
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import events, records, specs, storage
-from gypsumhold.platform import documents, table
+from gypsumhold.platform import documents, row_reader, table
 
 _LOG = logbook.Logger("gypsumhold.platform.jobstore")
-_Record = TypeVar("_Record")
 
 HOLDER_TABLE = "holder"
 ENTRY_TABLE = "entries"
@@ -44,7 +42,6 @@
 CONFIG_KEY = "config"
 CONFIG_PART = ""
 
-HOLDER_KEY = "holder"
 CANCEL_SUFFIX = "!cancel"
 AFTER_SUFFIX = "~"
 """Suffix of a key that sorts after all keys that begin with a job's id."""
@@ -56,6 +53,7 @@
     def __init__(self, client: table.TableClient) -> None:
         """Creates a store that uses `client` for all calls."""
         self._client = client
+        self._reader = row_reader.RowReader()
 
     def write_job(self, spec: specs.JobSpec) -> storage.WriteResult:
         """Stores a submission; CONFLICT if a job with its id exists."""
@@ -66,7 +64,7 @@
         return self._client.transact(part, (absent,), (put,)).result
 
     def read_job(self, job_id: specs.JobId) -> storage.JobRows | None:
-        """Returns the rows of a job, or None if the read failed."""
+        """Returns the rows of a job; None if a read failed or one is faulty."""
         end = job_id + AFTER_SUFFIX
         jobs = self._client.read(JOB_TABLE, find_part(job_id), job_id, end)
         if jobs is None:
@@ -76,9 +74,10 @@
         progress = self._client.read(PROGRESS_TABLE, QUEUE_PART, job_id, end)
         if progress is None:
             return None
-        return _join_rows(jobs.rows, progress.rows).get(
-            job_id, storage.JobRows(None)
-        )
+        joined = self._join_rows(jobs.rows, progress.rows)
+        if job_id not in joined and job_id in _list_submitted(jobs.rows):
+            return None
+        return joined.get(job_id, storage.JobRows(None))
 
     def write_cancel(self, job_id: specs.JobId) -> storage.WriteResult:
         """Stores the cancellation of a job."""
@@ -107,8 +106,10 @@
 
     def read_holder(self) -> storage.HolderRow | None:
         """Returns the holder's row, or None if the read failed."""
-        page = self._client.read(HOLDER_TABLE, QUEUE_PART, HOLDER_KEY)
-        return None if page is None else _find_holder(page.rows)
+        page = self._client.read(
+            HOLDER_TABLE, QUEUE_PART, row_reader.HOLDER_KEY
+        )
+        return None if page is None else self._find_holder(page.rows)
 
     def take_queue(
         self,
@@ -120,7 +121,11 @@
         return self._write_holder(
             expected,
             holder,
-            (table.Put(ENTRY_TABLE, HOLDER_KEY, codec.encode(entry)),),
+            (
+                table.Put(
+                    ENTRY_TABLE, row_reader.HOLDER_KEY, codec.encode(entry)
+                ),
+            ),
             (),
         )
 
@@ -145,14 +150,18 @@
         puts: tuple[table.Put, ...],
         removed: tuple[table.Removal, ...],
     ) -> storage.HolderWrite:
-        condition = table.Condition(HOLDER_TABLE, HOLDER_KEY, expected)
-        put = table.Put(HOLDER_TABLE, HOLDER_KEY, codec.encode(holder))
+        condition = table.Condition(
+            HOLDER_TABLE, row_reader.HOLDER_KEY, expected
+        )
+        put = table.Put(
+            HOLDER_TABLE, row_reader.HOLDER_KEY, codec.encode(holder)
+        )
         outcome = self._client.transact(
             QUEUE_PART, (condition,), (put, *puts), removed
         )
         current = None
         if outcome.result is storage.WriteResult.CONFLICT:
-            current = _find_holder(outcome.rows)
+            current = self._find_holder(outcome.rows)
         return storage.HolderWrite(outcome.result, outcome.version, current)
 
     def load_jobs(self) -> storage.LoadedJobs | None:
@@ -175,11 +184,12 @@
             return None
         rows = tuple(row for part_rows in parts for row in part_rows.rows)
         versions = [part_rows.row_version for part_rows in (progress, *parts)]
-        joined = _join_rows(rows, progress.rows)
+        joined = self._join_rows(rows, progress.rows)
+        submitted = _list_submitted(rows)
         leftover_progress = tuple(
             specs.JobId(row.key)
             for row in progress.rows
-            if row.key not in joined
+            if row.key not in submitted
         )
         return storage.LoadedJobs(
             tuple(joined.values()),
@@ -208,7 +218,7 @@
             return None
         if feed.result is events.ReadResult.GAP:
             return storage.JobChanges(gap=True)
-        joined = _join_rows(feed.rows, ())
+        joined = self._join_rows(feed.rows, ())
         cancelled = tuple(
             specs.JobId(row.key.removesuffix(CANCEL_SUFFIX))
             for row in feed.rows
@@ -219,7 +229,11 @@
 
     def register(self, record: records.EntryRecord) -> storage.WriteResult:
         """Stores the address on which an entry accepts calls."""
-        put = table.Put(ENTRY_TABLE, f"at/{record.name}", codec.encode(record))
+        put = table.Put(
+            ENTRY_TABLE,
+            row_reader.build_entry_key(record.name),
+            codec.encode(record),
+        )
         return self._client.transact(QUEUE_PART, (), (put,)).result
 
     def follow_entries(
@@ -249,7 +263,7 @@
             record
             for row in rows
             if not row.deleted
-            if (record := _decode(row, records.EntryRecord)) is not None
+            if (record := self._reader.decode_entry(row)) is not None
         ]
         return storage.EntryChanges(tuple(entries), version)
 
@@ -276,6 +290,60 @@
             events.ReadResult.DONE,
         )
 
+    def _find_holder(
+        self, rows: tuple[documents.Row, ...]
+    ) -> storage.HolderRow:
+        for row in rows:
+            if row.key == row_reader.HOLDER_KEY and not row.deleted:
+                record = self._reader.decode_holder(row)
+                version = ids.RowVersion(row.row_version)
+                return storage.HolderRow(version, record)
+        return storage.HolderRow(ids.RowVersion(0), None)
+
+    def _join_rows(
+        self,
+        rows: tuple[documents.Row, ...],
+        progress: tuple[documents.Row, ...],
+    ) -> dict[specs.JobId, storage.JobRows]:
+        """Returns submission, cancellation and progress of each job.
+
+        A job is left out if its submission cannot be read, or its progress:
+        without it, its tasks would run again.
+        """
+        progress_by_key = {
+            row.key: self._reader.decode(row, records.ProgressRecord)
+            for row in progress
+        }
+        cancelled = {
+            row.key.removesuffix(CANCEL_SUFFIX)
+            for row in rows
+            if row.key.endswith(CANCEL_SUFFIX) and not row.deleted
+        }
+        joined = {}
+        for row in rows:
+            if not _is_submission(row):
+                continue
+            record = self._reader.decode(row, records.JobRecord)
+            has_faulty_progress = (
+                row.key in progress_by_key and progress_by_key[row.key] is None
+            )
+            if record is not None and not has_faulty_progress:
+                joined[record.spec.job_id] = storage.JobRows(
+                    record.spec,
+                    progress_by_key.get(row.key),
+                    row.key in cancelled,
+                )
+        return joined
+
+
+def _is_submission(row: documents.Row) -> bool:
+    return not row.deleted and not row.key.endswith(CANCEL_SUFFIX)
+
+
+def _list_submitted(rows: tuple[documents.Row, ...]) -> set[str]:
+    """Returns the ids of all submitted jobs, also of unreadable ones."""
+    return {row.key for row in rows if _is_submission(row)}
+
 
 def find_part(job_id: specs.JobId) -> str:
     """Returns the part of the job table that holds a job's submission."""
@@ -286,52 +354,6 @@
     return f"jobs-{number}"
 
 
-def _decode(row: documents.Row, record_type: type[_Record]) -> _Record | None:
-    decoded = codec.decode(row.value, record_type)
-    if not isinstance(decoded, Success):
-        _LOG.error(
-            "cannot decode row {} of table {}: {}",
-            row.key,
-            row.table,
-            decoded.failure(),
-        )
-        return None
-    record: _Record = decoded.unwrap()
-    return record
-
-
-def _find_holder(rows: tuple[documents.Row, ...]) -> storage.HolderRow:
-    for row in rows:
-        if row.key == HOLDER_KEY and not row.deleted:
-            record = _decode(row, records.HolderRecord)
-            return storage.HolderRow(ids.RowVersion(row.row_version), record)
-    return storage.HolderRow(ids.RowVersion(0), None)
-
-
-def _join_rows(
-    rows: tuple[documents.Row, ...], progress: tuple[documents.Row, ...]
-) -> dict[specs.JobId, storage.JobRows]:
-    """Returns submission, cancellation and progress of each submitted job."""
-    progress_by_key = {
-        row.key: _decode(row, records.ProgressRecord) for row in progress
-    }
-    cancelled = {
-        row.key.removesuffix(CANCEL_SUFFIX)
-        for row in rows
-        if row.key.endswith(CANCEL_SUFFIX) and not row.deleted
-    }
-    joined = {}
-    for row in rows:
-        if row.deleted or row.key.endswith(CANCEL_SUFFIX):
-            continue
-        record = _decode(row, records.JobRecord)
-        if record is not None:
-            joined[record.spec.job_id] = storage.JobRows(
-                record.spec, progress_by_key.get(row.key), row.key in cancelled
-            )
-    return joined
-
-
 def find_config(
     rows: tuple[documents.Row, ...],
 ) -> specs.QueueConfig | None:
