Log under which runs a worker crashed

What operators saw: a runs-lapsed line with a number of runs after each crash, and no line that says which tasks had just started there. Change: the holder notes when a worker stops answering and whether it had announced its end, keeps the runs that it releases without an end, and writes worker-crashed when a later incarnation proves the crash. A silence alone proves none, and the same incarnation answering again was a cut.

--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -7,7 +7,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import interference, lifecycle
+from gypsumhold.decisions.jobs import crashes, interference, lifecycle
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
 from gypsumhold.model.jobs import (
@@ -224,6 +224,7 @@
             ("runs", str(len(tasks))),
         ),
     )
+    crashes.remember_runs(holder_state, instance, tasks)
     for ref, placed in list(tasks.items()):
         lifecycle.release_task(holder_state, ref, placed)
     tasks.clear()
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -179,6 +179,7 @@
     task.worker_incarnation = worker.incarnation
     task.batch = progress.NOT_STORED
     task.reported = False
+    task.listed_at = None
     task.migration_target = None
     task.blocked_since = None
     task.speed_share = 1.0
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -3,6 +3,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
+    crashes,
     directives,
     estimates,
     holders,
@@ -154,6 +155,7 @@
     now: datetime.timedelta,
 ) -> EffectList:
     """Applies a report to the view of its agent."""
+    crashes.note_loss(holder_state, view, report, now)
     emitted = _apply_worker_incarnation(holder_state, view, report)
     if _has_worker_changed(view.report, report):
         holder_state.plan_due = True
@@ -167,6 +169,7 @@
         view.interference_sums[sums.pair] = sums
     _adopt_orphans(holder_state, view)
     emitted += _release_ended_runs(holder_state, view)
+    emitted += crashes.judge_crash(holder_state, view)
     for row in report.ends:
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
@@ -325,6 +328,8 @@
         placed.task.reported = row is not None
         if row is None:
             continue
+        if placed.task.listed_at is None:
+            placed.task.listed_at = now
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
         estimates.measure_progress(placed.step, placed.task, row, now)
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -46,6 +46,8 @@
         checkpoint: Latest saved progress.
         batch: Number of the batch that stores the latest placement.
         reported: Whether the latest report of the agent lists the run.
+        listed_at: When a report first listed the current run; None if none
+            has. After a takeover, reports to the former holder do not count.
         placed_at: When the task was placed.
         progress_percent: Highest reported progress of the run.
         progressed_at: When the progress last rose.
@@ -71,6 +73,7 @@
     checkpoint: runs.Checkpoint = runs.Checkpoint("")
     batch: int = NOT_STORED
     reported: bool = False
+    listed_at: datetime.timedelta | None = None
     placed_at: datetime.timedelta = ZERO
     progress_percent: int = 0
     progressed_at: datetime.timedelta = ZERO
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -96,6 +96,43 @@
     task: progress.Task
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended with its worker, or that a silence hides.
+
+    Attributes:
+        placed: The task.
+        run: Number of the run.
+        worker_incarnation: The worker incarnation on which it was placed.
+        listed_at: When a report first listed the run; None if none has.
+        is_stored: Whether its placement was stored, so it may have started.
+        is_restored: Whether a former holder placed it, so that its age is not
+            known.
+    """
+
+    placed: PlacedTask
+    run: runs.RunNumber
+    worker_incarnation: runs.WorkerIncarnation
+    listed_at: datetime.timedelta | None
+    is_stored: bool
+    is_restored: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerLoss:
+    """When a worker stopped answering, or its agent stopped reporting.
+
+    Attributes:
+        incarnation: The worker incarnation that was lost.
+        at: When the holder learned of it, or the latest report before.
+        announced: Whether the worker had announced its end.
+    """
+
+    incarnation: runs.WorkerIncarnation
+    at: datetime.timedelta
+    announced: bool
+
+
 @dataclasses.dataclass(slots=True)
 class AgentView:
     """The holder's view of one agent.
@@ -123,6 +160,7 @@
             images.
         candidate: Free capacity of the worker; None if something that it
             depends on has changed.
+        loss: Latest loss of a worker incarnation that has not answered again.
     """
 
     instance: ids.InstanceId
@@ -149,6 +187,7 @@
         dataclasses.field(default_factory=dict)
     )
     candidate: policies.Candidate | None = None
+    loss: WorkerLoss | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -209,6 +248,8 @@
         agents: Agents by instance.
         orphans: Placed tasks by instance, for instances that have not
             reported in this term.
+        lost_runs: Runs that were released without an end, by instance, until
+            its next report shows whether the worker crashed.
         open_jobs: Jobs whose tasks may still be placed.
         plan_due: Whether something that placement depends on has changed.
         migrations_due: Whether the next plan also looks for slow tasks.
@@ -255,6 +296,9 @@
     orphans: dict[ids.InstanceId, dict[runs.TaskRef, PlacedTask]] = (
         dataclasses.field(default_factory=dict)
     )
+    lost_runs: dict[ids.InstanceId, dict[runs.TaskRef, LostRun]] = (
+        dataclasses.field(default_factory=dict)
+    )
     open_jobs: dict[specs.JobId, progress.Job] = dataclasses.field(
         default_factory=dict
     )
