--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -59,6 +59,21 @@
 
 NO_FAULTS = Faults()
 
+CRASH_DELAY_MS = 10
+"""Time after which a deadly task crashes the worker that started it."""
+
+DOWN_MS = 3200
+"""Time until a worker is up again after a crash."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of a worker under a deadly task."""
+
+    task: runs.TaskRef
+    instance: str
+    at_ms: float
+
 
 @dataclasses.dataclass(slots=True)
 class Node:
@@ -126,6 +141,9 @@
         ] = {}
         self.accepted: dict[specs.JobId, float] = {}
         self.cancelled: set[specs.JobId] = set()
+        # Tasks that crash each worker that starts them, and those crashes.
+        self.deadly: set[runs.TaskRef] = set()
+        self.crashes: list[Crash] = []
         self.failed_runs: dict[runs.TaskRef, int] = {}
         self.log_lines: list[tuple[float, str, effects.Log]] = []
         for number in range(entries):
@@ -627,8 +645,25 @@
         result = worker.start(effect, self.now_ms, finish_ms, end)
         if result is events.CommandResult.DONE and not already_running:
             self.oracle.check_start(worker, effect.command, self.now_ms)
+            if ref.task in self.deadly:
+                self.after(
+                    CRASH_DELAY_MS, lambda: self._crash_under(worker, ref)
+                )
         return result
 
+    def _crash_under(
+        self, worker: worker_fake.FakeWorker, ref: runs.RunRef
+    ) -> None:
+        """Crashes a worker unless the deadly run is gone."""
+        run = worker.running.get(ref.task)
+        if run is None or run.ref != ref:
+            return
+        name = next(
+            name for name, other in self.workers.items() if other is worker
+        )
+        self.crashes.append(Crash(ref.task, name, self.now_ms))
+        worker.restart(self.now_ms, DOWN_MS)
+
     def _draw_work_ms(self, task: runs.TaskRef) -> float:
         step = self.store.jobs[task.job_id].steps[task.step]
         if step.long_running:
