Give up tasks that crash their workers

Cause: no crash of a worker was held against the tasks that had just started there, and the released runs were placed together on the next worker. Change: agents report the age of each run and how long the worker had been silent. When a later incarnation proves a crash, the holder stores it with the tasks that had just started there; these start next on probation: on other instances, one on a worker, with no other start near it. A policy gives a task up from the evidence of its crashes, after two to four. Ruled out: alone on an empty worker (there are few), suspecting all that ran there (serving tasks), the holder's clock for the age of a run (reports come a second apart), suspicion in an outage (the whole fleet on probation).

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from gypsumhold.decisions.jobs import interference, throttling
+from gypsumhold.decisions.jobs import interference, probations, throttling
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
 
 MIN_USE_PERCENT = 40
@@ -34,6 +34,7 @@
         view.candidate.interference_estimates = (
             holder_state.optimistic_estimates
         )
+        probations.refresh(view, view.candidate, now)
         candidates[str(view.instance)] = view.candidate
     return candidates
 
@@ -164,6 +165,10 @@
 ) -> bool:
     """Tells whether a task of a step may run in the free capacity."""
     spec = step.spec
+    if candidate.on_probation:
+        return False
+    if candidate.reserved and not step.has_suspects():
+        return False
     if candidate.worker.pool != job.spec.queue.pool:
         return False
     if spec.label and spec.label not in candidate.worker.labels:
--- a/src/gypsumhold/decisions/jobs/crashes.py
+++ b/src/gypsumhold/decisions/jobs/crashes.py
@@ -1,22 +1,37 @@
-"""Finds the runs that were on a worker when it crashed.
+"""Finds the tasks that may have crashed a worker, and gives them up.
 
 A crash is proved by a later incarnation of the worker on the same instance
 after one that did not announce its end. A silence alone proves none: the worker
-may be cut off, and its work may go on.
+may be cut off, and its work may go on. Only runs that had just started are
+suspected, and none if most of the fleet was lost at the time.
 """
 
 import datetime
 
+from gypsumhold.decisions.jobs import lifecycle, probations
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import effects, messages, runs, scheduler
 
 EffectList = list[base_effects.Effect]
 LostRuns = dict[runs.TaskRef, scheduler.LostRun]
+Evidence = runs.CrashEvidence
 
-FRESH_TIME = datetime.timedelta(seconds=2)
-"""Age up to which a run may have caused the crash of its worker. Calls to a
-worker time out after one second, so a crash may be noticed that late."""
+NO_TIME = datetime.timedelta(0)
+
+FRESH_TIME = datetime.timedelta(seconds=1)
+"""Age up to which a run may have caused the crash of its worker. It counts up
+to the worker's latest answer, and polls wait for one second."""
+
+QUICK_CRASH_TIME = datetime.timedelta(milliseconds=200)
+"""Age of a run up to which the crash of its worker is hardly a coincidence."""
+
+MIN_START_GAP = probations.PROBATION_TIME / 2
+"""Time after the start of one run at which another counts as alone. Starts and
+their confirmations take some of the time that the probation keeps apart."""
+
+OUTAGE_WINDOW = datetime.timedelta(seconds=1)
+"""Time within which losses of several workers may have one cause."""
 
 MAX_LOGGED_RUNS = 12
 """Most runs that one log line names."""
@@ -38,11 +53,13 @@
         return
     worker = report.worker
     is_new = worker is not None and worker.incarnation != former
+    is_noted = view.loss is not None and view.loss.incarnation == former
     if not is_new and report.answering:
-        view.loss = None
         holder_state.lost_runs.pop(view.instance, None)
+        if is_noted:
+            view.loss = None
         return
-    if view.loss is not None and view.loss.incarnation == former:
+    if is_noted:
         return
     known = view.report.worker
     is_draining = known is not None and known.state is runs.WorkerState.DRAINING
@@ -50,7 +67,16 @@
     # after a crash, the lease has to run out first.
     announced = is_draining or (report.runs_ended and not is_new)
     at = view.last_report_at if is_new else now
-    view.loss = scheduler.WorkerLoss(former, at, announced)
+    silent_after = None
+    if report.silent_after_ms != messages.UNKNOWN_SILENCE:
+        silent_after = datetime.timedelta(milliseconds=report.silent_after_ms)
+    view.loss = scheduler.WorkerLoss(
+        former,
+        at,
+        announced,
+        probations.has_pending(view, at),
+        silent_after,
+    )
 
 
 def remember_runs(
@@ -66,26 +92,61 @@
             placed,
             task.run,
             task.worker_incarnation,
-            task.listed_at,
-            is_stored=task.batch <= holder_state.stored_batch,
-            is_restored=not task.batch,
+            task.listed_at is not None,
+            task.age,
+            task.batch <= holder_state.stored_batch,
         )
 
 
 def judge_crash(
-    holder_state: scheduler.HolderState, view: scheduler.AgentView
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
 ) -> EffectList:
-    """Logs which runs a worker had just started when it crashed."""
+    """Suspects the runs that a worker had just started when it crashed.
+
+    A task is given up, and its job fails, once the policy finds that no other
+    cause is left.
+    """
     lost_runs = _take_lost_runs(holder_state, view)
     loss = view.loss
-    if not lost_runs or loss is None or loss.announced:
+    if not lost_runs or (loss is not None and loss.announced):
         return []
-    suspects = {
-        ref: lost_run
-        for ref, lost_run in lost_runs.items()
-        if _is_fresh(lost_run, loss)
-    }
-    return [_log_crash(view, loss, lost_runs, suspects)]
+    others = _list_other_losses(state, holder_state, view, now)
+    is_outage = loss is None or _is_outage(holder_state, others)
+    suspects = _list_suspects(lost_runs, loss, is_outage=is_outage)
+    outcome = "outage" if is_outage else "suspected"
+    emitted = [_log_crash(view, lost_runs, suspects, outcome)]
+    is_explained = not is_outage and all(
+        other.loss is not None and other.loss.on_probation for other in others
+    )
+    for ref, suspect in suspects.items():
+        evidence = Evidence.UNSURE
+        if loss is not None and is_explained and suspect.was_listed:
+            evidence = _weigh(suspect, suspects, loss)
+        crash = runs.Crash(
+            view.instance, suspect.worker_incarnation.started_ms, evidence
+        )
+        if not _record_crash(holder_state, suspect.placed, crash):
+            continue
+        emitted += _give_up_if_due(
+            state, holder_state, ref, suspect.placed, now
+        )
+    return emitted
+
+
+def clear_suspicion(
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    placed: scheduler.PlacedTask,
+) -> None:
+    """Forgets the crashes of a task that runs on without another one."""
+    task = placed.task
+    is_old = task.age is not None and task.age > FRESH_TIME
+    if task.crashes and is_old and view.report.answering:
+        task.crashes = ()
+        lifecycle.mark_dirty(holder_state, placed.job)
 
 
 def _take_lost_runs(
@@ -107,29 +168,150 @@
     return taken
 
 
+def _list_suspects(
+    lost_runs: LostRuns,
+    loss: scheduler.WorkerLoss | None,
+    *,
+    is_outage: bool,
+) -> LostRuns:
+    """Returns the runs that may have crashed their worker.
+
+    In an outage, which the holder may not have seen itself, only tasks that are
+    suspected already are suspected again: all others would have to wait for
+    their probation.
+    """
+    return {
+        ref: lost_run
+        for ref, lost_run in lost_runs.items()
+        if lost_run.placed.job.is_open()
+        and not lost_run.placed.task.is_done()
+        and (not is_outage or lost_run.placed.task.crashes)
+        and (loss is None or _is_fresh(lost_run, loss))
+    }
+
+
 def _is_fresh(lost_run: scheduler.LostRun, loss: scheduler.WorkerLoss) -> bool:
     """Tells whether a run had just started when its worker was lost."""
-    if lost_run.listed_at is None:
+    if lost_run.age is None:
         return lost_run.is_stored
-    return loss.at - lost_run.listed_at <= FRESH_TIME
+    return lost_run.age - (loss.silent_after or NO_TIME) <= FRESH_TIME
+
+
+def _list_other_losses(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
+) -> list[scheduler.AgentView]:
+    """Returns the agents that lost their worker at about the same moment."""
+    if view.loss is None:
+        return []
+    lost = []
+    for other in holder_state.agents.values():
+        loss = other.loss
+        at = None if loss is None or loss.announced else loss.at
+        if now >= other.last_report_at + state.options.report_timeout:
+            at = other.last_report_at
+        is_near = at is not None and abs(at - view.loss.at) <= OUTAGE_WINDOW
+        if is_near and other is not view:
+            lost.append(other)
+    return lost
+
+
+def _is_outage(
+    holder_state: scheduler.HolderState, others: list[scheduler.AgentView]
+) -> bool:
+    """Tells whether most of the fleet was lost at the same time."""
+    lost = len(others) + 1
+    return bool(others) and lost * 2 > len(holder_state.agents)
+
+
+def _weigh(
+    suspect: scheduler.LostRun, suspects: LostRuns, loss: scheduler.WorkerLoss
+) -> runs.CrashEvidence:
+    """Returns how much a crash says about one of its suspects."""
+    if suspect.age is None or loss.silent_after is None:
+        return Evidence.SHARED
+    if suspect.age > QUICK_CRASH_TIME:
+        return Evidence.SHARED
+    unit = suspect.placed.step.list_unit(suspect.placed.task)
+    least_age = suspect.age + MIN_START_GAP
+    is_alone = all(
+        other.age is not None and other.age >= least_age
+        for other in suspects.values()
+        if all(other.placed.task is not task for task in unit)
+    )
+    return Evidence.ALONE if is_alone else Evidence.SHARED
+
+
+def _record_crash(
+    holder_state: scheduler.HolderState,
+    placed: scheduler.PlacedTask,
+    crash: runs.Crash,
+) -> bool:
+    """Adds a crash to a task; returns False if the task has it already."""
+    task = placed.task
+    identity = (crash.instance, crash.started_ms)
+    if identity in {(old.instance, old.started_ms) for old in task.crashes}:
+        return False
+    task.crashes += (crash,)
+    task.excluded_instances.add(crash.instance)
+    lifecycle.mark_dirty(holder_state, placed.job)
+    return True
+
+
+def _give_up_if_due(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    ref: runs.TaskRef,
+    placed: scheduler.PlacedTask,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Fails the job of a task if the policy gives the task up."""
+    crashes = _collect_crashes(placed)
+    latest = placed.task.crashes[-1]
+    policy = state.policies.crashes
+    gives_up = policy.should_give_up(crashes.values(), latest)
+    if not gives_up or not placed.job.is_open():
+        return []
+    failed = messages.JobState.FAILED
+    lifecycle.close_job(holder_state, placed.job, failed, now)
+    named = (f"{instance}@{started}" for instance, started in crashes)
+    inputs = (("task", str(ref)), ("crashed", ",".join(named)))
+    return [effects.Log("task-given-up", ref.job_id, "job failed", inputs)]
+
+
+def _collect_crashes(
+    placed: scheduler.PlacedTask,
+) -> dict[tuple[ids.InstanceId, int], runs.Crash]:
+    """Returns the crashes under a task or its gang by their identity.
+
+    One crash may have taken several tasks of a gang.
+    """
+    return {
+        (crash.instance, crash.started_ms): crash
+        for task in placed.step.list_unit(placed.task)
+        for crash in task.crashes
+    }
 
 
 def _log_crash(
     view: scheduler.AgentView,
-    loss: scheduler.WorkerLoss,
     lost_runs: LostRuns,
     suspects: LostRuns,
+    outcome: str,
 ) -> base_effects.Effect:
     named = [
-        f"{ref}:{lost_run.run}"
-        for ref, lost_run in sorted(
+        f"{ref}:{suspect.run}"
+        for ref, suspect in sorted(
             suspects.items(), key=lambda item: str(item[0])
         )
     ]
+    worker = next(iter(lost_runs.values())).worker_incarnation
     inputs = (
-        ("worker", f"{loss.incarnation.name}@{loss.incarnation.started_ms}"),
+        ("worker", f"{worker.name}@{worker.started_ms}"),
         ("runs", str(len(lost_runs))),
         ("started", str(len(suspects))),
         ("suspects", ",".join(named[:MAX_LOGGED_RUNS])),
     )
-    return effects.Log("worker-crashed", view.instance, "noted", inputs)
+    return effects.Log("worker-crashed", view.instance, outcome, inputs)
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -96,6 +96,10 @@
             task.instance = saved.instance
             task.worker_incarnation = saved.worker_incarnation
             task.checkpoint = saved.checkpoint
+            task.crashes = saved.crashes
+            task.excluded_instances.update(
+                crash.instance for crash in saved.crashes
+            )
             task.batch = 0
             task.placed_at = task.progressed_at = now
             if task.is_placed():
@@ -179,7 +183,7 @@
     task.worker_incarnation = worker.incarnation
     task.batch = progress.NOT_STORED
     task.reported = False
-    task.listed_at = None
+    task.listed_at = task.age = None
     task.migration_target = None
     task.blocked_since = None
     task.speed_share = 1.0
@@ -188,6 +192,9 @@
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
     view.placed[ref] = placed
+    view.latest_start_at = now
+    if placed.step.is_suspect(task):
+        view.probations.append(scheduler.ProbationRun(placed, task.run))
     holder_state.changed_instances.add(view.instance)
     placed.job.unstored_placements.append(task)
     if placed.job.state is messages.JobState.QUEUED:
@@ -295,6 +302,7 @@
             task.failures,
             checkpoint=checkpoint,
             failed_runs=tuple(sorted(task.failed_runs)),
+            crashes=() if task.is_done() else task.crashes,
         )
     return records.TaskRecord(
         task.state,
@@ -304,6 +312,7 @@
         task.worker_incarnation,
         task.checkpoint,
         tuple(sorted(task.failed_runs)),
+        task.crashes,
     )
 
 
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -8,6 +8,7 @@
     lifecycle,
     migrations,
     ordering,
+    probations,
     record_sizes,
 )
 from gypsumhold.model import effects as base_effects
@@ -170,20 +171,26 @@
     for step, index in list(_iterate_ready_tasks(job)):
         if len(emitted) >= storable:
             break
-        if id(step) in skipped_steps:
+        may_start = probations.may_start(step, index, candidates)
+        if id(step) in skipped_steps or not may_start:
             continue
         if step.spec.gang:
             skipped_steps.add(id(step))
             if len(step.tasks) > storable - len(emitted):
                 continue
-            if starved:
+            if starved and not step.is_suspect(step.tasks[0]):
                 _clear_exclusions(step)
-            emitted += _place_gang(
+            placements = _place_gang(
                 state, holder_state, job, step, candidates=candidates, now=now
             )
+            emitted += placements
+            if not placements:
+                placed = scheduler.PlacedTask(job, step, step.tasks[index])
+                _reserve_worker(holder_state, placed, candidates, now)
             continue
         task = step.tasks[index]
-        if starved or _is_blocked(step, task, now):
+        is_suspect = step.is_suspect(task)
+        if starved and not is_suspect or _is_blocked(step, task, now):
             # No worker that it has not tried has room: it may run anywhere.
             task.excluded_instances.clear()
         candidate = _choose_candidate(
@@ -194,7 +201,9 @@
             candidate = _choose_emptiest(job, step, task, candidates)
             starved = False
         if candidate is None:
-            misses += 1
+            placed = scheduler.PlacedTask(job, step, task)
+            _reserve_worker(holder_state, placed, candidates, now)
+            misses += not is_suspect
             task.blocked_since = task.blocked_since or now
             # Where a task without exclusions finds no candidate, the other
             # tasks of its step find none either.
@@ -209,6 +218,19 @@
     return emitted, misses
 
 
+def _reserve_worker(
+    holder_state: scheduler.HolderState,
+    placed: scheduler.PlacedTask,
+    candidates: dict[str, policies.Candidate],
+    now: datetime.timedelta,
+) -> None:
+    """Keeps a worker free for a task if it is a suspect."""
+    job, step, task = placed.job, placed.step, placed.task
+    if step.is_suspect(task):
+        fitting = _list_fitting(job, step, task, candidates)
+        probations.reserve_worker(holder_state, candidates, fitting, now)
+
+
 def _is_starved(job: progress.Job, now: datetime.timedelta) -> bool:
     """Tells whether a job has had no placed task for `STARVATION_TIME`.
 
@@ -230,13 +252,14 @@
 def _is_blocked(
     step: progress.Step, task: progress.Task, now: datetime.timedelta
 ) -> bool:
-    """Tells whether a long-running task has had no worker for too long.
+    """Tells whether a task has had no worker for too long.
 
+    This is for long-running tasks and for those under which workers crashed.
     Tasks of other kinds wait while the rest of their job runs, so that their
     attempts are not used up on the same workers.
     """
     return (
-        step.spec.long_running
+        (step.spec.long_running or step.is_suspect(task))
         and task.blocked_since is not None
         and now - task.blocked_since >= STARVATION_TIME
     )
@@ -250,6 +273,8 @@
 ) -> policies.Candidate | None:
     """Returns the emptiest fitting candidate, regardless of interference."""
     fitting = _list_fitting(job, step, task, candidates)
+    if step.is_suspect(task):
+        fitting = [candidate for candidate in fitting if candidate.quiet]
     return max(
         fitting,
         key=capacity.estimate_idle_cores,
@@ -325,6 +350,7 @@
     task = step.tasks[index]
     free_millis = candidate.cpu_millis
     capacity.reserve(candidate, step, ref, deferred=job.gives_way)
+    probations.record_start(candidate, step, task)
     view = holder_state.agents[candidate.instance]
     lifecycle.place_task(
         holder_state, view, scheduler.PlacedTask(job, step, task), ref, now
--- a/src/gypsumhold/decisions/jobs/policy_sets.py
+++ b/src/gypsumhold/decisions/jobs/policy_sets.py
@@ -4,8 +4,10 @@
     admission,
     estimates,
     ordering,
+    probations,
     spreading,
     throttling,
+    verdicts,
 )
 from gypsumhold.model.jobs import policies
 
@@ -16,8 +18,9 @@
     return policies.SchedulerPolicies(
         learned,
         ordering.ByObjective(learned),
-        spreading.InterferenceAware(),
+        probations.LeastToLose(spreading.InterferenceAware()),
         admission.AcceptAll(),
+        verdicts.ByEvidence(),
     )
 
 
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/probations.py
@@ -0,0 +1,146 @@
+"""Starts tasks that may crash their worker where little is lost.
+
+A task under which a worker has crashed is started on probation: no other task
+starts on its worker at the same time, so that a second crash there can only be
+its fault. The tasks of a gang are on probation together.
+"""
+
+import datetime
+from collections.abc import Mapping, Sequence
+
+from gypsumhold.model.jobs import policies, progress, scheduler
+
+PROBATION_TIME = datetime.timedelta(milliseconds=500)
+"""Time for which a task has to run until others may start on its worker."""
+
+RESERVATION_TIME = 2 * PROBATION_TIME
+"""Time for which a worker takes no other task, until a suspect starts there."""
+
+WORKERS_PER_PROBATION = 3
+"""Workers for each one with a task on probation; the rest takes new tasks."""
+
+
+def refresh(
+    view: scheduler.AgentView,
+    candidate: policies.Candidate,
+    now: datetime.timedelta,
+) -> None:
+    """Updates what a candidate says about starts and probations."""
+    view.probations = [
+        probation
+        for probation in view.probations
+        if _is_pending(view, probation, now)
+    ]
+    candidate.on_probation = bool(view.probations)
+    candidate.reserved = now < view.reserved_until
+    candidate.quiet = now >= view.latest_start_at + PROBATION_TIME
+
+
+def _is_pending(
+    view: scheduler.AgentView,
+    probation: scheduler.ProbationRun,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a run has not yet passed its probation."""
+    task = probation.placed.task
+    is_current = task.is_placed() and task.run == probation.run
+    if not is_current or task.instance != view.instance:
+        return False
+    return task.listed_at is None or now < task.listed_at + PROBATION_TIME
+
+
+def has_pending(view: scheduler.AgentView, now: datetime.timedelta) -> bool:
+    """Tells whether a task is on probation on an instance."""
+    return any(
+        _is_pending(view, probation, now) for probation in view.probations
+    )
+
+
+def may_start(
+    step: progress.Step,
+    index: int,
+    candidates: Mapping[str, policies.Candidate],
+) -> bool:
+    """Tells whether a task may start now as far as probations allow."""
+    if not step.is_suspect(step.tasks[index]):
+        return True
+    pending = sum(candidate.on_probation for candidate in candidates.values())
+    return pending < _get_limit(candidates)
+
+
+def _get_limit(candidates: Mapping[str, policies.Candidate]) -> int:
+    """Returns on how many workers tasks may be on probation at a time."""
+    return max(1, len(candidates) // WORKERS_PER_PROBATION)
+
+
+def reserve_worker(
+    holder_state: scheduler.HolderState,
+    candidates: Mapping[str, policies.Candidate],
+    fitting: Sequence[policies.Candidate],
+    now: datetime.timedelta,
+) -> None:
+    """Keeps other tasks off a worker, so that a suspect can start there.
+
+    Args:
+        holder_state: State of the held queue.
+        candidates: All candidates.
+        fitting: Those on which the suspect fits, none of which is quiet.
+        now: Current time.
+    """
+    taken = sum(
+        candidate.reserved or candidate.on_probation
+        for candidate in candidates.values()
+    )
+    free = [candidate for candidate in fitting if not candidate.reserved]
+    if not free or taken >= _get_limit(candidates):
+        return
+    chosen = min(free, key=_count_tasks)
+    chosen.reserved = True
+    view = holder_state.agents[chosen.instance]
+    view.reserved_until = now + RESERVATION_TIME
+
+
+def record_start(
+    candidate: policies.Candidate, step: progress.Step, task: progress.Task
+) -> None:
+    """Records that a task is placed on a candidate during a plan."""
+    candidate.quiet = False
+    if step.is_suspect(task):
+        candidate.on_probation = True
+
+
+class LeastToLose(policies.PlacementPolicy):
+    """Sends suspects to the quiet worker with the fewest tasks.
+
+    Another policy chooses the workers of all other tasks.
+    """
+
+    def __init__(self, policy: policies.PlacementPolicy) -> None:
+        """Creates a policy that asks `policy` about all other tasks."""
+        self._policy = policy
+
+    def choose(
+        self,
+        step: progress.Step,
+        task: progress.Task,
+        candidates: Sequence[policies.Candidate],
+        *,
+        deferred: bool = False,
+    ) -> policies.Candidate | None:
+        """Returns a candidate for the task, or None if the task has to wait."""
+        if not step.is_suspect(task):
+            return self._policy.choose(
+                step, task, candidates, deferred=deferred
+            )
+        quiet = [candidate for candidate in candidates if candidate.quiet]
+        for candidate in sorted(quiet, key=_count_tasks):
+            chosen = self._policy.choose(
+                step, task, [candidate], deferred=deferred
+            )
+            if chosen is not None:
+                return chosen
+        return None
+
+
+def _count_tasks(candidate: policies.Candidate) -> int:
+    return sum(candidate.steps.values())
--- a/src/gypsumhold/decisions/jobs/record_sizes.py
+++ b/src/gypsumhold/decisions/jobs/record_sizes.py
@@ -23,16 +23,26 @@
 FAILED_RUN_BYTES = 5
 """Bytes of the number of a failed run."""
 
-MAX_TASK_BYTES = 220
-"""Bytes of a placed task with a checkpoint and some failed runs."""
+CRASH_BYTES = 80
+"""Bytes of a crash, with the name of the instance."""
+
+MAX_TASK_BYTES = 380
+"""Bytes of a placed task with a checkpoint, some failed runs and crashes."""
 
 LARGE_JOB_TASKS = 300
-"""Tasks from which a job counts as large: fewer always fit into one row."""
+"""Tasks and crashes from which a job counts as large: fewer always fit into
+one row."""
 
 
 def is_large(job: progress.Job) -> bool:
     """Tells whether the progress of a job may exceed one row."""
-    return sum(len(step.tasks) for step in job.steps) > LARGE_JOB_TASKS
+    tasks = sum(len(step.tasks) for step in job.steps)
+    if tasks > LARGE_JOB_TASKS:
+        return True
+    crashes = sum(
+        len(task.crashes) for step in job.steps for task in step.tasks
+    )
+    return tasks + crashes > LARGE_JOB_TASKS
 
 
 def choose_storable_jobs(jobs: Sequence[progress.Job]) -> list[progress.Job]:
@@ -70,11 +80,13 @@
 
 def _estimate_task(task: progress.Task) -> int:
     failed = FAILED_RUN_BYTES * len(task.failed_runs)
-    if task.state is records.TaskState.PLACED:
-        return PLACED_TASK_BYTES + len(task.checkpoint) + failed
     if task.state is records.TaskState.DONE:
         return DONE_TASK_BYTES + failed
-    return DONE_TASK_BYTES + len(task.checkpoint) + failed
+    crashed = CRASH_BYTES * len(task.crashes)
+    fixed = DONE_TASK_BYTES
+    if task.state is records.TaskState.PLACED:
+        fixed = PLACED_TASK_BYTES
+    return fixed + len(task.checkpoint) + failed + crashed
 
 
 def count_storable_placements(job: progress.Job, row_bytes: int) -> int:
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import commands, leases, worker_polls
+from gypsumhold.decisions.jobs import commands, leases, lifecycle, worker_polls
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members, timers
 from gypsumhold.model.jobs import (
@@ -142,8 +142,7 @@
         state.worker if state.polled else None,
         state.term,
         tuple(
-            local_run.row or runs.RunRow(local_run.ref)
-            for local_run in state.active.values()
+            _build_row(state, local_run) for local_run in state.active.values()
         ),
         tuple(
             local_run.ref
@@ -162,6 +161,28 @@
         state.reported_sums,
         state.answering and state.polled and not state.worker_left,
         runs_ended,
+        messages.UNKNOWN_SILENCE
+        if state.silent_after is None
+        else lifecycle.to_ms(state.silent_after),
+    )
+
+
+def _build_row(
+    state: executor.ExecutorState, local_run: executor.LocalRun
+) -> runs.RunRow:
+    """Returns the listing of a run with its age."""
+    row = local_run.row or runs.RunRow(local_run.ref)
+    is_running = local_run.state is executor.LocalState.RUNNING
+    if not is_running or state.clock is None:
+        return row
+    until = state.clock.received_at + (state.silent_after or NO_DELAY)
+    age = max(until - local_run.confirmed_at, NO_DELAY)
+    return runs.RunRow(
+        row.ref,
+        row.checkpoint,
+        row.progress_percent,
+        row.usage,
+        lifecycle.to_ms(age),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -68,7 +68,7 @@
         holder_state.agents[report.instance] = view
         emitted.append(_log_agent(report, "joined"))
         holder_state.plan_due = True
-    emitted += _apply_report(holder_state, view, report, now)
+    emitted += _apply_report(state, holder_state, view, report, now)
     reply = directives.build_directives(
         state, holder_state, view, now, is_answer=True
     )
@@ -149,6 +149,7 @@
 
 
 def _apply_report(
+    state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
     report: messages.Report,
@@ -169,7 +170,7 @@
         view.interference_sums[sums.pair] = sums
     _adopt_orphans(holder_state, view)
     emitted += _release_ended_runs(holder_state, view)
-    emitted += crashes.judge_crash(holder_state, view)
+    emitted += crashes.judge_crash(state, holder_state, view, now)
     for row in report.ends:
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
@@ -329,7 +330,10 @@
         if row is None:
             continue
         if placed.task.listed_at is None:
-            placed.task.listed_at = now
+            placed.task.listed_at = view.latest_start_at = now
+        if row.age_ms != runs.UNKNOWN_AGE:
+            placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
+        crashes.clear_suspicion(holder_state, view, placed)
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
         estimates.measure_progress(placed.step, placed.task, row, now)
--- a/src/gypsumhold/decisions/jobs/stories.py
+++ b/src/gypsumhold/decisions/jobs/stories.py
@@ -83,6 +83,14 @@
         story.is_failed = line.outcome == "job failed"
 
 
+def _handle_given_up(story: stories.Story, line: stories.LogLine) -> None:
+    story.ended_at = line.at
+    story.is_failed = True
+    story.crashed_under = line.inputs.get("task", "")
+    crashes = line.inputs.get("crashed", "").split(",")
+    story.crashed = [crash.partition("@")[0] for crash in crashes]
+
+
 def _handle_run_refused(story: stories.Story, line: stories.LogLine) -> None:
     story.refused_runs += 1
 
@@ -94,6 +102,7 @@
     "cancel": _handle_cancel,
     "run-ended": _handle_run_ended,
     "run-refused": _handle_run_refused,
+    "task-given-up": _handle_given_up,
 }
 
 
@@ -109,6 +118,8 @@
         return Cause.UNKNOWN
     if story.is_cancelled:
         return Cause.CANCELLED
+    if story.crashed_under:
+        return Cause.GIVEN_UP
     if story.ended_at is not None:
         return Cause.FAILED if story.is_failed else Cause.COMPLETED
     if story.first_started_at is not None:
@@ -153,6 +164,15 @@
     return (summary, "the job itself is at fault if each instance is sound")
 
 
+def _explain_given_up(story: stories.Story) -> tuple[str, str]:
+    return (
+        f"task {story.crashed_under} was given up, because the workers on "
+        f"{', '.join(story.crashed)} crashed as it started",
+        "the task itself is at fault; worker-crashed lines tell what else "
+        "had just started on these workers",
+    )
+
+
 def _explain_completed(story: stories.Story) -> tuple[str, str]:
     name, duration = max(
         _measure_phases(story).items(), key=lambda item: item[1]
@@ -190,6 +210,7 @@
     Cause.UNANSWERED: _explain_unanswered,
     Cause.CANCELLED: _explain_cancelled,
     Cause.FAILED: _explain_failed,
+    Cause.GIVEN_UP: _explain_given_up,
     Cause.COMPLETED: _explain_completed,
     Cause.NOT_PLACED: _explain_not_placed,
     Cause.NOT_STARTED: _explain_not_started,
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -71,6 +71,7 @@
     state.polled = False
     state.acknowledged = runs.EndNumber(0)
     state.answering = True
+    state.silent_after = None
     state.worker_left = False
     state.serving.clear()
     state.last_sample = None
@@ -171,6 +172,7 @@
     if not state.answering:
         emitted.append(_log_worker(worker, "answers again"))
     state.answering = True
+    state.silent_after = None
     commands.record_clock(state, event.clock)
     emitted += _reconcile(state, event, now)
     state.report_due = state.report_due or not state.polled
@@ -193,6 +195,8 @@
     emitted: EffectList = []
     if state.answering:
         state.report_due = True
+        if state.clock is not None:
+            state.silent_after = now - state.clock.received_at
         emitted.append(
             effects.Log(
                 "worker",
@@ -239,7 +243,7 @@
         local_run = state.active.get(row.ref)
         if local_run is None:
             local_run = executor.LocalRun(
-                row.ref, None, executor.LocalState.RUNNING
+                row.ref, None, executor.LocalState.RUNNING, confirmed_at=now
             )
             state.active[row.ref] = local_run
             state.report_due = True
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -177,6 +177,8 @@
             takes from a serving image, as estimated from the measurements of
             all agents.
         answering: Whether the worker answered the latest poll.
+        silent_after: Time from its latest answer until the poll that found it
+            silent; None if it answers or has answered nothing.
         worker_left: Whether the worker announced that it shuts down.
         runs_expire_at: When every run has certainly ended unless the lease is
             extended.
@@ -228,6 +230,7 @@
         default_factory=dict
     )
     answering: bool = True
+    silent_after: datetime.timedelta | None = None
     worker_left: bool = False
     runs_expire_at: datetime.timedelta = ZERO
     reported_refusals: tuple[runs.RunRef, ...] = ()
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -19,6 +19,10 @@
         return members.Address(self.host, self.port)
 
 
+UNKNOWN_SILENCE = -1
+"""Stands for a silence that did not begin or whose begin is not known."""
+
+
 class Report(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Report of an agent to the holder of the queue.
 
@@ -44,6 +48,8 @@
             first answer to a poll and once the worker shuts down.
         runs_ended: Whether every earlier run has certainly ended, because
             its lease has expired or the worker has left.
+        silent_after_ms: Time from the latest answer of the worker until it was
+            found to be silent; `UNKNOWN_SILENCE` if it is not.
     """
 
     instance: ids.InstanceId
@@ -60,6 +66,7 @@
     interference_sums: tuple[runs.InterferenceSums, ...] = ()
     answering: bool = True
     runs_ended: bool = False
+    silent_after_ms: int = UNKNOWN_SILENCE
 
 
 class Directives(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -3,7 +3,7 @@
 import abc
 import dataclasses
 import datetime
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import progress, runs, specs
@@ -32,6 +32,10 @@
         interference_estimates: Headroom that one core of a best-effort image
             takes from a serving image, by an optimistic estimate.
         steps: Number of tasks here by job, repetition and step.
+        on_probation: Whether a task is on probation here, so that no other may
+            start.
+        reserved: Whether only a task on probation may start here.
+        quiet: Whether no task has started here for as long as a probation.
     """
 
     instance: ids.InstanceId
@@ -58,6 +62,9 @@
     steps: dict[tuple[specs.JobId, int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    on_probation: bool = False
+    reserved: bool = False
+    quiet: bool = True
 
 
 class EstimatePolicy(abc.ABC):
@@ -100,6 +107,21 @@
         """
 
 
+class CrashPolicy(abc.ABC):
+    """Decides when a task is given up for the workers that crashed under it."""
+
+    @abc.abstractmethod
+    def should_give_up(
+        self, crashes: Collection[runs.Crash], latest: runs.Crash
+    ) -> bool:
+        """Tells whether a task, or its gang, does not run again.
+
+        Args:
+            crashes: All its crashes, `latest` among them.
+            latest: The crash that has just become known.
+        """
+
+
 class AdmissionPolicy(abc.ABC):
     """Decides which submissions are accepted."""
 
@@ -148,6 +170,7 @@
     ordering: OrderingPolicy
     placement: PlacementPolicy
     admission: AdmissionPolicy
+    crashes: CrashPolicy
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -48,6 +48,8 @@
         reported: Whether the latest report of the agent lists the run.
         listed_at: When a report first listed the current run; None if none
             has. After a takeover, reports to the former holder do not count.
+        age: How long the worker had run it at most, as last reported; None if
+            that is not known.
         placed_at: When the task was placed.
         progress_percent: Highest reported progress of the run.
         progressed_at: When the progress last rose.
@@ -60,6 +62,8 @@
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
+        crashes: Crashes of workers that may be its fault, in the order in
+            which they became known.
         blocked_since: Since when plans have found no worker for the task
             although it is ready; None if the latest plan found one.
     """
@@ -74,6 +78,7 @@
     batch: int = NOT_STORED
     reported: bool = False
     listed_at: datetime.timedelta | None = None
+    age: datetime.timedelta | None = None
     placed_at: datetime.timedelta = ZERO
     progress_percent: int = 0
     progressed_at: datetime.timedelta = ZERO
@@ -85,6 +90,7 @@
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
     )
+    crashes: tuple[runs.Crash, ...] = ()
     blocked_since: datetime.timedelta | None = None
 
     @property
@@ -119,6 +125,18 @@
     tasks: list[Task]
     open: bool = False
 
+    def list_unit(self, task: Task) -> list[Task]:
+        """Returns the tasks that start and end with a task, and itself."""
+        return self.tasks if self.spec.gang else [task]
+
+    def is_suspect(self, task: Task) -> bool:
+        """Tells whether a crash may be the fault of a task or its gang."""
+        return any(other.crashes for other in self.list_unit(task))
+
+    def has_suspects(self) -> bool:
+        """Tells whether a crash may be the fault of one of the tasks."""
+        return any(task.crashes for task in self.tasks)
+
     def is_done(self) -> bool:
         """Tells whether every task is done."""
         return all(task.state is records.TaskState.DONE for task in self.tasks)
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -35,6 +35,7 @@
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     checkpoint: runs.Checkpoint = runs.Checkpoint("")
     failed_runs: tuple[runs.RunNumber, ...] = ()
+    crashes: tuple[runs.Crash, ...] = ()
 
 
 class StepRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -127,6 +127,40 @@
     drain_left_ms: int = 0
 
 
+class CrashEvidence(enum.Enum):
+    """How much the crash of a worker says about a task that ran there."""
+
+    ALONE = "a"
+    """The worker crashed at once after the start of the task; no other task had
+    just started there, and no other worker was lost at the time."""
+
+    SHARED = "s"
+    """The task had started there shortly before, and others may have, too."""
+
+    UNSURE = "u"
+    """Other workers were lost at the time, or the start of the run is not
+    known."""
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of a worker under a task.
+
+    Attributes:
+        instance: Instance of the worker.
+        started_ms: Start of the worker process in Unix milliseconds; together
+            they identify the crash.
+        evidence: How much the crash says about the task.
+    """
+
+    instance: ids.InstanceId
+    started_ms: int
+    evidence: CrashEvidence
+
+
+UNKNOWN_AGE = -1
+"""Stands for the age of a run of which the worker has not said that it runs."""
+
+
 class RunRow(msgspec.Struct, frozen=True, array_like=True):
     """A run in the worker's list of running tasks.
 
@@ -137,12 +171,16 @@
             long-running task once it is up.
         usage: Tail latency in milliseconds of a serving task, otherwise the
             CPU in use in thousandths of a core.
+        age_ms: Time from the confirmed start of the run until the worker last
+            answered or was found silent; `UNKNOWN_AGE` if the start is not
+            confirmed.
     """
 
     ref: RunRef
     checkpoint: Checkpoint = Checkpoint("")
     progress_percent: int = 0
     usage: int = 0
+    age_ms: int = UNKNOWN_AGE
 
 
 class EndRow(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/stories.py
+++ b/src/gypsumhold/model/jobs/stories.py
@@ -45,6 +45,9 @@
     FAILED = "failed"
     """One of its tasks failed as often as its queue allows."""
 
+    GIVEN_UP = "given up"
+    """Workers crashed under one of its tasks, which does not run again."""
+
     COMPLETED = "completed"
     NOT_PLACED = "not placed"
     """It was accepted and none of its tasks has been placed."""
@@ -71,6 +74,9 @@
         is_cancelled: Whether it was cancelled.
         is_failed: Whether it ended as failed.
         failed_on: Instances on which runs of it failed, in order.
+        crashed_under: The task that was given up for the workers that crashed
+            under it; empty if there is none.
+        crashed: Instances of these workers, in order.
         lost_runs: Number of runs that ended without doing their work, other
             than by failing.
         refused_runs: Number of runs that a worker refused to start.
@@ -87,6 +93,8 @@
     is_cancelled: bool = False
     is_failed: bool = False
     failed_on: list[str] = dataclasses.field(default_factory=list)
+    crashed_under: str = ""
+    crashed: list[str] = dataclasses.field(default_factory=list)
     lost_runs: int = 0
     refused_runs: int = 0
 
--- /dev/null
+++ b/tests/jobs/test_crash_records.py
@@ -0,0 +1,129 @@
+"""Tests of stored crashes, and of the policies that judge them."""
+
+import datetime
+
+import msgspec
+import pytest
+
+from gypsumhold.adapters.jobs import codec
+from gypsumhold.decisions.jobs import lifecycle, record_sizes, verdicts
+from gypsumhold.model import ids
+from gypsumhold.model.jobs import messages, records, runs, scheduler, storage
+from tests.jobs import builders
+from tests.jobs import world as worlds
+
+NOW = datetime.timedelta(seconds=1)
+Evidence = runs.CrashEvidence
+
+
+def build_crash(number: int, evidence: Evidence) -> runs.Crash:
+    return runs.Crash(
+        ids.InstanceId(f"side-andina-{number}"), 1_788_285_346_928, evidence
+    )
+
+
+def build_record(tasks: int, crashes: int) -> records.ProgressRecord:
+    task = records.TaskRecord(
+        records.TaskState.PLACED,
+        runs.RunNumber(3),
+        0,
+        ids.InstanceId("side-andina-c-3"),
+        runs.WorkerIncarnation("i-c67ba972c0", 1_788_285_346_928),
+        crashes=tuple(
+            build_crash(number, Evidence.SHARED) for number in range(crashes)
+        ),
+    )
+    step = records.StepRecord(0, 0, (task,) * tasks)
+    return records.ProgressRecord(
+        records.FORMAT, messages.JobState.RUNNING, (step,)
+    )
+
+
+def decode_record(data: bytes) -> records.ProgressRecord:
+    return codec.decode(data, records.ProgressRecord).unwrap()
+
+
+def build_holder_state() -> scheduler.HolderState:
+    holder_state = builders.build_holder(NOW).holder_state
+    assert holder_state is not None
+    return holder_state
+
+
+def test_row_of_a_former_version_is_read() -> None:
+    """Guards against jobs that are left out after an update."""
+    task = ["p", 2, 0, "side-a-1", ["i-1", 5], ""]
+    old = msgspec.msgpack.encode([1, "running", [[0, 0, [task]]]])
+    record = decode_record(old)
+    assert record.steps[0].tasks[0].crashes == ()
+
+
+def test_crashes_are_stored_and_read() -> None:
+    """Guards against a count that the next holder does not have."""
+    record = build_record(1, 2)
+    read = decode_record(codec.encode(record))
+    holder_state = build_holder_state()
+    spec = worlds.build_job("j", (1,))
+    job = lifecycle.add_job(holder_state, storage.JobRows(spec, read), NOW)
+    assert job is not None
+    task = job.steps[0].tasks[0]
+    assert task.crashes == record.steps[0].tasks[0].crashes
+    assert task.excluded_instances == {"side-andina-0", "side-andina-1"}
+    assert lifecycle.build_record(job) == record
+
+
+@pytest.mark.parametrize("tasks", [1, 40, 250])
+@pytest.mark.parametrize("crashes", [0, 1, 5])
+def test_size_of_crashes_is_bounded(tasks: int, crashes: int) -> None:
+    """Guards against a row that the store refuses for its size."""
+    holder_state = build_holder_state()
+    spec = worlds.build_job("j", (tasks,))
+    record = build_record(tasks, crashes)
+    job = lifecycle.add_job(holder_state, storage.JobRows(spec, record), NOW)
+    assert job is not None
+    encoded = codec.encode(lifecycle.build_record(job))
+    assert len(encoded) <= record_sizes.estimate_record(job)
+    if tasks + tasks * crashes > record_sizes.LARGE_JOB_TASKS:
+        assert record_sizes.is_large(job)
+
+
+ALONE, SHARED, UNSURE = Evidence.ALONE, Evidence.SHARED, Evidence.UNSURE
+
+
+@pytest.mark.parametrize(
+    ("evidence", "gives_up"),
+    [
+        ((ALONE,), False),
+        ((SHARED, ALONE), True),
+        ((UNSURE, ALONE), True),
+        ((ALONE, SHARED), False),
+        ((SHARED, SHARED), False),
+        ((SHARED, SHARED, SHARED), True),
+        ((UNSURE, UNSURE, UNSURE), False),
+        ((UNSURE,) * 4, True),
+    ],
+)
+def test_evidence_decides(
+    evidence: tuple[Evidence, ...], gives_up: bool
+) -> None:
+    """Guards against a verdict that one more crash of a rack changes."""
+    crashes = [
+        build_crash(number, kind) for number, kind in enumerate(evidence)
+    ]
+    policy = verdicts.ByEvidence()
+    assert policy.should_give_up(crashes, crashes[-1]) is gives_up
+
+
+def test_one_faulty_instance_does_not_convict() -> None:
+    """Guards against a task that is blamed for a worker that flaps."""
+    crashes = [
+        runs.Crash(ids.InstanceId("side-a-1"), number, ALONE)
+        for number in range(3)
+    ]
+    assert not verdicts.ByEvidence().should_give_up(crashes, crashes[-1])
+
+
+def test_baseline_counts() -> None:
+    crashes = [build_crash(number, UNSURE) for number in range(3)]
+    policy = verdicts.CountCrashes(3)
+    assert not policy.should_give_up(crashes[:2], crashes[1])
+    assert policy.should_give_up(crashes, crashes[-1])
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -105,6 +105,14 @@
         self.ends.append(row)
         self.finished.append(row)
 
+    def break_gang(self, lost: runs.RunRef) -> None:
+        """Ends the runs of a gang of which one run was lost."""
+        task = lost.task
+        for ref, run in list(self.running.items()):
+            key = (ref.job_id, ref.repetition, ref.step, run.ref.run)
+            if key == (task.job_id, task.repetition, task.step, lost.run):
+                self._end(run, runs.RunEnd.GANG_ENDED)
+
     def poll(self, effect: effects.PollWorker, now_ms: float) -> Result:
         if effect.fence < self.fence:
             return Result.FENCED
--- a/tests/programs/test_explain.py
+++ b/tests/programs/test_explain.py
@@ -54,6 +54,18 @@
             5000, "run-ended", "job failed", end="failed", instance="side-b-2"
         ),
     ],
+    stories.Cause.GIVEN_UP: [
+        ACCEPTED,
+        PLACED,
+        STARTED,
+        write_line(
+            9000,
+            "task-given-up",
+            "job failed",
+            task=f"{JOB}.0.0.0",
+            crashed="side-a-1@1788285346928,side-b-2@1788285347785",
+        ),
+    ],
 }
 
 
@@ -82,6 +94,13 @@
     assert "waiting for a place (4.0 s)" in summary
 
 
+def test_task_that_was_given_up_is_named_with_the_crashes() -> None:
+    """Guards against a failed job whose owner learns no reason."""
+    summary = explain(CASES[stories.Cause.GIVEN_UP]).summary
+    assert f"{JOB}.0.0.0" in summary
+    assert "side-a-1, side-b-2" in summary
+
+
 def test_refusal_before_an_acceptance_is_not_the_cause() -> None:
     """Guards against a retried submission that is shown as refused."""
     refused = write_line(0, "submit", "unavailable")
