--- a/src/gypsumhold/decisions/jobs/crashes.py
+++ b/src/gypsumhold/decisions/jobs/crashes.py
@@ -70,7 +70,7 @@
     silent_after = None
     if report.silent_after_ms != messages.UNKNOWN_SILENCE:
         silent_after = datetime.timedelta(milliseconds=report.silent_after_ms)
-    view.loss = scheduler.WorkerLoss(
+    view.loss = runs.WorkerLoss(
         former,
         at,
         announced,
@@ -170,7 +170,7 @@
 
 def _list_suspects(
     lost_runs: LostRuns,
-    loss: scheduler.WorkerLoss | None,
+    loss: runs.WorkerLoss | None,
     *,
     is_outage: bool,
 ) -> LostRuns:
@@ -190,7 +190,7 @@
     }
 
 
-def _is_fresh(lost_run: scheduler.LostRun, loss: scheduler.WorkerLoss) -> bool:
+def _is_fresh(lost_run: scheduler.LostRun, loss: runs.WorkerLoss) -> bool:
     """Tells whether a run had just started when its worker was lost."""
     if lost_run.age is None:
         return lost_run.is_stored
@@ -227,7 +227,7 @@
 
 
 def _weigh(
-    suspect: scheduler.LostRun, suspects: LostRuns, loss: scheduler.WorkerLoss
+    suspect: scheduler.LostRun, suspects: LostRuns, loss: runs.WorkerLoss
 ) -> runs.CrashEvidence:
     """Returns how much a crash says about one of its suspects."""
     if suspect.age is None or loss.silent_after is None:
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -1,5 +1,7 @@
 """Runs of tasks, their ends, the workers that run them and interference."""
 
+import dataclasses
+import datetime
 import enum
 from typing import NewType
 
@@ -97,6 +99,27 @@
 NO_INCARNATION = WorkerIncarnation("", 0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerLoss:
+    """When a worker stopped answering, or its agent stopped reporting.
+
+    Attributes:
+        incarnation: The worker incarnation that was lost.
+        at: When the holder learned of it, or the latest report before.
+        announced: Whether the worker had announced its end.
+        on_probation: Whether a task was on probation there, which may explain
+            the loss.
+        silent_after: Time from its latest answer until its agent found it
+            silent; None if not known.
+    """
+
+    incarnation: WorkerIncarnation
+    at: datetime.timedelta
+    announced: bool
+    on_probation: bool
+    silent_after: datetime.timedelta | None = None
+
+
 class Worker(msgspec.Struct, frozen=True, array_like=True):
     """A worker as described by its latest heartbeat.
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -125,25 +125,6 @@
     is_stored: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerLoss:
-    """When a worker stopped answering, or its agent stopped reporting.
-
-    Attributes:
-        incarnation: The worker incarnation that was lost.
-        at: When the holder learned of it, or the latest report before.
-        announced: Whether the worker had announced its end.
-        on_probation: Whether a task was on probation there.
-        silent_after: As `executor.ExecutorState.silent_after`.
-    """
-
-    incarnation: runs.WorkerIncarnation
-    at: datetime.timedelta
-    announced: bool
-    on_probation: bool
-    silent_after: datetime.timedelta | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class AgentView:
     """The holder's view of one agent.
@@ -201,7 +182,7 @@
         dataclasses.field(default_factory=dict)
     )
     candidate: policies.Candidate | None = None
-    loss: WorkerLoss | None = None
+    loss: runs.WorkerLoss | None = None
     latest_start_at: datetime.timedelta = ZERO
     reserved_until: datetime.timedelta = ZERO
     probations: list[ProbationRun] = dataclasses.field(default_factory=list)
