--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -3,6 +3,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
+    crashes,
     directives,
     estimates,
     holders,
@@ -67,7 +68,7 @@
         holder_state.agents[report.instance] = view
         emitted.append(_log_agent(report, "joined"))
         holder_state.plan_due = True
-    emitted += _apply_report(holder_state, view, report, now)
+    emitted += _apply_report(state, holder_state, view, report, now)
     reply = directives.build_directives(
         state, holder_state, view, now, is_answer=True
     )
@@ -148,12 +149,14 @@
 
 
 def _apply_report(
+    state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
     report: messages.Report,
     now: datetime.timedelta,
 ) -> EffectList:
     """Applies a report to the view of its agent."""
+    crashes.note_loss(holder_state, view, report, now)
     emitted = _apply_worker_incarnation(holder_state, view, report)
     if _has_worker_changed(view.report, report):
         holder_state.plan_due = True
@@ -168,6 +171,7 @@
     _adopt_orphans(holder_state, view)
     emitted += _release_ended_runs(holder_state, view)
     _record_worker_report(view, now)
+    emitted += crashes.judge_crash(state, holder_state, view, now)
     for row in report.ends:
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
@@ -340,6 +344,11 @@
         placed.task.reported = row is not None
         if row is None:
             continue
+        if placed.task.listed_at is None:
+            placed.task.listed_at = view.latest_start_at = now
+        if row.age_ms != runs.UNKNOWN_AGE:
+            placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
+        crashes.clear_suspicion(holder_state, view, placed)
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
         estimates.measure_progress(placed.step, placed.task, row, now)
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -96,6 +96,35 @@
     task: progress.Task
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbationRun:
+    """A run of a task under which workers have crashed."""
+
+    placed: PlacedTask
+    run: runs.RunNumber
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended with its worker, or that a silence hides.
+
+    Attributes:
+        placed: The task.
+        run: Number of the run.
+        worker_incarnation: The worker incarnation on which it was placed.
+        was_listed: Whether a report has listed the run.
+        age: As `progress.Task.age`.
+        is_stored: Whether its placement was stored, so it may have started.
+    """
+
+    placed: PlacedTask
+    run: runs.RunNumber
+    worker_incarnation: runs.WorkerIncarnation
+    was_listed: bool
+    age: datetime.timedelta | None
+    is_stored: bool
+
+
 @dataclasses.dataclass(slots=True)
 class AgentView:
     """The holder's view of one agent.
@@ -123,6 +152,10 @@
             images.
         candidate: Free capacity of the worker; None if something that it
             depends on has changed.
+        loss: Latest loss of a worker incarnation that has not answered again.
+        latest_start_at: When a run was last placed here or first listed.
+        probations: Runs here whose probation may not be over.
+        reserved_until: Until when no run but one on probation starts here.
     """
 
     instance: ids.InstanceId
@@ -149,6 +182,10 @@
         dataclasses.field(default_factory=dict)
     )
     candidate: policies.Candidate | None = None
+    loss: runs.WorkerLoss | None = None
+    latest_start_at: datetime.timedelta = ZERO
+    reserved_until: datetime.timedelta = ZERO
+    probations: list[ProbationRun] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
@@ -209,6 +246,7 @@
         agents: Agents by instance.
         orphans: Placed tasks by instance, for instances that have not
             reported in this term.
+        lost_runs: Runs that were released without an end, by instance.
         open_jobs: Jobs whose tasks may still be placed.
         plan_due: Whether something that placement depends on has changed.
         migrations_due: Whether the next plan also looks for slow tasks.
@@ -255,6 +293,9 @@
     orphans: dict[ids.InstanceId, dict[runs.TaskRef, PlacedTask]] = (
         dataclasses.field(default_factory=dict)
     )
+    lost_runs: dict[ids.InstanceId, dict[runs.TaskRef, LostRun]] = (
+        dataclasses.field(default_factory=dict)
+    )
     open_jobs: dict[specs.JobId, progress.Job] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -59,6 +59,25 @@
 
 NO_FAULTS = Faults()
 
+CRASH_DELAY_MS = 10
+"""Time after which a deadly task crashes the worker that started it."""
+
+GANG_TIMEOUT_MS = 200
+"""Time after which a run ends that is alone of its gang."""
+
+DOWN_MS = 3200
+"""Time until a worker is up again after a crash."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of a worker under a deadly task, and its starts until then."""
+
+    task: runs.TaskRef
+    instance: str
+    at_ms: float
+    starts: int
+
 
 @dataclasses.dataclass(slots=True)
 class Node:
@@ -126,6 +145,9 @@
         ] = {}
         self.accepted: dict[specs.JobId, float] = {}
         self.cancelled: set[specs.JobId] = set()
+        # Tasks that crash each worker that starts them, and those crashes.
+        self.deadly: set[runs.TaskRef] = set()
+        self.crashes: list[Crash] = []
         self.failed_runs: dict[runs.TaskRef, int] = {}
         self.log_lines: list[tuple[float, str, effects.Log]] = []
         for number in range(entries):
@@ -644,8 +666,37 @@
             self.oracle.check_start(
                 worker, effect.command, self.now_ms, sent_ms
             )
+            if ref.task in self.deadly:
+                self.after(
+                    CRASH_DELAY_MS, lambda: self._crash_under(worker, ref)
+                )
         return result
 
+    def _crash_under(
+        self, worker: worker_fake.FakeWorker, ref: runs.RunRef
+    ) -> None:
+        """Crashes a worker unless the deadly run is gone."""
+        run = worker.running.get(ref.task)
+        if run is None or run.ref != ref:
+            return
+        name = next(
+            name for name, other in self.workers.items() if other is worker
+        )
+        starts = sum(
+            started.task == ref.task for started in self.oracle.started
+        )
+        self.crashes.append(Crash(ref.task, name, self.now_ms, starts))
+        worker.restart(self.now_ms, DOWN_MS)
+        step = self.store.jobs[ref.task.job_id].steps[ref.task.step]
+        if step.gang:
+            self._break_gang(ref)
+            # Starts that were under way leave runs without their gang.
+            self.after(GANG_TIMEOUT_MS, lambda: self._break_gang(ref))
+
+    def _break_gang(self, lost: runs.RunRef) -> None:
+        for worker in self.workers.values():
+            worker.break_gang(lost)
+
     def _draw_work_ms(self, task: runs.TaskRef) -> float:
         step = self.store.jobs[task.job_id].steps[task.step]
         if step.long_running:
