Release the runs of a worker that left only once it answers no poll

Cause: a notice that a worker leaves names it, but not its incarnation. The agent reported at once that all runs had ended, and the holder placed them elsewhere, while the worker ran on. Only an order to stop, that might be late, ended the first run.

--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -43,12 +43,13 @@
 ) -> bool:
     """Tells whether every run that the worker had has certainly ended.
 
-    That is the case once the worker has left, or is silent and all leases that
-    were sent have expired.
+    That is the case once the worker is silent and either has left or all leases
+    that were sent have expired. A notice of its departure alone does not show
+    it: it may be a late one of a former incarnation.
     """
-    if state.worker_left:
-        return True
-    return not state.answering and now >= state.runs_expire_at
+    if state.answering:
+        return False
+    return state.worker_left or now >= state.runs_expire_at
 
 
 def has_start_margin(
