Send the second submission of a test to an entry that is not the holder

The test of a name that was used before was wrong: the holder takes a submission of a job in its memory as the same job, handed in again, and accepts it; nothing is stored. Change: the submission goes to the other entry, which stores it as a new job. The checks are the same.

--- a/tests/jobs/test_forgotten_jobs.py
+++ b/tests/jobs/test_forgotten_jobs.py
@@ -32,7 +32,8 @@
 def test_job_runs_if_its_name_was_used_before(seed: int) -> None:
     """Guards against an accepted job that is deleted as the ended one.
 
-    The name is used again while the progress of the ended job is deleted.
+    The name is used again while the progress of the ended job is deleted; an
+    entry that is not the holder stores the submission.
     """
     for offset_ms in range(0, 50, 5):
         world = worlds.World(seed)
@@ -44,7 +45,12 @@
         while JOB_ID in world.store.jobs:
             world.run(1)
         world.run(offset_ms)
-        ticket = world.submit("entry-0", job)
+        follower = next(
+            name
+            for name in ("entry-0", "entry-1")
+            if world.nodes[name].state.holder_state is None
+        )
+        ticket = world.submit(follower, job)
         world.run(MAX_WAIT_MS)
         assert world.verdicts[ticket].verdict is messages.Verdict.ACCEPTED
         assert len(world.oracle.started) == 2
