Run a job that is stored under the id of an ended job being deleted

Callers had a job accepted that never ran, until another entry took the queue or for good: its id was that of a job that ended three minutes ago (`retention`). Cause: the submission of the ended job is deleted first, its progress in a later batch. A new submission in between was skipped as a job in memory, or its job was removed with the progress of the ended one, in the second case with its id still among the changed jobs, where the next batch raises a KeyError. Change: such a submission replaces the ended job and its progress; only jobs that have ended are removed, with their mark as changed. Not covered: a holder that is lost between the two deletions.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -245,7 +245,7 @@
         if job is not None:
             job.stored_state = progress_write.record.state
     for job_id in batch.removed_progress:
-        holder_state.jobs.pop(job_id, None)
+        lifecycle.remove_job(holder_state, job_id)
     emitted: EffectList = []
     for ticket_id, ticket in list(state.tickets.items()):
         emitted += _answer_cancellation(state, holder_state, ticket_id, ticket)
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -282,5 +282,9 @@
         return []
     holder_state.deleting_submissions.clear()
     if event.result is storage.WriteResult.STORED:
-        holder_state.deletable_progress.update(event.job_ids)
+        holder_state.deletable_progress.update(
+            job_id
+            for job_id in event.job_ids
+            if job_id not in holder_state.open_jobs
+        )
     return []
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -35,10 +35,19 @@
         in memory.
     """
     spec = rows.spec
-    if spec is None or spec.job_id in holder_state.jobs:
+    if spec is None:
+        return None
+    replaces_ended_job = rows.progress is None and _is_being_deleted(
+        holder_state, spec.job_id
+    )
+    if spec.job_id in holder_state.jobs and not replaces_ended_job:
         return None
     job = progress.Job(spec, now - _compute_age(holder_state, spec, now))
     holder_state.jobs[spec.job_id] = job
+    if replaces_ended_job:
+        # The progress of the ended job may still be stored.
+        holder_state.deletable_progress.discard(spec.job_id)
+        mark_dirty(holder_state, job)
     if rows.progress is not None:
         _restore_progress(holder_state, job, rows.progress, now)
     if job.is_open():
@@ -50,6 +59,28 @@
     return job
 
 
+def _is_being_deleted(
+    holder_state: scheduler.HolderState, job_id: specs.JobId
+) -> bool:
+    """Tells whether an ended job is being deleted; its id may be used again."""
+    batch = holder_state.in_flight
+    return (
+        job_id in holder_state.deleting_submissions
+        or job_id in holder_state.deletable_progress
+        or (batch is not None and job_id in batch.removed_progress)
+    )
+
+
+def remove_job(
+    holder_state: scheduler.HolderState, job_id: specs.JobId
+) -> None:
+    """Removes a job whose progress was deleted, unless its id is used again."""
+    job = holder_state.jobs.get(job_id)
+    if job is not None and not job.is_open():
+        del holder_state.jobs[job_id]
+        holder_state.dirty.discard(job_id)
+
+
 def _compute_age(
     holder_state: scheduler.HolderState,
     spec: specs.JobSpec,
