Let a job that was refused keep the time that it has waited

Callers saw a best-effort job without a run for more than the 3 s that the platform allows: each refusal of its only run let it wait `STARVATION_TIME` anew. Cause: `starved_since` was cleared by a plan that found a task placed, not by a run. Change: it is cleared once a run was reported or has ended. `is_only_run` no longer depends on it, but on whether a task was placed before the plan.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -170,6 +170,7 @@
     """
     emitted: EffectList = []
     misses = 0
+    had_placed_task = job.has_placed_task()
     skipped_steps: set[int] = set()
     row_bytes = state.options.row_bytes
     storable = record_sizes.count_storable_placements(job, row_bytes)
@@ -207,7 +208,7 @@
             if not step.tasks[index].excluded_instances:
                 skipped_steps.add(id(step))
             continue
-        task.is_only_run = job.starved_since is not None and not emitted
+        task.is_only_run = not (had_placed_task or emitted)
         emitted.append(
             _place_task(
                 holder_state, job, step, index, candidate=candidate, now=now
@@ -217,12 +218,13 @@
 
 
 def _is_starved(job: progress.Job, now: datetime.timedelta) -> bool:
-    """Tells whether a job has had no placed task for `STARVATION_TIME`.
+    """Tells whether a job has had no run for `STARVATION_TIME`.
 
-    Updates `starved_since`, from which that time counts.
+    Starts `starved_since`, from which that time counts. A placement does not
+    end it, as the run may be refused; no more is placed while one is on its
+    way.
     """
-    if any(task.is_placed() for step in job.steps for task in step.tasks):
-        job.starved_since = None
+    if job.has_placed_task():
         return False
     if job.starved_since is None:
         job.starved_since = now
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -338,6 +338,7 @@
         placed.task.reported = row is not None
         if row is None:
             continue
+        placed.job.starved_since = None
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
         estimates.measure_progress(placed.step, placed.task, row, now)
--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -38,6 +38,7 @@
                 view, row, _handle_former_run_end(holder_state, view, row, now)
             )
         ]
+    placed.job.starved_since = None
     if row.checkpoint:
         placed.task.checkpoint = row.checkpoint
     lifecycle.release_task(holder_state, ref, placed)
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -166,8 +166,8 @@
         outlook: Latest estimates; None before the first.
         gives_way: Whether its best-effort tasks gave way to those of other
             jobs when the latest plan was made.
-        starved_since: Since when plans have found no task of the job placed;
-            None if the latest plan found one.
+        starved_since: Since when a plan has found no task of the job placed;
+            None once a run was reported or has ended.
         set_aside: Whether a plan failed for this job; its tasks are no longer
             placed.
     """
@@ -198,6 +198,12 @@
         """Tells whether some of the steps have best-effort tasks."""
         return any(step.fills for step in self.spec.steps)
 
+    def has_placed_task(self) -> bool:
+        """Tells whether some task is placed, although it may not run yet."""
+        return any(
+            task.is_placed() for step in self.steps for task in step.tasks
+        )
+
     def is_long_running(self) -> bool:
         """Tells whether some of the steps run until the job is cancelled."""
         return any(step.long_running for step in self.spec.steps)
