Place tasks in quarantine that have no other worker or waited too long

Callers saw a job without a run for the whole of a quarantine (3 to 12 s, and again after each failure) although a worker of its kind was free. Cause: quarantines were ignored only where fewer than half of all workers are sound. The sound ones may be too small or of another kind for the task; and a starved job or a blocked lasting task, for which exclusions lapse, was still kept off. Change: candidates tell that they are in quarantine. They are left out where a sound one has the capacity for the task when empty, except for starved jobs and blocked tasks. Result: test_job_runs_although_its_kind_of_worker_is_in_quarantine failed for both kinds of task and passes, as do the tests of exclusions, kinds and lost tasks.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -4,6 +4,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import interference, throttling
+from gypsumhold.model import ids
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
 
 MIN_USE_PERCENT = 40
@@ -29,9 +30,13 @@
     the capacity is counted anew only where something else has changed.
     """
     candidates = {}
-    for view in _list_usable(state, holder_state, now):
+    quarantined = _list_quarantined(state, holder_state, now)
+    for view in holder_state.agents.values():
+        if not _is_usable(state, view, now):
+            continue
         if view.candidate is None:
             view.candidate = _build_candidate(view)
+        view.candidate.quarantined = view.instance in quarantined
         view.candidate.interference_estimates = (
             holder_state.optimistic_estimates
         )
@@ -39,12 +44,12 @@
     return candidates
 
 
-def _list_usable(
+def _list_quarantined(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     now: datetime.timedelta,
-) -> list[scheduler.AgentView]:
-    """Returns the instances that may get new runs.
+) -> set[ids.InstanceId]:
+    """Returns the instances in quarantine.
 
     Where jobs fail on most workers, the jobs are at fault: the quarantines are
     ignored, so that other jobs need not wait for their end.
@@ -54,8 +59,30 @@
         for view in holder_state.agents.values()
         if _is_usable(state, view, now)
     ]
-    sound = [view for view in usable if now >= view.quarantined_until]
-    return sound if len(sound) >= len(usable) * MIN_SOUND_SHARE else usable
+    quarantined = {
+        view.instance for view in usable if now < view.quarantined_until
+    }
+    sound = len(usable) - len(quarantined)
+    return quarantined if sound >= len(usable) * MIN_SOUND_SHARE else set()
+
+
+def select_sound(
+    candidates: dict[str, policies.Candidate],
+    job: progress.Job,
+    step: progress.Step,
+) -> dict[str, policies.Candidate]:
+    """Returns the candidates that are not in quarantine.
+
+    Returns all if none of these has the capacity for a task even when empty.
+    """
+    sound = {
+        name: candidate
+        for name, candidate in candidates.items()
+        if not candidate.quarantined
+    }
+    if any(fits_when_empty(item, job, step) for item in sound.values()):
+        return sound
+    return candidates
 
 
 def _is_usable(
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -98,6 +98,7 @@
         candidate
         for candidate in candidates.values()
         if candidate.instance != task.instance
+        and not candidate.quarantined
         and candidate.instance not in task.excluded_instances
         and capacity.fits(candidate, job, step)
         and not spreading.find_slowed_images(step, candidate)
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -179,6 +179,11 @@
             break
         if id(step) in skipped_steps:
             continue
+        usable = (
+            candidates
+            if starved
+            else capacity.select_sound(candidates, job, step)
+        )
         if step.spec.gang:
             skipped_steps.add(id(step))
             if len(step.tasks) > storable - len(emitted):
@@ -186,19 +191,20 @@
             if starved:
                 _clear_exclusions(step)
             emitted += _place_gang(
-                state, holder_state, job, step, candidates=candidates, now=now
+                state, holder_state, job, step, candidates=usable, now=now
             )
             continue
         task = step.tasks[index]
         if starved or _is_blocked(step, task, now):
             # No worker that it has not tried has room: it may run anywhere.
             task.excluded_instances.clear()
+            usable = candidates
         candidate = _choose_candidate(
-            state, job, step, task, candidates, late=job.gives_way
+            state, job, step, task, usable, late=job.gives_way
         )
         if candidate is None and (starved or task.migrating):
             # A task that was stopped for a migration had a worker before.
-            candidate = _choose_emptiest(job, step, task, candidates)
+            candidate = _choose_emptiest(job, step, task, usable)
             starved = False
         if candidate is None:
             misses += 1
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -32,6 +32,8 @@
         interference_estimates: Headroom that one core of a best-effort image
             takes from a serving image, by an optimistic estimate.
         steps: Number of tasks here by job, repetition and step.
+        quarantined: Whether only tasks that fit on no other worker, or have
+            waited too long, are placed here.
     """
 
     instance: ids.InstanceId
@@ -58,6 +60,7 @@
     steps: dict[tuple[specs.JobId, int, int], int] = dataclasses.field(
         default_factory=dict
     )
+    quarantined: bool = False
 
 
 class EstimatePolicy(abc.ABC):
