Show that tasks are lost if an entry renews its row and cannot read the jobs

What callers see: every lasting task of the fleet ends and starts again. Cause: an entry that loads the jobs renews its row for 10 s (`MAX_LOADING_TIME`), also if each read fails. Then another entry needs the takeover delay of 2.5 s, while a grant lasts 7 s.

--- a/tests/jobs/test_forgotten_jobs.py
+++ b/tests/jobs/test_forgotten_jobs.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from gypsumhold.adapters import failure_events
 from gypsumhold.model.jobs import effects, events, messages, runs, specs
 from tests.jobs import test_lost_tasks, worker_fake
 from tests.jobs import world as worlds
@@ -169,3 +170,40 @@
         line.decision == "job-left-out" for _, _, line in world.log_lines
     )
     assert world.store.progress[JOB_ID] == faulty
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_tasks_go_on_if_an_entry_cannot_read_the_jobs(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against leases that expire while an entry fails to load the jobs.
+
+    It reaches the row of the holder, so that it can renew it.
+    """
+    call_store = worlds.World._call_store
+    unable: list[str] = []
+
+    def fail_first(
+        world: worlds.World, node: worlds.Node, effect: object
+    ) -> None:
+        if isinstance(effect, effects.LoadJobs) and unable in ([], [node.name]):
+            unable[:] = [node.name]
+            failure = failure_events.build_failure_event(effect, False)
+            world._schedule_event(node, 300, failure)
+            return
+        call_store(world, node, effect)
+
+    world = worlds.World(seed, entries=3)
+    world.run(3000)
+    step = test_lost_tasks.build_lasting(3)
+    world.submit("entry-0", worlds.build_job_of(JOB_ID, (step,)))
+    world.run(1500)
+    monkeypatch.setattr(worlds.World, "_call_store", fail_first)
+    for name in ("entry-0", "entry-1", "entry-2"):
+        if world.nodes[name].state.holder_state is not None:
+            world.kill(name, 200)
+    started = len(world.oracle.started)
+    world.run(test_lost_tasks.MAX_LAPSE_MS)
+    assert unable
+    assert test_lost_tasks.count_running(world, JOB_ID) == 3
+    assert len(world.oracle.started) == started
