Leave the queue to another entry once a read of the jobs has failed

Callers saw every lasting task of the fleet end and start again after a holder was lost, if the next entry reached its row but could not read the jobs. Cause: such an entry renewed its row for 10 s, longer than the grants last (7 s). Change: an entry that loads the jobs renews its row only while no read has failed. `_may_go_on_loading` is now `_may_renew_while_loading`, which is what it tells. Not covered: a read that neither ends nor fails, and one that takes longer than about 4.5 s beside running tasks; their grants expire meanwhile.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -29,8 +29,7 @@
 """Most jobs in one batch; the store accepts 100 entries per transaction."""
 
 MAX_LOADING_TIME = datetime.timedelta(seconds=10)
-"""How long an entry that loads the jobs keeps the queue; an entry that cannot
-read leaves it to another one."""
+"""How long an entry that loads the jobs renews its row."""
 
 RETRY_DELAY = datetime.timedelta(milliseconds=100)
 MAX_RETRY_DELAY = datetime.timedelta(milliseconds=500)
@@ -51,7 +50,7 @@
     if not (
         is_holder
         or holder_state.releasing
-        or _may_go_on_loading(state, holder_state, now)
+        or _may_renew_while_loading(state, holder_state, now)
     ):
         return []
     if holder_state.in_flight is not None:
@@ -78,7 +77,7 @@
     return [*emitted, effects.CommitBatch(batch)]
 
 
-def _may_go_on_loading(
+def _may_renew_while_loading(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     now: datetime.timedelta,
@@ -86,10 +85,14 @@
     """Tells whether an entry that still loads the jobs renews its row.
 
     Otherwise the entries would take the queue from each other for good where
-    loading takes longer than the takeover delay.
+    loading takes longer than the takeover delay. An entry whose read has failed
+    leaves the queue to another one before the grants of the agents expire.
     """
-    is_loading = state.role is scheduler.Role.LOADING
-    return is_loading and now < holder_state.term_started_at + MAX_LOADING_TIME
+    return (
+        state.role is scheduler.Role.LOADING
+        and not holder_state.load_failed
+        and now < holder_state.term_started_at + MAX_LOADING_TIME
+    )
 
 
 def _build_batch(
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -49,6 +49,7 @@
     if holder_state is None or event.term != holder_state.term:
         return []
     if event.loaded is None:
+        holder_state.load_failed = True
         return [effects.LoadJobs(holder_state.term, LOAD_RETRY_DELAY)]
     holder_state.wall_offset_ms = event.wall_ms - lifecycle.to_ms(now)
     emitted: EffectList = []
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -226,6 +226,7 @@
         cautious_estimates: Headroom that one core of best-effort tasks
             takes from a serving image, by a cautious estimate.
         optimistic_estimates: The same by an optimistic estimate.
+        load_failed: Whether a read of all jobs has failed in this term.
         releasing: Whether the next batch leaves the queue without a holder.
         replaced_live_holder: Whether the queue was taken from a holder that
             was still storing batches.
@@ -270,6 +271,7 @@
     wall_offset_ms: int = 0
     commit_attempts: int = 0
     force_batch: bool = False
+    load_failed: bool = False
     releasing: bool = False
     replaced_live_holder: bool = False
     cautious_estimates: dict[runs.ImagePair, float] = dataclasses.field(
