--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -49,6 +49,7 @@
     if holder_state is None or event.term != holder_state.term:
         return []
     if event.loaded is None:
+        holder_state.load_failed = True
         return [effects.LoadJobs(holder_state.term, LOAD_RETRY_DELAY)]
     holder_state.wall_offset_ms = event.wall_ms - lifecycle.to_ms(now)
     emitted: EffectList = []
@@ -283,5 +284,9 @@
         return []
     holder_state.deleting_submissions.clear()
     if event.result is storage.WriteResult.STORED:
-        holder_state.deletable_progress.update(event.job_ids)
+        holder_state.deletable_progress.update(
+            job_id
+            for job_id in event.job_ids
+            if job_id not in holder_state.open_jobs
+        )
     return []
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -171,7 +171,9 @@
     """
     emitted: EffectList = []
     misses = 0
+    had_placed_task = job.has_placed_task()
     skipped_steps: set[int] = set()
+    usable_by_step: dict[int, dict[str, policies.Candidate]] = {}
     row_bytes = state.options.row_bytes
     storable = record_sizes.count_storable_placements(job, row_bytes)
     for step, index in list(_iterate_ready_tasks(job)):
@@ -180,6 +182,13 @@
         may_start = probations.may_start(step, index, candidates)
         if id(step) in skipped_steps or not may_start:
             continue
+        if id(step) not in usable_by_step:
+            usable_by_step[id(step)] = (
+                candidates
+                if starved
+                else capacity.select_sound(candidates, job, step)
+            )
+        usable = usable_by_step[id(step)]
         if step.spec.gang:
             skipped_steps.add(id(step))
             if len(step.tasks) > storable - len(emitted):
@@ -187,7 +196,7 @@
             if starved and not step.is_suspect(step.tasks[0]):
                 _clear_exclusions(step)
             placements = _place_gang(
-                state, holder_state, job, step, candidates=candidates, now=now
+                state, holder_state, job, step, candidates=usable, now=now
             )
             emitted += placements
             if not placements:
@@ -199,12 +208,13 @@
         if starved and not is_suspect or _is_blocked(step, task, now):
             # No worker that it has not tried has room: it may run anywhere.
             task.excluded_instances.clear()
+            usable = candidates
         candidate = _choose_candidate(
-            state, job, step, task, candidates, late=job.gives_way
+            state, job, step, task, usable, late=job.gives_way
         )
         if candidate is None and (starved or task.migrating):
             # A task that was stopped for a migration had a worker before.
-            candidate = _choose_emptiest(job, step, task, candidates)
+            candidate = _choose_emptiest(job, step, task, usable)
             starved = False
         if candidate is None:
             placed = scheduler.PlacedTask(job, step, task)
@@ -216,7 +226,7 @@
             if not step.tasks[index].excluded_instances:
                 skipped_steps.add(id(step))
             continue
-        task.is_only_run = job.starved_since is not None and not emitted
+        task.is_only_run = not (had_placed_task or emitted)
         emitted.append(
             _place_task(
                 holder_state, job, step, index, candidate=candidate, now=now
@@ -239,12 +249,13 @@
 
 
 def _is_starved(job: progress.Job, now: datetime.timedelta) -> bool:
-    """Tells whether a job has had no placed task for `STARVATION_TIME`.
+    """Tells whether a job has had no run for `STARVATION_TIME`.
 
-    Updates `starved_since`, from which that time counts.
+    Starts `starved_since`, from which that time counts. A placement does not
+    end it, as the run may be refused; no more is placed while one is on its
+    way.
     """
-    if any(task.is_placed() for step in job.steps for task in step.tasks):
-        job.starved_since = None
+    if job.has_placed_task():
         return False
     if job.starved_since is None:
         job.starved_since = now
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -349,6 +349,7 @@
         if row.age_ms != runs.UNKNOWN_AGE:
             placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
         crashes.clear_suspicion(holder_state, view, placed)
+        placed.job.starved_since = None
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
         estimates.measure_progress(placed.step, placed.task, row, now)
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -36,6 +36,8 @@
             start.
         reserved: Whether only a task on probation may start here.
         quiet: Whether no task has started here for as long as a probation.
+        quarantined: Whether only tasks that fit on no other worker, or have
+            waited too long, are placed here.
     """
 
     instance: ids.InstanceId
@@ -65,6 +67,7 @@
     on_probation: bool = False
     reserved: bool = False
     quiet: bool = True
+    quarantined: bool = False
 
 
 class EstimatePolicy(abc.ABC):
