Move the choice of a worker out of the plans

Change: the three functions that choose a worker for one task are a module of their own (choices); nothing else changes.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -5,6 +5,7 @@
 
 from gypsumhold.decisions.jobs import (
     capacity,
+    choices,
     lifecycle,
     migrations,
     ordering,
@@ -209,12 +210,12 @@
             # No worker that it has not tried has room: it may run anywhere.
             task.excluded_instances.clear()
             usable = candidates
-        candidate = _choose_candidate(
+        candidate = choices.choose_candidate(
             state, job, step, task, usable, late=job.gives_way
         )
         if candidate is None and (starved or task.migrating):
             # A task that was stopped for a migration had a worker before.
-            candidate = _choose_emptiest(job, step, task, usable)
+            candidate = choices.choose_emptiest(job, step, task, usable)
             starved = False
         if candidate is None:
             placed = scheduler.PlacedTask(job, step, task)
@@ -244,7 +245,7 @@
     """Keeps a worker free for a task if it is a suspect."""
     job, step, task = placed.job, placed.step, placed.task
     if step.is_suspect(task):
-        fitting = _list_fitting(job, step, task, candidates)
+        fitting = choices.list_fitting(job, step, task, candidates)
         probations.reserve_worker(holder_state, candidates, fitting, now)
 
 
@@ -283,77 +284,6 @@
     )
 
 
-def _choose_emptiest(
-    job: progress.Job,
-    step: progress.Step,
-    task: progress.Task,
-    candidates: dict[str, policies.Candidate],
-) -> policies.Candidate | None:
-    """Returns the emptiest fitting candidate, regardless of interference."""
-    fitting = _list_fitting(job, step, task, candidates)
-    if step.is_suspect(task):
-        fitting = [candidate for candidate in fitting if candidate.quiet]
-    return max(
-        fitting,
-        key=capacity.estimate_idle_cores,
-        default=None,
-    )
-
-
-def _list_fitting(
-    job: progress.Job,
-    step: progress.Step,
-    task: progress.Task,
-    candidates: dict[str, policies.Candidate],
-) -> list[policies.Candidate]:
-    """Returns the candidates that the task fits on and is not excluded from.
-
-    The exclusions are ignored once the task is excluded from every candidate
-    that it fits on when empty, because it would never run otherwise.
-    """
-    fitting = [
-        candidate
-        for candidate in candidates.values()
-        if capacity.fits(candidate, job, step)
-    ]
-    not_excluded = [
-        candidate
-        for candidate in fitting
-        if candidate.instance not in task.excluded_instances
-    ]
-    if not_excluded or not fitting:
-        return not_excluded
-    untried = [
-        candidate
-        for candidate in candidates.values()
-        if candidate.instance not in task.excluded_instances
-        and capacity.fits_when_empty(candidate, job, step)
-    ]
-    return [] if untried else fitting
-
-
-def _choose_candidate(
-    state: scheduler.SchedulerState,
-    job: progress.Job,
-    step: progress.Step,
-    task: progress.Task,
-    candidates: dict[str, policies.Candidate],
-    *,
-    late: bool = False,
-) -> policies.Candidate | None:
-    """Lets the placement policy choose among the fitting candidates."""
-    fitting = _list_fitting(job, step, task, candidates)
-    placement = state.policies.placement
-    targets = [
-        candidate
-        for candidate in fitting
-        if candidate.instance == task.migration_target
-    ]
-    return placement.choose(
-        step, task, targets, deferred=late
-    ) or placement.choose(step, task, fitting, deferred=late)
-
-
 def _place_task(
     holder_state: scheduler.HolderState,
     job: progress.Job,
@@ -429,10 +359,10 @@
             }
             allowed_candidates = (
                 same_rack
-                if _choose_candidate(state, job, step, task, same_rack)
+                if choices.choose_candidate(state, job, step, task, same_rack)
                 else trial_candidates
             )
-        candidate = _choose_candidate(
+        candidate = choices.choose_candidate(
             state, job, step, task, allowed_candidates
         )
         if candidate is None:
