Share the calls with a fixed timeout between the Thrift clients

Cause: seven methods of the clients of agents and entries each named the channel and the timeout and turned a failed call into None. Result: tests/contracts and tests/adapters pass, formatter, linter and type check are clean; no message and no timeout changes.

--- a/src/gypsumhold/adapters/peers.py
+++ b/src/gypsumhold/adapters/peers.py
@@ -247,7 +247,32 @@
         return Failure(CallFailure(sent, error))
 
 
-class ThriftAgentClient(AgentClient):
+class _ThriftClient:
+    """Calls one service of other processes with the same timeout each time."""
+
+    def __init__(
+        self,
+        connections: connection_pool.ConnectionPool,
+        client_factory: Callable[[Any], Any],
+        call_timeout: datetime.timedelta,
+    ) -> None:
+        self._channel = ThriftChannel(connections, client_factory)
+        self._call_timeout = call_timeout
+
+    def _call(
+        self,
+        address: members.Address,
+        invoke: Callable[[Any], Result[_Value, errors.Error]],
+    ) -> _Value | None:
+        """Returns the reply to one call; None if no valid one arrived.
+
+        The whole call is limited by the timeout of the client.
+        """
+        result = self._channel.call(address, self._call_timeout, invoke)
+        return result.value_or(None)
+
+
+class ThriftAgentClient(_ThriftClient, AgentClient):
     """Calls agents over Thrift; the owner of `connections` closes the pool."""
 
     def __init__(
@@ -255,8 +280,7 @@
         connections: connection_pool.ConnectionPool,
         call_timeout: datetime.timedelta = CALL_TIMEOUT,
     ) -> None:
-        self._channel = ThriftChannel(connections, Agent.Client)
-        self._call_timeout = call_timeout
+        super().__init__(connections, Agent.Client, call_timeout)
         self._encoded: tuple[declarations.Configuration, Any] | None = None
 
     def dispatch(
@@ -307,21 +331,18 @@
                 return Failure(thrift_fields.build_decoding_error(detail))
             return Success(tuple(accepted))
 
-        return self._channel.call(address, self._call_timeout, invoke).value_or(
-            None
-        )
+        return self._call(address, invoke)
 
     def sync_tasks(
         self, address: members.Address, sync: tasks.TaskSync
     ) -> tasks.SyncReply | None:
         """Renews leases and returns the reports of the agent on its tasks."""
-        return self._channel.call(
+        return self._call(
             address,
-            self._call_timeout,
             lambda client: task_codec.decode_sync_reply(
                 client.sync_tasks(task_codec.encode_sync(sync))
             ),
-        ).value_or(None)
+        )
 
     def push_config(
         self,
@@ -334,9 +355,7 @@
             raw = self._encode(configuration)
             return Success(ids.ConfigVersion(client.push_config(raw)))
 
-        return self._channel.call(address, self._call_timeout, invoke).value_or(
-            None
-        )
+        return self._call(address, invoke)
 
     def push_changes(
         self,
@@ -349,9 +368,7 @@
             raw = config_codec.encode_changes(changes)
             return Success(ids.ConfigVersion(client.push_changes(raw)))
 
-        return self._channel.call(address, self._call_timeout, invoke).value_or(
-            None
-        )
+        return self._call(address, invoke)
 
     def _encode(self, configuration: declarations.Configuration) -> Any:
         """Returns the struct of a configuration, cached for other agents.
@@ -370,24 +387,22 @@
         self, address: members.Address
     ) -> declarations.Configuration | None:
         """Returns the configuration in force in the agent."""
-        return self._channel.call(
+        return self._call(
             address,
-            self._call_timeout,
             lambda client: config_codec.decode_configuration(
                 client.read_config()
             ),
-        ).value_or(None)
+        )
 
     def drain(self, address: members.Address) -> bool:
         """Starts a drain and returns whether the agent confirmed it."""
-        return self._channel.call(
-            address,
-            self._call_timeout,
-            lambda client: Success(bool(client.drain())),
-        ).value_or(False)
+        confirmed = self._call(
+            address, lambda client: Success(bool(client.drain()))
+        )
+        return bool(confirmed)
 
 
-class ThriftEntryClient(EntryClient):
+class ThriftEntryClient(_ThriftClient, EntryClient):
     """Calls entries over Thrift; the owner of `connections` closes the pool."""
 
     def __init__(
@@ -395,29 +410,26 @@
         connections: connection_pool.ConnectionPool,
         call_timeout: datetime.timedelta = CALL_TIMEOUT,
     ) -> None:
-        self._channel = ThriftChannel(connections, Entry.Client)
-        self._call_timeout = call_timeout
+        super().__init__(connections, Entry.Client, call_timeout)
 
     def submit(
         self, address: members.Address, submission: tasks.Submission
     ) -> task_codec.SubmissionReply | None:
         """Forwards a submission to the holder of its partition."""
-        return self._channel.call(
+        return self._call(
             address,
-            self._call_timeout,
             lambda client: task_codec.decode_submission_reply(
                 client.submit(task_codec.encode_submission(submission))
             ),
-        ).value_or(None)
+        )
 
     def cancel_task(
         self, address: members.Address, cancel: task_codec.TaskCancel
     ) -> task_codec.SubmissionReply | None:
         """Forwards a cancellation to the holder of the task's partition."""
-        return self._channel.call(
+        return self._call(
             address,
-            self._call_timeout,
             lambda client: task_codec.decode_submission_reply(
                 client.cancel_task(task_codec.encode_task_cancel(cancel))
             ),
-        ).value_or(None)
+        )
