--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -29,7 +29,8 @@
 """Most jobs in one batch; the store accepts 100 entries per transaction."""
 
 MAX_LOADING_TIME = datetime.timedelta(seconds=10)
-"""How long an entry that loads the jobs renews its row."""
+"""How long an entry that loads the jobs renews its row. Runs lose their leases
+meanwhile, so an entry that needs longer leaves the queue to another one."""
 
 RETRY_DELAY = datetime.timedelta(milliseconds=100)
 MAX_RETRY_DELAY = datetime.timedelta(milliseconds=500)
--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -12,7 +12,8 @@
 request."""
 
 MIN_SOUND_SHARE = 0.5
-"""Share of the usable instances that quarantines have to leave over."""
+"""Least share of the usable instances that are not in quarantine; quarantines
+are ignored below it."""
 
 RACK_PREFIX = "r"
 """Prefix of rack labels, which also contain a hyphen; the other labels name
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -163,7 +163,7 @@
 def _list_withdrawn(
     view: scheduler.AgentView,
 ) -> tuple[runs.RunRef, ...]:
-    """Returns the placed runs that are not to run and were never listed.
+    """Returns the placed runs that are not to run and that no report lists.
 
     Their start command may be under way or not sent at all. They keep their
     capacity until the agent has refused them.
@@ -206,7 +206,8 @@
     """Sends new directives to an agent without waiting for its next report.
 
     New are the starts and acknowledgements that the latest batch stored, and
-    the stops that were not sent yet. Returns no effect if there are none.
+    the stops and withdrawals that were not sent yet. Returns no effect if there
+    are none.
     """
     worker_incarnation = (
         view.report.worker.incarnation
@@ -219,13 +220,13 @@
         and placed.task.worker_incarnation == worker_incarnation
         for placed in view.placed.values()
     )
-    unwanted = (*_list_stops(view), *_list_withdrawn(view))
-    stops = [ref for ref in unwanted if ref not in view.stops_sent]
+    unwanted = {*_list_stops(view), *_list_withdrawn(view)}
+    new_stops = unwanted - view.stops_sent
     pending = view.acknowledgements
     has_ends = bool(pending) and pending[0].batch <= holder_state.stored_batch
-    if not has_starts and not has_ends and not stops:
+    if not has_starts and not has_ends and not new_stops:
         return []
-    view.stops_sent.update(stops)
+    view.stops_sent.update(new_stops)
     message = build_directives(state, holder_state, view, now, is_answer=False)
     address = view.report.endpoint.build_address()
     return [effects.PushDirectives(view.instance, address, message)]
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -30,8 +30,9 @@
 """Longest time that a job may be without a run while workers have room."""
 
 STARVATION_TIME = MAX_TIME_WITHOUT_RUN / 2
-"""Time without a run after which a job gets one that the policy delays. The
-rest is for the plan, the batch that stores it, and the start."""
+"""Time without a run after which a job gets one that the policy delays, and a
+long-running task may use workers on which it has failed. The rest is for the
+plan, the batch that stores it, and the start."""
 
 MISSES_BEFORE_SKIP = 40
 """Tasks without a candidate after which a plan skips all but starved jobs,
