Let found serving tasks keep their warm-up when an agent restarts

Change: a found run counts from the start of the clock, as before, so it is old and not suspected; a test shows it, and failed before.

--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -170,7 +170,10 @@
 def _build_row(
     state: executor.ExecutorState, local_run: executor.LocalRun
 ) -> runs.RunRow:
-    """Returns the listing of a run with its age."""
+    """Returns the listing of a run with its age.
+
+    A run that a former process started counts from the start of the clock.
+    """
     row = local_run.row or runs.RunRow(local_run.ref)
     is_running = local_run.state is executor.LocalState.RUNNING
     if not is_running or state.clock is None:
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -243,7 +243,7 @@
         local_run = state.active.get(row.ref)
         if local_run is None:
             local_run = executor.LocalRun(
-                row.ref, None, executor.LocalState.RUNNING, confirmed_at=now
+                row.ref, None, executor.LocalState.RUNNING
             )
             state.active[row.ref] = local_run
             state.report_due = True
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -326,3 +326,25 @@
     check_deadly_starts(world)
     for job_id in world.store.jobs:
         assert get_state(world, job_id) in messages.FINAL_STATES
+
+
+def test_run_found_by_a_new_agent_is_not_fresh() -> None:
+    """Guards against serving tasks that warm up anew with their agent."""
+    world = start_world(1)
+    step = specs.StepSpec(6, 500, 500, long_running=True)
+    world.submit("entry-0", worlds.build_job_of("lasting", (step,)))
+    world.run(4000)
+    for name in world.workers:
+        world.kill(name, 500)
+    world.run(2500)
+    found = [
+        local_run
+        for name in world.workers
+        for local_run in world.nodes[name].state.active.values()
+    ]
+    assert len(found) == step.count
+    restarted_at = world.now_ms - 2500
+    assert all(
+        local_run.confirmed_at.total_seconds() * 1000 < restarted_at
+        for local_run in found
+    )
