--- a/tests/jobs/test_crash_records.py
+++ b/tests/jobs/test_crash_records.py
@@ -9,8 +9,7 @@
 from gypsumhold.decisions.jobs import lifecycle, record_sizes, verdicts
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, records, runs, scheduler, storage
-from tests.jobs import builders
-from tests.jobs import world as worlds
+from tests.jobs import builders, job_specs
 
 NOW = datetime.timedelta(seconds=1)
 Evidence = runs.CrashEvidence
@@ -62,7 +61,7 @@
     record = build_record(1, 2)
     read = decode_record(codec.encode(record))
     holder_state = build_holder_state()
-    spec = worlds.build_job("j", (1,))
+    spec = job_specs.build_job("j", (1,))
     job = lifecycle.add_job(holder_state, storage.JobRows(spec, read), NOW)
     assert job is not None
     task = job.steps[0].tasks[0]
@@ -76,7 +75,7 @@
 def test_size_of_crashes_is_bounded(tasks: int, crashes: int) -> None:
     """Guards against a row that the store refuses for its size."""
     holder_state = build_holder_state()
-    spec = worlds.build_job("j", (tasks,))
+    spec = job_specs.build_job("j", (tasks,))
     record = build_record(tasks, crashes)
     job = lifecycle.add_job(holder_state, storage.JobRows(spec, record), NOW)
     assert job is not None
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -11,7 +11,7 @@
 import pytest
 
 from gypsumhold.model.jobs import messages, runs, specs
-from tests.jobs import test_handover
+from tests.jobs import job_specs, nodes, test_handover
 from tests.jobs import world as worlds
 
 DEADLY = specs.JobId("deadly")
@@ -57,7 +57,7 @@
 
 def submit_innocents(world: worlds.World, count: int) -> None:
     for number in range(count):
-        spec = worlds.build_job(f"j{number}", (3,))
+        spec = job_specs.build_job(f"j{number}", (3,))
         world.after(
             200 * number, lambda spec=spec: world.submit("entry-0", spec)
         )
@@ -83,7 +83,7 @@
     submit_innocents(world, 12)
     world.after(
         500,
-        lambda: world.submit("entry-0", worlds.build_job(DEADLY, (4, 2))),
+        lambda: world.submit("entry-0", job_specs.build_job(DEADLY, (4, 2))),
     )
     world.run(SETTLE_MS)
     assert list_failed(world) == {DEADLY}
@@ -103,7 +103,7 @@
     names = [f"deadly{number}" for number in range(4)]
     for number, name in enumerate(names):
         world.deadly.add(build_ref(name))
-        spec = worlds.build_job(name, (3,))
+        spec = job_specs.build_job(name, (3,))
         world.after(
             300 * (number // 2), lambda spec=spec: world.submit("entry-0", spec)
         )
@@ -123,7 +123,7 @@
     )
     world.deadly.add(build_ref(DEADLY, 1))
     submit_innocents(world, 6)
-    world.submit("entry-0", worlds.build_job_of(DEADLY, (step,)))
+    world.submit("entry-0", job_specs.build_job_of(DEADLY, (step,)))
     world.run(SETTLE_MS)
     assert list_failed(world) == {DEADLY}
     assert len(world.crashes) <= MAX_CRASHES
@@ -137,7 +137,7 @@
     step = specs.StepSpec(4, 3000, 1000, estimate_ms=1000, gang=True)
     world.deadly.add(build_ref(DEADLY, seed))
     submit_innocents(world, 6)
-    world.submit("entry-0", worlds.build_job_of(DEADLY, (step,)))
+    world.submit("entry-0", job_specs.build_job_of(DEADLY, (step,)))
     world.run(SETTLE_MS)
     assert list_failed(world) == {DEADLY}
     check_deadly_starts(world)
@@ -150,7 +150,7 @@
     world = start_world(seed, entries=3)
     world.deadly.add(build_ref(DEADLY))
     submit_innocents(world, 8)
-    world.submit("entry-0", worlds.build_job(DEADLY, (3,)))
+    world.submit("entry-0", job_specs.build_job(DEADLY, (3,)))
     while not world.crashes:
         world.run(50)
     world.run(400 * seed)
@@ -172,10 +172,10 @@
     """Guards against a count that is lost with the memory of all processes."""
     world = start_world(seed)
     world.deadly.add(build_ref(DEADLY))
-    world.submit("entry-0", worlds.build_job(DEADLY, (3,)))
+    world.submit("entry-0", job_specs.build_job(DEADLY, (3,)))
     while not world.crashes:
         world.run(50)
-    world.run(worlds.DOWN_MS + 200)
+    world.run(nodes.DOWN_MS + 200)
     for name in world.nodes:
         world.kill(name, 2000 + world.random.uniform(0, 500))
     world.run(SETTLE_MS)
@@ -195,7 +195,7 @@
         node.cut = True
         world.after(12_000, lambda: setattr(node, "cut", False))
 
-    world.submit("entry-0", worlds.build_job(DEADLY, (3,)))
+    world.submit("entry-0", job_specs.build_job(DEADLY, (3,)))
     while not world.crashes:
         world.run(5)
     cut_crashed_agent()
@@ -209,7 +209,7 @@
     """Guards against a resubmission that crashes the workers anew."""
     world = start_world(seed)
     world.deadly.add(build_ref(DEADLY))
-    spec = worlds.build_job(DEADLY, (3,))
+    spec = job_specs.build_job(DEADLY, (3,))
     world.submit("entry-0", spec)
     world.run(SETTLE_MS)
     starts = len(world.oracle.started)
@@ -225,7 +225,7 @@
     world = start_world(seed)
     world.deadly.add(build_ref(DEADLY))
     submit_innocents(world, 6)
-    world.submit("entry-0", worlds.build_job(DEADLY, (3,)))
+    world.submit("entry-0", job_specs.build_job(DEADLY, (3,)))
     world.run(SETTLE_MS)
     lines = [
         line
@@ -254,7 +254,7 @@
     world = start_world(seed)
     submit_innocents(world, 20)
     step = specs.StepSpec(6, 500, 500, long_running=True)
-    world.submit("entry-0", worlds.build_job_of("lasting", (step,)))
+    world.submit("entry-0", job_specs.build_job_of("lasting", (step,)))
     names = list(world.workers)
     for number in range(3):
         chosen = world.random.sample(names, count)
@@ -284,10 +284,10 @@
     """Guards against serving tasks that are held back by their neighbours."""
     world = start_world(seed)
     step = specs.StepSpec(6, 500, 500, long_running=True)
-    world.submit("entry-0", worlds.build_job_of("lasting", (step,)))
+    world.submit("entry-0", job_specs.build_job_of("lasting", (step,)))
     world.run(4000)
     world.deadly.add(build_ref(DEADLY))
-    world.submit("entry-0", worlds.build_job(DEADLY, (3,)))
+    world.submit("entry-0", job_specs.build_job(DEADLY, (3,)))
     world.run(SETTLE_MS)
     suspects = [
         name
@@ -304,10 +304,10 @@
 def test_deadly_tasks_and_faults(seed: int) -> None:
     """Guards against starts without a limit beside faults of all kinds."""
     world = start_world(seed, agents=5)
-    world.faults = worlds.Faults(0.03, 0.03, 0.03)
+    world.faults = nodes.Faults(0.03, 0.03, 0.03)
     world.deadly.add(build_ref(DEADLY))
     submit_innocents(world, 12)
-    world.submit("entry-0", worlds.build_job(DEADLY, (3,)))
+    world.submit("entry-0", job_specs.build_job(DEADLY, (3,)))
     for _ in range(3):
         at_ms = world.random.uniform(500, 12_000)
         names = list(world.workers)
@@ -320,7 +320,7 @@
             lambda entry=entry: world.kill(entry, 1500),
         )
     world.run(20_000)
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     world.run(SETTLE_MS)
     assert list_failed(world) == {DEADLY}
     check_deadly_starts(world)
@@ -332,7 +332,7 @@
     """Guards against serving tasks that warm up anew with their agent."""
     world = start_world(1)
     step = specs.StepSpec(6, 500, 500, long_running=True)
-    world.submit("entry-0", worlds.build_job_of("lasting", (step,)))
+    world.submit("entry-0", job_specs.build_job_of("lasting", (step,)))
     world.run(4000)
     for name in world.workers:
         world.kill(name, 500)
--- a/tests/jobs/test_decoders.py
+++ b/tests/jobs/test_decoders.py
@@ -36,7 +36,7 @@
     jobstore,
     worker,
 )
-from tests.jobs import builders
+from tests.jobs import builders, job_specs
 from tests.jobs import world as worlds
 
 NOW = datetime.timedelta(seconds=100)
@@ -341,7 +341,7 @@
     if isinstance(parsed, Failure):
         return
     job_id = specs.JobId("5c0e7a21d94b36f8")
-    spec = job_routes.build_spec(worlds.QUEUE, job_id, parsed.unwrap(), 1000)
+    spec = job_routes.build_spec(job_specs.QUEUE, job_id, parsed.unwrap(), 1000)
     if validation.check_job(spec) is not None:
         return
     stored = codec.decode(
@@ -425,7 +425,7 @@
         return
     state = builders.build_holder(NOW)
     assert state.holder_state is not None
-    job = worlds.build_job("5c0e7a21d94b36f8", (2,))
+    job = job_specs.build_job("5c0e7a21d94b36f8", (2,))
     lifecycle.add_job(state.holder_state, storage.JobRows(job), NOW)
     for message in (report, REPORT):
         event = events.ReportArrived(ids.TicketId("t"), message)
--- a/tests/jobs/test_ended_jobs.py
+++ b/tests/jobs/test_ended_jobs.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gypsumhold.model.jobs import messages, specs
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 AGENTS = 4
@@ -20,7 +21,7 @@
 def build_full_job(name: str) -> specs.JobSpec:
     """Returns a job that needs every worker for itself."""
     step = specs.StepSpec(AGENTS, FULL_MILLIS, 100, long_running=True)
-    return worlds.build_job_of(name, (step,))
+    return job_specs.build_job_of(name, (step,))
 
 
 def wait_until_placed(world: worlds.World, job: str) -> None:
--- a/tests/jobs/test_exclusions.py
+++ b/tests/jobs/test_exclusions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gypsumhold.model.jobs import runs, specs
+from tests.jobs import job_specs, observations
 from tests.jobs import world as worlds
 
 FULL_MILLIS = 8000
@@ -34,16 +35,6 @@
     raise AssertionError(f"{job} does not run")
 
 
-def count_running(world: worlds.World, job: str) -> int:
-    for worker in world.workers.values():
-        worker.advance(world.now_ms)
-    return sum(
-        ref.job_id == job
-        for worker in world.workers.values()
-        for ref in worker.running
-    )
-
-
 @pytest.mark.parametrize("long_running", [True, False])
 @pytest.mark.parametrize("seed", range(4))
 def test_failed_task_runs_again_where_there_is_room(
@@ -53,10 +44,10 @@
     world = worlds.World(seed, agents=2)
     world.run(3000)
     full = build_step(FULL_MILLIS, long_running=True)
-    world.submit("entry-0", worlds.build_job_of("full", (full,)))
+    world.submit("entry-0", job_specs.build_job_of("full", (full,)))
     world.run(500)
     step = build_step(TASK_MILLIS, long_running=long_running)
-    world.submit("entry-0", worlds.build_job_of("failing", (step,)))
+    world.submit("entry-0", job_specs.build_job_of("failing", (step,)))
     world.run(200)
     failed_on = fail_run(world, "failing")
     world.run(MAX_WAIT_MS)
@@ -65,8 +56,8 @@
     ]
     assert [ref.run for ref in started] == [1, 2]
     if long_running:
-        assert count_running(world, "failing") == 1
-        assert count_running(world, "full") == 1
+        assert observations.count_running(world, "failing") == 1
+        assert observations.count_running(world, "full") == 1
     assert failed_on in world.workers
 
 
@@ -75,7 +66,7 @@
     world = worlds.World(1, agents=2)
     world.run(3000)
     step = build_step(TASK_MILLIS, long_running=True)
-    world.submit("entry-0", worlds.build_job_of("failing", (step,)))
+    world.submit("entry-0", job_specs.build_job_of("failing", (step,)))
     world.run(500)
     failed_on = fail_run(world, "failing")
     world.run(1000)
--- a/tests/jobs/test_faulty_jobs.py
+++ b/tests/jobs/test_faulty_jobs.py
@@ -8,10 +8,11 @@
 
 from gypsumhold.decisions.jobs import validation
 from gypsumhold.model.jobs import messages, policies, progress, specs
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 HUGE = 10**18
-JOB = worlds.build_job(specs.JobId("j"), (2, 2))
+JOB = job_specs.build_job(specs.JobId("j"), (2, 2))
 STEP = JOB.steps[0]
 
 
--- a/tests/jobs/test_forgotten_jobs.py
+++ b/tests/jobs/test_forgotten_jobs.py
@@ -12,7 +12,13 @@
 
 from gypsumhold.adapters import failure_events
 from gypsumhold.model.jobs import effects, events, messages, runs, specs
-from tests.jobs import test_lost_tasks, worker_fake
+from tests.jobs import (
+    job_specs,
+    nodes,
+    observations,
+    test_lost_tasks,
+    worker_fake,
+)
 from tests.jobs import world as worlds
 
 JOB_ID = specs.JobId("j")
@@ -40,7 +46,7 @@
         world = worlds.World(seed)
         set_retention(world, datetime.timedelta(seconds=3))
         world.run(3000)
-        job = worlds.build_job(JOB_ID, (1,))
+        job = job_specs.build_job(JOB_ID, (1,))
         world.submit("entry-0", job)
         world.run(3000)
         while JOB_ID in world.store.jobs:
@@ -66,14 +72,14 @@
     world = worlds.World(seed, agents=2)
     world.run(3000)
     step = test_lost_tasks.build_lasting()
-    world.submit("entry-0", worlds.build_job_of(JOB_ID, (step,)))
+    world.submit("entry-0", job_specs.build_job_of(JOB_ID, (step,)))
     world.run(1000)
     name = test_lost_tasks.find_instance(world, JOB_ID)
     world.scripted_faults[effects.StopRun] = ["late"]
     left = events.WorkerLeft(world.workers[name].name)
     world.deliver(world.nodes[name], left)
     world.run(test_lost_tasks.MAX_LAPSE_MS)
-    assert test_lost_tasks.count_running(world, JOB_ID) == 1
+    assert observations.count_running(world, JOB_ID) == 1
 
 
 @pytest.mark.parametrize("long_running", [False, True])
@@ -87,16 +93,16 @@
     world = worlds.World(1, agents=6)
     world.workers["agent-0"].cpu_millis = 64_000
     world.run(3000)
-    world.faults = worlds.Faults(failing=1.0)
+    world.faults = nodes.Faults(failing=1.0)
     for number in range(6):
-        failing = worlds.build_job(f"failing-{number}", (1,), 9000)
+        failing = job_specs.build_job(f"failing-{number}", (1,), 9000)
         world.submit("entry-0", failing)
     world.run(6000)
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     step = specs.StepSpec(
         1, 12_000, 100, estimate_ms=1000, long_running=long_running
     )
-    world.submit("entry-0", worlds.build_job_of(JOB_ID, (step,)))
+    world.submit("entry-0", job_specs.build_job_of(JOB_ID, (step,)))
     world.run(MAX_WAIT_MS)
     assert JOB_ID in {ref.task.job_id for ref in world.oracle.started}
 
@@ -137,11 +143,11 @@
         target_latency_ms=50,
         image=specs.Image("serving"),
     )
-    world.submit("entry-0", worlds.build_job_of("serving", (serving,)))
+    world.submit("entry-0", job_specs.build_job_of("serving", (serving,)))
     world.run(2000)
     world.pauses_ms[effects.CommitBatch] = lambda: 300.0
     filling = specs.StepSpec(3, 7000, 100, estimate_ms=3000, fills=True)
-    world.submit("entry-0", worlds.build_job_of(JOB_ID, (filling,)))
+    world.submit("entry-0", job_specs.build_job_of(JOB_ID, (filling,)))
     world.run(MAX_WAIT_MS)
     assert refused
     assert JOB_ID in {ref.task.job_id for ref in world.oracle.started}
@@ -151,7 +157,7 @@
     """Guards against a record that is replaced by the part that was read."""
     world = worlds.World(1)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job(JOB_ID, (2,)))
+    world.submit("entry-0", job_specs.build_job(JOB_ID, (2,)))
     world.run(300)
     for worker in world.workers.values():
         worker.stuck = True
@@ -184,7 +190,7 @@
     unable: list[str] = []
 
     def fail_first(
-        world: worlds.World, node: worlds.Node, effect: object
+        world: worlds.World, node: nodes.Node, effect: object
     ) -> None:
         if isinstance(effect, effects.LoadJobs) and unable in ([], [node.name]):
             unable[:] = [node.name]
@@ -196,7 +202,7 @@
     world = worlds.World(seed, entries=3)
     world.run(3000)
     step = test_lost_tasks.build_lasting(3)
-    world.submit("entry-0", worlds.build_job_of(JOB_ID, (step,)))
+    world.submit("entry-0", job_specs.build_job_of(JOB_ID, (step,)))
     world.run(1500)
     monkeypatch.setattr(worlds.World, "_call_store", fail_first)
     for name in ("entry-0", "entry-1", "entry-2"):
@@ -205,5 +211,5 @@
     started = len(world.oracle.started)
     world.run(test_lost_tasks.MAX_LAPSE_MS)
     assert unable
-    assert test_lost_tasks.count_running(world, JOB_ID) == 3
+    assert observations.count_running(world, JOB_ID) == 3
     assert len(world.oracle.started) == started
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -11,6 +11,7 @@
 import pytest
 
 from gypsumhold.model.jobs import events, messages, scheduler, specs
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -80,7 +81,7 @@
         if name.startswith("entry") and name != holder
     )
     # The other entry stores the job, so that it is accepted in any case.
-    world.submit(other, worlds.build_job(JOB, TASKS))
+    world.submit(other, job_specs.build_job(JOB, TASKS))
     world.run(offset_ms)
     hand_over(world, holder, way)
     world.run(25_000)
--- a/tests/jobs/test_holder_loss.py
+++ b/tests/jobs/test_holder_loss.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gypsumhold.model.jobs import messages, specs
-from tests.jobs import test_handover
+from tests.jobs import job_specs, test_handover
 from tests.jobs import world as worlds
 
 JOIN_MS = 400
@@ -98,7 +98,7 @@
         for name in world.nodes
         if name.startswith("entry") and name != former
     )
-    world.submit(entry, worlds.build_job(JOB, (3,)))
+    world.submit(entry, job_specs.build_job(JOB, (3,)))
     world.run(RECOVERY_MS + JOIN_MS + MAX_RUN_MS)
     assert world.store.progress[JOB].state is messages.JobState.COMPLETED
 
@@ -120,7 +120,7 @@
         if name.startswith("entry") and name != former
     ]
     for number in range(20):
-        spec = worlds.build_job(f"j{number}", (2,))
+        spec = job_specs.build_job(f"j{number}", (2,))
         entry = others[number % len(others)]
         world.after(
             150 * number,
@@ -148,7 +148,7 @@
         world.after(
             100 * number,
             lambda number=number: world.submit(
-                "entry-1", worlds.build_job(f"j{number}", (1,))
+                "entry-1", job_specs.build_job(f"j{number}", (1,))
             ),
         )
     world.run(2400)
@@ -175,7 +175,7 @@
     world.store_down = False
     for number in range(12):
         entry = f"entry-{number % 3}"
-        world.submit(entry, worlds.build_job(f"j{number}", (2,)))
+        world.submit(entry, job_specs.build_job(f"j{number}", (2,)))
         world.run(100)
     world.run(SETTLE_MS)
     assert test_handover.find_holder(world) == holder
--- a/tests/jobs/test_holders.py
+++ b/tests/jobs/test_holders.py
@@ -11,7 +11,7 @@
 from gypsumhold.decisions.jobs import holders, policy_sets
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, scheduler
-from tests.jobs import test_world
+from tests.jobs import nodes, test_world
 from tests.jobs import world as worlds
 
 SMALL_FIRST = {"entry-0": 0.5, "entry-1": 2.15}
@@ -106,7 +106,7 @@
     """Searches for two holders that both act around a hand-over."""
     world = worlds.World(seed, entries=3, entry_cores=TWO_LARGE)
     world.run(2000)
-    world.faults = worlds.Faults(0.03, 0.03, 0.03, 0.05)
+    world.faults = nodes.Faults(0.03, 0.03, 0.03, 0.05)
     test_world.submit_jobs(world, 12, "j")
     for _ in range(6):
         world.after(
@@ -114,6 +114,6 @@
             lambda: test_world.inject_fault(world),
         )
     world.run(20_000)
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     world.run(test_world.QUIET_MS)
     test_world.check_all_ended(world)
--- a/tests/jobs/test_interleavings.py
+++ b/tests/jobs/test_interleavings.py
@@ -15,7 +15,7 @@
 import pytest
 
 from gypsumhold.model.jobs import effects, messages, specs
-from tests.jobs import test_handover
+from tests.jobs import job_specs, test_handover
 from tests.jobs import world as worlds
 
 ENUMERATED_CALLS = int(os.environ.get("ENUMERATED_CALLS", "3"))
@@ -75,7 +75,7 @@
         for name in world.nodes
         if name.startswith("entry") and name != holder
     )
-    world.submit(other, worlds.build_job(JOB, (3, 2)))
+    world.submit(other, job_specs.build_job(JOB, (3, 2)))
     world.run(60)
     delay_calls(world, kinds, delays)
     test_handover.hand_over(world, holder, way)
--- a/tests/jobs/test_kinds.py
+++ b/tests/jobs/test_kinds.py
@@ -6,6 +6,7 @@
 
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, specs
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 BASE = {"cpu_millis": 1000, "memory_mb": 100, "estimate_ms": 500}
@@ -43,7 +44,7 @@
 def test_placements(case: Case) -> None:
     world = worlds.World(5)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job_of("j", (case.step,)))
+    world.submit("entry-0", job_specs.build_job_of("j", (case.step,)))
     world.run(150)
     placements = [
         line.outcome
@@ -59,7 +60,7 @@
     """Guards against starts before the time of a repetition (rule ORDER)."""
     world = worlds.World(6)
     world.run(3000)
-    spec = worlds.build_job_of("j", (specs.StepSpec(1, **BASE),))
+    spec = job_specs.build_job_of("j", (specs.StepSpec(1, **BASE),))
     first_ms = int(world.now_ms) + 2000
     repeated = specs.JobSpec(
         spec.job_id,
@@ -90,7 +91,7 @@
     world = worlds.World(7)
     world.run(3000)
     step = specs.StepSpec(3, long_running=True, target_latency_ms=20, **BASE)
-    world.submit("entry-0", worlds.build_job_of("j", (step,)))
+    world.submit("entry-0", job_specs.build_job_of("j", (step,)))
     world.run(500)
     for worker in world.workers.values():
         for run in worker.running.values():
@@ -113,7 +114,7 @@
     draining.draining = True
     world.run(1300)
     for number in range(8):
-        spec = worlds.build_job(f"j{number}", (4,))
+        spec = job_specs.build_job(f"j{number}", (4,))
         world.submit(f"entry-{number % 2}", spec)
         world.run(500)
         assert not draining.running
@@ -129,7 +130,7 @@
     """
     world = worlds.World(8)
     world.run(3000)
-    spec = worlds.build_job_of("j", (specs.StepSpec(1, **BASE),))
+    spec = job_specs.build_job_of("j", (specs.StepSpec(1, **BASE),))
     queue = specs.Queue(
         spec.queue.name, "host", "/q/", spec.queue.pool, advised=True
     )
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -24,7 +24,7 @@
     specs,
     storage,
 )
-from tests.jobs import builders, store_fake, test_world
+from tests.jobs import builders, job_specs, store_fake, test_world
 from tests.jobs import world as worlds
 
 WIDE = 2500
@@ -45,7 +45,7 @@
         )
         for number, width in enumerate(widths)
     )
-    return worlds.build_job_of(name, steps)
+    return job_specs.build_job_of(name, steps)
 
 
 def list_states(world: worlds.World) -> set[messages.JobState]:
@@ -60,7 +60,7 @@
     assert validation.check_job(wide) is None
     world.submit("entry-0", wide)
     world.run(500)
-    world.submit("entry-1", worlds.build_job("narrow", (2, 2)))
+    world.submit("entry-1", job_specs.build_job("narrow", (2, 2)))
     world.run(6000)
     narrow = world.store.progress[specs.JobId("narrow")]
     assert narrow.state is messages.JobState.COMPLETED
--- a/tests/jobs/test_liveness.py
+++ b/tests/jobs/test_liveness.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gypsumhold.model.jobs import messages, runs, specs
-from tests.jobs import test_world
+from tests.jobs import job_specs, nodes, test_world
 from tests.jobs import world as worlds
 
 SEEDS = range(12)
@@ -66,7 +66,7 @@
     builders = (build_lasting, build_best_effort, build_short, build_short)
     for number in range(world.random.randint(8, 22)):
         steps = world.random.choice(builders)(world)
-        spec = worlds.build_job_of(f"j{number}", steps)
+        spec = job_specs.build_job_of(f"j{number}", steps)
         entry = f"entry-{world.random.randrange(2)}"
         world.after(
             world.random.uniform(0, 9000),
@@ -135,7 +135,7 @@
     """Guards against a job that waits for something that never comes."""
     world = worlds.World(seed, agents=6)
     world.run(2500)
-    world.faults = worlds.Faults(0.03, 0.03, 0.03, 0.04)
+    world.faults = nodes.Faults(0.03, 0.03, 0.03, 0.04)
     submit_jobs(world)
     for _ in range(world.random.randint(4, 12)):
         world.after(
@@ -143,6 +143,6 @@
         )
     world.after(16_000, lambda: kill_all(world))
     world.run(FAULTS_MS)
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     world.run(CALM_MS)
     assert list_waiting(world) == []
--- a/tests/jobs/test_lost_answers.py
+++ b/tests/jobs/test_lost_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gypsumhold.model.jobs import effects, messages, runs, specs
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -41,7 +42,7 @@
     world.scripted_faults[kind] = ["lost"] * lost
     world.run(6000)
     world.scripted_faults[kind] = ["lost"] * lost
-    ticket = world.submit("entry-1", worlds.build_job(JOB, TASKS))
+    ticket = world.submit("entry-1", job_specs.build_job(JOB, TASKS))
     world.run(30_000)
     verdict = world.verdicts[ticket].verdict
     if verdict is messages.Verdict.UNAVAILABLE and kind is effects.ReadHolder:
@@ -75,7 +76,7 @@
     world.run(6000)
     world.scripted_faults[kind] = ["lost"] * lost
     entry = world.nodes["entry-1"]
-    ticket = world.submit("entry-1", worlds.build_job(JOB, TASKS))
+    ticket = world.submit("entry-1", job_specs.build_job(JOB, TASKS))
     world.run(40)
     entry.cut_store = True
     world.run(10_000)
--- a/tests/jobs/test_lost_tasks.py
+++ b/tests/jobs/test_lost_tasks.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gypsumhold.model.jobs import effects, events, messages, runs, specs
+from tests.jobs import job_specs, nodes, observations
 from tests.jobs import world as worlds
 
 FOREVER_MS = 1e9
@@ -27,16 +28,6 @@
     raise AssertionError(f"{job} does not run")
 
 
-def count_running(world: worlds.World, job: str) -> int:
-    for worker in world.workers.values():
-        worker.advance(world.now_ms)
-    return sum(
-        ref.job_id == job
-        for worker in world.workers.values()
-        for ref in worker.running
-    )
-
-
 def build_lasting(count: int = 1) -> specs.StepSpec:
     return specs.StepSpec(
         count, 2000, 5000, estimate_ms=1000, long_running=True
@@ -53,7 +44,7 @@
     """
     world = worlds.World(1)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.submit("entry-0", job_specs.build_job_of("j", (build_lasting(),)))
     world.run(1000)
     name = find_instance(world, "j")
     world.workers[name].restart(world.now_ms, FOREVER_MS)
@@ -62,7 +53,7 @@
         world.kill("entry-0", 500)
         world.kill("entry-1", 500)
     world.run(MAX_LAPSE_MS)
-    assert count_running(world, "j") == 1
+    assert observations.count_running(world, "j") == 1
 
 
 def test_task_runs_again_if_the_clock_of_the_worker_went_back() -> None:
@@ -72,7 +63,7 @@
     """
     world = worlds.World(1)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.submit("entry-0", job_specs.build_job_of("j", (build_lasting(),)))
     world.run(1000)
     name = find_instance(world, "j")
     worker = world.workers[name]
@@ -80,7 +71,7 @@
     worker.started_ms -= 3000
     world.kill(name, 300)
     world.run(MAX_LAPSE_MS)
-    assert count_running(world, "j") == 1
+    assert observations.count_running(world, "j") == 1
 
 
 def test_lasting_task_runs_beside_many_best_effort_jobs() -> None:
@@ -91,16 +82,16 @@
     """
     world = worlds.World(1, agents=4)
     world.run(3000)
-    lasting = worlds.build_job_of("lasting", (build_lasting(2),))
-    queue = msgspec.structs.replace(worlds.QUEUE, priority=1)
+    lasting = job_specs.build_job_of("lasting", (build_lasting(2),))
+    queue = msgspec.structs.replace(job_specs.QUEUE, priority=1)
     world.submit("entry-0", msgspec.structs.replace(lasting, queue=queue))
     world.run(1000)
-    assert count_running(world, "lasting") == 2
+    assert observations.count_running(world, "lasting") == 2
     for worker in world.workers.values():
         worker.stuck = True
     filling = specs.StepSpec(2, 8000, 100, estimate_ms=30_000, fills=True)
     for number in range(50):
-        spec = worlds.build_job_of(f"filling-{number}", (filling,))
+        spec = job_specs.build_job_of(f"filling-{number}", (filling,))
         world.submit("entry-0", spec)
     world.run(4000)
     name = find_instance(world, "lasting")
@@ -110,7 +101,7 @@
     )
     worker.end_run(run, runs.RunEnd.FAILED)
     world.run(MAX_WAIT_MS)
-    assert count_running(world, "lasting") == 2
+    assert observations.count_running(world, "lasting") == 2
 
 
 def test_done_gang_stays_done_if_a_worker_is_lost_then() -> None:
@@ -122,7 +113,7 @@
     world.run(3000)
     gang = specs.StepSpec(2, 8000, 100, estimate_ms=1000, gang=True)
     after = specs.StepSpec(1, 1000, 100, estimate_ms=1000, after=(0,))
-    world.submit("entry-0", worlds.build_job_of("j", (gang, after)))
+    world.submit("entry-0", job_specs.build_job_of("j", (gang, after)))
     world.run(250)
     first, second = (
         worker for worker in world.workers.values() if worker.running
@@ -146,7 +137,7 @@
     world = worlds.World(1, entries=3)
     world.pauses_ms[effects.LoadJobs] = lambda: 4000.0
     world.run(500)
-    world.submit("entry-0", worlds.build_job("j", (1,)))
+    world.submit("entry-0", job_specs.build_job("j", (1,)))
     world.run(20_000)
     assert [ref.task.job_id for ref in world.oracle.started] == ["j"]
 
@@ -161,16 +152,16 @@
     """
     world = worlds.World(1)
     world.run(3000)
-    world.faults = worlds.Faults(failing=1.0)
+    world.faults = nodes.Faults(failing=1.0)
     for number in range(30):
-        spec = worlds.build_job(f"failing-{number}", (2,))
+        spec = job_specs.build_job(f"failing-{number}", (2,))
         world.submit("entry-0", spec)
     world.run(4100)
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     step = specs.StepSpec(
         1, 1000, 1000, estimate_ms=1000, long_running=long_running
     )
-    world.submit("entry-0", worlds.build_job_of("j", (step,)))
+    world.submit("entry-0", job_specs.build_job_of("j", (step,)))
     world.run(MAX_WAIT_MS)
     started = {ref.task.job_id for ref in world.oracle.started}
     assert "j" in started
@@ -189,9 +180,9 @@
     left = events.WorkerLeft(worker.name)
     world.deliver(world.nodes["agent-0"], left)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.submit("entry-0", job_specs.build_job_of("j", (build_lasting(),)))
     world.run(MAX_WAIT_MS)
-    assert count_running(world, "j") == 1
+    assert observations.count_running(world, "j") == 1
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -199,13 +190,13 @@
     """Guards against two runs of a task whose worker did not leave."""
     world = worlds.World(seed, agents=2)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.submit("entry-0", job_specs.build_job_of("j", (build_lasting(),)))
     world.run(1000)
     name = find_instance(world, "j")
     left = events.WorkerLeft(world.workers[name].name)
     world.deliver(world.nodes[name], left)
     world.run(MAX_LAPSE_MS)
-    assert count_running(world, "j") == 1
+    assert observations.count_running(world, "j") == 1
 
 
 def test_worker_with_an_earlier_start_gets_tasks() -> None:
@@ -219,6 +210,6 @@
     worker.restart(world.now_ms, 200)
     worker.started_ms -= 3000
     world.run(MAX_LAPSE_MS)
-    world.submit("entry-0", worlds.build_job_of("j", (build_lasting(),)))
+    world.submit("entry-0", job_specs.build_job_of("j", (build_lasting(),)))
     world.run(MAX_WAIT_MS)
-    assert count_running(world, "j") == 1
+    assert observations.count_running(world, "j") == 1
--- a/tests/jobs/test_migrations.py
+++ b/tests/jobs/test_migrations.py
@@ -27,7 +27,7 @@
     specs,
     storage,
 )
-from tests.jobs import test_regressions
+from tests.jobs import job_specs, test_regressions
 from tests.jobs import world as worlds
 
 SERVING = specs.Image("serve")
@@ -85,7 +85,7 @@
         return self.world.read_clock()
 
     def add_job(self, name: str, step: specs.StepSpec) -> progress.Job:
-        spec = worlds.build_job_of(name, (step,))
+        spec = job_specs.build_job_of(name, (step,))
         now = self.read_clock()
         submitted_ms = lifecycle.to_ms(now) + self.holder_state.wall_offset_ms
         spec = msgspec.structs.replace(spec, submitted_ms=submitted_ms)
--- a/tests/jobs/test_odd_bodies.py
+++ b/tests/jobs/test_odd_bodies.py
@@ -16,17 +16,16 @@
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import effects, messages, specs
 from gypsumhold.platform import job_routes, settings
-from tests.jobs import test_decoders
-from tests.jobs import world as worlds
+from tests.jobs import job_specs, test_decoders
 
-HEADERS = (("host", worlds.QUEUE.host),)
+HEADERS = (("host", job_specs.QUEUE.host),)
 GOOD = json.dumps(test_decoders.SUBMISSION).encode()
 HUGE = (2**63, 2**64, 10**400)
 
 
 def build_routes() -> job_routes.JobRoutes:
     """Returns routes before an entry that accepts every job."""
-    config = specs.QueueConfig(ids.ConfigVersion(1), (worlds.QUEUE,))
+    config = specs.QueueConfig(ids.ConfigVersion(1), (job_specs.QUEUE,))
     runtime = mock.Mock()
     runtime.snapshot.return_value = config
     runtime.run_owner.side_effect = lambda ticket, *_: effects.AnswerQuery(
@@ -37,7 +36,7 @@
 
 def submit(body: bytes) -> int:
     """Submits a body and returns the status of the answer."""
-    target = f"{worlds.QUEUE.prefix}5c0e7a21d94b36f8"
+    target = f"{job_specs.QUEUE.prefix}5c0e7a21d94b36f8"
     request = http_routes.HttpRequest("POST", target, HEADERS, body)
     return build_routes().answer(request).status
 
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -17,8 +17,7 @@
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, records, specs, storage
 from gypsumhold.platform import documents, jobstore, table
-from tests.jobs import odd_entries
-from tests.jobs import world as worlds
+from tests.jobs import job_specs, odd_entries
 
 NO_VERSION = ids.RowVersion(0)
 ODD = odd_entries.ODD_ENTRIES
@@ -168,7 +167,7 @@
 
 def build_job_row(job_id: str, value: bytes | None = None) -> documents.Row:
     key = specs.JobId(job_id)
-    record = records.JobRecord(1, worlds.build_job(job_id, (2,)))
+    record = records.JobRecord(1, job_specs.build_job(job_id, (2,)))
     encoded = codec.encode(record) if value is None else value
     return documents.Row("jobs", job_id, 1, jobstore.find_part(key), encoded)
 
--- a/tests/jobs/test_oracle.py
+++ b/tests/jobs/test_oracle.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gypsumhold.model.jobs import runs
-from tests.jobs import oracle, store_fake, worker_fake
+from tests.jobs import job_specs, oracle, store_fake, worker_fake
 from tests.jobs import world as worlds
 
 
@@ -15,7 +15,7 @@
 
 
 def build_start_command(cpu_millis: int) -> runs.StartCommand:
-    task = runs.TaskRef(worlds.build_job("j", (1,)).job_id, 0, 0, 0)
+    task = runs.TaskRef(job_specs.build_job("j", (1,)).job_id, 0, 0, 0)
     ref = runs.RunRef(task, runs.RunNumber(1))
     checkpoint = runs.Checkpoint("")
     return runs.StartCommand(ref, "", checkpoint, cpu_millis, 100, 0)
@@ -46,7 +46,7 @@
 def test_start_over_the_capacity_is_detected() -> None:
     world = worlds.World(1)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job("j", (1,)))
+    world.submit("entry-0", job_specs.build_job("j", (1,)))
     world.run(300)
     worker = next(item for item in world.workers.values() if item.running)
     command = build_start_command(worker.cpu_millis)
--- a/tests/jobs/test_parts.py
+++ b/tests/jobs/test_parts.py
@@ -11,6 +11,7 @@
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, records, specs, storage
 from gypsumhold.platform import documents, jobstore, table
+from tests.jobs import job_specs, nodes
 from tests.jobs import world as worlds
 
 WAIT_S = 5.0
@@ -65,7 +66,7 @@
     client = RecordingClient()
     store = jobstore.PlatformJobStore(client)
     for number in range(40):
-        store.write_job(worlds.build_job(f"{number:016x}", (1,)))
+        store.write_job(job_specs.build_job(f"{number:016x}", (1,)))
     submissions = set(client.parts)
     client.parts.clear()
     store.commit(build_batch(specs.JobId("0" * 16)))
@@ -79,7 +80,7 @@
     store = jobstore.PlatformJobStore(client)
     names = [specs.JobId(f"{number:016x}") for number in range(12)]
     for name in names:
-        store.write_job(worlds.build_job(name, (1,)))
+        store.write_job(job_specs.build_job(name, (1,)))
     store.commit(build_batch(names[0]))
     store.commit(build_batch(specs.JobId("gone")))
     loaded = store.load_jobs()
@@ -123,14 +124,14 @@
     """Guards against jobs that run again: progress must be deleted last."""
     world = worlds.World(11)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job("j", (1,)))
+    world.submit("entry-0", job_specs.build_job("j", (1,)))
     world.run(170_000)
     assert "j" in world.store.jobs
-    world.faults = worlds.Faults(refused=0.5)
+    world.faults = nodes.Faults(refused=0.5)
     for _ in range(400):
         world.run(100)
         assert "j" not in world.store.jobs or "j" in world.store.progress
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     world.run(5000)
     assert "j" not in world.store.jobs
     assert "j" not in world.store.progress
--- a/tests/jobs/test_regressions.py
+++ b/tests/jobs/test_regressions.py
@@ -10,6 +10,7 @@
     specs,
     storage,
 )
+from tests.jobs import job_specs, nodes
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -18,12 +19,12 @@
 def start_one_job() -> worlds.World:
     world = worlds.World(1)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job(JOB, (4, 4)))
+    world.submit("entry-0", job_specs.build_job(JOB, (4, 4)))
     world.run(200)
     return world
 
 
-def find_holder(world: worlds.World) -> worlds.Node:
+def find_holder(world: worlds.World) -> nodes.Node:
     return next(
         node
         for node in world.nodes.values()
@@ -83,10 +84,10 @@
     """
     world = worlds.World(2)
     world.run(3000)
-    world.faults = worlds.Faults(late=1.0)
-    ticket = world.submit("entry-0", worlds.build_job(JOB, (1,)))
+    world.faults = nodes.Faults(late=1.0)
+    ticket = world.submit("entry-0", job_specs.build_job(JOB, (1,)))
     world.run(2000)
-    world.faults = worlds.Faults(refused=1.0)
+    world.faults = nodes.Faults(refused=1.0)
     world.run(3000)
     assert world.verdicts[ticket].verdict is messages.Verdict.UNKNOWN
 
@@ -95,8 +96,8 @@
     """The caller soon gets a time to retry, and nothing is stored."""
     world = worlds.World(3)
     world.run(3000)
-    world.faults = worlds.Faults(refused=1.0)
-    ticket = world.submit("entry-1", worlds.build_job(JOB, (1,)))
+    world.faults = nodes.Faults(refused=1.0)
+    ticket = world.submit("entry-1", job_specs.build_job(JOB, (1,)))
     world.run(1500)
     answer = world.verdicts[ticket]
     assert answer.verdict is messages.Verdict.UNAVAILABLE
@@ -114,7 +115,7 @@
     world = worlds.World(4, agents=3)
     world.run(3000)
     ordinary = specs.StepSpec(1, 8000, 1000, long_running=True)
-    world.submit("entry-0", worlds.build_job_of("o", (ordinary,)))
+    world.submit("entry-0", job_specs.build_job_of("o", (ordinary,)))
     world.run(300)
     serving = specs.StepSpec(
         2,
@@ -125,7 +126,7 @@
         target_latency_ms=18,
         max_per_worker=1,
     )
-    world.submit("entry-0", worlds.build_job_of("s", (serving,)))
+    world.submit("entry-0", job_specs.build_job_of("s", (serving,)))
     world.run(1000)
     holder = find_holder(world)
     view = holder.state.holder_state.agents[ids.InstanceId("agent-0")]
@@ -134,7 +135,7 @@
     best_effort = specs.StepSpec(
         4, 4000, 1000, estimate_ms=1000, image="heavy", fills=True
     )
-    world.submit("entry-0", worlds.build_job_of(JOB, (best_effort,)))
+    world.submit("entry-0", job_specs.build_job_of(JOB, (best_effort,)))
     world.run(3000)
     started = [
         line.subject
@@ -177,7 +178,7 @@
     other.cut_store = True
     tickets = []
     for number in range(5):
-        spec = worlds.build_job(f"j{number}", (1,))
+        spec = job_specs.build_job(f"j{number}", (1,))
         tickets.append(world.submit(other.name, spec))
         world.run(900)
     accepted = messages.Verdict.ACCEPTED
@@ -200,7 +201,7 @@
     world.store_down = True
     world.run(3000)
     tickets = [
-        world.submit(name, worlds.build_job(f"j-{name}", (1,)))
+        world.submit(name, job_specs.build_job(f"j-{name}", (1,)))
         for name in ("entry-0", "entry-1")
     ]
     world.run(100)
@@ -222,10 +223,10 @@
     world.run(3000)
     unplaceable = specs.StepSpec(1, 1000, 100, estimate_ms=500, label="none")
     for number in range(60):
-        spec = worlds.build_job_of(f"h{number:02}", (unplaceable,))
+        spec = job_specs.build_job_of(f"h{number:02}", (unplaceable,))
         world.submit("entry-0", spec)
     world.run(1000)
-    world.submit("entry-0", worlds.build_job(JOB, (1,)))
+    world.submit("entry-0", job_specs.build_job(JOB, (1,)))
     world.run(2800)
     started = {
         line.subject
@@ -317,7 +318,7 @@
     world.run(3000)
     gang = specs.StepSpec(2, 6000, 1000, estimate_ms=1000, gang=True)
     last = specs.StepSpec(1, 1000, 1000, estimate_ms=1000, after=(0,))
-    world.submit("entry-0", worlds.build_job_of(JOB, (gang, last)))
+    world.submit("entry-0", job_specs.build_job_of(JOB, (gang, last)))
     world.run(200)
     first, second = world.workers.values()
     for run in first.running.values():
--- a/tests/jobs/test_resizing.py
+++ b/tests/jobs/test_resizing.py
@@ -9,7 +9,7 @@
 
 from gypsumhold.model import resources
 from gypsumhold.model.jobs import effects, messages, specs
-from tests.jobs import test_regressions, test_world
+from tests.jobs import job_specs, nodes, test_regressions, test_world
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -77,7 +77,7 @@
         for name, node in world.nodes.items()
         if name.startswith("entry") and node.alive
     )
-    world.submit(entry, worlds.build_job_of(job_id, (step,)))
+    world.submit(entry, job_specs.build_job_of(job_id, (step,)))
 
 
 def count_lines(world: worlds.World, decision: str, outcome: str) -> int:
@@ -132,7 +132,7 @@
             fills=fills,
             image=specs.Image("fill" if fills else ""),
         )
-        spec = worlds.build_job_of(f"j{number}", (step,))
+        spec = job_specs.build_job_of(f"j{number}", (step,))
         entry = f"entry-{world.random.randrange(2)}"
         world.after(
             world.random.uniform(0, 12_000),
@@ -159,7 +159,7 @@
     """Guards against starts over a capacity while processes are lost."""
     world = build_world(seed, agents=3)
     world.oracle.resize_grace_ms = 4100
-    world.faults = worlds.Faults(0.03, 0.03, 0.03, 0.0)
+    world.faults = nodes.Faults(0.03, 0.03, 0.03, 0.0)
     for name in world.workers:
         vary_capacity(world, name, SHRUNK[world.random.choice(list(SHRUNK))])
     submit_series(world, 30)
@@ -170,7 +170,7 @@
         else:
             world.after(at_ms, lambda name=name: world.freeze(name, 3000))
     world.run(20_000)
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     world.run(SETTLE_MS)
     test_world.check_all_ended(world)
 
--- a/tests/jobs/test_scale.py
+++ b/tests/jobs/test_scale.py
@@ -9,7 +9,7 @@
 
 from gypsumhold.decisions.jobs import capacity
 from gypsumhold.model.jobs import effects, scheduler
-from tests.jobs import test_regressions, test_world
+from tests.jobs import job_specs, nodes, test_regressions, test_world
 from tests.jobs import world as worlds
 
 AGENTS = 60
@@ -20,7 +20,7 @@
 
     pushes = 0
 
-    def _call_peer(self, node: worlds.Node, effect: object) -> None:
+    def _call_peer(self, node: nodes.Node, effect: object) -> None:
         self.pushes += isinstance(effect, effects.PushDirectives)
         super()._call_peer(node, effect)
 
@@ -35,7 +35,7 @@
     world = CountingWorld(1, agents=AGENTS)
     world.run(9000)
     before = world.pushes
-    world.submit("entry-0", worlds.build_job("j", (2,)))
+    world.submit("entry-0", job_specs.build_job("j", (2,)))
     world.run(10_000)
     test_world.check_all_ended(world)
     assert world.pushes - before <= 6
@@ -62,7 +62,7 @@
     """
     world = worlds.World(seed)
     world.run(3000)
-    world.faults = worlds.Faults(0.03, 0.03, 0.03, 0.05)
+    world.faults = nodes.Faults(0.03, 0.03, 0.03, 0.05)
     test_world.submit_jobs(world, 20, "j")
     for _ in range(4):
         world.after(
@@ -77,7 +77,7 @@
     assert compared > 20
 
 
-def compare_candidates(node: worlds.Node) -> int:
+def compare_candidates(node: nodes.Node) -> int:
     """Compares the kept candidates of a holder; returns how many it has."""
     state = node.state
     if not isinstance(state, scheduler.SchedulerState):
--- a/tests/jobs/test_silence.py
+++ b/tests/jobs/test_silence.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gypsumhold.model.jobs import messages, runs, specs
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -21,7 +22,7 @@
 def start_serving(seed: int) -> worlds.World:
     world = worlds.World(seed)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job_of(JOB, (SERVING,)))
+    world.submit("entry-0", job_specs.build_job_of(JOB, (SERVING,)))
     world.run(1500)
     return world
 
@@ -98,7 +99,7 @@
     """
     world = worlds.World(for_ms)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job(JOB, (4,)))
+    world.submit("entry-0", job_specs.build_job(JOB, (4,)))
     world.run(150)
     silence(world, "agent cut off", for_ms)
     world.run(for_ms + 20_000)
--- a/tests/jobs/test_starved_jobs.py
+++ b/tests/jobs/test_starved_jobs.py
@@ -11,6 +11,7 @@
 import pytest
 
 from gypsumhold.model.jobs import effects, messages, specs
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 AGENTS = 10
@@ -37,7 +38,7 @@
         image=specs.Image(f"best-effort-{number % 7}"),
     )
     second = msgspec.structs.replace(first, after=(0,))
-    return worlds.build_job_of(f"job-{number:02}", (first, second))
+    return job_specs.build_job_of(f"job-{number:02}", (first, second))
 
 
 def build_serving_job() -> specs.JobSpec:
@@ -50,7 +51,7 @@
         target_latency_ms=50,
         image=specs.Image("serving"),
     )
-    return worlds.build_job_of("serving", (step,))
+    return job_specs.build_job_of("serving", (step,))
 
 
 def list_running(world: worlds.World) -> set[str]:
--- a/tests/jobs/test_stopping.py
+++ b/tests/jobs/test_stopping.py
@@ -8,8 +8,7 @@
 
 from gypsumhold.model import resources
 from gypsumhold.model.jobs import events, messages, specs
-from tests.jobs import test_regressions, test_resizing
-from tests.jobs import world as worlds
+from tests.jobs import job_specs, test_regressions, test_resizing
 
 JOB = test_resizing.JOB
 GANG_STOP_MS = 1500
@@ -99,7 +98,8 @@
     world.run(20)
     other = next(name for name in ("entry-0", "entry-1") if name != holder.name)
     world.submit(
-        other, worlds.build_job_of(test_resizing.LATER, (test_resizing.STEP,))
+        other,
+        job_specs.build_job_of(test_resizing.LATER, (test_resizing.STEP,)),
     )
     world.run(test_resizing.SETTLE_MS)
     test_resizing.check_completed(world, test_resizing.LATER)
--- a/tests/jobs/test_withdrawals.py
+++ b/tests/jobs/test_withdrawals.py
@@ -22,6 +22,7 @@
     specs,
 )
 from gypsumhold.platform import job_routes
+from tests.jobs import job_specs
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -69,7 +70,7 @@
     world.kill(AGENT, 300)
     world.after(300 + delay_ms, lambda: world.deliver(node, old_heartbeat))
     started_before = len(world.oracle.started)
-    spec = worlds.build_job_of(JOB, (SERVING,))
+    spec = job_specs.build_job_of(JOB, (SERVING,))
     world.after(delay_ms, lambda: world.submit("entry-0", spec))
     world.run(12_000)
     assert worker.running == {}
@@ -127,7 +128,7 @@
     """
     world = worlds.World(offset_ms)
     world.run(3000)
-    world.submit("entry-0", worlds.build_job_of(JOB, (SERVING,)))
+    world.submit("entry-0", job_specs.build_job_of(JOB, (SERVING,)))
     world.run(1000)
     other = "entry-1" if victim == "entry-0" else "entry-0"
     ticket = world.send_query(other, messages.QueryKind.CANCEL, JOB)
--- a/tests/jobs/test_world.py
+++ b/tests/jobs/test_world.py
@@ -8,6 +8,7 @@
 import pytest
 
 from gypsumhold.model.jobs import messages, specs
+from tests.jobs import job_specs, nodes
 from tests.jobs import world as worlds
 
 SEEDS = range(30)
@@ -21,7 +22,7 @@
             world.random.randint(1, 5)
             for _ in range(world.random.randint(1, 3))
         )
-        spec = worlds.build_job(f"{prefix}{number}", widths)
+        spec = job_specs.build_job(f"{prefix}{number}", widths)
         world.after(
             world.random.uniform(0, 6000),
             lambda entry=entry, spec=spec: world.submit(entry, spec),
@@ -74,14 +75,14 @@
 def test_faults_violate_no_invariant(seed: int) -> None:
     world = worlds.World(seed)
     world.run(2000)
-    world.faults = worlds.Faults(0.03, 0.03, 0.03, 0.05)
+    world.faults = nodes.Faults(0.03, 0.03, 0.03, 0.05)
     submit_jobs(world, 12, "j")
     for _ in range(6):
         world.after(
             world.random.uniform(500, 15_000), lambda: inject_fault(world)
         )
     world.run(20_000)
-    world.faults = worlds.NO_FAULTS
+    world.faults = nodes.NO_FAULTS
     world.run(QUIET_MS)
     check_all_ended(world)
 
@@ -90,7 +91,7 @@
 def test_cancelled_jobs_stop(seed: int) -> None:
     world = worlds.World(seed)
     world.run(3000)
-    spec = worlds.build_job("j", (4, 4))
+    spec = job_specs.build_job("j", (4, 4))
     world.submit("entry-0", spec)
     world.run(world.random.uniform(100, 900))
     ticket = world.send_query(
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -4,7 +4,6 @@
 may be lost. The invariants across all workers are checked by `oracle`.
 """
 
-import dataclasses
 import datetime
 import heapq
 import itertools
@@ -29,88 +28,20 @@
     specs,
     storage,
 )
-from tests.jobs import oracle, store_calls, store_fake, worker_fake
-
-QUEUE = specs.Queue(
-    specs.QueueName("q"), "host", "/q/", specs.PoolName("pool"), 0, 3, 1.5, 300
+from tests.jobs import (
+    job_specs,
+    nodes,
+    oracle,
+    store_calls,
+    store_fake,
+    worker_fake,
 )
-CONFIG = specs.QueueConfig(ids.ConfigVersion(1), (QUEUE,))
+
 HEARTBEAT_MS = 1100
 FEED_MS = 40
 LATE_MS = (1000, 9000)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Faults:
-    """Probabilities of faults.
-
-    Attributes:
-        lost: The call is carried out and its answer is lost.
-        late: The call gets no answer and is carried out seconds later.
-        refused: The call is refused and has no effect.
-        failing: A run ends as failed.
-    """
-
-    lost: float = 0.0
-    late: float = 0.0
-    refused: float = 0.0
-    failing: float = 0.0
-
-
-NO_FAULTS = Faults()
-
-CRASH_DELAY_MS = 10
-"""Time after which a deadly task crashes the worker that started it."""
-
-GANG_TIMEOUT_MS = 200
-"""Time after which a run ends that is alone of its gang."""
-
-DOWN_MS = 3200
-"""Time until a worker is up again after a crash."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash of a worker under a deadly task, and its starts until then."""
-
-    task: runs.TaskRef
-    instance: str
-    at_ms: float
-    starts: int
-
-
-@dataclasses.dataclass(slots=True)
-class Node:
-    """One process.
-
-    Attributes:
-        name: Name of the entry or of the agent's instance.
-        address: Where the process takes calls.
-        state: State of the scheduler or executor.
-        incarnation: Number of starts and kills; pending actions of an earlier
-            value are dropped.
-        alive: Whether the process runs.
-        cut: Whether the process is cut off from the other processes.
-        cut_store: Whether the process is cut off from the store.
-        cut_worker: Whether the process is cut off from its worker.
-        frozen: Whether the process is paused.
-        backlog: Actions that wait until the process is no longer paused.
-        timers: Number of the latest setting of each timer.
-    """
-
-    name: str
-    address: members.Address
-    state: Any
-    incarnation: int = 0
-    alive: bool = True
-    cut: bool = False
-    cut_store: bool = False
-    cut_worker: bool = False
-    frozen: bool = False
-    backlog: list[Callable[[], None]] = dataclasses.field(default_factory=list)
-    timers: dict[Any, int] = dataclasses.field(default_factory=dict)
-
-
 class World:
     """A small deployment: its processes, workers, store and virtual clock."""
 
@@ -125,8 +56,8 @@
         self.random = random.Random(seed)
         self.now_ms = 1000.0
         self.wall_skew_ms = 0
-        self.faults = NO_FAULTS
-        # Faults of the next calls, by type of effect.
+        self.faults = nodes.NO_FAULTS
+        # nodes.Faults of the next calls, by type of effect.
         self.scripted_faults: dict[type, list[str]] = {}
         # Pause before an effect is performed, by type of effect.
         self.pauses_ms: dict[type, Callable[[], float]] = {}
@@ -134,8 +65,8 @@
         self.store = store_fake.FakeStore()
         self.scheduled: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
-        self.nodes: dict[str, Node] = {}
-        self.nodes_by_address: dict[members.Address, Node] = {}
+        self.nodes: dict[str, nodes.Node] = {}
+        self.nodes_by_address: dict[members.Address, nodes.Node] = {}
         self.workers: dict[str, worker_fake.FakeWorker] = {}
         self.oracle = oracle.Oracle(self.store, self.workers)
         self.verdicts: dict[str, messages.Answer] = {}
@@ -147,7 +78,7 @@
         self.cancelled: set[specs.JobId] = set()
         # Tasks that crash each worker that starts them, and those crashes.
         self.deadly: set[runs.TaskRef] = set()
-        self.crashes: list[Crash] = []
+        self.crashes: list[nodes.Crash] = []
         self.failed_runs: dict[runs.TaskRef, int] = {}
         self.log_lines: list[tuple[float, str, effects.Log]] = []
         for number in range(entries):
@@ -166,12 +97,12 @@
 
     def _add_node(self, name: str, number: int) -> None:
         address = members.Address("10.0.0.1", 1000 + number)
-        node = Node(name, address, None)
+        node = nodes.Node(name, address, None)
         self.nodes[name] = node
         self.nodes_by_address[address] = node
         self._start_process(node)
 
-    def _start_process(self, node: Node) -> None:
+    def _start_process(self, node: nodes.Node) -> None:
         node.incarnation += 1
         node.alive = True
         node.timers.clear()
@@ -217,7 +148,7 @@
     def read_clock(self) -> datetime.timedelta:
         return datetime.timedelta(milliseconds=self.now_ms)
 
-    # Faults.
+    # nodes.Faults.
 
     def kill(self, name: str, down_ms: float) -> None:
         node = self.nodes[name]
@@ -230,7 +161,7 @@
         node.frozen = True
         self.after(for_ms, lambda: self._unfreeze(node))
 
-    def _unfreeze(self, node: Node) -> None:
+    def _unfreeze(self, node: nodes.Node) -> None:
         node.frozen = False
         if node.name in self.workers:
             name = self.workers[node.name].name
@@ -241,7 +172,7 @@
 
     # Processes.
 
-    def deliver(self, node: Node, event: base_events.Event) -> None:
+    def deliver(self, node: nodes.Node, event: base_events.Event) -> None:
         if not node.alive:
             return
         if node.frozen:
@@ -255,13 +186,13 @@
             self._perform(node, effect)
 
     def _deliver_unless_restarted(
-        self, node: Node, incarnation: int, event: base_events.Event
+        self, node: nodes.Node, incarnation: int, event: base_events.Event
     ) -> None:
         if node.incarnation == incarnation:
             self.deliver(node, event)
 
     def _schedule_event(
-        self, node: Node, delay_ms: float, event: base_events.Event | None
+        self, node: nodes.Node, delay_ms: float, event: base_events.Event | None
     ) -> None:
         incarnation = node.incarnation
         if event is not None:
@@ -272,7 +203,7 @@
                 ),
             )
 
-    def _perform(self, node: Node, effect: base_effects.Effect) -> None:
+    def _perform(self, node: nodes.Node, effect: base_effects.Effect) -> None:
         draw_pause = self.pauses_ms.get(type(effect))
         pause_ms = 0.0 if draw_pause is None else draw_pause()
         if pause_ms:
@@ -281,7 +212,9 @@
             return
         self._perform_now(node, effect)
 
-    def _perform_now(self, node: Node, effect: base_effects.Effect) -> None:
+    def _perform_now(
+        self, node: nodes.Node, effect: base_effects.Effect
+    ) -> None:
         match effect:
             case base_effects.SetTimer():
                 self._set_timer(node, effect)
@@ -323,14 +256,19 @@
                 self._call_store(node, effect)
 
     def _unless_restarted(
-        self, node: Node, effect: Any, action: Callable[[Node, Any], None]
+        self,
+        node: nodes.Node,
+        effect: Any,
+        action: Callable[[nodes.Node, Any], None],
     ) -> Callable[[], None]:
         incarnation = node.incarnation
         return lambda: (
             action(node, effect) if node.incarnation == incarnation else None
         )
 
-    def _set_timer(self, node: Node, effect: base_effects.SetTimer) -> None:
+    def _set_timer(
+        self, node: nodes.Node, effect: base_effects.SetTimer
+    ) -> None:
         number = next(self.numbers)
         node.timers[effect.timer] = number
 
@@ -357,15 +295,17 @@
 
     # The store.
 
-    def _follow_config(self, node: Node, effect: effects.FollowConfig) -> None:
+    def _follow_config(
+        self, node: nodes.Node, effect: effects.FollowConfig
+    ) -> None:
         read = events.ConfigRead(
-            CONFIG if effect.after == 0 else None,
+            job_specs.CONFIG if effect.after == 0 else None,
             ids.RowVersion(1),
             events.ReadResult.DONE,
         )
         self._schedule_event(node, 10 if effect.after == 0 else 3000, read)
 
-    def _follow(self, node: Node, effect: Any) -> None:
+    def _follow(self, node: nodes.Node, effect: Any) -> None:
         if self.store_down or node.cut_store:
             failure = failure_events.build_failure_event(effect, started=False)
             self._schedule_event(node, 500, failure)
@@ -381,7 +321,7 @@
             read = events.EntriesChanged(storage.EntryChanges(entries, version))
         self._schedule_event(node, self._draw_latency(), read)
 
-    def _call_store(self, node: Node, effect: Any) -> None:
+    def _call_store(self, node: nodes.Node, effect: Any) -> None:
         retry_delay = _to_ms(getattr(effect, "delay", effects.NO_DELAY))
         delay = retry_delay + self._draw_latency()
         if self.store_down or node.cut_store:
@@ -429,7 +369,7 @@
 
     # Calls between processes.
 
-    def _call_peer(self, node: Node, effect: Any) -> None:
+    def _call_peer(self, node: nodes.Node, effect: Any) -> None:
         target = self.nodes_by_address[effect.address]
         fault = self._draw_fault(effect)
         sent_at = self.read_clock()
@@ -464,8 +404,8 @@
 
     def _forward(
         self,
-        node: Node,
-        target: Node,
+        node: nodes.Node,
+        target: nodes.Node,
         effect: effects.ForwardQuery,
         *,
         lost: bool,
@@ -499,8 +439,8 @@
 
     def _report(
         self,
-        node: Node,
-        target: Node,
+        node: nodes.Node,
+        target: nodes.Node,
         effect: effects.SendReport,
         sent_at: datetime.timedelta,
         *,
@@ -526,7 +466,7 @@
         self.deliver(target, events.ReportArrived(ticket, effect.report))
 
     def _call_process(
-        self, target: Node, effect: Any
+        self, target: nodes.Node, effect: Any
     ) -> base_events.Event | None:
         if not target.alive or target.frozen:
             return None
@@ -554,7 +494,7 @@
         heartbeat = events.HeartbeatReceived(self.workers[name].describe())
         self.deliver(self.nodes[name], heartbeat)
 
-    def _call_worker(self, node: Node, effect: Any) -> None:
+    def _call_worker(self, node: nodes.Node, effect: Any) -> None:
         fault = self._draw_fault(effect)
         delay = self.random.uniform(1, 7)
         if node.cut_worker:
@@ -599,12 +539,12 @@
         self.after(retry_delay + delay, apply_effect)
 
     def _deliver_late_to_worker(
-        self, node: Node, effect: Any, sent_ms: float
+        self, node: nodes.Node, effect: Any, sent_ms: float
     ) -> None:
         if self._is_addressed(node, effect):
             self._deliver_to_worker(node, effect, sent_ms)
 
-    def _is_addressed(self, node: Node, effect: Any) -> bool:
+    def _is_addressed(self, node: nodes.Node, effect: Any) -> bool:
         """Tells whether the worker incarnation that a call names is up.
 
         Another incarnation would answer 421 and do nothing.
@@ -616,7 +556,7 @@
         return same_incarnation and worker.up_at_ms <= self.now_ms
 
     def _deliver_to_worker(
-        self, node: Node, effect: Any, sent_ms: float | None = None
+        self, node: nodes.Node, effect: Any, sent_ms: float | None = None
     ) -> Any:
         worker = self.workers[node.name]
         worker.advance(self.now_ms)
@@ -668,7 +608,7 @@
             )
             if ref.task in self.deadly:
                 self.after(
-                    CRASH_DELAY_MS, lambda: self._crash_under(worker, ref)
+                    nodes.CRASH_DELAY_MS, lambda: self._crash_under(worker, ref)
                 )
         return result
 
@@ -685,13 +625,13 @@
         starts = sum(
             started.task == ref.task for started in self.oracle.started
         )
-        self.crashes.append(Crash(ref.task, name, self.now_ms, starts))
-        worker.restart(self.now_ms, DOWN_MS)
+        self.crashes.append(nodes.Crash(ref.task, name, self.now_ms, starts))
+        worker.restart(self.now_ms, nodes.DOWN_MS)
         step = self.store.jobs[ref.task.job_id].steps[ref.task.step]
         if step.gang:
             self._break_gang(ref)
             # Starts that were under way leave runs without their gang.
-            self.after(GANG_TIMEOUT_MS, lambda: self._break_gang(ref))
+            self.after(nodes.GANG_TIMEOUT_MS, lambda: self._break_gang(ref))
 
     def _break_gang(self, lost: runs.RunRef) -> None:
         for worker in self.workers.values():
@@ -727,27 +667,3 @@
 
 def _to_ms(time: datetime.timedelta) -> float:
     return time / datetime.timedelta(milliseconds=1)
-
-
-def build_job(
-    name: str, widths: tuple[int, ...], cpu_millis: int = 1000
-) -> specs.JobSpec:
-    """Returns a job whose steps run one after another."""
-    steps = tuple(
-        specs.StepSpec(
-            width,
-            cpu_millis,
-            1000,
-            estimate_ms=1000,
-            after=(number - 1,) if number else (),
-        )
-        for number, width in enumerate(widths)
-    )
-    return build_job_of(name, steps)
-
-
-def build_job_of(name: str, steps: tuple[specs.StepSpec, ...]) -> specs.JobSpec:
-    """Returns a job with the given steps."""
-    return specs.JobSpec(
-        specs.JobId(name), QUEUE, f"payload of {name}", steps, 0
-    )
