--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -187,11 +187,17 @@
         started_ms: Start of the worker process in Unix milliseconds; together
             they identify the crash.
         evidence: How much the crash says about the task.
+        began: Whether the worker had confirmed the start of the run; False in
+            rows of former versions, which do not say.
+        in_outage: Whether most of the fleet was lost at the time. Such a crash
+            counts, but does not put the task on probation.
     """
 
     instance: ids.InstanceId
     started_ms: int
     evidence: CrashEvidence
+    began: bool = False
+    in_outage: bool = False
 
 
 UNKNOWN_AGE = -1
