Start no run again because a list of ends is incomplete

A worker lists 500 ends at a time. The agent took a run that was in neither list for ended and acknowledged, a start in doubt that was in neither for never begun, and a refusal as known for a run that can be placed again.

A poll now says whether its list is complete. An incomplete one decides nothing, and starts and withdrawals of unknown runs wait. A start that the worker refuses as known stays in doubt until a later, complete list lacks it. Ends are reported and handled by number.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -14,7 +14,6 @@
 used higher ones."""
 
 _REFUSALS = {
-    events.CommandResult.STALE: runs.Refusal.STALE,
     events.CommandResult.NO_CAPACITY: runs.Refusal.NO_CAPACITY,
     events.CommandResult.UNHEALTHY: runs.Refusal.UNHEALTHY,
     events.CommandResult.INVALID: runs.Refusal.INVALID,
@@ -209,9 +208,13 @@
         # A poll with a higher fence shows whether the run was started. That
         # fence also makes the worker refuse this command if it arrives late.
         state.fence += 1
-        local_run.state = executor.LocalState.IN_DOUBT
-        local_run.fence = state.fence
+        _doubt_start(state, local_run, runs.Refusal.UNANSWERED, now)
         return [_log_start(event, "doubtful")]
+    if result is events.CommandResult.STALE:
+        # The worker has had this run or a later one. It may have ended, and its
+        # end may not be listed yet.
+        _doubt_start(state, local_run, runs.Refusal.STALE, now)
+        return [_log_start(event, "known to the worker")]
     if result in _REFUSALS:
         return refuse_run(state, local_run.ref, _REFUSALS[result])
     # Late, fenced or answered by another incarnation: the run was not started
@@ -223,6 +226,19 @@
     return emitted
 
 
+def _doubt_start(
+    state: executor.ExecutorState,
+    local_run: executor.LocalRun,
+    refusal: runs.Refusal,
+    now: datetime.timedelta,
+) -> None:
+    """Leaves it to a later poll whether the worker has started a run."""
+    local_run.state = executor.LocalState.IN_DOUBT
+    local_run.fence = state.fence
+    local_run.doubted_at = now
+    local_run.refusal = refusal
+
+
 def _log_start(event: events.CommandAnswered, outcome: str) -> effects.Log:
     ref = event.ref
     return effects.Log(
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -148,7 +148,7 @@
             for local_run in state.active.values()
             if local_run.command is None
         ),
-        tuple(state.ends.values()),
+        tuple(state.ends[number] for number in sorted(state.ends)),
         tuple(
             runs.RefusedRow(ref, reason)
             for ref, reason in state.refused.items()
@@ -318,13 +318,19 @@
     """
     if ref in state.active:
         return commands.stop_run(state, ref)
-    if ref in state.refused or _has_ended(state, ref):
+    if ref in state.refused or _may_have_ended(state, ref):
         return []
     return commands.refuse_run(state, ref, runs.Refusal.STALE)
 
 
-def _has_ended(state: executor.ExecutorState, ref: runs.RunRef) -> bool:
-    """Tells whether an end of a run has still to be acknowledged."""
+def _may_have_ended(state: executor.ExecutorState, ref: runs.RunRef) -> bool:
+    """Tells whether a run that is not active has, or may have, ended.
+
+    Its end has still to be acknowledged, or to be listed. The holder repeats
+    its directives until the run is reported, so nothing is lost by waiting.
+    """
+    if not state.ends_complete:
+        return True
     return any(end.ref == ref for end in state.ends.values())
 
 
@@ -367,7 +373,7 @@
     """
     if command.ref in state.active or command.ref in state.refused:
         return []
-    if _has_ended(state, command.ref):
+    if _may_have_ended(state, command.ref):
         return []
     worker = state.worker
     assert worker is not None
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -172,7 +172,7 @@
     emitted += _release_ended_runs(holder_state, view)
     _record_worker_report(view, now)
     emitted += crashes.judge_crash(state, holder_state, view, now)
-    for row in report.ends:
+    for row in sorted(report.ends, key=lambda row: row.number):
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
             emitted += run_ends.handle_run_end(holder_state, view, row, now)
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -133,6 +133,7 @@
     state.clock = None
     state.grant_end = datetime.timedelta(0)
     state.polled = False
+    state.ends_complete = True
     state.acknowledged = runs.EndNumber(0)
     state.answering = True
     state.silent_after = None
@@ -239,6 +240,7 @@
     state.silent_after = None
     commands.record_clock(state, event.clock)
     emitted += _reconcile(state, event, now)
+    emitted += _note_completeness(state, event)
     state.report_due = state.report_due or not state.polled
     state.polled = True
     emitted += commands.start_waiting_runs(state, now)
@@ -350,6 +352,25 @@
     return emitted
 
 
+def _note_completeness(
+    state: executor.ExecutorState, event: events.WorkerPolled
+) -> EffectList:
+    """Records whether the worker listed all ends; logs a change."""
+    if state.ends_complete is event.is_complete:
+        return []
+    state.ends_complete = event.is_complete
+    outcome = (
+        "all ends listed" if event.is_complete else "more ends than listed"
+    )
+    inputs = (
+        ("ends", str(len(event.ends))),
+        ("acknowledged", str(state.acknowledged)),
+    )
+    return [
+        effects.Log("worker", event.worker_incarnation.name, outcome, inputs)
+    ]
+
+
 def _log_found_run(row: runs.RunRow) -> effects.Log:
     inputs = (("task", str(row.ref.task)), ("run", str(row.ref.run)))
     return effects.Log("run-found", row.ref.task.job_id, "reported", inputs)
@@ -363,17 +384,20 @@
 ) -> EffectList:
     """Handles a run that the worker does not list.
 
-    A start in doubt is refused if the poll had the fence that decides it. A
-    running run has ended, and is dropped, if the poll was sent after its start
-    was confirmed. While it is being stopped, it still holds its capacity until
-    its end is listed. Runs in other states are left as they are.
+    Its end may be among those that did not fit into an incomplete list.
+    Otherwise a start in doubt is refused if the poll was sent after the doubt
+    arose and had the fence that decides it. A running run has ended, and is
+    dropped, if the poll was sent after its start was confirmed. While it is
+    being stopped, it still holds its capacity until its end is listed. Runs in
+    other states are left as they are.
     """
     assert event.clock is not None
+    if not event.is_complete:
+        return []
     if local_run.state is executor.LocalState.IN_DOUBT:
-        if event.fence >= local_run.fence:
-            return commands.refuse_run(
-                state, local_run.ref, runs.Refusal.UNANSWERED
-            )
+        is_later = event.clock.sent_at >= local_run.doubted_at
+        if is_later and event.fence >= local_run.fence:
+            return commands.refuse_run(state, local_run.ref, local_run.refusal)
         return []
     running = local_run.state is executor.LocalState.RUNNING
     if not running or event.clock.sent_at <= local_run.confirmed_at:
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -306,6 +306,8 @@
             milliseconds.
         rows: Running tasks.
         ends: Ends of runs that are not acknowledged.
+        is_complete: Whether `ends` has all of them. A worker lists so many at
+            most; a run that neither list has may then have ended.
     """
 
     worker_incarnation: runs.WorkerIncarnation
@@ -315,6 +317,7 @@
     started_ms: int = 0
     rows: tuple[runs.RunRow, ...] = ()
     ends: tuple[runs.EndRow, ...] = ()
+    is_complete: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -63,7 +63,7 @@
     """The start command has been sent and is unanswered."""
 
     IN_DOUBT = "doubtful"
-    """The start command got no answer; a poll with a newer fence decides."""
+    """Whether the run was started is not known; a later poll decides."""
 
     RUNNING = "running"
 
@@ -80,6 +80,9 @@
         received_at: When the request to start it arrived.
         row: The worker's latest listing of the run.
         fence: Least fence of a poll that decides a start in doubt.
+        doubted_at: Since when the start is in doubt; only a poll that was sent
+            later decides.
+        refusal: Why the run is refused if no list of such a poll has it.
         confirmed_at: When the start was confirmed.
         stop_sent: Whether a stop command is unanswered or was carried out.
         unlisted_since: Since when the worker has no longer listed the run as
@@ -94,6 +97,8 @@
     received_at: datetime.timedelta = ZERO
     row: runs.RunRow | None = None
     fence: int = 0
+    doubted_at: datetime.timedelta = ZERO
+    refusal: runs.Refusal = runs.Refusal.UNANSWERED
     confirmed_at: datetime.timedelta = ZERO
     stop_sent: bool = False
     unlisted_since: datetime.timedelta | None = None
@@ -150,6 +155,8 @@
         worker: The worker beside the agent, by its latest heartbeat.
         clock: Latest reading of the worker's clock.
         polled: Whether the current worker incarnation has answered a poll.
+        ends_complete: Whether the latest poll listed all ends. Otherwise a run
+            that the agent does not know may have ended.
         poll_pending: Whether a poll is unanswered.
         fence: Fence of the next call; raised by a start in doubt, a new worker
             incarnation or a call that the worker refused for its fence.
@@ -195,6 +202,7 @@
     worker: runs.Worker | None = None
     clock: events.WorkerClock | None = None
     polled: bool = False
+    ends_complete: bool = True
     poll_pending: bool = False
     fence: int = 0
     active: dict[runs.RunRef, LocalRun] = dataclasses.field(
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -22,6 +22,9 @@
 ANSWER_TIMEOUT = datetime.timedelta(milliseconds=1000)
 """Time after which a call on the same instance counts as unanswered."""
 
+MAX_LISTED_ENDS = 500
+"""Most ends in one answer; a worker that has more lists the first of them."""
+
 MAX_INDEX_DIGITS = 9
 """Most digits of each number in the name of a task."""
 
@@ -83,6 +86,7 @@
                     poll.born or incarnation.started_ms,
                     parse_running(poll.running),
                     parse_ended(poll.ended),
+                    len(poll.ended) < MAX_LISTED_ENDS,
                 )
             case Failure(error):
                 _LOG.error(
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -55,6 +55,7 @@
         stuck: Whether no run finishes by itself.
         draining: Whether heartbeats report a drain.
         stop_ms: How long a run goes on after a stop command.
+        max_listed_ends: Most ends that it lists at a time.
         hides_stopping: Whether runs that are being stopped are not listed.
         former_capacities: Capacities before each change, with its time.
     """
@@ -82,6 +83,7 @@
     stuck: bool = False
     draining: bool = False
     stop_ms: float = 0.0
+    max_listed_ends: int = 500
     hides_stopping: bool = False
     former_capacities: list[tuple[float, resources.Resources]] = (
         dataclasses.field(default_factory=list)
@@ -114,6 +116,9 @@
             if not (self.hides_stopping and run.stopped_at_ms is not None)
         )
 
+    def list_ends(self) -> tuple[runs.EndRow, ...]:
+        return tuple(self.ends[: self.max_listed_ends])
+
     def sum_requests(self) -> resources.Resources:
         """Returns what all runs reserve, also those that are being stopped."""
         total = resources.NOTHING
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -568,6 +568,7 @@
             result = worker.poll(effect, self.now_ms)
             self.oracle.check_discarded_ends(worker, listed)
             rows = worker.list_runs()
+            ends = worker.list_ends()
             return events.WorkerPolled(
                 effect.worker.incarnation,
                 effect.fence,
@@ -575,7 +576,8 @@
                 clock,
                 incarnation.started_ms,
                 rows,
-                tuple(worker.ends),
+                ends,
+                len(ends) < worker.max_listed_ends,
             )
         if isinstance(effect, effects.StartRun):
             result = self._start(worker, effect, sent_ms)
