Count a failed run of a gang once, however many of its tasks fail

A gang now has as many attempts as there are different numbers among the failed runs of its tasks. None of its tasks starts next where one failed. Ends of released runs count for gangs as for other tasks; they were ignored, so a failed run was not counted, and a gang that was done could run again.

--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -62,9 +62,9 @@
     """Applies the end of a run that the holder had already released.
 
     This happens when an agent is cut off until its grant expires and reports
-    the end afterwards. A run that is done completes its task, and the run that
-    was started elsewhere in the meantime is stopped. A run that failed counts
-    as an attempt.
+    the end afterwards. A run that is done completes its task or its gang, and
+    what was started elsewhere in the meantime is stopped. A run that failed
+    counts as an attempt.
 
     Returns:
         The outcome for the decision log.
@@ -74,22 +74,35 @@
     task = None if job is None else job.find_task(ref)
     if job is None or task is None or not job.is_open():
         return "ignored: job is closed"
-    spec = job.find_step(ref).spec
-    needs_current_run = spec.long_running or spec.gang
+    step = job.find_step(ref)
     is_former = row.ref.run <= task.run
-    if needs_current_run or not is_former or task.is_done():
+    if step.spec.long_running or not is_former or task.is_done():
         return "ignored: not the present run"
-    placed = scheduler.PlacedTask(job, job.find_step(ref), task)
+    placed = scheduler.PlacedTask(job, step, task)
     if row.end is runs.RunEnd.FAILED:
         _fail_task(holder_state, view, placed, row.ref.run, now)
         return f"a former run failed; job {job.state.value}"
     if row.end is not runs.RunEnd.DONE:
         return "ignored: not the present run"
-    lifecycle.release_task(holder_state, ref, placed)
+    _release_unit(holder_state, placed)
     _finish_task(holder_state, view, placed, now)
     return f"a former run was done; job {job.state.value}"
 
 
+def _release_unit(
+    holder_state: scheduler.HolderState, placed: scheduler.PlacedTask
+) -> None:
+    """Releases a task, or all tasks of its gang, from their instances."""
+    unit = placed.step.list_unit(placed.task)
+    for index, task in enumerate(placed.step.tasks):
+        if any(task is member for member in unit):
+            lifecycle.release_task(
+                holder_state,
+                lifecycle.build_task_ref(placed.job, placed.step, index),
+                scheduler.PlacedTask(placed.job, placed.step, task),
+            )
+
+
 def _log_end(
     view: scheduler.AgentView, row: runs.EndRow, outcome: str
 ) -> effects.Log:
@@ -145,27 +158,38 @@
 ) -> None:
     """Counts a failed run once; fails the job after the last attempt.
 
-    The runs of a gang are counted together. Long-running tasks may fail any
-    number of times.
+    A run of a gang counts once, however many of its tasks fail in it, and none
+    of them starts on that instance next. Long-running tasks may fail any number
+    of times.
     """
     if run in placed.task.failed_runs:
         return
     _count_failed_job(view, placed.job, now)
-    placed.task.excluded_instances.add(view.instance)
+    for task in placed.step.list_unit(placed.task):
+        task.excluded_instances.add(view.instance)
     if placed.step.spec.long_running:
         return
     placed.task.failures += 1
     placed.task.failed_runs.add(run)
     lifecycle.mark_dirty(holder_state, placed.job)
-    failures = placed.task.failures
-    if placed.step.spec.gang:
-        failures = sum(task.failures for task in placed.step.tasks)
-    if failures >= placed.job.spec.queue.max_attempts:
+    attempts = _count_attempts(placed)
+    if attempts >= placed.job.spec.queue.max_attempts:
         lifecycle.close_job(
             holder_state, placed.job, messages.JobState.FAILED, now
         )
 
 
+def _count_attempts(placed: scheduler.PlacedTask) -> int:
+    """Returns how many runs of a task, or of its gang, have failed.
+
+    The tasks of a gang share the number of each run. Rows of former versions
+    have the number of failures of each task, but not the runs.
+    """
+    unit = placed.step.list_unit(placed.task)
+    failed_runs = {run for task in unit for run in task.failed_runs}
+    return max(len(failed_runs), *(task.failures for task in unit))
+
+
 def _count_failed_job(
     view: scheduler.AgentView, job: progress.Job, now: datetime.timedelta
 ) -> None:
