Start no run that was released while its command was under way

A start command was pushed to an agent that was paused. The holder released the run after 7.3 s and placed the task elsewhere. When the agent went on, it built a report without the run, then accepted the command, then got the answer with a new grant, and started the run under it.

An answer now confirms what it grants: a waiting run that the report did not list and the answer does not name is dropped. A start command is not sent after the end of its lease on the agent's clock, as a new incarnation of the worker under the same name has a clock that starts anew.

The oracle of the random world and the soak now check starts after an acknowledged done run; the soak pauses processes for longer than a grant.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -86,7 +86,15 @@
     local_run.state = executor.LocalState.STARTING
     local_run.fence = state.fence
     leases.record_lease_sent(state, until_ms)
-    return [effects.StartRun(worker, state.fence, local_run.command, until_ms)]
+    return [
+        effects.StartRun(
+            worker,
+            state.fence,
+            local_run.command,
+            until_ms,
+            state.grant_end,
+        )
+    ]
 
 
 def _has_free_capacity(
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -1,5 +1,6 @@
 """Sends reports to the holder of the queue and carries out its directives."""
 
+import dataclasses
 import datetime
 
 from gypsumhold.decisions.jobs import commands, leases, lifecycle, worker_polls
@@ -21,6 +22,19 @@
 NO_DELAY = datetime.timedelta(0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnsweredReport:
+    """A report that directives answer.
+
+    Attributes:
+        sequence: Number of the report.
+        sent_at: When it was sent, from which the grant counts.
+    """
+
+    sequence: int
+    sent_at: datetime.timedelta
+
+
 def start(state: executor.ExecutorState, now: datetime.timedelta) -> EffectList:
     """Starts to read the registered entries and to report."""
     state.fence = state.options.incarnation
@@ -126,7 +140,10 @@
 def _build_report(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> messages.Report:
-    """Builds a report; records which refusals and sums it contains."""
+    """Builds a report; records which runs, refusals and sums it contains."""
+    for local_run in state.active.values():
+        if local_run.first_report is None:
+            local_run.first_report = state.report_number
     runs_ended = leases.have_runs_ended(state, now)
     state.reported_refusals = tuple(state.refused)
     state.reported_sums = tuple(
@@ -207,7 +224,8 @@
     holder = event.directives.holder
     if not holder and not is_current:
         return []
-    emitted = handle_directives(state, event.directives, now, event.sent_at)
+    answered = AnsweredReport(event.sequence, event.sent_at)
+    emitted = handle_directives(state, event.directives, now, answered)
     if holder and is_latest and event.directives.term >= state.term:
         for ref in state.reported_refusals:
             state.refused.pop(ref, None)
@@ -238,7 +256,7 @@
     state: executor.ExecutorState,
     directives: messages.Directives,
     now: datetime.timedelta,
-    sent_at: datetime.timedelta | None = None,
+    answered: AnsweredReport | None = None,
 ) -> EffectList:
     """Carries out the directives of the holder unless they are outdated.
 
@@ -246,8 +264,8 @@
         state: State of the executor.
         directives: The directives.
         now: Reading of the agent's clock.
-        sent_at: When the report that they answer was sent; None if they answer
-            no report and thus grant no lease.
+        answered: The report that they answer; None if they answer no report
+            and thus grant no lease.
     """
     if directives.incarnation != state.options.incarnation:
         return []
@@ -273,16 +291,49 @@
         or directives.worker_incarnation != state.worker.incarnation
     ):
         return emitted
-    if sent_at is not None and directives.grant_ms:
+    if answered is not None and directives.grant_ms:
         grant = datetime.timedelta(milliseconds=directives.grant_ms)
-        state.grant_end = max(state.grant_end, sent_at + grant)
+        state.grant_end = max(state.grant_end, answered.sent_at + grant)
     _acknowledge(state, directives.acknowledged)
     if directives.sequence <= state.sequence:
         return emitted
     state.sequence = directives.sequence
+    if answered is not None:
+        emitted += _drop_revoked_starts(state, directives, answered)
     return [*emitted, *_carry_out(state, directives, now)]
 
 
+def _drop_revoked_starts(
+    state: executor.ExecutorState,
+    directives: messages.Directives,
+    answered: AnsweredReport,
+) -> EffectList:
+    """Drops the waiting runs that the holder has released since it sent them.
+
+    The command may have been under way until the grant had expired. The new
+    grant is for the runs that the holder still has placed here: it names them
+    to start, unless the report listed them, and then it names those to stop.
+    """
+    wanted = {command.ref for command in directives.starts}
+    emitted: EffectList = []
+    for local_run in list(state.active.values()):
+        is_waiting = local_run.state is executor.LocalState.WAITING
+        first_report = local_run.first_report
+        was_listed = (
+            first_report is not None and first_report <= answered.sequence
+        )
+        if not is_waiting or was_listed or local_run.ref in wanted:
+            continue
+        del state.active[local_run.ref]
+        emitted.append(_log_revoked_start(local_run.ref))
+    return emitted
+
+
+def _log_revoked_start(ref: runs.RunRef) -> effects.Log:
+    inputs = (("task", str(ref.task)), ("run", str(ref.run)))
+    return effects.Log("start", ref.task.job_id, "dropped: released", inputs)
+
+
 def _carry_out(
     state: executor.ExecutorState,
     directives: messages.Directives,
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -296,12 +296,16 @@
         fence: Fence of the call.
         command: The run to start.
         until_ms: End of the lease on the worker's clock.
+        valid_until: End of the lease on the agent's clock; the command is not
+            sent later. By then a new incarnation of the worker, whose clock
+            starts anew, may have the same name.
     """
 
     worker: runs.Worker
     fence: int
     command: runs.StartCommand
     until_ms: int
+    valid_until: datetime.timedelta
     owner: str = NO_OWNER
 
 
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -78,6 +78,8 @@
             the holder sends its command.
         state: State on the worker.
         received_at: When the request to start it arrived.
+        first_report: Number of the first report that listed it; None if none
+            has. All later ones list it as well.
         row: The worker's latest listing of the run.
         fence: Least fence of a poll that decides a start in doubt.
         doubted_at: Since when the start is in doubt; only a poll that was sent
@@ -95,6 +97,7 @@
     command: runs.StartCommand | None
     state: LocalState
     received_at: datetime.timedelta = ZERO
+    first_report: int | None = None
     row: runs.RunRow | None = None
     fence: int = 0
     doubted_at: datetime.timedelta = ZERO
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -97,9 +97,22 @@
         )
 
     def command(self, effect: effects.CommandEffect) -> events.CommandAnswered:
-        """Starts, stops or throttles a run."""
+        """Starts, stops or throttles a run.
+
+        A start that has waited until its lease expired is not sent.
+        """
         kind, ref, path, body = _translate_command(effect)
         sent_at = self._clock.read_monotonic()
+        if isinstance(effect, effects.StartRun) and (
+            sent_at >= effect.valid_until
+        ):
+            return events.CommandAnswered(
+                effect.worker.incarnation,
+                kind,
+                ref,
+                effect.fence,
+                events.CommandResult.LATE,
+            )
         reply = self._call(effect.worker, path, body, http_client.NO_WAIT)
         received_at = self._clock.read_monotonic()
         return events.CommandAnswered(
--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gypsumhold.model.jobs import messages, records, runs
+from gypsumhold.model.jobs import messages, records, runs, specs
 from tests.jobs import store_fake, worker_fake
 
 RESIZE_GRACE_MS = 4100
@@ -10,11 +10,16 @@
 a machine must be undisturbed to be judged, and one heartbeat."""
 
 
+LATE_START_MS = 1000
+"""How long after a done run was acknowledged an order under way may arrive."""
+
+
 class Violation(AssertionError):
     """An invariant is violated.
 
-    A task runs twice, a step starts before its predecessors, a worker runs
-    more than its capacity, or an end is discarded before it is stored.
+    A task runs twice or after it was done, a step starts before its
+    predecessors, a worker runs more than its capacity, or an end is discarded
+    before it is stored.
     """
 
 
@@ -27,6 +32,8 @@
     Attributes:
         store: The store.
         workers: Workers by instance.
+        noted_done: When the end of a done run was acknowledged, by task, with
+            the number of submissions of its job until then.
         started: Every run that a worker has started, in order.
         resize_grace_ms: How long an order may rely on a capacity that has
             shrunk.
@@ -36,6 +43,9 @@
 
     store: store_fake.FakeStore
     workers: dict[str, worker_fake.FakeWorker]
+    noted_done: dict[runs.TaskRef, tuple[float, int]] = dataclasses.field(
+        default_factory=dict
+    )
     started: list[runs.RunRef] = dataclasses.field(default_factory=list)
     resize_grace_ms: float = RESIZE_GRACE_MS
     unfrozen_ms: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -61,6 +71,8 @@
             other.advance(now_ms)
             if other is not worker and task in other.running:
                 raise Violation(f"{task} runs on two workers")
+        if ordered_ms is None:
+            self._check_not_done(task, now_ms)
         record = self.store.progress.get(task.job_id)
         if task.job_id not in self.store.jobs or record is None:
             raise Violation(f"{task} was started without a stored placement")
@@ -69,6 +81,20 @@
             worker, now_ms if ordered_ms is None else ordered_ms
         )
 
+    def _check_not_done(self, task: runs.TaskRef, now_ms: float) -> None:
+        if task not in self.noted_done:
+            return
+        noted_ms, submissions = self.noted_done[task]
+        is_same_job = self._count_submissions(task.job_id) == submissions
+        if is_same_job and now_ms > noted_ms + LATE_START_MS:
+            raise Violation(f"{task} was done before")
+
+    def _count_submissions(self, job_id: specs.JobId) -> int:
+        return sum(
+            submitted == job_id and not cancels
+            for _, submitted, cancels in self.store.changes
+        )
+
     def _check_capacity(
         self, worker: worker_fake.FakeWorker, ordered_ms: float
     ) -> None:
@@ -104,19 +130,26 @@
                 raise Violation(f"{task} started before step {predecessor}")
 
     def check_discarded_ends(
-        self, worker: worker_fake.FakeWorker, listed: list[runs.EndRow]
+        self,
+        worker: worker_fake.FakeWorker,
+        listed: list[runs.EndRow],
+        now_ms: float,
     ) -> None:
         """Checks that the worker discards ends only after they are stored."""
         for end in listed:
             if end.number > worker.acknowledged:
                 continue
+            task = end.ref.task
+            if end.end is runs.RunEnd.DONE and task not in self.noted_done:
+                submissions = self._count_submissions(task.job_id)
+                self.noted_done[task] = (now_ms, submissions)
             record = self.store.progress.get(end.ref.task.job_id)
             if record is None or record.state in messages.FINAL_STATES:
                 continue
-            task = _find_task(record, end.ref.task)
-            if task is None or task.run != end.ref.run:
+            stored = _find_task(record, task)
+            if stored is None or stored.run != end.ref.run:
                 continue
-            if task.state is records.TaskState.PLACED:
+            if stored.state is records.TaskState.PLACED:
                 raise Violation(
                     f"the end of {end.ref.task} was discarded unstored"
                 )
--- a/tests/jobs/test_unlisted_ends.py
+++ b/tests/jobs/test_unlisted_ends.py
@@ -7,22 +7,22 @@
 """
 
 import collections
-import datetime
 
 import pytest
 
-from gypsumhold.decisions import reducer
-from gypsumhold.decisions.jobs import policy_sets
-from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     effects,
     events,
-    executor,
     messages,
     runs,
     specs,
 )
-from tests.jobs import job_specs, test_handover, test_odd_numbers
+from tests.jobs import (
+    job_specs,
+    lone_agent,
+    test_handover,
+    test_odd_numbers,
+)
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("many")
@@ -31,9 +31,7 @@
 DOWN_MS = 4200
 SETTLE_MS = 20_000
 
-NOW = datetime.timedelta(seconds=10)
 RUN = runs.RunRef(runs.TaskRef(JOB, 0, 0, 0), runs.RunNumber(1))
-WORKER = runs.WorkerIncarnation("i-1", 1_000_000)
 
 
 def start_world(seed: int, agents: int = 2) -> worlds.World:
@@ -115,103 +113,6 @@
 # One agent and the answers of its worker.
 
 
-class Agent:
-    """An executor with a worker that has answered its first poll."""
-
-    def __init__(self) -> None:
-        self.state = executor.ExecutorState(
-            executor.ExecutorOptions(
-                ids.InstanceId("agent"),
-                ids.Incarnation(1000),
-                messages.Endpoint("10.0.0.1", 1),
-            ),
-            policy_sets.build_executor_policies(),
-        )
-        self.now = NOW
-        self.deliver(events.ExecutorStarted())
-        self.deliver(
-            events.HeartbeatReceived(
-                runs.Worker(
-                    WORKER,
-                    specs.PoolName("pool"),
-                    "10.0.0.2:1",
-                    ids.DataCentre("zone"),
-                    runs.WorkerState.READY,
-                    8000,
-                    8000,
-                    0,
-                )
-            )
-        )
-        self.poll()
-
-    def deliver(self, event: events.Event) -> tuple[object, ...]:
-        self.now += datetime.timedelta(milliseconds=1)
-        return tuple(reducer.reduce(self.state, event, self.now))
-
-    def read_clock(self) -> events.WorkerClock:
-        elapsed_ms = int((self.now - NOW) / datetime.timedelta(milliseconds=1))
-        return events.WorkerClock(elapsed_ms, self.now, self.now)
-
-    def poll(
-        self, ends: tuple[runs.EndRow, ...] = (), *, is_complete: bool = True
-    ) -> None:
-        """Answers a poll that was sent just now."""
-        self.now += datetime.timedelta(milliseconds=1)
-        self.deliver(
-            events.WorkerPolled(
-                WORKER,
-                self.state.fence,
-                events.CommandResult.DONE,
-                self.read_clock(),
-                WORKER.started_ms,
-                (),
-                ends,
-                is_complete,
-            )
-        )
-
-    def direct(
-        self,
-        *,
-        starts: tuple[runs.RunRef, ...] = (),
-        withdrawn: tuple[runs.RunRef, ...] = (),
-    ) -> None:
-        """Delivers directives that answer a report sent just now."""
-        directives = messages.Directives(
-            ids.Epoch(1),
-            "entry",
-            messages.Endpoint("10.0.0.3", 1),
-            ids.Incarnation(1000),
-            self.state.sequence + 1,
-            WORKER,
-            7000,
-            starts=tuple(
-                runs.StartCommand(ref, "p", runs.Checkpoint(""), 1, 1, 0)
-                for ref in starts
-            ),
-            withdrawn=withdrawn,
-        )
-        address = messages.Endpoint("10.0.0.3", 1).build_address()
-        self.deliver(
-            events.ReportAnswered(
-                address, self.state.report_number, self.now, directives
-            )
-        )
-
-    def answer_start(self, result: events.CommandResult) -> None:
-        self.deliver(
-            events.CommandAnswered(
-                WORKER,
-                events.CommandKind.START,
-                RUN,
-                self.state.fence,
-                result,
-                self.read_clock(),
-            )
-        )
-
-
 def build_end(number: int, ref: runs.RunRef) -> runs.EndRow:
     return runs.EndRow(runs.EndNumber(number), ref, runs.RunEnd.DONE)
 
@@ -225,9 +126,9 @@
     result: events.CommandResult,
 ) -> None:
     """Guards against a done run that is refused, and placed again."""
-    agent = Agent()
+    agent = lone_agent.LoneAgent()
     agent.direct(starts=(RUN,))
-    agent.answer_start(result)
+    agent.answer_start(RUN, result)
     agent.poll(is_complete=False)
     assert agent.state.refused == {}
     agent.poll((build_end(1, RUN),))
@@ -243,26 +144,26 @@
     result: events.CommandResult, refusal: runs.Refusal
 ) -> None:
     """Guards against a task that waits for a run that never comes."""
-    agent = Agent()
+    agent = lone_agent.LoneAgent()
     agent.direct(starts=(RUN,))
-    agent.answer_start(result)
+    agent.answer_start(RUN, result)
     agent.poll()
     assert agent.state.refused == {RUN: refusal}
 
 
 def test_earlier_poll_decides_no_start_in_doubt() -> None:
     """Guards against a list that is older than the refusal of a start."""
-    agent = Agent()
+    agent = lone_agent.LoneAgent()
     agent.direct(starts=(RUN,))
     sent_at = agent.now
-    agent.answer_start(STALE)
+    agent.answer_start(RUN, STALE)
     agent.deliver(
         events.WorkerPolled(
-            WORKER,
+            lone_agent.WORKER,
             agent.state.fence,
             events.CommandResult.DONE,
             events.WorkerClock(5, sent_at, agent.now),
-            WORKER.started_ms,
+            lone_agent.WORKER.started_ms,
         )
     )
     assert agent.state.refused == {}
@@ -271,7 +172,7 @@
 @pytest.mark.parametrize("way", ["starts", "withdrawn"])
 def test_unknown_run_is_not_judged_by_an_incomplete_list(way: str) -> None:
     """Guards against an agent that takes its lack of memory for proof."""
-    agent = Agent()
+    agent = lone_agent.LoneAgent()
     agent.poll(is_complete=False)
     agent.direct(**{way: (RUN,)})
     assert agent.state.active == {}
@@ -284,17 +185,10 @@
 
 def test_ends_are_reported_in_order() -> None:
     """Guards against ends that are acknowledged before they are handled."""
-    agent = Agent()
+    agent = lone_agent.LoneAgent()
     other = runs.RunRef(runs.TaskRef(JOB, 0, 0, 1), runs.RunNumber(1))
-    agent.state.report_pending = False
-    agent.state.ends[runs.EndNumber(2)] = build_end(2, other)
-    agent.state.ends[runs.EndNumber(1)] = build_end(1, RUN)
-    address = messages.Endpoint("10.0.0.3", 1).build_address()
-    agent.state.holder = address
-    agent.state.report_due = True
-    emitted = agent.deliver(events.HeartbeatReceived(agent.state.worker))
-    reports = [e.report for e in emitted if isinstance(e, effects.SendReport)]
-    assert [row.number for row in reports[0].ends] == [1, 2]
+    agent.poll((build_end(2, other), build_end(1, RUN)))
+    assert [row.number for row in agent.report().ends] == [1, 2]
 
 
 @pytest.mark.parametrize(("listed", "is_complete"), [(499, True), (500, False)])
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -61,6 +61,9 @@
         self.scripted_faults: dict[type, list[str]] = {}
         # Pause before an effect is performed, by type of effect.
         self.pauses_ms: dict[type, Callable[[], float]] = {}
+        # Whether messages reach a frozen process once it goes on, as over an
+        # open connection, and its threads handle them in any order.
+        self.delivers_to_frozen = False
         self.store_down = False
         self.store = store_fake.FakeStore()
         self.scheduled: list[tuple[float, int, Callable[[], None]]] = []
@@ -167,6 +170,8 @@
             name = self.workers[node.name].name
             self.oracle.unfrozen_ms[name] = self.now_ms
         actions, node.backlog = node.backlog, []
+        if self.delivers_to_frozen:
+            self.random.shuffle(actions)
         for action in actions:
             action()
 
@@ -381,6 +386,8 @@
             event = events.QueryAnswered(effect.owner, unsent)
             self._schedule_event(node, 5, event)
             return
+        if self.delivers_to_frozen and target.frozen and not target.cut:
+            self._queue_push(target, effect)
         if unreachable or fault in ("refused", "late"):
             self._schedule_event(
                 node, 1500, failure_events.build_failure_event(effect, True)
@@ -402,6 +409,12 @@
 
         self.after(self._draw_latency(), deliver_call)
 
+    def _queue_push(self, target: nodes.Node, effect: Any) -> None:
+        """Lets directives reach a frozen agent once it goes on."""
+        if isinstance(effect, effects.PushDirectives):
+            arrived = events.DirectivesArrived(effect.directives)
+            target.backlog.append(lambda: self.deliver(target, arrived))
+
     def _forward(
         self,
         node: nodes.Node,
@@ -504,6 +517,19 @@
             return
         if fault == "refused":
             fault = "done"
+        if (
+            isinstance(effect, effects.StartRun)
+            and self.read_clock() >= effect.valid_until
+        ):
+            expired = events.CommandAnswered(
+                effect.worker.incarnation,
+                events.CommandKind.START,
+                effect.command.ref,
+                effect.fence,
+                events.CommandResult.LATE,
+            )
+            self._schedule_event(node, 1, expired)
+            return
         incarnation = node.incarnation
         if fault == "late":
             late = self.random.uniform(*LATE_MS)
@@ -566,7 +592,7 @@
         if isinstance(effect, effects.PollWorker):
             listed = list(worker.ends)
             result = worker.poll(effect, self.now_ms)
-            self.oracle.check_discarded_ends(worker, listed)
+            self.oracle.check_discarded_ends(worker, listed, self.now_ms)
             rows = worker.list_runs()
             ends = worker.list_ends()
             return events.WorkerPolled(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,10 @@
 from tests.soak import programs, proxies, standins
 
 FAULT_DURATION_S = (0.3, 5.0)
+LONG_PAUSE_S = (7.5, 9.5)
+"""Pause after which the grants of an agent have expired."""
+
+LONG_PAUSE_SHARE = 0.3
 PROXY_FAULTS = tuple(
     fault
     for fault in proxies.ProxyFault
@@ -56,7 +60,11 @@
         """Injects one fault, or a few of one kind together."""
         inject_one = self._random.choice(self._injections)
         for _ in range(self._random.randint(1, MAX_SIMULTANEOUS)):
-            ends_at = time.monotonic() + self._random.uniform(*FAULT_DURATION_S)
+            duration_s = self._random.uniform(*FAULT_DURATION_S)
+            is_pause = inject_one == self._pause
+            if is_pause and self._random.random() < LONG_PAUSE_SHARE:
+                duration_s = self._random.uniform(*LONG_PAUSE_S)
+            ends_at = time.monotonic() + duration_s
             self._active.append((ends_at, inject_one()))
 
     def end_due(self) -> None:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -27,6 +27,9 @@
 CANCELLATION_GRACE_S = 12.0
 """Time after which grants from before a cancellation have expired."""
 
+LATE_START_S = 1.0
+"""How long after a done run was acknowledged an order under way may arrive."""
+
 HEARTBEAT_INTERVAL_S = 0.5
 POOL = "pool"
 HOST = "queue.example"
@@ -208,6 +211,7 @@
         refused: Jobs that were refused.
         cancelled: Time on the monotonic clock at which jobs were cancelled.
         done: Tasks of each job that have ended successfully.
+        noted_done: When such an end was acknowledged, by task.
     """
 
     def __init__(self) -> None:
@@ -218,6 +222,7 @@
         self.refused: set[str] = set()
         self.cancelled: dict[str, float] = {}
         self.done: dict[str, set[runs.TaskRef]] = {}
+        self.noted_done: dict[runs.TaskRef, float] = {}
 
     def record_refused(self, job: str) -> None:
         """Records a refused job, which must neither have run nor run later."""
@@ -247,12 +252,21 @@
                 task = row.ref.task
                 self.done.setdefault(task.job_id, set()).add(task)
 
+    def record_noted(self, worker: "WorkerStandin", last_seen: int) -> None:
+        """Records the done runs whose ends a poll acknowledges."""
+        for row in worker.fake.ends:
+            if row.number <= last_seen and row.end is runs.RunEnd.DONE:
+                self.noted_done.setdefault(row.ref.task, time.monotonic())
+
     def check_start(self, started: "WorkerStandin", ref: runs.RunRef) -> None:
         """Checks the invariants when a run starts."""
         job = ref.task.job_id
         self.started.add(job)
         if job in self.refused:
             self.problems.append(f"{ref.task} of a refused job runs")
+        noted_at = self.noted_done.get(ref.task)
+        if noted_at is not None and time.monotonic() > noted_at + LATE_START_S:
+            self.problems.append(f"{ref.task} runs again after it was done")
         cancelled_at = self.cancelled.get(job)
         if (
             cancelled_at is not None
@@ -369,6 +383,8 @@
             acknowledged=body.get("lastSeen", 0),
         )
         if path == "/hold":
+            if call.fence >= self.fake.fence:
+                self._checker.record_noted(self, call.acknowledged)
             return self.fake.poll(call, now_ms)
         task = worker.parse_task_ref(body["task"])
         assert task is not None
