Store as much of a job's progress as fits into its row

Jobs of up to 300 tasks were taken to fit whatever their checkpoints. The record now leaves out what does not fit: checkpoints of placed tasks first, as their workers report them again, then all checkpoints, then the numbers of failed runs and the crashes. A batch is limited by the sizes of its records.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -104,7 +104,8 @@
     holder_state.next_batch += 1
     changed = sorted(holder_state.dirty)[:MAX_BATCH_JOBS]
     jobs = record_sizes.choose_storable_jobs(
-        [holder_state.jobs[job_id] for job_id in changed]
+        [holder_state.jobs[job_id] for job_id in changed],
+        state.options.row_bytes,
     )
     writes = []
     for job in jobs:
@@ -115,7 +116,9 @@
         job.unstored_placements.clear()
         job.batch = number
         writes.append(
-            storage.ProgressWrite(job_id, lifecycle.build_record(job))
+            storage.ProgressWrite(
+                job_id, lifecycle.build_record(job, state.options.row_bytes)
+            )
         )
     removed = sorted(holder_state.deletable_progress)[
         : MAX_BATCH_JOBS - len(jobs)
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -315,44 +315,51 @@
     mark_dirty(holder_state, job)
 
 
-def build_record(job: progress.Job) -> records.ProgressRecord:
-    """Returns the record that stores the progress of a job."""
+def build_record(
+    job: progress.Job, row_bytes: int = scheduler.DEFAULT_ROW_BYTES
+) -> records.ProgressRecord:
+    """Returns the record that stores the progress of a job.
+
+    Details are left out if it would not fit into a row of `row_bytes`.
+    """
     if not job.is_open():
         return records.ProgressRecord(records.FORMAT, job.state, ())
+    detail = record_sizes.choose_detail(job, row_bytes)
     steps = tuple(
         records.StepRecord(
             step.repetition,
             step.number,
             ()
             if record_sizes.is_compact(job, step)
-            else tuple(_build_task_record(task) for task in step.tasks),
+            else tuple(_build_task_record(task, detail) for task in step.tasks),
         )
         for step in job.steps
-        if any(task.run for task in step.tasks)
+        if step.has_begun()
     )
     return records.ProgressRecord(records.FORMAT, job.state, steps)
 
 
-def _build_task_record(task: progress.Task) -> records.TaskRecord:
-    if task.state is not records.TaskState.PLACED:
-        checkpoint = runs.Checkpoint("") if task.is_done() else task.checkpoint
-        return records.TaskRecord(
-            task.state,
-            task.run,
-            task.failures,
-            checkpoint=checkpoint,
-            failed_runs=tuple(sorted(task.failed_runs)),
-            crashes=() if task.is_done() else task.crashes,
-        )
+def _build_task_record(
+    task: progress.Task, detail: record_sizes.Detail
+) -> records.TaskRecord:
+    checkpoint = runs.Checkpoint("")
+    if not task.is_done() and record_sizes.keeps_checkpoint(task, detail):
+        checkpoint = task.checkpoint
+    failed_runs: tuple[runs.RunNumber, ...] = ()
+    crashes: tuple[runs.Crash, ...] = ()
+    if detail is not record_sizes.Detail.ESSENTIAL:
+        failed_runs = tuple(sorted(task.failed_runs))
+        crashes = () if task.is_done() else task.crashes
+    is_placed = task.is_placed()
     return records.TaskRecord(
         task.state,
         task.run,
         task.failures,
-        task.instance,
-        task.worker_incarnation,
-        task.checkpoint,
-        tuple(sorted(task.failed_runs)),
-        task.crashes,
+        task.instance if is_placed else ids.InstanceId(""),
+        task.worker_incarnation if is_placed else runs.NO_INCARNATION,
+        checkpoint,
+        failed_runs,
+        crashes,
     )
 
 
--- a/src/gypsumhold/decisions/jobs/record_sizes.py
+++ b/src/gypsumhold/decisions/jobs/record_sizes.py
@@ -6,9 +6,10 @@
 upper bounds for any compact encoding of the records.
 """
 
+import enum
 from collections.abc import Sequence
 
-from gypsumhold.model.jobs import progress, records
+from gypsumhold.model.jobs import progress
 
 MAX_TRANSACTION_BYTES = 600_000
 """Most bytes of progress in one batch. The store accepts 1 MB, in which every
@@ -26,12 +27,12 @@
 CRASH_BYTES = 80
 """Bytes of a crash, with the name of the instance."""
 
-MAX_TASK_BYTES = 380
-"""Bytes of a placed task with a checkpoint, some failed runs and crashes."""
+TEXT_BYTES = 4
+"""Bytes of the length of a long text."""
 
 LARGE_JOB_TASKS = 300
 """Tasks and crashes from which a job counts as large: fewer always fit into
-one row."""
+one row without their checkpoints."""
 
 
 def is_large(job: progress.Job) -> bool:
@@ -45,31 +46,59 @@
     return tasks + crashes > LARGE_JOB_TASKS
 
 
-def choose_storable_jobs(jobs: Sequence[progress.Job]) -> list[progress.Job]:
+class Detail(enum.Enum):
+    """How much of the progress of a job is stored, so that it fits."""
+
+    ALL = "all"
+    WAITING_CHECKPOINTS = "waiting checkpoints"
+    """Without the checkpoints of placed tasks: their workers report them again,
+    unless they are lost before the next holder has heard of them."""
+
+    NO_CHECKPOINTS = "no checkpoints"
+    ESSENTIAL = "essential"
+    """Without the numbers of failed runs and without crashes as well; the
+    failures are still counted."""
+
+
+def choose_detail(job: progress.Job, row_bytes: int) -> Detail:
+    """Returns how much of the progress of a job fits into a row."""
+    for detail in Detail:
+        if estimate_record(job, detail) <= row_bytes:
+            return detail
+    return Detail.ESSENTIAL
+
+
+def keeps_checkpoint(task: progress.Task, detail: Detail) -> bool:
+    """Tells whether the checkpoint of a task is stored."""
+    if detail is Detail.WAITING_CHECKPOINTS:
+        return not task.is_placed()
+    return detail is Detail.ALL
+
+
+def choose_storable_jobs(
+    jobs: Sequence[progress.Job], row_bytes: int
+) -> list[progress.Job]:
     """Returns the first jobs that one batch can store; at least one."""
-    tasks = sum(len(step.tasks) for job in jobs for step in job.steps)
-    if tasks * MAX_TASK_BYTES <= MAX_TRANSACTION_BYTES:
-        return list(jobs)
     chosen: list[progress.Job] = []
     size = 0
     for job in jobs:
-        size += estimate_record(job)
+        size += min(estimate_record(job), row_bytes)
         if chosen and size > MAX_TRANSACTION_BYTES:
             break
         chosen.append(job)
     return chosen
 
 
-def estimate_record(job: progress.Job) -> int:
+def estimate_record(job: progress.Job, detail: Detail = Detail.ALL) -> int:
     """Returns the most bytes that the stored progress of a job takes."""
     if not job.is_open():
         return DONE_TASK_BYTES
     return sum(
         DONE_TASK_BYTES
         if is_compact(job, step)
-        else sum(map(_estimate_task, step.tasks))
+        else sum(_estimate_task(task, detail) for task in step.tasks)
         for step in job.steps
-        if any(task.run for task in step.tasks)
+        if step.has_begun()
     )
 
 
@@ -78,15 +107,23 @@
     return is_large(job) and step.is_done()
 
 
-def _estimate_task(task: progress.Task) -> int:
-    failed = FAILED_RUN_BYTES * len(task.failed_runs)
-    if task.state is records.TaskState.DONE:
-        return DONE_TASK_BYTES + failed
-    crashed = CRASH_BYTES * len(task.crashes)
-    fixed = DONE_TASK_BYTES
-    if task.state is records.TaskState.PLACED:
-        fixed = PLACED_TASK_BYTES
-    return fixed + len(task.checkpoint) + failed + crashed
+def _estimate_task(task: progress.Task, detail: Detail) -> int:
+    size = DONE_TASK_BYTES
+    if task.is_placed():
+        size = PLACED_TASK_BYTES
+    if detail is not Detail.ESSENTIAL:
+        size += FAILED_RUN_BYTES * len(task.failed_runs)
+    if task.is_done():
+        return size
+    if detail is not Detail.ESSENTIAL:
+        size += CRASH_BYTES * len(task.crashes)
+    if task.checkpoint and keeps_checkpoint(task, detail):
+        size += TEXT_BYTES + _count_bytes(task.checkpoint)
+    return size
+
+
+def _count_bytes(text: str) -> int:
+    return len(text) if text.isascii() else len(text.encode())
 
 
 def count_storable_placements(job: progress.Job, row_bytes: int) -> int:
@@ -103,7 +140,7 @@
     unstored = sum(
         len(step.tasks) * DONE_TASK_BYTES
         for step in job.steps
-        if step.open and not any(task.run for task in step.tasks)
+        if step.open and not step.has_begun()
     )
-    left = row_bytes - estimate_record(job) - unstored
+    left = row_bytes - estimate_record(job, Detail.ESSENTIAL) - unstored
     return max(0, left // (PLACED_TASK_BYTES - DONE_TASK_BYTES))
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -147,6 +147,10 @@
         """Tells whether a crash may be the fault of one of the tasks."""
         return any(task.is_suspect() for task in self.tasks)
 
+    def has_begun(self) -> bool:
+        """Tells whether a task was ever placed."""
+        return any(task.run for task in self.tasks)
+
     def is_done(self) -> bool:
         """Tells whether every task is done."""
         return all(task.state is records.TaskState.DONE for task in self.tasks)
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -18,6 +18,10 @@
 ZERO = datetime.timedelta(0)
 
 
+DEFAULT_ROW_BYTES = 65_536
+"""Most bytes of one row in a store that names no other limit."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SchedulerOptions:
     """Options of a scheduler.
@@ -53,7 +57,7 @@
     report_timeout: datetime.timedelta = datetime.timedelta(milliseconds=2500)
     retention: datetime.timedelta = datetime.timedelta(seconds=180)
     cores: float = 1.0
-    row_bytes: int = 65_536
+    row_bytes: int = DEFAULT_ROW_BYTES
     seed: int = 0
 
 
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -19,6 +19,7 @@
 from gypsumhold.model.jobs import (
     effects,
     messages,
+    progress,
     records,
     runs,
     specs,
@@ -52,6 +53,105 @@
     return {record.state for record in world.store.progress.values()}
 
 
+def place_all(
+    job: progress.Job, checkpoint_chars: int, failed_runs: int = 0
+) -> None:
+    """Places each task of a job, with a checkpoint and some failed runs."""
+    for step in job.steps:
+        for task in step.tasks:
+            task.state = records.TaskState.PLACED
+            task.run = runs.RunNumber(failed_runs + 1)
+            task.instance = ids.InstanceId("side-andina-c-31")
+            task.worker_incarnation = runs.WorkerIncarnation(
+                "i-9ce584d334", 10**12
+            )
+            task.checkpoint = runs.Checkpoint("c" * checkpoint_chars)
+            task.failures = failed_runs
+            task.failed_runs = set(map(runs.RunNumber, range(failed_runs)))
+
+
+def add_job(spec: specs.JobSpec) -> progress.Job:
+    """Returns a job in the memory of a holder."""
+    holder_state = builders.build_holder(NOW).holder_state
+    assert holder_state is not None
+    job = lifecycle.add_job(holder_state, storage.JobRows(spec), NOW)
+    assert job is not None
+    return job
+
+
+def list_checkpoints(record: records.ProgressRecord) -> list[str]:
+    return [task.checkpoint for step in record.steps for task in step.tasks]
+
+
+@pytest.mark.parametrize("checkpoint_chars", [100, 256, 4000, 70_000])
+@pytest.mark.parametrize("tasks", [1, 20, 290])
+def test_record_fits_whatever_the_checkpoints(
+    tasks: int, checkpoint_chars: int
+) -> None:
+    """Guards against a row that the store refuses for its checkpoints."""
+    job = add_job(build_wide_job("j", (tasks,)))
+    place_all(job, checkpoint_chars)
+    encoded = codec.encode(lifecycle.build_record(job))
+    assert len(encoded) <= store_fake.MAX_ROW_BYTES
+
+
+def test_checkpoints_that_fit_are_stored() -> None:
+    """Guards against work that is lost with the holder for no reason."""
+    job = add_job(build_wide_job("j", (290,)))
+    place_all(job, 16)
+    assert all(list_checkpoints(lifecycle.build_record(job)))
+
+
+def test_waiting_tasks_keep_their_checkpoints_first() -> None:
+    """Guards against the loss of checkpoints that no worker reports again."""
+    job = add_job(build_wide_job("j", (200,)))
+    place_all(job, 256)
+    waiting = job.steps[0].tasks[:50]
+    for task in waiting:
+        task.state = records.TaskState.READY
+    stored = list_checkpoints(lifecycle.build_record(job))
+    assert all(stored[:50])
+    assert not any(stored[50:])
+
+
+def test_record_fits_whatever_has_failed() -> None:
+    """Guards against a row that grows with each failed run.
+
+    The runs are left out then; the number of failures stays.
+    """
+    job = add_job(build_wide_job("j", (3000,)))
+    for task in job.steps[0].tasks:
+        task.run = runs.RunNumber(4)
+        task.failures = 3
+        task.failed_runs = {runs.RunNumber(run) for run in (1, 2, 3)}
+    record = lifecycle.build_record(job)
+    assert len(codec.encode(record)) <= store_fake.MAX_ROW_BYTES
+    assert {task.failures for task in record.steps[0].tasks} == {3}
+
+
+def test_long_checkpoints_of_one_job_do_not_stop_the_others() -> None:
+    """Guards against one job with which the holder can store nothing more."""
+    world = worlds.World(1)
+    for worker in world.workers.values():
+        worker.checkpoint_chars = 400
+        worker.memory_mb = 290_000
+        worker.stuck = True
+    world.run(3000)
+    world.submit("entry-0", job_specs.build_job("long", (290, 3), 100))
+    world.run(3000)
+    first, *others = world.workers.values()
+    first.stuck = False
+    world.run(700)
+    world.submit("entry-1", job_specs.build_job("narrow", (2, 2)))
+    world.run(8000)
+    narrow = world.store.progress[specs.JobId("narrow")]
+    assert narrow.state is messages.JobState.COMPLETED
+    for worker in others:
+        worker.stuck = False
+    world.run(RUN_TIME_MS)
+    assert list_states(world) == {messages.JobState.COMPLETED}
+
+
 def test_wide_job_does_not_stop_the_others() -> None:
     """Guards against a row of progress that the store refuses."""
     world = worlds.World(1)
@@ -76,14 +176,7 @@
         spec = build_wide_job(f"j{number}", (290,))
         lifecycle.add_job(state.holder_state, storage.JobRows(spec), NOW)
         job = state.holder_state.jobs[spec.job_id]
-        for task in job.steps[0].tasks:
-            task.state = records.TaskState.PLACED
-            task.run = runs.RunNumber(1)
-            task.instance = ids.InstanceId("side-andina-c-31")
-            task.worker_incarnation = runs.WorkerIncarnation(
-                "i-9ce584d334", 10**12
-            )
-            task.checkpoint = runs.Checkpoint("00000bb87a21d94b")
+        place_all(job, 16)
         lifecycle.mark_dirty(state.holder_state, job)
     (commit,) = [
         effect
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -55,6 +55,7 @@
         stuck: Whether no run finishes by itself.
         draining: Whether heartbeats report a drain.
         stop_ms: How long a run goes on after a stop command.
+        checkpoint_chars: Length of the checkpoints of its runs.
         max_listed_ends: Most ends that it lists at a time.
         hides_stopping: Whether runs that are being stopped are not listed.
         former_capacities: Capacities before each change, with its time.
@@ -83,6 +84,7 @@
     stuck: bool = False
     draining: bool = False
     stop_ms: float = 0.0
+    checkpoint_chars: int = 0
     max_listed_ends: int = 500
     hides_stopping: bool = False
     former_capacities: list[tuple[float, resources.Resources]] = (
@@ -111,7 +113,7 @@
 
     def list_runs(self) -> tuple[runs.RunRow, ...]:
         return tuple(
-            runs.RunRow(run.ref)
+            runs.RunRow(run.ref, runs.Checkpoint("c" * self.checkpoint_chars))
             for run in self.running.values()
             if not (self.hides_stopping and run.stopped_at_ms is not None)
         )
