Let a timed job go on when many of its tasks are due

A step takes room when its first task is placed, so the steps of a large job begin one after another, and the first repetitions that are done are stored as a number.

--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -111,6 +111,7 @@
     if not job.is_open():
         job.ended_at = now
         return
+    _restore_done_repetitions(job, record.done_repetitions)
     for step_record in record.steps:
         while job.next_repetition <= step_record.repetition:
             _open_repetition(job)
@@ -141,6 +142,14 @@
     open_steps(job)
 
 
+def _restore_done_repetitions(job: progress.Job, repetitions: int) -> None:
+    """Opens the first repetitions of a job, whose tasks are all done."""
+    while job.next_repetition < min(repetitions, job.spec.repetitions):
+        _open_repetition(job)
+    for step in job.steps:
+        _restore_done_step(step)
+
+
 def _restore_done_step(step: progress.Step) -> None:
     """Applies the record of a step that is stored without its tasks."""
     for task in step.tasks:
@@ -325,18 +334,20 @@
     if not job.is_open():
         return records.ProgressRecord(records.FORMAT, job.state, ())
     detail = record_sizes.choose_detail(job, row_bytes)
+    layout = record_sizes.choose_layout(job)
     steps = tuple(
         records.StepRecord(
             step.repetition,
             step.number,
             ()
-            if record_sizes.is_compact(job, step)
+            if layout.is_compact(step)
             else tuple(_build_task_record(task, detail) for task in step.tasks),
         )
-        for step in job.steps
-        if step.has_begun()
+        for step in layout.steps
+    )
+    return records.ProgressRecord(
+        records.FORMAT, job.state, steps, layout.done_repetitions
     )
-    return records.ProgressRecord(records.FORMAT, job.state, steps)
 
 
 def _build_task_record(
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -176,12 +176,11 @@
     had_placed_task = job.has_placed_task()
     skipped_steps: set[int] = set()
     usable_by_step: dict[int, dict[str, policies.Candidate]] = {}
-    row_bytes = state.options.row_bytes
-    storable = record_sizes.count_storable_placements(job, row_bytes)
+    budget = record_sizes.PlacementBudget(job, state.options.row_bytes)
     for step, index in list(_iterate_ready_tasks(job)):
-        if len(emitted) >= storable:
-            break
-        may_start = probations.may_start(step, index, candidates)
+        may_start = budget.allows(step) and probations.may_start(
+            step, index, candidates
+        )
         if id(step) in skipped_steps or not may_start:
             continue
         if id(step) not in usable_by_step:
@@ -193,7 +192,7 @@
         usable = usable_by_step[id(step)]
         if step.spec.gang:
             skipped_steps.add(id(step))
-            if len(step.tasks) > storable - len(emitted):
+            if not budget.allows(step, len(step.tasks)):
                 continue
             if starved and not step.is_suspect(step.tasks[0]):
                 _clear_exclusions(step)
@@ -201,6 +200,7 @@
                 state, holder_state, job, step, candidates=usable, now=now
             )
             emitted += placements
+            budget.take(step, len(placements))
             if not placements:
                 placed = scheduler.PlacedTask(job, step, step.tasks[index])
                 _reserve_worker(holder_state, placed, candidates, now)
@@ -229,6 +229,7 @@
                 skipped_steps.add(id(step))
             continue
         task.is_only_run = not (had_placed_task or emitted)
+        budget.take(step)
         emitted.append(
             _place_task(
                 holder_state, job, step, index, candidate=candidate, now=now
--- a/src/gypsumhold/decisions/jobs/record_sizes.py
+++ b/src/gypsumhold/decisions/jobs/record_sizes.py
@@ -6,6 +6,7 @@
 upper bounds for any compact encoding of the records.
 """
 
+import dataclasses
 import enum
 from collections.abc import Sequence
 
@@ -93,18 +94,49 @@
     """Returns the most bytes that the stored progress of a job takes."""
     if not job.is_open():
         return DONE_TASK_BYTES
+    layout = choose_layout(job)
     return sum(
         DONE_TASK_BYTES
-        if is_compact(job, step)
+        if layout.is_compact(step)
         else sum(_estimate_task(task, detail) for task in step.tasks)
-        for step in job.steps
-        if step.has_begun()
+        for step in layout.steps
     )
 
 
-def is_compact(job: progress.Job, step: progress.Step) -> bool:
-    """Tells whether a step is stored without its tasks, which are all done."""
-    return is_large(job) and step.is_done()
+@dataclasses.dataclass(frozen=True, slots=True)
+class Layout:
+    """Which steps of a job its record has.
+
+    Attributes:
+        steps: Steps that have begun and are stored one by one.
+        done_repetitions: Number of first repetitions whose steps are all done
+            and that are stored by their number alone. A former version would
+            run them again, so only large jobs have any.
+        is_large: Whether the record of the job may exceed one row.
+    """
+
+    steps: tuple[progress.Step, ...]
+    done_repetitions: int
+    is_large: bool
+
+    def is_compact(self, step: progress.Step) -> bool:
+        """Tells whether a step, which is done, is stored without its tasks."""
+        return self.is_large and step.is_done()
+
+
+def choose_layout(job: progress.Job) -> Layout:
+    """Returns the layout of the record of an open job."""
+    large = is_large(job)
+    first = 0
+    if large:
+        undone = (step.repetition for step in job.steps if not step.is_done())
+        first = min(undone, default=job.next_repetition)
+    steps = tuple(
+        step
+        for step in job.steps
+        if step.repetition >= first and step.has_begun()
+    )
+    return Layout(steps, first, large)
 
 
 def _estimate_task(task: progress.Task, detail: Detail) -> int:
@@ -126,21 +158,33 @@
     return len(text) if text.isascii() else len(text.encode())
 
 
-def count_storable_placements(job: progress.Job, row_bytes: int) -> int:
-    """Returns how many more tasks of a job can be placed.
+class PlacementBudget:
+    """Bytes of a row that are left for further placements of a job.
 
-    Args:
-        job: The job.
-        row_bytes: Most bytes of one row.
+    A step whose first task is placed takes room for all of its tasks. So the
+    steps of a job that is too large for a row begin one after another.
     """
-    unplaced = sum(len(step.tasks) for step in job.steps)
-    if not is_large(job):
-        return unplaced
-    # Tasks that have never run are not yet part of the estimate.
-    unstored = sum(
-        len(step.tasks) * DONE_TASK_BYTES
-        for step in job.steps
-        if step.open and not step.has_begun()
-    )
-    left = row_bytes - estimate_record(job, Detail.ESSENTIAL) - unstored
-    return max(0, left // (PLACED_TASK_BYTES - DONE_TASK_BYTES))
+
+    def __init__(self, job: progress.Job, row_bytes: int) -> None:
+        """Creates the budget for one plan."""
+        self._is_limited = is_large(job)
+        self._left = row_bytes
+        if self._is_limited:
+            self._left -= estimate_record(job, Detail.ESSENTIAL)
+        self._begun: set[int] = set()
+
+    def allows(self, step: progress.Step, tasks: int = 1) -> bool:
+        """Tells whether so many more tasks of a step can be placed."""
+        return not self._is_limited or self._measure(step, tasks) <= self._left
+
+    def take(self, step: progress.Step, tasks: int = 1) -> None:
+        """Records placements of a step."""
+        if self._is_limited and tasks:
+            self._left -= self._measure(step, tasks)
+            self._begun.add(id(step))
+
+    def _measure(self, step: progress.Step, tasks: int) -> int:
+        size = (PLACED_TASK_BYTES - DONE_TASK_BYTES) * tasks
+        if id(step) in self._begun or step.has_begun():
+            return size
+        return size + DONE_TASK_BYTES * len(step.tasks)
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -57,11 +57,14 @@
         state: State of the job that callers see.
         steps: Steps of which at least one task was ever placed; none for a job
             that has ended.
+        done_repetitions: Number of first repetitions whose steps are all done
+            and left out to save space.
     """
 
     version: int
     state: messages.JobState
     steps: tuple[StepRecord, ...]
+    done_repetitions: int = 0
 
 
 class JobRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -7,12 +7,14 @@
 
 import datetime
 
+import msgspec
 import pytest
 
 from gypsumhold.adapters.jobs import codec
 from gypsumhold.decisions.jobs import (
     batches,
     lifecycle,
+    record_sizes,
     validation,
 )
 from gypsumhold.model import ids
@@ -152,6 +154,66 @@
     assert list_states(world) == {messages.JobState.COMPLETED}
 
 
+def test_timed_job_with_many_due_tasks_goes_on() -> None:
+    """Guards against a job that stops for the room that its tasks may need.
+
+    All repetitions are due before the first one is done.
+    """
+    world = worlds.World(1, agents=6)
+    world.run(3000)
+    spec = build_wide_job("timed", (800,))
+    spec = msgspec.structs.replace(
+        spec, repetitions=5, first_run_ms=1, interval_ms=1
+    )
+    assert validation.check_job(spec) is None
+    world.submit("entry-0", spec)
+    world.run(2 * RUN_TIME_MS)
+    assert list_states(world) == {messages.JobState.COMPLETED}
+    assert len(world.oracle.started) == 5 * 800
+
+
+def build_job_with_done_repetitions(done: int) -> progress.Job:
+    """Returns a timed job of which the first repetitions are done."""
+    spec = msgspec.structs.replace(
+        build_wide_job("timed", (1,)),
+        repetitions=done + 2,
+        first_run_ms=1,
+        interval_ms=1,
+    )
+    job = add_job(spec)
+    for step in job.steps[:done]:
+        for task in step.tasks:
+            task.state = records.TaskState.DONE
+            task.run = runs.RunNumber(1)
+    return job
+
+
+def test_done_repetitions_take_no_room() -> None:
+    """Guards against a timed job that stops after some thousand repetitions."""
+    job = build_job_with_done_repetitions(5000)
+    budget = record_sizes.PlacementBudget(job, store_fake.MAX_ROW_BYTES)
+    assert budget.allows(job.steps[5000])
+    record = lifecycle.build_record(job)
+    assert len(codec.encode(record)) <= record_sizes.estimate_record(job) + 100
+
+
+def test_next_holder_knows_the_done_repetitions() -> None:
+    """Guards against done repetitions that run again after a hand-over."""
+    job = build_job_with_done_repetitions(400)
+    job.steps[401].tasks[0].state = records.TaskState.DONE
+    job.steps[401].tasks[0].run = runs.RunNumber(1)
+    read = codec.decode(
+        codec.encode(lifecycle.build_record(job)), records.ProgressRecord
+    ).unwrap()
+    holder_state = builders.build_holder(NOW).holder_state
+    assert holder_state is not None
+    rows = storage.JobRows(job.spec, read)
+    restored = lifecycle.add_job(holder_state, rows, NOW)
+    assert restored is not None
+    undone = [step.repetition for step in restored.steps if not step.is_done()]
+    assert undone == [400]
+
+
 def test_wide_job_does_not_stop_the_others() -> None:
     """Guards against a row of progress that the store refuses."""
     world = worlds.World(1)
