Grant nothing while the queue is released; remember who was replaced

A successor takes a released queue at once, and counts 1.5 s of former grants, but a holder whose release got no answer went on granting for up to 4 s. An entry that replaced a live holder and lost the answer read its own row, and forgot that the replaced one may still grant.

The holder grants nothing once it releases the queue, and an entry keeps what it knew of the replaced holder while the row is its own.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -22,8 +22,11 @@
     It may do so until `grant_window` after its last stored batch was sent. A
     successor may have taken the queue by then; it places the runs of an
     instance that does not report again only after all these grants have
-    expired.
+    expired. It takes a released queue at once, so there are no grants while
+    the queue is being released.
     """
+    if holder_state.releasing:
+        return False
     return now < holder_state.renewed_at + state.options.grant_window
 
 
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -139,11 +139,14 @@
         state.holder_seen_at = now
     state.holder_row = row
     free = _is_queue_free(state, row, now)
-    # Behind a row that cannot be read there may be a live holder.
-    state.replacing_live_holder = _is_row_unreadable(row) or (
-        not free
-        and (_is_holder_small(state, row) or _is_holder_unable(state, row))
-    )
+    if not _is_own_row(state, row):
+        # Behind a row that cannot be read there may be a live holder. If the
+        # row was written by a takeover of this process whose answer was lost,
+        # the holder that it replaced still counts.
+        state.replacing_live_holder = _is_row_unreadable(row) or (
+            not free
+            and (_is_holder_small(state, row) or _is_holder_unable(state, row))
+        )
     if not free and not state.replacing_live_holder:
         return [*emitted, *_schedule_poll(state, now)]
     return [*emitted, *_take_queue(state, row, now)]
@@ -187,6 +190,17 @@
     return delay
 
 
+def _is_own_row(
+    state: scheduler.SchedulerState, row: storage.HolderRow
+) -> bool:
+    """Tells whether this process wrote the holder's row."""
+    record = row.record
+    return record is not None and (record.holder, record.incarnation) == (
+        state.options.name,
+        state.options.incarnation,
+    )
+
+
 def _is_row_unreadable(row: storage.HolderRow) -> bool:
     """Tells whether the holder's row exists but names no holder."""
     return row.record is None and row.version > 0
--- a/tests/jobs/test_handover.py
+++ b/tests/jobs/test_handover.py
@@ -7,11 +7,22 @@
 
 import collections
 import dataclasses
+import datetime
 
 import pytest
 
-from gypsumhold.model.jobs import events, messages, scheduler, specs
-from tests.jobs import job_specs
+from gypsumhold.decisions import reducer
+from gypsumhold.decisions.jobs import directives
+from gypsumhold.model import ids
+from gypsumhold.model.jobs import (
+    events,
+    messages,
+    records,
+    scheduler,
+    specs,
+    storage,
+)
+from tests.jobs import builders, job_specs
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -20,6 +31,7 @@
 HAND_OVERS = ("stopped", "killed", "frozen", "cut off from the store")
 FROZEN_MS = 6000
 STEP_MS = 10
+NOW = datetime.timedelta(seconds=100)
 
 RELEASED_QUEUE_MS = 1500
 """A poll interval, two calls to the store and some jitter; the delay after
@@ -91,6 +103,58 @@
     assert len(starts) == sum(TASKS)
 
 
+def test_holder_that_releases_the_queue_grants_nothing() -> None:
+    """Guards against grants that a successor does not wait for.
+
+    It takes a released queue at once, though the former holder may not know
+    for seconds that the release is stored.
+    """
+    state = builders.build_holder(NOW)
+    assert state.holder_state is not None
+    assert directives.may_grant(state, state.holder_state, NOW)
+    state.holder_state.releasing = True
+    assert not directives.may_grant(state, state.holder_state, NOW)
+
+
+def build_holder_row(
+    name: str, version: int, state: scheduler.SchedulerState
+) -> storage.HolderRow:
+    record = records.HolderRecord(
+        records.FORMAT,
+        ids.Epoch(version),
+        name,
+        state.options.incarnation,
+        state.options.endpoint,
+        0,
+    )
+    return storage.HolderRow(ids.RowVersion(version), record)
+
+
+def test_lost_answer_to_a_takeover_forgets_no_live_holder() -> None:
+    """Guards against runs that are placed again before their grants expire.
+
+    The entry reads its own row after the lost answer, and takes the queue once
+    more; the holder that it replaced may have granted until then.
+    """
+    state = builders.build_holder(NOW)
+    state.role, state.holder_state = scheduler.Role.FOLLOWER, None
+    live = build_holder_row("other", 5, state)
+    state.unable_term = ids.Epoch(5)
+    deliver(state, events.HolderRead(live))
+    unknown = storage.HolderWrite(storage.WriteResult.UNKNOWN)
+    deliver(state, events.QueueTaken(unknown))
+    own = build_holder_row(state.options.name, 6, state)
+    deliver(state, events.HolderRead(own))
+    stored = storage.HolderWrite(storage.WriteResult.STORED, ids.RowVersion(7))
+    deliver(state, events.QueueTaken(stored))
+    assert state.holder_state is not None
+    assert state.holder_state.replaced_live_holder
+
+
+def deliver(state: scheduler.SchedulerState, event: events.Event) -> None:
+    reducer.reduce(state, event, NOW)
+
+
 @pytest.mark.parametrize("offset_ms", OFFSETS_MS)
 def test_former_holder_stores_nothing(offset_ms: int) -> None:
     """Guards against two entries that both take themselves for the holder.
