Split directives received and lists of runs from reports and polls

What an agent does with directives is now in received_directives.py, and the comparison with the worker's lists in run_lists.py; no logic changed.

--- a/src/gypsumhold/decisions/jobs/executors.py
+++ b/src/gypsumhold/decisions/jobs/executors.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from gypsumhold.decisions.jobs import commands, reporting, worker_polls
+from gypsumhold.decisions.jobs import (
+    commands,
+    received_directives,
+    reporting,
+    worker_polls,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import events as base_events
 from gypsumhold.model.jobs import events, executor
@@ -42,7 +47,7 @@
     event: events.DirectivesArrived,
     now: datetime.timedelta,
 ) -> EffectList:
-    return reporting.handle_directives(state, event.directives, now)
+    return received_directives.handle_directives(state, event.directives, now)
 
 
 def _handle_stop(
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -1,9 +1,13 @@
-"""Sends reports to the holder of the queue and carries out its directives."""
+"""Sends reports to the holder of the queue and takes their answers."""
 
-import dataclasses
 import datetime
 
-from gypsumhold.decisions.jobs import commands, leases, lifecycle, worker_polls
+from gypsumhold.decisions.jobs import (
+    leases,
+    lifecycle,
+    received_directives,
+    worker_polls,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members, timers
 from gypsumhold.model.jobs import (
@@ -22,19 +26,6 @@
 NO_DELAY = datetime.timedelta(0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnsweredReport:
-    """A report that directives answer.
-
-    Attributes:
-        sequence: Number of the report.
-        sent_at: When it was sent, from which the grant counts.
-    """
-
-    sequence: int
-    sent_at: datetime.timedelta
-
-
 def start(state: executor.ExecutorState, now: datetime.timedelta) -> EffectList:
     """Starts to read the registered entries and to report."""
     state.fence = state.options.incarnation
@@ -72,26 +63,13 @@
     state: executor.ExecutorState, record: records.EntryRecord
 ) -> EffectList:
     """Follows the holder of a newer term; all sums are reported to it again."""
-    _begin_term(state, record.term, record.endpoint.build_address())
+    received_directives.begin_term(
+        state, record.term, record.endpoint.build_address()
+    )
     inputs = (("term", str(record.term)),)
     return [effects.Log("holder-changed", record.name, "followed", inputs)]
 
 
-def _begin_term(
-    state: executor.ExecutorState, term: ids.Epoch, holder: members.Address
-) -> None:
-    """Reports to the holder of a newer term from now on, and at once.
-
-    A report that is under way is not waited for: it may have gone to the former
-    holder, which may be lost, and would end only with its timeout.
-    """
-    state.term = term
-    state.unreported_pairs = set(state.interference_sums)
-    state.holder = holder
-    state.report_pending = False
-    state.report_due = True
-
-
 def handle_report_timer(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> EffectList:
@@ -224,8 +202,10 @@
     holder = event.directives.holder
     if not holder and not is_current:
         return []
-    answered = AnsweredReport(event.sequence, event.sent_at)
-    emitted = handle_directives(state, event.directives, now, answered)
+    answered = received_directives.AnsweredReport(event.sequence, event.sent_at)
+    emitted = received_directives.handle_directives(
+        state, event.directives, now, answered
+    )
     if holder and is_latest and event.directives.term >= state.term:
         for ref in state.reported_refusals:
             state.refused.pop(ref, None)
@@ -250,189 +230,3 @@
     state.holder = None
     state.next_entry += 1
     return emitted
-
-
-def handle_directives(
-    state: executor.ExecutorState,
-    directives: messages.Directives,
-    now: datetime.timedelta,
-    answered: AnsweredReport | None = None,
-) -> EffectList:
-    """Carries out the directives of the holder unless they are outdated.
-
-    Args:
-        state: State of the executor.
-        directives: The directives.
-        now: Reading of the agent's clock.
-        answered: The report that they answer; None if they answer no report
-            and thus grant no lease.
-    """
-    if directives.incarnation != state.options.incarnation:
-        return []
-    if not directives.holder:
-        return _handle_redirect(state, directives)
-    if directives.term < state.term or directives.endpoint is None:
-        return []
-    emitted: EffectList = []
-    if directives.term > state.confirmed_term:
-        state.confirmed_term = directives.term
-        state.sequence = 0
-    if directives.term > state.term or state.holder is None:
-        address = directives.endpoint.build_address()
-        if directives.term > state.term:
-            _begin_term(state, directives.term, address)
-        state.holder = address
-        inputs = (("term", str(directives.term)),)
-        emitted.append(
-            effects.Log("holder-changed", directives.holder, "followed", inputs)
-        )
-    if (
-        state.worker is None
-        or directives.worker_incarnation != state.worker.incarnation
-    ):
-        return emitted
-    if answered is not None and directives.grant_ms:
-        grant = datetime.timedelta(milliseconds=directives.grant_ms)
-        state.grant_end = max(state.grant_end, answered.sent_at + grant)
-    _acknowledge(state, directives.acknowledged)
-    if directives.sequence <= state.sequence:
-        return emitted
-    state.sequence = directives.sequence
-    if answered is not None:
-        emitted += _drop_revoked_starts(state, directives, answered)
-    return [*emitted, *_carry_out(state, directives, now)]
-
-
-def _drop_revoked_starts(
-    state: executor.ExecutorState,
-    directives: messages.Directives,
-    answered: AnsweredReport,
-) -> EffectList:
-    """Drops the waiting runs that the holder has released since it sent them.
-
-    The command may have been under way until the grant had expired. The new
-    grant is for the runs that the holder still has placed here: it names them
-    to start, unless the report listed them, and then it names those to stop.
-    """
-    wanted = {command.ref for command in directives.starts}
-    emitted: EffectList = []
-    for local_run in list(state.active.values()):
-        is_waiting = local_run.state is executor.LocalState.WAITING
-        first_report = local_run.first_report
-        was_listed = (
-            first_report is not None and first_report <= answered.sequence
-        )
-        if not is_waiting or was_listed or local_run.ref in wanted:
-            continue
-        del state.active[local_run.ref]
-        emitted.append(_log_revoked_start(local_run.ref))
-    return emitted
-
-
-def _log_revoked_start(ref: runs.RunRef) -> effects.Log:
-    inputs = (("task", str(ref.task)), ("run", str(ref.run)))
-    return effects.Log("start", ref.task.job_id, "dropped: released", inputs)
-
-
-def _carry_out(
-    state: executor.ExecutorState,
-    directives: messages.Directives,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Applies the estimates, commands and stops of new directives."""
-    emitted: EffectList = []
-    for estimate in directives.interference_estimates:
-        state.interference_estimates[estimate.pair] = estimate.per_core
-    if directives.deferred is not None:
-        state.deferred = frozenset(directives.deferred)
-    for command in directives.found:
-        local_run = state.active.get(command.ref)
-        if local_run is not None and local_run.command is None:
-            local_run.command = command
-            local_run.throttle_percent = -1
-    for ref in directives.stops:
-        emitted += commands.stop_run(state, ref)
-    for ref in directives.withdrawn:
-        emitted += _refuse_withdrawn(state, ref)
-    for command in directives.starts:
-        emitted += _accept_start(state, command, now)
-    return [*emitted, *commands.start_waiting_runs(state, now)]
-
-
-def _refuse_withdrawn(
-    state: executor.ExecutorState, ref: runs.RunRef
-) -> EffectList:
-    """Stops a run that is not to run any more, or refuses it if it is unknown.
-
-    The holder releases the task once it knows that the run never starts. Older
-    directives, with the start command, are ignored from now on.
-    """
-    if ref in state.active:
-        return commands.stop_run(state, ref)
-    if ref in state.refused or _may_have_ended(state, ref):
-        return []
-    return commands.refuse_run(state, ref, runs.Refusal.STALE)
-
-
-def _may_have_ended(state: executor.ExecutorState, ref: runs.RunRef) -> bool:
-    """Tells whether a run that is not active has, or may have, ended.
-
-    Its end has still to be acknowledged, or to be listed. The holder repeats
-    its directives until the run is reported, so nothing is lost by waiting.
-    """
-    if not state.ends_complete:
-        return True
-    return any(end.ref == ref for end in state.ends.values())
-
-
-def _handle_redirect(
-    state: executor.ExecutorState, directives: messages.Directives
-) -> EffectList:
-    """Applies directives of an entry that does not hold the queue.
-
-    The next report goes to the holder that the directives name, or else to the
-    next entry. Then a term of which only a row was read is forgotten, as after
-    a report without an answer.
-    """
-    if directives.endpoint is not None and directives.term >= state.term:
-        state.holder = directives.endpoint.build_address()
-    else:
-        state.term = state.confirmed_term
-        state.holder = None
-        state.next_entry += 1
-    return []
-
-
-def _acknowledge(
-    state: executor.ExecutorState, acknowledged: runs.EndNumber
-) -> None:
-    """Drops the ends that the holder has stored."""
-    state.acknowledged = max(state.acknowledged, acknowledged)
-    for number in list(state.ends):
-        if number <= state.acknowledged:
-            del state.ends[number]
-
-
-def _accept_start(
-    state: executor.ExecutorState,
-    command: runs.StartCommand,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Adds a requested run, or refuses it if the worker takes no runs.
-
-    Directives repeat a start until it is reported, so known runs are ignored.
-    """
-    if command.ref in state.active or command.ref in state.refused:
-        return []
-    if _may_have_ended(state, command.ref):
-        return []
-    worker = state.worker
-    assert worker is not None
-    if worker.state is runs.WorkerState.DRAINING or state.worker_left:
-        return commands.refuse_run(state, command.ref, runs.Refusal.DRAINING)
-    if not state.answering:
-        return commands.refuse_run(state, command.ref, runs.Refusal.UNHEALTHY)
-    state.active[command.ref] = executor.LocalRun(
-        command.ref, command, executor.LocalState.WAITING, received_at=now
-    )
-    return []
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -6,7 +6,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import colocation, commands, leases
+from gypsumhold.decisions.jobs import colocation, commands, leases, run_lists
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
@@ -16,14 +16,6 @@
 """Delay between polls while the worker lists ends that the holder has not
 acknowledged; the worker then answers without waiting."""
 
-MAX_STOP_TIME = datetime.timedelta(seconds=2)
-"""Longest time from the moment when a stopped run is no longer listed as
-running until its end is listed."""
-
-MAX_NUMBER_GAP = 1_000_000
-"""Most numbers between a heartbeat or an end and those before it; one that is
-further ahead is faulty."""
-
 NO_WAIT = datetime.timedelta(0)
 
 
@@ -67,7 +59,7 @@
 ) -> bool:
     """Tells whether a heartbeat is older than the one that is known."""
     if new.incarnation == old.incarnation:
-        return 0 <= old.sequence - new.sequence <= MAX_NUMBER_GAP
+        return 0 <= old.sequence - new.sequence <= run_lists.MAX_NUMBER_GAP
     is_older = new.incarnation.started_ms < old.incarnation.started_ms
     return is_older and _may_be_running(state, now)
 
@@ -239,8 +231,8 @@
     state.answering = True
     state.silent_after = None
     commands.record_clock(state, event.clock)
-    emitted += _reconcile(state, event, now)
-    emitted += _note_completeness(state, event)
+    emitted += run_lists.reconcile(state, event, now)
+    emitted += run_lists.note_completeness(state, event)
     state.report_due = state.report_due or not state.polled
     state.polled = True
     emitted += commands.start_waiting_runs(state, now)
@@ -286,126 +278,3 @@
             effects.Log("worker", event.worker_incarnation.name, "lease lapsed")
         )
     return emitted
-
-
-def _reconcile(
-    state: executor.ExecutorState,
-    event: events.WorkerPolled,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Updates ends and runs from the worker's lists.
-
-    Listed runs that the agent does not know are added without a command.
-    """
-    assert event.clock is not None
-    emitted: EffectList = []
-    emitted += _ignore_impossible_ends(state, event)
-    for end in event.ends:
-        if end.number in state.ignored_ends:
-            continue
-        if end.number > state.acknowledged and end.number not in state.ends:
-            state.ends[end.number] = end
-            state.report_due = True
-        state.active.pop(end.ref, None)
-    listed = {row.ref: row for row in event.rows}
-    for row in event.rows:
-        local_run = state.active.get(row.ref)
-        if local_run is None:
-            local_run = executor.LocalRun(
-                row.ref, None, executor.LocalState.RUNNING
-            )
-            state.active[row.ref] = local_run
-            state.report_due = True
-            emitted.append(_log_found_run(row))
-        local_run.row = row
-        local_run.unlisted_since = None
-        if local_run.state is not executor.LocalState.RUNNING:
-            local_run.state = executor.LocalState.RUNNING
-            local_run.confirmed_at = now
-    for local_run in list(state.active.values()):
-        if local_run.ref not in listed:
-            emitted += _handle_missing_run(state, local_run, event, now)
-    return emitted
-
-
-def _ignore_impossible_ends(
-    state: executor.ExecutorState, event: events.WorkerPolled
-) -> EffectList:
-    """Ignores ends whose number is far above all before it.
-
-    The holder acknowledges ends up to a number, so that such an end would hide
-    all later ones.
-    """
-    listed = min((end.number for end in event.ends), default=0)
-    limit = max(state.acknowledged, listed) + MAX_NUMBER_GAP
-    emitted: EffectList = []
-    for end in event.ends:
-        if end.number <= limit or end.number in state.ignored_ends:
-            continue
-        state.ignored_ends.add(end.number)
-        inputs = (("number", str(end.number)), ("task", str(end.ref.task)))
-        emitted.append(
-            effects.Log(
-                "end-ignored", end.ref.task.job_id, "impossible number", inputs
-            )
-        )
-    return emitted
-
-
-def _note_completeness(
-    state: executor.ExecutorState, event: events.WorkerPolled
-) -> EffectList:
-    """Records whether the worker listed all ends; logs a change."""
-    if state.ends_complete is event.is_complete:
-        return []
-    state.ends_complete = event.is_complete
-    outcome = (
-        "all ends listed" if event.is_complete else "more ends than listed"
-    )
-    inputs = (
-        ("ends", str(len(event.ends))),
-        ("acknowledged", str(state.acknowledged)),
-    )
-    return [
-        effects.Log("worker", event.worker_incarnation.name, outcome, inputs)
-    ]
-
-
-def _log_found_run(row: runs.RunRow) -> effects.Log:
-    inputs = (("task", str(row.ref.task)), ("run", str(row.ref.run)))
-    return effects.Log("run-found", row.ref.task.job_id, "reported", inputs)
-
-
-def _handle_missing_run(
-    state: executor.ExecutorState,
-    local_run: executor.LocalRun,
-    event: events.WorkerPolled,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Handles a run that the worker does not list.
-
-    Its end may be among those that did not fit into an incomplete list.
-    Otherwise a start in doubt is refused if the poll was sent after the doubt
-    arose and had the fence that decides it. A running run has ended, and is
-    dropped, if the poll was sent after its start was confirmed. While it is
-    being stopped, it still holds its capacity until its end is listed. Runs in
-    other states are left as they are.
-    """
-    assert event.clock is not None
-    if not event.is_complete:
-        return []
-    if local_run.state is executor.LocalState.IN_DOUBT:
-        is_later = event.clock.sent_at >= local_run.doubted_at
-        if is_later and event.fence >= local_run.fence:
-            return commands.refuse_run(state, local_run.ref, local_run.refusal)
-        return []
-    running = local_run.state is executor.LocalState.RUNNING
-    if not running or event.clock.sent_at <= local_run.confirmed_at:
-        return []
-    if local_run.unlisted_since is None:
-        local_run.unlisted_since = now
-    stops_until = local_run.unlisted_since + MAX_STOP_TIME
-    if not local_run.stop_sent or now >= stops_until:
-        # The run has ended, and its end was acknowledged earlier.
-        del state.active[local_run.ref]
-    return []
