--- a/src/gypsumhold/decisions/jobs/crashes.py
+++ b/src/gypsumhold/decisions/jobs/crashes.py
@@ -3,7 +3,8 @@
 A crash is proved by a later incarnation of the worker on the same instance
 after one that did not announce its end. A silence alone proves none: the worker
 may be cut off, and its work may go on. Only runs that had just started are
-suspected, and none if most of the fleet was lost at the time.
+suspected. If most of the fleet was lost at the time, a crash counts only under
+a run that had begun, and puts no task on probation.
 """
 
 import datetime
--- a/src/gypsumhold/decisions/jobs/record_sizes.py
+++ b/src/gypsumhold/decisions/jobs/record_sizes.py
@@ -169,9 +169,10 @@
         """Creates the budget for one plan."""
         self._is_limited = is_large(job)
         self._left = row_bytes
+        self._begun: set[int] = set()
         if self._is_limited:
             self._left -= estimate_record(job, Detail.ESSENTIAL)
-        self._begun: set[int] = set()
+            self._begun = {id(step) for step in job.steps if step.has_begun()}
 
     def allows(self, step: progress.Step, tasks: int = 1) -> bool:
         """Tells whether so many more tasks of a step can be placed."""
@@ -185,6 +186,6 @@
 
     def _measure(self, step: progress.Step, tasks: int) -> int:
         size = (PLACED_TASK_BYTES - DONE_TASK_BYTES) * tasks
-        if id(step) in self._begun or step.has_begun():
+        if id(step) in self._begun:
             return size
         return size + DONE_TASK_BYTES * len(step.tasks)
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -188,6 +188,23 @@
     return job
 
 
+def test_budget_counts_a_gang_with_its_whole_step() -> None:
+    """Guards against a row that a gang makes too large.
+
+    Its tasks have runs by the time when they are taken from the budget.
+    """
+    gang = specs.StepSpec(300, 1, 1, gang=True)
+    other = specs.StepSpec(300, 1, 1)
+    job = add_job(job_specs.build_job_of("j", (gang, other)))
+    room = 300 * record_sizes.PLACED_TASK_BYTES + 200
+    budget = record_sizes.PlacementBudget(job, room)
+    assert budget.allows(job.steps[0], 300)
+    for task in job.steps[0].tasks:
+        task.run = runs.RunNumber(1)
+    budget.take(job.steps[0], 300)
+    assert not budget.allows(job.steps[1])
+
+
 def test_done_repetitions_take_no_room() -> None:
     """Guards against a timed job that stops after some thousand repetitions."""
     job = build_job_with_done_repetitions(5000)
