Drop a released run also if a push overtakes the answer that grants

Each waiting run knows the sequence of the directives that requested it, and an answer drops the earlier ones, whatever overtook it. Sequences of a former term count as earlier.

--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -62,8 +62,7 @@
         return []
     emitted: EffectList = []
     if directives.term > state.confirmed_term:
-        state.confirmed_term = directives.term
-        state.sequence = 0
+        _confirm_term(state, directives.term)
     if directives.term > state.term or state.holder is None:
         address = directives.endpoint.build_address()
         if directives.term > state.term:
@@ -82,14 +81,22 @@
         grant = datetime.timedelta(milliseconds=directives.grant_ms)
         state.grant_end = max(state.grant_end, answered.sent_at + grant)
     _acknowledge(state, directives.acknowledged)
+    if answered is not None:
+        emitted += _drop_revoked_starts(state, directives, answered)
     if directives.sequence <= state.sequence:
         return emitted
     state.sequence = directives.sequence
-    if answered is not None:
-        emitted += _drop_revoked_starts(state, directives, answered)
     return [*emitted, *_carry_out(state, directives, now)]
 
 
+def _confirm_term(state: executor.ExecutorState, term: ids.Epoch) -> None:
+    """Counts the sequences of directives anew, from those of this term."""
+    state.confirmed_term = term
+    state.sequence = 0
+    for local_run in state.active.values():
+        local_run.sequence = 0
+
+
 def _drop_revoked_starts(
     state: executor.ExecutorState,
     directives: messages.Directives,
@@ -100,16 +107,20 @@
     The command may have been under way until the grant had expired. The new
     grant is for the runs that the holder still has placed here: it names them
     to start, unless the report listed them, and then it names those to stop.
+    Commands that were sent after the answer, and overtook it, are not dropped.
     """
     wanted = {command.ref for command in directives.starts}
     emitted: EffectList = []
     for local_run in list(state.active.values()):
         is_waiting = local_run.state is executor.LocalState.WAITING
+        is_earlier = local_run.sequence < directives.sequence
         first_report = local_run.first_report
         was_listed = (
             first_report is not None and first_report <= answered.sequence
         )
-        if not is_waiting or was_listed or local_run.ref in wanted:
+        if not is_waiting or not is_earlier:
+            continue
+        if was_listed or local_run.ref in wanted:
             continue
         del state.active[local_run.ref]
         emitted.append(_log_revoked_start(local_run.ref))
@@ -220,6 +231,10 @@
     if not state.answering:
         return commands.refuse_run(state, command.ref, runs.Refusal.UNHEALTHY)
     state.active[command.ref] = executor.LocalRun(
-        command.ref, command, executor.LocalState.WAITING, received_at=now
+        command.ref,
+        command,
+        executor.LocalState.WAITING,
+        received_at=now,
+        sequence=state.sequence,
     )
     return []
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -78,6 +78,8 @@
             the holder sends its command.
         state: State on the worker.
         received_at: When the request to start it arrived.
+        sequence: Sequence, in the present term, of the directives that
+            requested it; 0 if they were of a former term.
         first_report: Number of the first report that listed it; None if none
             has. All later ones list it as well.
         row: The worker's latest listing of the run.
@@ -97,6 +99,7 @@
     command: runs.StartCommand | None
     state: LocalState
     received_at: datetime.timedelta = ZERO
+    sequence: int = 0
     first_report: int | None = None
     row: runs.RunRow | None = None
     fence: int = 0
--- a/tests/jobs/test_revoked_starts.py
+++ b/tests/jobs/test_revoked_starts.py
@@ -13,6 +13,7 @@
 
 from gypsumhold.adapters import http_client
 from gypsumhold.model import effects as base_effects
+from gypsumhold.model import ids
 from gypsumhold.model.jobs import effects, events, messages, runs, specs
 from gypsumhold.platform import worker
 from tests.jobs import job_specs, lone_agent, test_world
@@ -75,6 +76,24 @@
     assert list_started(agent.deliver_heartbeat()) == []
 
 
+def test_released_run_does_not_start_if_a_push_overtakes_the_answer() -> None:
+    """Guards against a grant of an outdated answer that names no run."""
+    agent = pause_with_command(listed=False)
+    agent.push(agent.build_directives(4, grants=False))
+    assert answer(agent) == []
+    assert list_started(agent.deliver_heartbeat()) == []
+
+
+def test_command_of_a_former_term_does_not_start_under_a_new_one() -> None:
+    """Guards against sequences that are compared between two terms."""
+    agent = pause_with_command(listed=False)
+    agent.state.term = agent.state.confirmed_term = ids.Epoch(0)
+    directives = agent.build_directives(1)
+    report = agent.report()
+    agent.state.active[RUN].first_report = None
+    assert list_started(agent.answer_report(report, directives)) == []
+
+
 def test_run_that_is_still_placed_starts_under_a_new_grant() -> None:
     """Guards against a run that is dropped although the holder wants it."""
     agent = pause_with_command(listed=False)
