Tell in the log and the metrics why a job has no run

Cause: no line told why a task was not placed, whether its placement was stored, sent or started, nor when a worker had listed an end.

Change: the holder follows each job and each long-running task without a run through the stages from the listed end to the confirmed start (`waits`). `wait` lines tell after 1 s and 3 s, and at the end, how long each stage took; at most 20 between two ticks. Ends carry their age, so that the time until they are reported counts. New metrics: times without a run by stage, the longest present one, and events that waited for the reducer or took long.

--- a/src/gypsumhold/adapters/engine.py
+++ b/src/gypsumhold/adapters/engine.py
@@ -11,6 +11,7 @@
 """
 
 import abc
+import dataclasses
 import datetime
 import itertools
 import queue
@@ -56,7 +57,11 @@
 
 # Effects that never block, such as queueing a line of the log. The thread that
 # applied their event runs them, which costs less than a change of threads.
-_IMMEDIATE = (job_effects.Log,)
+_IMMEDIATE = (
+    job_effects.Log,
+    job_effects.MeasureWait,
+    job_effects.SampleWaits,
+)
 
 # Delay of the failure event for an effect that a full pool rejected. It keeps
 # a reducer that retries the effect from filling the pool again at once.
@@ -88,11 +93,32 @@
         """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventTiming:
+    """Where the time of an event went.
+
+    Attributes:
+        waited: Time until the reducer was free for the event.
+        applied: Time that the reducer took.
+    """
+
+    waited: datetime.timedelta
+    applied: datetime.timedelta
+
+
+NO_TIMING = EventTiming(datetime.timedelta(0), datetime.timedelta(0))
+
+
 class Observer(abc.ABC):
     """Receives each applied event with its effects, outside the lock."""
 
     @abc.abstractmethod
-    def observe(self, event: events.Event, emitted: effects.Effects) -> None:
+    def observe(
+        self,
+        event: events.Event,
+        emitted: effects.Effects,
+        timing: EventTiming = NO_TIMING,
+    ) -> None:
         """Processes an applied event and the effects that it emitted.
 
         Runs in the thread that applied the event, so it has to be short and
@@ -148,9 +174,11 @@
 
         An exception of the reducer propagates to the caller of this method.
         """
+        arrived_at = self._clock.read_monotonic()
         with self._lock:
             now = self._clock.read_monotonic()
             emitted = self._reduce(self._state, event, now)
+            applied_at = self._clock.read_monotonic()
             # Routed under the lock, so that the effects of one owner keep the
             # order in which the reducer emitted them.
             for effect in emitted:
@@ -160,7 +188,8 @@
             if isinstance(effect, _IMMEDIATE):
                 self._execute(effect)
         if self._observer is not None:
-            self._observer.observe(event, emitted)
+            timing = EventTiming(now - arrived_at, applied_at - now)
+            self._observer.observe(event, emitted, timing)
 
     def run_owner(
         self, owner: Owner, event: events.Event, timeout: datetime.timedelta
--- a/src/gypsumhold/adapters/jobs/effect_runners.py
+++ b/src/gypsumhold/adapters/jobs/effect_runners.py
@@ -33,6 +33,12 @@
         threading.Event().wait(duration.total_seconds())
 
 
+def _ignore_measurement(
+    _: effects.MeasureWait | effects.SampleWaits,
+) -> None:
+    """Does nothing: the observer of the engine has recorded the effect."""
+
+
 class _DispatchingRunner(engine.Runner):
     """Performs each effect with the handler of its type."""
 
@@ -41,6 +47,8 @@
     ) -> None:
         self._handlers: dict[type, Handler] = {
             effects.Log: log.write,
+            effects.MeasureWait: _ignore_measurement,
+            effects.SampleWaits: _ignore_measurement,
             **handlers,
         }
 
--- a/src/gypsumhold/adapters/jobs/metrics.py
+++ b/src/gypsumhold/adapters/jobs/metrics.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from opentelemetry import metrics as api
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk import resources as sdk_resources
 from opentelemetry.sdk.metrics import export
@@ -22,6 +23,17 @@
 """
 
 
+WAIT_BOUNDS = (0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0, 20.0)
+"""Bounds of the histogram buckets of times without a run, in seconds."""
+
+EVENT_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+"""Bounds of the histogram buckets of slow events, in seconds."""
+
+SLOW_EVENT = datetime.timedelta(milliseconds=5)
+"""Time from which an event counts as slow. Most take far less, and are left
+out because a histogram costs more than they do."""
+
+
 class JobRecorder(engine.Observer):
     """Counts events and effects of one role and renders them as text."""
 
@@ -65,6 +77,7 @@
             "gypsumhold_job_reports",
             description="Reports by whether they were answered",
         )
+        self._create_wait_instruments(meter)
         self._commit_sent_at: datetime.timedelta | None = None
         self._handlers: dict[type, Callable[[Any], None]] = {
             effects.AnswerQuery: self._count_answer,
@@ -72,12 +85,47 @@
             events.BatchCommitted: self._record_commit_end,
             events.CommandAnswered: self._count_command,
             events.ReportAnswered: self._count_report,
+            effects.MeasureWait: self._record_wait,
+            effects.SampleWaits: self._record_sample,
         }
 
+    def _create_wait_instruments(self, meter: api.Meter) -> None:
+        self._wait_seconds = meter.create_histogram(
+            "gypsumhold_job_wait_seconds",
+            unit="s",
+            description=(
+                "Time without a run of jobs and long-running tasks, by the"
+                " stage that took most of it"
+            ),
+            explicit_bucket_boundaries_advisory=WAIT_BOUNDS,
+        )
+        self._longest_wait = meter.create_gauge(
+            "gypsumhold_job_longest_wait_seconds",
+            unit="s",
+            description="Longest present time without a run",
+        )
+        self._waiting = meter.create_gauge(
+            "gypsumhold_jobs_waiting",
+            description="Jobs and long-running tasks without a run",
+        )
+        self._event_seconds = meter.create_histogram(
+            "gypsumhold_job_slow_event_seconds",
+            unit="s",
+            description=(
+                "Time that slow events waited for the reducer, and time that"
+                " it took to apply them"
+            ),
+            explicit_bucket_boundaries_advisory=EVENT_BOUNDS,
+        )
+
     def observe(
-        self, event: base_events.Event, emitted: base_effects.Effects
+        self,
+        event: base_events.Event,
+        emitted: base_effects.Effects,
+        timing: engine.EventTiming = engine.NO_TIMING,
     ) -> None:
         """Counts an event and the effects that it led to."""
+        self._record_timing(event, timing)
         decisions: Counter[str] = Counter()
         for item in (event, *emitted):
             if isinstance(item, effects.Log):
@@ -89,6 +137,29 @@
         for decision, count in decisions.items():
             self._decisions.add(count, {"decision": decision})
 
+    def _record_timing(
+        self, event: base_events.Event, timing: engine.EventTiming
+    ) -> None:
+        """Records how long an event waited and took, if that was long."""
+        kind = type(event).__name__
+        for part, time in (
+            ("waited", timing.waited),
+            ("applied", timing.applied),
+        ):
+            if time >= SLOW_EVENT:
+                self._event_seconds.record(
+                    time.total_seconds(), {"event": kind, "part": part}
+                )
+
+    def _record_wait(self, effect: effects.MeasureWait) -> None:
+        self._wait_seconds.record(
+            effect.duration.total_seconds(), {"stage": effect.stage.value}
+        )
+
+    def _record_sample(self, effect: effects.SampleWaits) -> None:
+        self._longest_wait.set(effect.longest.total_seconds())
+        self._waiting.set(effect.waiting)
+
     def _count_answer(self, effect: effects.AnswerQuery) -> None:
         self._answers.add(1, {"verdict": effect.answer.verdict.value})
 
--- a/src/gypsumhold/adapters/metrics.py
+++ b/src/gypsumhold/adapters/metrics.py
@@ -139,7 +139,12 @@
             "gypsumhold_config_version", description="Version in force"
         )
 
-    def observe(self, event: events.Event, emitted: effects.Effects) -> None:
+    def observe(
+        self,
+        event: events.Event,
+        emitted: effects.Effects,
+        timing: engine.EventTiming = engine.NO_TIMING,
+    ) -> None:
         """Updates the instruments from an event and its effects."""
         for item in (event, *emitted):
             handler = self._handlers.get(type(item))
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -251,6 +251,7 @@
         job = holder_state.jobs.get(progress_write.job_id)
         if job is not None:
             job.stored_state = progress_write.record.state
+            holder_state.run_waits.touched.add(progress_write.job_id)
     for job_id in batch.removed_progress:
         lifecycle.remove_job(holder_state, job_id)
     emitted: EffectList = []
--- a/src/gypsumhold/decisions/jobs/choices.py
+++ b/src/gypsumhold/decisions/jobs/choices.py
@@ -1,7 +1,7 @@
 """Choices of a worker for one ready task of a plan."""
 
 from gypsumhold.decisions.jobs import capacity
-from gypsumhold.model.jobs import policies, progress, scheduler
+from gypsumhold.model.jobs import policies, progress, scheduler, waits
 
 
 def choose_candidate(
@@ -43,6 +43,24 @@
     )
 
 
+def explain_miss(
+    job: progress.Job,
+    step: progress.Step,
+    task: progress.Task,
+    candidates: dict[str, policies.Candidate],
+) -> waits.WaitStage:
+    """Returns why no candidate was chosen for a task."""
+    if list_fitting(job, step, task, candidates):
+        if step.is_suspect(task):
+            return waits.WaitStage.PROBATION
+        return waits.WaitStage.POLICY
+    if any(
+        capacity.fits(candidate, job, step) for candidate in candidates.values()
+    ):
+        return waits.WaitStage.EXCLUSION
+    return waits.WaitStage.CAPACITY
+
+
 def list_fitting(
     job: progress.Job,
     step: progress.Step,
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -7,7 +7,12 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import crashes, interference, lifecycle
+from gypsumhold.decisions.jobs import (
+    crashes,
+    interference,
+    lifecycle,
+    waits,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
 from gypsumhold.model.jobs import (
@@ -198,7 +203,7 @@
     holder_state.plan_due = holder_state.plan_due or bool(
         holder_state.open_jobs
     )
-    return emitted
+    return [*emitted, *waits.sample(holder_state, now)]
 
 
 def _release_silent_runs(
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -0,0 +1,318 @@
+"""Places the ready tasks of one job during a plan."""
+
+import dataclasses
+import datetime
+from collections.abc import Iterator
+
+from gypsumhold.decisions.jobs import (
+    capacity,
+    choices,
+    lifecycle,
+    probations,
+    record_sizes,
+    waits,
+)
+from gypsumhold.model import effects as base_effects
+from gypsumhold.model.jobs import (
+    effects,
+    policies,
+    progress,
+    records,
+    runs,
+    scheduler,
+)
+from gypsumhold.model.jobs.waits import WaitStage
+
+EffectList = list[base_effects.Effect]
+Candidates = dict[str, policies.Candidate]
+
+STARVATION_TIME = waits.MAX_TIME_WITHOUT_RUN / 2
+"""Time without a run after which a job gets one that the policy delays, and a
+long-running task may use workers on which it has failed. The rest is for the
+plan, the batch that stores it, and the start."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What the placements of one plan have in common.
+
+    Attributes:
+        state: State of the scheduler.
+        holder_state: State of the held queue.
+        candidates: Workers with their free capacity, by instance.
+        now: When the plan is made.
+    """
+
+    state: scheduler.SchedulerState
+    holder_state: scheduler.HolderState
+    candidates: Candidates
+    now: datetime.timedelta
+
+
+def has_ready_task(job: progress.Job) -> bool:
+    """Tells whether a task of an open step is ready."""
+    return any(True for _ in _iterate_ready_tasks(job))
+
+
+def _iterate_ready_tasks(
+    job: progress.Job,
+) -> Iterator[tuple[progress.Step, int]]:
+    """Yields the step and the index of each ready task in an open step."""
+    for step in job.steps:
+        if not step.open:
+            continue
+        for index, task in enumerate(step.tasks):
+            if task.state is records.TaskState.READY:
+                yield step, index
+
+
+class JobPlacement:
+    """Places the ready tasks of one job.
+
+    A starved job gets one task placed regardless of the placement policy, and
+    a migrating task is placed in any case.
+
+    Attributes:
+        emitted: The log lines of the placements.
+        misses: Number of tasks without a candidate.
+    """
+
+    def __init__(self, plan: Plan, job: progress.Job, *, starved: bool) -> None:
+        """Prepares the placement of `job`; `place_tasks` carries it out."""
+        self.emitted: EffectList = []
+        self.misses = 0
+        self._plan = plan
+        self._job = job
+        self._starved = starved
+        self._had_placed_task = job.has_placed_task()
+        self._skipped_steps: set[int] = set()
+        self._usable_by_step: dict[int, Candidates] = {}
+        self._budget = record_sizes.PlacementBudget(
+            job, plan.state.options.row_bytes
+        )
+
+    def place_tasks(self) -> None:
+        """Places the ready tasks as far as the free capacity allows."""
+        for step, index in list(_iterate_ready_tasks(self._job)):
+            if id(step) in self._skipped_steps:
+                continue
+            obstacle = self._find_obstacle(step, index)
+            if obstacle is not None:
+                self._note_obstacle(step, index, obstacle)
+            elif step.spec.gang:
+                self._place_gang_once(step, index)
+            else:
+                self._place_single_task(step, index)
+
+    def _find_obstacle(
+        self, step: progress.Step, index: int
+    ) -> WaitStage | None:
+        """Returns why no worker is looked for; None if one is."""
+        if not self._budget.allows(step):
+            return WaitStage.ROW_SIZE
+        if not probations.may_start(step, index, self._plan.candidates):
+            return WaitStage.PROBATION
+        return None
+
+    def _note_obstacle(
+        self, step: progress.Step, index: int, obstacle: WaitStage
+    ) -> None:
+        """Records why a ready task was not placed."""
+        task_ref: runs.TaskRef | None = None
+        if step.spec.long_running:
+            task_ref = lifecycle.build_task_ref(self._job, step, index)
+        waits.note_obstacle(
+            self._plan.holder_state, self._job, obstacle, task_ref
+        )
+
+    def _get_usable(self, step: progress.Step) -> Candidates:
+        """Returns the candidates for the tasks of a step."""
+        if id(step) not in self._usable_by_step:
+            candidates = self._plan.candidates
+            if not self._starved:
+                candidates = capacity.select_sound(candidates, self._job, step)
+            self._usable_by_step[id(step)] = candidates
+        return self._usable_by_step[id(step)]
+
+    def _place_gang_once(self, step: progress.Step, index: int) -> None:
+        """Places a gang if all of its tasks fit; its other tasks are skipped.
+
+        Args:
+            step: Step of the gang.
+            index: Its first ready task.
+        """
+        usable = self._get_usable(step)
+        self._skipped_steps.add(id(step))
+        if not self._budget.allows(step, len(step.tasks)):
+            self._note_obstacle(step, index, WaitStage.ROW_SIZE)
+            return
+        if self._starved and not step.is_suspect(step.tasks[0]):
+            for task in step.tasks:
+                task.excluded_instances.clear()
+        placements = self._place_gang(step, usable)
+        self.emitted += placements
+        self._budget.take(step, len(placements))
+        if not placements:
+            self._reserve_worker(step, step.tasks[index])
+            self._note_obstacle(step, index, WaitStage.GANG)
+
+    def _place_single_task(self, step: progress.Step, index: int) -> None:
+        """Places one task that is not of a gang, if a worker has room."""
+        task = step.tasks[index]
+        usable = self._get_usable(step)
+        is_suspect = step.is_suspect(task)
+        if (self._starved and not is_suspect) or self._is_blocked(step, task):
+            # No worker that it has not tried has room: it may run anywhere.
+            task.excluded_instances.clear()
+            usable = self._plan.candidates
+        candidate = choices.choose_candidate(
+            self._plan.state,
+            self._job,
+            step,
+            task,
+            usable,
+            late=self._job.gives_way,
+        )
+        if candidate is None and (self._starved or task.migrating):
+            # A task that was stopped for a migration had a worker before.
+            candidate = choices.choose_emptiest(self._job, step, task, usable)
+            self._starved = False
+        if candidate is None:
+            self._handle_miss(step, index, usable)
+            return
+        task.is_only_run = not (self._had_placed_task or self.emitted)
+        self._budget.take(step)
+        self.emitted.append(self._place_task(step, index, candidate))
+
+    def _handle_miss(
+        self, step: progress.Step, index: int, usable: Candidates
+    ) -> None:
+        """Records that no candidate was chosen for a task."""
+        task = step.tasks[index]
+        self._reserve_worker(step, task)
+        if waits.is_waiting(self._plan.holder_state, self._job):
+            obstacle = choices.explain_miss(self._job, step, task, usable)
+            self._note_obstacle(step, index, obstacle)
+        self.misses += not step.is_suspect(task)
+        task.blocked_since = task.blocked_since or self._plan.now
+        # Where a task without exclusions finds no candidate, the other tasks of
+        # its step find none either.
+        if not task.excluded_instances:
+            self._skipped_steps.add(id(step))
+
+    def _reserve_worker(self, step: progress.Step, task: progress.Task) -> None:
+        """Keeps a worker free for a task if it is a suspect."""
+        if not step.is_suspect(task):
+            return
+        plan = self._plan
+        fitting = choices.list_fitting(self._job, step, task, plan.candidates)
+        probations.reserve_worker(
+            plan.holder_state, plan.candidates, fitting, plan.now
+        )
+
+    def _is_blocked(self, step: progress.Step, task: progress.Task) -> bool:
+        """Tells whether a task has had no worker for too long.
+
+        This is for long-running tasks and for those under which workers
+        crashed. Tasks of other kinds wait while the rest of their job runs, so
+        that their attempts are not used up on the same workers.
+        """
+        return (
+            (step.spec.long_running or step.is_suspect(task))
+            and task.blocked_since is not None
+            and self._plan.now - task.blocked_since >= STARVATION_TIME
+        )
+
+    def _place_task(
+        self, step: progress.Step, index: int, candidate: policies.Candidate
+    ) -> base_effects.Effect:
+        """Places a task and reserves its capacity; returns the log line."""
+        job, now = self._job, self._plan.now
+        ref = lifecycle.build_task_ref(job, step, index)
+        task = step.tasks[index]
+        free_millis = candidate.cpu_millis
+        capacity.reserve(candidate, step, ref, deferred=job.gives_way)
+        probations.record_start(candidate, step, task)
+        view = self._plan.holder_state.agents[candidate.instance]
+        placed = scheduler.PlacedTask(job, step, task)
+        lifecycle.place_task(self._plan.holder_state, view, placed, ref, now)
+        filler_cores = sum(candidate.best_effort_cores.values())
+        return effects.Log(
+            "place",
+            job.spec.job_id,
+            str(candidate.instance),
+            (
+                ("task", str(ref)),
+                ("run", str(task.run)),
+                ("free_millis", str(free_millis)),
+                ("filler_cores", f"{filler_cores:.1f}"),
+                ("report_ms", str(lifecycle.to_ms(now - view.last_report_at))),
+            ),
+        )
+
+    def _place_gang(
+        self, step: progress.Step, candidates: Candidates
+    ) -> EffectList:
+        """Places all tasks of a gang with the same run number, or none of them.
+
+        Nothing is placed unless every task is ready and a candidate is chosen
+        for each. All tasks start from the same checkpoint.
+
+        Returns:
+            A log line for each placed task; no effects if none was placed.
+        """
+        ready = records.TaskState.READY
+        if any(task.state is not ready for task in step.tasks):
+            return []
+        chosen = self._choose_for_gang(step, candidates)
+        highest_run = max(task.run for task in step.tasks)
+        saved = next(
+            (task.checkpoint for task in step.tasks if task.checkpoint), None
+        )
+        emitted = []
+        for index, candidate in enumerate(chosen):
+            step.tasks[index].run = highest_run
+            if saved is not None:
+                step.tasks[index].checkpoint = saved
+            emitted.append(self._place_task(step, index, candidate))
+        return emitted
+
+    def _choose_for_gang(
+        self, step: progress.Step, candidates: Candidates
+    ) -> list[policies.Candidate]:
+        """Returns a candidate for each task of a gang, or none at all.
+
+        The placement policy is tried on copies of the candidates. A task of a
+        colocated step goes to a rack already chosen if the policy chooses a
+        candidate there, and to any rack otherwise.
+        """
+        chosen: list[policies.Candidate] = []
+        trials = {
+            name: capacity.copy_candidate(candidate)
+            for name, candidate in candidates.items()
+        }
+        for index, task in enumerate(step.tasks):
+            candidate = None
+            if step.spec.colocated and chosen:
+                racks = {capacity.find_rack(candidate) for candidate in chosen}
+                same_rack = {
+                    name: trial
+                    for name, trial in trials.items()
+                    if capacity.find_rack(trial) in racks
+                }
+                candidate = self._choose(step, task, same_rack)
+            candidate = candidate or self._choose(step, task, trials)
+            if candidate is None:
+                return []
+            ref = lifecycle.build_task_ref(self._job, step, index)
+            capacity.reserve(candidate, step, ref)
+            chosen.append(candidates[str(candidate.instance)])
+        return chosen
+
+    def _choose(
+        self, step: progress.Step, task: progress.Task, candidates: Candidates
+    ) -> policies.Candidate | None:
+        """Lets the placement policy choose for a task of a gang."""
+        return choices.choose_candidate(
+            self._plan.state, self._job, step, task, candidates
+        )
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -55,6 +55,7 @@
         open_repetitions(holder_state, job, now)
     if rows.cancelled:
         cancel_job(holder_state, job, now)
+    holder_state.run_waits.touched.add(spec.job_id)
     holder_state.plan_due = True
     return job
 
@@ -187,6 +188,7 @@
         if spec.repetitions and due_ms > wall_ms:
             break
         _open_repetition(job)
+        holder_state.run_waits.touched.add(spec.job_id)
         holder_state.plan_due = True
     open_steps(job)
 
@@ -247,6 +249,7 @@
 def mark_dirty(holder_state: scheduler.HolderState, job: progress.Job) -> None:
     """Schedules the progress of a job for the next batch."""
     holder_state.dirty.add(job.spec.job_id)
+    holder_state.run_waits.touched.add(job.spec.job_id)
 
 
 def release_task(
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -209,6 +209,7 @@
     for number in list(state.ends):
         if number <= state.acknowledged:
             del state.ends[number]
+            del state.ends_listed_at[number]
 
 
 def _accept_start(
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import msgspec
+
 from gypsumhold.decisions.jobs import (
     leases,
     lifecycle,
@@ -143,7 +145,9 @@
             for local_run in state.active.values()
             if local_run.command is None
         ),
-        tuple(state.ends[number] for number in sorted(state.ends)),
+        tuple(
+            _build_end_row(state, number, now) for number in sorted(state.ends)
+        ),
         tuple(
             runs.RefusedRow(ref, reason)
             for ref, reason in state.refused.items()
@@ -161,6 +165,16 @@
     )
 
 
+def _build_end_row(
+    state: executor.ExecutorState,
+    number: runs.EndNumber,
+    now: datetime.timedelta,
+) -> runs.EndRow:
+    """Returns an end with the time since the worker first listed it."""
+    age_ms = lifecycle.to_ms(now - state.ends_listed_at[number])
+    return msgspec.structs.replace(state.ends[number], age_ms=age_ms)
+
+
 def _build_row(
     state: executor.ExecutorState, local_run: executor.LocalRun
 ) -> runs.RunRow:
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -341,12 +341,16 @@
     listed = {row.ref: row for row in view.report.rows}
     for ref, placed in view.placed.items():
         row = listed.get(runs.RunRef(ref, placed.task.run))
+        if placed.task.reported is not (row is not None):
+            holder_state.run_waits.touched.add(placed.job.spec.job_id)
         placed.task.reported = row is not None
         if row is None:
             continue
         if placed.task.listed_at is None:
             placed.task.listed_at = view.latest_start_at = now
         if row.age_ms != runs.UNKNOWN_AGE:
+            if placed.task.age is None:
+                holder_state.run_waits.touched.add(placed.job.spec.job_id)
             placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
         crashes.clear_suspicion(holder_state, view, placed)
         placed.job.starved_since = None
--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.decisions.jobs import lifecycle, waits
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -50,7 +50,11 @@
         _finish_task(holder_state, view, placed, now)
     elif row.end is runs.RunEnd.FAILED:
         _fail_task(holder_state, view, placed, row.ref.run, now)
-    return [_log_end(view, row, f"job {placed.job.state.value}")]
+    ended_at = now - datetime.timedelta(milliseconds=row.age_ms)
+    return [
+        _log_end(view, row, f"job {placed.job.state.value}"),
+        *waits.begin_at_end(holder_state, placed.job, ended_at, now),
+    ]
 
 
 def _handle_former_run_end(
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -34,6 +34,7 @@
             continue
         if end.number > state.acknowledged and end.number not in state.ends:
             state.ends[end.number] = end
+            state.ends_listed_at[end.number] = now
             state.report_due = True
         state.active.pop(end.ref, None)
     listed = {row.ref: row for row in event.rows}
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -11,6 +11,7 @@
     queries,
     reports,
     submissions,
+    waits,
 )
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import events as base_events
@@ -109,11 +110,22 @@
         emitted = handler(state, event, now)
         if state.waiting_reports:
             emitted = [*emitted, *reports.answer_waiting_reports(state, now)]
-        return [*emitted, *batches.commit_if_due(state, now)]
+        emitted = [*emitted, *_update_waits(state, now)]
+        emitted += batches.commit_if_due(state, now)
+        return [*emitted, *_update_waits(state, now)]
 
     return handle
 
 
+def _update_waits(
+    state: scheduler.SchedulerState, now: datetime.timedelta
+) -> EffectList:
+    """Follows the jobs without a run, if this scheduler holds the queue."""
+    if state.holder_state is None:
+        return []
+    return waits.update(state.holder_state, now)
+
+
 _COMMITTING_HANDLERS: Mapping[type, Handler] = {
     events.SubmitArrived: submissions.handle_submission,
     events.JobWritten: submissions.handle_job_written,
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -0,0 +1,318 @@
+"""Follows how long jobs and long-running tasks have no run, and why.
+
+A wait begins when a task is ready and nothing of its job runs; for a task that
+runs until its job is cancelled, when it is ready itself. It ends when a report
+tells that the worker has confirmed a start. The present stage follows from the
+state of the tasks, and before a placement from what the latest plan met.
+"""
+
+import datetime
+
+from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.model import effects as base_effects
+from gypsumhold.model.jobs import (
+    effects,
+    progress,
+    records,
+    runs,
+    scheduler,
+    specs,
+    waits,
+)
+
+EffectList = list[base_effects.Effect]
+
+MAX_TIME_WITHOUT_RUN = datetime.timedelta(seconds=3)
+"""Longest time that a job may be without a run while workers have room."""
+
+LOGGED_WAIT = datetime.timedelta(seconds=1)
+"""Shortest wait that the log tells about."""
+
+MAX_LINES_PER_TICK = 20
+"""Most lines about waits between two ticks, so that a full fleet, in which all
+jobs wait, does not flood the log."""
+
+_PLACED_STAGES = (
+    waits.WaitStage.STORE,
+    waits.WaitStage.AGENT,
+    waits.WaitStage.START,
+)
+
+
+def update(
+    holder_state: scheduler.HolderState, now: datetime.timedelta
+) -> EffectList:
+    """Begins, continues or ends the waits of the jobs that have changed."""
+    emitted: EffectList = []
+    run_waits = holder_state.run_waits
+    for job_id in run_waits.touched:
+        job = holder_state.open_jobs.get(job_id)
+        if job is None or job.set_aside:
+            _forget(holder_state, job_id)
+        else:
+            emitted += _update_job(holder_state, job, now, now)
+    run_waits.touched.clear()
+    return emitted
+
+
+def begin_at_end(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    ended_at: datetime.timedelta,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Updates the waits of a job after the end of one of its runs.
+
+    Args:
+        holder_state: State of the held queue.
+        job: The job.
+        ended_at: When the worker listed the end.
+        now: Current time.
+    """
+    if not job.is_open() or job.set_aside:
+        return []
+    return _update_job(holder_state, job, min(ended_at, now), now)
+
+
+def note_obstacle(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    obstacle: waits.WaitStage,
+    task: runs.TaskRef | None = None,
+) -> None:
+    """Records what kept a plan from placing a ready task of a job."""
+    run_waits = holder_state.run_waits
+    job_id = job.spec.job_id
+    wait = run_waits.jobs.get(job_id) if task is None else None
+    if task is not None:
+        wait = run_waits.tasks.get(task)
+    if wait is not None and wait.obstacle is not obstacle:
+        wait.obstacle = obstacle
+        run_waits.touched.add(job_id)
+
+
+def is_waiting(holder_state: scheduler.HolderState, job: progress.Job) -> bool:
+    """Tells whether a job, or a long-running task of it, has no run."""
+    run_waits = holder_state.run_waits
+    if job.spec.job_id in run_waits.jobs:
+        return True
+    return job.is_long_running() and any(
+        ref.job_id == job.spec.job_id for ref in run_waits.tasks
+    )
+
+
+def _forget(holder_state: scheduler.HolderState, job_id: specs.JobId) -> None:
+    """Drops the waits of a job that has ended or is set aside."""
+    run_waits = holder_state.run_waits
+    run_waits.jobs.pop(job_id, None)
+    for ref in [ref for ref in run_waits.tasks if ref.job_id == job_id]:
+        del run_waits.tasks[ref]
+
+
+def _update_job(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    since: datetime.timedelta,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Updates the waits of one open job; new ones count from `since`."""
+    emitted: EffectList = []
+    if job.is_long_running():
+        emitted += _update_long_running(holder_state, job, since, now)
+    run_waits = holder_state.run_waits
+    job_id = job.spec.job_id
+    wait = run_waits.jobs.get(job_id)
+    running = find_running_task(job)
+    stage = None
+    if running is None:
+        stage = _find_job_stage(holder_state, job, wait)
+    if stage is not None:
+        wait = wait or _begin(job_id, None, since, now)
+        run_waits.jobs[job_id] = wait
+        wait.enter(stage, now)
+    elif wait is not None:
+        del run_waits.jobs[job_id]
+        emitted += _end(holder_state, wait, running, now)
+    return emitted
+
+
+def find_running_task(job: progress.Job) -> progress.Task | None:
+    """Returns a task of which a worker has confirmed the current run.
+
+    The one that was found last is looked at first: it runs on in most cases.
+    """
+    known = job.running_task
+    if known is not None and known.is_running():
+        return known
+    job.running_task = next(
+        (
+            task
+            for step in job.steps
+            if step.open
+            for task in step.tasks
+            if task.is_running()
+        ),
+        None,
+    )
+    return job.running_task
+
+
+def _find_job_stage(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    wait: waits.RunWait | None,
+) -> waits.WaitStage | None:
+    """Returns the stage of a job of which nothing runs.
+
+    None if no task is ready or placed, as in a timed job between repetitions.
+    """
+    stages = {
+        _find_task_stage(holder_state, task, wait)
+        for step in job.steps
+        if step.open and not step.spec.long_running
+        for task in step.tasks
+        if task.is_placed() or task.state is records.TaskState.READY
+    }
+    if not stages:
+        return None
+    return max(stages, key=_list_position)
+
+
+def _list_position(stage: waits.WaitStage) -> int:
+    """Returns how far a stage is on the way to a run."""
+    if stage in _PLACED_STAGES:
+        return 1 + _PLACED_STAGES.index(stage)
+    return 0
+
+
+def _find_task_stage(
+    holder_state: scheduler.HolderState,
+    task: progress.Task,
+    wait: waits.RunWait | None,
+) -> waits.WaitStage:
+    """Returns the stage of a task that is ready or placed and does not run."""
+    if not task.is_placed():
+        return waits.WaitStage.PLAN if wait is None else wait.obstacle
+    if task.batch > holder_state.stored_batch:
+        return waits.WaitStage.STORE
+    if not task.reported:
+        return waits.WaitStage.AGENT
+    return waits.WaitStage.START
+
+
+def _update_long_running(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    since: datetime.timedelta,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Updates the waits of the long-running tasks of a job."""
+    emitted: EffectList = []
+    run_waits = holder_state.run_waits
+    for step in job.steps:
+        if not step.spec.long_running or not step.open:
+            continue
+        for index, task in enumerate(step.tasks):
+            ref = lifecycle.build_task_ref(job, step, index)
+            wait = run_waits.tasks.get(ref)
+            if task.is_running():
+                if wait is not None:
+                    del run_waits.tasks[ref]
+                    emitted += _end(holder_state, wait, task, now)
+                continue
+            stage = _find_task_stage(holder_state, task, wait)
+            wait = wait or _begin(job.spec.job_id, ref, since, now)
+            run_waits.tasks[ref] = wait
+            wait.enter(stage, now)
+    return emitted
+
+
+def _begin(
+    job_id: specs.JobId,
+    task: runs.TaskRef | None,
+    since: datetime.timedelta,
+    now: datetime.timedelta,
+) -> waits.RunWait:
+    wait = waits.RunWait(job_id, task, since, waits.WaitStage.REPORT, since)
+    wait.enter(waits.WaitStage.PLAN, now)
+    return wait
+
+
+def _end(
+    holder_state: scheduler.HolderState,
+    wait: waits.RunWait,
+    running: progress.Task | None,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Ends a wait; returns its duration for the metrics, and a log line.
+
+    The wait lasted until the worker confirmed the run, which is reported a
+    little later. Without a run, its tasks ended otherwise.
+    """
+    if running is None:
+        return []
+    started_at = max(now - (running.age or datetime.timedelta(0)), wait.since)
+    spent = wait.list_spent(started_at)
+    longest = max(spent, key=lambda stage: spent[stage])
+    emitted: EffectList = [
+        effects.MeasureWait(longest, wait.measure(started_at))
+    ]
+    if wait.measure(started_at) >= LOGGED_WAIT:
+        emitted += _log(holder_state, wait, "ended", started_at)
+    return emitted
+
+
+def sample(
+    holder_state: scheduler.HolderState, now: datetime.timedelta
+) -> EffectList:
+    """Returns metrics of the present waits, and log lines of the long ones.
+
+    Each wait is logged once it is long and once it exceeds the limit, the
+    longest waits first. Lines beyond the limit of this tick follow later.
+    """
+    emitted = update(holder_state, now)
+    run_waits = holder_state.run_waits
+    run_waits.lines_left = MAX_LINES_PER_TICK
+    present = run_waits.list_all()
+    longest = max((wait.measure(now) for wait in present), default=waits.ZERO)
+    emitted.append(effects.SampleWaits(longest, len(present)))
+    for wait in sorted(present, key=lambda wait: wait.since):
+        waited = wait.measure(now)
+        if waited < LOGGED_WAIT or not run_waits.lines_left:
+            break
+        if waited >= MAX_TIME_WITHOUT_RUN and not wait.is_overdue_logged:
+            wait.is_logged = wait.is_overdue_logged = True
+            emitted += _log(holder_state, wait, "overdue", now)
+        elif not wait.is_logged:
+            wait.is_logged = True
+            emitted += _log(holder_state, wait, "no run", now)
+    return emitted
+
+
+def _log(
+    holder_state: scheduler.HolderState,
+    wait: waits.RunWait,
+    outcome: str,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Returns the log line of a wait, unless there were too many."""
+    run_waits = holder_state.run_waits
+    if not run_waits.lines_left:
+        run_waits.lines_dropped += 1
+        return []
+    run_waits.lines_left -= 1
+    inputs = [
+        ("waited_ms", str(lifecycle.to_ms(wait.measure(now)))),
+        ("stage", wait.stage.value),
+        *(
+            (f"{stage.name.lower()}_ms", str(lifecycle.to_ms(time)))
+            for stage, time in wait.list_spent(now).items()
+            if time
+        ),
+    ]
+    if wait.task is not None:
+        inputs.insert(0, ("task", str(wait.task)))
+    if run_waits.lines_dropped:
+        inputs.append(("left_out", str(run_waits.lines_dropped)))
+        run_waits.lines_dropped = 0
+    return [effects.Log("wait", wait.job_id, outcome, tuple(inputs))]
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -120,6 +120,7 @@
     """
     state.active.clear()
     state.ends.clear()
+    state.ends_listed_at.clear()
     state.ignored_ends.clear()
     state.refused.clear()
     state.clock = None
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -8,7 +8,14 @@
 import datetime
 
 from gypsumhold.model import ids, members
-from gypsumhold.model.jobs import messages, records, runs, specs, storage
+from gypsumhold.model.jobs import (
+    messages,
+    records,
+    runs,
+    specs,
+    storage,
+    waits,
+)
 
 # The owner of an effect is the ticket of the request whose thread runs it;
 # effects without an owner run in a thread pool.
@@ -35,6 +42,40 @@
     owner: str = NO_OWNER
 
 
+# Measurements of a scheduler, for the metrics; nothing is carried out.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeasureWait:
+    """Tells how long a job or a long-running task had no run.
+
+    Attributes:
+        stage: The stage that took the most time.
+        duration: Time from the end of the latest run, or from when a task
+            became ready, until the worker confirmed the next run.
+        owner: Always empty.
+    """
+
+    stage: waits.WaitStage
+    duration: datetime.timedelta
+    owner: str = NO_OWNER
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SampleWaits:
+    """Tells how many jobs and long-running tasks have no run.
+
+    Attributes:
+        longest: Longest time for which one of them has had none.
+        waiting: Number of them.
+        owner: Always empty.
+    """
+
+    longest: datetime.timedelta
+    waiting: int
+    owner: str = NO_OWNER
+
+
 # Effects of a scheduler.
 
 
@@ -340,6 +381,8 @@
 
 Effect = (
     Log
+    | MeasureWait
+    | SampleWaits
     | AnswerQuery
     | ReplyReport
     | FollowConfig
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -168,6 +168,7 @@
             incarnation or a call that the worker refused for its fence.
         active: Runs that were requested or found and have not ended.
         ends: Ends that the holder has not acknowledged.
+        ends_listed_at: When the worker first listed each of these ends.
         ignored_ends: Numbers of ends that cannot be right.
         refused: Runs that never start; kept until the holder has answered a
             report that lists them.
@@ -217,6 +218,9 @@
     ends: dict[runs.EndNumber, runs.EndRow] = dataclasses.field(
         default_factory=dict
     )
+    ends_listed_at: dict[runs.EndNumber, datetime.timedelta] = (
+        dataclasses.field(default_factory=dict)
+    )
     ignored_ends: set[runs.EndNumber] = dataclasses.field(default_factory=set)
     refused: dict[runs.RunRef, runs.Refusal] = dataclasses.field(
         default_factory=dict
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -116,6 +116,13 @@
         """Tells whether a run is assigned to an instance."""
         return self.state is records.TaskState.PLACED
 
+    def is_running(self) -> bool:
+        """Tells whether the worker has confirmed the run, by the last report.
+
+        An agent also lists runs that it has not started yet, without an age.
+        """
+        return self.is_placed() and self.reported and self.age is not None
+
 
 @dataclasses.dataclass(slots=True)
 class Step:
@@ -208,6 +215,7 @@
             None once a run was reported or has ended.
         set_aside: Whether a plan failed for this job; its tasks are no longer
             placed.
+        running_task: A task that was running when it was last looked for one.
     """
 
     spec: specs.JobSpec
@@ -223,6 +231,7 @@
     gives_way: bool = False
     starved_since: datetime.timedelta | None = None
     set_aside: bool = False
+    running_task: Task | None = None
 
     def is_open(self) -> bool:
         """Tells whether the job has not ended, so its tasks may be placed."""
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -227,12 +227,22 @@
 
 
 class EndRow(msgspec.Struct, frozen=True, array_like=True):
-    """A run in the worker's list of ended runs."""
+    """A run in the worker's list of ended runs.
+
+    Attributes:
+        number: Number of the end, from 1 in each incarnation of the worker.
+        ref: The run.
+        end: How it ended.
+        checkpoint: Latest saved progress.
+        age_ms: Time from the poll that listed the end first until the report
+            that contains this row was sent.
+    """
 
     number: EndNumber
     ref: RunRef
     end: RunEnd
     checkpoint: Checkpoint = Checkpoint("")
+    age_ms: int = 0
 
 
 class RefusedRow(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -13,6 +13,7 @@
     runs,
     specs,
     storage,
+    waits,
 )
 
 ZERO = datetime.timedelta(0)
@@ -278,6 +279,7 @@
         releasing: Whether the next batch leaves the queue without a holder.
         replaced_live_holder: Whether the queue was taken from a holder that
             was still storing batches.
+        run_waits: How long jobs and long-running tasks have had no run.
     """
 
     term: ids.Epoch
@@ -331,6 +333,9 @@
     optimistic_estimates: dict[runs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
+    run_waits: waits.RunWaits = dataclasses.field(
+        default_factory=waits.RunWaits
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/jobs/odd_entries.py
+++ b/tests/jobs/odd_entries.py
@@ -167,7 +167,12 @@
             threads=THREADS,
         )
 
-    def observe(self, event: Any, emitted: Any) -> None:
+    def observe(
+        self,
+        event: Any,
+        emitted: Any,
+        timing: engine.EventTiming = engine.NO_TIMING,
+    ) -> None:
         """Wakes those who wait for a state."""
         with self._applied:
             self._applied.notify_all()
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -234,7 +234,11 @@
                 answer = self.pending_reports.pop(effect.owner, None)
                 if answer is not None:
                     answer(effect.directives)
-            case base_effects.Stopped():
+            case (
+                base_effects.Stopped()
+                | effects.MeasureWait()
+                | effects.SampleWaits()
+            ):
                 pass
             case effects.FollowConfig():
                 self._follow_config(node, effect)
