--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -57,7 +57,9 @@
         stop_ms: How long a run goes on after a stop command.
         checkpoint_chars: Length of the checkpoints of its runs.
         max_listed_ends: Most ends that it lists at a time.
+        refuses_starts: Whether it refuses every start as unhealthy.
         hides_stopping: Whether runs that are being stopped are not listed.
+        labels: Its kind and its rack.
         former_capacities: Capacities before each change, with its time.
     """
 
@@ -86,7 +88,9 @@
     stop_ms: float = 0.0
     checkpoint_chars: int = 0
     max_listed_ends: int = 500
+    refuses_starts: bool = False
     hides_stopping: bool = False
+    labels: tuple[str, ...] = ("a", "r1-1")
     former_capacities: list[tuple[float, resources.Resources]] = (
         dataclasses.field(default_factory=list)
     )
@@ -143,7 +147,7 @@
             self.cpu_millis,
             self.memory_mb,
             self.accelerators,
-            ("a", "r1-1"),
+            self.labels,
             self.heartbeats,
         )
 
@@ -201,6 +205,8 @@
         finish_ms: float,
         end: runs.RunEnd,
     ) -> Result:
+        if self.refuses_starts:
+            return Result.UNHEALTHY
         command = effect.command
         task, run = command.ref.task, command.ref.run
         if effect.fence < self.fence:
