--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -239,7 +239,7 @@
             case effects.FollowConfig():
                 self._follow_config(node, effect)
             case effects.FollowJobs() | effects.FollowEntries():
-                delay = FEED_MS + _to_ms(effect.delay)
+                delay = FEED_MS + to_ms(effect.delay)
                 self.after(
                     delay, self._unless_restarted(node, effect, self._follow)
                 )
@@ -281,7 +281,7 @@
             if node.timers.get(effect.timer) == number:
                 self.deliver(node, base_events.TimerFired(effect.timer))
 
-        self.after(_to_ms(effect.delay), fire)
+        self.after(to_ms(effect.delay), fire)
 
     def _draw_latency(self) -> float:
         return self.random.uniform(2, 30)
@@ -327,7 +327,7 @@
         self._schedule_event(node, self._draw_latency(), read)
 
     def _call_store(self, node: nodes.Node, effect: Any) -> None:
-        retry_delay = _to_ms(getattr(effect, "delay", effects.NO_DELAY))
+        retry_delay = to_ms(getattr(effect, "delay", effects.NO_DELAY))
         delay = retry_delay + self._draw_latency()
         if self.store_down or node.cut_store:
             self._schedule_event(
@@ -553,7 +553,7 @@
                 event = failure_events.build_failure_event(effect, True)
             wait = 1000.0 if fault == "lost" else delay
             if isinstance(effect, effects.PollWorker):
-                wait += _to_ms(effect.wait) / 2
+                wait += to_ms(effect.wait) / 2
             self.after(
                 wait,
                 lambda: self._deliver_unless_restarted(
@@ -561,7 +561,7 @@
                 ),
             )
 
-        retry_delay = _to_ms(getattr(effect, "delay", effects.NO_DELAY))
+        retry_delay = to_ms(getattr(effect, "delay", effects.NO_DELAY))
         self.after(retry_delay + delay, apply_effect)
 
     def _deliver_late_to_worker(
@@ -693,5 +693,5 @@
         return ticket
 
 
-def _to_ms(time: datetime.timedelta) -> float:
+def to_ms(time: datetime.timedelta) -> float:
     return time / datetime.timedelta(milliseconds=1)
