Count runs without a logged start as started in job_waits

Cause: about one run in 150 has no line for its start, as a poll of its worker listed it before the command was answered. The tool took such runs for placed and not started, and printed waits up to their end.

Change: a run that ended and has no line for its start counts as started when it was placed; the outcome of the wait says so.

--- a/tests/tools/test_job_waits.py
+++ b/tests/tools/test_job_waits.py
@@ -73,7 +73,8 @@
         build_end(1, "j.0.0.0"),
         build_end(4, "j.0.0.1"),
     ]
-    _, wait = find_waits([*lines, build_place(5, "other.0.0.0")])[:2]
+    last = build_place(5, "other.0.0.0")
+    _, wait, _ = find_waits([*lines, last])
     assert wait.changes == [(4, Stage.PLACEMENT)]
     assert wait.outcome == "not started"
 
@@ -93,6 +94,16 @@
     assert (wait.placements, wait.refusals) == (2, 1)
 
 
+def test_run_without_a_logged_start_counts_as_started() -> None:
+    """Guards against waits where only the line of the start is missing."""
+    lines = [
+        build_place(0, "j.0.0.0"),
+        build_end(4, "j.0.0.0", "job completed"),
+    ]
+    (wait,) = find_waits(lines)
+    assert (wait.measure(0), wait.outcome) == (0, "started, not logged")
+
+
 def test_lost_runs_are_those_placed_first() -> None:
     """Guards against a lost worker whose next runs count as lost, too."""
     lapse = {"reason": "new worker life", "runs": "1"}
--- a/tools/job_waits.py
+++ b/tools/job_waits.py
@@ -3,7 +3,9 @@
 A wait of a job begins when it is accepted, or when the log has the end of its
 last run, and ends when the log has the start of the next one. While a job
 waits, its next run is either not placed, or placed and not started. When the
-worker listed an end is not logged, so that a wait may have begun earlier.
+worker listed an end is not logged, so that a wait may have begun earlier. A
+start that a poll of the worker confirms before the command is answered is not
+logged either: such a run counts as started when it was placed.
 
 Usage:
   job_waits.py [options] [LOG...]
@@ -137,8 +139,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Day:
-    """The jobs of a day and their waits."""
+    """The jobs of a day and their waits.
 
+    Attributes:
+        unlogged_starts: Task and number of the runs that ended and whose start
+            was not logged.
+        jobs: The jobs by id.
+        waits: The waits that have ended.
+    """
+
+    unlogged_starts: frozenset[tuple[str, str]]
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     waits: list[Wait] = dataclasses.field(default_factory=list)
 
@@ -164,7 +174,7 @@
 
 def find_waits(lines: list[TimedLine]) -> list[Wait]:
     """Returns the waits of all jobs, also those that the log does not end."""
-    day = Day()
+    day = Day(_find_unlogged_starts(lines))
     for timed_line in lines:
         _apply_line(day, timed_line.line, timed_line.at_s)
     for job in day.jobs.values():
@@ -172,6 +182,21 @@
     return day.waits
 
 
+def _find_unlogged_starts(
+    lines: list[TimedLine],
+) -> frozenset[tuple[str, str]]:
+    """Returns the task and number of each run that ended without a start."""
+    started = set()
+    ended = set()
+    for timed_line in lines:
+        line = timed_line.line
+        if line.decision == "run-ended":
+            ended.add((line.inputs["task"], line.inputs["run"]))
+        elif line.decision == "start" and line.outcome == "started":
+            started.add((line.inputs["task"], line.inputs["run"]))
+    return frozenset(ended - started)
+
+
 def _apply_line(day: Day, line: stories.LogLine, at_s: float) -> None:
     """Applies one line to the jobs that it is about."""
     if line.decision == "runs-lapsed":
@@ -190,20 +215,23 @@
         job.ended = True
         _end_wait(day, job, at_s, line.outcome)
     elif line.decision == "place":
-        _place_run(job, line, at_s)
+        _place_run(day, job, line, at_s)
     elif line.decision == "start" and line.outcome == "started":
         _start_run(day, job, line, at_s)
     elif line.decision in ("run-ended", "run-refused"):
         _end_run(job, line, at_s)
 
 
-def _place_run(job: Job, line: stories.LogLine, at_s: float) -> None:
-    instance = line.outcome
-    job.runs[line.inputs["task"]] = Run(line.inputs["run"], instance, at_s)
+def _place_run(day: Day, job: Job, line: stories.LogLine, at_s: float) -> None:
+    run = Run(line.inputs["run"], line.outcome, at_s)
+    job.runs[line.inputs["task"]] = run
     if job.wait is not None:
         job.wait.placements += 1
-        job.wait.instances.append(instance)
+        job.wait.instances.append(run.instance)
     _note_stage(job, at_s)
+    if (line.inputs["task"], run.number) in day.unlogged_starts:
+        run.state = RunState.STARTED
+        _end_wait(day, job, at_s, "started, not logged")
 
 
 def _start_run(day: Day, job: Job, line: stories.LogLine, at_s: float) -> None:
