Leave decisions of former holders out of job_waits

Cause: a holder that was cut off and replaced goes on for seconds, and believes that the runs of all silent agents have lapsed. The tool took that for waits of up to 28 s.

Change: lines of the holder count only from the instance that took the queue last.

--- a/tests/tools/test_job_waits.py
+++ b/tests/tools/test_job_waits.py
@@ -120,6 +120,19 @@
     assert waits["j"].cause == "runs-lapsed new worker life, step 0"
 
 
+def test_decisions_of_a_former_holder_change_nothing() -> None:
+    """Guards against waits that only a holder without the queue believes in."""
+    lapse = {"reason": "silent", "runs": "1"}
+    lines = [
+        build_place(0, "j.0.0.0"),
+        build_start(0, "j.0.0.0"),
+        build_line(1, "take-queue", "front-2", "taken", source="front-2"),
+        build_line(2, "runs-lapsed", "side-1", "placed again", **lapse),
+    ]
+    (wait,) = find_waits(lines)
+    assert wait.outcome == "started"
+
+
 def test_only_the_time_after_the_traffic_counts() -> None:
     """Guards against waits that began in the traffic and count in full."""
     lines = [
--- a/tools/job_waits.py
+++ b/tools/job_waits.py
@@ -52,6 +52,12 @@
 )
 """Decisions that concern all jobs."""
 
+HOLDER_DECISIONS = frozenset(
+    {"place", "run-ended", "run-refused", "runs-lapsed"}
+)
+"""Decisions of the holder of the queue; those of a former one, which does not
+know yet that it was replaced, change nothing."""
+
 INSTANCE_DECISIONS = frozenset(
     {"agent", "holder", "holder-changed", "process", "push", "worker"}
 )
@@ -144,11 +150,13 @@
     Attributes:
         unlogged_starts: Task and number of the runs that ended and whose start
             was not logged.
+        holder: Instance that holds the queue; empty until that is logged.
         jobs: The jobs by id.
         waits: The waits that have ended.
     """
 
     unlogged_starts: frozenset[tuple[str, str]]
+    holder: str = ""
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     waits: list[Wait] = dataclasses.field(default_factory=list)
 
@@ -199,6 +207,11 @@
 
 def _apply_line(day: Day, line: stories.LogLine, at_s: float) -> None:
     """Applies one line to the jobs that it is about."""
+    if (line.decision, line.outcome) == ("take-queue", "taken"):
+        day.holder = line.source
+    is_former = day.holder not in ("", line.source)
+    if line.decision in HOLDER_DECISIONS and is_former:
+        return
     if line.decision == "runs-lapsed":
         _lose_runs(day, line, at_s)
         return
