Tell in the log why an agent does not start a run, and when an end was listed

Change: `start` lines say `held` with the reason after 0.8 s, and `started` by `poll` where a list confirms the start before its answer; `run-ended` has the age of the end; `runs-lapsed` names its tasks. No decision changes.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -13,6 +13,11 @@
 process comes from its clock, so a former process whose clock was ahead may have
 used higher ones."""
 
+LOGGED_HOLD = datetime.timedelta(milliseconds=800)
+"""Time for which a run is held until the log tells about it."""
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 _REFUSALS = {
     events.CommandResult.NO_CAPACITY: runs.Refusal.NO_CAPACITY,
     events.CommandResult.UNHEALTHY: runs.Refusal.UNHEALTHY,
@@ -48,31 +53,77 @@
     """
     emitted: EffectList = []
     worker = state.worker
-    waiting = [
-        local_run
-        for local_run in state.active.values()
-        if local_run.state is executor.LocalState.WAITING
-    ]
-    if worker is None or not waiting or not state.polled:
+    waiting = _list_waiting_runs(state)
+    if worker is None or not waiting:
         return emitted
+    if not state.polled:
+        return _hold(waiting, executor.HoldReason.NOT_POLLED)
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
         for local_run in waiting:
             emitted += refuse_run(state, local_run.ref, runs.Refusal.DRAINING)
         return emitted
     until_ms = leases.compute_lease_end(state, now)
-    if until_ms is None or not leases.has_start_margin(state, now):
-        return emitted
+    if until_ms is None:
+        return _hold(waiting, executor.HoldReason.NO_LEASE)
+    if not leases.has_start_margin(state, now):
+        return _hold(waiting, executor.HoldReason.SHORT_LEASE)
     if any(local_run.command is None for local_run in state.active.values()):
         # The requests of runs that a former process started are unknown, so
         # the free capacity is unknown too.
-        return emitted
+        return _hold(waiting, executor.HoldReason.UNKNOWN_REQUEST)
     for local_run in waiting:
         if colocation.must_delay_start(state, local_run, now):
+            local_run.hold = executor.HoldReason.LATENCY
             continue
+        local_run.hold = None
         emitted += _start_run(state, worker, local_run, until_ms)
     return emitted
 
 
+def _list_waiting_runs(
+    state: executor.ExecutorState,
+) -> list[executor.LocalRun]:
+    return [
+        local_run
+        for local_run in state.active.values()
+        if local_run.state is executor.LocalState.WAITING
+    ]
+
+
+def _hold(
+    waiting: list[executor.LocalRun], reason: executor.HoldReason
+) -> EffectList:
+    """Records why runs are not started; returns no effects."""
+    for local_run in waiting:
+        local_run.hold = reason
+    return []
+
+
+def log_held_runs(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> EffectList:
+    """Returns a log line for each run that has not been started for long.
+
+    There is one line for each reason.
+    """
+    emitted: EffectList = []
+    for local_run in _list_waiting_runs(state):
+        waited = now - local_run.received_at
+        is_logged = local_run.hold is local_run.logged_hold
+        if waited < LOGGED_HOLD or local_run.hold is None or is_logged:
+            continue
+        local_run.logged_hold = local_run.hold
+        ref = local_run.ref
+        inputs = (
+            ("task", str(ref.task)),
+            ("run", str(ref.run)),
+            ("reason", local_run.hold.value),
+            ("waited_ms", str(waited // MILLISECOND)),
+        )
+        emitted.append(effects.Log("start", ref.task.job_id, "held", inputs))
+    return emitted
+
+
 def _start_run(
     state: executor.ExecutorState,
     worker: runs.Worker,
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -28,6 +28,9 @@
 MAX_DELETED_SUBMISSIONS = 40
 """Most submissions deleted by one transaction; each has two rows."""
 
+MAX_LISTED_TASKS = 12
+"""Most tasks that a line of the log names."""
+
 LOAD_RETRY_DELAY = datetime.timedelta(milliseconds=300)
 FOLLOW_RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
@@ -243,6 +246,7 @@
         (
             ("reason", reason),
             ("runs", str(len(tasks))),
+            ("tasks", ",".join(map(str, list(tasks)[:MAX_LISTED_TASKS]))),
         ),
     )
     crashes.remember_runs(holder_state, instance, tasks)
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from gypsumhold.decisions.jobs import (
+    commands,
     leases,
     lifecycle,
     received_directives,
@@ -82,7 +83,7 @@
     ]
     if state.worker is not None:
         emitted += worker_polls.poll_worker(state, now)
-    return emitted
+    return [*emitted, *commands.log_held_runs(state, now)]
 
 
 def send_due_report(
--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -120,6 +120,7 @@
             ("end", row.end.value),
             ("instance", view.instance),
             ("number", str(row.number)),
+            ("age_ms", str(row.age_ms)),
         ),
     )
 
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -52,6 +52,7 @@
         if local_run.state is not executor.LocalState.RUNNING:
             local_run.state = executor.LocalState.RUNNING
             local_run.confirmed_at = now
+            emitted.append(_log_listed_start(row))
     for local_run in list(state.active.values()):
         if local_run.ref not in listed:
             emitted += _handle_missing_run(state, local_run, event, now)
@@ -101,6 +102,16 @@
     ]
 
 
+def _log_listed_start(row: runs.RunRow) -> effects.Log:
+    """Returns the line of a start that a poll confirms before its answer."""
+    inputs = (
+        ("task", str(row.ref.task)),
+        ("run", str(row.ref.run)),
+        ("by", "poll"),
+    )
+    return effects.Log("start", row.ref.task.job_id, "started", inputs)
+
+
 def _log_found_run(row: runs.RunRow) -> effects.Log:
     inputs = (("task", str(row.ref.task)), ("run", str(row.ref.run)))
     return effects.Log("run-found", row.ref.task.job_id, "reported", inputs)
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -68,6 +68,16 @@
     RUNNING = "running"
 
 
+class HoldReason(enum.Enum):
+    """Why a requested run is not started yet."""
+
+    NOT_POLLED = "worker not polled"
+    NO_LEASE = "no lease"
+    SHORT_LEASE = "lease too short"
+    UNKNOWN_REQUEST = "run without a known request"
+    LATENCY = "latency of serving tasks"
+
+
 @dataclasses.dataclass(slots=True)
 class LocalRun:
     """A run that the holder requested or that a poll found.
@@ -78,6 +88,8 @@
             the holder sends its command.
         state: State on the worker.
         received_at: When the request to start it arrived.
+        hold: Why it was not started when that was last tried; None if it was.
+        logged_hold: The reason that was last logged.
         sequence: Sequence, in the present term, of the directives that
             requested it; 0 if they were of a former term.
         first_report: Number of the first report that listed it; None if none
@@ -99,6 +111,8 @@
     command: runs.StartCommand | None
     state: LocalState
     received_at: datetime.timedelta = ZERO
+    hold: HoldReason | None = None
+    logged_hold: HoldReason | None = None
     sequence: int = 0
     first_report: int | None = None
     row: runs.RunRow | None = None
