Give the time without a run one owner, from the listed end to the start

Cause: a job is without a run for over 3 s when several stages take their own time, each within its own limit. The delay of the policy was a fixed half of the limit, counted from the first plan that saw the job, and began anew with each refusal, doubtful start and placement that was taken back.

Change: `starvation` owns the limit for the waits that `waits` follows from the listed end to the confirmed start. What is left of the limit after two batches, the start and one lost call decides when a job is placed anywhere. A plan ends after 60 placements and places starved jobs beyond its limits; a batch stores jobs without a run first, the longest wait first; ends are acknowledged in the order of the changes, not only by a batch that leaves none over. Refusing workers are excluded also for starved jobs as long as another has room; a starved gang goes anywhere. A holder tells an agent the requests of all found runs, since the agent starts nothing beside an unknown one.

--- a/src/gypsumhold/adapters/engine.py
+++ b/src/gypsumhold/adapters/engine.py
@@ -227,6 +227,10 @@
         with self._lock:
             return read(self._state)
 
+    def read_clock(self) -> datetime.timedelta:
+        """Returns the time that the reducer is given, for events of now."""
+        return self._clock.read_monotonic()
+
     def count_dropped_answers(self) -> int:
         """Returns how many final effects had no waiting owner."""
         with self._lock:
--- a/src/gypsumhold/adapters/jobs/peers.py
+++ b/src/gypsumhold/adapters/jobs/peers.py
@@ -97,7 +97,9 @@
         ticket = create_ticket_id()
         match message:
             case messages.Report():
-                event: events.Event = events.ReportArrived(ticket, message)
+                event: events.Event = events.ReportArrived(
+                    ticket, message, self._runtime.read_clock()
+                )
             case messages.Query():
                 event = events.QueryArrived(
                     ticket, message, ANSWER_TIMEOUT, forwarded=True
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import math
 
 from gypsumhold.decisions.jobs import (
     directives,
@@ -9,6 +10,7 @@
     lifecycle,
     plans,
     record_sizes,
+    starvation,
     store_health,
 )
 from gypsumhold.model import effects as base_effects
@@ -102,7 +104,7 @@
     """Returns the next batch and removes its changes from the pending ones."""
     number = holder_state.next_batch
     holder_state.next_batch += 1
-    changed = sorted(holder_state.dirty)[:MAX_BATCH_JOBS]
+    changed = starvation.order_changed_jobs(holder_state)[:MAX_BATCH_JOBS]
     jobs = record_sizes.choose_storable_jobs(
         [holder_state.jobs[job_id] for job_id in changed],
         state.options.row_bytes,
@@ -110,7 +112,7 @@
     writes = []
     for job in jobs:
         job_id = job.spec.job_id
-        holder_state.dirty.discard(job_id)
+        del holder_state.dirty[job_id]
         for task in job.unstored_placements:
             task.batch = number
         job.unstored_placements.clear()
@@ -127,10 +129,7 @@
     holder_state.force_batch = False
     holder_state.batch_instances |= holder_state.changed_instances
     holder_state.changed_instances.clear()
-    if not holder_state.dirty:
-        # An end is acknowledged only after its effect on its job is stored, so
-        # no changed job may be left for a later batch.
-        _assign_acknowledgements(holder_state, number)
+    _assign_acknowledgements(holder_state, number)
     record = records.HolderRecord(
         records.FORMAT,
         holder_state.term,
@@ -148,9 +147,16 @@
 def _assign_acknowledgements(
     holder_state: scheduler.HolderState, number: int
 ) -> None:
-    """Assigns the acknowledgements that have no batch yet to this one."""
+    """Assigns acknowledgements that have no batch yet to this one.
+
+    An end is acknowledged only after its effect on its job is stored, so no job
+    with a change that is as old may be left for a later batch.
+    """
+    oldest_left = next(iter(holder_state.dirty.values()), math.inf)
     for view in holder_state.agents.values():
         for acknowledgement in view.acknowledgements:
+            if acknowledgement.change >= oldest_left:
+                break
             if acknowledgement.batch == progress.NOT_STORED:
                 acknowledgement.batch = number
 
@@ -247,6 +253,9 @@
     holder_state.version = write.version
     holder_state.stored_batch = batch.holder.batch
     holder_state.renewed_at = holder_state.sent_at
+    if not holder_state.commit_attempts:
+        # An outage tells nothing about the batches after it.
+        starvation.note_batch_time(holder_state, now - holder_state.sent_at)
     for progress_write in batch.writes:
         job = holder_state.jobs.get(progress_write.job_id)
         if job is not None:
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -2,15 +2,19 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.decisions.jobs import lifecycle, starvation
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
     messages,
+    progress,
     runs,
     scheduler,
+    specs,
 )
 
+NO_CHECKPOINT = runs.Checkpoint("")
+
 
 def may_grant(
     state: scheduler.SchedulerState,
@@ -67,9 +71,9 @@
         worker_incarnation,
         grant_ms,
         view.acknowledged,
-        _list_starts(holder_state, view, worker_incarnation),
+        _list_starts(holder_state, view, worker_incarnation, now),
         _list_stops(view),
-        _list_found_commands(view),
+        _list_found_commands(holder_state, view),
         _list_interference(holder_state, view),
         _list_deferred(view, now) if is_answer else None,
         _list_withdrawn(view),
@@ -114,10 +118,17 @@
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
     worker_incarnation: runs.WorkerIncarnation,
+    now: datetime.timedelta,
 ) -> tuple[runs.StartCommand, ...]:
     """Returns commands for the stored placements that the report lacks."""
     return tuple(
-        build_start_command(ref, placed)
+        build_start_command(
+            ref,
+            placed,
+            must_start_at_once=starvation.is_starved(
+                holder_state, placed.job, now
+            ),
+        )
         for ref, placed in view.placed.items()
         if not placed.task.reported
         and placed.task.is_placed()
@@ -128,21 +139,40 @@
 
 
 def build_start_command(
-    ref: runs.TaskRef, placed: scheduler.PlacedTask
+    ref: runs.TaskRef,
+    placed: scheduler.PlacedTask,
+    *,
+    must_start_at_once: bool = False,
 ) -> runs.StartCommand:
     """Returns the command to start the current run of a task."""
-    spec = placed.step.spec
-    return runs.StartCommand(
+    return _build_command(
         runs.RunRef(ref, placed.task.run),
-        placed.job.spec.payload,
+        placed.job,
+        placed.step.spec,
         placed.task.checkpoint,
+        only_run=placed.task.is_only_run or must_start_at_once,
+    )
+
+
+def _build_command(
+    ref: runs.RunRef,
+    job: progress.Job,
+    spec: specs.StepSpec,
+    checkpoint: runs.Checkpoint,
+    *,
+    only_run: bool = False,
+) -> runs.StartCommand:
+    return runs.StartCommand(
+        ref,
+        job.spec.payload,
+        checkpoint,
         spec.cpu_millis,
         spec.memory_mb,
         spec.accelerators,
         spec.fills,
         spec.target_latency_ms,
         spec.image,
-        only_run=placed.task.is_only_run,
+        only_run=only_run,
     )
 
 
@@ -190,14 +220,24 @@
 
 
 def _list_found_commands(
-    view: scheduler.AgentView,
+    holder_state: scheduler.HolderState, view: scheduler.AgentView
 ) -> tuple[runs.StartCommand, ...]:
-    """Returns the commands of runs that the agent found on its worker."""
-    return tuple(
-        build_start_command(ref.task, view.placed[ref.task])
-        for ref in view.report.found
-        if ref.task in view.placed and view.placed[ref.task].task.run == ref.run
-    )
+    """Returns the commands of runs that the agent found on its worker.
+
+    Also of those that are to stop: until their requests are known, the agent
+    starts nothing, as it does not know what capacity is left.
+    """
+    commands = []
+    for ref in view.report.found:
+        job = holder_state.jobs.get(ref.task.job_id)
+        if job is None or not 0 <= ref.task.step < len(job.spec.steps):
+            continue
+        task = job.find_task(ref.task)
+        is_current = task is not None and task.run == ref.run
+        checkpoint = task.checkpoint if task and is_current else NO_CHECKPOINT
+        spec = job.spec.steps[ref.task.step]
+        commands.append(_build_command(ref, job, spec, checkpoint))
+    return tuple(commands)
 
 
 def push_directives(
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -11,7 +11,7 @@
     crashes,
     interference,
     lifecycle,
-    waits,
+    wait_logs,
 )
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
@@ -206,7 +206,7 @@
     holder_state.plan_due = holder_state.plan_due or bool(
         holder_state.open_jobs
     )
-    return [*emitted, *waits.sample(holder_state, now)]
+    return [*emitted, *wait_logs.sample(holder_state, now)]
 
 
 def _release_silent_runs(
--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -10,6 +10,7 @@
     lifecycle,
     probations,
     record_sizes,
+    starvation,
     waits,
 )
 from gypsumhold.model import effects as base_effects
@@ -26,11 +27,6 @@
 EffectList = list[base_effects.Effect]
 Candidates = dict[str, policies.Candidate]
 
-STARVATION_TIME = waits.MAX_TIME_WITHOUT_RUN / 2
-"""Time without a run after which a job gets one that the policy delays, and a
-long-running task may use workers on which it has failed. The rest is for the
-plan, the batch that stores it, and the start."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
@@ -66,21 +62,55 @@
                 yield step, index
 
 
-class JobPlacement:
-    """Places the ready tasks of one job.
-
-    A starved job gets one task placed regardless of the placement policy, and
-    a migrating task is placed in any case.
+@dataclasses.dataclass(slots=True)
+class Placement:
+    """What became of the ready tasks of one job.
 
     Attributes:
         emitted: The log lines of the placements.
+        placed: Number of placed tasks.
         misses: Number of tasks without a candidate.
     """
 
-    def __init__(self, plan: Plan, job: progress.Job, *, starved: bool) -> None:
-        """Prepares the placement of `job`; `place_tasks` carries it out."""
-        self.emitted: EffectList = []
-        self.misses = 0
+    emitted: EffectList = dataclasses.field(default_factory=list)
+    placed: int = 0
+    misses: int = 0
+
+
+def place_tasks(
+    plan: Plan,
+    job: progress.Job,
+    placement: Placement,
+    most: int,
+    *,
+    starved: bool,
+) -> None:
+    """Places the ready tasks of one job as far as the capacity allows.
+
+    A starved job gets one task placed regardless of the placement policy, and
+    a migrating task is placed in any case.
+
+    Args:
+        plan: The plan.
+        job: The job.
+        placement: Records what is placed.
+        most: Number of tasks after which no further task or gang is placed.
+        starved: Whether the job has been without a run for too long.
+    """
+    _JobPlacement(plan, job, placement, starved).place_tasks(most)
+
+
+class _JobPlacement:
+    """Places the ready tasks of one job."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        job: progress.Job,
+        placement: Placement,
+        starved: bool,
+    ) -> None:
+        self._placement = placement
         self._plan = plan
         self._job = job
         self._starved = starved
@@ -91,9 +121,11 @@
             job, plan.state.options.row_bytes
         )
 
-    def place_tasks(self) -> None:
-        """Places the ready tasks as far as the free capacity allows."""
+    def place_tasks(self, most: int) -> None:
+        """Places ready tasks until so many are placed."""
         for step, index in list(_iterate_ready_tasks(self._job)):
+            if self._placement.placed >= most:
+                break
             if id(step) in self._skipped_steps:
                 continue
             obstacle = self._find_obstacle(step, index)
@@ -146,11 +178,15 @@
         if not self._budget.allows(step, len(step.tasks)):
             self._note_obstacle(step, index, WaitStage.ROW_SIZE)
             return
-        if self._starved and not step.is_suspect(step.tasks[0]):
+        placements = self._place_gang(step, usable)
+        may_run_anywhere = self._starved and not step.is_suspect(step.tasks[0])
+        if not placements and may_run_anywhere:
             for task in step.tasks:
                 task.excluded_instances.clear()
-        placements = self._place_gang(step, usable)
-        self.emitted += placements
+            placements = self._place_gang(step, usable)
+        if placements:
+            self._starved = False
+        self._placement.emitted += placements
         self._budget.take(step, len(placements))
         if not placements:
             self._reserve_worker(step, step.tasks[index])
@@ -161,10 +197,36 @@
         task = step.tasks[index]
         usable = self._get_usable(step)
         is_suspect = step.is_suspect(task)
-        if (self._starved and not is_suspect) or self._is_blocked(step, task):
+        # A task that was stopped for a migration had a worker before.
+        is_urgent = self._starved or task.migrating
+        candidate = self._choose_for_task(step, task, usable, is_urgent)
+        if candidate is None and (
+            (self._starved and not is_suspect) or self._is_blocked(step, index)
+        ):
             # No worker that it has not tried has room: it may run anywhere.
             task.excluded_instances.clear()
             usable = self._plan.candidates
+            candidate = self._choose_for_task(step, task, usable, is_urgent)
+        if candidate is None:
+            self._handle_miss(step, index, usable)
+            return
+        self._starved = False
+        has_other = self._had_placed_task or self._placement.placed
+        task.is_only_run = not has_other
+        self._budget.take(step)
+        self._placement.emitted.append(self._place_task(step, index, candidate))
+
+    def _choose_for_task(
+        self,
+        step: progress.Step,
+        task: progress.Task,
+        usable: Candidates,
+        is_urgent: bool,
+    ) -> policies.Candidate | None:
+        """Lets the policy choose; an urgent task may go against its advice.
+
+        Workers on which the task has failed or was refused are left out.
+        """
         candidate = choices.choose_candidate(
             self._plan.state,
             self._job,
@@ -173,16 +235,9 @@
             usable,
             late=self._job.gives_way,
         )
-        if candidate is None and (self._starved or task.migrating):
-            # A task that was stopped for a migration had a worker before.
-            candidate = choices.choose_emptiest(self._job, step, task, usable)
-            self._starved = False
-        if candidate is None:
-            self._handle_miss(step, index, usable)
-            return
-        task.is_only_run = not (self._had_placed_task or self.emitted)
-        self._budget.take(step)
-        self.emitted.append(self._place_task(step, index, candidate))
+        if candidate is None and is_urgent:
+            return choices.choose_emptiest(self._job, step, task, usable)
+        return candidate
 
     def _handle_miss(
         self, step: progress.Step, index: int, usable: Candidates
@@ -193,7 +248,7 @@
         if waits.is_waiting(self._plan.holder_state, self._job):
             obstacle = choices.explain_miss(self._job, step, task, usable)
             self._note_obstacle(step, index, obstacle)
-        self.misses += not step.is_suspect(task)
+        self._placement.misses += not step.is_suspect(task)
         task.blocked_since = task.blocked_since or self._plan.now
         # Where a task without exclusions finds no candidate, the other tasks of
         # its step find none either.
@@ -210,17 +265,22 @@
             plan.holder_state, plan.candidates, fitting, plan.now
         )
 
-    def _is_blocked(self, step: progress.Step, task: progress.Task) -> bool:
+    def _is_blocked(self, step: progress.Step, index: int) -> bool:
         """Tells whether a task has had no worker for too long.
 
         This is for long-running tasks and for those under which workers
         crashed. Tasks of other kinds wait while the rest of their job runs, so
         that their attempts are not used up on the same workers.
         """
+        task = step.tasks[index]
+        holder_state, now = self._plan.holder_state, self._plan.now
+        if step.spec.long_running:
+            ref = lifecycle.build_task_ref(self._job, step, index)
+            return starvation.is_long_running_starved(holder_state, ref, now)
         return (
-            (step.spec.long_running or step.is_suspect(task))
+            step.is_suspect(task)
             and task.blocked_since is not None
-            and self._plan.now - task.blocked_since >= STARVATION_TIME
+            and now - task.blocked_since >= starvation.MAX_PLACEMENT_DELAY
         )
 
     def _place_task(
@@ -236,6 +296,8 @@
         view = self._plan.holder_state.agents[candidate.instance]
         placed = scheduler.PlacedTask(job, step, task)
         lifecycle.place_task(self._plan.holder_state, view, placed, ref, now)
+        starvation.note_placement(self._plan.holder_state, job, now)
+        self._placement.placed += 1
         filler_cores = sum(candidate.best_effort_cores.values())
         return effects.Log(
             "place",
@@ -312,7 +374,10 @@
     def _choose(
         self, step: progress.Step, task: progress.Task, candidates: Candidates
     ) -> policies.Candidate | None:
-        """Lets the placement policy choose for a task of a gang."""
-        return choices.choose_candidate(
+        """Chooses for a task of a gang; if starved, against the policy too."""
+        candidate = choices.choose_candidate(
             self._plan.state, self._job, step, task, candidates
         )
+        if candidate is None and self._starved:
+            return choices.choose_emptiest(self._job, step, task, candidates)
+        return candidate
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -79,7 +79,7 @@
     job = holder_state.jobs.get(job_id)
     if job is not None and not job.is_open():
         del holder_state.jobs[job_id]
-        holder_state.dirty.discard(job_id)
+        holder_state.dirty.pop(job_id, None)
 
 
 def _compute_age(
@@ -248,7 +248,8 @@
 
 def mark_dirty(holder_state: scheduler.HolderState, job: progress.Job) -> None:
     """Schedules the progress of a job for the next batch."""
-    holder_state.dirty.add(job.spec.job_id)
+    holder_state.latest_change += 1
+    holder_state.dirty.setdefault(job.spec.job_id, holder_state.latest_change)
     holder_state.run_waits.touched.add(job.spec.job_id)
 
 
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -119,6 +119,7 @@
     task.migration_target = target.instance
     holder_state.agents[target.instance].expected[ref] = placed
     holder_state.changed_instances.add(task.instance)
+    holder_state.run_waits.touched.add(ref.job_id)
     inputs = (
         ("task", str(ref)),
         ("from", task.instance),
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -7,10 +7,11 @@
     job_placements,
     migrations,
     ordering,
+    starvation,
     waits,
 )
 from gypsumhold.model import effects as base_effects
-from gypsumhold.model.jobs import effects, progress, scheduler
+from gypsumhold.model.jobs import effects, progress, scheduler, specs
 from gypsumhold.model.jobs.waits import WaitStage
 
 EffectList = list[base_effects.Effect]
@@ -18,6 +19,18 @@
 MAX_CHANGED_JOBS = 60
 """Changed jobs at which a plan stops, so that one batch can store them."""
 
+MIN_CHANGED_JOBS = 20
+"""Jobs that a plan may change in any case. Where ends alone change more jobs
+than a batch takes, nothing would be placed otherwise."""
+
+MAX_PLACEMENTS = 60
+"""Placements at which a plan stops. Each one takes time in the plan, the batch
+and the push of its start, for which all other jobs wait."""
+
+MAX_STARVED_JOBS = 60
+"""Most starved jobs that a plan places beyond these limits, so that one batch
+can store them."""
+
 MISSES_BEFORE_SKIP = 40
 """Tasks without a candidate after which a plan skips all but starved jobs,
 which have to get a run in the end, and those of which a task may not wait."""
@@ -30,13 +43,33 @@
 ) -> EffectList:
     """Places ready tasks as far as the free capacity allows.
 
-    A job for which this raises an exception is set aside, so that it does not
-    stop the others.
+    The order of the jobs is that of the policy. Jobs that have been without a
+    run for too long get one also if the plan ends before them. A job for which
+    this raises an exception is set aside, so that it does not stop the others.
     """
     emitted = _estimate_jobs(state, holder_state, now)
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
         return emitted
+    plan = job_placements.Plan(state, holder_state, candidates, now)
+    starved = {
+        job.spec.job_id: job
+        for job in starvation.list_starved_jobs(holder_state, now)
+    }
+    emitted += _place_in_order(plan, starved)
+    return [*emitted, *_place_starved(plan, starved)]
+
+
+def _place_in_order(
+    plan: job_placements.Plan, starved: dict[specs.JobId, progress.Job]
+) -> EffectList:
+    """Places jobs in the order of the policy, up to the limits of a plan.
+
+    Args:
+        plan: The plan.
+        starved: The starved jobs; those that are looked at are removed.
+    """
+    state, holder_state, now = plan.state, plan.holder_state, plan.now
     jobs = state.policies.ordering.sort(
         [
             job
@@ -49,39 +82,71 @@
         ],
         now,
     )
-    plan = job_placements.Plan(state, holder_state, candidates, now)
     migrations_due = holder_state.migrations_due
     holder_state.migrations_due = False
+    limit = max(MAX_CHANGED_JOBS, len(holder_state.dirty) + MIN_CHANGED_JOBS)
+    emitted: EffectList = []
     misses = 0
+    left = MAX_PLACEMENTS
     for position, job in enumerate(jobs):
-        starved = _is_starved(job, now)
-        if len(holder_state.dirty) >= MAX_CHANGED_JOBS:
+        if len(holder_state.dirty) >= limit or left <= 0:
             holder_state.plan_due = True
             for left_job in jobs[position:]:
                 waits.note_obstacle(
                     holder_state, left_job, WaitStage.PLAN_LIMIT
                 )
             break
+        is_starved = job.spec.job_id in starved
         if misses >= MISSES_BEFORE_SKIP and not (
-            starved or job.is_migrating() or job.is_long_running()
+            is_starved or job.is_migrating() or job.is_long_running()
         ):
             waits.note_obstacle(holder_state, job, WaitStage.PLAN_LIMIT)
             continue
-        try:
-            if migrations_due:
-                emitted += migrations.migrate_slow_tasks(
-                    state, holder_state, job, candidates, now
-                )
-            placement = job_placements.JobPlacement(plan, job, starved=starved)
-            placement.place_tasks()
-        except Exception as problem:
-            emitted.append(_set_aside(job, problem))
-            continue
+        starved.pop(job.spec.job_id, None)
+        placement = _place_job(
+            plan, job, left, starved=is_starved, migrations_due=migrations_due
+        )
         emitted += placement.emitted
         misses += placement.misses
+        left -= placement.placed
+    if left <= 0:
+        holder_state.plan_due = True
+    return emitted
+
+
+def _place_starved(
+    plan: job_placements.Plan, starved: dict[specs.JobId, progress.Job]
+) -> EffectList:
+    """Places one task, or one gang, of each starved job that is left."""
+    emitted: EffectList = []
+    for job in list(starved.values())[:MAX_STARVED_JOBS]:
+        emitted += _place_job(plan, job, 1, starved=True).emitted
+    if len(starved) > MAX_STARVED_JOBS:
+        plan.holder_state.plan_due = True
     return emitted
 
 
+def _place_job(
+    plan: job_placements.Plan,
+    job: progress.Job,
+    most: int,
+    *,
+    starved: bool,
+    migrations_due: bool = False,
+) -> job_placements.Placement:
+    """Places at most so many tasks of a job; sets it aside if that fails."""
+    placement = job_placements.Placement()
+    try:
+        if migrations_due:
+            placement.emitted += migrations.migrate_slow_tasks(
+                plan.state, plan.holder_state, job, plan.candidates, plan.now
+            )
+        job_placements.place_tasks(plan, job, placement, most, starved=starved)
+    except Exception as problem:
+        placement.emitted.append(_set_aside(job, problem))
+    return placement
+
+
 def _set_aside(job: progress.Job, problem: Exception) -> base_effects.Effect:
     """Excludes a job from all plans of this holder; returns the log line.
 
@@ -130,17 +195,3 @@
             view = holder_state.agents.get(task.instance)
             if view is not None and task.is_placed():
                 view.candidate = None
-
-
-def _is_starved(job: progress.Job, now: datetime.timedelta) -> bool:
-    """Tells whether a job has had no run for `job_placements.STARVATION_TIME`.
-
-    Starts `starved_since`, from which that time counts. A placement does not
-    end it, as the run may be refused; no more is placed while one is on its
-    way.
-    """
-    if job.has_placed_task():
-        return False
-    if job.starved_since is None:
-        job.starved_since = now
-    return now - job.starved_since >= job_placements.STARVATION_TIME
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -68,7 +68,7 @@
         holder_state.agents[report.instance] = view
         emitted.append(_log_agent(report, "joined"))
         holder_state.plan_due = True
-    emitted += _apply_report(state, holder_state, view, report, now)
+    emitted += _apply_report(state, holder_state, view, event, now)
     reply = directives.build_directives(
         state, holder_state, view, now, is_answer=True
     )
@@ -152,10 +152,12 @@
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
-    report: messages.Report,
+    event: events.ReportArrived,
     now: datetime.timedelta,
 ) -> EffectList:
     """Applies a report to the view of its agent."""
+    report = event.report
+    received_at = now if event.received_at is None else event.received_at
     crashes.note_loss(holder_state, view, report, now)
     emitted = _apply_worker_incarnation(holder_state, view, report)
     if _has_worker_changed(view.report, report):
@@ -175,7 +177,10 @@
     for row in sorted(report.ends, key=lambda row: row.number):
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
-            emitted += run_ends.handle_run_end(holder_state, view, row, now)
+            age = datetime.timedelta(milliseconds=row.age_ms)
+            emitted += run_ends.handle_run_end(
+                holder_state, view, row, now, received_at - age
+            )
     _queue_acknowledgement(holder_state, view)
     for refused in report.refused:
         emitted += _handle_refusal(holder_state, view, refused, now)
@@ -287,7 +292,11 @@
     )
     if pending or holder_state.in_flight is not None:
         batch = progress.NOT_STORED
-    pending.append(scheduler.Acknowledgement(view.last_handled_end, batch))
+    pending.append(
+        scheduler.Acknowledgement(
+            view.last_handled_end, batch, holder_state.latest_change
+        )
+    )
     holder_state.changed_instances.add(view.instance)
     if batch == progress.NOT_STORED and not holder_state.dirty:
         holder_state.force_batch = True
@@ -353,7 +362,6 @@
                 holder_state.run_waits.touched.add(placed.job.spec.job_id)
             placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
         crashes.clear_suspicion(holder_state, view, placed)
-        placed.job.starved_since = None
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
         estimates.measure_progress(placed.step, placed.task, row, now)
--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -28,8 +28,18 @@
     view: scheduler.AgentView,
     row: runs.EndRow,
     now: datetime.timedelta,
+    ended_at: datetime.timedelta | None = None,
 ) -> list[base_effects.Effect]:
-    """Applies the end of a run that the worker of an agent listed."""
+    """Applies the end of a run that the worker of an agent listed.
+
+    Args:
+        holder_state: State of the held queue.
+        view: The agent.
+        row: The end.
+        now: Current time.
+        ended_at: When the agent saw the end in the list of the worker; None
+            if that was just now.
+    """
     ref = row.ref.task
     placed = view.placed.get(ref)
     if placed is None or placed.task.run != row.ref.run:
@@ -38,7 +48,6 @@
                 view, row, _handle_former_run_end(holder_state, view, row, now)
             )
         ]
-    placed.job.starved_since = None
     if row.checkpoint:
         placed.task.checkpoint = row.checkpoint
     lifecycle.release_task(holder_state, ref, placed)
@@ -50,10 +59,9 @@
         _finish_task(holder_state, view, placed, now)
     elif row.end is runs.RunEnd.FAILED:
         _fail_task(holder_state, view, placed, row.ref.run, now)
-    ended_at = now - datetime.timedelta(milliseconds=row.age_ms)
     return [
         _log_end(view, row, f"job {placed.job.state.value}"),
-        *waits.begin_at_end(holder_state, placed.job, ended_at, now),
+        *waits.begin_at_end(holder_state, placed.job, ended_at or now, now),
     ]
 
 
--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -8,7 +8,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.decisions.jobs import lifecycle, wait_logs
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -22,22 +22,6 @@
 
 EffectList = list[base_effects.Effect]
 
-MAX_TIME_WITHOUT_RUN = datetime.timedelta(seconds=3)
-"""Longest time that a job may be without a run while workers have room."""
-
-LOGGED_WAIT = datetime.timedelta(seconds=1)
-"""Shortest wait that the log tells about."""
-
-MAX_LINES_PER_TICK = 20
-"""Most lines about waits between two ticks, so that a full fleet, in which all
-jobs wait, does not flood the log."""
-
-_PLACED_STAGES = (
-    waits.WaitStage.STORE,
-    waits.WaitStage.AGENT,
-    waits.WaitStage.START,
-)
-
 
 def update(
     holder_state: scheduler.HolderState, now: datetime.timedelta
@@ -142,13 +126,14 @@
     The one that was found last is looked at first: it runs on in most cases.
     """
     known = job.running_task
-    if known is not None and known.is_running():
+    has_gangs = any(spec.gang for spec in job.spec.steps)
+    if known is not None and known.is_running() and not has_gangs:
         return known
     job.running_task = next(
         (
             task
             for step in job.steps
-            if step.open
+            if step.open and not step.lacks_gang_member()
             for task in step.tasks
             if task.is_running()
         ),
@@ -180,8 +165,8 @@
 
 def _list_position(stage: waits.WaitStage) -> int:
     """Returns how far a stage is on the way to a run."""
-    if stage in _PLACED_STAGES:
-        return 1 + _PLACED_STAGES.index(stage)
+    if stage in waits.PLACED_STAGES:
+        return 1 + waits.PLACED_STAGES.index(stage)
     return 0
 
 
@@ -193,6 +178,8 @@
     """Returns the stage of a task that is ready or placed and does not run."""
     if not task.is_placed():
         return waits.WaitStage.PLAN if wait is None else wait.obstacle
+    if task.migrating:
+        return waits.WaitStage.STOP
     if task.batch > holder_state.stored_batch:
         return waits.WaitStage.STORE
     if not task.reported:
@@ -257,62 +244,6 @@
     emitted: EffectList = [
         effects.MeasureWait(longest, wait.measure(started_at))
     ]
-    if wait.measure(started_at) >= LOGGED_WAIT:
-        emitted += _log(holder_state, wait, "ended", started_at)
+    if wait.measure(started_at) >= wait_logs.LOGGED_WAIT:
+        emitted += wait_logs.log_wait(holder_state, wait, "ended", started_at)
     return emitted
-
-
-def sample(
-    holder_state: scheduler.HolderState, now: datetime.timedelta
-) -> EffectList:
-    """Returns metrics of the present waits, and log lines of the long ones.
-
-    Each wait is logged once it is long and once it exceeds the limit, the
-    longest waits first. Lines beyond the limit of this tick follow later.
-    """
-    emitted = update(holder_state, now)
-    run_waits = holder_state.run_waits
-    run_waits.lines_left = MAX_LINES_PER_TICK
-    present = run_waits.list_all()
-    longest = max((wait.measure(now) for wait in present), default=waits.ZERO)
-    emitted.append(effects.SampleWaits(longest, len(present)))
-    for wait in sorted(present, key=lambda wait: wait.since):
-        waited = wait.measure(now)
-        if waited < LOGGED_WAIT or not run_waits.lines_left:
-            break
-        if waited >= MAX_TIME_WITHOUT_RUN and not wait.is_overdue_logged:
-            wait.is_logged = wait.is_overdue_logged = True
-            emitted += _log(holder_state, wait, "overdue", now)
-        elif not wait.is_logged:
-            wait.is_logged = True
-            emitted += _log(holder_state, wait, "no run", now)
-    return emitted
-
-
-def _log(
-    holder_state: scheduler.HolderState,
-    wait: waits.RunWait,
-    outcome: str,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Returns the log line of a wait, unless there were too many."""
-    run_waits = holder_state.run_waits
-    if not run_waits.lines_left:
-        run_waits.lines_dropped += 1
-        return []
-    run_waits.lines_left -= 1
-    inputs = [
-        ("waited_ms", str(lifecycle.to_ms(wait.measure(now)))),
-        ("stage", wait.stage.value),
-        *(
-            (f"{stage.name.lower()}_ms", str(lifecycle.to_ms(time)))
-            for stage, time in wait.list_spent(now).items()
-            if time
-        ),
-    ]
-    if wait.task is not None:
-        inputs.insert(0, ("task", str(wait.task)))
-    if run_waits.lines_dropped:
-        inputs.append(("left_out", str(run_waits.lines_dropped)))
-        run_waits.lines_dropped = 0
-    return [effects.Log("wait", wait.job_id, outcome, tuple(inputs))]
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -187,10 +187,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportArrived:
-    """An agent sent a report and waits for directives."""
+    """An agent sent a report and waits for directives.
+
+    Attributes:
+        ticket: Names the call of the agent.
+        report: The report.
+        received_at: When it reached the process, which may have been busy
+            since; None if that is not known.
+    """
 
     ticket: ids.TicketId
     report: messages.Report
+    received_at: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -119,9 +119,15 @@
     def is_running(self) -> bool:
         """Tells whether the worker has confirmed the run, by the last report.
 
-        An agent also lists runs that it has not started yet, without an age.
+        An agent also lists runs that it has not started yet, without an age. A
+        run that is stopped for a migration does not count.
         """
-        return self.is_placed() and self.reported and self.age is not None
+        return (
+            self.is_placed()
+            and self.reported
+            and self.age is not None
+            and self.migration_target is None
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -211,8 +217,6 @@
         outlook: Latest estimates; None before the first.
         gives_way: Whether its best-effort tasks gave way to those of other
             jobs when the latest plan was made.
-        starved_since: Since when a plan has found no task of the job placed;
-            None once a run was reported or has ended.
         set_aside: Whether a plan failed for this job; its tasks are no longer
             placed.
         running_task: A task that was running when it was last looked for one.
@@ -229,7 +233,6 @@
     ended_at: datetime.timedelta = ZERO
     outlook: Outlook | None = None
     gives_way: bool = False
-    starved_since: datetime.timedelta | None = None
     set_aside: bool = False
     running_task: Task | None = None
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -86,10 +86,18 @@
 
 @dataclasses.dataclass(slots=True)
 class Acknowledgement:
-    """Acknowledges ends of runs up to `number` once `batch` is stored."""
+    """Acknowledges ends of runs up to `number` once `batch` is stored.
+
+    Attributes:
+        number: Highest number of the ends.
+        batch: The batch; `progress.NOT_STORED` until it is built.
+        change: Number of the latest change when the ends were applied. Every
+            change up to it has to be stored first.
+    """
 
     number: runs.EndNumber
     batch: int
+    change: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -251,7 +259,9 @@
         renewed_at: When the latest stored batch was first sent.
         term_started_at: When the term started.
         jobs: All jobs whose progress has not been deleted.
-        dirty: Jobs whose progress changed since the last batch.
+        dirty: Jobs whose progress changed since it was last in a batch, the
+            oldest change first, with the number of that change.
+        latest_change: Number of the latest change of a job.
         deleting_submissions: Jobs whose submissions are being deleted.
         deletable_progress: Jobs whose progress the next batches delete.
         agents: Agents by instance.
@@ -293,7 +303,8 @@
     jobs: dict[specs.JobId, progress.Job] = dataclasses.field(
         default_factory=dict
     )
-    dirty: set[specs.JobId] = dataclasses.field(default_factory=set)
+    dirty: dict[specs.JobId, int] = dataclasses.field(default_factory=dict)
+    latest_change: int = 0
     deleting_submissions: set[specs.JobId] = dataclasses.field(
         default_factory=set
     )
--- a/src/gypsumhold/model/jobs/waits.py
+++ b/src/gypsumhold/model/jobs/waits.py
@@ -15,6 +15,9 @@
     REPORT = "report"
     """The agent has to report the end of the latest run."""
 
+    STOP = "stop"
+    """The latest run has to stop, so that its task can go on elsewhere."""
+
     PLAN = "plan"
     """A plan has to look at the ready tasks."""
 
@@ -49,6 +52,10 @@
     """The agent has to start the run, and the worker to confirm it."""
 
 
+PLACED_STAGES = (WaitStage.STORE, WaitStage.AGENT, WaitStage.START)
+"""The stages of a placed task, in their order."""
+
+
 @dataclasses.dataclass(slots=True)
 class RunWait:
     """Time without a run although a task is ready or placed.
@@ -63,6 +70,8 @@
         obstacle: What kept the latest plan from placing a task; `PLAN` if none
             has looked at the job since the wait began.
         spent: Time spent in earlier stages.
+        placed_at: When a task was last placed during the wait; None if none
+            was.
         is_logged: Whether a line of the log tells about the wait.
         is_overdue_logged: Whether a line tells that it exceeds the limit.
     """
@@ -76,6 +85,7 @@
     spent: dict[WaitStage, datetime.timedelta] = dataclasses.field(
         default_factory=dict
     )
+    placed_at: datetime.timedelta | None = None
     is_logged: bool = False
     is_overdue_logged: bool = False
 
@@ -112,6 +122,7 @@
         jobs: Waits of jobs of which nothing runs.
         tasks: Waits of long-running tasks.
         touched: Jobs whose tasks have changed since their waits were updated.
+        batch_time: Recent time from sending a batch until it was stored.
         lines_left: Lines that may still be logged before the next tick.
         lines_dropped: Lines that were left out since the latest one.
     """
@@ -119,6 +130,7 @@
     jobs: dict[specs.JobId, RunWait] = dataclasses.field(default_factory=dict)
     tasks: dict[runs.TaskRef, RunWait] = dataclasses.field(default_factory=dict)
     touched: set[specs.JobId] = dataclasses.field(default_factory=set)
+    batch_time: datetime.timedelta = ZERO
     lines_left: int = 0
     lines_dropped: int = 0
 
--- a/tests/jobs/test_held_starts.py
+++ b/tests/jobs/test_held_starts.py
@@ -6,12 +6,48 @@
     effects,
     events,
     executor,
+    messages,
     runs,
     specs,
 )
-from tests.jobs import lone_agent
+from tests.jobs import job_specs, lone_agent
+from tests.jobs import world as worlds
 
 AGENT = "agent-0"
+STOP_MS = 5000.0
+"""Time that a stop takes; longer than a job may be without a run."""
+
+
+def list_running_jobs(world: worlds.World) -> set[str]:
+    worker = world.workers[AGENT]
+    worker.advance(world.now_ms)
+    return {ref.job_id for ref in worker.running}
+
+
+def test_run_that_is_being_stopped_does_not_hold_up_others() -> None:
+    """Guards against a restarted agent that starts nothing for seconds.
+
+    It finds a run of a cancelled job, which takes long to stop. Without the
+    command of that run the agent does not know what capacity is left.
+    """
+    world = worlds.World(3, agents=1)
+    worker = world.workers[AGENT]
+    worker.stop_ms = STOP_MS
+    world.run(3000)
+    step = specs.StepSpec(1, 1000, 100, estimate_ms=60_000, long_running=True)
+    world.submit("entry-0", job_specs.build_job_of("old", (step,)))
+    world.run(1000)
+    assert list_running_jobs(world) == {"old"}
+    world.send_query("entry-0", messages.QueryKind.CANCEL, specs.JobId("old"))
+    world.run(200)
+    for name in world.nodes:
+        world.kill(name, 300)
+    # The next holder knows that the job has ended, but not where it ran.
+    world.run(2200)
+    assert list_running_jobs(world) == {"old"}
+    world.submit("entry-0", job_specs.build_job("new", (1,)))
+    world.run(1000)
+    assert list_running_jobs(world) == {"old", "new"}
 
 
 def test_held_start_is_logged_with_its_reason() -> None:
--- a/tests/jobs/test_waits.py
+++ b/tests/jobs/test_waits.py
@@ -12,7 +12,7 @@
 from gypsumhold.adapters import clock as clocks
 from gypsumhold.adapters import engine
 from gypsumhold.adapters.jobs import metrics
-from gypsumhold.decisions.jobs import waits as wait_decisions
+from gypsumhold.decisions.jobs import wait_logs
 from gypsumhold.model import events as base_events
 from gypsumhold.model import timers
 from gypsumhold.model.jobs import effects, specs, waits
@@ -138,7 +138,7 @@
     at_ms = [
         at_ms for at_ms, _, line in world.log_lines if line.decision == "wait"
     ]
-    assert max(map(at_ms.count, at_ms)) == wait_decisions.MAX_LINES_PER_TICK
+    assert max(map(at_ms.count, at_ms)) == wait_logs.MAX_LINES_PER_TICK
     assert len(at_ms) == len(set(list_named_jobs(world))) == 100
 
 
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -480,7 +480,8 @@
             (lambda _: reply(None)) if lost else reply
         )
         self.after(1300, give_up)
-        self.deliver(target, events.ReportArrived(ticket, effect.report))
+        arrived = events.ReportArrived(ticket, effect.report, self.read_clock())
+        self.deliver(target, arrived)
 
     def _call_process(
         self, target: nodes.Node, effect: Any
