Keep the record of a job that was left out as it is stored

Cause: a job was in the holder's state before its record was applied.

Change: a job is registered once its record is applied as a whole; records that do not fit the submission raise. Ends of runs of such jobs stay listed by their workers for a later holder, up to 32 a report.

--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -20,6 +20,7 @@
     events,
     runs,
     scheduler,
+    specs,
     storage,
 )
 
@@ -60,9 +61,10 @@
         holder_state.load_failed = True
         return [effects.LoadJobs(holder_state.term, LOAD_RETRY_DELAY)]
     holder_state.wall_offset_ms = event.wall_ms - lifecycle.to_ms(now)
+    holder_state.left_out_jobs.update(event.loaded.unreadable)
     emitted: EffectList = []
     for rows in event.loaded.jobs:
-        emitted += _add_stored_job(holder_state, rows, now)
+        emitted += add_stored_job(holder_state, rows, now)
     # During a term, jobs are added and placed while the rows are being read, so
     # progress without a submission in the reply may belong to a new job.
     holder_state.deletable_progress.update(
@@ -87,7 +89,7 @@
     ]
 
 
-def _add_stored_job(
+def add_stored_job(
     holder_state: scheduler.HolderState,
     rows: storage.JobRows,
     now: datetime.timedelta,
@@ -97,6 +99,7 @@
     One faulty row must not keep the other jobs from being read.
     """
     spec = rows.spec
+    job_id = specs.JobId("") if spec is None else spec.job_id
     try:
         lifecycle.add_job(holder_state, rows, now)
         if rows.cancelled and spec is not None:
@@ -104,9 +107,10 @@
                 holder_state, holder_state.jobs[spec.job_id], now
             )
     except Exception as problem:
-        job_id = "" if spec is None else spec.job_id
+        holder_state.left_out_jobs.add(job_id)
         inputs = (("problem", repr(problem)),)
         return [effects.Log("job-left-out", job_id, "delete its row", inputs)]
+    holder_state.left_out_jobs.discard(job_id)
     return []
 
 
@@ -134,7 +138,7 @@
     holder_state.wall_offset_ms = event.wall_ms - lifecycle.to_ms(now)
     emitted: EffectList = []
     for spec in changes.submitted:
-        emitted += _add_stored_job(holder_state, storage.JobRows(spec), now)
+        emitted += add_stored_job(holder_state, storage.JobRows(spec), now)
     for job_id in changes.cancelled:
         job = holder_state.jobs.get(job_id)
         if job is not None:
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -33,6 +33,10 @@
     Returns:
         The new job, or None if `rows` has no submission or the job is already
         in memory.
+
+    Raises:
+        ValueError: The progress does not fit the submission. The state of the
+            holder is unchanged.
     """
     spec = rows.spec
     if spec is None:
@@ -42,17 +46,18 @@
     )
     if spec.job_id in holder_state.jobs and not replaces_ended_job:
         return None
+    # The job is registered once it is complete: of a record that cannot be
+    # applied, no part is left that could be stored in place of the record.
     job = progress.Job(spec, now - _compute_age(holder_state, spec, now))
-    holder_state.jobs[spec.job_id] = job
+    if rows.progress is not None:
+        _restore_progress(job, rows.progress, now)
+    if job.is_open():
+        open_repetitions(holder_state, job, now)
+    _register_job(holder_state, job)
     if replaces_ended_job:
         # The progress of the ended job may still be stored.
         holder_state.deletable_progress.discard(spec.job_id)
         mark_dirty(holder_state, job)
-    if rows.progress is not None:
-        _restore_progress(holder_state, job, rows.progress, now)
-    if job.is_open():
-        holder_state.open_jobs[spec.job_id] = job
-        open_repetitions(holder_state, job, now)
     if rows.cancelled:
         cancel_job(holder_state, job, now)
     holder_state.run_waits.touched.add(spec.job_id)
@@ -60,6 +65,26 @@
     return job
 
 
+def _register_job(
+    holder_state: scheduler.HolderState, job: progress.Job
+) -> None:
+    """Adds a job to the holder's state.
+
+    Its placed tasks become orphans of their instances until these report.
+    """
+    job_id = job.spec.job_id
+    holder_state.jobs[job_id] = job
+    if not job.is_open():
+        return
+    holder_state.open_jobs[job_id] = job
+    for step in job.steps:
+        for index, task in enumerate(step.tasks):
+            if task.is_placed():
+                ref = build_task_ref(job, step, index)
+                orphans = holder_state.orphans.setdefault(task.instance, {})
+                orphans[ref] = scheduler.PlacedTask(job, step, task)
+
+
 def _is_being_deleted(
     holder_state: scheduler.HolderState, job_id: specs.JobId
 ) -> bool:
@@ -99,25 +124,16 @@
 
 
 def _restore_progress(
-    holder_state: scheduler.HolderState,
-    job: progress.Job,
-    record: records.ProgressRecord,
-    now: datetime.timedelta,
+    job: progress.Job, record: records.ProgressRecord, now: datetime.timedelta
 ) -> None:
-    """Applies a stored progress record to a new job.
-
-    Placed tasks become orphans of their instance until it reports.
-    """
+    """Applies a stored progress record to a new job."""
     job.state = job.stored_state = record.state
     if not job.is_open():
         job.ended_at = now
         return
     _restore_done_repetitions(job, record.done_repetitions)
     for step_record in record.steps:
-        while job.next_repetition <= step_record.repetition:
-            _open_repetition(job)
-        number = step_record.repetition * len(job.spec.steps) + step_record.step
-        step = job.steps[number]
+        step = _open_recorded_step(job, step_record)
         if not step_record.tasks:
             _restore_done_step(step)
         for index, saved in enumerate(step_record.tasks):
@@ -136,13 +152,33 @@
             task.batch = 0
             task.placed_at = task.progressed_at = now
             task.worker_reported_at = now
-            if task.is_placed():
-                ref = build_task_ref(job, step, index)
-                orphans = holder_state.orphans.setdefault(task.instance, {})
-                orphans[ref] = scheduler.PlacedTask(job, step, task)
     open_steps(job)
 
 
+def _open_recorded_step(
+    job: progress.Job, step_record: records.StepRecord
+) -> progress.Step:
+    """Returns the step that a record describes; opens its repetition.
+
+    Raises:
+        ValueError: The job has no such step, or not with so many tasks.
+    """
+    repetition, number = step_record.repetition, step_record.step
+    step_specs = job.spec.steps
+    is_known = 0 <= repetition < max(1, job.spec.repetitions)
+    if not is_known or not 0 <= number < len(step_specs):
+        raise ValueError(f"the job has no step {repetition}.{number}")
+    count = step_specs[number].count
+    if len(step_record.tasks) not in (0, count):
+        raise ValueError(
+            f"step {repetition}.{number} has {count} tasks,"
+            f" its record has {len(step_record.tasks)}"
+        )
+    while job.next_repetition <= repetition:
+        _open_repetition(job)
+    return job.steps[repetition * len(step_specs) + number]
+
+
 def _restore_done_repetitions(job: progress.Job, repetitions: int) -> None:
     """Opens the first repetitions of a job, whose tasks are all done."""
     while job.next_repetition < min(repetitions, job.spec.repetitions):
--- a/src/gypsumhold/decisions/jobs/queries.py
+++ b/src/gypsumhold/decisions/jobs/queries.py
@@ -2,7 +2,12 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, store_health, submissions
+from gypsumhold.decisions.jobs import (
+    holders,
+    lifecycle,
+    store_health,
+    submissions,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -90,12 +95,16 @@
         )
         return _answer(event.ticket, messages.Verdict.WAITING, waiting=waiting)
     if query.kind is messages.QueryKind.ACCEPTED:
-        lifecycle.add_job(holder_state, storage.JobRows(query.spec), now)
+        emitted: EffectList = []
+        if query.job_id not in holder_state.left_out_jobs:
+            # Progress that cannot be read would be lost if the job began anew.
+            rows = storage.JobRows(query.spec)
+            emitted += holders.add_stored_job(holder_state, rows, now)
         verdict = messages.Verdict.ACCEPTED
         if store_health.is_store_unreachable(state, now):
             # The entry that notifies this one has just reached the store.
             verdict = messages.Verdict.UNAVAILABLE
-        return _answer(event.ticket, verdict)
+        return [*emitted, *_answer(event.ticket, verdict)]
     job = holder_state.jobs.get(query.job_id)
     if job is None:
         # Another entry may have just accepted the job.
@@ -173,15 +182,17 @@
         return _answer(event.ticket, messages.Verdict.UNAVAILABLE)
     if rows.spec is None:
         return _answer(event.ticket, messages.Verdict.NO_SUCH_JOB)
+    emitted: EffectList = []
     if state.holder_state is not None and state.role is scheduler.Role.HOLDER:
-        lifecycle.add_job(state.holder_state, rows, now)
+        emitted += holders.add_stored_job(state.holder_state, rows, now)
     if ticket.query.kind is messages.QueryKind.STATE:
-        return _answer(
-            event.ticket, messages.Verdict.STATE, _get_visible_state(rows)
-        )
+        visible_state = _get_visible_state(rows)
+        answer = _answer(event.ticket, messages.Verdict.STATE, visible_state)
+        return [*emitted, *answer]
     state.tickets[event.ticket] = ticket
     ticket.attempts = 0
-    return [effects.WriteCancel(event.ticket, ticket.query.job_id)]
+    write = effects.WriteCancel(event.ticket, ticket.query.job_id)
+    return [*emitted, write]
 
 
 def _get_visible_state(rows: storage.JobRows) -> messages.JobState:
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -32,6 +32,10 @@
 one."""
 
 
+MAX_HELD_ENDS = 32
+"""Ends in a report up to which those of jobs that were left out are kept. The
+worker lists a few hundred at a time, and the agent reports all of them."""
+
 _UNDECIDED_ROLES = (scheduler.Role.TAKING, scheduler.Role.LOADING)
 
 
@@ -285,7 +289,8 @@
     """
     pending = view.acknowledgements
     latest_number = pending[-1].number if pending else view.acknowledged
-    if view.last_handled_end <= latest_number:
+    number = _find_last_applied_end(holder_state, view)
+    if number <= latest_number:
         return
     batch = (
         progress.NOT_STORED if holder_state.dirty else holder_state.stored_batch
@@ -293,15 +298,32 @@
     if pending or holder_state.in_flight is not None:
         batch = progress.NOT_STORED
     pending.append(
-        scheduler.Acknowledgement(
-            view.last_handled_end, batch, holder_state.latest_change
-        )
+        scheduler.Acknowledgement(number, batch, holder_state.latest_change)
     )
     holder_state.changed_instances.add(view.instance)
     if batch == progress.NOT_STORED and not holder_state.dirty:
         holder_state.force_batch = True
 
 
+def _find_last_applied_end(
+    holder_state: scheduler.HolderState, view: scheduler.AgentView
+) -> runs.EndNumber:
+    """Returns the number up to which the handled ends may be acknowledged.
+
+    The end of a run whose job was left out has no effect yet. The worker keeps
+    it for a holder that can apply the job's record, as long as it lists few.
+    """
+    ends = view.report.ends
+    if not holder_state.left_out_jobs or len(ends) > MAX_HELD_ENDS:
+        return view.last_handled_end
+    held = [
+        row.number
+        for row in ends
+        if row.ref.task.job_id in holder_state.left_out_jobs
+    ]
+    return runs.EndNumber(min([view.last_handled_end + 1, *held]) - 1)
+
+
 def _handle_refusal(
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
--- a/src/gypsumhold/decisions/jobs/submissions.py
+++ b/src/gypsumhold/decisions/jobs/submissions.py
@@ -7,7 +7,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, store_health
+from gypsumhold.decisions.jobs import holders, store_health
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -236,7 +236,8 @@
         # differ from this one.
         return emitted
     if state.role is scheduler.Role.HOLDER and state.holder_state is not None:
-        lifecycle.add_job(state.holder_state, storage.JobRows(spec), now)
+        rows = storage.JobRows(spec)
+        emitted += holders.add_stored_job(state.holder_state, rows, now)
     elif (address := state.find_holder_address()) is not None:
         query = messages.Query(
             messages.QueryKind.ACCEPTED, spec.job_id, spec=spec
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -259,6 +259,7 @@
         renewed_at: When the latest stored batch was first sent.
         term_started_at: When the term started.
         jobs: All jobs whose progress has not been deleted.
+        left_out_jobs: Jobs with a row that could not be read or applied.
         dirty: Jobs whose progress changed since it was last in a batch, the
             oldest change first, with the number of that change.
         latest_change: Number of the latest change of a job.
@@ -303,6 +304,7 @@
     jobs: dict[specs.JobId, progress.Job] = dataclasses.field(
         default_factory=dict
     )
+    left_out_jobs: set[specs.JobId] = dataclasses.field(default_factory=set)
     dirty: dict[specs.JobId, int] = dataclasses.field(default_factory=dict)
     latest_change: int = 0
     deleting_submissions: set[specs.JobId] = dataclasses.field(
--- a/src/gypsumhold/model/jobs/storage.py
+++ b/src/gypsumhold/model/jobs/storage.py
@@ -68,11 +68,13 @@
         version: Version from which reads of changes continue.
         leftover_progress: Jobs whose submission is deleted while their progress
             is left.
+        unreadable: Jobs with a row that cannot be read; not among `jobs`.
     """
 
     jobs: tuple[JobRows, ...]
     version: ids.RowVersion
     leftover_progress: tuple[specs.JobId, ...] = ()
+    unreadable: tuple[specs.JobId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -195,6 +195,7 @@
             tuple(joined.values()),
             ids.RowVersion(min(versions)),
             leftover_progress,
+            tuple(sorted(submitted - joined.keys())),
         )
 
     def _read_part(self, number: int) -> documents.Rows | None:
@@ -340,9 +341,9 @@
     return not row.deleted and not row.key.endswith(CANCEL_SUFFIX)
 
 
-def _list_submitted(rows: tuple[documents.Row, ...]) -> set[str]:
+def _list_submitted(rows: tuple[documents.Row, ...]) -> set[specs.JobId]:
     """Returns the ids of all submitted jobs, also of unreadable ones."""
-    return {row.key for row in rows if _is_submission(row)}
+    return {specs.JobId(row.key) for row in rows if _is_submission(row)}
 
 
 def find_part(job_id: specs.JobId) -> str:
--- a/tests/jobs/test_odd_entries.py
+++ b/tests/jobs/test_odd_entries.py
@@ -227,6 +227,7 @@
         loaded = store.load_jobs()
         assert loaded is not None
         assert list_ids(loaded.jobs) == GOOD_JOBS
+        assert loaded.unreadable == (ODD_JOB,)
         assert loaded.leftover_progress == ()
         assert store.read_job(specs.JobId(ODD_JOB)) is None
 
