Let an agent report the runs that were lost with its worker until it is stored

Cause: an agent dropped all it knew of a run with the incarnation of its worker.

Change: agents keep the runs that were at most a second old and report them (`losses`) until the holder has stored the crash. A worker with a suspect that is not cleared is not quiet.

--- a/src/gypsumhold/decisions/jobs/crashes.py
+++ b/src/gypsumhold/decisions/jobs/crashes.py
@@ -9,21 +9,23 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, probations, verdicts
+from gypsumhold.decisions.jobs import (
+    lifecycle,
+    losses,
+    lost_workers,
+    probations,
+    verdicts,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import effects, messages, runs, scheduler
 
 EffectList = list[base_effects.Effect]
-LostRuns = dict[runs.TaskRef, scheduler.LostRun]
+LostRuns = lost_workers.LostRuns
 Evidence = runs.CrashEvidence
 
 NO_TIME = datetime.timedelta(0)
 
-FRESH_TIME = datetime.timedelta(seconds=1)
-"""Age up to which a run may have caused the crash of its worker. It counts up
-to the worker's latest answer, and polls wait for one second."""
-
 QUICK_CRASH_TIME = datetime.timedelta(milliseconds=200)
 """Age of a run up to which the crash of its worker is hardly a coincidence."""
 
@@ -68,40 +70,48 @@
     # after a crash, the lease has to run out first.
     announced = is_draining or (report.runs_ended and not is_new)
     at = view.last_report_at if is_new else now
-    silent_after = None
-    if report.silent_after_ms != messages.UNKNOWN_SILENCE:
-        silent_after = datetime.timedelta(milliseconds=report.silent_after_ms)
     view.loss = runs.WorkerLoss(
         former,
         at,
         announced,
         probations.has_pending(view, at),
-        silent_after,
+        _read_silence(report, former),
     )
 
 
-def remember_runs(
+def _read_silence(
+    report: messages.Report, incarnation: runs.WorkerIncarnation
+) -> datetime.timedelta | None:
+    """Returns how long after its latest answer a worker was found silent."""
+    silent_after_ms = report.silent_after_ms
+    for loss in report.losses:
+        if loss.incarnation == incarnation:
+            silent_after_ms = loss.silent_after_ms
+    if silent_after_ms == messages.UNKNOWN_SILENCE:
+        return None
+    return datetime.timedelta(milliseconds=silent_after_ms)
+
+
+def judge_crashes(
+    state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
-    instance: ids.InstanceId,
-    tasks: dict[runs.TaskRef, scheduler.PlacedTask],
-) -> None:
-    """Keeps runs that are about to be released without an end."""
-    lost_runs = holder_state.lost_runs.setdefault(instance, {})
-    for ref, placed in tasks.items():
-        task = placed.task
-        lost_runs[ref] = scheduler.LostRun(
-            placed,
-            task.run,
-            task.worker_incarnation,
-            task.age,
-            task.batch <= holder_state.stored_batch,
-        )
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Judges the crashes of former worker incarnations that became known."""
+    if view.report.worker is None:
+        return []
+    emitted: EffectList = []
+    for lost_worker in lost_workers.take(holder_state, view):
+        emitted += _judge_crash(state, holder_state, view, lost_worker, now)
+    return emitted
 
 
-def judge_crash(
+def _judge_crash(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
+    lost_worker: lost_workers.LostWorker,
     now: datetime.timedelta,
 ) -> EffectList:
     """Suspects the runs that a worker had just started when it crashed.
@@ -109,11 +119,14 @@
     A task is given up, and its job fails, once the policy finds that no other
     cause is left.
     """
-    lost_runs = _take_lost_runs(holder_state, view)
+    lost_runs = lost_worker.lost_runs
     loss = view.loss
-    if not lost_runs or (loss is not None and loss.announced):
+    if loss is not None and loss.incarnation != lost_worker.incarnation:
+        # This holder has not seen the loss, only what the agent kept of it.
+        loss = None
+    if loss is not None and loss.announced:
         return []
-    others = _list_other_losses(state, holder_state, view, now)
+    others = _list_other_losses(state, holder_state, view, loss, now)
     is_outage = loss is None or _is_outage(holder_state, others)
     suspects = _list_suspects(lost_runs, loss, is_outage=is_outage)
     outcome = "outage" if is_outage else "suspected"
@@ -147,31 +160,12 @@
 ) -> None:
     """Forgets the crashes of a task that runs on without another one."""
     task = placed.task
-    is_old = task.age is not None and task.age > FRESH_TIME
+    is_old = task.age is not None and task.age > losses.FRESH_TIME
     if task.crashes and is_old and view.report.answering:
         task.crashes = ()
         lifecycle.mark_dirty(holder_state, placed.job)
 
 
-def _take_lost_runs(
-    holder_state: scheduler.HolderState, view: scheduler.AgentView
-) -> LostRuns:
-    """Returns the lost runs of former worker incarnations; forgets them."""
-    worker = view.report.worker
-    kept = holder_state.lost_runs.get(view.instance)
-    if not kept or worker is None:
-        return {}
-    taken = {
-        ref: lost_run
-        for ref, lost_run in kept.items()
-        if lost_run.worker_incarnation.started_ms
-        < worker.incarnation.started_ms
-    }
-    for ref in taken:
-        del kept[ref]
-    return taken
-
-
 def _list_suspects(
     lost_runs: LostRuns,
     loss: runs.WorkerLoss | None,
@@ -201,25 +195,28 @@
     """Tells whether a run had just started when its worker was lost."""
     if lost_run.age is None:
         return lost_run.is_stored
-    return lost_run.age - (loss.silent_after or NO_TIME) <= FRESH_TIME
+    return lost_run.age - (loss.silent_after or NO_TIME) <= losses.FRESH_TIME
 
 
 def _list_other_losses(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
+    loss: runs.WorkerLoss | None,
     now: datetime.timedelta,
 ) -> list[scheduler.AgentView]:
     """Returns the agents that lost their worker at about the same moment."""
-    if view.loss is None:
+    if loss is None:
         return []
     lost = []
     for other in holder_state.agents.values():
-        loss = other.loss
-        at = None if loss is None or loss.announced else loss.at
+        other_loss = other.loss
+        at = None
+        if other_loss is not None and not other_loss.announced:
+            at = other_loss.at
         if now >= other.last_report_at + state.options.report_timeout:
             at = other.last_report_at
-        is_near = at is not None and abs(at - view.loss.at) <= OUTAGE_WINDOW
+        is_near = at is not None and abs(at - loss.at) <= OUTAGE_WINDOW
         if is_near and other is not view:
             lost.append(other)
     return lost
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, starvation
+from gypsumhold.decisions.jobs import lifecycle, lost_workers, starvation
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -77,6 +77,7 @@
         _list_interference(holder_state, view),
         _list_deferred(view, now) if is_answer else None,
         _list_withdrawn(view),
+        lost_workers.list_stored(holder_state, view),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -8,9 +8,9 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
-    crashes,
     interference,
     lifecycle,
+    lost_workers,
     wait_logs,
 )
 from gypsumhold.model import effects as base_effects
@@ -253,7 +253,7 @@
             ("tasks", ",".join(map(str, list(tasks)[:MAX_LISTED_TASKS]))),
         ),
     )
-    crashes.remember_runs(holder_state, instance, tasks)
+    lost_workers.remember(holder_state, instance, tasks)
     for ref, placed in list(tasks.items()):
         lifecycle.release_task(holder_state, ref, placed)
     tasks.clear()
--- a/src/gypsumhold/decisions/jobs/probations.py
+++ b/src/gypsumhold/decisions/jobs/probations.py
@@ -25,15 +25,31 @@
     candidate: policies.Candidate,
     now: datetime.timedelta,
 ) -> None:
-    """Updates what a candidate says about starts and probations."""
+    """Updates what a candidate says about starts and probations.
+
+    A worker is not quiet while it runs a suspect that is not cleared: a crash
+    would count against both.
+    """
     view.probations = [
         probation
         for probation in view.probations
-        if _is_pending(view, probation, now)
+        if _is_uncleared(view, probation)
     ]
-    candidate.on_probation = bool(view.probations)
+    candidate.on_probation = has_pending(view, now)
     candidate.reserved = now < view.reserved_until
-    candidate.quiet = now >= view.latest_start_at + PROBATION_TIME
+    is_settled = now >= view.latest_start_at + PROBATION_TIME
+    candidate.quiet = is_settled and not view.probations
+
+
+def _is_uncleared(
+    view: scheduler.AgentView, probation: scheduler.ProbationRun
+) -> bool:
+    """Tells whether a run goes on and its task is still a suspect."""
+    placed = probation.placed
+    task = placed.task
+    is_current = task.is_placed() and task.run == probation.run
+    is_here = is_current and task.instance == view.instance
+    return is_here and placed.step.is_suspect(task)
 
 
 def _is_pending(
@@ -42,11 +58,10 @@
     now: datetime.timedelta,
 ) -> bool:
     """Tells whether a run has not yet passed its probation."""
-    task = probation.placed.task
-    is_current = task.is_placed() and task.run == probation.run
-    if not is_current or task.instance != view.instance:
+    if not _is_uncleared(view, probation):
         return False
-    return task.listed_at is None or now < task.listed_at + PROBATION_TIME
+    listed_at = probation.placed.task.listed_at
+    return listed_at is None or now < listed_at + PROBATION_TIME
 
 
 def has_pending(view: scheduler.AgentView, now: datetime.timedelta) -> bool:
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from gypsumhold.decisions.jobs import commands
+from gypsumhold.decisions.jobs import commands, losses
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import effects, executor, messages, runs
@@ -81,6 +81,7 @@
         grant = datetime.timedelta(milliseconds=directives.grant_ms)
         state.grant_end = max(state.grant_end, answered.sent_at + grant)
     _acknowledge(state, directives.acknowledged)
+    losses.forget_stored(state, directives.stored_losses)
     if answered is not None:
         emitted += _drop_revoked_starts(state, directives, answered)
     if directives.sequence <= state.sequence:
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -8,6 +8,7 @@
     commands,
     leases,
     lifecycle,
+    losses,
     received_directives,
     worker_polls,
 )
@@ -26,7 +27,6 @@
 
 REPORT_TIMER = timers.Timer(timers.TimerKind.REPORT)
 ENTRIES_RETRY_DELAY = datetime.timedelta(milliseconds=500)
-NO_DELAY = datetime.timedelta(0)
 
 
 def start(state: executor.ExecutorState, now: datetime.timedelta) -> EffectList:
@@ -139,7 +139,8 @@
         state.worker if state.polled else None,
         state.term,
         tuple(
-            _build_row(state, local_run) for local_run in state.active.values()
+            losses.build_row(state, local_run)
+            for local_run in state.active.values()
         ),
         tuple(
             local_run.ref
@@ -163,6 +164,7 @@
         messages.UNKNOWN_SILENCE
         if state.silent_after is None
         else lifecycle.to_ms(state.silent_after),
+        tuple(state.losses) if state.polled else (),
     )
 
 
@@ -176,28 +178,6 @@
     return msgspec.structs.replace(state.ends[number], age_ms=age_ms)
 
 
-def _build_row(
-    state: executor.ExecutorState, local_run: executor.LocalRun
-) -> runs.RunRow:
-    """Returns the listing of a run with its age.
-
-    A run that a former process started counts from the start of the clock.
-    """
-    row = local_run.row or runs.RunRow(local_run.ref)
-    is_running = local_run.state is executor.LocalState.RUNNING
-    if not is_running or state.clock is None:
-        return row
-    until = state.clock.received_at + (state.silent_after or NO_DELAY)
-    age = max(until - local_run.confirmed_at, NO_DELAY)
-    return runs.RunRow(
-        row.ref,
-        row.checkpoint,
-        row.progress_percent,
-        row.usage,
-        lifecycle.to_ms(age),
-    )
-
-
 def handle_report_answer(
     state: executor.ExecutorState,
     event: events.ReportAnswered,
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -177,7 +177,7 @@
     _adopt_orphans(holder_state, view)
     emitted += _release_ended_runs(holder_state, view)
     _record_worker_report(view, now)
-    emitted += crashes.judge_crash(state, holder_state, view, now)
+    emitted += crashes.judge_crashes(state, holder_state, view, now)
     for row in sorted(report.ends, key=lambda row: row.number):
         if row.number > view.last_handled_end:
             view.last_handled_end = row.number
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -6,7 +6,13 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import colocation, commands, leases, run_lists
+from gypsumhold.decisions.jobs import (
+    colocation,
+    commands,
+    leases,
+    losses,
+    run_lists,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
@@ -118,6 +124,7 @@
 
     The runs of a former incarnation have ended. Raises the fence.
     """
+    losses.note_loss(state, worker)
     state.active.clear()
     state.ends.clear()
     state.ends_listed_at.clear()
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -216,6 +216,8 @@
         runs_expire_at: When every run has certainly ended unless the lease is
             extended.
         reported_refusals: Refusals in the unanswered report.
+        losses: Lost incarnations of the worker, oldest first, until the holder
+            has stored the crashes under their runs.
     """
 
     options: ExecutorOptions
@@ -273,3 +275,4 @@
     worker_left: bool = False
     runs_expire_at: datetime.timedelta = ZERO
     reported_refusals: tuple[runs.RunRef, ...] = ()
+    losses: list[runs.LossRow] = dataclasses.field(default_factory=list)
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -76,6 +76,8 @@
             its lease has expired or the worker has left.
         silent_after_ms: Time from the latest answer of the worker until it was
             found to be silent; `UNKNOWN_SILENCE` if it is not.
+        losses: Former incarnations of the worker that were lost with runs that
+            they had just started, until the holder has stored these crashes.
     """
 
     instance: ids.InstanceId
@@ -92,7 +94,8 @@
     interference_sums: tuple[runs.InterferenceSums, ...] = ()
     answering: bool = True
     runs_ended: bool = False
-    silent_after_ms: int = UNKNOWN_SILENCE
+    silent_after_ms: runs.SpanMs = UNKNOWN_SILENCE
+    losses: tuple[runs.LossRow, ...] = ()
 
 
 class Directives(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -119,6 +122,8 @@
             are late; None in messages that answer no report.
         withdrawn: Placed runs that the report does not list and that are not to
             run any more; the agent refuses those that it does not know.
+        stored_losses: Reported losses of which everything that the holder
+            records is stored.
     """
 
     term: ids.Epoch
@@ -135,6 +140,7 @@
     interference_estimates: tuple[runs.InterferenceEstimate, ...] = ()
     deferred: tuple[runs.RunRef, ...] | None = None
     withdrawn: tuple[runs.RunRef, ...] = ()
+    stored_losses: tuple[runs.WorkerIncarnation, ...] = ()
 
 
 class Received(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -35,7 +35,8 @@
         on_probation: Whether a task is on probation here, so that no other may
             start.
         reserved: Whether only a task on probation may start here.
-        quiet: Whether no task has started here for as long as a probation.
+        quiet: Whether no task has started here for as long as a probation, and
+            no suspect runs here that is not cleared.
         quarantined: Whether only tasks that fit on no other worker, or have
             waited too long, are placed here.
     """
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -203,6 +203,12 @@
 UNKNOWN_AGE = -1
 """Stands for the age of a run of which the worker has not said that it runs."""
 
+MAX_SPAN_MS = 10**12
+
+SpanMs = Annotated[int, msgspec.Meta(ge=-1, le=MAX_SPAN_MS)]
+"""A time between two events, or -1 if it is not known; decoding refuses numbers
+that are no duration."""
+
 
 class RunRow(msgspec.Struct, frozen=True, array_like=True):
     """A run in the worker's list of running tasks.
@@ -223,7 +229,22 @@
     checkpoint: Checkpoint = Checkpoint("")
     progress_percent: int = 0
     usage: int = 0
-    age_ms: int = UNKNOWN_AGE
+    age_ms: SpanMs = UNKNOWN_AGE
+
+
+class LossRow(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation of a worker that ended without announcing it.
+
+    Attributes:
+        incarnation: The lost incarnation.
+        rows: Runs that it had just started, with their ages.
+        silent_after_ms: Time from its latest answer until it was found to be
+            silent; -1 if a later incarnation was heard before.
+    """
+
+    incarnation: WorkerIncarnation
+    rows: tuple[RunRow, ...]
+    silent_after_ms: SpanMs
 
 
 class EndRow(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -172,6 +172,7 @@
         candidate: Free capacity of the worker; None if something that it
             depends on has changed.
         loss: Latest loss of a worker incarnation that has not answered again.
+        judged_losses: Losses in the latest report, whose runs were judged.
         latest_start_at: When a run was last placed here or first listed.
         probations: Runs here whose probation may not be over.
         reserved_until: Until when no run but one on probation starts here.
@@ -202,6 +203,9 @@
     )
     candidate: policies.Candidate | None = None
     loss: runs.WorkerLoss | None = None
+    judged_losses: set[runs.WorkerIncarnation] = dataclasses.field(
+        default_factory=set
+    )
     latest_start_at: datetime.timedelta = ZERO
     reserved_until: datetime.timedelta = ZERO
     probations: list[ProbationRun] = dataclasses.field(default_factory=list)
--- a/tests/jobs/lone_agent.py
+++ b/tests/jobs/lone_agent.py
@@ -37,6 +37,7 @@
         )
         self.now = NOW
         self.heartbeats = 0
+        self.incarnation = WORKER
         self.deliver(events.ExecutorStarted())
         self.deliver_heartbeat()
         self.poll()
@@ -44,7 +45,7 @@
     def deliver_heartbeat(self) -> base_effects.Effects:
         self.heartbeats += 1
         worker = runs.Worker(
-            WORKER,
+            self.incarnation,
             specs.PoolName("pool"),
             "10.0.0.2:1",
             ids.DataCentre("zone"),
@@ -56,6 +57,12 @@
         )
         return self.deliver(events.HeartbeatReceived(worker))
 
+    def restart_worker(self, started_ms: int) -> None:
+        """Lets the agent hear of the next incarnation, and poll it."""
+        self.incarnation = runs.WorkerIncarnation("i-1", started_ms)
+        self.deliver_heartbeat()
+        self.poll()
+
     def deliver(self, event: events.Event) -> base_effects.Effects:
         """Delivers an event; returns what the agent does."""
         self.now += MILLISECOND
@@ -75,11 +82,11 @@
         self.now += MILLISECOND
         self.deliver(
             events.WorkerPolled(
-                WORKER,
+                self.incarnation,
                 self.state.fence,
                 events.CommandResult.DONE,
                 self.read_clock(),
-                WORKER.started_ms,
+                self.incarnation.started_ms,
                 (),
                 ends,
                 is_complete,
@@ -101,7 +108,7 @@
             HOLDER,
             ids.Incarnation(1000),
             sequence,
-            WORKER,
+            self.incarnation,
             GRANT_MS if grants else 0,
             starts=tuple(
                 runs.StartCommand(ref, "p", runs.Checkpoint(""), 1, 1, 0)
@@ -153,7 +160,7 @@
     ) -> None:
         self.deliver(
             events.CommandAnswered(
-                WORKER,
+                self.incarnation,
                 events.CommandKind.START,
                 ref,
                 self.state.fence,
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -391,7 +391,7 @@
 
 
 @pytest.mark.parametrize(
-    "seed", (*range(20), 142, 164, 165, 217, 218, 300, 343, 382)
+    "seed", (*range(20), 142, 164, 165, 217, 218, 300, 343, 382, 1091)
 )
 def test_deadly_tasks_and_faults(seed: int) -> None:
     """Guards against starts without a limit beside faults of all kinds."""
--- a/tests/jobs/test_decoders.py
+++ b/tests/jobs/test_decoders.py
@@ -402,6 +402,21 @@
             runs.RunEnd.DONE,
         ),
     ),
+    losses=(
+        runs.LossRow(
+            runs.WorkerIncarnation("w", BORN_MS - 1),
+            (
+                runs.RunRow(
+                    runs.RunRef(
+                        runs.TaskRef(specs.JobId("5c0e7a21d94b36f8"), 0, 0, 1),
+                        runs.RunNumber(0),
+                    ),
+                    age_ms=1,
+                ),
+            ),
+            1,
+        ),
+    ),
 )
 
 
