Let a new holder count the waits of its jobs from before its term

Change: since when nothing of a loaded job runs is not known; it counts as the longest delay of the policy, or since the submission. Jobs with placed tasks wait for the reports of their agents first.

--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -12,6 +12,7 @@
     lifecycle,
     lost_workers,
     wait_logs,
+    waits,
 )
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
@@ -75,6 +76,8 @@
     holder_state.next_read_version = max(
         holder_state.next_read_version, event.loaded.version
     )
+    if state.role is not scheduler.Role.HOLDER:
+        emitted += waits.begin_at_takeover(holder_state, now)
     state.role = scheduler.Role.HOLDER
     inputs = (
         ("term", str(holder_state.term)),
--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -8,7 +8,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, wait_logs
+from gypsumhold.decisions.jobs import lifecycle, starvation, wait_logs
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -39,6 +39,27 @@
     return emitted
 
 
+def begin_at_takeover(
+    holder_state: scheduler.HolderState, now: datetime.timedelta
+) -> EffectList:
+    """Begins the waits of the jobs that a new holder has loaded.
+
+    Since when nothing of them runs is not known, so each counts as having
+    waited for as long as the placement policy may delay a job, or since it was
+    submitted. The agents of placed tasks still have to report.
+    """
+    emitted: EffectList = []
+    assumed = now - starvation.MAX_PLACEMENT_DELAY
+    for job in holder_state.open_jobs.values():
+        if job.set_aside:
+            continue
+        since = min(max(assumed, job.submitted_at), now)
+        emitted += _update_job(holder_state, job, since, now)
+        if job.has_placed_task():
+            starvation.note_placement(holder_state, job, now)
+    return emitted
+
+
 def begin_at_end(
     holder_state: scheduler.HolderState,
     job: progress.Job,
--- a/tests/jobs/test_run_limit.py
+++ b/tests/jobs/test_run_limit.py
@@ -6,7 +6,7 @@
 
 import datetime
 
-from gypsumhold.model.jobs import effects, specs
+from gypsumhold.model.jobs import effects, scheduler, specs
 from tests.jobs import job_specs, large_world
 from tests.jobs import world as worlds
 
@@ -14,6 +14,10 @@
 MAX_WAIT_MS = 3000.0
 """Time without a run that the platform allows while there is capacity."""
 
+MAX_START_MS = 1000.0
+"""Time in which each agent reports to a new holder, which then has no reason
+left to delay a job."""
+
 
 def serve_everywhere(world: worlds.World) -> None:
     """Runs serving tasks that leave best-effort tasks hardly any CPU."""
@@ -91,6 +95,15 @@
     assert world.now_ms - submitted_ms <= MAX_WAIT_MS
 
 
+def find_holder(world: worlds.World) -> str:
+    return next(
+        node.name
+        for node in world.nodes.values()
+        if isinstance(node.state, scheduler.SchedulerState)
+        and node.state.role is scheduler.Role.HOLDER
+    )
+
+
 def run_until_step_ends(world: worlds.World) -> float:
     """Runs a job's first step until its last run ends; returns when it did.
 
@@ -174,3 +187,26 @@
         longest = max(longest, age)
     assert world.oracle.started
     assert longest <= datetime.timedelta(milliseconds=MAX_WAIT_MS)
+
+
+def test_next_holder_does_not_renew_the_wait() -> None:
+    """Guards against a holder that delays jobs which waited under another one.
+
+    The new holder has to wait for reports only, so the job starts as soon as a
+    loaded plan is stored: the delay of the policy is over.
+    """
+    world = worlds.World(3, agents=3)
+    world.run(3000)
+    run_until_step_ends(world)
+    world.run(300)
+    assert "job" not in list_running(world)
+    world.kill(find_holder(world), 60_000)
+    while not any(
+        line.decision == "jobs-loaded" and at_ms > world.now_ms - 10
+        for at_ms, _, line in world.log_lines
+    ):
+        world.run(5)
+    loaded_ms = world.now_ms
+    while "job" not in list_running(world) and world.now_ms < loaded_ms + 8000:
+        world.run(5)
+    assert world.now_ms - loaded_ms <= MAX_START_MS
