Log overdue waits whole, and why tasks of a skipped step wait

Besides, the candidates of a step stayed those of a starved job after its first task was placed.

Change: the cap is for waits within the limit. Tasks of a skipped step get the obstacle of the first one. Candidates are chosen anew once a job is served.

--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -115,8 +115,8 @@
         self._job = job
         self._starved = starved
         self._had_placed_task = job.has_placed_task()
-        self._skipped_steps: set[int] = set()
-        self._usable_by_step: dict[int, Candidates] = {}
+        self._skipped_steps: dict[int, WaitStage] = {}
+        self._usable_by_step: dict[tuple[int, bool], Candidates] = {}
         self._budget = record_sizes.PlacementBudget(
             job, plan.state.options.row_bytes
         )
@@ -127,6 +127,7 @@
             if self._placement.placed >= most:
                 break
             if id(step) in self._skipped_steps:
+                self._note_skipped(step, index)
                 continue
             obstacle = self._find_obstacle(step, index)
             if obstacle is not None:
@@ -157,14 +158,20 @@
             self._plan.holder_state, self._job, obstacle, task_ref
         )
 
+    def _note_skipped(self, step: progress.Step, index: int) -> None:
+        """Records why a task of a skipped step waits, if its wait counts."""
+        if step.spec.long_running:
+            self._note_obstacle(step, index, self._skipped_steps[id(step)])
+
     def _get_usable(self, step: progress.Step) -> Candidates:
         """Returns the candidates for the tasks of a step."""
-        if id(step) not in self._usable_by_step:
+        key = (id(step), self._starved)
+        if key not in self._usable_by_step:
             candidates = self._plan.candidates
             if not self._starved:
                 candidates = capacity.select_sound(candidates, self._job, step)
-            self._usable_by_step[id(step)] = candidates
-        return self._usable_by_step[id(step)]
+            self._usable_by_step[key] = candidates
+        return self._usable_by_step[key]
 
     def _place_gang_once(self, step: progress.Step, index: int) -> None:
         """Places a gang if all of its tasks fit; its other tasks are skipped.
@@ -174,7 +181,7 @@
             index: Its first ready task.
         """
         usable = self._get_usable(step)
-        self._skipped_steps.add(id(step))
+        self._skipped_steps[id(step)] = WaitStage.GANG
         if not self._budget.allows(step, len(step.tasks)):
             self._note_obstacle(step, index, WaitStage.ROW_SIZE)
             return
@@ -245,6 +252,7 @@
         """Records that no candidate was chosen for a task."""
         task = step.tasks[index]
         self._reserve_worker(step, task)
+        obstacle = WaitStage.CAPACITY
         if waits.is_waiting(self._plan.holder_state, self._job):
             obstacle = choices.explain_miss(self._job, step, task, usable)
             self._note_obstacle(step, index, obstacle)
@@ -253,7 +261,7 @@
         # Where a task without exclusions finds no candidate, the other tasks of
         # its step find none either.
         if not task.excluded_instances:
-            self._skipped_steps.add(id(step))
+            self._skipped_steps[id(step)] = obstacle
 
     def _reserve_worker(self, step: progress.Step, task: progress.Task) -> None:
         """Keeps a worker free for a task if it is a suspect."""
--- a/src/gypsumhold/decisions/jobs/wait_logs.py
+++ b/src/gypsumhold/decisions/jobs/wait_logs.py
@@ -12,8 +12,8 @@
 """Shortest wait that the log tells about."""
 
 MAX_LINES_PER_TICK = 20
-"""Most lines about waits between two ticks, so that a full fleet, in which all
-jobs wait, does not flood the log."""
+"""Most lines between two ticks about waits within the limit, so that a full
+fleet, in which all jobs wait, does not flood the log."""
 
 
 def sample(
@@ -22,7 +22,7 @@
     """Returns metrics of the present waits, and log lines of the long ones.
 
     Each wait is logged once it is long and once it exceeds the limit, the
-    longest waits first. Lines beyond the limit of this tick follow later.
+    longest waits first. Lines beyond `MAX_LINES_PER_TICK` follow later.
     """
     run_waits = holder_state.run_waits
     run_waits.lines_left = MAX_LINES_PER_TICK
@@ -31,32 +31,37 @@
     emitted: EffectList = [effects.SampleWaits(longest, len(present))]
     for wait in sorted(present, key=lambda wait: wait.since):
         waited = wait.measure(now)
-        if waited < LOGGED_WAIT or not run_waits.lines_left:
+        if waited < LOGGED_WAIT:
             break
-        if (
-            waited >= starvation.MAX_TIME_WITHOUT_RUN
-            and not wait.is_overdue_logged
-        ):
+        if _is_overdue(wait, now) and not wait.is_overdue_logged:
             wait.is_logged = wait.is_overdue_logged = True
             emitted += log_wait(holder_state, wait, "overdue", now)
-        elif not wait.is_logged:
+        elif not wait.is_logged and run_waits.lines_left:
             wait.is_logged = True
             emitted += log_wait(holder_state, wait, "no run", now)
     return emitted
 
 
+def _is_overdue(wait: waits.RunWait, now: datetime.timedelta) -> bool:
+    return wait.measure(now) >= starvation.MAX_TIME_WITHOUT_RUN
+
+
 def log_wait(
     holder_state: scheduler.HolderState,
     wait: waits.RunWait,
     outcome: str,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Returns the log line of a wait, unless there were too many."""
+    """Returns the log line of a wait, unless there were too many.
+
+    None is left out of a wait that exceeds the limit.
+    """
     run_waits = holder_state.run_waits
-    if not run_waits.lines_left:
-        run_waits.lines_dropped += 1
-        return []
-    run_waits.lines_left -= 1
+    if not _is_overdue(wait, now):
+        if not run_waits.lines_left:
+            run_waits.lines_dropped += 1
+            return []
+        run_waits.lines_left -= 1
     inputs = [
         ("waited_ms", str(lifecycle.to_ms(wait.measure(now)))),
         ("stage", wait.stage.value),
--- a/tests/jobs/test_waits.py
+++ b/tests/jobs/test_waits.py
@@ -16,7 +16,7 @@
 from gypsumhold.model import events as base_events
 from gypsumhold.model import timers
 from gypsumhold.model.jobs import effects, specs, waits
-from tests.jobs import job_specs, test_regressions
+from tests.jobs import builders, job_specs, test_regressions
 from tests.jobs import world as worlds
 
 SECOND_MS = 1000.0
@@ -164,3 +164,49 @@
     assert "gypsumhold_job_longest_wait_seconds 1.5" in text
     assert "gypsumhold_jobs_waiting 4" in text
     assert 'part="applied"} 0.03' in text
+
+
+def test_overdue_waits_are_logged_whole() -> None:
+    """Guards against the worst waits being those that the log leaves out."""
+    holder_state = builders.build_holder(datetime.timedelta(0)).holder_state
+    assert holder_state is not None
+    run_waits = holder_state.run_waits
+    since = datetime.timedelta(seconds=10)
+    count = 3 * wait_logs.MAX_LINES_PER_TICK
+    for number in range(count):
+        job_id = specs.JobId(f"job-{number}")
+        run_waits.jobs[job_id] = waits.RunWait(
+            job_id, None, since, waits.WaitStage.PLAN, since
+        )
+    now = since + datetime.timedelta(seconds=4)
+    sampled = [
+        effect
+        for effect in wait_logs.sample(holder_state, now)
+        if isinstance(effect, effects.Log)
+    ]
+    ended = [
+        effect
+        for wait in run_waits.list_all()
+        for effect in wait_logs.log_wait(holder_state, wait, "ended", now)
+    ]
+    assert len(sampled) == len(ended) == count
+
+
+def test_waiting_task_of_a_skipped_step_tells_its_stage() -> None:
+    """Guards against long-running tasks that seem to wait for a plan.
+
+    Once one task of a step finds no worker, a plan skips the others.
+    """
+    world = worlds.World(3, agents=2)
+    world.run(3000)
+    step = specs.StepSpec(
+        4, 30_000_000, 100, estimate_ms=1000, long_running=True
+    )
+    world.submit("entry-0", job_specs.build_job_of("job", (step,)))
+    world.run(1500)
+    stages = {
+        dict(line.inputs)["stage"]
+        for _, _, line in world.log_lines
+        if line.decision == "wait" and line.subject == "job"
+    }
+    assert stages == {waits.WaitStage.CAPACITY.value}
