Split records of progress and repetitions from lifecycle

Change: progress_records applies and builds records, repetitions opens steps.

Result: no logic changes; the tests of records, large jobs, gangs, regressions and layers pass.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -9,6 +9,7 @@
     elections,
     lifecycle,
     plans,
+    progress_records,
     record_sizes,
     starvation,
     store_health,
@@ -119,7 +120,8 @@
         job.batch = number
         writes.append(
             storage.ProgressWrite(
-                job_id, lifecycle.build_record(job, state.options.row_bytes)
+                job_id,
+                progress_records.build_record(job, state.options.row_bytes),
             )
         )
     removed = sorted(holder_state.deletable_progress)[
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import record_sizes
+from gypsumhold.decisions.jobs import progress_records, repetitions
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     messages,
@@ -50,7 +50,7 @@
     # applied, no part is left that could be stored in place of the record.
     job = progress.Job(spec, now - _compute_age(holder_state, spec, now))
     if rows.progress is not None:
-        _restore_progress(job, rows.progress, now)
+        progress_records.restore_progress(job, rows.progress, now)
     if job.is_open():
         open_repetitions(holder_state, job, now)
     _register_job(holder_state, job)
@@ -123,77 +123,6 @@
     return time // datetime.timedelta(milliseconds=1)
 
 
-def _restore_progress(
-    job: progress.Job, record: records.ProgressRecord, now: datetime.timedelta
-) -> None:
-    """Applies a stored progress record to a new job."""
-    job.state = job.stored_state = record.state
-    if not job.is_open():
-        job.ended_at = now
-        return
-    _restore_done_repetitions(job, record.done_repetitions)
-    for step_record in record.steps:
-        step = _open_recorded_step(job, step_record)
-        if not step_record.tasks:
-            _restore_done_step(step)
-        for index, saved in enumerate(step_record.tasks):
-            task = step.tasks[index]
-            task.state = saved.state
-            task.run = saved.run
-            task.failures = saved.failures
-            task.failed_runs = set(saved.failed_runs)
-            task.instance = saved.instance
-            task.worker_incarnation = saved.worker_incarnation
-            task.checkpoint = saved.checkpoint
-            task.crashes = saved.crashes
-            task.excluded_instances.update(
-                crash.instance for crash in saved.crashes
-            )
-            task.batch = 0
-            task.placed_at = task.progressed_at = now
-            task.worker_reported_at = now
-    open_steps(job)
-
-
-def _open_recorded_step(
-    job: progress.Job, step_record: records.StepRecord
-) -> progress.Step:
-    """Returns the step that a record describes; opens its repetition.
-
-    Raises:
-        ValueError: The job has no such step, or not with so many tasks.
-    """
-    repetition, number = step_record.repetition, step_record.step
-    step_specs = job.spec.steps
-    is_known = 0 <= repetition < max(1, job.spec.repetitions)
-    if not is_known or not 0 <= number < len(step_specs):
-        raise ValueError(f"the job has no step {repetition}.{number}")
-    count = step_specs[number].count
-    if len(step_record.tasks) not in (0, count):
-        raise ValueError(
-            f"step {repetition}.{number} has {count} tasks,"
-            f" its record has {len(step_record.tasks)}"
-        )
-    while job.next_repetition <= repetition:
-        _open_repetition(job)
-    return job.steps[repetition * len(step_specs) + number]
-
-
-def _restore_done_repetitions(job: progress.Job, repetitions: int) -> None:
-    """Opens the first repetitions of a job, whose tasks are all done."""
-    while job.next_repetition < min(repetitions, job.spec.repetitions):
-        _open_repetition(job)
-    for step in job.steps:
-        _restore_done_step(step)
-
-
-def _restore_done_step(step: progress.Step) -> None:
-    """Applies the record of a step that is stored without its tasks."""
-    for task in step.tasks:
-        task.state = records.TaskState.DONE
-        task.run = runs.RunNumber(max(1, task.run))
-
-
 def build_task_ref(
     job: progress.Job, step: progress.Step, index: int
 ) -> runs.TaskRef:
@@ -201,16 +130,6 @@
     return runs.TaskRef(job.spec.job_id, step.repetition, step.number, index)
 
 
-def _open_repetition(job: progress.Job) -> None:
-    """Adds the steps of the next repetition to a job."""
-    for number, spec in enumerate(job.spec.steps):
-        tasks = [progress.Task() for _ in range(spec.count)]
-        job.steps.append(
-            progress.Step(spec, job.next_repetition, number, tasks)
-        )
-    job.next_repetition += 1
-
-
 def open_repetitions(
     holder_state: scheduler.HolderState,
     job: progress.Job,
@@ -223,22 +142,10 @@
         due_ms = spec.first_run_ms + job.next_repetition * spec.interval_ms
         if spec.repetitions and due_ms > wall_ms:
             break
-        _open_repetition(job)
+        repetitions.add_repetition(job)
         holder_state.run_waits.touched.add(spec.job_id)
         holder_state.plan_due = True
-    open_steps(job)
-
-
-def open_steps(job: progress.Job) -> None:
-    """Opens the steps whose predecessors are done."""
-    steps_per_repetition = len(job.spec.steps)
-    for step in job.steps:
-        if step.open:
-            continue
-        first = step.repetition * steps_per_repetition
-        step.open = all(
-            job.steps[first + number].is_done() for number in step.spec.after
-        )
+    repetitions.open_steps(job)
 
 
 def place_task(
@@ -364,56 +271,6 @@
     mark_dirty(holder_state, job)
 
 
-def build_record(
-    job: progress.Job, row_bytes: int = scheduler.DEFAULT_ROW_BYTES
-) -> records.ProgressRecord:
-    """Returns the record that stores the progress of a job.
-
-    Details are left out if it would not fit into a row of `row_bytes`.
-    """
-    if not job.is_open():
-        return records.ProgressRecord(records.FORMAT, job.state, ())
-    detail = record_sizes.choose_detail(job, row_bytes)
-    layout = record_sizes.choose_layout(job)
-    steps = tuple(
-        records.StepRecord(
-            step.repetition,
-            step.number,
-            ()
-            if layout.is_compact(step)
-            else tuple(_build_task_record(task, detail) for task in step.tasks),
-        )
-        for step in layout.steps
-    )
-    return records.ProgressRecord(
-        records.FORMAT, job.state, steps, layout.done_repetitions
-    )
-
-
-def _build_task_record(
-    task: progress.Task, detail: record_sizes.Detail
-) -> records.TaskRecord:
-    checkpoint = runs.Checkpoint("")
-    if not task.is_done() and record_sizes.keeps_checkpoint(task, detail):
-        checkpoint = task.checkpoint
-    failed_runs: tuple[runs.RunNumber, ...] = ()
-    crashes: tuple[runs.Crash, ...] = ()
-    if detail is not record_sizes.Detail.ESSENTIAL:
-        failed_runs = tuple(sorted(task.failed_runs))
-        crashes = () if task.is_done() else task.crashes
-    is_placed = task.is_placed()
-    return records.TaskRecord(
-        task.state,
-        task.run,
-        task.failures,
-        task.instance if is_placed else ids.InstanceId(""),
-        task.worker_incarnation if is_placed else runs.NO_INCARNATION,
-        checkpoint,
-        failed_runs,
-        crashes,
-    )
-
-
 def list_unreported_instances(
     holder_state: scheduler.HolderState,
 ) -> list[ids.InstanceId]:
--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -2,7 +2,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, waits
+from gypsumhold.decisions.jobs import lifecycle, repetitions, waits
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -153,9 +153,9 @@
     for task in finished:
         task.state = records.TaskState.DONE
     if placed.step.is_done():
-        lifecycle.open_steps(placed.job)
-    repetitions = max(1, placed.job.spec.repetitions)
-    all_due = placed.job.next_repetition >= repetitions
+        repetitions.open_steps(placed.job)
+    count = max(1, placed.job.spec.repetitions)
+    all_due = placed.job.next_repetition >= count
     if all_due and all(step.is_done() for step in placed.job.steps):
         lifecycle.close_job(
             holder_state, placed.job, messages.JobState.COMPLETED, now
--- a/tests/jobs/test_crash_records.py
+++ b/tests/jobs/test_crash_records.py
@@ -6,7 +6,12 @@
 import pytest
 
 from gypsumhold.adapters.jobs import codec
-from gypsumhold.decisions.jobs import lifecycle, record_sizes, verdicts
+from gypsumhold.decisions.jobs import (
+    lifecycle,
+    progress_records,
+    record_sizes,
+    verdicts,
+)
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, records, runs, scheduler, storage
 from tests.jobs import builders, job_specs
@@ -68,7 +73,7 @@
     task = job.steps[0].tasks[0]
     assert task.crashes == record.steps[0].tasks[0].crashes
     assert task.excluded_instances == {"side-andina-0", "side-andina-1"}
-    assert lifecycle.build_record(job) == record
+    assert progress_records.build_record(job) == record
 
 
 @pytest.mark.parametrize("tasks", [1, 40, 250])
@@ -80,7 +85,7 @@
     record = build_record(tasks, crashes)
     job = lifecycle.add_job(holder_state, storage.JobRows(spec, record), NOW)
     assert job is not None
-    encoded = codec.encode(lifecycle.build_record(job))
+    encoded = codec.encode(progress_records.build_record(job))
     assert len(encoded) <= record_sizes.estimate_record(job)
     if tasks + tasks * crashes > record_sizes.LARGE_JOB_TASKS:
         assert record_sizes.is_large(job)
--- a/tests/jobs/test_gang_attempts.py
+++ b/tests/jobs/test_gang_attempts.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from gypsumhold.decisions.jobs import lifecycle, run_ends
+from gypsumhold.decisions.jobs import lifecycle, progress_records, run_ends
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     messages,
@@ -196,7 +196,7 @@
     gang = Gang()
     gang.place()
     gang.end(1, [(0, FAILED), (4, BROKEN)])
-    gang = Gang(lifecycle.build_record(gang.job))
+    gang = Gang(progress_records.build_record(gang.job))
     gang.end(1, [(0, FAILED), (1, FAILED), (2, FAILED)])
     gang.end(1, [(3, STOPPED), (5, BROKEN)])
     gang.release()
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -14,6 +14,7 @@
 from gypsumhold.decisions.jobs import (
     batches,
     lifecycle,
+    progress_records,
     record_sizes,
     validation,
 )
@@ -93,7 +94,7 @@
     """Guards against a row that the store refuses for its checkpoints."""
     job = add_job(build_wide_job("j", (tasks,)))
     place_all(job, checkpoint_chars)
-    encoded = codec.encode(lifecycle.build_record(job))
+    encoded = codec.encode(progress_records.build_record(job))
     assert len(encoded) <= store_fake.MAX_ROW_BYTES
 
 
@@ -101,7 +102,7 @@
     """Guards against work that is lost with the holder for no reason."""
     job = add_job(build_wide_job("j", (290,)))
     place_all(job, 16)
-    assert all(list_checkpoints(lifecycle.build_record(job)))
+    assert all(list_checkpoints(progress_records.build_record(job)))
 
 
 def test_waiting_tasks_keep_their_checkpoints_first() -> None:
@@ -111,7 +112,7 @@
     waiting = job.steps[0].tasks[:50]
     for task in waiting:
         task.state = records.TaskState.READY
-    stored = list_checkpoints(lifecycle.build_record(job))
+    stored = list_checkpoints(progress_records.build_record(job))
     assert all(stored[:50])
     assert not any(stored[50:])
 
@@ -126,7 +127,7 @@
         task.run = runs.RunNumber(4)
         task.failures = 3
         task.failed_runs = {runs.RunNumber(run) for run in (1, 2, 3)}
-    record = lifecycle.build_record(job)
+    record = progress_records.build_record(job)
     assert len(codec.encode(record)) <= store_fake.MAX_ROW_BYTES
     assert {task.failures for task in record.steps[0].tasks} == {3}
 
@@ -210,7 +211,7 @@
     job = build_job_with_done_repetitions(5000)
     budget = record_sizes.PlacementBudget(job, store_fake.MAX_ROW_BYTES)
     assert budget.allows(job.steps[5000])
-    record = lifecycle.build_record(job)
+    record = progress_records.build_record(job)
     assert len(codec.encode(record)) <= record_sizes.estimate_record(job) + 100
 
 
@@ -220,7 +221,7 @@
     job.steps[401].tasks[0].state = records.TaskState.DONE
     job.steps[401].tasks[0].run = runs.RunNumber(1)
     read = codec.decode(
-        codec.encode(lifecycle.build_record(job)), records.ProgressRecord
+        codec.encode(progress_records.build_record(job)), records.ProgressRecord
     ).unwrap()
     holder_state = builders.build_holder(NOW).holder_state
     assert holder_state is not None
@@ -304,5 +305,5 @@
     for task in job.steps[0].tasks:
         task.state = records.TaskState.DONE
         task.run = runs.RunNumber(1)
-    (step,) = lifecycle.build_record(job).steps
+    (step,) = progress_records.build_record(job).steps
     assert [task.state for task in step.tasks] == [records.TaskState.DONE] * 3
--- a/tests/jobs/test_regressions.py
+++ b/tests/jobs/test_regressions.py
@@ -1,6 +1,6 @@
 """Regression tests of faults that random searches and reviews found."""
 
-from gypsumhold.decisions.jobs import lifecycle, run_ends
+from gypsumhold.decisions.jobs import lifecycle, progress_records, run_ends
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     messages,
@@ -286,7 +286,7 @@
     for _ in range(2):
         run_ends.handle_run_end(holder_state, view, end, world.read_clock())
     assert placed.task.failures == 1
-    stored = lifecycle.build_record(placed.job)
+    stored = progress_records.build_record(placed.job)
     assert stored.steps[0].tasks[ref.index].failed_runs == (run,)
 
 
