Report the start of a job that has waited without delay

Cause: a confirmed start made no report due, so the holder learned of it with the next regular report, up to a second later. A job that runs then counted as starved, and another task of it was placed against the policy.

Change: the holder marks the start of a job's first task if the job would be starved before the next regular report, and the agent reports it once the worker confirms it.

Twelve modules of tests/jobs around waits, leases and handovers: 515 passed.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -260,8 +260,7 @@
         return []
     result = event.result
     if result is events.CommandResult.DONE:
-        local_run.state = executor.LocalState.RUNNING
-        local_run.confirmed_at = now
+        confirm_start(state, local_run, now)
         return [_log_start(event, "started"), *colocation.throttle_tasks(state)]
     if result is events.CommandResult.UNANSWERED:
         # A poll with a higher fence shows whether the run was started. That
@@ -285,6 +284,19 @@
     return emitted
 
 
+def confirm_start(
+    state: executor.ExecutorState,
+    local_run: executor.LocalRun,
+    now: datetime.timedelta,
+) -> None:
+    """Records that the worker has started a run; reports it if need be."""
+    local_run.state = executor.LocalState.RUNNING
+    local_run.confirmed_at = now
+    command = local_run.command
+    if command is not None and command.reported_at_once:
+        state.report_due = True
+
+
 def _doubt_start(
     state: executor.ExecutorState,
     local_run: executor.LocalRun,
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -129,6 +129,8 @@
             must_start_at_once=starvation.is_starved(
                 holder_state, placed.job, now
             ),
+            must_report_at_once=placed.task.is_only_run
+            and starvation.must_know_start(holder_state, placed.job, now),
         )
         for ref, placed in view.placed.items()
         if not placed.task.reported
@@ -144,6 +146,7 @@
     placed: scheduler.PlacedTask,
     *,
     must_start_at_once: bool = False,
+    must_report_at_once: bool = False,
 ) -> runs.StartCommand:
     """Returns the command to start the current run of a task."""
     return _build_command(
@@ -152,6 +155,7 @@
         placed.step.spec,
         placed.task.checkpoint,
         only_run=placed.task.is_only_run or must_start_at_once,
+        reported_at_once=must_report_at_once,
     )
 
 
@@ -162,6 +166,7 @@
     checkpoint: runs.Checkpoint,
     *,
     only_run: bool = False,
+    reported_at_once: bool = False,
 ) -> runs.StartCommand:
     return runs.StartCommand(
         ref,
@@ -174,6 +179,7 @@
         spec.target_latency_ms,
         spec.image,
         only_run=only_run,
+        reported_at_once=reported_at_once,
     )
 
 
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -7,7 +7,14 @@
 
 import datetime
 
-from gypsumhold.model.jobs import progress, runs, scheduler, specs, waits
+from gypsumhold.model.jobs import (
+    messages,
+    progress,
+    runs,
+    scheduler,
+    specs,
+    waits,
+)
 
 MAX_TIME_WITHOUT_RUN = datetime.timedelta(seconds=3)
 """Longest time that a job may be without a run while workers have room."""
@@ -78,6 +85,23 @@
     return wait is not None and _is_long(holder_state, wait, now)
 
 
+def must_know_start(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether the next regular report would tell too late of a start.
+
+    Until the holder knows of it, the job counts as waiting. Once it is starved,
+    another task of it is placed against the policy.
+    """
+    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
+    if wait is None:
+        return False
+    left = _compute_placement_delay(holder_state) - wait.measure(now)
+    return left <= messages.REPORT_INTERVAL
+
+
 def list_starved_jobs(
     holder_state: scheduler.HolderState, now: datetime.timedelta
 ) -> list[progress.Job]:
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -44,7 +44,7 @@
     instance: ids.InstanceId
     incarnation: ids.Incarnation
     endpoint: messages.Endpoint
-    report_interval: datetime.timedelta = datetime.timedelta(seconds=1)
+    report_interval: datetime.timedelta = messages.REPORT_INTERVAL
     max_lease: datetime.timedelta = datetime.timedelta(milliseconds=10500)
     poll_wait: datetime.timedelta = datetime.timedelta(milliseconds=1000)
     serving_poll_wait: datetime.timedelta = datetime.timedelta(milliseconds=300)
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -1,5 +1,6 @@
 """Messages between the processes of the job subsystem."""
 
+import datetime
 import enum
 import re
 from typing import Annotated
@@ -45,6 +46,9 @@
     return bool(is_host) and members.MIN_PORT <= port <= members.MAX_PORT
 
 
+REPORT_INTERVAL = datetime.timedelta(seconds=1)
+"""Longest pause between two reports of an agent."""
+
 UNKNOWN_SILENCE = -1
 """Stands for a silence that did not begin or whose begin is not known."""
 
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -336,6 +336,8 @@
         ticket: Ticket of an advised queue; always empty, as none is requested.
         only_run: Whether nothing else of the job is placed, so that the start
             must not wait for an allowance.
+        reported_at_once: Whether the agent reports the start as soon as the
+            worker has confirmed it.
     """
 
     ref: RunRef
@@ -349,3 +351,4 @@
     image: specs.Image = specs.Image("")
     ticket: str = ""
     only_run: bool = False
+    reported_at_once: bool = False
