Rank the workers once for all tasks of a step

Cause: for each task of a step, a plan tested and ranked all workers anew, though only the one that was chosen last had changed, and the trial of a gang copied all workers for each attempt.

Change: the placement policy ranks one candidate, and `StepChoices` keeps the fitting candidates of a step and their ranks, and updates those of the candidate on which a task was placed. A gang copies only the candidates that are chosen for it (`gang_choices`). The fake policy of `test_faulty_jobs` raises its error in `rank` now, as `choose` is no longer what a policy implements.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+from collections.abc import Iterable
 
 from gypsumhold.decisions.jobs import interference, probations, throttling
 from gypsumhold.model import ids
@@ -237,27 +238,37 @@
     candidate: policies.Candidate, job: progress.Job, step: progress.Step
 ) -> bool:
     """Tells whether a task of a step may run in the free capacity."""
+    return bool(list_fitting([candidate], job, step))
+
+
+def list_fitting(
+    candidates: Iterable[policies.Candidate],
+    job: progress.Job,
+    step: progress.Step,
+) -> list[policies.Candidate]:
+    """Returns the candidates in whose free capacity a task of a step may run.
+
+    A worker that has shrunk may have less CPU than its tasks reserve. It then
+    starts no best-effort task either, though that reserves none.
+    """
     spec = step.spec
-    if candidate.on_probation:
-        return False
-    if candidate.reserved and not step.has_suspects():
-        return False
-    if candidate.worker.pool != job.spec.queue.pool:
-        return False
-    if spec.label and spec.label not in candidate.worker.labels:
-        return False
-    # A worker that has shrunk may have less CPU than its tasks reserve. It
-    # then starts no best-effort task either, though that reserves none.
+    pool, label = job.spec.queue.pool, spec.label
     reserved_millis = 0 if spec.fills else spec.cpu_millis
-    if reserved_millis > candidate.cpu_millis:
-        return False
-    if spec.memory_mb > candidate.memory_mb:
-        return False
-    if spec.accelerators > candidate.accelerators:
-        return False
+    memory_mb, accelerators = spec.memory_mb, spec.accelerators
     key = (job.spec.job_id, step.repetition, step.number)
     limit = spec.max_per_worker
-    return not limit or candidate.steps.get(key, 0) < limit
+    return [
+        candidate
+        for candidate in candidates
+        if reserved_millis <= candidate.cpu_millis
+        and memory_mb <= candidate.memory_mb
+        and accelerators <= candidate.accelerators
+        and candidate.worker.pool == pool
+        and not candidate.on_probation
+        and (not label or label in candidate.worker.labels)
+        and (not limit or candidate.steps.get(key, 0) < limit)
+        and (not candidate.reserved or step.has_suspects())
+    ]
 
 
 def fits_when_empty(
--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -7,6 +7,7 @@
 from gypsumhold.decisions.jobs import (
     capacity,
     choices,
+    gang_choices,
     lifecycle,
     probations,
     record_sizes,
@@ -117,6 +118,7 @@
         self._had_placed_task = job.has_placed_task()
         self._skipped_steps: dict[int, WaitStage] = {}
         self._usable_by_step: dict[tuple[int, bool], Candidates] = {}
+        self._choices: dict[tuple[int, int], choices.StepChoices] = {}
         self._budget = record_sizes.PlacementBudget(
             job, plan.state.options.row_bytes
         )
@@ -173,6 +175,18 @@
             self._usable_by_step[key] = candidates
         return self._usable_by_step[key]
 
+    def _get_choices(
+        self, step: progress.Step, usable: Candidates
+    ) -> choices.StepChoices:
+        """Returns the choices for the tasks of a step among candidates."""
+        key = (id(step), id(usable))
+        if key not in self._choices:
+            policy = self._plan.state.policies.placement
+            self._choices[key] = choices.StepChoices(
+                policy, self._job, step, usable
+            )
+        return self._choices[key]
+
     def _place_gang_once(self, step: progress.Step, index: int) -> None:
         """Places a gang if all of its tasks fit; its other tasks are skipped.
 
@@ -234,16 +248,10 @@
 
         Workers on which the task has failed or was refused are left out.
         """
-        candidate = choices.choose_candidate(
-            self._plan.state,
-            self._job,
-            step,
-            task,
-            usable,
-            late=self._job.gives_way,
-        )
+        step_choices = self._get_choices(step, usable)
+        candidate = step_choices.choose(task, late=self._job.gives_way)
         if candidate is None and is_urgent:
-            return choices.choose_emptiest(self._job, step, task, usable)
+            return step_choices.choose_emptiest(task)
         return candidate
 
     def _handle_miss(
@@ -254,7 +262,7 @@
         self._reserve_worker(step, task)
         obstacle = WaitStage.CAPACITY
         if waits.is_waiting(self._plan.holder_state, self._job):
-            obstacle = choices.explain_miss(self._job, step, task, usable)
+            obstacle = self._get_choices(step, usable).explain_miss(task)
             self._note_obstacle(step, index, obstacle)
         self._placement.misses += not step.is_suspect(task)
         task.blocked_since = task.blocked_since or self._plan.now
@@ -268,10 +276,12 @@
         if not step.is_suspect(task):
             return
         plan = self._plan
-        fitting = choices.list_fitting(self._job, step, task, plan.candidates)
+        fitting = self._get_choices(step, plan.candidates).list_fitting(task)
         probations.reserve_worker(
             plan.holder_state, plan.candidates, fitting, plan.now
         )
+        # Which worker is reserved shows only in the candidates.
+        self._choices.clear()
 
     def _is_blocked(self, step: progress.Step, index: int) -> bool:
         """Tells whether a task has had no worker for too long.
@@ -301,6 +311,8 @@
         free_millis = candidate.cpu_millis
         capacity.reserve(candidate, step, ref, deferred=job.gives_way)
         probations.record_start(candidate, step, task)
+        for step_choices in self._choices.values():
+            step_choices.update(candidate)
         view = self._plan.holder_state.agents[candidate.instance]
         placed = scheduler.PlacedTask(job, step, task)
         lifecycle.place_task(self._plan.holder_state, view, placed, ref, now)
@@ -334,7 +346,13 @@
         ready = records.TaskState.READY
         if any(task.state is not ready for task in step.tasks):
             return []
-        chosen = self._choose_for_gang(step, candidates)
+        chosen = gang_choices.choose_for_gang(
+            self._plan.state.policies.placement,
+            self._job,
+            step,
+            candidates,
+            starved=self._starved,
+        )
         highest_run = max(task.run for task in step.tasks)
         saved = next(
             (task.checkpoint for task in step.tasks if task.checkpoint), None
@@ -346,46 +364,3 @@
                 step.tasks[index].checkpoint = saved
             emitted.append(self._place_task(step, index, candidate))
         return emitted
-
-    def _choose_for_gang(
-        self, step: progress.Step, candidates: Candidates
-    ) -> list[policies.Candidate]:
-        """Returns a candidate for each task of a gang, or none at all.
-
-        The placement policy is tried on copies of the candidates. A task of a
-        colocated step goes to a rack already chosen if the policy chooses a
-        candidate there, and to any rack otherwise.
-        """
-        chosen: list[policies.Candidate] = []
-        trials = {
-            name: capacity.copy_candidate(candidate)
-            for name, candidate in candidates.items()
-        }
-        for index, task in enumerate(step.tasks):
-            candidate = None
-            if step.spec.colocated and chosen:
-                racks = {capacity.find_rack(candidate) for candidate in chosen}
-                same_rack = {
-                    name: trial
-                    for name, trial in trials.items()
-                    if capacity.find_rack(trial) in racks
-                }
-                candidate = self._choose(step, task, same_rack)
-            candidate = candidate or self._choose(step, task, trials)
-            if candidate is None:
-                return []
-            ref = lifecycle.build_task_ref(self._job, step, index)
-            capacity.reserve(candidate, step, ref)
-            chosen.append(candidates[str(candidate.instance)])
-        return chosen
-
-    def _choose(
-        self, step: progress.Step, task: progress.Task, candidates: Candidates
-    ) -> policies.Candidate | None:
-        """Chooses for a task of a gang; if starved, against the policy too."""
-        candidate = choices.choose_candidate(
-            self._plan.state, self._job, step, task, candidates
-        )
-        if candidate is None and self._starved:
-            return choices.choose_emptiest(self._job, step, task, candidates)
-        return candidate
--- a/src/gypsumhold/decisions/jobs/probations.py
+++ b/src/gypsumhold/decisions/jobs/probations.py
@@ -134,27 +134,23 @@
         """Creates a policy that asks `policy` about all other tasks."""
         self._policy = policy
 
-    def choose(
+    def rank(
         self,
         step: progress.Step,
-        task: progress.Task,
-        candidates: Sequence[policies.Candidate],
+        candidate: policies.Candidate,
         *,
-        deferred: bool = False,
-    ) -> policies.Candidate | None:
-        """Returns a candidate for the task, or None if the task has to wait."""
-        if not step.is_suspect(task):
-            return self._policy.choose(
-                step, task, candidates, deferred=deferred
+        is_suspect: bool,
+        deferred: bool,
+    ) -> policies.Rank | None:
+        """Returns the rank of a candidate, None for a suspect if not quiet."""
+        rank = None
+        if candidate.quiet or not is_suspect:
+            rank = self._policy.rank(
+                step, candidate, is_suspect=is_suspect, deferred=deferred
             )
-        quiet = [candidate for candidate in candidates if candidate.quiet]
-        for candidate in sorted(quiet, key=_count_tasks):
-            chosen = self._policy.choose(
-                step, task, [candidate], deferred=deferred
-            )
-            if chosen is not None:
-                return chosen
-        return None
+        if rank is None or not is_suspect:
+            return rank
+        return (-_count_tasks(candidate),)
 
 
 def _count_tasks(candidate: policies.Candidate) -> int:
--- a/src/gypsumhold/decisions/jobs/spreading.py
+++ b/src/gypsumhold/decisions/jobs/spreading.py
@@ -1,7 +1,5 @@
 """Policies that choose the worker of a task."""
 
-from collections.abc import Sequence
-
 from gypsumhold.decisions.jobs import capacity, interference
 from gypsumhold.model.jobs import policies, progress, specs
 
@@ -9,16 +7,16 @@
 class FirstFit(policies.PlacementPolicy):
     """Baseline: the first worker with enough free capacity."""
 
-    def choose(
+    def rank(
         self,
         step: progress.Step,
-        task: progress.Task,
-        candidates: Sequence[policies.Candidate],
+        candidate: policies.Candidate,
         *,
-        deferred: bool = False,
-    ) -> policies.Candidate | None:
-        """Returns the first candidate, or None if there is none."""
-        return candidates[0] if candidates else None
+        is_suspect: bool,
+        deferred: bool,
+    ) -> policies.Rank | None:
+        """Returns the same rank for all candidates."""
+        return ()
 
 
 class InterferenceAware(policies.PlacementPolicy):
@@ -31,26 +29,20 @@
     tasks as can run at full speed.
     """
 
-    def choose(
+    def rank(
         self,
         step: progress.Step,
-        task: progress.Task,
-        candidates: Sequence[policies.Candidate],
+        candidate: policies.Candidate,
         *,
-        deferred: bool = False,
-    ) -> policies.Candidate | None:
-        """Returns the best candidate, or None if the task has to wait."""
-        if step.spec.fills:
-            candidates = [
-                candidate
-                for candidate in candidates
-                if can_host_best_effort(step, candidate, deferred=deferred)
-            ]
-        if not candidates:
+        is_suspect: bool,
+        deferred: bool,
+    ) -> policies.Rank | None:
+        """Returns None where a best-effort task would not run at full speed."""
+        if step.spec.fills and not can_host_best_effort(
+            step, candidate, deferred=deferred
+        ):
             return None
-        return max(
-            candidates, key=lambda candidate: _rank_candidate(step, candidate)
-        )
+        return _rank_candidate(step, candidate)
 
 
 def find_slowed_images(
@@ -116,14 +108,13 @@
 
 def _rank_candidate(
     step: progress.Step, candidate: policies.Candidate
-) -> tuple[float, ...]:
+) -> policies.Rank:
     """Returns the rank of a candidate; the highest rank is chosen."""
     spec = step.spec
     on_data_rack = (
         bool(spec.data_rack) and capacity.find_rack(candidate) == spec.data_rack
     )
     has_serving = bool(candidate.serving)
-    idle_cores = capacity.estimate_idle_cores(candidate)
     if spec.fills:
         slowed_images = find_slowed_images(step, candidate)
         headroom_left = min(
@@ -142,7 +133,7 @@
             not slowed_images,
             has_serving,
             headroom_left,
-            idle_cores,
+            capacity.estimate_idle_cores(candidate),
         )
     if spec.target_latency_ms:
         # Packs serving tasks by image, so that best-effort tasks find workers
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -89,10 +89,34 @@
         """Returns the jobs in the order in which they are placed."""
 
 
+Rank = tuple[float, ...]
+"""Rank of a candidate for a task; the highest is best."""
+
+Ranks = dict[ids.InstanceId, Rank | None]
+"""Ranks by instance; None for candidates that the task may not go to."""
+
+
 class PlacementPolicy(abc.ABC):
-    """Chooses the worker of a task."""
+    """Chooses the worker of a task by a rank of each candidate."""
 
     @abc.abstractmethod
+    def rank(
+        self,
+        step: progress.Step,
+        candidate: Candidate,
+        *,
+        is_suspect: bool,
+        deferred: bool,
+    ) -> Rank | None:
+        """Returns the rank of a candidate; None if a task may not go there.
+
+        Args:
+            step: Step of the task.
+            candidate: A worker with enough free capacity.
+            is_suspect: Whether a crash may be the fault of the task.
+            deferred: Whether the task is best-effort and gives way to others.
+        """
+
     def choose(
         self,
         step: progress.Step,
@@ -100,15 +124,33 @@
         candidates: Sequence[Candidate],
         *,
         deferred: bool = False,
+        ranks: Ranks | None = None,
     ) -> Candidate | None:
-        """Returns a candidate for the task, or None if the task has to wait.
+        """Returns the first candidate of the highest rank.
+
+        Returns None if the task has to wait.
 
         Args:
             step: Step of the task.
             task: The task.
             candidates: Workers with enough free capacity.
             deferred: Whether the task is best-effort and gives way to others.
+            ranks: Known ranks, to which the missing ones are added.
         """
+        known: Ranks = {} if ranks is None else ranks
+        is_suspect = step.is_suspect(task)
+        best: Candidate | None = None
+        best_rank: Rank = ()
+        for candidate in candidates:
+            instance = candidate.instance
+            if instance not in known:
+                known[instance] = self.rank(
+                    step, candidate, is_suspect=is_suspect, deferred=deferred
+                )
+            rank = known[instance]
+            if rank is not None and (best is None or rank > best_rank):
+                best, best_rank = candidate, rank
+        return best
 
 
 class CrashPolicy(abc.ABC):
--- a/tests/jobs/test_faulty_jobs.py
+++ b/tests/jobs/test_faulty_jobs.py
@@ -1,7 +1,6 @@
 """Tests that a faulty job or message does not stop the others."""
 
 import dataclasses
-from collections.abc import Sequence
 
 import msgspec
 import pytest
@@ -73,17 +72,19 @@
 
     inner: policies.PlacementPolicy
 
-    def choose(
+    def rank(
         self,
         step: progress.Step,
-        task: progress.Task,
-        candidates: Sequence[policies.Candidate],
+        candidate: policies.Candidate,
         *,
-        deferred: bool = False,
-    ) -> policies.Candidate | None:
+        is_suspect: bool,
+        deferred: bool,
+    ) -> policies.Rank | None:
         if step.spec.image == "faulty":
             raise ArithmeticError
-        return self.inner.choose(step, task, candidates, deferred=deferred)
+        return self.inner.rank(
+            step, candidate, is_suspect=is_suspect, deferred=deferred
+        )
 
 
 def submit_beside(faulty: specs.JobSpec, world: worlds.World) -> None:
