Skip no ordinary job because others find no worker

Change: a plan remembers the requests that no worker has capacity for, and skips tasks that request as much or more, which is certain, instead of whole jobs. The limit of forty is left for jobs with best-effort tasks, whose choice is costly.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -69,6 +69,11 @@
     return quarantined if sound >= len(usable) * MIN_SOUND_SHARE else set()
 
 
+def has_quarantine(candidates: dict[str, policies.Candidate]) -> bool:
+    """Tells whether a candidate is in quarantine."""
+    return any(candidate.quarantined for candidate in candidates.values())
+
+
 def select_sound(
     candidates: dict[str, policies.Candidate],
     job: progress.Job,
@@ -78,6 +83,8 @@
 
     Returns all if none of these has the capacity for a task even when empty.
     """
+    if not has_quarantine(candidates):
+        return candidates
     sound = {
         name: candidate
         for name, candidate in candidates.items()
--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -12,6 +12,7 @@
     probations,
     record_sizes,
     starvation,
+    unmet_requests,
     waits,
 )
 from gypsumhold.model import effects as base_effects
@@ -38,12 +39,16 @@
         holder_state: State of the held queue.
         candidates: Workers with their free capacity, by instance.
         now: When the plan is made.
+        unmet: Requests for which no candidate has capacity.
     """
 
     state: scheduler.SchedulerState
     holder_state: scheduler.HolderState
     candidates: Candidates
     now: datetime.timedelta
+    unmet: unmet_requests.UnmetRequests = dataclasses.field(
+        default_factory=unmet_requests.UnmetRequests
+    )
 
 
 def has_ready_task(job: progress.Job) -> bool:
@@ -70,7 +75,7 @@
     Attributes:
         emitted: The log lines of the placements.
         placed: Number of placed tasks.
-        misses: Number of tasks without a candidate.
+        misses: Number of best-effort tasks without a candidate.
     """
 
     emitted: EffectList = dataclasses.field(default_factory=list)
@@ -131,6 +136,8 @@
             if id(step) in self._skipped_steps:
                 self._note_skipped(step, index)
                 continue
+            if self._is_unmet(step, index):
+                self._skipped_steps[id(step)] = WaitStage.CAPACITY
             obstacle = self._find_obstacle(step, index)
             if obstacle is not None:
                 self._note_obstacle(step, index, obstacle)
@@ -147,7 +154,18 @@
             return WaitStage.ROW_SIZE
         if not probations.may_start(step, index, self._plan.candidates):
             return WaitStage.PROBATION
-        return None
+        return self._skipped_steps.get(id(step))
+
+    def _is_unmet(self, step: progress.Step, index: int) -> bool:
+        """Tells whether it is known that no candidate has capacity.
+
+        A task that migrates has its own capacity reserved.
+        """
+        if step.spec.gang or step.tasks[index].migrating:
+            return False
+        usable = self._get_usable(step)
+        is_any_usable = usable is self._plan.candidates
+        return is_any_usable and self._plan.unmet.covers(self._job, step)
 
     def _note_obstacle(
         self, step: progress.Step, index: int, obstacle: WaitStage
@@ -260,11 +278,13 @@
         """Records that no candidate was chosen for a task."""
         task = step.tasks[index]
         self._reserve_worker(step, task)
-        obstacle = WaitStage.CAPACITY
+        obstacle = self._get_choices(step, usable).explain_miss(task)
+        is_any_usable = usable is self._plan.candidates
+        if obstacle is WaitStage.CAPACITY and is_any_usable:
+            self._plan.unmet.add(self._job, step)
         if waits.is_waiting(self._plan.holder_state, self._job):
-            obstacle = self._get_choices(step, usable).explain_miss(task)
             self._note_obstacle(step, index, obstacle)
-        self._placement.misses += not step.is_suspect(task)
+        self._placement.misses += step.spec.fills and not step.is_suspect(task)
         task.blocked_since = task.blocked_since or self._plan.now
         # Where a task without exclusions finds no candidate, the other tasks of
         # its step find none either.
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -32,8 +32,9 @@
 can store them."""
 
 MISSES_BEFORE_SKIP = 40
-"""Tasks without a candidate after which a plan skips all but starved jobs,
-which have to get a run in the end, and those of which a task may not wait."""
+"""Best-effort tasks without a candidate after which a plan skips the other jobs
+that have such tasks, but for starved ones, which have to get a run in the end,
+and those of which a task may not wait."""
 
 
 def place_ready_tasks(
@@ -97,9 +98,10 @@
                 )
             break
         is_starved = job.spec.job_id in starved
-        if misses >= MISSES_BEFORE_SKIP and not (
+        may_skip = job.has_best_effort_steps() and not (
             is_starved or job.is_migrating() or job.is_long_running()
-        ):
+        )
+        if misses >= MISSES_BEFORE_SKIP and may_skip:
             waits.note_obstacle(holder_state, job, WaitStage.PLAN_LIMIT)
             continue
         starved.pop(job.spec.job_id, None)
--- a/tests/jobs/test_runless_jobs.py
+++ b/tests/jobs/test_runless_jobs.py
@@ -4,10 +4,12 @@
 long the job has had no run. Each test has one job in whose way one cause is.
 """
 
+import math
+
 import msgspec
 
 from gypsumhold.model.jobs import effects, specs
-from tests.jobs import job_specs, large_world
+from tests.jobs import job_specs, large_world, worker_fake
 
 START_MS = 4000.0
 """Time until a holder places tasks."""
@@ -17,6 +19,9 @@
 
 JUDGED_MS = 6000.0
 
+MAX_PLAN_MS = 700.0
+"""Time for a start; a job that lacks no capacity waits for nothing else."""
+
 AGENTS = 10
 
 NEARLY_A_WORKER = 29_500
@@ -57,15 +62,19 @@
     submit_chain(world, WAITING, first, second)
 
 
-def end_first_step(world: large_world.LargeWorld) -> None:
-    runs_of_job = [
+def list_runs(world: large_world.LargeWorld) -> list[worker_fake.FakeRun]:
+    """Returns the runs of the job that is judged."""
+    return [
         run
         for worker in world.workers.values()
         for run in worker.running.values()
         if run.ref.task.job_id == WAITING
     ]
-    assert len(runs_of_job) == 1
-    runs_of_job[0].finish_ms = world.now_ms
+
+
+def end_first_step(world: large_world.LargeWorld) -> None:
+    (run,) = list_runs(world)
+    run.finish_ms = world.now_ms
 
 
 def judge_wait(world: large_world.LargeWorld) -> None:
@@ -170,3 +179,27 @@
     )
     world.run(1500)
     judge_wait(world)
+
+
+def test_jobs_without_capacity_do_not_hold_up_others() -> None:
+    """Guards against a plan that skips jobs because others find no worker.
+
+    Sixty jobs need the workers of one rack, which is full. The job that is
+    judged may run anywhere, and is late, so that it comes after them.
+    """
+    world = build_world()
+    short = specs.StepSpec(1, 1000, 100, estimate_ms=500)
+    submit_chain(world, WAITING, short, short)
+    world.run(200)
+    (first,) = list_runs(world)
+    first.finish_ms = math.inf
+    step = specs.StepSpec(1, 20_000, 100, estimate_ms=60_000, label="r1-0")
+    for number in range(60):
+        world.submit(
+            "entry-0", job_specs.build_job_of(f"other-{number}", (step,))
+        )
+    world.run(10_000)
+    end_first_step(world)
+    world.judge(JUDGED_MS, lambda: False)
+    wait = world.waits.longest.get(specs.JobId(WAITING))
+    assert wait is None or wait.measure_ms() <= MAX_PLAN_MS
