Push starts and acknowledgements that a later batch stores

Cause: the agents to push to were taken with the batch that was built next, also if their changes did not fit into it (80 jobs, 600,000 bytes). The batch that stored them pushed nothing, and starts and acknowledgements reached the agent with the answer to its next regular report, up to a second later.

Change: an agent with changes that are not stored yet is looked at again after the next batch.

Twelve modules of tests/jobs around waits, leases and handovers: 515 passed.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -276,14 +276,19 @@
     holder_state: scheduler.HolderState,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Sends directives to the agents for which the stored batch changed any."""
+    """Sends directives to the agents for which the stored batch changed any.
+
+    Agents with changes that did not fit into the batch are looked at again
+    after the next one.
+    """
     emitted: EffectList = []
     for instance in sorted(holder_state.batch_instances):
         view = holder_state.agents.get(instance)
-        if view is not None:
-            emitted += directives.push_directives(
-                state, holder_state, view, now
-            )
+        if view is None:
+            continue
+        emitted += directives.push_directives(state, holder_state, view, now)
+        if directives.has_unstored_changes(holder_state, view):
+            holder_state.changed_instances.add(instance)
     holder_state.batch_instances.clear()
     return emitted
 
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -280,3 +280,17 @@
     message = build_directives(state, holder_state, view, now, is_answer=False)
     address = view.report.endpoint.build_address()
     return [effects.PushDirectives(view.instance, address, message)]
+
+
+def has_unstored_changes(
+    holder_state: scheduler.HolderState, view: scheduler.AgentView
+) -> bool:
+    """Tells whether a later batch stores starts or ends for an agent."""
+    stored = holder_state.stored_batch
+    pending = view.acknowledgements
+    if pending and pending[-1].batch > stored:
+        return True
+    return any(
+        placed.task.is_placed() and placed.task.batch > stored
+        for placed in view.placed.values()
+    )
