Push what a batch starts before the next plan is made

Cause: a stored batch was applied, its pushes were chosen and the next plan was made in one event, and effects are performed when their event is applied.

Change: the next plan and batch are an event of their own, by a timer without delay. Any event that makes a batch due may still come first.

--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -23,6 +23,9 @@
     [scheduler.SchedulerState, Any, datetime.timedelta], EffectList
 ]
 
+NEXT_BATCH_TIMER = timers.Timer(timers.TimerKind.NEXT_BATCH)
+NO_DELAY = datetime.timedelta(0)
+
 CONFIG_RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
 
@@ -99,10 +102,21 @@
 
 
 def _with_commit(handler: Handler) -> Handler:
-    """Wraps a handler to send the next batch if its event makes one due.
+    """Wraps a handler to send the next batch if its event makes one due."""
+    apply = _with_answers(handler)
+
+    def handle(
+        state: scheduler.SchedulerState, event: Any, now: datetime.timedelta
+    ) -> EffectList:
+        emitted = apply(state, event, now)
+        emitted = [*emitted, *batches.commit_if_due(state, now)]
+        return [*emitted, *_update_waits(state, now)]
+
+    return handle
 
-    Reports that waited for the event are answered before.
-    """
+
+def _with_answers(handler: Handler) -> Handler:
+    """Wraps a handler to answer the reports that waited for its event."""
 
     def handle(
         state: scheduler.SchedulerState, event: Any, now: datetime.timedelta
@@ -110,13 +124,28 @@
         emitted = handler(state, event, now)
         if state.waiting_reports:
             emitted = [*emitted, *reports.answer_waiting_reports(state, now)]
-        emitted = [*emitted, *_update_waits(state, now)]
-        emitted += batches.commit_if_due(state, now)
         return [*emitted, *_update_waits(state, now)]
 
     return handle
 
 
+def _handle_batch_committed(
+    state: scheduler.SchedulerState,
+    event: events.BatchCommitted,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Applies a batch, and makes the next one due as an event of its own.
+
+    The effects of an event are performed once it is applied, and a plan takes
+    longer than anything else: what the batch starts would wait for it.
+    """
+    emitted = batches.handle_batch_committed(state, event, now)
+    holder_state = state.holder_state
+    if holder_state is not None and holder_state.in_flight is None:
+        emitted.append(base_effects.SetTimer(NEXT_BATCH_TIMER, NO_DELAY))
+    return emitted
+
+
 def _update_waits(
     state: scheduler.SchedulerState, now: datetime.timedelta
 ) -> EffectList:
@@ -137,7 +166,6 @@
     events.JobsLoaded: holders.handle_jobs_loaded,
     events.SubmissionsDeleted: holders.handle_submissions_deleted,
     events.JobsChanged: holders.handle_jobs_changed,
-    events.BatchCommitted: batches.handle_batch_committed,
     events.ReportArrived: reports.handle_report_arrived,
     base_events.TimerFired: _handle_timer_fired,
     events.SchedulerStopping: _handle_stopping,
@@ -151,6 +179,7 @@
     events.SchedulerStarted: lambda state, _, now: elections.handle_started(
         state, now
     ),
+    events.BatchCommitted: _with_answers(_handle_batch_committed),
     events.HolderRead: elections.handle_holder_read,
     events.HolderNotified: elections.handle_holder_notified,
     events.EntryRegistered: lambda state, event, _: (
--- a/src/gypsumhold/model/timers.py
+++ b/src/gypsumhold/model/timers.py
@@ -25,6 +25,8 @@
     APPLY_RETRY = "apply-retry"
     HOLDER_POLL = "holder-poll"
     HOLDER_TICK = "holder-tick"
+    NEXT_BATCH = "next-batch"
+    """Next plan and batch of the holder, once the former batch is pushed."""
     REGISTER = "register"
     REPORT = "report"
     THROTTLING = "pace"
