Work out once a plan what all of its parts need of a job

Cause: a plan looked twice for the ready tasks of every open job, estimated the tasks of a step four times for one outlook, computed a return for jobs that never give way, and walked the steps of a job to learn whether it has best-effort ones. It tested twice whether each worker is usable.

Change: one list of the jobs that a plan looks at; `EstimatesOfOneMoment` keeps the run times for an outlook; `StepKinds` keeps what kinds of steps a job has; final states are compared without their hash.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import datetime
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from gypsumhold.decisions.jobs import interference, probations, throttling
 from gypsumhold.model import ids
@@ -32,10 +32,13 @@
     the capacity is counted anew only where something else has changed.
     """
     candidates = {}
-    quarantined = _list_quarantined(state, holder_state, now)
-    for view in holder_state.agents.values():
-        if not _is_usable(state, view, now):
-            continue
+    usable = [
+        view
+        for view in holder_state.agents.values()
+        if _is_usable(state, view, now)
+    ]
+    quarantined = _list_quarantined(usable, now)
+    for view in usable:
         if view.candidate is None:
             view.candidate = _build_candidate(holder_state, view)
         view.candidate.quarantined = view.instance in quarantined
@@ -48,20 +51,13 @@
 
 
 def _list_quarantined(
-    state: scheduler.SchedulerState,
-    holder_state: scheduler.HolderState,
-    now: datetime.timedelta,
+    usable: Sequence[scheduler.AgentView], now: datetime.timedelta
 ) -> set[ids.InstanceId]:
-    """Returns the instances in quarantine.
+    """Returns the usable instances that are in quarantine.
 
     Where jobs fail on most workers, the jobs are at fault: the quarantines are
     ignored, so that other jobs need not wait for their end.
     """
-    usable = [
-        view
-        for view in holder_state.agents.values()
-        if _is_usable(state, view, now)
-    ]
     quarantined = {
         view.instance for view in usable if now < view.quarantined_until
     }
--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -51,6 +51,23 @@
         ]
 
 
+class EstimatesOfOneMoment(policies.EstimatePolicy):
+    """Keeps the estimates of another policy, while no progress is reported."""
+
+    def __init__(self, policy: policies.EstimatePolicy) -> None:
+        """Creates a policy that asks `policy` once about each step."""
+        self._policy = policy
+        self._known: dict[int, list[datetime.timedelta]] = {}
+
+    def estimate_tasks(self, step: progress.Step) -> list[datetime.timedelta]:
+        """Returns the run times that the other policy gave first."""
+        known = self._known.get(id(step))
+        if known is None:
+            known = self._policy.estimate_tasks(step)
+            self._known[id(step)] = known
+        return known
+
+
 def _estimate_typical(step: progress.Step) -> datetime.timedelta:
     """Returns the run time of a typical task of a step."""
     measured = [
--- a/src/gypsumhold/decisions/jobs/ordering.py
+++ b/src/gypsumhold/decisions/jobs/ordering.py
@@ -53,6 +53,7 @@
     now: datetime.timedelta,
     policy: policies.EstimatePolicy,
 ) -> progress.Outlook:
+    policy = estimates.EstimatesOfOneMoment(policy)
     objective = compute_objective(job, policy)
     return progress.Outlook(
         now,
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -1,6 +1,7 @@
 """Plans: places the ready tasks of open jobs on workers."""
 
 import datetime
+from collections.abc import Sequence
 
 from gypsumhold.decisions.jobs import (
     capacity,
@@ -48,7 +49,8 @@
     run for too long get one also if the plan ends before them. A job for which
     this raises an exception is set aside, so that it does not stop the others.
     """
-    emitted = _estimate_jobs(state, holder_state, now)
+    jobs = _list_plannable(holder_state)
+    emitted = _estimate_jobs(state, holder_state, jobs, now)
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
         return emitted
@@ -57,31 +59,37 @@
         job.spec.job_id: job
         for job in starvation.list_starved_jobs(holder_state, now)
     }
-    emitted += _place_in_order(plan, starved)
+    emitted += _place_in_order(plan, jobs, starved)
     return [*emitted, *_place_starved(plan, starved)]
 
 
+def _list_plannable(
+    holder_state: scheduler.HolderState,
+) -> list[progress.Job]:
+    """Returns the jobs that may have a task to place or to migrate."""
+    return [
+        job
+        for job in holder_state.open_jobs.values()
+        if not job.set_aside
+        and (job.has_best_effort_steps() or job_placements.has_ready_task(job))
+    ]
+
+
 def _place_in_order(
-    plan: job_placements.Plan, starved: dict[specs.JobId, progress.Job]
+    plan: job_placements.Plan,
+    plannable: Sequence[progress.Job],
+    starved: dict[specs.JobId, progress.Job],
 ) -> EffectList:
     """Places jobs in the order of the policy, up to the limits of a plan.
 
     Args:
         plan: The plan.
+        plannable: The jobs that it looks at.
         starved: The starved jobs; those that are looked at are removed.
     """
     state, holder_state, now = plan.state, plan.holder_state, plan.now
     jobs = state.policies.ordering.sort(
-        [
-            job
-            for job in holder_state.open_jobs.values()
-            if not job.set_aside
-            and (
-                job_placements.has_ready_task(job)
-                or job.has_best_effort_steps()
-            )
-        ],
-        now,
+        [job for job in plannable if not job.set_aside], now
     )
     migrations_due = holder_state.migrations_due
     holder_state.migrations_due = False
@@ -164,22 +172,25 @@
 def _estimate_jobs(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
+    jobs: Sequence[progress.Job],
     now: datetime.timedelta,
 ) -> EffectList:
-    """Estimates the open jobs and works out which ones give way to others."""
+    """Estimates jobs and works out which ones give way to others.
+
+    A job that cannot be estimated is set aside.
+    """
     emitted: EffectList = []
-    for job in holder_state.open_jobs.values():
-        best_effort = job.has_best_effort_steps()
-        if job.set_aside or not (
-            best_effort or job_placements.has_ready_task(job)
-        ):
-            continue
+    policy = state.policies.estimates
+    for job in jobs:
         try:
-            gives_way = ordering.gives_way(job, now, state.policies.estimates)
+            if not job.has_best_effort_steps():
+                ordering.is_late(job, now, policy)
+                continue
+            gives_way = ordering.gives_way(job, now, policy)
         except Exception as problem:
             emitted.append(_set_aside(job, problem))
             continue
-        if best_effort and gives_way is not job.gives_way:
+        if gives_way is not job.gives_way:
             _change_priority(holder_state, job, gives_way)
     return emitted
 
--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -147,8 +147,7 @@
     The one that was found last is looked at first: it runs on in most cases.
     """
     known = job.running_task
-    has_gangs = any(spec.gang for spec in job.spec.steps)
-    if known is not None and known.is_running() and not has_gangs:
+    if known is not None and known.is_running() and not job.has_gangs():
         return known
     job.running_task = next(
         (
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -192,9 +192,8 @@
     CANCELLED = "cancelled"
 
 
-FINAL_STATES = frozenset(
-    {JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED}
-)
+FINAL_STATES = (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+"""A tuple, as it is searched often and the hash of an enum is slow."""
 
 
 class Verdict(enum.Enum):
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -199,6 +199,21 @@
     remaining_work: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepKinds:
+    """Which kinds of steps a job has.
+
+    Attributes:
+        best_effort: Whether it has best-effort steps.
+        long_running: Whether it has steps that run until it is cancelled.
+        gang: Whether it has gangs.
+    """
+
+    best_effort: bool
+    long_running: bool
+    gang: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """One accepted job.
@@ -220,6 +235,7 @@
         set_aside: Whether a plan failed for this job; its tasks are no longer
             placed.
         running_task: A task that was running when it was last looked for one.
+        kinds: Kinds of steps that the job has.
     """
 
     spec: specs.JobSpec
@@ -235,6 +251,15 @@
     gives_way: bool = False
     set_aside: bool = False
     running_task: Task | None = None
+    kinds: StepKinds = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Works out what does not change while the job is known."""
+        self.kinds = StepKinds(
+            any(step.fills for step in self.spec.steps),
+            any(step.long_running for step in self.spec.steps),
+            any(step.gang for step in self.spec.steps),
+        )
 
     def is_open(self) -> bool:
         """Tells whether the job has not ended, so its tasks may be placed."""
@@ -246,7 +271,11 @@
 
     def has_best_effort_steps(self) -> bool:
         """Tells whether some of the steps have best-effort tasks."""
-        return any(step.fills for step in self.spec.steps)
+        return self.kinds.best_effort
+
+    def has_gangs(self) -> bool:
+        """Tells whether some of the steps are gangs."""
+        return self.kinds.gang
 
     def has_placed_task(self) -> bool:
         """Tells whether some task is placed, although it may not run yet."""
@@ -256,7 +285,7 @@
 
     def is_long_running(self) -> bool:
         """Tells whether some of the steps run until the job is cancelled."""
-        return any(step.long_running for step in self.spec.steps)
+        return self.kinds.long_running
 
     def is_migrating(self) -> bool:
         """Tells whether a task is on its way to another instance."""
