Place first runs before widths while the fleet has room

Cause: a plan placed all tasks of a job before it looked at the next, so jobs with 9 to 39 tasks a step made a job without a run wait for several plans, batches and pushes.

Change: while less than 0.6 of the fleet is placed, a plan places starved jobs first, then one task or gang of each job of which nothing is placed, then the rest in the order of the policy. It always has room for some of the rest. In a full fleet the order of the policy alone counts: there the rule does not hold, and first runs of late jobs would make urgent ones late.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -50,6 +50,20 @@
     return candidates
 
 
+def measure_placed_share(
+    candidates: dict[str, policies.Candidate],
+) -> float:
+    """Returns the larger share of CPU and memory that placed tasks request."""
+    workers = [candidate.worker for candidate in candidates.values()]
+    cpu_millis = sum(worker.cpu_millis for worker in workers)
+    memory_mb = sum(worker.memory_mb for worker in workers)
+    free_millis = sum(item.cpu_millis for item in candidates.values())
+    free_mb = sum(item.memory_mb for item in candidates.values())
+    return 1 - min(
+        free_millis / max(1, cpu_millis), free_mb / max(1, memory_mb)
+    )
+
+
 def _list_quarantined(
     usable: Sequence[scheduler.AgentView], now: datetime.timedelta
 ) -> set[ids.InstanceId]:
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -28,6 +28,20 @@
 """Placements at which a plan stops. Each one takes time in the plan, the batch
 and the push of its start, for which all other jobs wait."""
 
+MAX_FIRST_RUNS = 60
+"""Placements of first runs that a plan makes before any further ones, beside
+those of starved jobs."""
+
+MIN_FURTHER_RUNS = 20
+"""Placements in the order of the policy for which a plan always has room. With
+first runs alone, all jobs would go on one task at a time."""
+
+MAX_SHARE_FOR_FIRST_RUNS = 0.6
+"""Share of the fleet that is placed from which first runs don't go first. No
+job may be without a run while under half of the fleet is in use, and some of
+what is placed has ended or not begun. In a full fleet, first runs of late jobs
+would make urgent ones late."""
+
 MAX_STARVED_JOBS = 60
 """Most starved jobs that a plan places beyond these limits, so that one batch
 can store them."""
@@ -45,9 +59,11 @@
 ) -> EffectList:
     """Places ready tasks as far as the free capacity allows.
 
-    The order of the jobs is that of the policy. Jobs that have been without a
-    run for too long get one also if the plan ends before them. A job for which
-    this raises an exception is set aside, so that it does not stop the others.
+    While the fleet has room, starved jobs get a run first, then all others of
+    which nothing is placed, and the rest follows in the order of the policy.
+    In a full fleet that order alone counts, and starved jobs that the plan does
+    not get to follow at its end. A job for which this raises an exception is
+    set aside, so that it does not stop the others.
     """
     jobs = _list_plannable(holder_state)
     emitted = _estimate_jobs(state, holder_state, jobs, now)
@@ -55,12 +71,14 @@
     if not candidates:
         return emitted
     plan = job_placements.Plan(state, holder_state, candidates, now)
-    starved = {
-        job.spec.job_id: job
-        for job in starvation.list_starved_jobs(holder_state, now)
-    }
-    emitted += _place_in_order(plan, jobs, starved)
-    return [*emitted, *_place_starved(plan, starved)]
+    passes = _PlanPasses(
+        plan,
+        state.policies.ordering.sort(
+            [job for job in jobs if not job.set_aside], now
+        ),
+    )
+    passes.place()
+    return [*emitted, *passes.emitted]
 
 
 def _list_plannable(
@@ -75,65 +93,128 @@
     ]
 
 
-def _place_in_order(
-    plan: job_placements.Plan,
-    plannable: Sequence[progress.Job],
-    starved: dict[specs.JobId, progress.Job],
-) -> EffectList:
-    """Places jobs in the order of the policy, up to the limits of a plan.
+class _PlanPasses:
+    """Goes through the jobs of a plan in several passes.
 
-    Args:
-        plan: The plan.
-        plannable: The jobs that it looks at.
-        starved: The starved jobs; those that are looked at are removed.
+    Attributes:
+        emitted: The log lines so far.
     """
-    state, holder_state, now = plan.state, plan.holder_state, plan.now
-    jobs = state.policies.ordering.sort(
-        [job for job in plannable if not job.set_aside], now
-    )
-    migrations_due = holder_state.migrations_due
-    holder_state.migrations_due = False
-    limit = max(MAX_CHANGED_JOBS, len(holder_state.dirty) + MIN_CHANGED_JOBS)
-    emitted: EffectList = []
-    misses = 0
-    left = MAX_PLACEMENTS
-    for position, job in enumerate(jobs):
-        if len(holder_state.dirty) >= limit or left <= 0:
-            holder_state.plan_due = True
-            for left_job in jobs[position:]:
-                waits.note_obstacle(
-                    holder_state, left_job, WaitStage.PLAN_LIMIT
+
+    def __init__(
+        self, plan: job_placements.Plan, jobs: Sequence[progress.Job]
+    ) -> None:
+        """Begins a plan for jobs that are in the order of the policy."""
+        holder_state = plan.holder_state
+        self.emitted: EffectList = []
+        self._plan = plan
+        self._jobs = jobs
+        self._starved = {
+            job.spec.job_id: job
+            for job in starvation.list_starved_jobs(holder_state, plan.now)
+        }
+        self._without_place: set[specs.JobId] = set()
+        self._placed = 0
+        self._misses = 0
+        self._migrations_due = holder_state.migrations_due
+        holder_state.migrations_due = False
+
+    def place(self) -> None:
+        """Places the jobs as far as the limits of a plan allow.
+
+        While the fleet has room, each job gets a run before any gets a further
+        one, and starved jobs come first of all.
+        """
+        share = capacity.measure_placed_share(self._plan.candidates)
+        if share < MAX_SHARE_FOR_FIRST_RUNS:
+            self._place_starved()
+            self._place_first_runs()
+            self._place_in_order()
+        else:
+            self._place_in_order()
+            self._place_starved()
+
+    def _place_starved(self) -> None:
+        """Places a task, or a gang, of each starved job not yet looked at."""
+        starved = list(self._starved.values())
+        for job in starved[:MAX_STARVED_JOBS]:
+            if self._is_left(job):
+                self._place_first_run(job)
+        if len(starved) > MAX_STARVED_JOBS:
+            self._plan.holder_state.plan_due = True
+
+    def _place_first_runs(self) -> None:
+        """Places a task, or a gang, of each job of which nothing is placed."""
+        dirty = self._plan.holder_state.dirty
+        most = self._placed + MAX_FIRST_RUNS
+        for job in self._jobs:
+            if len(dirty) >= MAX_CHANGED_JOBS or self._placed >= most:
+                break
+            if self._is_left(job) and not job.has_placed_task():
+                self._place_first_run(job)
+
+    def _place_first_run(self, job: progress.Job) -> None:
+        """Places a task, or a gang; where none fits, the job is done with."""
+        if not self._place_job(job, 1):
+            self._without_place.add(job.spec.job_id)
+
+    def _place_in_order(self) -> None:
+        """Places the tasks of all jobs in the order of the policy."""
+        holder_state = self._plan.holder_state
+        limit = max(
+            MAX_CHANGED_JOBS, len(holder_state.dirty) + MIN_CHANGED_JOBS
+        )
+        most = max(MAX_PLACEMENTS, self._placed + MIN_FURTHER_RUNS)
+        for position, job in enumerate(self._jobs):
+            if len(holder_state.dirty) >= limit or self._placed >= most:
+                self._leave(self._jobs[position:])
+                break
+            if self._is_left(job):
+                self._place_job(
+                    job,
+                    most - self._placed,
+                    migrations_due=self._migrations_due,
                 )
-            break
-        is_starved = job.spec.job_id in starved
+        if self._placed >= most:
+            holder_state.plan_due = True
+
+    def _is_left(self, job: progress.Job) -> bool:
+        """Tells whether this plan may place tasks of a job."""
+        return job.spec.job_id not in self._without_place and not job.set_aside
+
+    def _leave(self, jobs: Sequence[progress.Job]) -> None:
+        """Leaves jobs to the next plan."""
+        holder_state = self._plan.holder_state
+        holder_state.plan_due = True
+        for job in jobs:
+            if self._is_left(job):
+                waits.note_obstacle(holder_state, job, WaitStage.PLAN_LIMIT)
+
+    def _place_job(
+        self, job: progress.Job, most: int, *, migrations_due: bool = False
+    ) -> bool:
+        """Places at most so many tasks of a job; tells whether any was."""
+        job_id = job.spec.job_id
+        is_starved = job_id in self._starved
         may_skip = job.has_best_effort_steps() and not (
             is_starved or job.is_migrating() or job.is_long_running()
         )
-        if misses >= MISSES_BEFORE_SKIP and may_skip:
-            waits.note_obstacle(holder_state, job, WaitStage.PLAN_LIMIT)
-            continue
-        starved.pop(job.spec.job_id, None)
+        if self._misses >= MISSES_BEFORE_SKIP and may_skip:
+            waits.note_obstacle(
+                self._plan.holder_state, job, WaitStage.PLAN_LIMIT
+            )
+            return False
+        self._starved.pop(job_id, None)
         placement = _place_job(
-            plan, job, left, starved=is_starved, migrations_due=migrations_due
+            self._plan,
+            job,
+            most,
+            starved=is_starved,
+            migrations_due=migrations_due,
         )
-        emitted += placement.emitted
-        misses += placement.misses
-        left -= placement.placed
-    if left <= 0:
-        holder_state.plan_due = True
-    return emitted
-
-
-def _place_starved(
-    plan: job_placements.Plan, starved: dict[specs.JobId, progress.Job]
-) -> EffectList:
-    """Places one task, or one gang, of each starved job that is left."""
-    emitted: EffectList = []
-    for job in list(starved.values())[:MAX_STARVED_JOBS]:
-        emitted += _place_job(plan, job, 1, starved=True).emitted
-    if len(starved) > MAX_STARVED_JOBS:
-        plan.holder_state.plan_due = True
-    return emitted
+        self.emitted += placement.emitted
+        self._misses += placement.misses
+        self._placed += placement.placed
+        return placement.placed > 0
 
 
 def _place_job(
--- /dev/null
+++ b/tests/jobs/test_first_runs.py
@@ -0,0 +1,190 @@
+"""Tests of the order in which a plan places first runs and further ones.
+
+Pattern: jobs with many tasks a step come first in the order of the policy, and
+behind them is a job of which nothing runs. Each placement takes time in the
+plan, the batch and the push, and a plan ends after so many.
+"""
+
+import datetime
+
+import msgspec
+import pytest
+
+from gypsumhold.decisions.jobs import lifecycle, plans, waits
+from gypsumhold.model.jobs import (
+    effects,
+    progress,
+    scheduler,
+    specs,
+    storage,
+)
+from tests.jobs import job_specs, large_world, test_regressions, wait_search
+
+AGENTS = 10
+SECOND = datetime.timedelta(seconds=1)
+
+START_MS = 4000.0
+"""Time until a holder places tasks."""
+
+BATCH_MS = 300.0
+"""Time that a slow store takes for a batch beside its call."""
+
+MAX_START_MS = 2 * BATCH_MS + 700.0
+"""The batch in flight, the one with the placement, and the start."""
+
+WIDE_STEP = specs.StepSpec(100, 500, 100, estimate_ms=1000)
+"""More tasks than a plan places."""
+
+LATER_STEP = specs.StepSpec(1, 500, 100, estimate_ms=9000)
+"""It may end later, so the policy places it after a wide step."""
+
+
+class Fleet:
+    """A holder of a site of empty workers."""
+
+    def __init__(self) -> None:
+        self.world = large_world.LargeWorld(1, AGENTS)
+        self.world.run(START_MS)
+        self.state: scheduler.SchedulerState = test_regressions.find_holder(
+            self.world
+        ).state
+        assert self.state.holder_state is not None
+        self.holder_state = self.state.holder_state
+
+    def add_job(self, name: str, step: specs.StepSpec) -> progress.Job:
+        now = self.world.read_clock()
+        submitted_ms = lifecycle.to_ms(now) + self.holder_state.wall_offset_ms
+        spec = msgspec.structs.replace(
+            job_specs.build_job_of(name, (step,)), submitted_ms=submitted_ms
+        )
+        rows = storage.JobRows(spec)
+        job = lifecycle.add_job(self.holder_state, rows, now)
+        assert job is not None
+        return job
+
+    def fill(self, share: float) -> None:
+        """Places tasks that take a share of the capacity of each worker."""
+        step = specs.StepSpec(
+            AGENTS, int(large_world.WORKER_MILLIS * share), 100
+        )
+        job = self.add_job("filler", step)
+        views = self.holder_state.agents.values()
+        for index, view in enumerate(views):
+            ref = lifecycle.build_task_ref(job, job.steps[0], index)
+            placed = scheduler.PlacedTask(
+                job, job.steps[0], job.steps[0].tasks[index]
+            )
+            lifecycle.place_task(
+                self.holder_state, view, placed, ref, self.world.read_clock()
+            )
+            view.candidate = None
+
+    def make_plan(self) -> list[str]:
+        """Makes a plan; returns the job of each placement, in their order."""
+        emitted = plans.place_ready_tasks(
+            self.state, self.holder_state, self.world.read_clock()
+        )
+        return [
+            str(effect.subject)
+            for effect in emitted
+            if isinstance(effect, effects.Log) and effect.decision == "place"
+        ]
+
+
+def test_each_job_gets_a_run_before_any_gets_a_second() -> None:
+    """Guards against a job that waits until others have their whole width."""
+    fleet = Fleet()
+    fleet.add_job("wide", WIDE_STEP)
+    fleet.add_job("later", LATER_STEP)
+    assert fleet.make_plan()[:3] == ["wide", "later", "wide"]
+
+
+def test_gang_starts_before_the_widths_of_others() -> None:
+    """Guards against a gang of which a first run alone is placed."""
+    fleet = Fleet()
+    fleet.add_job("wide", WIDE_STEP)
+    gang = specs.StepSpec(4, 500, 100, estimate_ms=9000, gang=True)
+    fleet.add_job("gang", gang)
+    assert fleet.make_plan()[:6] == ["wide", *["gang"] * 4, "wide"]
+
+
+def test_longest_wait_goes_first_among_starved_jobs() -> None:
+    """Guards against a job near the limit that waits for those behind it."""
+    fleet = Fleet()
+    fleet.add_job("wide", WIDE_STEP)
+    fleet.add_job("waiting", LATER_STEP)
+    fleet.add_job("longest", LATER_STEP)
+    now = fleet.world.read_clock()
+    waits.update(fleet.holder_state, now)
+    run_waits = fleet.holder_state.run_waits.jobs
+    run_waits[specs.JobId("waiting")].since = now - 2 * SECOND
+    run_waits[specs.JobId("longest")].since = now - 2.5 * SECOND
+    assert fleet.make_plan()[:3] == ["longest", "waiting", "wide"]
+
+
+def test_widths_go_on_beside_many_first_runs() -> None:
+    """Guards against jobs that all go on with one run each and end late."""
+    fleet = Fleet()
+    fleet.add_job("wide", WIDE_STEP)
+    for number in range(2 * plans.MAX_FIRST_RUNS):
+        fleet.add_job(f"later-{number}", LATER_STEP)
+    placed = fleet.make_plan()
+    assert placed.count("wide") > plans.MIN_FURTHER_RUNS
+    assert len(placed) <= plans.MAX_PLACEMENTS + plans.MIN_FURTHER_RUNS
+
+
+def test_job_that_fits_nowhere_is_tried_once_in_a_plan() -> None:
+    """Guards against misses that count twice and end a plan too early.
+
+    Only those of best-effort tasks count.
+    """
+    fleet = Fleet()
+    too_large = specs.StepSpec(
+        1, 2 * large_world.WORKER_MILLIS, 100, fills=True
+    )
+    for number in range(plans.MISSES_BEFORE_SKIP - 1):
+        fleet.add_job(f"large-{number}", too_large)
+    wide_step = msgspec.structs.replace(WIDE_STEP, fills=True)
+    wide = fleet.add_job("wide", wide_step)
+    assert len(fleet.make_plan()) == plans.MAX_PLACEMENTS
+    assert any(task.is_placed() for task in wide.steps[0].tasks)
+
+
+@pytest.mark.parametrize(
+    ("used_share", "expected"), [(0.4, "later"), (0.8, "wide")]
+)
+def test_first_runs_go_first_only_while_there_is_room(
+    used_share: float, expected: str
+) -> None:
+    """Guards against urgent jobs that are late for first runs of others.
+
+    A job without a run has to get one only while under half of the fleet is in
+    use. Beyond, the order is that of the policy alone.
+    """
+    fleet = Fleet()
+    fleet.fill(used_share)
+    fleet.add_job("wide", WIDE_STEP)
+    fleet.add_job("later", LATER_STEP)
+    assert fleet.make_plan()[:2] == ["wide", expected]
+
+
+def test_job_starts_while_wide_ones_are_being_placed() -> None:
+    """Guards against a first run that waits for the plans of wide steps.
+
+    All tasks of the wide jobs have room, and take several plans.
+    """
+    world = large_world.LargeWorld(1, AGENTS)
+    world.run(START_MS)
+    world.pauses_ms[effects.CommitBatch] = lambda: BATCH_MS
+    wide = specs.StepSpec(50, 300, 100, estimate_ms=1000)
+    for number in range(10):
+        wait_search.submit(
+            world, job_specs.build_job_of(f"wide-{number}", (wide,))
+        )
+    wait_search.submit(world, job_specs.build_job_of("later", (LATER_STEP,)))
+    submitted_ms = world.now_ms
+    started: set[str] = set()
+    while "later" not in started and world.now_ms < submitted_ms + 5000:
+        world.run(20)
+        started = {str(ref.task.job_id) for ref in world.oracle.started}
+    assert world.now_ms - submitted_ms <= MAX_START_MS
