Report at once the first start of a batch for a job that has waited

Cause: only the first task that is placed for a job was reported at once. If its agent is gone, or the job has placed tasks of a former holder, as after a restart of all machines, the start that ends the wait was known up to a second later.

Change: the start to report at once is the first one of its job in a batch, so one for each job and batch.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -114,8 +114,9 @@
     for job in jobs:
         job_id = job.spec.job_id
         del holder_state.dirty[job_id]
-        for task in job.unstored_placements:
+        for position, task in enumerate(job.unstored_placements):
             task.batch = number
+            task.is_first_of_batch = position == 0
         job.unstored_placements.clear()
         job.batch = number
         writes.append(
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -129,7 +129,7 @@
             must_start_at_once=starvation.is_starved(
                 holder_state, placed.job, now
             ),
-            must_report_at_once=placed.task.is_only_run
+            must_report_at_once=placed.task.is_first_of_batch
             and starvation.must_know_start(holder_state, placed.job, now),
         )
         for ref, placed in view.placed.items()
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -66,6 +66,8 @@
         excluded_instances: Instances on which the task failed or was refused.
         is_only_run: Whether nothing else of the job was placed at the latest
             placement, so that the agent starts the run without delay.
+        is_first_of_batch: Whether `batch` has no earlier placement of its job,
+            so that this start is the one to tell of soon.
         crashes: Crashes of workers that may be its fault, in the order in
             which they became known.
         blocked_since: Since when plans have found no worker for the task
@@ -96,6 +98,7 @@
         default_factory=set
     )
     is_only_run: bool = False
+    is_first_of_batch: bool = False
     crashes: tuple[runs.Crash, ...] = ()
     blocked_since: datetime.timedelta | None = None
 
--- a/tests/jobs/test_start_reports.py
+++ b/tests/jobs/test_start_reports.py
@@ -51,12 +51,41 @@
     """
     world = worlds.World(3, agents=3)
     submit_delayed_job(world, after_ms)
-    while not any(ref.task == RUN.task for ref in world.oracle.started):
+    assert measure_time_until_known(world) <= MAX_KNOWN_MS
+
+
+def measure_time_until_known(world: worlds.World) -> float:
+    """Returns the time from the start of the job until its wait ends."""
+    while not any(ref.task.job_id == "job" for ref in world.oracle.started):
         world.run(5)
     started_ms = world.now_ms
     while count_waits(world):
         world.run(5)
-    assert world.now_ms - started_ms <= MAX_KNOWN_MS
+    return world.now_ms - started_ms
+
+
+@pytest.mark.parametrize("after_ms", [0, 250, 500, 750])
+def test_start_in_place_of_another_is_known_at_once(after_ms: float) -> None:
+    """Guards against a job whose first start does not begin, as above.
+
+    The agent of the first start is paused when it is on its way, so another
+    task is placed while the first one still counts as placed.
+    """
+    world = worlds.World(3, agents=3)
+    submit_delayed_job(world, after_ms)
+    while not (placed := list_decisions(world, "place")):
+        world.run(5)
+    world.freeze(placed[0].outcome, 10 * SECOND_MS)
+    assert measure_time_until_known(world) <= MAX_KNOWN_MS
+
+
+def list_decisions(world: worlds.World, *decisions: str) -> list[effects.Log]:
+    """Returns the lines about the job with these decisions."""
+    return [
+        line
+        for _, _, line in world.log_lines
+        if line.subject == "job" and line.decision in decisions
+    ]
 
 
 def test_job_that_runs_gets_no_task_against_the_policy() -> None:
@@ -67,12 +96,8 @@
     world = worlds.World(7, agents=3)
     submit_delayed_job(world, AFTER_REPORT_MS)
     world.run(5 * SECOND_MS)
-    decisions = [
-        line.decision
-        for _, _, line in world.log_lines
-        if line.subject == "job" and line.decision in ("place", "run-ended")
-    ]
-    assert decisions[:2] == ["place", "run-ended"]
+    lines = list_decisions(world, "place", "run-ended")
+    assert [line.decision for line in lines[:2]] == ["place", "run-ended"]
 
 
 @pytest.mark.parametrize("by_poll", [False, True])
