Start held runs when an outdated answer brings the lease

Cause: directives that an agent has overtaken by newer ones still extend its grant, but the runs that waited for a lease were looked at only with the next poll or heartbeat. Found by reading; not seen on the site.

Change: an outdated answer starts the waiting runs, as a poll would. Those that the answer revokes are dropped before, as they were.

Result: test_start_goes_on_once_an_answer_that_it_overtook_brings_the_lease fails without the change, as nothing is started; test_held_starts, test_revoked_starts and test_lost_answers: 94 passed.

--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -85,7 +85,8 @@
     if answered is not None:
         emitted += _drop_revoked_starts(state, directives, answered)
     if directives.sequence <= state.sequence:
-        return emitted
+        # An outdated answer brings no commands, but maybe the first lease.
+        return [*emitted, *commands.start_waiting_runs(state, now)]
     state.sequence = directives.sequence
     return [*emitted, *_carry_out(state, directives, now)]
 
--- a/tests/jobs/test_held_starts.py
+++ b/tests/jobs/test_held_starts.py
@@ -92,3 +92,25 @@
     agent.answer_start(run, events.CommandResult.DONE)
     assert outcomes == ["started"]
     assert agent.state.active[run].state is executor.LocalState.RUNNING
+
+
+def test_start_goes_on_once_an_answer_that_it_overtook_brings_the_lease() -> (
+    None
+):
+    """Guards against a start that waits for a poll though there is a lease.
+
+    The directives that request it were sent after the answer to a report, which
+    has the first lease, and arrive before it.
+    """
+    agent = lone_agent.LoneAgent()
+    run = runs.RunRef(
+        runs.TaskRef(specs.JobId("job"), 0, 0, 0), runs.RunNumber(1)
+    )
+    report = agent.report()
+    agent.push(agent.build_directives(2, (run,), grants=False))
+    emitted = agent.answer_report(report, agent.build_directives(1))
+    assert [
+        effect.command.ref
+        for effect in emitted
+        if isinstance(effect, effects.StartRun)
+    ] == [run]
