Let the calls of a killed agent outlast its restart in the test

test_agent_dies_under_load is known red: `assert busy` failed once, with no call left after a restart that has to end within the 6 s of the calls.

Cause: the start of the process. In eight runs (load average 16 to 17) its listener answered 1.35 to 2.70 s after the start and was ready at most 0.05 s later, so that no wait for a configuration, worker or upstream is part of it. Importing the agent's modules takes 0.9 s of processor time (1.1 s for an entry), 0.7 s with compiled bytecode; the OTLP exporter accounts for 0.04 s and the garbage collector for 0.06 s of these, so that no part stands out.

Nothing in the design promises a time for the start of a process. The 6 s are the scenario: calls that still run when the next agent starts.

Change: the calls take a second less than their deadline of 16 s. The check that they still run stays, and the next agent now has to leave their slots alone for longer. The time that a restart may take is still limited by the cluster (100 attempts, 0.1 s apart).

--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -13,6 +13,11 @@
 
 TASKS = 8
 TASK_RUN_MS = 1500
+CALL_MS = load.DEADLINE_MS - 1000
+"""Service time of calls that have to outlast the restart of an agent.
+
+On a busy machine a process needs several seconds to import its modules.
+"""
 
 
 def submit_tasks(client: load.Client, tag: str) -> list[str]:
@@ -42,7 +47,7 @@
     task_ids = submit_tasks(client, "agent-dies")
     with load.BackgroundLoad(client, "agent-dies", threads=24) as background:
         background.wait_for_completed(24)
-        client.set_fault(Role.UPSTREAM, 0, "slow", slow_ms=6000)
+        client.set_fault(Role.UPSTREAM, 0, "slow", slow_ms=CALL_MS)
         count_before = len(client.read_records(Role.UPSTREAM, 0)["requests"])
 
         def is_full() -> bool:
@@ -56,7 +61,7 @@
         deployment.restart(agent)
         restart_s = time.monotonic() - started_at
         busy = client.read_records(Role.UPSTREAM, 0)["busy"]
-        assert busy, f"the restart took {restart_s:.1f} s of the calls' 6 s"
+        assert busy, f"the calls ended within the restart of {restart_s:.1f} s"
         client.set_fault(Role.UPSTREAM, 0)
         background.wait_for_completed(96)
     assert load.find_violations(client, background.histories) == []
