Answer in progress to a refused repeat whose work the entry itself runs

Found in the search for the cause of test_same_key_at_once (known red, an answer `not-run` once): with the table frozen for 2.6 s (trial, SIGSTOP), a repeat of a running call got `not-run`, `table-unavailable`, 503 at once, and the call then completed. A caller that believes this sends the work again under a new key.

Cause: an entry that cannot read the claim refuses as *not run*, even if the call with this key is its own and runs, or has ended and is still to be recorded. Refusals at the admission (`overloaded`, `stopping`, `expired`) share the cause.

Change: such a refusal becomes *in progress* (409) with the same reason if another call of this entry has the key or a record of the key is pending.

Ruled out: a look at the claim before each refusal; the table is known to be down or the entry is overloaded.

--- a/src/gypsumhold/decisions/calls.py
+++ b/src/gypsumhold/decisions/calls.py
@@ -42,7 +42,8 @@
     request = event.request
     refusal = _check_request(state, request, now)
     if refusal is not None:
-        return [effects.AnswerCall(request.request_id, refusal)]
+        result = claims.qualify_refusal(state, request, refusal)
+        return [effects.AnswerCall(request.request_id, result)]
     template = state.configuration.resolve(request.organisation, request.kind)
     assert template is not None
     call = entry.Call(
--- a/src/gypsumhold/decisions/claims.py
+++ b/src/gypsumhold/decisions/claims.py
@@ -5,6 +5,7 @@
 the same key later can ask the agent for the outcome.
 """
 
+import dataclasses
 import datetime
 
 from gypsumhold.decisions import dispatches, results
@@ -158,12 +159,46 @@
     state: entry.EntryState, call: entry.Call
 ) -> list[effects.Effect]:
     """Ends a call that cannot be claimed because the table is unavailable."""
-    result = dispatches.build_refusal(
+    refusal = dispatches.build_refusal(
         states.Reason.TABLE_UNAVAILABLE, dispatches.RETRY_AFTER
     )
+    result = qualify_refusal(state, call.request, refusal)
     return dispatches.finish_call(state, call, result)
 
 
+def qualify_refusal(
+    state: entry.EntryState,
+    request: requests.Request,
+    refusal: requests.Result,
+) -> requests.Result:
+    """Returns the answer to a request that is refused unread.
+
+    *Not run* would be false if another call with its key is in progress here,
+    or has a result that is still to be recorded. The answer is *in progress*
+    then.
+    """
+    if request.key is None or not _is_in_work(state, request, request.key):
+        return refusal
+    return dataclasses.replace(refusal, outcome=states.Outcome.IN_PROGRESS)
+
+
+def _is_in_work(
+    state: entry.EntryState, request: requests.Request, key: ids.IdempotencyKey
+) -> bool:
+    """Returns whether this entry knows of other work under a key."""
+    claim_key = rows.build_claim_key(request.organisation, key)
+    return any(
+        not other.template.repeatable
+        and other.request.key == key
+        and other.request.organisation == request.organisation
+        and other.request.request_id != request.request_id
+        for other in state.calls.values()
+    ) or any(
+        pending.transaction.writes[0].key == claim_key
+        for pending in state.pending_records.values()
+    )
+
+
 def _evaluate_claim(
     state: entry.EntryState,
     call: entry.Call,
--- a/tests/decisions/test_results.py
+++ b/tests/decisions/test_results.py
@@ -18,6 +18,7 @@
     resources,
     rows,
     states,
+    timers,
 )
 from tests.decisions import test_overload
 
@@ -53,13 +54,18 @@
     return state
 
 
-def feed_call(state: entry.EntryState, name: str) -> effects.Commit:
-    request = requests.Request(
-        *(ids.RequestId(name), ids.OrganisationId("a"), test_overload.KIND),
-        *(ids.IdempotencyKey("key"), 9 * SECOND, "digest"),
-        requests.Payload("POST", "/"),
+def build_call(name: str, key: str = "key") -> events.CallArrived:
+    return events.CallArrived(
+        requests.Request(
+            *(ids.RequestId(name), ids.OrganisationId("a"), test_overload.KIND),
+            *(ids.IdempotencyKey(key), 9 * SECOND, "digest"),
+            requests.Payload("POST", "/"),
+        )
     )
-    (emitted,) = reducer.reduce(state, events.CallArrived(request), SECOND)
+
+
+def feed_call(state: entry.EntryState, name: str) -> effects.Commit:
+    (emitted,) = reducer.reduce(state, build_call(name), SECOND)
     assert isinstance(emitted, effects.Commit)
     return emitted
 
@@ -161,3 +167,56 @@
     )
     assert isinstance(answer_effect, effects.AnswerCall)
     assert answer_effect.result.answer == answer
+
+
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_repeat_during_an_outage_is_not_refused_as_not_run(
+    is_answered: bool,
+) -> None:
+    """Guards against the outcome NOT_RUN for work that this entry started.
+
+    The table fails while the first call runs, or before its result is recorded.
+    """
+    state = build_entry()
+    (dispatch_effect,) = answer_commit(
+        state, feed_call(state, "first"), COMMITTED
+    )
+    assert isinstance(dispatch_effect, effects.SendDispatch)
+    if is_answered:
+        answered = events.DispatchAnswered(
+            dispatch_effect.dispatch.request_id,
+            dispatch_effect.dispatch.attempt,
+            requests.DispatchReply(
+                states.Outcome.COMPLETED, answer=requests.Answer(200)
+            ),
+        )
+        (record_commit,) = reducer.reduce(state, answered, SECOND)
+        assert isinstance(record_commit, effects.Commit)
+        unavailable = rows.CommitAnswer(states.CommitResult.UNAVAILABLE)
+        answer_commit(state, record_commit, unavailable)
+        assert not state.calls
+    purpose = events.ReadPurpose(timers.ReadKind.CONFIG_HEAD, sent_at=SECOND)
+    reducer.reduce(state, events.RowsRead(purpose, None), SECOND)
+    for key, outcome in (
+        ("key", states.Outcome.IN_PROGRESS),
+        ("other", states.Outcome.NOT_RUN),
+    ):
+        (emitted,) = reducer.reduce(state, build_call("second", key), SECOND)
+        assert isinstance(emitted, effects.AnswerCall)
+        assert emitted.result.outcome is outcome
+        assert emitted.result.reason is states.Reason.TABLE_UNAVAILABLE
+
+
+def test_repeat_at_a_stopping_entry_is_not_refused_as_not_run() -> None:
+    """Guards against the outcome NOT_RUN for work that is still in progress."""
+    state = build_entry()
+    answer_commit(state, feed_call(state, "first"), COMMITTED)
+    reducer.reduce(state, events.StopRequested(), SECOND)
+    for key, outcome in (
+        ("key", states.Outcome.IN_PROGRESS),
+        ("other", states.Outcome.NOT_RUN),
+    ):
+        (emitted,) = reducer.reduce(state, build_call("second", key), SECOND)
+        assert isinstance(emitted, effects.AnswerCall)
+        assert emitted.result.outcome is outcome
+        assert emitted.result.reason is states.Reason.STOPPING
--- a/tests/processes/test_keys.py
+++ b/tests/processes/test_keys.py
@@ -3,9 +3,15 @@
 import concurrent.futures
 import dataclasses
 
+import cluster_settings
+
 from tests.processes import load
 
+Role = cluster_settings.Role
+
 PAIRS = 6
+OUTAGE_DELAY_MS = 6000
+"""Service time of a call during which the table goes down."""
 
 
 def test_same_key_at_once(client: load.Client) -> None:
@@ -41,3 +47,28 @@
         assert answer.status == 422, answer
         assert (answer.outcome, answer.reason) == ("not-run", "key-reused")
     assert client.count_runs()[path] == 1
+
+
+def test_repeat_while_the_table_is_down(client: load.Client) -> None:
+    """Guards against the outcome not-run while the work of the key runs."""
+    path = "/repeat-in-outage"
+    request = load.Request(
+        path, load.NON_REPEATABLE_KIND, key=path, delay_ms=OUTAGE_DELAY_MS
+    )
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        first = pool.submit(client.call, 0, request)
+        load.wait_until(lambda: client.count_runs()[path], "it did not run")
+        client.set_fault(Role.PLATFORM, 0, "down")
+        repeat = client.call(0, request)
+        assert not first.done()
+        assert (repeat.outcome, repeat.status) == ("in-progress", 409), repeat
+        assert repeat.reason == "table-unavailable"
+        assert first.result().outcome == "completed"
+    repeat = client.call(0, request)
+    assert (repeat.outcome, repeat.status) == ("in-progress", 409), repeat
+    client.set_fault(Role.PLATFORM, 0)
+    load.wait_until(
+        lambda: client.call(1, request) == first.result(),
+        "the result was not recorded",
+    )
+    assert client.count_runs()[path] == 1
