Count the wait of a job from the loss of its worker, not from its report

Cause: a run that is lost with its worker has no listed end. The wait of its job began when a report no longer listed the run, or told of the next incarnation, up to two seconds after the loss, and the policy then delayed the placement by its full 1.3 s. Found by reading and shown in virtual time; not seen on a site.

Change: when such runs are released, the waits count from when the worker was last known to answer, but from no more than the longest delay of the policy before the release, as at a takeover. Only the job is placed earlier; the proof that the former run has ended is the same.

--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -11,6 +11,7 @@
     interference,
     lifecycle,
     lost_workers,
+    starvation,
     wait_logs,
     waits,
 )
@@ -191,6 +192,7 @@
                 instance,
                 holder_state.orphans[instance],
                 "unheard",
+                now,
             )
         for view in holder_state.agents.values():
             emitted += _release_silent_runs(state, holder_state, view, now)
@@ -236,7 +238,9 @@
     }
     if not silent_runs:
         return []
-    return release_tasks(holder_state, view.instance, silent_runs, "silent")
+    return release_tasks(
+        holder_state, view.instance, silent_runs, "silent", now
+    )
 
 
 def release_tasks(
@@ -244,8 +248,12 @@
     instance: ids.InstanceId,
     tasks: dict[runs.TaskRef, scheduler.PlacedTask],
     reason: str,
+    now: datetime.timedelta,
 ) -> EffectList:
-    """Releases tasks of an instance whose runs have certainly ended."""
+    """Releases tasks of an instance whose runs have certainly ended.
+
+    The waits of their jobs count from before their loss became known.
+    """
     log = effects.Log(
         "runs-lapsed",
         instance,
@@ -257,10 +265,36 @@
         ),
     )
     lost_workers.remember(holder_state, instance, tasks)
-    for ref, placed in list(tasks.items()):
+    view = holder_state.agents.get(instance)
+    released = dict(tasks)
+    for ref, placed in released.items():
         lifecycle.release_task(holder_state, ref, placed)
     tasks.clear()
-    return [log]
+    emitted: EffectList = [log]
+    for ref, placed in released.items():
+        lost_at = _estimate_loss(view, placed, now)
+        emitted += waits.begin_at_loss(
+            holder_state, placed.job, ref, lost_at, now
+        )
+    return emitted
+
+
+def _estimate_loss(
+    view: scheduler.AgentView | None,
+    placed: scheduler.PlacedTask,
+    now: datetime.timedelta,
+) -> datetime.timedelta:
+    """Returns since when a run without a listed end counts as lost.
+
+    That is when its worker was last known to answer, but no earlier than the
+    longest delay of the placement policy before now: no more is needed for its
+    job to be placed at once.
+    """
+    lost_at = placed.task.worker_reported_at
+    loss = None if view is None else view.loss
+    if loss and loss.incarnation == placed.task.worker_incarnation:
+        lost_at = min(lost_at, loss.at)
+    return max(lost_at, now - starvation.MAX_PLACEMENT_DELAY)
 
 
 def _delete_old_submissions(
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -175,7 +175,7 @@
     for sums in report.interference_sums:
         view.interference_sums[sums.pair] = sums
     _adopt_orphans(holder_state, view)
-    emitted += _release_ended_runs(holder_state, view)
+    emitted += _release_ended_runs(holder_state, view, now)
     _record_worker_report(view, now)
     emitted += crashes.judge_crashes(state, holder_state, view, now)
     for row in sorted(report.ends, key=lambda row: row.number):
@@ -229,7 +229,9 @@
 
 
 def _release_ended_runs(
-    holder_state: scheduler.HolderState, view: scheduler.AgentView
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Releases every run that has ended according to the report.
 
@@ -263,7 +265,7 @@
         return []
     reason = "lapsed" if report.runs_ended else "new worker life"
     return holders.release_tasks(
-        holder_state, view.instance, ended_runs, reason
+        holder_state, view.instance, ended_runs, reason, now
     )
 
 
--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -79,6 +79,32 @@
     return _update_job(holder_state, job, min(ended_at, now), now)
 
 
+def begin_at_loss(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    ref: runs.TaskRef,
+    lost_at: datetime.timedelta,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Updates the waits of a job after a run was lost with its worker.
+
+    A wait may have begun already when a report no longer listed the run; it
+    counts from the loss as well.
+    """
+    emitted = begin_at_end(holder_state, job, lost_at, now)
+    run_waits = holder_state.run_waits
+    for wait in (
+        run_waits.jobs.get(job.spec.job_id),
+        run_waits.tasks.get(ref),
+    ):
+        if wait is not None and lost_at < wait.since:
+            unreported = wait.spent.get(waits.WaitStage.REPORT, waits.ZERO)
+            unreported += wait.since - lost_at
+            wait.spent[waits.WaitStage.REPORT] = unreported
+            wait.since = lost_at
+    return emitted
+
+
 def note_obstacle(
     holder_state: scheduler.HolderState,
     job: progress.Job,
--- a/tests/jobs/test_run_limit.py
+++ b/tests/jobs/test_run_limit.py
@@ -6,6 +6,8 @@
 
 import datetime
 
+import pytest
+
 from gypsumhold.model.jobs import effects, scheduler, specs
 from tests.jobs import job_specs, large_world
 from tests.jobs import world as worlds
@@ -14,6 +16,8 @@
 MAX_WAIT_MS = 3000.0
 """Time without a run that the platform allows while there is capacity."""
 
+LONG_WORK_MS = 60_000.0
+
 MAX_START_MS = 1000.0
 """Time in which each agent reports to a new holder, which then has no reason
 left to delay a job."""
@@ -210,3 +214,32 @@
     while "job" not in list_running(world) and world.now_ms < loaded_ms + 8000:
         world.run(5)
     assert world.now_ms - loaded_ms <= MAX_START_MS
+
+
+@pytest.mark.parametrize("down_ms", [0.0, 300.0, 700.0, 1000.0, 1500.0])
+@pytest.mark.parametrize("seed", [3, 4, 5, 6])
+def test_lost_worker_does_not_renew_the_wait(seed: int, down_ms: float) -> None:
+    """Guards against a wait that begins only once a loss is reported.
+
+    A worker is lost with the only run of a job. Its agent reports the next
+    incarnation up to two seconds later, and the policy delays the placement.
+    """
+    world = worlds.World(seed, agents=4)
+    # The run goes on until its worker is lost.
+    world._draw_work_ms = lambda _: LONG_WORK_MS  # type: ignore[method-assign]
+    world.run(3000)
+    serve_everywhere(world)
+    step = specs.StepSpec(1, 4000, 1000, estimate_ms=60_000, fills=True)
+    world.submit("entry-0", job_specs.build_job_of("job", (step,)))
+    while "job" not in list_running(world):
+        world.run(5)
+    # Older runs are not suspected of the crash, and need no quiet worker.
+    world.run(2500)
+    name = next(
+        name
+        for name, worker in world.workers.items()
+        if any(ref.job_id == "job" for ref in worker.running)
+    )
+    lost_ms = world.now_ms
+    world.workers[name].restart(lost_ms, down_ms)
+    assert measure_wait(world, lost_ms) <= MAX_WAIT_MS
