Let the order of the policy hold for jobs that have just come

Change: a first run goes before widths once its job has waited for a quarter of the time after which it is starved; a slow plan takes longer than that.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -59,8 +59,8 @@
 ) -> EffectList:
     """Places ready tasks as far as the free capacity allows.
 
-    While the fleet has room, starved jobs get a run first, then all others of
-    which nothing is placed, and the rest follows in the order of the policy.
+    While the fleet has room, starved jobs get a run first, then the others that
+    have had none for some time; the rest follows in the order of the policy.
     In a full fleet that order alone counts, and starved jobs that the plan does
     not get to follow at its end. A job for which this raises an exception is
     set aside, so that it does not stop the others.
@@ -143,13 +143,15 @@
             self._plan.holder_state.plan_due = True
 
     def _place_first_runs(self) -> None:
-        """Places a task, or a gang, of each job of which nothing is placed."""
-        dirty = self._plan.holder_state.dirty
+        """Places a task, or a gang, of each job whose first run is due."""
+        holder_state, now = self._plan.holder_state, self._plan.now
+        dirty = holder_state.dirty
         most = self._placed + MAX_FIRST_RUNS
         for job in self._jobs:
             if len(dirty) >= MAX_CHANGED_JOBS or self._placed >= most:
                 break
-            if self._is_left(job) and not job.has_placed_task():
+            is_due = starvation.is_first_run_due(holder_state, job, now)
+            if is_due and self._is_left(job) and not job.has_placed_task():
                 self._place_first_run(job)
 
     def _place_first_run(self, job: progress.Job) -> None:
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -31,6 +31,10 @@
 """Longest time without a run after which a job gets one wherever there is
 capacity, regardless of the placement policy."""
 
+FIRST_RUN_SHARE = 0.25
+"""Share of the time until a job is starved after which its first run goes
+before further runs of other jobs. A slow plan takes longer than that."""
+
 BATCHES_BEFORE_START = 2
 """Batches that may pass before a start is sent: the one in flight, before which
 no plan is made, and the one with the placement."""
@@ -102,6 +106,22 @@
     return left <= messages.REPORT_INTERVAL
 
 
+def is_first_run_due(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a first run of a job goes before further runs of others.
+
+    Until then the order of the policy keeps urgent jobs on time.
+    """
+    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
+    if wait is None:
+        return False
+    delay = _compute_placement_delay(holder_state) * FIRST_RUN_SHARE
+    return wait.measure(now) >= delay
+
+
 def list_starved_jobs(
     holder_state: scheduler.HolderState, now: datetime.timedelta
 ) -> list[progress.Job]:
