Count placements, not looks, in the limit on starved jobs of a plan

Cause: a plan looked at the 60 starved jobs with the longest waits only. Where these fit nowhere, or have no ready task left, those behind them were never looked at in this pass, and more than 60 starved jobs made the next plan due for good, so that each event made a plan. Found by reading.

Change: the limit counts placements, and another plan is due only if it was reached.

Result: two tests of test_first_runs.py, red before.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -43,8 +43,9 @@
 would make urgent ones late."""
 
 MAX_STARVED_JOBS = 60
-"""Most starved jobs that a plan places beyond these limits, so that one batch
-can store them."""
+"""Placements of starved jobs that a plan makes beyond these limits, so that one
+batch can store them. Jobs that fit nowhere do not count, as those behind them
+would never be placed."""
 
 MISSES_BEFORE_SKIP = 40
 """Best-effort tasks without a candidate after which a plan skips the other jobs
@@ -135,12 +136,13 @@
 
     def _place_starved(self) -> None:
         """Places a task, or a gang, of each starved job not yet looked at."""
-        starved = list(self._starved.values())
-        for job in starved[:MAX_STARVED_JOBS]:
+        most = self._placed + MAX_STARVED_JOBS
+        for job in list(self._starved.values()):
+            if self._placed >= most:
+                self._plan.holder_state.plan_due = True
+                break
             if self._is_left(job):
                 self._place_first_run(job)
-        if len(starved) > MAX_STARVED_JOBS:
-            self._plan.holder_state.plan_due = True
 
     def _place_first_runs(self) -> None:
         """Places a task, or a gang, of each job whose first run is due."""
--- a/tests/jobs/test_first_runs.py
+++ b/tests/jobs/test_first_runs.py
@@ -168,6 +168,53 @@
     assert any(task.is_placed() for task in wide.steps[0].tasks)
 
 
+def test_starved_jobs_that_fit_nowhere_make_no_plan_due() -> None:
+    """Guards against a plan at each event while nothing can be placed."""
+    fleet = Fleet()
+    add_starved_jobs_that_fit_nowhere(fleet)
+    assert fleet.make_plan() == []
+    assert not fleet.holder_state.plan_due
+
+
+def test_starved_job_is_placed_behind_others_that_fit_nowhere() -> None:
+    """Guards against a job that gets no run while the same others are tried.
+
+    It has a placed task whose start does not come, and the plan ends before it
+    in the order of the policy.
+    """
+    fleet = Fleet()
+    add_starved_jobs_that_fit_nowhere(fleet)
+    step = msgspec.structs.replace(LATER_STEP, count=2)
+    job = fleet.add_job("waiting", step)
+    placed = scheduler.PlacedTask(job, job.steps[0], job.steps[0].tasks[0])
+    now = fleet.world.read_clock()
+    lifecycle.place_task(
+        fleet.holder_state,
+        next(iter(fleet.holder_state.agents.values())),
+        placed,
+        lifecycle.build_task_ref(job, job.steps[0], 0),
+        now,
+    )
+    for number in range(3):
+        fleet.add_job(f"wide-{number}", WIDE_STEP)
+    waits.update(fleet.holder_state, now)
+    wait = fleet.holder_state.run_waits.jobs[specs.JobId("waiting")]
+    wait.since = now - 2 * SECOND
+    assert fleet.make_plan()[0] == "waiting"
+
+
+def add_starved_jobs_that_fit_nowhere(fleet: Fleet) -> None:
+    """Adds more of them than a plan places starved jobs."""
+    too_large = specs.StepSpec(1, 2 * large_world.WORKER_MILLIS, 100)
+    for number in range(plans.MAX_STARVED_JOBS + 1):
+        fleet.add_job(f"large-{number}", too_large)
+    now = fleet.world.read_clock()
+    waits.update(fleet.holder_state, now)
+    for wait in fleet.holder_state.run_waits.jobs.values():
+        wait.since = now - 5 * SECOND
+    fleet.holder_state.plan_due = False
+
+
 @pytest.mark.parametrize(
     ("used_share", "expected"), [(0.4, "later"), (0.8, "wide")]
 )
