Place a further task of a starved job where no start of it is overdue

Cause: where the start of a job's first task takes too long, another task of the job is placed, but the policy chose the same worker again, which has most CPU idle, until its agent had been silent for 2.5 s. Found by a test with a paused agent.

Change: workers with a placed task of the starved job that does not run are left out as long as another one has room. Gangs and suspects are not concerned: the first start as a whole, the second need a quiet worker.

--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -190,9 +190,31 @@
             candidates = self._plan.candidates
             if not self._starved:
                 candidates = capacity.select_sound(candidates, self._job, step)
+            elif not step.spec.gang and not step.has_suspects():
+                candidates = self._select_responsive(candidates)
             self._usable_by_step[key] = candidates
         return self._usable_by_step[key]
 
+    def _select_responsive(self, candidates: Candidates) -> Candidates:
+        """Returns the candidates on which no start of the job is overdue.
+
+        A starved job has no run, so its placed tasks have not started in time.
+        """
+        overdue = {
+            str(task.instance)
+            for step in self._job.steps
+            if step.open
+            for task in step.tasks
+            if task.is_placed() and not task.is_running()
+        }
+        if not overdue:
+            return candidates
+        return {
+            name: candidate
+            for name, candidate in candidates.items()
+            if name not in overdue
+        }
+
     def _get_choices(
         self, step: progress.Step, usable: Candidates
     ) -> choices.StepChoices:
@@ -242,7 +264,7 @@
         if candidate is None and (
             (self._starved and not is_suspect) or self._is_blocked(step, index)
         ):
-            # No worker that it has not tried has room: it may run anywhere.
+            # No other worker has room: it may run anywhere.
             task.excluded_instances.clear()
             usable = self._plan.candidates
             candidate = self._choose_for_task(step, task, usable, is_urgent)
--- a/tests/jobs/test_run_limit.py
+++ b/tests/jobs/test_run_limit.py
@@ -69,6 +69,42 @@
     assert world.now_ms - placed_ms <= MAX_WAIT_MS
 
 
+@pytest.mark.parametrize("seed", [3, 4, 5, 6])
+def test_another_task_goes_to_another_worker(seed: int) -> None:
+    """Guards against tasks that follow each other to an agent that is paused.
+
+    The policy prefers its worker, which has most CPU idle.
+    """
+    world = worlds.World(seed, agents=3)
+    large = world.workers["agent-1"]
+    large.cpu_millis *= 4
+    large.memory_mb *= 4
+    world.run(3000)
+    serve_everywhere(world)
+    step = specs.StepSpec(4, 4000, 1000, estimate_ms=1000, fills=True)
+    submitted_ms = world.now_ms
+    world.submit("entry-0", job_specs.build_job_of("job", (step,)))
+    while not list_placed(world):
+        world.run(5)
+    world.freeze(list_placed(world)[0], 6000)
+    while len(list_placed(world)) < 2 and world.now_ms < submitted_ms + 6000:
+        world.run(5)
+    first, second = list_placed(world)
+    assert first != second
+    while "job" not in list_running(world):
+        world.run(5)
+    assert world.now_ms - submitted_ms <= MAX_WAIT_MS
+
+
+def list_placed(world: worlds.World) -> list[str]:
+    """Returns the instances on which tasks of the job were placed so far."""
+    return [
+        line.outcome
+        for _, _, line in world.log_lines
+        if line.decision == "place" and line.subject == "job"
+    ]
+
+
 def test_refused_start_does_not_renew_the_wait() -> None:
     """Guards against a wait that begins anew once an agent lists the run.
 
