Start only the run without delay that ends the wait of a starved job

Cause: an agent holds a best-effort run back for up to 0.7 s while the serving tasks beside it have hardly any allowance, but for the only run of its job. Since all starts of a starved job went without that delay, and a new holder counts all its jobs without a run as starved. Found by reading.

Change: of a starved job, the first start of each batch goes without delay, and all of a gang, which does not run before.

The effect on serving tasks was not measured.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -126,9 +126,8 @@
         build_start_command(
             ref,
             placed,
-            must_start_at_once=starvation.is_starved(
-                holder_state, placed.job, now
-            ),
+            must_start_at_once=_ends_wait(placed)
+            and starvation.is_starved(holder_state, placed.job, now),
             must_report_at_once=placed.task.is_first_of_batch
             and starvation.must_know_start(holder_state, placed.job, now),
         )
@@ -141,6 +140,14 @@
     )
 
 
+def _ends_wait(placed: scheduler.PlacedTask) -> bool:
+    """Tells whether a start is the one that is to end the wait of its job.
+
+    A gang waits until all of its tasks have started.
+    """
+    return placed.task.is_first_of_batch or placed.step.spec.gang
+
+
 def build_start_command(
     ref: runs.TaskRef,
     placed: scheduler.PlacedTask,
--- a/tests/jobs/test_first_runs.py
+++ b/tests/jobs/test_first_runs.py
@@ -10,7 +10,13 @@
 import msgspec
 import pytest
 
-from gypsumhold.decisions.jobs import lifecycle, plans, waits
+from gypsumhold.decisions.jobs import (
+    batches,
+    directives,
+    lifecycle,
+    plans,
+    waits,
+)
 from gypsumhold.model.jobs import (
     effects,
     progress,
@@ -215,6 +221,36 @@
     fleet.holder_state.plan_due = False
 
 
+@pytest.mark.parametrize(("gang", "expected"), [(False, 1), (True, 20)])
+def test_only_what_ends_a_wait_starts_without_delay(
+    gang: bool, expected: int
+) -> None:
+    """Guards against many best-effort runs that slow serving tasks at once.
+
+    Agents hold these back for a while, but for the first one of a starved job.
+    A gang does not run before all of its tasks have started.
+    """
+    fleet = Fleet()
+    step = specs.StepSpec(20, 500, 100, estimate_ms=1000, fills=True, gang=gang)
+    fleet.add_job("waiting", step)
+    now = fleet.world.read_clock()
+    waits.update(fleet.holder_state, now)
+    wait = fleet.holder_state.run_waits.jobs[specs.JobId("waiting")]
+    wait.since = now - 2 * SECOND
+    fleet.make_plan()
+    batch = batches._build_batch(fleet.state, fleet.holder_state)
+    fleet.holder_state.stored_batch = batch.holder.batch
+    starts = [
+        command
+        for view in fleet.holder_state.agents.values()
+        for command in directives.build_directives(
+            fleet.state, fleet.holder_state, view, now, is_answer=False
+        ).starts
+    ]
+    assert len(starts) == 20
+    assert sum(command.only_run for command in starts) == expected
+
+
 @pytest.mark.parametrize(
     ("used_share", "expected"), [(0.4, "later"), (0.8, "wide")]
 )
