Skip no ordinary ready task of a job that has best-effort ones as well

Cause: after forty misses of best-effort tasks a plan skipped each job with a best-effort step, also where an ordinary task of it was ready and had room, until the job was starved. Found by reading.

Change: only jobs of which best-effort tasks alone are ready are skipped.

Result: test_ordinary_task_of_a_job_with_best_effort_ones_is_not_skipped: the plan placed nothing before, and the task now. test_first_runs, test_run_limit, test_runless_jobs and test_starved_jobs pass.

--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -56,6 +56,11 @@
     return any(True for _ in _iterate_ready_tasks(job))
 
 
+def has_ordinary_ready_task(job: progress.Job) -> bool:
+    """Tells whether a ready task of an open step is not best-effort."""
+    return any(not step.spec.fills for step, _ in _iterate_ready_tasks(job))
+
+
 def _iterate_ready_tasks(
     job: progress.Job,
 ) -> Iterator[tuple[progress.Step, int]]:
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -49,8 +49,8 @@
 
 MISSES_BEFORE_SKIP = 40
 """Best-effort tasks without a candidate after which a plan skips the other jobs
-that have such tasks, but for starved ones, which have to get a run in the end,
-and those of which a task may not wait."""
+of which only such tasks are ready, but for starved ones, which have to get a
+run in the end, and those of which a task may not wait."""
 
 
 def place_ready_tasks(
@@ -200,7 +200,10 @@
         job_id = job.spec.job_id
         is_starved = job_id in self._starved
         may_skip = job.has_best_effort_steps() and not (
-            is_starved or job.is_migrating() or job.is_long_running()
+            is_starved
+            or job.is_migrating()
+            or job.is_long_running()
+            or job_placements.has_ordinary_ready_task(job)
         )
         if self._misses >= MISSES_BEFORE_SKIP and may_skip:
             waits.note_obstacle(
--- a/tests/jobs/test_first_runs.py
+++ b/tests/jobs/test_first_runs.py
@@ -67,14 +67,14 @@
     def add_job(
         self,
         name: str,
-        step: specs.StepSpec,
+        *steps: specs.StepSpec,
         waited: datetime.timedelta = DUE_WAIT,
     ) -> progress.Job:
         """Adds a job that has had no run for a time."""
         now = self.world.read_clock()
         submitted_ms = lifecycle.to_ms(now) + self.holder_state.wall_offset_ms
         spec = msgspec.structs.replace(
-            job_specs.build_job_of(name, (step,)), submitted_ms=submitted_ms
+            job_specs.build_job_of(name, steps), submitted_ms=submitted_ms
         )
         rows = storage.JobRows(spec)
         job = lifecycle.add_job(self.holder_state, rows, now)
@@ -123,8 +123,8 @@
 def test_order_of_the_policy_holds_for_jobs_that_have_just_come() -> None:
     """Guards against urgent jobs that are late for first runs of others."""
     fleet = Fleet()
-    fleet.add_job("wide", WIDE_STEP, SHORT_WAIT)
-    fleet.add_job("later", LATER_STEP, SHORT_WAIT)
+    fleet.add_job("wide", WIDE_STEP, waited=SHORT_WAIT)
+    fleet.add_job("later", LATER_STEP, waited=SHORT_WAIT)
     assert set(fleet.make_plan()) == {"wide"}
 
 
@@ -141,8 +141,8 @@
     """Guards against a job near the limit that waits for those behind it."""
     fleet = Fleet()
     fleet.add_job("wide", WIDE_STEP)
-    fleet.add_job("waiting", LATER_STEP, 2 * SECOND)
-    fleet.add_job("longest", LATER_STEP, 2.5 * SECOND)
+    fleet.add_job("waiting", LATER_STEP, waited=2 * SECOND)
+    fleet.add_job("longest", LATER_STEP, waited=2.5 * SECOND)
     assert fleet.make_plan()[:3] == ["longest", "waiting", "wide"]
 
 
@@ -174,6 +174,25 @@
     assert any(task.is_placed() for task in wide.steps[0].tasks)
 
 
+def test_ordinary_task_of_a_job_with_best_effort_ones_is_not_skipped() -> None:
+    """Guards against a task with room that waits for misses of others.
+
+    Its job has best-effort tasks too, none of which is ready yet.
+    """
+    fleet = Fleet()
+    too_large = specs.StepSpec(
+        1, 2 * large_world.WORKER_MILLIS, 100, estimate_ms=50, fills=True
+    )
+    for number in range(plans.MISSES_BEFORE_SKIP):
+        fleet.add_job(f"large-{number:02}", too_large)
+    first = specs.StepSpec(1, 500, 100, estimate_ms=9000)
+    second = specs.StepSpec(
+        1, 500, 100, estimate_ms=9000, after=(0,), fills=True
+    )
+    fleet.add_job("later", first, second)
+    assert fleet.make_plan() == ["later"]
+
+
 def test_starved_jobs_that_fit_nowhere_make_no_plan_due() -> None:
     """Guards against a plan at each event while nothing can be placed."""
     fleet = Fleet()
