--- a/tests/jobs/test_run_limit.py
+++ b/tests/jobs/test_run_limit.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from gypsumhold.model.jobs import effects, scheduler, specs
+from gypsumhold.model.jobs import effects, runs, scheduler, specs
 from tests.jobs import job_specs, large_world
 from tests.jobs import world as worlds
 
@@ -252,6 +252,13 @@
     assert world.now_ms - loaded_ms <= MAX_START_MS
 
 
+class LongRunWorld(worlds.World):
+    """A world in which each run goes on until its worker is lost."""
+
+    def _draw_work_ms(self, task: runs.TaskRef) -> float:
+        return LONG_WORK_MS
+
+
 @pytest.mark.parametrize("down_ms", [0.0, 300.0, 700.0, 1000.0, 1500.0])
 @pytest.mark.parametrize("seed", [3, 4, 5, 6])
 def test_lost_worker_does_not_renew_the_wait(seed: int, down_ms: float) -> None:
@@ -260,9 +267,7 @@
     A worker is lost with the only run of a job. Its agent reports the next
     incarnation up to two seconds later, and the policy delays the placement.
     """
-    world = worlds.World(seed, agents=4)
-    # The run goes on until its worker is lost.
-    world._draw_work_ms = lambda _: LONG_WORK_MS  # type: ignore[method-assign]
+    world = LongRunWorld(seed, agents=4)
     world.run(3000)
     serve_everywhere(world)
     step = specs.StepSpec(1, 4000, 1000, estimate_ms=60_000, fills=True)
