Log leases, doubtful starts and calls that another life answered

No line had the time after which runs count as ended, nor what a call carried that another incarnation of the worker took.

Change: the answers to polls and starts carry the lease and the acknowledgement of the call. The lines new life, silent and lease lapsed tell the open starts and when runs count as ended; two new lines tell the first lists of an incarnation and a poll that another one answered, once for each.

--- a/src/gypsumhold/adapters/failure_events.py
+++ b/src/gypsumhold/adapters/failure_events.py
@@ -85,6 +85,8 @@
         effect.worker.incarnation,
         effect.fence,
         job_events.CommandResult.UNANSWERED,
+        until_ms=effect.until_ms,
+        acknowledged=effect.acknowledged,
     )
 
 
@@ -97,6 +99,7 @@
         effect.command.ref,
         effect.fence,
         job_events.CommandResult.UNANSWERED,
+        until_ms=effect.until_ms,
     )
 
 
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -52,6 +52,13 @@
     return state.worker_left or now >= state.runs_expire_at
 
 
+def measure_lease(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> datetime.timedelta:
+    """Returns the time until every run has ended unless a lease is sent."""
+    return max(state.runs_expire_at - now, datetime.timedelta(0))
+
+
 def has_start_margin(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> bool:
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/worker_logs.py
@@ -0,0 +1,104 @@
+"""Log lines about the worker beside an agent and its incarnations."""
+
+import datetime
+
+from gypsumhold.decisions.jobs import leases, lifecycle
+from gypsumhold.model.jobs import effects, events, executor, runs
+
+UNKNOWN = "unknown"
+NO_LEASE = "none"
+
+Inputs = tuple[tuple[str, str], ...]
+
+
+def log_worker(
+    worker: runs.Worker, outcome: str, details: Inputs = ()
+) -> effects.Log:
+    """Returns the line of a change that a heartbeat or a notice tells."""
+    inputs = (
+        ("born_ms", str(worker.incarnation.started_ms)),
+        ("heartbeat", str(worker.sequence)),
+        *details,
+    )
+    return effects.Log("worker", worker.incarnation.name, outcome, inputs)
+
+
+def log_new_life(
+    state: executor.ExecutorState,
+    worker: runs.Worker,
+    now: datetime.timedelta,
+) -> effects.Log:
+    """Returns the line of a new incarnation, with what is open from before.
+
+    Must be called while the state is that of the former incarnation.
+    """
+    former = UNKNOWN
+    if state.worker is not None:
+        former = str(state.worker.incarnation.started_ms)
+    details = (
+        ("former_born_ms", former),
+        ("acknowledged", str(state.acknowledged)),
+        *describe_open_runs(state, now),
+    )
+    return log_worker(worker, "new life", details)
+
+
+def describe_open_runs(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> Inputs:
+    """Returns which runs may be on the worker, and until when."""
+    unanswered = (
+        executor.LocalState.STARTING,
+        executor.LocalState.IN_DOUBT,
+    )
+    doubtful = [
+        f"{run.ref.task}:{run.ref.run}"
+        for run in state.active.values()
+        if run.state in unanswered
+    ]
+    left_ms = lifecycle.to_ms(leases.measure_lease(state, now))
+    return (
+        ("runs", str(len(state.active))),
+        ("doubtful", ",".join(doubtful)),
+        ("runs_end_in_ms", str(left_ms)),
+        ("fence", str(state.fence)),
+    )
+
+
+def log_first_lists(event: events.WorkerPolled) -> effects.Log:
+    """Returns the line of the first answer of an incarnation to a poll."""
+    assert event.clock is not None
+    first_end = min((end.number for end in event.ends), default=0)
+    inputs = (
+        ("born_ms", str(event.started_ms)),
+        ("clock_ms", str(event.clock.clock_ms)),
+        ("fence", str(event.fence)),
+        ("running", str(len(event.rows))),
+        ("ended", str(len(event.ends))),
+        ("first_end", str(first_end)),
+    )
+    return effects.Log(
+        "worker", event.worker_incarnation.name, "first lists", inputs
+    )
+
+
+def log_other_life(event: events.WorkerPolled) -> effects.Log:
+    """Returns the line of a poll that another incarnation has answered.
+
+    That incarnation has taken the lease and the acknowledgement of the poll.
+    """
+    assert event.clock is not None
+    until_ms = NO_LEASE if event.until_ms is None else str(event.until_ms)
+    inputs = (
+        ("born_ms", str(event.worker_incarnation.started_ms)),
+        ("answered_born_ms", str(event.started_ms)),
+        ("clock_ms", str(event.clock.clock_ms)),
+        ("until_ms", until_ms),
+        ("acknowledged", str(event.acknowledged)),
+        ("fence", str(event.fence)),
+        ("running", str(len(event.rows))),
+        ("ended", str(len(event.ends))),
+    )
+    return effects.Log(
+        "worker", event.worker_incarnation.name, "other life answered", inputs
+    )
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -12,6 +12,7 @@
     leases,
     losses,
     run_lists,
+    worker_logs,
 )
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
@@ -43,7 +44,7 @@
         return []
     emitted: EffectList = []
     if old is None or new.incarnation != old.incarnation:
-        emitted += _reset_for_incarnation(state, new)
+        emitted += _reset_for_incarnation(state, new, now)
     else:
         emitted += _handle_changes(state, old, new)
     if state.worker_left:
@@ -51,7 +52,7 @@
         # its former incarnation, under the same name.
         state.worker_left = False
         state.report_due = True
-        emitted.append(_log_worker(new, "did not leave"))
+        emitted.append(worker_logs.log_worker(new, "did not leave"))
     state.worker = new
     emitted += poll_worker(state, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
@@ -91,39 +92,29 @@
     """
     emitted: EffectList = []
     if new.state is not old.state:
-        emitted.append(_log_worker(new, new.state.value))
+        emitted.append(worker_logs.log_worker(new, new.state.value))
     if new.capacity != old.capacity:
         amounts = (
             ("cpu_millis", str(new.cpu_millis)),
             ("memory_mb", str(new.memory_mb)),
             ("accelerators", str(new.accelerators)),
         )
-        emitted.append(_log_worker(new, "resized", amounts))
+        emitted.append(worker_logs.log_worker(new, "resized", amounts))
     if emitted:
         state.report_due = True
     return emitted
 
 
-def _log_worker(
-    worker: runs.Worker,
-    outcome: str,
-    details: tuple[tuple[str, str], ...] = (),
-) -> effects.Log:
-    inputs = (
-        ("born_ms", str(worker.incarnation.started_ms)),
-        ("heartbeat", str(worker.sequence)),
-        *details,
-    )
-    return effects.Log("worker", worker.incarnation.name, outcome, inputs)
-
-
 def _reset_for_incarnation(
-    state: executor.ExecutorState, worker: runs.Worker
+    state: executor.ExecutorState,
+    worker: runs.Worker,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Resets the state for the first or a new incarnation of the worker.
 
     The runs of a former incarnation have ended. Raises the fence.
     """
+    log = worker_logs.log_new_life(state, worker, now)
     losses.note_loss(state, worker)
     state.active.clear()
     state.ends.clear()
@@ -144,7 +135,7 @@
     # former incarnation and arrive late. The new incarnation is reported once
     # a poll with this fence is answered.
     state.fence += 1
-    return [_log_worker(worker, "new life")]
+    return [log]
 
 
 def handle_worker_left(
@@ -158,7 +149,7 @@
         return []
     state.worker_left = True
     state.report_due = True
-    return [_log_worker(worker, "left")]
+    return [worker_logs.log_worker(worker, "left")]
 
 
 def poll_worker(
@@ -231,17 +222,20 @@
         state.fence = max(state.fence, event.fence + commands.FENCE_JUMP)
         return poll_worker(state, now, state.options.retry_delay)
     if event.clock is None or event.started_ms != worker.incarnation.started_ms:
-        emitted = _handle_failed_poll(state, event, now)
+        emitted = _log_failed_poll(state, event, now)
+        emitted += _handle_failed_poll(state, event, now)
         return [*emitted, *poll_worker(state, now, state.options.retry_delay)]
     emitted = []
     if not state.answering:
-        emitted.append(_log_worker(worker, "answers again"))
+        emitted.append(worker_logs.log_worker(worker, "answers again"))
     state.answering = True
     state.silent_after = None
     commands.record_clock(state, event.clock)
     emitted += run_lists.reconcile(state, event, now)
     emitted += run_lists.note_completeness(state, event)
-    state.report_due = state.report_due or not state.polled
+    if not state.polled:
+        state.report_due = True
+        emitted.append(worker_logs.log_first_lists(event))
     state.polled = True
     emitted += commands.start_waiting_runs(state, now)
     emitted += colocation.adjust_throttling(state, now)
@@ -249,6 +243,26 @@
     return [*emitted, *poll_worker(state, now, delay)]
 
 
+def _log_failed_poll(
+    state: executor.ExecutorState,
+    event: events.WorkerPolled,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Logs that another incarnation answered, and the begin of a silence."""
+    emitted: EffectList = []
+    if event.clock is not None and event.started_ms != state.other_life_ms:
+        state.other_life_ms = event.started_ms
+        emitted.append(worker_logs.log_other_life(event))
+    if state.answering:
+        inputs = (
+            ("result", event.result.value),
+            *worker_logs.describe_open_runs(state, now),
+        )
+        name = event.worker_incarnation.name
+        emitted.append(effects.Log("worker", name, "silent", inputs))
+    return emitted
+
+
 def _handle_failed_poll(
     state: executor.ExecutorState,
     event: events.WorkerPolled,
@@ -263,14 +277,6 @@
         state.report_due = True
         if state.clock is not None:
             state.silent_after = now - state.clock.received_at
-        emitted.append(
-            effects.Log(
-                "worker",
-                event.worker_incarnation.name,
-                "silent",
-                (("result", event.result.value),),
-            )
-        )
     state.answering = False
     for local_run in list(state.active.values()):
         if local_run.state is executor.LocalState.WAITING:
@@ -280,9 +286,15 @@
     if leases.have_runs_ended(state, now) and state.active:
         # All leases have expired or the worker has left: a worker that answers
         # again has none of these runs.
+        lapsed = worker_logs.describe_open_runs(state, now)
         state.active.clear()
         state.report_due = True
         emitted.append(
-            effects.Log("worker", event.worker_incarnation.name, "lease lapsed")
+            effects.Log(
+                "worker",
+                event.worker_incarnation.name,
+                "lease lapsed",
+                lapsed,
+            )
         )
     return emitted
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -316,6 +316,9 @@
         ends: Ends of runs that are not acknowledged.
         is_complete: Whether `ends` has all of them. A worker lists so many at
             most; a run that neither list has may then have ended.
+        until_ms: End of the lease that the call carried; None if it carried
+            none.
+        acknowledged: Ends up to this one were acknowledged by the call.
     """
 
     worker_incarnation: runs.WorkerIncarnation
@@ -326,6 +329,8 @@
     rows: tuple[runs.RunRow, ...] = ()
     ends: tuple[runs.EndRow, ...] = ()
     is_complete: bool = True
+    until_ms: int | None = None
+    acknowledged: runs.EndNumber = runs.EndNumber(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -339,6 +344,8 @@
         fence: Fence of the call.
         result: Result of the call.
         clock: Reading of the worker's clock, if the answer carried one.
+        until_ms: End of the lease that the call carried; None if it carried
+            none.
     """
 
     worker_incarnation: runs.WorkerIncarnation
@@ -347,6 +354,7 @@
     fence: int
     result: CommandResult
     clock: WorkerClock | None = None
+    until_ms: int | None = None
 
 
 class CommandKind(enum.Enum):
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -212,6 +212,8 @@
         answering: Whether the worker answered the latest poll.
         silent_after: Time from its latest answer until the poll that found it
             silent; None if it answers or has answered nothing.
+        other_life_ms: Start of the other incarnation that answered a poll of
+            the known one last, as logged; 0 if none has.
         worker_left: Whether the worker announced that it shuts down.
         runs_expire_at: When every run has certainly ended unless the lease is
             extended.
@@ -272,6 +274,7 @@
     )
     answering: bool = True
     silent_after: datetime.timedelta | None = None
+    other_life_ms: int = 0
     worker_left: bool = False
     runs_expire_at: datetime.timedelta = ZERO
     reported_refusals: tuple[runs.RunRef, ...] = ()
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -71,13 +71,11 @@
         sent_at = self._clock.read_monotonic()
         reply = self._call(effect.worker, "/hold", body, effect.wait)
         received_at = self._clock.read_monotonic()
-        incarnation = effect.worker.incarnation
         if reply is None or reply.status != 200:
-            return events.WorkerPolled(
-                incarnation, effect.fence, _classify_reply(reply)
-            )
+            return _build_failed_poll(effect, _classify_reply(reply))
         match documents.parse(reply.body, documents.PollReply):
             case Success(poll):
+                incarnation = effect.worker.incarnation
                 return events.WorkerPolled(
                     incarnation,
                     effect.fence,
@@ -87,14 +85,14 @@
                     parse_running(poll.running),
                     parse_ended(poll.ended),
                     len(poll.ended) < MAX_LISTED_ENDS,
+                    effect.until_ms,
+                    effect.acknowledged,
                 )
             case Failure(error):
                 _LOG.error(
                     "cannot parse the worker's answer to a poll: {}", error
                 )
-        return events.WorkerPolled(
-            incarnation, effect.fence, events.CommandResult.UNANSWERED
-        )
+        return _build_failed_poll(effect, events.CommandResult.UNANSWERED)
 
     def command(self, effect: effects.CommandEffect) -> events.CommandAnswered:
         """Starts, stops or throttles a run.
@@ -102,6 +100,9 @@
         A start that has waited until its lease expired is not sent.
         """
         kind, ref, path, body = _translate_command(effect)
+        until_ms = None
+        if isinstance(effect, effects.StartRun):
+            until_ms = effect.until_ms
         sent_at = self._clock.read_monotonic()
         if isinstance(effect, effects.StartRun) and (
             sent_at >= effect.valid_until
@@ -122,6 +123,7 @@
             effect.fence,
             _classify_reply(reply),
             _parse_clock(reply, sent_at, received_at),
+            until_ms,
         )
 
     def _call(
@@ -158,6 +160,18 @@
         return client
 
 
+def _build_failed_poll(
+    effect: effects.PollWorker, result: events.CommandResult
+) -> events.WorkerPolled:
+    return events.WorkerPolled(
+        effect.worker.incarnation,
+        effect.fence,
+        result,
+        until_ms=effect.until_ms,
+        acknowledged=effect.acknowledged,
+    )
+
+
 def _translate_command(
     effect: effects.CommandEffect,
 ) -> tuple[events.CommandKind, runs.RunRef, str, documents.PlatformDocument]:
--- a/tests/jobs/large_world.py
+++ b/tests/jobs/large_world.py
@@ -172,6 +172,8 @@
             worker.list_runs(),
             ends,
             len(ends) < worker.max_listed_ends,
+            polled.until_ms,
+            polled.acknowledged,
         )
         self._schedule_event(node, self.random.uniform(1, 4), answer)
 
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -609,9 +609,13 @@
                 rows,
                 ends,
                 len(ends) < worker.max_listed_ends,
+                effect.until_ms,
+                effect.acknowledged,
             )
+        until_ms = None
         if isinstance(effect, effects.StartRun):
             result = self._start(worker, effect, sent_ms)
+            until_ms = effect.until_ms
             kind, ref = events.CommandKind.START, effect.command.ref
         elif isinstance(effect, effects.StopRun):
             result = worker.stop(effect, self.now_ms)
@@ -620,7 +624,13 @@
             result = events.CommandResult.DONE
             kind, ref = events.CommandKind.THROTTLE, effect.ref
         return events.CommandAnswered(
-            effect.worker.incarnation, kind, ref, effect.fence, result, clock
+            effect.worker.incarnation,
+            kind,
+            ref,
+            effect.fence,
+            result,
+            clock,
+            until_ms,
         )
 
     def _start(
