--- a/tests/jobs/nodes.py
+++ b/tests/jobs/nodes.py
@@ -15,12 +15,15 @@
     Attributes:
         lost: The call is carried out and its answer is lost.
         late: The call gets no answer and is carried out seconds later.
+        held: The call to a worker is held back for a while, and then taken by
+            the incarnation that is up.
         refused: The call is refused and has no effect.
         failing: A run ends as failed.
     """
 
     lost: float = 0.0
     late: float = 0.0
+    held: float = 0.0
     refused: float = 0.0
     failing: float = 0.0
 
--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -18,8 +18,8 @@
     """An invariant is violated.
 
     A task runs twice or after it was done, a step starts before its
-    predecessors, a worker runs more than its capacity, or an end is discarded
-    before it is stored.
+    predecessors, a worker runs more than its capacity, an end is discarded
+    before it is stored, or a run that goes on is reported as ended.
     """
 
 
@@ -129,6 +129,21 @@
             if len(done) != spec.steps[predecessor].count:
                 raise Violation(f"{task} started before step {predecessor}")
 
+    def check_reported_ends(
+        self,
+        worker: worker_fake.FakeWorker,
+        report: messages.Report,
+        now_ms: float,
+    ) -> None:
+        """Checks that what an agent counts as ended has ended on its worker."""
+        if not report.runs_ended:
+            return
+        worker.advance(now_ms)
+        listed = {row.ref for row in report.rows}
+        for run in worker.running.values():
+            if run.ref not in listed:
+                raise Violation(f"{run.ref} is reported as ended and goes on")
+
     def check_discarded_ends(
         self,
         worker: worker_fake.FakeWorker,
--- a/tests/jobs/test_lost_workers.py
+++ b/tests/jobs/test_lost_workers.py
@@ -137,7 +137,8 @@
             stray, agent.state.fence, events.CommandResult.UNANSWERED
         )
     )
-    agent.wait(agent.state.options.max_lease / lone_agent.MILLISECOND)
+    wait = agent.state.runs_expire_at - agent.now
+    agent.wait(wait / lone_agent.MILLISECOND)
     agent.incarnation = LOST
     agent.deliver_heartbeat()
     agent.poll()
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -7,6 +7,10 @@
 
 Result = events.CommandResult
 
+MAX_HOLD_MS = 10_000
+"""Longest lease that the worker keeps, on its own clock; longer ones are
+shortened."""
+
 
 @dataclasses.dataclass(slots=True)
 class FakeRun:
@@ -188,12 +192,17 @@
             if key == (task.job_id, task.repetition, task.step, lost.run):
                 self.end_run(run, runs.RunEnd.GANG_ENDED)
 
+    def _extend_lease(self, until_ms: int, now_ms: float) -> None:
+        """Extends the lease; it is never shortened."""
+        latest_ms = self.read_clock(now_ms) + MAX_HOLD_MS
+        self.until_ms = max(self.until_ms, min(until_ms, latest_ms))
+
     def poll(self, effect: effects.PollWorker, now_ms: float) -> Result:
         if effect.fence < self.fence:
             return Result.FENCED
         self.fence = effect.fence
         if effect.until_ms is not None:
-            self.until_ms = max(self.until_ms, effect.until_ms)
+            self._extend_lease(effect.until_ms, now_ms)
         self.acknowledged = max(self.acknowledged, effect.acknowledged)
         self.ends = [row for row in self.ends if row.number > self.acknowledged]
         return Result.DONE
@@ -212,7 +221,7 @@
         if effect.fence < self.fence:
             return Result.FENCED
         self.fence = effect.fence
-        self.until_ms = max(self.until_ms, effect.until_ms)
+        self._extend_lease(effect.until_ms, now_ms)
         if effect.until_ms <= self.read_clock(now_ms):
             return Result.LATE
         current = self.running.get(task)
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -40,6 +40,8 @@
 HEARTBEAT_MS = 1100
 FEED_MS = 40
 LATE_MS = (1000, 9000)
+HELD_MS = (0, 1500)
+ANSWER_TIMEOUT_MS = 1000
 
 
 class World:
@@ -295,7 +297,7 @@
         if scripted:
             return scripted.pop(0)
         drawn = self.random.random()
-        for name in ("lost", "late", "refused"):
+        for name in ("lost", "late", "held", "refused"):
             probability = getattr(self.faults, name)
             if drawn < probability:
                 return name
@@ -380,6 +382,9 @@
 
     def _call_peer(self, node: nodes.Node, effect: Any) -> None:
         target = self.nodes_by_address[effect.address]
+        if isinstance(effect, effects.SendReport):
+            worker = self.workers[node.name]
+            self.oracle.check_reported_ends(worker, effect.report, self.now_ms)
         fault = self._draw_fault(effect)
         sent_at = self.read_clock()
         unreachable = (
@@ -503,11 +508,23 @@
     # Workers.
 
     def _send_heartbeat(self, name: str) -> None:
-        worker = self.workers[name]
-        if worker.up_at_ms <= self.now_ms:
-            self.deliver_heartbeat(name)
+        is_cut = self.nodes[name].cut_worker
+        if self.workers[name].up_at_ms <= self.now_ms and not is_cut:
+            self._send_heartbeat_now(name)
         self.after(HEARTBEAT_MS, lambda: self._send_heartbeat(name))
 
+    def _send_heartbeat_now(self, name: str) -> None:
+        held = self.faults.held
+        if not held or self.random.random() >= held:
+            self.deliver_heartbeat(name)
+            return
+        heartbeat = events.HeartbeatReceived(self.workers[name].describe())
+        node = self.nodes[name]
+        self.after(
+            self.random.uniform(*HELD_MS),
+            lambda: self.deliver(node, heartbeat),
+        )
+
     def deliver_heartbeat(self, name: str) -> None:
         heartbeat = events.HeartbeatReceived(self.workers[name].describe())
         self.deliver(self.nodes[name], heartbeat)
@@ -548,6 +565,10 @@
             )
             return
 
+        if fault == "held":
+            self._hold_call_back(node, effect)
+            return
+
         def apply_effect() -> None:
             if not self._is_addressed(node, effect):
                 failure = failure_events.build_failure_event(effect, True)
@@ -569,6 +590,31 @@
         retry_delay = to_ms(getattr(effect, "delay", effects.NO_DELAY))
         self.after(retry_delay + delay, apply_effect)
 
+    def _hold_call_back(self, node: nodes.Node, effect: Any) -> None:
+        """Delivers a call after a while; the agent may have given it up."""
+        sent_ms = self.now_ms
+        held_ms = self.random.uniform(*HELD_MS)
+        if held_ms >= ANSWER_TIMEOUT_MS:
+            self.after(
+                held_ms,
+                lambda: self._deliver_late_to_worker(node, effect, sent_ms),
+            )
+            failure = failure_events.build_failure_event(effect, True)
+            self._schedule_event(node, ANSWER_TIMEOUT_MS, failure)
+            return
+        incarnation = node.incarnation
+
+        def answer() -> None:
+            if self._is_addressed(node, effect):
+                event = self._deliver_to_worker(node, effect, sent_ms)
+            else:
+                event = failure_events.build_failure_event(effect, True)
+            if node.cut_worker:
+                event = failure_events.build_failure_event(effect, True)
+            self._deliver_unless_restarted(node, incarnation, event)
+
+        self.after(held_ms, answer)
+
     def _deliver_late_to_worker(
         self, node: nodes.Node, effect: Any, sent_ms: float
     ) -> None:
@@ -576,15 +622,13 @@
             self._deliver_to_worker(node, effect, sent_ms)
 
     def _is_addressed(self, node: nodes.Node, effect: Any) -> bool:
-        """Tells whether the worker incarnation that a call names is up.
+        """Tells whether a worker with the name that a call has is up.
 
-        Another incarnation would answer 421 and do nothing.
+        Any of its incarnations takes the call: they share the name.
         """
         worker = self.workers[node.name]
-        same_incarnation = (
-            worker.started_ms == effect.worker.incarnation.started_ms
-        )
-        return same_incarnation and worker.up_at_ms <= self.now_ms
+        is_named = worker.name == effect.worker.incarnation.name
+        return is_named and worker.up_at_ms <= self.now_ms
 
     def _deliver_to_worker(
         self, node: nodes.Node, effect: Any, sent_ms: float | None = None
@@ -592,8 +636,11 @@
         worker = self.workers[node.name]
         worker.advance(self.now_ms)
         now = self.read_clock()
+        sent_at = (
+            now if sent_ms is None else datetime.timedelta(milliseconds=sent_ms)
+        )
         incarnation = runs.WorkerIncarnation(worker.name, worker.started_ms)
-        clock = events.WorkerClock(worker.read_clock(self.now_ms), now, now)
+        clock = events.WorkerClock(worker.read_clock(self.now_ms), sent_at, now)
         if isinstance(effect, effects.PollWorker):
             listed = list(worker.ends)
             result = worker.poll(effect, self.now_ms)
