Count the lease that a call has on the incarnation that takes it

Cause: a call for the former incarnation reaches the next one, whose clock begins anew. The lease in it, a reading of the former clock, is then far ahead, and is cut to the longest lease of a worker. The agent knew leases only as it had sent them. An agent that restarts counted from its start, though calls of its former process may still be carried out for 12 s.

Change: the agent counts a lease by the clock of the answer; the first answer of an incarnation counts for the longest lease, since it may have taken any late call until then (later it refuses them by their fence); a new process counts for a late call and the longest lease. WorkerLimits holds these limits in one place.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -206,6 +206,7 @@
 
     A stop or throttling that failed is sent again when it is due next.
     """
+    leases.record_lease_taken(state, event.until_ms, event.clock)
     if (
         state.worker is None
         or event.worker_incarnation != state.worker.incarnation
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -4,12 +4,16 @@
 clock. The worker stops runs at a reading of its own clock, which may run slow.
 So the lease sent to the worker is shortened by the possible error, and the
 agent counts it as expired only after its length plus that error.
+
+A call may be taken by a later incarnation of the worker, on whose clock the
+lease lasts longer than it was meant to. What an answer shows of the lease, and
+what no answer excludes, counts as well.
 """
 
 import datetime
 
 from gypsumhold.decisions.jobs import lifecycle
-from gypsumhold.model.jobs import executor
+from gypsumhold.model.jobs import events, executor
 
 EXPIRY_MARGIN = datetime.timedelta(milliseconds=300)
 """Time after the end of a lease at which its runs have certainly ended."""
@@ -25,7 +29,7 @@
     if state.clock is None or state.grant_end <= now:
         return None
     left_ms = lifecycle.to_ms(state.grant_end - state.clock.received_at)
-    slack = state.options.clock_slack
+    slack = state.options.limits.clock_slack
     return state.clock.clock_ms + int(left_ms * (1 - slack))
 
 
@@ -33,8 +37,52 @@
     """Records that a call sends this lease, which extends the latest expiry."""
     assert state.clock is not None
     sent_ms = until_ms - state.clock.clock_ms
-    left_ms = sent_ms / (1 - state.options.clock_slack)
-    end = state.clock.received_at + datetime.timedelta(milliseconds=left_ms)
+    length = datetime.timedelta(milliseconds=sent_ms)
+    _count_lease(state, state.clock.received_at, length)
+
+
+def record_lease_taken(
+    state: executor.ExecutorState,
+    until_ms: int | None,
+    clock: events.WorkerClock | None,
+) -> None:
+    """Records the lease that a call has on the clock of who answered it.
+
+    That may be another incarnation than the one that the call was meant for.
+    """
+    if until_ms is None or clock is None:
+        return
+    length = datetime.timedelta(milliseconds=until_ms - clock.clock_ms)
+    length = min(length, state.options.limits.max_hold)
+    _count_lease(state, clock.received_at, length)
+
+
+def record_first_contact(
+    state: executor.ExecutorState, clock: events.WorkerClock
+) -> None:
+    """Records that an incarnation has answered its first poll.
+
+    Until then it may have taken any late call for a former one. Later it
+    refuses these calls, as their fence is lower.
+    """
+    _count_lease(state, clock.received_at, state.options.limits.max_hold)
+
+
+def record_process_start(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> None:
+    """Records that a former process may have sent calls until now."""
+    late_run = state.options.limits.measure_longest_late_run()
+    state.runs_expire_at = now + late_run + EXPIRY_MARGIN
+
+
+def _count_lease(
+    state: executor.ExecutorState,
+    since: datetime.timedelta,
+    length: datetime.timedelta,
+) -> None:
+    """Extends the latest expiry by a lease of this length on its clock."""
+    end = since + state.options.limits.stretch(length)
     state.runs_expire_at = max(state.runs_expire_at, end + EXPIRY_MARGIN)
 
 
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -32,7 +32,7 @@
 def start(state: executor.ExecutorState, now: datetime.timedelta) -> EffectList:
     """Starts to read the registered entries and to report."""
     state.fence = state.options.incarnation
-    state.runs_expire_at = now + state.options.max_lease
+    leases.record_process_start(state, now)
     return [
         effects.FollowEntries(ids.RowVersion(0)),
         base_effects.SetTimer(REPORT_TIMER, state.options.report_interval),
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -216,6 +216,7 @@
     """Reconciles the state with the worker's lists and polls again."""
     state.poll_pending = False
     worker = state.worker
+    leases.record_lease_taken(state, event.until_ms, event.clock)
     if worker is None or event.worker_incarnation != worker.incarnation:
         return poll_worker(state, now)
     if event.result is events.CommandResult.FENCED:
@@ -234,6 +235,7 @@
     emitted += run_lists.reconcile(state, event, now)
     emitted += run_lists.note_completeness(state, event)
     if not state.polled:
+        leases.record_first_contact(state, event.clock)
         state.report_due = True
         emitted.append(worker_logs.log_first_lists(event))
     state.polled = True
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -16,6 +16,7 @@
     records,
     runs,
     specs,
+    worker_limits,
 )
 
 ZERO = datetime.timedelta(0)
@@ -30,27 +31,24 @@
         incarnation: Incarnation of the process; also the first fence.
         endpoint: Where the executor receives directives.
         report_interval: Longest pause between two reports.
-        max_lease: Longest time after the start for which a lease that a former
-            process sent may still be valid.
         poll_wait: How long the worker may wait for a run to end before it
             answers a poll.
         serving_poll_wait: The same while a task with a latency target runs,
             whose best-effort neighbours have to be throttled in time.
-        clock_slack: Fraction by which the worker's clock may run slow.
         start_margin: Least remaining lease with which a run is started.
         retry_delay: Delay after a failed call to the worker.
+        limits: Limits of the worker and of the calls to it.
     """
 
     instance: ids.InstanceId
     incarnation: ids.Incarnation
     endpoint: messages.Endpoint
     report_interval: datetime.timedelta = messages.REPORT_INTERVAL
-    max_lease: datetime.timedelta = datetime.timedelta(milliseconds=10500)
     poll_wait: datetime.timedelta = datetime.timedelta(milliseconds=1000)
     serving_poll_wait: datetime.timedelta = datetime.timedelta(milliseconds=300)
-    clock_slack: float = 0.02
     start_margin: datetime.timedelta = datetime.timedelta(milliseconds=1500)
     retry_delay: datetime.timedelta = datetime.timedelta(milliseconds=200)
+    limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
 
 
 class LocalState(enum.Enum):
