Keep starts without an answer in doubt over a restart of the worker

Cause: with a new incarnation the agent forgot its open starts, and it counted them as ended with the leases of the former incarnation. An answered start is carried out once, so that is right for confirmed runs, but not for open ones: they may begin up to 12 s after they were sent, with a lease of 10 s.

Change: open starts stay in doubt when a new incarnation is heard; its first answer to a poll, under a higher fence, decides them. Out of reach, each ends only after the longest call delay and the longest lease; confirmed runs end with their lease, as before. A worker that turns silent is polled under a higher fence, so that a new incarnation refuses late starts from its first poll on, not from its first heartbeat. What an incarnation begins anew lies in incarnations.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -136,6 +136,7 @@
         return refuse_run(state, local_run.ref, runs.Refusal.NO_CAPACITY)
     local_run.state = executor.LocalState.STARTING
     local_run.fence = state.fence
+    local_run.sent_by = state.grant_end
     leases.record_lease_sent(state, until_ms)
     return [
         effects.StartRun(
@@ -267,6 +268,7 @@
         # A poll with a higher fence shows whether the run was started. That
         # fence also makes the worker refuse this command if it arrives late.
         state.fence += 1
+        local_run.sent_by = min(local_run.sent_by, now)
         _doubt_start(state, local_run, runs.Refusal.UNANSWERED, now)
         return [_log_start(event, "doubtful")]
     if result is events.CommandResult.STALE:
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -0,0 +1,69 @@
+"""Begins the agent's knowledge of a worker anew with each incarnation.
+
+Clock, fence, numbers of ends and highest runs of a worker begin anew, but not
+the calls that are under way: an incarnation under the same name takes those
+that were meant for a former one.
+"""
+
+import datetime
+
+from gypsumhold.decisions.jobs import losses, worker_logs
+from gypsumhold.model import effects as base_effects
+from gypsumhold.model.jobs import executor, runs
+
+EffectList = list[base_effects.Effect]
+
+
+def begin(
+    state: executor.ExecutorState,
+    worker: runs.Worker,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Resets the state for the first or a new incarnation of the worker.
+
+    The runs of a former incarnation have ended. Its starts without an answer
+    are in doubt, as the new one may carry them out. Raises the fence.
+    """
+    log = worker_logs.log_new_life(state, worker, now)
+    losses.note_loss(state, worker)
+    # The new fence makes the worker refuse commands that were meant for the
+    # former incarnation and arrive late. The new incarnation is reported once
+    # a poll with this fence is answered, which also decides the open starts.
+    state.fence += 1
+    state.active = {
+        local_run.ref: local_run
+        for local_run in state.active.values()
+        if local_run.is_unanswered()
+    }
+    for local_run in state.active.values():
+        _doubt_again(state, local_run, now)
+    state.ends.clear()
+    state.ends_listed_at.clear()
+    state.ignored_ends.clear()
+    state.refused.clear()
+    state.clock = None
+    state.grant_end = datetime.timedelta(0)
+    state.polled = False
+    state.ends_complete = True
+    state.acknowledged = runs.EndNumber(0)
+    state.answering = True
+    state.silent_after = None
+    state.worker_left = False
+    state.serving.clear()
+    state.last_sample = None
+    return [log]
+
+
+def _doubt_again(
+    state: executor.ExecutorState,
+    local_run: executor.LocalRun,
+    now: datetime.timedelta,
+) -> None:
+    """Leaves it to the new incarnation whether a start is carried out."""
+    local_run.state = executor.LocalState.IN_DOUBT
+    local_run.refusal = runs.Refusal.UNANSWERED
+    local_run.fence = state.fence
+    local_run.doubted_at = now
+    local_run.row = None
+    local_run.stop_sent = False
+    local_run.unlisted_since = None
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -92,14 +92,31 @@
     """Tells whether every run that the worker had has certainly ended.
 
     That is the case once the worker is silent and either has left or all leases
-    that were sent have expired. A notice of its departure alone does not show
-    it: it may be a late one of a former incarnation.
+    that were sent have expired. Starts without an answer are judged one by one.
     """
     if state.answering:
         return False
     return state.worker_left or now >= state.runs_expire_at
 
 
+def has_run_ended(
+    state: executor.ExecutorState,
+    local_run: executor.LocalRun,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a run has certainly ended, like the others on the worker.
+
+    A start without an answer may be carried out late, by an incarnation that
+    the agent does not reach; its lease then counts from there.
+    """
+    if not local_run.is_unanswered():
+        return True
+    if local_run.state is executor.LocalState.STARTING:
+        return False
+    late_run = state.options.limits.measure_longest_late_run()
+    return now >= local_run.sent_by + late_run + EXPIRY_MARGIN
+
+
 def measure_lease(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> datetime.timedelta:
--- a/src/gypsumhold/decisions/jobs/worker_logs.py
+++ b/src/gypsumhold/decisions/jobs/worker_logs.py
@@ -47,14 +47,10 @@
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> Inputs:
     """Returns which runs may be on the worker, and until when."""
-    unanswered = (
-        executor.LocalState.STARTING,
-        executor.LocalState.IN_DOUBT,
-    )
     doubtful = [
         f"{run.ref.task}:{run.ref.run}"
         for run in state.active.values()
-        if run.state in unanswered
+        if run.is_unanswered()
     ]
     left_ms = lifecycle.to_ms(leases.measure_lease(state, now))
     return (
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -9,8 +9,8 @@
 from gypsumhold.decisions.jobs import (
     colocation,
     commands,
+    incarnations,
     leases,
-    losses,
     run_lists,
     worker_logs,
 )
@@ -44,7 +44,7 @@
         return []
     emitted: EffectList = []
     if old is None or new.incarnation != old.incarnation:
-        emitted += _reset_for_incarnation(state, new, now)
+        emitted += incarnations.begin(state, new, now)
     else:
         emitted += _handle_changes(state, old, new)
     if state.worker_left:
@@ -105,39 +105,6 @@
     return emitted
 
 
-def _reset_for_incarnation(
-    state: executor.ExecutorState,
-    worker: runs.Worker,
-    now: datetime.timedelta,
-) -> EffectList:
-    """Resets the state for the first or a new incarnation of the worker.
-
-    The runs of a former incarnation have ended. Raises the fence.
-    """
-    log = worker_logs.log_new_life(state, worker, now)
-    losses.note_loss(state, worker)
-    state.active.clear()
-    state.ends.clear()
-    state.ends_listed_at.clear()
-    state.ignored_ends.clear()
-    state.refused.clear()
-    state.clock = None
-    state.grant_end = datetime.timedelta(0)
-    state.polled = False
-    state.ends_complete = True
-    state.acknowledged = runs.EndNumber(0)
-    state.answering = True
-    state.silent_after = None
-    state.worker_left = False
-    state.serving.clear()
-    state.last_sample = None
-    # The new fence makes the worker refuse commands that were meant for the
-    # former incarnation and arrive late. The new incarnation is reported once
-    # a poll with this fence is answered.
-    state.fence += 1
-    return [log]
-
-
 def handle_worker_left(
     state: executor.ExecutorState,
     event: events.WorkerLeft,
@@ -276,6 +243,9 @@
     """
     emitted: EffectList = []
     if state.answering:
+        # A later incarnation that takes the next poll refuses the calls that
+        # were sent before, also if no heartbeat has told of it yet.
+        state.fence += 1
         state.report_due = True
         if state.clock is not None:
             state.silent_after = now - state.clock.received_at
@@ -285,18 +255,30 @@
             emitted += commands.refuse_run(
                 state, local_run.ref, runs.Refusal.UNHEALTHY
             )
-    if leases.have_runs_ended(state, now) and state.active:
-        # All leases have expired or the worker has left: a worker that answers
-        # again has none of these runs.
-        lapsed = worker_logs.describe_open_runs(state, now)
-        state.active.clear()
-        state.report_due = True
-        emitted.append(
-            effects.Log(
-                "worker",
-                event.worker_incarnation.name,
-                "lease lapsed",
-                lapsed,
-            )
-        )
-    return emitted
+    return [*emitted, *_drop_ended_runs(state, event, now)]
+
+
+def _drop_ended_runs(
+    state: executor.ExecutorState,
+    event: events.WorkerPolled,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Drops the runs of a silent worker that have certainly ended.
+
+    A worker that answers again has none of them.
+    """
+    if not leases.have_runs_ended(state, now):
+        return []
+    ended = [
+        local_run.ref
+        for local_run in state.active.values()
+        if leases.has_run_ended(state, local_run, now)
+    ]
+    if not ended:
+        return []
+    inputs = worker_logs.describe_open_runs(state, now)
+    for ref in ended:
+        del state.active[ref]
+    state.report_due = True
+    name = event.worker_incarnation.name
+    return [effects.Log("worker", name, "lease lapsed", inputs)]
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -96,6 +96,7 @@
         fence: Least fence of a poll that decides a start in doubt.
         doubted_at: Since when the start is in doubt; only a poll that was sent
             later decides.
+        sent_by: When the start command had been sent at the latest.
         refusal: Why the run is refused if no list of such a poll has it.
         confirmed_at: When the start was confirmed.
         stop_sent: Whether a stop command is unanswered or was carried out.
@@ -116,12 +117,22 @@
     row: runs.RunRow | None = None
     fence: int = 0
     doubted_at: datetime.timedelta = ZERO
+    sent_by: datetime.timedelta = ZERO
     refusal: runs.Refusal = runs.Refusal.UNANSWERED
     confirmed_at: datetime.timedelta = ZERO
     stop_sent: bool = False
     unlisted_since: datetime.timedelta | None = None
     throttle_percent: int = 100
 
+    def is_unanswered(self) -> bool:
+        """Tells whether the start was sent and nothing tells what became of it.
+
+        Any incarnation of the worker may still carry it out.
+        """
+        if self.state is LocalState.IN_DOUBT:
+            return self.refusal is runs.Refusal.UNANSWERED
+        return self.state is LocalState.STARTING
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sample:
