Take a notice of departure for proof only from a worker that drains

Cause: the notice names the worker, not its incarnation. The next heartbeat corrected the error, but in a cut there is none.

Change: a departure ends the runs at once only if this incarnation has reported that it drains, as each does before a planned end. Otherwise the leases decide.

--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -13,7 +13,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import lifecycle
-from gypsumhold.model.jobs import events, executor
+from gypsumhold.model.jobs import events, executor, runs
 
 EXPIRY_MARGIN = datetime.timedelta(milliseconds=300)
 """Time after the end of a lease at which its runs have certainly ended."""
@@ -96,7 +96,18 @@
     """
     if state.answering:
         return False
-    return state.worker_left or now >= state.runs_expire_at
+    return has_left(state) or now >= state.runs_expire_at
+
+
+def has_left(state: executor.ExecutorState) -> bool:
+    """Tells whether the present incarnation has certainly shut down.
+
+    A notice of departure names no incarnation, so a late one of a former
+    incarnation looks the same. Only a worker that drains shuts down.
+    """
+    if state.worker is None or not state.worker_left:
+        return False
+    return state.worker.state is runs.WorkerState.DRAINING
 
 
 def has_run_ended(
