Acknowledge no end while a start has no answer

The new incarnation of a worker had taken a late start, and then a late poll of the former one, whose acknowledgement was higher than the number of its end: the end was discarded unseen.

Cause: an acknowledgement is a number of one incarnation, and each poll carried the latest one, for good.

Change: a poll carries an acknowledgement only while there is something to discard, and not while a start has no answer, unless the known incarnation refuses that start by its fence. A later start has a higher fence than the poll, so whoever takes it refuses the poll. An answer to a command whose clock doesn't fit puts the incarnation in doubt until a poll is answered.

--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/acknowledgements.py
@@ -0,0 +1,62 @@
+"""Decides which polls acknowledge ends to the worker.
+
+An acknowledgement is a number of the ends of one incarnation, and a later one
+under the same name may take it: an end of a start that it has taken as well
+would then be discarded unseen. So no poll carries an acknowledgement while a
+start has no answer, unless the known incarnation refuses it by its fence, and a
+start that is sent later has a higher fence: whoever has taken it refuses the
+earlier poll.
+"""
+
+from gypsumhold.model.jobs import events, executor, runs
+
+NO_END = runs.EndNumber(0)
+
+
+def choose(state: executor.ExecutorState) -> runs.EndNumber:
+    """Returns the end up to which the next poll acknowledges; 0 for none."""
+    if not _is_due(state) or not _is_safe(state):
+        return NO_END
+    return state.acknowledged
+
+
+def is_withheld(state: executor.ExecutorState) -> bool:
+    """Tells whether the worker lists ends that no poll may acknowledge yet."""
+    return _is_due(state) and not _is_safe(state)
+
+
+def record_sent(
+    state: executor.ExecutorState, acknowledged: runs.EndNumber
+) -> None:
+    """Records that a poll with the present fence carries this number."""
+    if acknowledged:
+        state.acknowledgement_fence = state.fence
+
+
+def raise_fence(state: executor.ExecutorState) -> None:
+    """Raises the fence above that of the latest acknowledgement."""
+    state.fence = max(state.fence, state.acknowledgement_fence + 1)
+
+
+def record_taken(
+    state: executor.ExecutorState, event: events.WorkerPolled
+) -> None:
+    """Records what the worker has discarded, by its answer to a poll."""
+    if event.acknowledged:
+        state.discarded = max(state.discarded, event.acknowledged)
+    elif any(end.number <= state.discarded for end in event.ends):
+        state.discarded = NO_END
+
+
+def _is_due(state: executor.ExecutorState) -> bool:
+    return state.acknowledged > state.discarded
+
+
+def _is_safe(state: executor.ExecutorState) -> bool:
+    """Tells whether no start can be on an incarnation that is not known."""
+    if not state.answering or state.doubted_at is not None:
+        return False
+    return not any(
+        local_run.is_unanswered() and not local_run.is_fenced
+        for local_run in state.active.values()
+    )
--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -2,7 +2,12 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import colocation, leases
+from gypsumhold.decisions.jobs import (
+    acknowledgements,
+    colocation,
+    leases,
+    worker_clocks,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
@@ -56,7 +61,7 @@
     waiting = _list_waiting_runs(state)
     if worker is None or not waiting:
         return emitted
-    if not state.polled:
+    if not state.polled or state.doubted_at is not None:
         return _hold(waiting, executor.HoldReason.NOT_POLLED)
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
         for local_run in waiting:
@@ -134,6 +139,7 @@
     assert local_run.command is not None
     if not _has_free_capacity(state, worker, local_run.command):
         return refuse_run(state, local_run.ref, runs.Refusal.NO_CAPACITY)
+    acknowledgements.raise_fence(state)
     local_run.state = executor.LocalState.STARTING
     local_run.fence = state.fence
     local_run.sent_by = state.grant_end
@@ -213,42 +219,23 @@
         or event.worker_incarnation != state.worker.incarnation
     ):
         return []
-    record_clock(state, event.clock)
+    emitted = worker_clocks.check(state, event)
+    worker_clocks.record(state, event.clock)
     if event.result is events.CommandResult.FENCED:
         state.fence = max(state.fence, event.fence + FENCE_JUMP)
     local_run = state.active.get(event.ref)
     if local_run is None:
-        return []
+        return emitted
     match event.kind:
         case events.CommandKind.START:
-            return _handle_start_answer(state, event, local_run, now)
+            emitted += _handle_start_answer(state, event, local_run, now)
         case events.CommandKind.STOP:
             if event.result is not events.CommandResult.DONE:
                 local_run.stop_sent = False
         case events.CommandKind.THROTTLE:
             if event.result is not events.CommandResult.DONE:
                 local_run.throttle_percent = -1
-    return []
-
-
-def record_clock(
-    state: executor.ExecutorState, clock: events.WorkerClock | None
-) -> None:
-    """Stores a clock reading unless it is older than the stored one.
-
-    Answers to polls and to commands may overtake each other. A lower reading of
-    a call that was sent after the stored one arrived shows that the stored one
-    was wrong.
-    """
-    if clock is None:
-        return
-    known = state.clock
-    if (
-        known is None
-        or clock.clock_ms >= known.clock_ms
-        or clock.sent_at >= known.received_at
-    ):
-        state.clock = clock
+    return emitted
 
 
 def _handle_start_answer(
--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -45,7 +45,8 @@
     state.grant_end = datetime.timedelta(0)
     state.polled = False
     state.ends_complete = True
-    state.acknowledged = runs.EndNumber(0)
+    state.acknowledged = state.discarded = runs.EndNumber(0)
+    state.doubted_at = None
     state.answering = True
     state.silent_after = None
     state.worker_left = False
@@ -64,6 +65,7 @@
     local_run.refusal = runs.Refusal.UNANSWERED
     local_run.fence = state.fence
     local_run.doubted_at = now
+    local_run.is_fenced = False
     local_run.row = None
     local_run.stop_sent = False
     local_run.unlisted_since = None
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -132,13 +132,16 @@
     other states are left as they are.
     """
     assert event.clock is not None
-    if not event.is_complete:
-        return []
     if local_run.state is executor.LocalState.IN_DOUBT:
         is_later = event.clock.sent_at >= local_run.doubted_at
-        if is_later and event.fence >= local_run.fence:
+        if not is_later or event.fence < local_run.fence:
+            return []
+        local_run.is_fenced = True
+        if event.is_complete:
             return commands.refuse_run(state, local_run.ref, local_run.refusal)
         return []
+    if not event.is_complete:
+        return []
     running = local_run.state is executor.LocalState.RUNNING
     if not running or event.clock.sent_at <= local_run.confirmed_at:
         return []
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/worker_clocks.py
@@ -0,0 +1,67 @@
+"""Readings of the worker's clock, and whether they are of one incarnation."""
+
+import datetime
+
+from gypsumhold.decisions.jobs import worker_logs
+from gypsumhold.model import effects as base_effects
+from gypsumhold.model.jobs import events, executor, worker_limits
+
+EffectList = list[base_effects.Effect]
+
+READING_ERROR = datetime.timedelta(milliseconds=20)
+"""Error of the difference between two readings beside that of the rates."""
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+NO_TIME = datetime.timedelta(0)
+
+
+def record(
+    state: executor.ExecutorState, clock: events.WorkerClock | None
+) -> None:
+    """Stores a clock reading unless it is older than the stored one.
+
+    Answers to polls and to commands may overtake each other. A lower reading of
+    a call that was sent after the stored one arrived shows that the stored one
+    was wrong.
+    """
+    if clock is None:
+        return
+    known = state.clock
+    if (
+        known is None
+        or clock.clock_ms >= known.clock_ms
+        or clock.sent_at >= known.received_at
+    ):
+        state.clock = clock
+
+
+def check(
+    state: executor.ExecutorState, event: events.CommandAnswered
+) -> EffectList:
+    """Doubts the incarnation if the answer to a command has another clock.
+
+    The answer does not tell which incarnation gave it. The doubt ends with an
+    answer to a poll, which does.
+    """
+    known, clock = state.clock, event.clock
+    if known is None or clock is None:
+        return []
+    if _may_be_of_one_clock(known, clock, state.options.limits):
+        return []
+    state.doubted_at = clock.received_at
+    return [worker_logs.log_other_clock(event, known)]
+
+
+def _may_be_of_one_clock(
+    known: events.WorkerClock,
+    clock: events.WorkerClock,
+    limits: worker_limits.WorkerLimits,
+) -> bool:
+    """Tells whether the times of two calls allow both readings."""
+    passed = (clock.clock_ms - known.clock_ms) * MILLISECOND
+    shortest = clock.sent_at - known.received_at
+    longest = clock.received_at - known.sent_at
+    slack = limits.clock_slack
+    least = shortest * (1 - slack) if shortest > NO_TIME else shortest
+    most = longest if longest > NO_TIME else longest * (1 - slack)
+    return least - READING_ERROR <= passed <= most + READING_ERROR
--- a/src/gypsumhold/decisions/jobs/worker_logs.py
+++ b/src/gypsumhold/decisions/jobs/worker_logs.py
@@ -98,3 +98,21 @@
     return effects.Log(
         "worker", event.worker_incarnation.name, "other life answered", inputs
     )
+
+
+def log_other_clock(
+    event: events.CommandAnswered, known: events.WorkerClock
+) -> effects.Log:
+    """Returns the line of a command that another incarnation may have taken."""
+    assert event.clock is not None
+    inputs = (
+        ("born_ms", str(event.worker_incarnation.started_ms)),
+        ("command", event.kind.value),
+        ("task", str(event.ref.task)),
+        ("run", str(event.ref.run)),
+        ("clock_ms", str(event.clock.clock_ms)),
+        ("known_clock_ms", str(known.clock_ms)),
+    )
+    return effects.Log(
+        "worker", event.worker_incarnation.name, "clock does not fit", inputs
+    )
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -7,11 +7,13 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
+    acknowledgements,
     colocation,
     commands,
     incarnations,
     leases,
     run_lists,
+    worker_clocks,
     worker_logs,
 )
 from gypsumhold.model import effects as base_effects
@@ -20,8 +22,8 @@
 EffectList = list[base_effects.Effect]
 
 UNACKNOWLEDGED_END_DELAY = datetime.timedelta(milliseconds=100)
-"""Delay between polls while the worker lists ends that the holder has not
-acknowledged; the worker then answers without waiting."""
+"""Delay between polls while the worker lists ends that no poll acknowledges;
+the worker then answers without waiting."""
 
 NO_WAIT = datetime.timedelta(0)
 
@@ -138,11 +140,13 @@
         until_ms = leases.compute_lease_end(state, now)
     if until_ms is not None:
         leases.record_lease_sent(state, until_ms)
+    acknowledged = acknowledgements.choose(state)
+    acknowledgements.record_sent(state, acknowledged)
     return [
         effects.PollWorker(
             worker,
             state.fence,
-            _choose_acknowledged_end(state),
+            acknowledged,
             until_ms,
             _choose_poll_wait(state),
             delay,
@@ -150,15 +154,6 @@
     ]
 
 
-def _choose_acknowledged_end(state: executor.ExecutorState) -> runs.EndNumber:
-    """Returns the number up to which the worker may discard ends.
-
-    0 while the worker is silent: it may have restarted since, and the ends of
-    a new incarnation have the same numbers.
-    """
-    return state.acknowledged if state.answering else runs.EndNumber(0)
-
-
 def _choose_poll_wait(state: executor.ExecutorState) -> datetime.timedelta:
     """Returns how long the worker may wait for an end before it answers.
 
@@ -187,8 +182,7 @@
     if worker is None or event.worker_incarnation != worker.incarnation:
         return poll_worker(state, now)
     if event.result is events.CommandResult.FENCED:
-        state.fence = max(state.fence, event.fence + commands.FENCE_JUMP)
-        return poll_worker(state, now, state.options.retry_delay)
+        return _handle_fenced_poll(state, event, now)
     if event.clock is None or event.started_ms != worker.incarnation.started_ms:
         emitted = _log_failed_poll(state, event, now)
         emitted += _handle_failed_poll(state, event, now)
@@ -198,7 +192,9 @@
         emitted.append(worker_logs.log_worker(worker, "answers again"))
     state.answering = True
     state.silent_after = None
-    commands.record_clock(state, event.clock)
+    _end_doubt(state, event.clock)
+    acknowledgements.record_taken(state, event)
+    worker_clocks.record(state, event.clock)
     emitted += run_lists.reconcile(state, event, now)
     emitted += run_lists.note_completeness(state, event)
     if not state.polled:
@@ -208,8 +204,37 @@
     state.polled = True
     emitted += commands.start_waiting_runs(state, now)
     emitted += colocation.adjust_throttling(state, now)
-    delay = UNACKNOWLEDGED_END_DELAY if state.ends else NO_WAIT
-    return [*emitted, *poll_worker(state, now, delay)]
+    return [*emitted, *poll_worker(state, now, _choose_delay(state))]
+
+
+def _handle_fenced_poll(
+    state: executor.ExecutorState,
+    event: events.WorkerPolled,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Polls under a higher fence; at once if a later call overtook the poll."""
+    was_overtaken = event.fence < state.fence
+    state.fence = max(state.fence, event.fence + commands.FENCE_JUMP)
+    delay = NO_WAIT if was_overtaken else state.options.retry_delay
+    return poll_worker(state, now, delay)
+
+
+def _end_doubt(
+    state: executor.ExecutorState, clock: events.WorkerClock
+) -> None:
+    """Ends the doubt about the incarnation if a later call was answered."""
+    doubted_at = state.doubted_at
+    if doubted_at is not None and clock.sent_at > doubted_at:
+        state.doubted_at = None
+
+
+def _choose_delay(state: executor.ExecutorState) -> datetime.timedelta:
+    """Returns the delay of the next poll of a worker that answers."""
+    if acknowledgements.choose(state):
+        return NO_WAIT
+    if state.ends or acknowledgements.is_withheld(state):
+        return UNACKNOWLEDGED_END_DELAY
+    return NO_WAIT
 
 
 def _log_failed_poll(
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -97,6 +97,8 @@
         doubted_at: Since when the start is in doubt; only a poll that was sent
             later decides.
         sent_by: When the start command had been sent at the latest.
+        is_fenced: Whether this worker incarnation has answered a poll whose
+            fence makes it refuse the start in doubt from then on.
         refusal: Why the run is refused if no list of such a poll has it.
         confirmed_at: When the start was confirmed.
         stop_sent: Whether a stop command is unanswered or was carried out.
@@ -118,6 +120,7 @@
     fence: int = 0
     doubted_at: datetime.timedelta = ZERO
     sent_by: datetime.timedelta = ZERO
+    is_fenced: bool = False
     refusal: runs.Refusal = runs.Refusal.UNANSWERED
     confirmed_at: datetime.timedelta = ZERO
     stop_sent: bool = False
@@ -195,7 +198,13 @@
         ignored_ends: Numbers of ends that cannot be right.
         refused: Runs that never start; kept until the holder has answered a
             report that lists them.
-        acknowledged: Highest acknowledged end of this worker incarnation.
+        acknowledged: Highest end of this worker incarnation that the holder
+            has stored.
+        discarded: Highest end that the worker may have discarded, by its answer
+            to a poll that acknowledged it.
+        acknowledgement_fence: Fence of the latest poll that acknowledged ends.
+        doubted_at: Since when it is in doubt which incarnation answers, as the
+            clock of an answer did not fit; None if it is not.
         grant_end: Until when the holder lets runs of the current worker
             incarnation continue, on the agent's clock.
         term: Highest term seen.
@@ -253,6 +262,9 @@
         default_factory=dict
     )
     acknowledged: runs.EndNumber = runs.EndNumber(0)
+    discarded: runs.EndNumber = runs.EndNumber(0)
+    acknowledgement_fence: int = 0
+    doubted_at: datetime.timedelta | None = None
     grant_end: datetime.timedelta = ZERO
     term: ids.Epoch = ids.Epoch(0)
     confirmed_term: ids.Epoch = ids.Epoch(0)
--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -152,7 +152,7 @@
     ) -> None:
         """Checks that the worker discards ends only after they are stored."""
         for end in listed:
-            if end.number > worker.acknowledged:
+            if end in worker.ends:
                 continue
             task = end.ref.task
             if end.end is runs.RunEnd.DONE and task not in self.noted_done:
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -54,7 +54,6 @@
         ends: Ends that are not acknowledged.
         finished: All ends, also those that were acknowledged.
         last_end: Number of the latest end.
-        acknowledged: Highest acknowledged end.
         heartbeats: Number of heartbeats sent.
         stuck: Whether no run finishes by itself.
         draining: Whether heartbeats report a drain.
@@ -85,7 +84,6 @@
     ends: list[runs.EndRow] = dataclasses.field(default_factory=list)
     finished: list[runs.EndRow] = dataclasses.field(default_factory=list)
     last_end: int = 0
-    acknowledged: int = 0
     heartbeats: int = 0
     stuck: bool = False
     draining: bool = False
@@ -158,7 +156,7 @@
     def restart(self, now_ms: float, down_ms: float) -> None:
         self.started_ms += 1000
         self.up_at_ms = now_ms + down_ms
-        self.fence = self.until_ms = self.last_end = self.acknowledged = 0
+        self.fence = self.until_ms = self.last_end = 0
         self.running.clear()
         self.highest_runs.clear()
         self.ends.clear()
@@ -203,8 +201,9 @@
         self.fence = effect.fence
         if effect.until_ms is not None:
             self._extend_lease(effect.until_ms, now_ms)
-        self.acknowledged = max(self.acknowledged, effect.acknowledged)
-        self.ends = [row for row in self.ends if row.number > self.acknowledged]
+        self.ends = [
+            row for row in self.ends if row.number > effect.acknowledged
+        ]
         return Result.DONE
 
     def start(
