Doubt a start that an unknown incarnation of the worker has answered

Cause: the answer to a command does not tell which incarnation gave it.

Change: if the clock of the answer doesn't fit the known one, the run is in doubt like one without an answer, until a poll is answered. Such a reading does not replace the known one. A refused fence is raised by FENCE_JUMP only if no call of this process can have overtaken the refused one: a jump lasts ten minutes, and the fence of a later process would be below it.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -220,15 +220,19 @@
     ):
         return []
     emitted = worker_clocks.check(state, event)
-    worker_clocks.record(state, event.clock)
+    is_known = not emitted
+    if is_known:
+        worker_clocks.record(state, event.clock)
     if event.result is events.CommandResult.FENCED:
-        state.fence = max(state.fence, event.fence + FENCE_JUMP)
+        raise_refused_fence(state, event.fence)
     local_run = state.active.get(event.ref)
     if local_run is None:
         return emitted
     match event.kind:
         case events.CommandKind.START:
-            emitted += _handle_start_answer(state, event, local_run, now)
+            emitted += _handle_start_answer(
+                state, event, local_run, now, is_known=is_known
+            )
         case events.CommandKind.STOP:
             if event.result is not events.CommandResult.DONE:
                 local_run.stop_sent = False
@@ -238,16 +242,34 @@
     return emitted
 
 
+def raise_refused_fence(state: executor.ExecutorState, fence: int) -> None:
+    """Raises the fence after the worker refused a call with this one.
+
+    A call of this process with a higher fence may have overtaken it. Otherwise
+    a former process has used higher ones.
+    """
+    if fence >= state.fence:
+        state.fence = fence + FENCE_JUMP
+
+
 def _handle_start_answer(
     state: executor.ExecutorState,
     event: events.CommandAnswered,
     local_run: executor.LocalRun,
     now: datetime.timedelta,
+    *,
+    is_known: bool,
 ) -> EffectList:
-    """Applies the worker's answer to a start command."""
+    """Applies the worker's answer to a start command.
+
+    If it may be of an incarnation that is not known yet, the run may be on that
+    one, like a start without an answer.
+    """
     if local_run.state is not executor.LocalState.STARTING:
         return []
     result = event.result
+    if result is events.CommandResult.DONE and not is_known:
+        result = events.CommandResult.UNANSWERED
     if result is events.CommandResult.DONE:
         confirm_start(state, local_run, now)
         return [_log_start(event, "started"), *colocation.throttle_tasks(state)]
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -214,7 +214,7 @@
 ) -> EffectList:
     """Polls under a higher fence; at once if a later call overtook the poll."""
     was_overtaken = event.fence < state.fence
-    state.fence = max(state.fence, event.fence + commands.FENCE_JUMP)
+    commands.raise_refused_fence(state, event.fence)
     delay = NO_WAIT if was_overtaken else state.options.retry_delay
     return poll_worker(state, now, delay)
 
