Let the holder count the leases and open starts of agents out of reach

Cause: the holder knew the grant only. It also released what an agent listed, when the agent had not yet reached a new incarnation, or reported that all other runs had ended.

Change: a report tells how long runs that have begun may go on, and the holder counts that for each task. A run whose start no report has confirmed ends only after the longest call delay and the longest lease. What an agent lists is kept. A report of a former incarnation tells nothing of runs on a later one. A new holder waits for at least the longest lease; of a run that its predecessor placed it can't tell whether it was confirmed, and counts it as such: 29.5 s without a run for each task of an instance that is lost with the holder would weigh more than a start that was under way at that moment.

--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/expiries.py
@@ -0,0 +1,84 @@
+"""When the holder counts runs as ended of which nobody tells an end.
+
+An agent out of reach may let runs go on until its grant expires. What it could
+not report may last longer: a start that nobody has confirmed may be under way,
+and then be carried out late by an incarnation of the worker that nobody knows.
+"""
+
+import datetime
+
+from gypsumhold.model.jobs import progress, runs, scheduler
+
+GRANT_MARGIN = datetime.timedelta(milliseconds=300)
+"""Allows for the drift between two clocks during a grant."""
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+def compute_former_grant_expiry(
+    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+) -> datetime.timedelta:
+    """Returns when every grant of the former holder has expired."""
+    options = state.options
+    # The former holder may have issued grants for up to `grant_window` after
+    # the last change of the row, which was seen at least `takeover_delay`
+    # before the takeover unless the former holder was still active.
+    left = options.grant_window
+    if not holder_state.replaced_live_holder:
+        left -= options.takeover_delay
+    # A worker incarnation that was heard just before the takeover may have
+    # taken a late lease.
+    longest = max(left + options.grant, options.limits.measure_longest_lease())
+    return holder_state.term_started_at + longest + GRANT_MARGIN
+
+
+def record_report(view: scheduler.AgentView, now: datetime.timedelta) -> None:
+    """Records for the placed tasks until when their runs may go on.
+
+    The agent keeps a run that it lists, whatever it knows of its worker.
+    """
+    report = view.report
+    lease_end = now + report.lease_left_ms * MILLISECOND
+    listed = {row.ref for row in report.rows}
+    for ref, placed in view.placed.items():
+        task = placed.task
+        is_on_worker = (
+            report.worker is not None
+            and task.worker_incarnation == report.worker.incarnation
+        )
+        if is_on_worker or runs.RunRef(ref, task.run) in listed:
+            task.worker_reported_at = now
+            task.lease_ends_at = lease_end
+
+
+def list_silent_runs(
+    state: scheduler.SchedulerState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
+) -> dict[runs.TaskRef, scheduler.PlacedTask]:
+    """Returns the placed tasks whose runs have ended without a report.
+
+    An agent extends the leases of the worker incarnation that it reported. It
+    may be silent, or not know the worker after a restart, or report another
+    incarnation.
+    """
+    return {
+        ref: placed
+        for ref, placed in view.placed.items()
+        if now >= _compute_expiry(state, placed.task) + GRANT_MARGIN
+    }
+
+
+def _compute_expiry(
+    state: scheduler.SchedulerState, task: progress.Task
+) -> datetime.timedelta:
+    """Returns when a run has ended if its agent reports no more.
+
+    A run that its worker has confirmed ends with its lease. So does one that a
+    former holder placed, as far as this one can tell.
+    """
+    grant_end = task.worker_reported_at + state.options.grant
+    if task.is_start_open:
+        late_run = state.options.limits.measure_longest_late_run()
+        return grant_end + late_run
+    return max(grant_end, task.lease_ends_at)
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -8,6 +8,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
+    expiries,
     interference,
     lifecycle,
     lost_workers,
@@ -37,9 +38,6 @@
 LOAD_RETRY_DELAY = datetime.timedelta(milliseconds=300)
 FOLLOW_RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
-GRANT_MARGIN = datetime.timedelta(milliseconds=300)
-"""Allows for the drift between two clocks during a grant."""
-
 TICK_TIMER = timers.Timer(timers.TimerKind.HOLDER_TICK)
 TICK_INTERVAL = datetime.timedelta(milliseconds=200)
 
@@ -156,20 +154,6 @@
     ]
 
 
-def compute_former_grant_expiry(
-    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
-) -> datetime.timedelta:
-    """Returns when every grant of the former holder has expired."""
-    options = state.options
-    # The former holder may have issued grants for up to `grant_window` after
-    # the last change of the row, which was seen at least `takeover_delay`
-    # before the takeover unless the former holder was still active.
-    left = options.grant_window
-    if not holder_state.replaced_live_holder:
-        left -= options.takeover_delay
-    return holder_state.term_started_at + left + options.grant + GRANT_MARGIN
-
-
 def handle_tick_timer(
     state: scheduler.SchedulerState, now: datetime.timedelta
 ) -> EffectList:
@@ -185,7 +169,7 @@
     emitted: EffectList = [base_effects.SetTimer(TICK_TIMER, TICK_INTERVAL)]
     if state.role is not scheduler.Role.HOLDER:
         return emitted
-    if now >= compute_former_grant_expiry(state, holder_state):
+    if now >= expiries.compute_former_grant_expiry(state, holder_state):
         for instance in lifecycle.list_unreported_instances(holder_state):
             emitted += release_tasks(
                 holder_state,
@@ -224,18 +208,8 @@
     view: scheduler.AgentView,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Releases the tasks of an instance whose worker was not reported.
-
-    An agent extends the leases of the worker incarnation that it reported. It
-    may be silent, or not know the worker after a restart, or report another
-    incarnation.
-    """
-    reported_after = now - state.options.grant - GRANT_MARGIN
-    silent_runs = {
-        ref: placed
-        for ref, placed in view.placed.items()
-        if placed.task.worker_reported_at <= reported_after
-    }
+    """Releases the tasks of an instance whose worker was not reported."""
+    silent_runs = expiries.list_silent_runs(state, view, now)
     if not silent_runs:
         return []
     return release_tasks(
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -13,7 +13,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import lifecycle
-from gypsumhold.model.jobs import events, executor, runs
+from gypsumhold.model.jobs import events, executor, messages, runs
 
 EXPIRY_MARGIN = datetime.timedelta(milliseconds=300)
 """Time after the end of a lease at which its runs have certainly ended."""
@@ -73,7 +73,7 @@
 ) -> None:
     """Records that a former process may have sent calls until now."""
     late_run = state.options.limits.measure_longest_late_run()
-    state.runs_expire_at = now + late_run + EXPIRY_MARGIN
+    state.former_runs_expire_at = now + late_run + EXPIRY_MARGIN
 
 
 def _count_lease(
@@ -96,7 +96,9 @@
     """
     if state.answering:
         return False
-    return has_left(state) or now >= state.runs_expire_at
+    if has_left(state):
+        return True
+    return now >= max(state.runs_expire_at, state.former_runs_expire_at)
 
 
 def has_left(state: executor.ExecutorState) -> bool:
@@ -135,6 +137,14 @@
     return max(state.runs_expire_at - now, datetime.timedelta(0))
 
 
+def measure_lease_ms(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> messages.LeaseMs:
+    """Returns the same time as a report tells it."""
+    left_ms = lifecycle.to_ms(measure_lease(state, now))
+    return min(left_ms, messages.MAX_LEASE_MS)
+
+
 def has_start_margin(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> bool:
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -17,6 +17,7 @@
 # Upper bound on the age that a newly added job is given. Ages come from the
 # wall clock of another process, which may differ from the local one.
 MAX_AGE = datetime.timedelta(seconds=60)
+ZERO = datetime.timedelta(0)
 
 
 def add_job(
@@ -168,6 +169,7 @@
     task.instance = view.instance
     task.worker_incarnation = worker.incarnation
     task.batch = progress.NOT_STORED
+    task.is_start_open = True
     task.reported = False
     task.listed_at = task.age = None
     task.migration_target = None
@@ -178,6 +180,7 @@
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
     task.worker_reported_at = now
+    task.lease_ends_at = ZERO
     view.placed[ref] = placed
     view.latest_start_at = now
     if placed.step.is_suspect(task):
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -165,6 +165,7 @@
         if state.silent_after is None
         else lifecycle.to_ms(state.silent_after),
         tuple(state.losses) if state.polled else (),
+        leases.measure_lease_ms(state, now),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -6,6 +6,7 @@
     crashes,
     directives,
     estimates,
+    expiries,
     holders,
     lifecycle,
     run_ends,
@@ -176,7 +177,7 @@
         view.interference_sums[sums.pair] = sums
     _adopt_orphans(holder_state, view)
     emitted += _release_ended_runs(holder_state, view, now)
-    _record_worker_report(view, now)
+    expiries.record_report(view, now)
     emitted += crashes.judge_crashes(state, holder_state, view, now)
     for row in sorted(report.ends, key=lambda row: row.number):
         if row.number > view.last_handled_end:
@@ -235,8 +236,8 @@
 ) -> EffectList:
     """Releases every run that has ended according to the report.
 
-    These are all runs if the report says that they have ended, and otherwise
-    the runs of earlier incarnations of the worker.
+    These are all runs that it does not list if it says that they have ended,
+    and otherwise the runs of earlier incarnations of the worker.
     """
     report = view.report
     worker = report.worker
@@ -248,11 +249,10 @@
     ended_runs = {
         ref: placed
         for ref, placed in view.placed.items()
-        if report.runs_ended
-        or (
-            worker is not None
-            and placed.task.worker_incarnation.started_ms
-            < worker.incarnation.started_ms
+        if _has_ended(
+            report,
+            placed.task,
+            is_listed=runs.RunRef(ref, placed.task.run) in listed_runs,
         )
     }
     # Ends that the worker listed before it was lost are still in the report
@@ -269,16 +269,19 @@
     )
 
 
-def _record_worker_report(
-    view: scheduler.AgentView, now: datetime.timedelta
-) -> None:
-    """Records the report for the tasks placed on the reported worker."""
-    worker = view.report.worker
-    if worker is None:
-        return
-    for placed in view.placed.values():
-        if placed.task.worker_incarnation == worker.incarnation:
-            placed.task.worker_reported_at = now
+def _has_ended(
+    report: messages.Report, task: progress.Task, *, is_listed: bool
+) -> bool:
+    """Tells whether a placed run has ended, by a report without its end.
+
+    A late report may be of a former incarnation of the worker, and tells
+    nothing of the runs of later ones.
+    """
+    if report.worker is not None:
+        reported_ms = report.worker.incarnation.started_ms
+        if task.worker_incarnation.started_ms != reported_ms:
+            return task.worker_incarnation.started_ms < reported_ms
+    return report.runs_ended and not is_listed
 
 
 def _queue_acknowledgement(
@@ -385,6 +388,7 @@
             if placed.task.age is None:
                 holder_state.run_waits.touched.add(placed.job.spec.job_id)
             placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
+            placed.task.is_start_open = False
         crashes.clear_suspicion(holder_state, view, placed)
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -233,8 +233,10 @@
         other_life_ms: Start of the other incarnation that answered a poll of
             the known one last, as logged; 0 if none has.
         worker_left: Whether the worker announced that it shuts down.
-        runs_expire_at: When every run has certainly ended unless the lease is
-            extended.
+        runs_expire_at: When every run that has begun has certainly ended
+            unless the lease is extended.
+        former_runs_expire_at: When every run has ended that a call of a former
+            process of the agent may have begun or kept.
         reported_refusals: Refusals in the unanswered report.
         losses: Lost incarnations of the worker, oldest first, until the holder
             has stored the crashes under their runs.
@@ -298,5 +300,6 @@
     other_life_ms: int = 0
     worker_left: bool = False
     runs_expire_at: datetime.timedelta = ZERO
+    former_runs_expire_at: datetime.timedelta = ZERO
     reported_refusals: tuple[runs.RunRef, ...] = ()
     losses: list[runs.LossRow] = dataclasses.field(default_factory=list)
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -13,6 +13,9 @@
 MAX_GRANT_MS = 60_000
 GrantMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_GRANT_MS)]
 
+MAX_LEASE_MS = 120_000
+LeaseMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_LEASE_MS)]
+
 MAX_HOST_LENGTH = 253
 HOST_PATTERN = (
     r"\A(?:[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*"
@@ -76,12 +79,14 @@
             images whose sums the holder does not have yet.
         answering: Whether the worker answers the agent; False also before the
             first answer to a poll and once the worker shuts down.
-        runs_ended: Whether every earlier run has certainly ended, because
-            its lease has expired or the worker has left.
+        runs_ended: Whether every run that `rows` does not have has certainly
+            ended, because its lease has expired or the worker has left.
         silent_after_ms: Time from the latest answer of the worker until it was
             found to be silent; `UNKNOWN_SILENCE` if it is not.
         losses: Former incarnations of the worker that were lost with runs that
             they had just started, until the holder has stored these crashes.
+        lease_left_ms: How long runs that have begun may go on if the agent
+            sends no further lease.
     """
 
     instance: ids.InstanceId
@@ -100,6 +105,7 @@
     runs_ended: bool = False
     silent_after_ms: runs.SpanMs = UNKNOWN_SILENCE
     losses: tuple[runs.LossRow, ...] = ()
+    lease_left_ms: LeaseMs = 0
 
 
 class Directives(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -45,9 +45,13 @@
         worker_incarnation: Incarnation of the worker of the latest placement.
         checkpoint: Latest saved progress.
         batch: Number of the batch that stores the latest placement.
+        is_start_open: Whether this holder placed the run and no report has told
+            that its worker has started it.
         reported: Whether the latest report of the agent lists the run.
         worker_reported_at: When the agent last reported the worker incarnation
             of the latest placement; only then is its lease extended.
+        lease_ends_at: When the run ends, if it has begun and its agent sends no
+            further lease, as last reported.
         listed_at: When a report first listed the current run; None if none
             has. After a takeover, reports to the former holder do not count.
         age: How long the worker had run it at most, as last reported; None if
@@ -82,8 +86,10 @@
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     checkpoint: runs.Checkpoint = runs.Checkpoint("")
     batch: int = NOT_STORED
+    is_start_open: bool = False
     reported: bool = False
     worker_reported_at: datetime.timedelta = ZERO
+    lease_ends_at: datetime.timedelta = ZERO
     listed_at: datetime.timedelta | None = None
     age: datetime.timedelta | None = None
     placed_at: datetime.timedelta = ZERO
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -14,6 +14,7 @@
     specs,
     storage,
     waits,
+    worker_limits,
 )
 
 ZERO = datetime.timedelta(0)
@@ -44,6 +45,7 @@
         retention: How long ended jobs are kept.
         cores: Processor capacity of the instance, in cores.
         row_bytes: Most bytes of one row in the store.
+        limits: Limits of the workers and of the calls to them.
         seed: Seed of the random number generator.
     """
 
@@ -59,6 +61,7 @@
     retention: datetime.timedelta = datetime.timedelta(seconds=180)
     cores: float = 1.0
     row_bytes: int = DEFAULT_ROW_BYTES
+    limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
     seed: int = 0
 
 
--- a/tests/jobs/test_holders.py
+++ b/tests/jobs/test_holders.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from gypsumhold.decisions.jobs import holders, policy_sets
+from gypsumhold.decisions.jobs import expiries, policy_sets
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, scheduler
 from tests.jobs import nodes, test_world
@@ -97,7 +97,7 @@
         datetime.timedelta(0),
         replaced_live_holder=True,
     )
-    expiry = holders.compute_former_grant_expiry(state, held)
+    expiry = expiries.compute_former_grant_expiry(state, held)
     assert expiry >= options.grant_window + options.grant
 
 
--- a/tests/jobs/test_lost_workers.py
+++ b/tests/jobs/test_lost_workers.py
@@ -137,7 +137,7 @@
             stray, agent.state.fence, events.CommandResult.UNANSWERED
         )
     )
-    wait = agent.state.runs_expire_at - agent.now
+    wait = agent.state.former_runs_expire_at - agent.now
     agent.wait(wait / lone_agent.MILLISECOND)
     agent.incarnation = LOST
     agent.deliver_heartbeat()
