Read the longest lease of a worker from the platform's settings

Cause: leases were counted with 10 s, which is maxHoldMs of the deployments in force; the settings file names it, and other deployments have other values.

Change: bounds.maxHoldMs goes into WorkerLimits of agents and entries.

--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -347,6 +347,13 @@
     cpu_cores: float = 1.0
 
 
+class Bounds(PlatformDocument, frozen=True):
+    """Limits that the platform sets for this deployment."""
+
+    # Longest lease that a worker keeps.
+    max_hold_ms: Amount = 10_000
+
+
 class Settings(PlatformDocument, frozen=True):
     """The settings file that the platform writes for a process."""
 
@@ -363,6 +370,7 @@
     platform: StoreSettings
     heartbeat_interval_ms: int = 1000
     limits: ProcessLimits = ProcessLimits()
+    bounds: Bounds = Bounds()
 
 
 def parse(
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -1,13 +1,14 @@
 """Reads the settings file that the platform writes for each process."""
 
 import dataclasses
+import datetime
 import os
 import pathlib
 
 from returns.result import Failure, Result, Success
 
 from gypsumhold.model import errors, ids, members
-from gypsumhold.model.jobs import messages
+from gypsumhold.model.jobs import messages, worker_limits
 from gypsumhold.platform import documents
 
 PATH_VARIABLE = "GYPSUMHOLD_NODE_FILE"
@@ -28,6 +29,7 @@
         store: Address of the platform's store.
         cores: Processor capacity of the instance, in cores.
         row_bytes: Most bytes of one row in the store.
+        limits: Limits of the workers of this deployment.
     """
 
     instance: ids.InstanceId
@@ -40,6 +42,7 @@
     store: members.Address
     cores: float = 1.0
     row_bytes: int = 65_536
+    limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
 
 
 def read_settings() -> Result[NodeSettings, errors.Error]:
@@ -78,6 +81,9 @@
                 _parse_address(document.platform.address),
                 document.limits.cpu_share * document.limits.cpu_cores,
                 document.platform.row_bytes,
+                worker_limits.WorkerLimits(
+                    datetime.timedelta(milliseconds=document.bounds.max_hold_ms)
+                ),
             )
         )
     except ValueError as problem:
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -189,6 +189,7 @@
         build_peer_endpoint(shared),
         cores=shared.platform_settings.cores,
         row_bytes=shared.platform_settings.row_bytes,
+        limits=shared.platform_settings.limits,
     )
     state = scheduler.SchedulerState(
         options,
@@ -236,6 +237,7 @@
         shared.platform_settings.instance,
         shared.incarnation,
         build_peer_endpoint(shared),
+        limits=shared.platform_settings.limits,
     )
     state = executor.ExecutorState(
         options, policy_sets.build_executor_policies()
