Poll a new incarnation at once, and a silent worker without a wait

Cause: the first poll under the fence of a new incarnation, which makes it refuse late starts, waited for the answer to the former one's poll, up to 2 s in a cut.

Change: a new incarnation is polled when it is heard; answers to polls from before, known by their fence, change nothing. A silent worker is asked not to wait for an end, so that its silence is noticed, and ended, a second sooner.

--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -30,6 +30,9 @@
     # former incarnation and arrive late. The new incarnation is reported once
     # a poll with this fence is answered, which also decides the open starts.
     state.fence += 1
+    state.first_fence = state.fence
+    # A poll of the former incarnation may be unanswered for long.
+    state.poll_pending = False
     state.active = {
         local_run.ref: local_run
         for local_run in state.active.values()
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -157,10 +157,10 @@
 def _choose_poll_wait(state: executor.ExecutorState) -> datetime.timedelta:
     """Returns how long the worker may wait for an end before it answers.
 
-    The worker answers at once while ends are unacknowledged or a start is in
-    doubt, and sooner while serving tasks run.
+    The worker answers at once while it was silent, ends are unacknowledged or a
+    start is in doubt, and sooner while serving tasks run.
     """
-    if not state.polled or state.ends:
+    if not state.answering or not state.polled or state.ends:
         return NO_WAIT
     local_runs = state.active.values()
     if any(run.state is executor.LocalState.IN_DOUBT for run in local_runs):
@@ -176,11 +176,14 @@
     now: datetime.timedelta,
 ) -> EffectList:
     """Reconciles the state with the worker's lists and polls again."""
-    state.poll_pending = False
     worker = state.worker
     leases.record_lease_taken(state, event.until_ms, event.clock)
     if worker is None or event.worker_incarnation != worker.incarnation:
-        return poll_worker(state, now)
+        return []
+    if event.fence < state.first_fence:
+        # Another incarnation was believed in since this poll was sent.
+        return []
+    state.poll_pending = False
     if event.result is events.CommandResult.FENCED:
         return _handle_fenced_poll(state, event, now)
     if event.clock is None or event.started_ms != worker.incarnation.started_ms:
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -189,9 +189,10 @@
         polled: Whether the current worker incarnation has answered a poll.
         ends_complete: Whether the latest poll listed all ends. Otherwise a run
             that the agent does not know may have ended.
-        poll_pending: Whether a poll is unanswered.
+        poll_pending: Whether a poll of the present incarnation is unanswered.
         fence: Fence of the next call; raised by a start in doubt, a new worker
             incarnation or a call that the worker refused for its fence.
+        first_fence: Fence of the first poll of the present incarnation.
         active: Runs that were requested or found and have not ended.
         ends: Ends that the holder has not acknowledged.
         ends_listed_at: When the worker first listed each of these ends.
@@ -250,6 +251,7 @@
     ends_complete: bool = True
     poll_pending: bool = False
     fence: int = 0
+    first_fence: int = 0
     active: dict[runs.RunRef, LocalRun] = dataclasses.field(
         default_factory=dict
     )
