Let plays of the soak bring workers, faults and a launcher of their own

Cause: the soak builds its workers, checker and faults itself and starts the sources of its checkout only, so no play with other faults can reuse it. Its ports were taken from the range that the system gives to connections: in a trial with 14 programs one entry found its port in use and a third of the submissions failed.

Change: SoakRun builds these parts in methods that a play may override, faults have an abstract base class, and Program takes the launcher, whose sources the process imports. Ports come from below that range, each one once. A run ends with the lease on the worker's clock also if nothing calls the worker then; before, one that was due later counted as done. A worker forgets only the ends that it lists: an acknowledgement for a former incarnation let all later ends with lower numbers vanish, and their tasks started again and again.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,5 +1,6 @@
 """Random faults from outside the processes; they may overlap."""
 
+import abc
 import random
 import signal
 import time
@@ -7,6 +8,9 @@
 
 from tests.soak import programs, proxies, standins
 
+FAULT_SHARE = 0.2
+"""Share of the submissions after which a fault is injected."""
+
 FAULT_DURATION_S = (0.3, 5.0)
 LONG_PAUSE_S = (7.5, 9.5)
 """Pause after which the grants of an agent have expired."""
@@ -22,7 +26,19 @@
 """Largest number of faults of one kind that are injected together."""
 
 
-class FaultInjector:
+class Injector(abc.ABC):
+    """Injects faults of one sort and ends them."""
+
+    @abc.abstractmethod
+    def update(self) -> None:
+        """Injects the faults that are due and ends those that are over."""
+
+    @abc.abstractmethod
+    def end_all(self) -> None:
+        """Ends every fault."""
+
+
+class FaultInjector(Injector):
     """Injects random faults and ends each after a random time.
 
     Args:
@@ -56,7 +72,13 @@
             self._restart_worker,
         )
 
-    def inject(self) -> None:
+    def update(self) -> None:
+        """Ends the faults that are over, and injects one now and then."""
+        self._end_due()
+        if self._random.random() < FAULT_SHARE:
+            self._inject()
+
+    def _inject(self) -> None:
         """Injects one fault, or a few of one kind together."""
         inject_one = self._random.choice(self._injections)
         for _ in range(self._random.randint(1, MAX_SIMULTANEOUS)):
@@ -67,7 +89,7 @@
             ends_at = time.monotonic() + duration_s
             self._active.append((ends_at, inject_one()))
 
-    def end_due(self) -> None:
+    def _end_due(self) -> None:
         """Ends the faults whose time is over."""
         now = time.monotonic()
         due = [
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -14,15 +15,25 @@
 from tests.soak import proxies
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
+LAUNCHER = ROOT / "src" / "gypsumhold_node.py"
+
+
+PORTS = range(20_000, 30_000)
+"""Below the ports that the system gives to connections, which could take a port
+before its program listens."""
+
+_untried_ports = random.SystemRandom().sample(PORTS, len(PORTS))
 
 
 def find_ports(count: int) -> list[int]:
-    """Returns free ports of the loopback address."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for free_socket in sockets:
-            free_socket.bind(("127.0.0.1", 0))
-        return [free_socket.getsockname()[1] for free_socket in sockets]
+    """Returns free ports of the loopback address, each one only once."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _untried_ports.pop()
+        with socket.socket() as free_socket, contextlib.suppress(OSError):
+            free_socket.bind(("127.0.0.1", port))
+            ports.append(port)
+    return ports
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +48,7 @@
             for metrics, in this order.
         store: Proxy through which the process calls the table.
         seed: Seed of the proxy `peers`.
+        launcher: Script that starts the process, with the sources beside it.
         peers: Proxy through which other processes call this one.
         process: The latest process; None before the first start.
     """
@@ -47,6 +59,7 @@
     ports: list[int]
     store: proxies.Proxy
     seed: int
+    launcher: pathlib.Path = LAUNCHER
     peers: proxies.Proxy = dataclasses.field(init=False)
     process: subprocess.Popen[bytes] | None = None
 
@@ -84,11 +97,16 @@
             "log": {"level": "info", "json": True},
         }
         config.write_text(json.dumps(settings))
-        launcher = str(ROOT / "src" / "gypsumhold_node.py")
+        command = [sys.executable, str(self.launcher), self.role]
+        environment = {
+            **os.environ,
+            "GYPSUMHOLD_NODE_FILE": str(node_file),
+            "PYTHONPATH": str(self.launcher.parent),
+        }
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, launcher, self.role, "--config", str(config)],
-                env={**os.environ, "GYPSUMHOLD_NODE_FILE": str(node_file)},
+                [*command, "--config", str(config)],
+                env=environment,
                 stdout=log,
                 stderr=log,
             )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,9 +27,6 @@
 from tests.soak import faults, programs, proxies, standins
 
 COMPLETION_TIMEOUT = datetime.timedelta(seconds=40)
-FAULT_SHARE = 0.2
-"""Share of the submissions after which a fault is injected."""
-
 CANCEL_SHARE = 0.08
 """Share of the accepted jobs that are cancelled."""
 
@@ -52,6 +49,7 @@
     """Runs the programs and injects faults for one seed.
 
     Attributes:
+        launcher: Script that starts each program.
         accepted: Accepted jobs, each with whether its cancellation was
             requested.
         problems: Messages about violated guarantees.
@@ -63,11 +61,13 @@
         size: Size,
         folder: pathlib.Path,
         stack: contextlib.ExitStack,
+        launcher: pathlib.Path = programs.LAUNCHER,
     ) -> None:
+        self.launcher = launcher
         self.random = random.Random(seed)
         self.table = standins.TableStandin(seed)
         stack.callback(self.table.close)
-        self.checker = standins.InvariantChecker()
+        self.checker = self._build_checker()
         self.workers: list[standins.WorkerStandin] = []
         self.programs: list[programs.Program] = []
         self.entries: list[str] = []
@@ -77,13 +77,25 @@
         for number in range(size.entries + size.agents):
             is_entry = number < size.entries
             self._add_program(number, seed, folder, stack, is_entry=is_entry)
-        self.faults = faults.FaultInjector(
-            self.random, self.programs, self.workers, self.table
-        )
+        self.faults = self._build_faults()
         for program in self.programs:
             program.start()
             stack.callback(program.kill)
 
+    def _build_checker(self) -> standins.InvariantChecker:
+        """Returns the checker that all workers call."""
+        return standins.InvariantChecker()
+
+    def _build_worker(self, name: str, seed: int) -> standins.WorkerStandin:
+        """Returns the worker of an agent."""
+        return standins.WorkerStandin(name, self.checker, seed)
+
+    def _build_faults(self) -> faults.Injector:
+        """Returns the source of the faults of a run."""
+        return faults.FaultInjector(
+            self.random, self.programs, self.workers, self.table
+        )
+
     def _add_program(
         self,
         number: int,
@@ -97,16 +109,20 @@
         role = "entry" if is_entry else "agent"
         store = proxies.Proxy(self.table.address, seed + number)
         program = programs.Program(
-            f"{role}-{number}", role, folder, ports, store, seed + number
+            f"{role}-{number}",
+            role,
+            folder,
+            ports,
+            store,
+            seed + number,
+            self.launcher,
         )
         stack.callback(program.close)
         self.programs.append(program)
         if is_entry:
             self.entries.append(f"127.0.0.1:{ports[0]}")
             return
-        worker = standins.WorkerStandin(
-            f"w-{number}", self.checker, seed + number
-        )
+        worker = self._build_worker(f"w-{number}", seed + number)
         stack.callback(worker.close)
         worker.start(f"127.0.0.1:{ports[0]}")
         self.workers.append(worker)
@@ -117,7 +133,20 @@
         Returns:
             Messages about all violated guarantees.
         """
-        time.sleep(2.5)
+        self.submit_jobs(seconds)
+        unfinished = self._wait_for_jobs()
+        self.problems += [
+            f"{job} is {state}" for job, state in unfinished.items()
+        ]
+        return self.list_problems()
+
+    def list_problems(self) -> list[str]:
+        """Returns the messages about violated guarantees so far."""
+        return [*self.checker.problems, *self.problems]
+
+    def submit_jobs(self, seconds: float) -> None:
+        """Submits jobs under faults, and cancels some of them."""
+        self._await_start()
         end = time.monotonic() + seconds
         number = 0
         while time.monotonic() < end:
@@ -126,24 +155,26 @@
             self._submit(job)
             if job in self.accepted and self.random.random() < CANCEL_SHARE:
                 self._cancel(job)
-            self.faults.end_due()
-            if self.random.random() < FAULT_SHARE:
-                self.faults.inject()
+            self.faults.update()
             time.sleep(self.random.uniform(0.05, 0.4))
         self.faults.end_all()
         print(f"{len(self.accepted)} of {number} jobs accepted", flush=True)
         if not self.accepted:
             self.problems.append("no job was accepted, so nothing was tested")
-        unfinished = self._wait_for_jobs()
-        self.problems += [
-            f"{job} is {state}" for job, state in unfinished.items()
-        ]
-        return [*self.checker.problems, *self.problems]
+
+    def _await_start(self) -> None:
+        """Waits until the programs are likely to run."""
+        time.sleep(2.5)
 
     def _call(
-        self, method: str, job: str, body: dict[str, object] | None = None
+        self,
+        method: str,
+        job: str,
+        body: dict[str, object] | None = None,
+        entry: str = "",
     ) -> tuple[int, dict[str, object]]:
-        entry = self.random.choice(self.entries)
+        """Calls an entry, by default a random one; status 0 is no answer."""
+        entry = entry or self.random.choice(self.entries)
         try:
             answer = self.pool.request(
                 method,
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -264,9 +264,6 @@
         self.started.add(job)
         if job in self.refused:
             self.problems.append(f"{ref.task} of a refused job runs")
-        noted_at = self.noted_done.get(ref.task)
-        if noted_at is not None and time.monotonic() > noted_at + LATE_START_S:
-            self.problems.append(f"{ref.task} runs again after it was done")
         cancelled_at = self.cancelled.get(job)
         if (
             cancelled_at is not None
@@ -279,16 +276,39 @@
             other.advance()
             self.record_ends(other)
             if ref.task in other.fake.running:
-                self.problems.append(f"{ref.task} runs twice")
+                self.report_second_run(started, ref, other)
+        self.check_not_done(started, ref)
         used_millis = sum(
             run.cpu_millis for run in started.fake.running.values()
         )
         if used_millis > started.fake.cpu_millis:
             self.problems.append(f"{started.fake.name} is over its capacity")
 
+    def report_second_run(
+        self, started: "WorkerStandin", ref: runs.RunRef, other: "WorkerStandin"
+    ) -> None:
+        """Reports a start while another worker runs the same task."""
+        self.problems.append(f"{ref.task} runs twice")
+
+    def check_not_done(
+        self, started: "WorkerStandin", ref: runs.RunRef
+    ) -> None:
+        """Checks that no end as done was acknowledged long before a start."""
+        noted_at = self.noted_done.get(ref.task)
+        if noted_at is not None and time.monotonic() > noted_at + LATE_START_S:
+            self.problems.append(f"{ref.task} runs again after it was done")
+
 
 class WorkerStandin(http_routes.Routes):
-    """Serves one fake worker over HTTP and sends its heartbeats."""
+    """Serves one fake worker over HTTP and sends its heartbeats.
+
+    Attributes:
+        threads: Number of calls that are served concurrently.
+        lapsed_end: Highest number of an end that was listed when the lease
+            expired last; 0 if there is none in this incarnation.
+    """
+
+    threads = 8
 
     def __init__(self, name: str, checker: InvariantChecker, seed: int) -> None:
         # The clock of a worker may be up to 2% slow.
@@ -298,11 +318,15 @@
         )
         self.fake.up_at_ms = time.monotonic() * 1000
         self.agent = ""
+        self.lapsed_end = 0
         self._checker = checker
         self._random = random.Random(seed)
         self._stopped = threading.Event()
+        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
         checker.workers.append(self)
-        self._listener = http_server.Listener(ANY_PORT, self, 8, MAX_BODY_BYTES)
+        self._listener = http_server.Listener(
+            ANY_PORT, self, self.threads, MAX_BODY_BYTES
+        )
         self.address = self._listener.read_address()
         self._thread = threading.Thread(
             target=self._send_heartbeats, daemon=True
@@ -320,23 +344,39 @@
     def _is_down(self) -> bool:
         return time.monotonic() * 1000 < self.fake.up_at_ms
 
+    def find_lease_end(self) -> float:
+        """Returns the end of the lease in milliseconds of this process."""
+        # The worker's clock is read in whole milliseconds, rounded down.
+        return self.fake.up_at_ms + self.fake.until_ms / self.fake.rate + 1
+
     def advance(self) -> float:
+        """Ends the runs that are over, and returns the time."""
         now_ms = time.monotonic() * 1000
+        lease_end_ms = self.find_lease_end()
+        if lease_end_ms < now_ms:
+            # A run that was to finish after the lease has not finished.
+            self.fake.advance(lease_end_ms)
+            self.lapsed_end = self.fake.last_end
         self.fake.advance(now_ms)
         return now_ms
 
-    def restart(self) -> None:
+    def restart(self, down_ms: float = DOWN_MS) -> None:
         """Ends all runs; the next incarnation starts under the same name."""
         with self._checker.lock:
             now_ms = self.advance()
             self._checker.record_ends(self)
-            self.fake.restart(now_ms, DOWN_MS)
+            self.fake.restart(now_ms, down_ms)
+            self.lapsed_end = 0
 
     def _send_heartbeats(self) -> None:
-        pool = urllib3.PoolManager(retries=False)
+        """Sends heartbeats until the worker is closed."""
         while not self._stopped.wait(HEARTBEAT_INTERVAL_S):
-            if self._is_down():
-                continue
+            if not self._is_down():
+                self._send_heartbeat(*self._build_heartbeat())
+
+    def _build_heartbeat(self) -> tuple[str, bytes]:
+        """Returns the URL and the body of the next heartbeat."""
+        with self._checker.lock:
             self.fake.heartbeats += 1
             heartbeat = documents.Heartbeat(
                 POOL,
@@ -349,26 +389,38 @@
                 ("a", "r1-1"),
             )
             url = f"http://{self.agent}/instances/{self.fake.name}"
-            try:
-                pool.request(
-                    "PUT", url, body=documents.render(heartbeat), timeout=1.0
-                )
-            except urllib3.exceptions.HTTPError:
-                # A fault of the soak test has killed or paused the agent.
-                continue
+        return url, documents.render(heartbeat)
+
+    def _send_heartbeat(self, url: str, body: bytes) -> None:
+        """Sends one heartbeat to the agent."""
+        try:
+            self._pool.request("PUT", url, body=body, timeout=1.0)
+        except urllib3.exceptions.HTTPError:
+            # A fault of the soak test has killed or paused the agent.
+            return
 
     def answer(
         self, request: http_routes.HttpRequest
     ) -> http_routes.HttpResponse:
         body: Any = msgspec.json.decode(request.body)
-        if request.read_path() == "/hold" and body.get("waitMs"):
+        self._wait_for_ends(request.read_path(), body)
+        return self._carry_out(request, body)
+
+    def _wait_for_ends(self, path: str, body: Any) -> None:
+        """Waits as long as a poll may wait for the next end."""
+        if path == "/hold" and body.get("waitMs"):
             time.sleep(min(0.2, body["waitMs"] / 1000))
-        if self._is_down():
-            return http_routes.HttpResponse(503)
+
+    def _carry_out(
+        self, request: http_routes.HttpRequest, body: Any
+    ) -> http_routes.HttpResponse:
+        """Carries out a call if it names the incarnation that is up."""
         expected_name = dict(request.headers).get("X-Expected-Instance", "")
-        if expected_name and expected_name != self.fake.name:
-            return http_routes.HttpResponse(421)
         with self._checker.lock:
+            if self._is_down():
+                return http_routes.HttpResponse(503)
+            if expected_name and expected_name != self.fake.name:
+                return http_routes.HttpResponse(421)
             now_ms = self.advance()
             self._checker.record_ends(self)
             result = self._apply(request.read_path(), body, now_ms)
@@ -385,7 +437,11 @@
         if path == "/hold":
             if call.fence >= self.fake.fence:
                 self._checker.record_noted(self, call.acknowledged)
-            return self.fake.poll(call, now_ms)
+            result = self.fake.poll(call, now_ms)
+            # Only the ends that are listed are forgotten; later ones may have
+            # lower numbers than a poll for a former incarnation acknowledged.
+            self.fake.acknowledged = 0
+            return result
         task = worker.parse_task_ref(body["task"])
         assert task is not None
         call.ref = runs.RunRef(task, runs.RunNumber(body["run"]))
@@ -401,13 +457,16 @@
             accelerators=0,
         )
         is_known = task in self.fake.running
-        work_ms = self._random.uniform(100, 900)
-        end = runs.RunEnd.DONE
-        result = self.fake.start(call, now_ms, now_ms + work_ms, end)
+        finish_ms = now_ms + self._draw_work_ms(task)
+        result = self.fake.start(call, now_ms, finish_ms, runs.RunEnd.DONE)
         if result is events.CommandResult.DONE and not is_known:
             self._checker.check_start(self, call.ref)
         return result
 
+    def _draw_work_ms(self, task: runs.TaskRef) -> float:
+        """Returns how long a run of a task lasts."""
+        return self._random.uniform(100, 900)
+
     def _render(
         self, path: str, result: events.CommandResult, now_ms: float
     ) -> http_routes.HttpResponse:
