Mend what the review of the late calls found on the usual path

Starts that overlap held acknowledgements back. A start whose connection was refused counted as open, and one whose answer had no clock as confirmed. Until a report told of a confirmed start, up to 1 s, the loss of agent and worker left its task without a run for 29.5 s.

Change: an acknowledgement raises the fence of what follows it. After 0.5 s without one that is due, starts wait until it has gone out. NOT_SENT is a result of its own, and refuses the run. A confirmed start brings the next report forward to 0.2 s; each report begins the interval anew. Fences jump only at the second refusal in a row. have_leases_expired is named for what it tells. test_held_starts expected a job with tasks of a random length to be running still after 1 s; it has a task that lasts now. The test of overlapping starts takes starts that are held back.

--- a/src/gypsumhold/adapters/failure_events.py
+++ b/src/gypsumhold/adapters/failure_events.py
@@ -91,14 +91,17 @@
 
 
 def _build_start_failure(
-    effect: job_effects.StartRun, _started: bool
+    effect: job_effects.StartRun, started: bool
 ) -> job_events.CommandAnswered:
+    result = job_events.CommandResult.NOT_SENT
+    if started:
+        result = job_events.CommandResult.UNANSWERED
     return job_events.CommandAnswered(
         effect.worker.incarnation,
         job_events.CommandKind.START,
         effect.command.ref,
         effect.fence,
-        job_events.CommandResult.UNANSWERED,
+        result,
         until_ms=effect.until_ms,
     )
 
--- a/src/gypsumhold/decisions/jobs/acknowledgements.py
+++ b/src/gypsumhold/decisions/jobs/acknowledgements.py
@@ -8,10 +8,16 @@
 earlier poll.
 """
 
+import datetime
+
 from gypsumhold.model.jobs import events, executor, runs
 
 NO_END = runs.EndNumber(0)
 
+MAX_WITHHELD_TIME = datetime.timedelta(milliseconds=500)
+"""Time after which no further start is sent until an acknowledgement has gone
+out; otherwise starts that overlap could hold it back for long."""
+
 
 def choose(state: executor.ExecutorState) -> runs.EndNumber:
     """Returns the end up to which the next poll acknowledges; 0 for none."""
@@ -26,16 +32,28 @@
 
 
 def record_sent(
-    state: executor.ExecutorState, acknowledged: runs.EndNumber
+    state: executor.ExecutorState,
+    acknowledged: runs.EndNumber,
+    now: datetime.timedelta,
 ) -> None:
-    """Records that a poll with the present fence carries this number."""
-    if acknowledged:
-        state.acknowledgement_fence = state.fence
+    """Records what a poll with the present fence carries.
 
-
-def raise_fence(state: executor.ExecutorState) -> None:
-    """Raises the fence above that of the latest acknowledgement."""
-    state.fence = max(state.fence, state.acknowledgement_fence + 1)
+    An acknowledgement raises the fence of all calls that follow.
+    """
+    if acknowledged:
+        state.fence += 1
+    if not is_withheld(state):
+        state.withheld_since = None
+    elif state.withheld_since is None:
+        state.withheld_since = now
+
+
+def must_starts_wait(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> bool:
+    """Tells whether starts wait so that an acknowledgement can go out."""
+    since = state.withheld_since
+    return since is not None and now >= since + MAX_WITHHELD_TIME
 
 
 def record_taken(
--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -6,6 +6,7 @@
     acknowledgements,
     colocation,
     leases,
+    report_timers,
     worker_clocks,
 )
 from gypsumhold.model import effects as base_effects
@@ -27,6 +28,7 @@
     events.CommandResult.NO_CAPACITY: runs.Refusal.NO_CAPACITY,
     events.CommandResult.UNHEALTHY: runs.Refusal.UNHEALTHY,
     events.CommandResult.INVALID: runs.Refusal.INVALID,
+    events.CommandResult.NOT_SENT: runs.Refusal.UNHEALTHY,
 }
 
 
@@ -76,6 +78,8 @@
         # The requests of runs that a former process started are unknown, so
         # the free capacity is unknown too.
         return _hold(waiting, executor.HoldReason.UNKNOWN_REQUEST)
+    if acknowledgements.must_starts_wait(state, now):
+        return _hold(waiting, executor.HoldReason.ACKNOWLEDGEMENT)
     for local_run in waiting:
         if colocation.must_delay_start(state, local_run, now):
             local_run.hold = executor.HoldReason.LATENCY
@@ -139,7 +143,6 @@
     assert local_run.command is not None
     if not _has_free_capacity(state, worker, local_run.command):
         return refuse_run(state, local_run.ref, runs.Refusal.NO_CAPACITY)
-    acknowledgements.raise_fence(state)
     local_run.state = executor.LocalState.STARTING
     local_run.fence = state.fence
     local_run.sent_by = state.grant_end
@@ -219,10 +222,12 @@
         or event.worker_incarnation != state.worker.incarnation
     ):
         return []
-    emitted = worker_clocks.check(state, event)
-    is_known = not emitted
+    emitted: EffectList = []
+    is_known = worker_clocks.fits(state, event.clock)
     if is_known:
         worker_clocks.record(state, event.clock)
+    elif event.clock is not None:
+        emitted += worker_clocks.doubt(state, event, event.clock)
     if event.result is events.CommandResult.FENCED:
         raise_refused_fence(state, event.fence)
     local_run = state.active.get(event.ref)
@@ -245,11 +250,13 @@
 def raise_refused_fence(state: executor.ExecutorState, fence: int) -> None:
     """Raises the fence after the worker refused a call with this one.
 
-    A call of this process with a higher fence may have overtaken it. Otherwise
-    a former process has used higher ones.
+    A call of this process with a higher fence may have overtaken it. If not, or
+    if that happens again, a former process has used higher ones.
     """
-    if fence >= state.fence:
-        state.fence = fence + FENCE_JUMP
+    if fence < state.fence and not state.was_fence_refused:
+        state.was_fence_refused = True
+        return
+    state.fence = max(state.fence, fence + FENCE_JUMP)
 
 
 def _handle_start_answer(
@@ -271,8 +278,11 @@
     if result is events.CommandResult.DONE and not is_known:
         result = events.CommandResult.UNANSWERED
     if result is events.CommandResult.DONE:
-        confirm_start(state, local_run, now)
-        return [_log_start(event, "started"), *colocation.throttle_tasks(state)]
+        return [
+            _log_start(event, "started"),
+            *confirm_start(state, local_run, now),
+            *colocation.throttle_tasks(state),
+        ]
     if result is events.CommandResult.UNANSWERED:
         # A poll with a higher fence shows whether the run was started. That
         # fence also makes the worker refuse this command if it arrives late.
@@ -300,13 +310,18 @@
     state: executor.ExecutorState,
     local_run: executor.LocalRun,
     now: datetime.timedelta,
-) -> None:
-    """Records that the worker has started a run; reports it if need be."""
+) -> EffectList:
+    """Records that the worker has started a run; reports it soon, or at once.
+
+    Returns:
+        The effects that bring the next report forward.
+    """
     local_run.state = executor.LocalState.RUNNING
     local_run.confirmed_at = now
     command = local_run.command
     if command is not None and command.reported_at_once:
         state.report_due = True
+    return report_timers.hasten(state, now)
 
 
 def _doubt_start(
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -86,7 +86,7 @@
     state.runs_expire_at = max(state.runs_expire_at, end + EXPIRY_MARGIN)
 
 
-def have_runs_ended(
+def have_leases_expired(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> bool:
     """Tells whether every run that the worker had has certainly ended.
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -10,10 +10,11 @@
     lifecycle,
     losses,
     received_directives,
+    report_timers,
     worker_polls,
 )
 from gypsumhold.model import effects as base_effects
-from gypsumhold.model import ids, members, timers
+from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
     effects,
     events,
@@ -25,7 +26,6 @@
 
 EffectList = list[base_effects.Effect]
 
-REPORT_TIMER = timers.Timer(timers.TimerKind.REPORT)
 ENTRIES_RETRY_DELAY = datetime.timedelta(milliseconds=500)
 
 
@@ -35,7 +35,7 @@
     leases.record_process_start(state, now)
     return [
         effects.FollowEntries(ids.RowVersion(0)),
-        base_effects.SetTimer(REPORT_TIMER, state.options.report_interval),
+        *report_timers.begin_interval(state, now),
     ]
 
 
@@ -78,9 +78,7 @@
 ) -> EffectList:
     """Makes a report due, even if nothing changed, and polls the worker."""
     state.report_due = True
-    emitted: EffectList = [
-        base_effects.SetTimer(REPORT_TIMER, state.options.report_interval)
-    ]
+    emitted = report_timers.begin_interval(state, now)
     if state.worker is not None:
         emitted += worker_polls.poll_worker(state, now)
     return [*emitted, *commands.log_held_runs(state, now)]
@@ -98,7 +96,10 @@
     state.report_due = False
     state.report_pending = True
     state.report_number += 1
-    return [effects.SendReport(address, _build_report(state, now))]
+    return [
+        effects.SendReport(address, _build_report(state, now)),
+        *report_timers.begin_interval(state, now),
+    ]
 
 
 def _choose_address(
@@ -125,7 +126,7 @@
     for local_run in state.active.values():
         if local_run.first_report is None:
             local_run.first_report = state.report_number
-    runs_ended = leases.have_runs_ended(state, now)
+    runs_ended = leases.have_leases_expired(state, now)
     state.reported_refusals = tuple(state.refused)
     state.reported_sums = tuple(
         state.interference_sums[pair]
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -50,7 +50,7 @@
         local_run.row = row
         local_run.unlisted_since = None
         if local_run.state is not executor.LocalState.RUNNING:
-            commands.confirm_start(state, local_run, now)
+            emitted += commands.confirm_start(state, local_run, now)
             emitted.append(_log_listed_start(row))
     for local_run in list(state.active.values()):
         if local_run.ref not in listed:
--- a/src/gypsumhold/decisions/jobs/worker_clocks.py
+++ b/src/gypsumhold/decisions/jobs/worker_clocks.py
@@ -35,21 +35,31 @@
         state.clock = clock
 
 
-def check(
-    state: executor.ExecutorState, event: events.CommandAnswered
+def fits(
+    state: executor.ExecutorState, clock: events.WorkerClock | None
+) -> bool:
+    """Tells whether the known incarnation may have answered with this reading.
+
+    An answer without a reading may be of any incarnation.
+    """
+    if clock is None:
+        return False
+    if state.clock is None:
+        return True
+    return _may_be_of_one_clock(state.clock, clock, state.options.limits)
+
+
+def doubt(
+    state: executor.ExecutorState,
+    event: events.CommandAnswered,
+    clock: events.WorkerClock,
 ) -> EffectList:
-    """Doubts the incarnation if the answer to a command has another clock.
+    """Doubts which incarnation answers, until it has answered a poll.
 
-    The answer does not tell which incarnation gave it. The doubt ends with an
-    answer to a poll, which does.
+    The answer to a command does not tell which one gave it.
     """
-    known, clock = state.clock, event.clock
-    if known is None or clock is None:
-        return []
-    if _may_be_of_one_clock(known, clock, state.options.limits):
-        return []
     state.doubted_at = clock.received_at
-    return [worker_logs.log_other_clock(event, known)]
+    return [worker_logs.log_other_clock(event, state.clock)]
 
 
 def _may_be_of_one_clock(
--- a/src/gypsumhold/decisions/jobs/worker_logs.py
+++ b/src/gypsumhold/decisions/jobs/worker_logs.py
@@ -101,7 +101,7 @@
 
 
 def log_other_clock(
-    event: events.CommandAnswered, known: events.WorkerClock
+    event: events.CommandAnswered, known: events.WorkerClock | None
 ) -> effects.Log:
     """Returns the line of a command that another incarnation may have taken."""
     assert event.clock is not None
@@ -111,7 +111,10 @@
         ("task", str(event.ref.task)),
         ("run", str(event.ref.run)),
         ("clock_ms", str(event.clock.clock_ms)),
-        ("known_clock_ms", str(known.clock_ms)),
+        (
+            "known_clock_ms",
+            UNKNOWN if known is None else str(known.clock_ms),
+        ),
     )
     return effects.Log(
         "worker", event.worker_incarnation.name, "clock does not fit", inputs
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -82,7 +82,7 @@
     """
     if state.answering:
         return True
-    return state.polled and not leases.have_runs_ended(state, now)
+    return state.polled and not leases.have_leases_expired(state, now)
 
 
 def _handle_changes(
@@ -140,12 +140,13 @@
         until_ms = leases.compute_lease_end(state, now)
     if until_ms is not None:
         leases.record_lease_sent(state, until_ms)
+    fence = state.fence
     acknowledged = acknowledgements.choose(state)
-    acknowledgements.record_sent(state, acknowledged)
+    acknowledgements.record_sent(state, acknowledged, now)
     return [
         effects.PollWorker(
             worker,
-            state.fence,
+            fence,
             acknowledged,
             until_ms,
             _choose_poll_wait(state),
@@ -194,6 +195,7 @@
     if not state.answering:
         emitted.append(worker_logs.log_worker(worker, "answers again"))
     state.answering = True
+    state.was_fence_refused = False
     state.silent_after = None
     _end_doubt(state, event.clock)
     acknowledgements.record_taken(state, event)
@@ -215,11 +217,9 @@
     event: events.WorkerPolled,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Polls under a higher fence; at once if a later call overtook the poll."""
-    was_overtaken = event.fence < state.fence
+    """Polls again after the worker refused the fence of a poll."""
     commands.raise_refused_fence(state, event.fence)
-    delay = NO_WAIT if was_overtaken else state.options.retry_delay
-    return poll_worker(state, now, delay)
+    return poll_worker(state, now, state.options.retry_delay)
 
 
 def _end_doubt(
@@ -295,7 +295,7 @@
 
     A worker that answers again has none of them.
     """
-    if not leases.have_runs_ended(state, now):
+    if not leases.have_leases_expired(state, now):
         return []
     ended = [
         local_run.ref
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -282,6 +282,9 @@
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
     OTHER_INCARNATION = "other-life"
+    NOT_SENT = "not-sent"
+    """The connection was refused; the call is never carried out."""
+
     UNANSWERED = "unanswered"
     """No answer; the command may have been or may still be carried out."""
 
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -74,6 +74,7 @@
     SHORT_LEASE = "lease too short"
     UNKNOWN_REQUEST = "run without a known request"
     LATENCY = "latency of serving tasks"
+    ACKNOWLEDGEMENT = "acknowledgement of ends"
 
 
 @dataclasses.dataclass(slots=True)
@@ -203,7 +204,10 @@
             has stored.
         discarded: Highest end that the worker may have discarded, by its answer
             to a poll that acknowledged it.
-        acknowledgement_fence: Fence of the latest poll that acknowledged ends.
+        was_fence_refused: Whether the worker refused a fence since it last
+            answered a poll.
+        withheld_since: Since when no poll may acknowledge the ends that the
+            worker lists; None if there are none, or one may.
         doubted_at: Since when it is in doubt which incarnation answers, as the
             clock of an answer did not fit; None if it is not.
         grant_end: Until when the holder lets runs of the current worker
@@ -217,6 +221,7 @@
         next_entry: Index of the entry to report to while there is no holder.
         report_number: Number of the latest report.
         report_pending: Whether a report is unanswered.
+        next_report_at: When the next regular report is due.
         report_due: Whether something changed since the latest report.
         serving: State of each image that has serving tasks here.
         deferred: Best-effort runs of late jobs; other best-effort runs get idle
@@ -267,7 +272,8 @@
     )
     acknowledged: runs.EndNumber = runs.EndNumber(0)
     discarded: runs.EndNumber = runs.EndNumber(0)
-    acknowledgement_fence: int = 0
+    was_fence_refused: bool = False
+    withheld_since: datetime.timedelta | None = None
     doubted_at: datetime.timedelta | None = None
     grant_end: datetime.timedelta = ZERO
     term: ids.Epoch = ids.Epoch(0)
@@ -281,6 +287,7 @@
     next_entry: int = 0
     report_number: int = 0
     report_pending: bool = False
+    next_report_at: datetime.timedelta = ZERO
     report_due: bool = False
     serving: dict[specs.Image, ServingImage] = dataclasses.field(
         default_factory=dict
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -6,7 +6,7 @@
 
 import logbook
 import msgspec
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from gypsumhold.adapters import decoding, http_client
 from gypsumhold.adapters.jobs import interfaces
@@ -16,6 +16,7 @@
 from gypsumhold.platform import documents
 
 _LOG = logbook.Logger("gypsumhold.platform.worker")
+CallResult = Result[http_client.Reply, http_client.CallFailure]
 _Row = TypeVar("_Row", runs.RunRow, runs.EndRow)
 
 CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
@@ -69,10 +70,11 @@
             effect.fence, effect.acknowledged, effect.until_ms, wait_ms
         )
         sent_at = self._clock.read_monotonic()
-        reply = self._call(effect.worker, "/hold", body, effect.wait)
+        call_result = self._call(effect.worker, "/hold", body, effect.wait)
         received_at = self._clock.read_monotonic()
+        reply = call_result.value_or(None)
         if reply is None or reply.status != 200:
-            return _build_failed_poll(effect, _classify_reply(reply))
+            return _build_failed_poll(effect, _classify(call_result))
         match documents.parse(reply.body, documents.PollReply):
             case Success(poll):
                 incarnation = effect.worker.incarnation
@@ -114,15 +116,15 @@
                 effect.fence,
                 events.CommandResult.LATE,
             )
-        reply = self._call(effect.worker, path, body, http_client.NO_WAIT)
+        call_result = self._call(effect.worker, path, body, http_client.NO_WAIT)
         received_at = self._clock.read_monotonic()
         return events.CommandAnswered(
             effect.worker.incarnation,
             kind,
             ref,
             effect.fence,
-            _classify_reply(reply),
-            _parse_clock(reply, sent_at, received_at),
+            _classify(call_result),
+            _parse_clock(call_result.value_or(None), sent_at, received_at),
             until_ms,
         )
 
@@ -132,18 +134,15 @@
         path: str,
         body: documents.PlatformDocument,
         wait: datetime.timedelta,
-    ) -> http_client.Reply | None:
+    ) -> CallResult:
         client = self._get_client(worker.address)
-        call_result = client.call(
+        return client.call(
             "POST",
             path,
             documents.render(body),
             wait=wait,
             headers={EXPECTED_HEADER: worker.incarnation.name},
         )
-        return (
-            call_result.unwrap() if isinstance(call_result, Success) else None
-        )
 
     def _get_client(self, address: str) -> http_client.HttpClient:
         client = self._clients_by_address.get(address)
@@ -221,9 +220,16 @@
     )
 
 
-def _classify_reply(reply: http_client.Reply | None) -> events.CommandResult:
-    if reply is None:
-        return events.CommandResult.UNANSWERED
+def _classify(call_result: CallResult) -> events.CommandResult:
+    match call_result:
+        case Success(reply):
+            return _classify_reply(reply)
+        case Failure(http_client.CallFailure.NOT_SENT):
+            return events.CommandResult.NOT_SENT
+    return events.CommandResult.UNANSWERED
+
+
+def _classify_reply(reply: http_client.Reply) -> events.CommandResult:
     match reply.status:
         case 200:
             return events.CommandResult.DONE
--- a/tests/jobs/lone_agent.py
+++ b/tests/jobs/lone_agent.py
@@ -3,7 +3,7 @@
 import datetime
 
 from gypsumhold.decisions import reducer
-from gypsumhold.decisions.jobs import policy_sets, reporting
+from gypsumhold.decisions.jobs import policy_sets, report_timers
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import events as base_events
 from gypsumhold.model import ids
@@ -123,7 +123,7 @@
         self.state.report_due = True
         self.state.report_pending = False
         self.state.holder = HOLDER.build_address()
-        timer = base_events.TimerFired(reporting.REPORT_TIMER)
+        timer = base_events.TimerFired(report_timers.REPORT_TIMER)
         sent = [
             effect.report
             for effect in self.deliver(timer)
--- a/tests/jobs/test_held_starts.py
+++ b/tests/jobs/test_held_starts.py
@@ -1,6 +1,6 @@
 """Tests of starts that an agent holds back, as after it has found runs."""
 
-from gypsumhold.decisions.jobs import reporting
+from gypsumhold.decisions.jobs import report_timers
 from gypsumhold.model import events as base_events
 from gypsumhold.model.jobs import (
     effects,
@@ -45,7 +45,7 @@
     # The next holder knows that the job has ended, but not where it ran.
     world.run(2200)
     assert list_running_jobs(world) == {"old"}
-    world.submit("entry-0", job_specs.build_job("new", (1,)))
+    world.submit("entry-0", job_specs.build_job_of("new", (step,)))
     world.run(1000)
     assert list_running_jobs(world) == {"old", "new"}
 
@@ -58,7 +58,7 @@
     )
     agent.push(agent.build_directives(1, (run,), grants=False))
     agent.wait(1000)
-    timer = base_events.TimerFired(reporting.REPORT_TIMER)
+    timer = base_events.TimerFired(report_timers.REPORT_TIMER)
     logs = [
         effect
         for effect in (*agent.deliver(timer), *agent.deliver(timer))
--- a/tests/jobs/test_odd_numbers.py
+++ b/tests/jobs/test_odd_numbers.py
@@ -18,7 +18,7 @@
 from gypsumhold.adapters import http_routes
 from gypsumhold.adapters.jobs import codec
 from gypsumhold.decisions import reducer
-from gypsumhold.decisions.jobs import reporting
+from gypsumhold.decisions.jobs import report_timers
 from gypsumhold.model import events as base_events
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
@@ -67,7 +67,7 @@
     def send_report(self) -> messages.Report:
         """Sends a report through the codec and returns it."""
         self.state.report_pending = False
-        timer = base_events.TimerFired(reporting.REPORT_TIMER)
+        timer = base_events.TimerFired(report_timers.REPORT_TIMER)
         reports = [
             effect.report
             for effect in self.apply(timer)
--- a/tests/jobs/test_reviewed_late_calls.py
+++ b/tests/jobs/test_reviewed_late_calls.py
@@ -178,22 +178,32 @@
 def test_acknowledgement_goes_out_between_starts_that_overlap() -> None:
     """Guards against ends that the worker lists as long as starts go on.
 
-    Each start is answered only after the next one was sent, so that one is
-    always without an answer.
+    Each start is answered only after the next one was sent, or held back, so
+    that one is always without an answer as long as starts go out.
     """
     agent = linked_agent.LinkedAgent()
     test_late_calls.run_and_acknowledge(agent)
-    pending = agent.request(build_run(0))
+    pending = request_starts(agent, build_run(0))
     for index in range(1, MAX_STARTS):
         agent.wait(100)
-        later = agent.request(build_run(index))
-        agent.deliver(agent.take_start(pending))
+        later = request_starts(agent, build_run(index))
+        for start in pending:
+            agent.deliver(agent.take_start(start))
         pending = later
         if linked_agent.find_poll(agent.poll_now()).acknowledged:
             return
     raise AssertionError("no poll acknowledges the end")
 
 
+def request_starts(
+    agent: linked_agent.LinkedAgent, ref: runs.RunRef
+) -> list[effects.StartRun]:
+    """Lets the holder request a run; returns the starts that go out."""
+    directives = agent.build_directives(agent.state.sequence + 1, (ref,))
+    emitted = agent.answer_report(agent.report(), directives)
+    return [e for e in emitted if isinstance(e, effects.StartRun)]
+
+
 def test_stop_that_a_start_has_overtaken_is_sent_again() -> None:
     """Guards against stops that wait for the next report.
 
