Print why a test in KNOWN-RED.txt failed

Cause: pytest reports an expected failure without its message.

Change: the summary prints the message of each failure that the list lets pass.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -60,3 +60,17 @@
         if item.nodeid in known_failures:
             print(f"known red: {item.nodeid}: {known_failures[item.nodeid]}")
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt"))
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Prints why a test in KNOWN-RED.txt failed.
+
+    pytest reports an expected failure without its message, so that the cause
+    of a failure that is seldom seen would be lost.
+    """
+    for report in terminalreporter.getreports("xfailed"):
+        crash = getattr(report.longrepr, "reprcrash", None)
+        message = crash.message if crash else report.longreprtext
+        terminalreporter.write_line(f"known red: {report.nodeid}: {message}")
