Keep the reason and the logs when one key has different answers

Cause: test_same_key_at_once compared two answers as a whole. pytest shortens this comparison to the first different attribute, so the message said completed != not-run without the reason.

Change: the message has each entry's answer with its reason, and the end of its log. The expected outcome is unchanged: both answers are `completed`.

What remains is an answer about the entry's own call: `table-unavailable` for 1 s after any failed call to the table, or `no-upstream`.

--- a/tests/processes/test_keys.py
+++ b/tests/processes/test_keys.py
@@ -2,11 +2,14 @@
 
 import concurrent.futures
 import dataclasses
+from collections.abc import Sequence
 
+import cluster
 import cluster_settings
 
 from tests.processes import load
 
+Member = cluster_settings.Member
 Role = cluster_settings.Role
 
 PAIRS = 6
@@ -14,8 +17,14 @@
 """Service time of a call during which the table goes down."""
 
 
-def test_same_key_at_once(client: load.Client) -> None:
-    """Guards against a second run or different answers for one key."""
+def test_same_key_at_once(
+    deployment: cluster.Cluster, client: load.Client
+) -> None:
+    """Guards against a second run or different answers for one key.
+
+    An entry whose table failed within the last second answers `not-run`, about
+    its own call. The message of a failure tells this case from others.
+    """
     requests = [
         load.Request(path, load.NON_REPEATABLE_KIND, key=path, delay_ms=300)
         for path in (f"/same-key/{number}" for number in range(PAIRS))
@@ -26,14 +35,33 @@
             for request in requests
         ]
         answers = [[call.result() for call in pair] for pair in calls]
-    for request, (first, second) in zip(requests, answers, strict=True):
-        assert first.outcome == "completed", first
-        assert first == second
-        assert first.body == request.build_body()
+    for request, pair in zip(requests, answers, strict=True):
+        description = describe_answers(deployment, request, pair)
+        outcomes = {answer.outcome for answer in pair}
+        assert outcomes == {"completed"}, description
+        assert pair[0] == pair[1], description
+        assert pair[0].body == request.build_body(), description
     runs = client.count_runs()
     assert [runs[item.path] for item in requests] == [1] * PAIRS
 
 
+def describe_answers(
+    deployment: cluster.Cluster,
+    request: load.Request,
+    answers: Sequence[load.Answer],
+) -> str:
+    """Returns the answer of each entry and the end of the entry's log.
+
+    Failure messages need it, because pytest shortens the comparison of two
+    answers to their outcomes, without the reasons.
+    """
+    lines = [f"answers for {request.path}:"]
+    for index, answer in enumerate(answers):
+        entry = Member(Role.ENTRY, index)
+        lines += [f"{entry}: {answer}", deployment.read_log(entry)]
+    return "\n".join(lines)
+
+
 def test_key_with_another_body(client: load.Client) -> None:
     """Guards against answering a request with the answer to another one."""
     path = "/reused-key"
