Log a cancel without an answer, and explain second runs with it

Cause: test_agent_cut expected one run even of repeatable work. The entry waits 2 s for the answer to the cancel of a cut dispatch; without an answer it may run repeatable work again (design, section 4). A busy machine exceeds these 2 s, so `assert 2 == 1` was stricter than the design. Nothing in the log told such a second run from a fault.

Change: an entry logs a cancel without a valid answer, with the request and the attempt.

--- a/src/gypsumhold/adapters/peers.py
+++ b/src/gypsumhold/adapters/peers.py
@@ -44,6 +44,9 @@
 The peer answers such a call without waiting for a request or task to end.
 """
 
+UNANSWERED_CANCEL = "no answer to the cancel"
+"""Beginning of the log line of a cancel without a valid answer."""
+
 
 class AgentClient(abc.ABC):
     """Calls agents.
@@ -310,14 +313,24 @@
         timeout: datetime.timedelta,
     ) -> requests.CancelReply | None:
         """Cancels an attempt; always opens a new connection."""
-        return self._channel.call(
+        result = self._channel.call(
             address,
             timeout,
             lambda client: request_codec.decode_cancel_reply(
                 client.cancel(request_codec.encode_cancel(cancel))
             ),
             fresh=True,
-        ).value_or(None)
+        )
+        if isinstance(result, Failure):
+            # Repeatable work may run again after this; without the line, its
+            # second run could not be told from a fault.
+            _log.info(
+                "{} of attempt {}",
+                UNANSWERED_CANCEL,
+                cancel.attempt,
+                extra={"subject": cancel.request_id},
+            )
+        return result.value_or(None)
 
     def start_tasks(
         self, address: members.Address, starts: tuple[tasks.TaskStart, ...]
