Load the exporter of metrics only with an endpoint in the settings

Cause: entries and agents imported the OTLP exporter with requests and protobuf at every start, though it is used only if the settings name an endpoint.

Change: `metric_exports` builds the exporter and is imported only for an endpoint; the recorder takes the exporters that it feeds.

--- a/src/gypsumhold/adapters/metrics.py
+++ b/src/gypsumhold/adapters/metrics.py
@@ -3,9 +3,8 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
-from opentelemetry.exporter.otlp.proto.http import metric_exporter
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk import resources as sdk_resources
 from opentelemetry.sdk.metrics import export
@@ -13,8 +12,6 @@
 from gypsumhold.adapters import engine
 from gypsumhold.model import declarations, effects, events, ids, rows, states
 
-EXPORT_INTERVAL_MS = 10_000
-
 # Bucket bounds in seconds. The lowest ones resolve the overhead of a dispatch
 # over loopback.
 LATENCY_BOUNDS = (
@@ -46,7 +43,7 @@
         role: str,
         name: str,
         classify: Classifier = lambda organisation, kind: None,
-        otlp_url: str | None = None,
+        exporters: Sequence[export.MetricReader] = (),
     ) -> None:
         """Creates the instruments; the caller has to call `close`.
 
@@ -55,20 +52,12 @@
             name: Name of the entry, or of the instance of the agent.
             classify: Returns the work class of a kind of an organisation, or
                 None if it is not declared.
-            otlp_url: OTLP endpoint to which the metrics are exported as well;
-                None for no export.
+            exporters: Readers that export the metrics as well; `close` ends
+                them.
         """
         self._reader = export.InMemoryMetricReader()
-        readers: list[export.MetricReader] = [self._reader]
-        if otlp_url is not None:
-            exporter = metric_exporter.OTLPMetricExporter(endpoint=otlp_url)
-            readers.append(
-                export.PeriodicExportingMetricReader(
-                    exporter, export_interval_millis=EXPORT_INTERVAL_MS
-                )
-            )
         self._provider = sdk.MeterProvider(
-            readers,
+            [self._reader, *exporters],
             sdk_resources.Resource(
                 {"service.name": role, "service.instance.id": name}
             ),
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -70,7 +70,7 @@
     recorder = metrics.Recorder(
         "agent",
         agent_settings.instance,
-        otlp_url=agent_settings.metrics.otlp_url,
+        exporters=process.build_metric_exporters(agent_settings.metrics),
     )
     stack.callback(recorder.close)
     runtime = engine.Engine(
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -81,7 +81,7 @@
         lambda organisation, kind: metrics.find_work_class(
             state.configuration, organisation, kind
         ),
-        entry_settings.metrics.otlp_url,
+        process.build_metric_exporters(entry_settings.metrics),
     )
     stack.callback(recorder.close)
     runtime = engine.Engine(
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -10,6 +10,7 @@
 from typing import Any, TypeVar
 
 import logbook
+from opentelemetry.sdk.metrics import export
 from returns.result import Failure
 
 from gypsumhold.adapters import engine, http_routes, http_server, logs, settings
@@ -120,6 +121,19 @@
     return 0
 
 
+def build_metric_exporters(
+    metrics_settings: settings.MetricsSettings,
+) -> tuple[export.MetricReader, ...]:
+    """Returns the readers that export metrics; none without an endpoint."""
+    if metrics_settings.otlp_url is None:
+        return ()
+    # Imported here because most processes export nothing, and a restarted one
+    # should listen soon.
+    from gypsumhold.adapters import metric_exports  # noqa: PLC0415
+
+    return (metric_exports.build_exporter(metrics_settings.otlp_url),)
+
+
 def report_start_error(error: errors.Error) -> int:
     """Prints why a role cannot start and returns the exit code."""
     print(error, file=sys.stderr)
