Keep the clients of an entry out of the start of an agent

Cause: one module had the runners of both roles, so an agent imported the clients and codecs of the table and of other agents, which only an entry uses.

Change: `entry_runner` and `agent_runner` beside their base in `effect_runners`. No behaviour changes.

--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -19,9 +19,9 @@
 
 import gypsumhold
 from gypsumhold.adapters import (
+    agent_runner,
     clock,
     datagrams,
-    effect_runners,
     engine,
     event_services,
     http_client,
@@ -77,7 +77,7 @@
         state,
         reducer.reduce,
         system_clock,
-        effect_runners.AgentRunner(
+        agent_runner.AgentRunner(
             upstream_client,
             worker.HttpWorker(worker_client),
             sender,
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -24,9 +24,9 @@
     clock,
     connection_pool,
     datagrams,
-    effect_runners,
     engine,
     entry_control,
+    entry_runner,
     event_services,
     http_client,
     http_server,
@@ -88,7 +88,7 @@
         state,
         reducer.reduce,
         system_clock,
-        effect_runners.EntryRunner(table, objects, agents, entries),
+        entry_runner.EntryRunner(table, objects, agents, entries),
         recorder,
     )
     stack.callback(runtime.close)
--- a/tests/programs/test_imports.py
+++ b/tests/programs/test_imports.py
@@ -27,6 +27,15 @@
     )
 
 
+def test_agent_loads_no_client_of_an_entry() -> None:
+    """Guards against a start that is slowed down by parts of the other role."""
+    modules = list_modules("gypsumhold.programs.agent")
+    adapters = "gypsumhold.adapters"
+    assert modules.isdisjoint(
+        f"{adapters}.{name}" for name in ("peers", "row_codec", "store")
+    )
+
+
 def test_endpoint_gets_an_exporter() -> None:
     """Guards against metrics that are not exported although settings ask."""
     metrics = settings.MetricsSettings(otlp_url="http://127.0.0.1:9/metrics")
