Tell what a process that is not ready has used

Change: the message has the processor time of the process and the load average.

Result: the new test failed on the former message and passes now.

--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -4,6 +4,7 @@
 
 import cluster
 import cluster_settings
+import pytest
 
 from tests.processes import conftest, load
 
@@ -88,3 +89,16 @@
     )
     assert violations == []
     check_tasks(client, task_ids)
+
+
+def test_process_that_is_not_ready_is_described(
+    deployment: cluster.Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a failed start whose message does not tell its cause."""
+    agent = Member(Role.AGENT, 0)
+    monkeypatch.setattr(cluster, "READY_ATTEMPTS", 1)
+    deployment.freeze(agent)
+    with pytest.raises(
+        cluster.NotReadyError, match=r"\d s of processor time, load average \d"
+    ):
+        deployment.wait_ready(agent)
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -20,6 +20,9 @@
 READY_PAUSE_S = 0.1
 STOP_TIMEOUT_S = 10.0
 
+_USER_TIME, _SYSTEM_TIME = 11, 12
+"""Positions in `/proc/PID/stat`, counted after the name of the program."""
+
 
 # Each role starts after the roles that it depends on at startup.
 START_ORDER = (
@@ -192,9 +195,25 @@
                 last_result = f"status {response.status}"
             self._pause.wait(READY_PAUSE_S)
         raise NotReadyError(
-            f"{member} is not ready: {last_result}\n{self.read_log(member)}"
+            f"{member} is not ready: {last_result}"
+            f" ({self._describe_load(member)})\n{self.read_log(member)}"
         )
 
+    def _describe_load(self, member: cluster_settings.Member) -> str:
+        """Returns the processor time of a process and the load average.
+
+        They tell a process that gets no processor from one that waits.
+        """
+        load = f"load average {os.getloadavg()[0]:.1f}"
+        try:
+            status = pathlib.Path(f"/proc/{self.get_pid(member)}/stat")
+            fields = status.read_text().rpartition(")")[2].split()
+        except OSError:
+            return load
+        ticks = sum(map(int, fields[_USER_TIME : _SYSTEM_TIME + 1]))
+        used_s = ticks / os.sysconf("SC_CLK_TCK")
+        return f"{used_s:.2f} s of processor time, {load}"
+
     def read_log(
         self, member: cluster_settings.Member, max_characters: int = 2000
     ) -> str:
