--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -19,9 +19,9 @@
 
 import gypsumhold
 from gypsumhold.adapters import (
+    agent_runner,
     clock,
     datagrams,
-    effect_runners,
     engine,
     event_services,
     http_client,
@@ -70,14 +70,14 @@
     recorder = metrics.Recorder(
         "agent",
         agent_settings.instance,
-        otlp_url=agent_settings.metrics.otlp_url,
+        exporters=process.build_metric_exporters(agent_settings.metrics),
     )
     stack.callback(recorder.close)
     runtime = engine.Engine(
         state,
         reducer.reduce,
         system_clock,
-        effect_runners.AgentRunner(
+        agent_runner.AgentRunner(
             upstream_client,
             worker.HttpWorker(worker_client),
             sender,
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -24,9 +24,9 @@
     clock,
     connection_pool,
     datagrams,
-    effect_runners,
     engine,
     entry_control,
+    entry_runner,
     event_services,
     http_client,
     http_server,
@@ -81,14 +81,14 @@
         lambda organisation, kind: metrics.find_work_class(
             state.configuration, organisation, kind
         ),
-        entry_settings.metrics.otlp_url,
+        process.build_metric_exporters(entry_settings.metrics),
     )
     stack.callback(recorder.close)
     runtime = engine.Engine(
         state,
         reducer.reduce,
         system_clock,
-        effect_runners.EntryRunner(table, objects, agents, entries),
+        entry_runner.EntryRunner(table, objects, agents, entries),
         recorder,
     )
     stack.callback(runtime.close)
