--- a/src/gypsumhold/model/jobs/worker_limits.py
+++ b/src/gypsumhold/model/jobs/worker_limits.py
@@ -16,7 +16,8 @@
         max_hold: Longest lease that a worker keeps, on its own clock.
         clock_slack: Fraction by which the worker's clock may run slow.
         max_call_delay: Longest time after which a call that got no answer is
-            still carried out.
+            still carried out. The platform sets no limit; this is the longest
+            delay of its own tests.
     """
 
     max_hold: datetime.timedelta = datetime.timedelta(seconds=10)
