Hold starts back for an acknowledgement after 3 s, and only until it goes out

Cause: found when the diff was read. After 0.5 s without an acknowledgement that is due, starts waited; where orders get no answer, some start is always without one. And once the acknowledgement had gone out, held runs waited for the next event, up to 1 s.

Change: 3 s, below the 4 s in which the platform expects acknowledgements; held runs start right after the poll that carries it.

Result: tests/jobs passes; test_acknowledgement_goes_out_between_starts_that_overlap still holds.

--- a/src/gypsumhold/decisions/jobs/acknowledgements.py
+++ b/src/gypsumhold/decisions/jobs/acknowledgements.py
@@ -14,9 +14,10 @@
 
 NO_END = runs.EndNumber(0)
 
-MAX_WITHHELD_TIME = datetime.timedelta(milliseconds=500)
+MAX_WITHHELD_TIME = datetime.timedelta(seconds=3)
 """Time after which no further start is sent until an acknowledgement has gone
-out; otherwise starts that overlap could hold it back for long."""
+out; otherwise starts that overlap could hold it back for long. The platform
+expects acknowledgements within 4 s."""
 
 
 def choose(state: executor.ExecutorState) -> runs.EndNumber:
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -209,7 +209,9 @@
     state.polled = True
     emitted += commands.start_waiting_runs(state, now)
     emitted += colocation.adjust_throttling(state, now)
-    return [*emitted, *poll_worker(state, now, _choose_delay(state))]
+    emitted += poll_worker(state, now, _choose_delay(state))
+    # This poll may carry the acknowledgement for which runs have waited.
+    return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
 def _handle_fenced_poll(
