Count the longest lease while the worker's clock does not fit

What callers saw: nothing; a reviewer's order of calls. One answer to a poll has a clock that is far ahead. The lease that is computed from it is cut to the longest one by the worker, from when the call is carried out, while the agent counted its length as sent: the run counted as ended up to 2.8 s before it did.

Change: a reading that does not fit the one before is logged and makes the lease count as the longest, from the longest delay of a call, until the readings fit again.

--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -34,10 +34,17 @@
 
 
 def record_lease_sent(state: executor.ExecutorState, until_ms: int) -> None:
-    """Records that a call sends this lease, which extends the latest expiry."""
+    """Records that a call sends this lease, which extends the latest expiry.
+
+    Computed from an odd reading, it may be the longest lease, from whenever the
+    call is carried out.
+    """
     assert state.clock is not None
+    limits = state.options.limits
     sent_ms = until_ms - state.clock.clock_ms
     length = datetime.timedelta(milliseconds=sent_ms)
+    if state.is_clock_odd:
+        length = limits.max_call_delay + limits.max_hold
     _count_lease(state, state.clock.received_at, length)
 
 
--- a/src/gypsumhold/decisions/jobs/worker_clocks.py
+++ b/src/gypsumhold/decisions/jobs/worker_clocks.py
@@ -32,6 +32,7 @@
         or clock.clock_ms >= known.clock_ms
         or clock.sent_at >= known.received_at
     ):
+        state.is_clock_odd = not fits(state, clock)
         state.clock = clock
 
 
--- a/src/gypsumhold/decisions/jobs/worker_logs.py
+++ b/src/gypsumhold/decisions/jobs/worker_logs.py
@@ -100,6 +100,25 @@
     )
 
 
+def log_odd_clock(
+    event: events.WorkerPolled, known: events.WorkerClock | None
+) -> effects.Log:
+    """Returns the line of a poll whose clock does not fit the one before."""
+    assert event.clock is not None
+    inputs = (
+        ("born_ms", str(event.started_ms)),
+        ("clock_ms", str(event.clock.clock_ms)),
+        ("known_clock_ms", _describe_clock(known)),
+    )
+    return effects.Log(
+        "worker", event.worker_incarnation.name, "clock does not fit", inputs
+    )
+
+
+def _describe_clock(clock: events.WorkerClock | None) -> str:
+    return UNKNOWN if clock is None else str(clock.clock_ms)
+
+
 def log_other_clock(
     event: events.CommandAnswered, known: events.WorkerClock | None
 ) -> effects.Log:
@@ -111,10 +130,7 @@
         ("task", str(event.ref.task)),
         ("run", str(event.ref.run)),
         ("clock_ms", str(event.clock.clock_ms)),
-        (
-            "known_clock_ms",
-            UNKNOWN if known is None else str(known.clock_ms),
-        ),
+        ("known_clock_ms", _describe_clock(known)),
     )
     return effects.Log(
         "worker", event.worker_incarnation.name, "clock does not fit", inputs
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -199,6 +199,8 @@
     state.silent_after = None
     _end_doubt(state, event.clock)
     acknowledgements.record_taken(state, event)
+    if not worker_clocks.fits(state, event.clock):
+        emitted.append(worker_logs.log_odd_clock(event, state.clock))
     worker_clocks.record(state, event.clock)
     emitted += run_lists.reconcile(state, event, now)
     emitted += run_lists.note_completeness(state, event)
