Take a departure for the worker's own only after it has drained

Two incarnations of a worker drain one after the other, and the notice of the first arrives while the second drains and is cut off: its runs counted as ended, and went on.

Change: the platform tells how long a worker goes on after its draining was confirmed (`bounds.drainMs`). A notice that comes sooner after the first heartbeat that told of it is of a former incarnation; the runs then end with their leases. A notice that is late by more than that, while the next incarnation drains for longer, still looks the same.

--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -52,7 +52,8 @@
     state.doubted_at = None
     state.answering = True
     state.silent_after = None
-    state.worker_left = False
+    state.worker_left = state.has_drained = False
+    state.drains_since = None
     state.serving.clear()
     state.last_sample = None
     return [log]
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -112,11 +112,20 @@
     """Tells whether the present incarnation has certainly shut down.
 
     A notice of departure names no incarnation, so a late one of a former
-    incarnation looks the same. Only a worker that drains shuts down.
+    incarnation looks the same. Only a worker that has drained shuts down.
     """
-    if state.worker is None or not state.worker_left:
-        return False
-    return state.worker.state is runs.WorkerState.DRAINING
+    return state.worker_left and state.has_drained
+
+
+def record_departure(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> None:
+    """Records the notice that the worker shuts down."""
+    state.worker_left = True
+    since = state.drains_since
+    limits = state.options.limits
+    shortest = limits.min_drain * (1 - limits.clock_slack)
+    state.has_drained = since is not None and now >= since + shortest
 
 
 def has_run_ended(
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -56,10 +56,22 @@
         state.report_due = True
         emitted.append(worker_logs.log_worker(new, "did not leave"))
     state.worker = new
+    _note_draining(state, new, now)
     emitted += poll_worker(state, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
+def _note_draining(
+    state: executor.ExecutorState,
+    worker: runs.Worker,
+    now: datetime.timedelta,
+) -> None:
+    if worker.state is not runs.WorkerState.DRAINING:
+        state.drains_since = None
+    elif state.drains_since is None:
+        state.drains_since = now
+
+
 def _is_late(
     state: executor.ExecutorState,
     old: runs.Worker,
@@ -112,13 +124,14 @@
     event: events.WorkerLeft,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Records that the worker shuts down, which ends all its runs."""
+    """Records that the worker announces its end, which ends all its runs."""
     worker = state.worker
     if worker is None or worker.incarnation.name != event.name:
         return []
-    state.worker_left = True
+    leases.record_departure(state, now)
     state.report_due = True
-    return [worker_logs.log_worker(worker, "left")]
+    details = (("has_drained", str(state.has_drained)),)
+    return [worker_logs.log_worker(worker, "left", details)]
 
 
 def poll_worker(
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -241,6 +241,10 @@
         other_life_ms: Start of the other incarnation that answered a poll of
             the known one last, as logged; 0 if none has.
         worker_left: Whether the worker announced that it shuts down.
+        drains_since: When the present incarnation was first heard to drain;
+            None if it was not.
+        has_drained: Whether it had drained for long enough when it announced
+            that it shuts down, so that the notice is its own.
         runs_expire_at: When every run that has begun has certainly ended
             unless the lease is extended.
         former_runs_expire_at: When every run has ended that a call of a former
@@ -311,6 +315,8 @@
     silent_after: datetime.timedelta | None = None
     other_life_ms: int = 0
     worker_left: bool = False
+    drains_since: datetime.timedelta | None = None
+    has_drained: bool = False
     runs_expire_at: datetime.timedelta = ZERO
     former_runs_expire_at: datetime.timedelta = ZERO
     reported_refusals: tuple[runs.RunRef, ...] = ()
--- a/src/gypsumhold/model/jobs/worker_limits.py
+++ b/src/gypsumhold/model/jobs/worker_limits.py
@@ -15,6 +15,8 @@
     Attributes:
         max_hold: Longest lease that a worker keeps, on its own clock.
         clock_slack: Fraction by which the worker's clock may run slow.
+        min_drain: Least time for which a worker goes on after it was first
+            heard to drain, on its own clock.
         max_call_delay: Longest time after which a call that got no answer is
             still carried out. The platform sets no limit; this is the longest
             delay of its own tests.
@@ -22,6 +24,7 @@
 
     max_hold: datetime.timedelta = datetime.timedelta(seconds=10)
     clock_slack: float = 0.02
+    min_drain: datetime.timedelta = datetime.timedelta(seconds=2)
     max_call_delay: datetime.timedelta = datetime.timedelta(seconds=12)
 
     def stretch(self, span: datetime.timedelta) -> datetime.timedelta:
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -352,6 +352,8 @@
 
     # Longest lease that a worker keeps.
     max_hold_ms: Amount = 10_000
+    # Time for which a worker goes on after its draining was confirmed.
+    drain_ms: Amount = 2000
 
 
 class Settings(PlatformDocument, frozen=True):
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -82,7 +82,12 @@
                 document.limits.cpu_share * document.limits.cpu_cores,
                 document.platform.row_bytes,
                 worker_limits.WorkerLimits(
-                    datetime.timedelta(milliseconds=document.bounds.max_hold_ms)
+                    max_hold=datetime.timedelta(
+                        milliseconds=document.bounds.max_hold_ms
+                    ),
+                    min_drain=datetime.timedelta(
+                        milliseconds=document.bounds.drain_ms
+                    ),
                 ),
             )
         )
