Count starts of a former process of the agent in the holder

An agent was killed while a start was under way. Its next process sent the start again, had it confirmed and was lost for good. The holder took the confirmation for proof of the first start as well, released the run, and the next incarnation of the worker took that start.

Change: when another process of an agent reports, the holder notes for each open start of the instance until when the former process's calls may lead to a run. Also a confirmed run counts until then if its agent is lost.

--- a/src/gypsumhold/decisions/jobs/expiries.py
+++ b/src/gypsumhold/decisions/jobs/expiries.py
@@ -51,6 +51,21 @@
             task.lease_ends_at = lease_end
 
 
+def record_agent_restart(
+    state: scheduler.SchedulerState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
+) -> None:
+    """Records for the open starts that the former process may have sent them.
+
+    The new process sends them again, and its answer is no proof for the others.
+    """
+    late_run = state.options.limits.measure_longest_late_run()
+    for placed in view.placed.values():
+        if placed.task.is_start_open:
+            placed.task.former_start_ends_at = now + late_run
+
+
 def list_silent_runs(
     state: scheduler.SchedulerState,
     view: scheduler.AgentView,
@@ -81,4 +96,4 @@
     if task.is_start_open:
         late_run = state.options.limits.measure_longest_late_run()
         return grant_end + late_run
-    return max(grant_end, task.lease_ends_at)
+    return max(grant_end, task.lease_ends_at, task.former_start_ends_at)
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -169,6 +169,7 @@
         holder_state.plan_due = True
     if view.report.incarnation != report.incarnation:
         view.sequence = 0
+        expiries.record_agent_restart(state, view, now)
     view.report = report
     view.last_report_at = now
     view.candidate = None
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -47,6 +47,8 @@
         batch: Number of the batch that stores the latest placement.
         is_start_open: Whether this holder placed the run and no report has told
             that its worker has started it.
+        former_start_ends_at: When the run ends if a former process of the
+            agent has sent another start of it, which may be carried out late.
         reported: Whether the latest report of the agent lists the run.
         worker_reported_at: When the agent last reported the worker incarnation
             of the latest placement; only then is its lease extended.
@@ -90,6 +92,7 @@
     reported: bool = False
     worker_reported_at: datetime.timedelta = ZERO
     lease_ends_at: datetime.timedelta = ZERO
+    former_start_ends_at: datetime.timedelta = ZERO
     listed_at: datetime.timedelta | None = None
     age: datetime.timedelta | None = None
     placed_at: datetime.timedelta = ZERO
