Judge starts of a former process of the agent one by one

What callers saw: nothing; orders of calls from a review and from reading. A new process of an agent knew no start of the former one. It refused a run that it could not start, so that the holder placed the task elsewhere while the former start was still under way (TWICE). And it counted every run for 22.5 s after its own start, also those that the worker listed (LOST).

Change: the first answer to a report names the starts that the former process may have sent: they are placed, and not listed. While the worker is silent, these runs are not refused, and count until a late start would have ended; all others end with their leases. Acknowledgements wait for the longest call delay if there are such starts, unless the worker has more ends than it lists.

Price: after a restart of an agent beside open starts, ends are acknowledged up to 12 s later, and a run that could not be sent waits up to 22.5 s while the worker does not answer.

test_run_that_was_found_ends_with_its_lease had no answer of the holder, without which nobody can tell whether other starts are under way; it has one now, with the same bound.

--- a/src/gypsumhold/decisions/jobs/acknowledgements.py
+++ b/src/gypsumhold/decisions/jobs/acknowledgements.py
@@ -5,7 +5,8 @@
 would then be discarded unseen. So no poll carries an acknowledgement while a
 start has no answer, unless the known incarnation refuses it by its fence, and a
 start that is sent later has a higher fence: whoever has taken it refuses the
-earlier poll.
+earlier poll. A start of a former process of the agent has a lower fence, so
+acknowledgements wait for it.
 """
 
 import datetime
@@ -20,16 +21,20 @@
 expects acknowledgements within 4 s."""
 
 
-def choose(state: executor.ExecutorState) -> runs.EndNumber:
+def choose(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> runs.EndNumber:
     """Returns the end up to which the next poll acknowledges; 0 for none."""
-    if not _is_due(state) or not _is_safe(state):
+    if not _is_due(state) or is_withheld(state, now):
         return NO_END
     return state.acknowledged
 
 
-def is_withheld(state: executor.ExecutorState) -> bool:
+def is_withheld(state: executor.ExecutorState, now: datetime.timedelta) -> bool:
     """Tells whether the worker lists ends that no poll may acknowledge yet."""
-    return _is_due(state) and not _is_safe(state)
+    if not _is_due(state):
+        return False
+    return not _is_safe(state) or _may_former_start_arrive(state, now)
 
 
 def record_sent(
@@ -43,7 +48,7 @@
     """
     if acknowledged:
         state.fence += 1
-    if not is_withheld(state):
+    if not _is_due(state) or _is_safe(state):
         state.withheld_since = None
     elif state.withheld_since is None:
         state.withheld_since = now
@@ -71,8 +76,24 @@
     return state.acknowledged > state.discarded
 
 
+def _may_former_start_arrive(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> bool:
+    """Tells whether a start of a former process may still be under way.
+
+    It is not waited for while the worker has more ends than it lists: only
+    acknowledgements make room for the others.
+    """
+    if not state.ends_complete or not state.former_starts:
+        return False
+    return now < state.former_calls_end_at
+
+
 def _is_safe(state: executor.ExecutorState) -> bool:
-    """Tells whether no start can be on an incarnation that is not known."""
+    """Tells whether no start of this process can be on an unknown incarnation.
+
+    Further starts wait while that is not so for long.
+    """
     if not state.answering or state.doubted_at is not None:
         return False
     return not any(
--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -63,7 +63,8 @@
     waiting = _list_waiting_runs(state)
     if worker is None or not waiting:
         return emitted
-    if not state.polled or state.doubted_at is not None:
+    is_known = state.polled and state.doubted_at is None
+    if not is_known or not state.answering:
         return _hold(waiting, executor.HoldReason.NOT_POLLED)
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
         for local_run in waiting:
@@ -277,6 +278,11 @@
     result = event.result
     if result is events.CommandResult.DONE and not is_known:
         result = events.CommandResult.UNANSWERED
+    if result is events.CommandResult.NOT_SENT and leases.may_former_start_run(
+        state, local_run.ref, now
+    ):
+        # A former process may have sent another start of the same run.
+        result = events.CommandResult.UNANSWERED
     if result is events.CommandResult.DONE:
         return [
             _log_start(event, "started"),
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -79,7 +79,9 @@
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> None:
     """Records that a former process may have sent calls until now."""
-    late_run = state.options.limits.measure_longest_late_run()
+    limits = state.options.limits
+    late_run = limits.measure_longest_late_run()
+    state.former_calls_end_at = now + limits.max_call_delay
     state.former_runs_expire_at = now + late_run + EXPIRY_MARGIN
 
 
@@ -99,13 +101,16 @@
     """Tells whether every run that the worker had has certainly ended.
 
     That is the case once the worker is silent and either has left or all leases
-    that were sent have expired. Starts without an answer are judged one by one.
+    that were sent have expired. Starts without an answer are judged one by one,
+    as are those of a former process once the holder has named them.
     """
     if state.answering:
         return False
     if has_left(state):
         return True
-    return now >= max(state.runs_expire_at, state.former_runs_expire_at)
+    if state.former_starts is None and now < state.former_runs_expire_at:
+        return False
+    return now >= state.runs_expire_at
 
 
 def has_left(state: executor.ExecutorState) -> bool:
@@ -136,8 +141,11 @@
     """Tells whether a run has certainly ended, like the others on the worker.
 
     A start without an answer may be carried out late, by an incarnation that
-    the agent does not reach; its lease then counts from there.
+    the agent does not reach; its lease then counts from there. So may one of a
+    former process, even if another start of the same run was confirmed.
     """
+    if may_former_start_run(state, local_run.ref, now):
+        return False
     if not local_run.is_unanswered():
         return True
     if local_run.state is executor.LocalState.STARTING:
@@ -146,6 +154,15 @@
     return now >= local_run.sent_by + late_run + EXPIRY_MARGIN
 
 
+def may_former_start_run(
+    state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
+) -> bool:
+    """Tells whether a start that a former process sent may begin or go on."""
+    if state.former_starts is None or ref not in state.former_starts:
+        return False
+    return now < state.former_runs_expire_at
+
+
 def measure_lease(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> datetime.timedelta:
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime
 
-from gypsumhold.decisions.jobs import commands, losses
+from gypsumhold.decisions.jobs import commands, leases, losses
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import effects, executor, messages, runs
@@ -77,6 +77,8 @@
         or directives.worker_incarnation != state.worker.incarnation
     ):
         return emitted
+    if answered is not None and state.former_starts is None:
+        state.former_starts = _list_former_starts(state, directives)
     if answered is not None and directives.grant_ms:
         grant = datetime.timedelta(milliseconds=directives.grant_ms)
         state.grant_end = max(state.grant_end, answered.sent_at + grant)
@@ -153,20 +155,38 @@
     for ref in directives.stops:
         emitted += commands.stop_run(state, ref)
     for ref in directives.withdrawn:
-        emitted += _refuse_withdrawn(state, ref)
+        emitted += _refuse_withdrawn(state, ref, now)
     for command in directives.starts:
         emitted += _accept_start(state, command, now)
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
+def _list_former_starts(
+    state: executor.ExecutorState, directives: messages.Directives
+) -> frozenset[runs.RunRef]:
+    """Returns the runs whose start a former process may have sent.
+
+    The holder has placed them, and the first report does not list them.
+    """
+    requested = (
+        local_run.ref
+        for local_run in state.active.values()
+        if local_run.command is not None
+    )
+    starts = (command.ref for command in directives.starts)
+    return frozenset([*requested, *starts, *directives.withdrawn])
+
+
 def _refuse_withdrawn(
-    state: executor.ExecutorState, ref: runs.RunRef
+    state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
 ) -> EffectList:
     """Stops a run that is not to run any more, or refuses it if it is unknown.
 
     The holder releases the task once it knows that the run never starts. Older
     directives, with the start command, are ignored from now on.
     """
+    if _may_begin_out_of_reach(state, ref, now):
+        return []
     if ref in state.active:
         return commands.stop_run(state, ref)
     if ref in state.refused or _may_have_ended(state, ref):
@@ -174,6 +194,15 @@
     return commands.refuse_run(state, ref, runs.Refusal.STALE)
 
 
+def _may_begin_out_of_reach(
+    state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
+) -> bool:
+    """Tells whether a silent worker may begin a run for a former process."""
+    if state.answering:
+        return False
+    return leases.may_former_start_run(state, ref, now)
+
+
 def _may_have_ended(state: executor.ExecutorState, ref: runs.RunRef) -> bool:
     """Tells whether a run that is not active has, or may have, ended.
 
@@ -231,7 +260,8 @@
     assert worker is not None
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
         return commands.refuse_run(state, command.ref, runs.Refusal.DRAINING)
-    if not state.answering:
+    is_open = _may_begin_out_of_reach(state, command.ref, now)
+    if not state.answering and not is_open:
         return commands.refuse_run(state, command.ref, runs.Refusal.UNHEALTHY)
     state.active[command.ref] = executor.LocalRun(
         command.ref,
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -154,7 +154,7 @@
     if until_ms is not None:
         leases.record_lease_sent(state, until_ms)
     fence = state.fence
-    acknowledged = acknowledgements.choose(state)
+    acknowledged = acknowledgements.choose(state, now)
     acknowledgements.record_sent(state, acknowledged, now)
     return [
         effects.PollWorker(
@@ -224,7 +224,7 @@
     state.polled = True
     emitted += commands.start_waiting_runs(state, now)
     emitted += colocation.adjust_throttling(state, now)
-    emitted += poll_worker(state, now, _choose_delay(state))
+    emitted += poll_worker(state, now, _choose_delay(state, now))
     # This poll may carry the acknowledgement for which runs have waited.
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
@@ -248,11 +248,13 @@
         state.doubted_at = None
 
 
-def _choose_delay(state: executor.ExecutorState) -> datetime.timedelta:
+def _choose_delay(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> datetime.timedelta:
     """Returns the delay of the next poll of a worker that answers."""
-    if acknowledgements.choose(state):
+    if acknowledgements.choose(state, now):
         return NO_WAIT
-    if state.ends or acknowledgements.is_withheld(state):
+    if state.ends or acknowledgements.is_withheld(state, now):
         return UNACKNOWLEDGED_END_DELAY
     return NO_WAIT
 
@@ -296,7 +298,9 @@
             state.silent_after = now - state.clock.received_at
     state.answering = False
     for local_run in list(state.active.values()):
-        if local_run.state is executor.LocalState.WAITING:
+        if local_run.state is not executor.LocalState.WAITING:
+            continue
+        if not leases.may_former_start_run(state, local_run.ref, now):
             emitted += commands.refuse_run(
                 state, local_run.ref, runs.Refusal.UNHEALTHY
             )
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -249,6 +249,10 @@
             unless the lease is extended.
         former_runs_expire_at: When every run has ended that a call of a former
             process of the agent may have begun or kept.
+        former_calls_end_at: When every call of a former process has been
+            carried out or never is.
+        former_starts: Runs whose start a former process may have sent, by the
+            first answer to a report; None before that answer.
         reported_refusals: Refusals in the unanswered report.
         losses: Lost incarnations of the worker, oldest first, until the holder
             has stored the crashes under their runs.
@@ -319,5 +323,7 @@
     has_drained: bool = False
     runs_expire_at: datetime.timedelta = ZERO
     former_runs_expire_at: datetime.timedelta = ZERO
+    former_calls_end_at: datetime.timedelta = ZERO
+    former_starts: frozenset[runs.RunRef] | None = None
     reported_refusals: tuple[runs.RunRef, ...] = ()
     losses: list[runs.LossRow] = dataclasses.field(default_factory=list)
--- a/tests/jobs/test_late_calls.py
+++ b/tests/jobs/test_late_calls.py
@@ -147,6 +147,58 @@
     agent.measure_cut(RUN, LIMIT_MS)
 
 
+@pytest.mark.parametrize("way", ["requested", "waiting", "not sent"])
+@pytest.mark.parametrize("late_ms", [100, 11_900])
+def test_run_of_a_former_process_is_not_refused_out_of_reach(
+    late_ms: float, way: str
+) -> None:
+    """Guards against a refusal as proof that a run never begins.
+
+    The former process of the agent sent a start. The next one, which the holder
+    asks for the same run, does not reach the worker, whose next incarnation
+    takes the start of the former one.
+    """
+    start = linked_agent.LinkedAgent(0.98).request(RUN)
+    agent = linked_agent.LinkedAgent(0.98, age_ms=0)
+    began_ms = agent.read_ms()
+    if way == "requested":
+        agent.fail_poll()
+    directives = agent.build_directives(agent.state.sequence + 1, (RUN,))
+    agent.answer_report(agent.report(), directives)
+    if way == "waiting":
+        agent.state.active[RUN].state = executor.LocalState.WAITING
+    if way == "not sent":
+        agent.deliver(
+            events.CommandAnswered(
+                start.worker.incarnation,
+                events.CommandKind.START,
+                RUN,
+                agent.state.fence,
+                events.CommandResult.NOT_SENT,
+            )
+        )
+    agent.restart()
+    while agent.read_ms() < began_ms + late_ms:
+        agent.wait(linked_agent.STEP_MS)
+        agent.fail_poll()
+        report = agent.report()
+        assert not linked_agent.is_counted_as_ended(report, RUN)
+        assert RUN not in {row.ref for row in report.refused}
+    agent.take_start(start)
+    agent.measure_cut(RUN, LIMIT_MS)
+    assert not agent.worker.running
+
+
+def test_refused_run_of_this_process_is_placed_at_once() -> None:
+    """Guards against tasks that wait for starts that nobody has sent."""
+    agent = linked_agent.LinkedAgent()
+    directives = agent.build_directives(agent.state.sequence + 1)
+    agent.answer_report(agent.report(), directives)
+    agent.fail_poll()
+    agent.push(agent.build_directives(agent.state.sequence + 1, (RUN,)))
+    assert RUN in agent.state.refused
+
+
 def build_end(number: int, ref: runs.RunRef) -> runs.EndRow:
     return runs.EndRow(runs.EndNumber(number), ref, runs.RunEnd.DONE)
 
--- a/tests/jobs/test_reviewed_late_calls.py
+++ b/tests/jobs/test_reviewed_late_calls.py
@@ -96,12 +96,16 @@
     """Guards against tasks that wait for starts that were carried out.
 
     The first lists after a restart of the agent have the run, so its start is
-    not under way any more. Then the worker is cut off.
+    not under way any more. The holder names no others. Then the worker is cut
+    off.
     """
     start = linked_agent.LinkedAgent(0.98).request(RUN)
     agent = linked_agent.LinkedAgent(0.98, age_ms=0)
     agent.take_start(start)
     agent.poll_now()
+    agent.answer_report(
+        agent.report(), agent.build_directives(agent.state.sequence + 1)
+    )
     assert RUN in agent.state.active
     assert agent.measure_cut(RUN, LIMIT_MS) <= LONGEST_LEASE_MS + 500
 
