Keep starts of a former process in doubt until they are decided

A heartbeat of the worker's next incarnation dropped it, a withdrawal kept nothing, a stop refused it, an incomplete list of ends hid it, and before the first answer, or after that of a replaced holder, none was known. Each time the task could be placed elsewhere while the start was still under way (TWICE). And the acknowledgements that waited for 12 s were late for up to a quarter of the ends after a rolling restart of agents under load; the platform bears a fifth, after 4 s.

Change: such a run is in doubt while the worker is silent, with the time until which an earlier start may be carried out; lists of the worker decide it. Until a holder has answered, any run may be one; the first answer of each term adds to them. Acknowledgements wait for 2 s only, from the start of the process.

Price: an acknowledgement may reach an end unseen (B) if a start of a former process is more than 2 s late and the worker restarts in between.

--- a/src/gypsumhold/decisions/jobs/acknowledgements.py
+++ b/src/gypsumhold/decisions/jobs/acknowledgements.py
@@ -20,6 +20,10 @@
 out; otherwise starts that overlap could hold it back for long. The platform
 expects acknowledgements within 4 s."""
 
+FORMER_START_WAIT = datetime.timedelta(seconds=2)
+"""Time since its start for which a process waits for starts of a former one.
+With the time that a restart takes, it stays below the same 4 s."""
+
 
 def choose(
     state: executor.ExecutorState, now: datetime.timedelta
@@ -81,12 +85,12 @@
 ) -> bool:
     """Tells whether a start of a former process may still be under way.
 
-    It is not waited for while the worker has more ends than it lists: only
-    acknowledgements make room for the others.
+    It is waited for briefly, and not while the worker has more ends than it
+    lists: only acknowledgements make room for the others.
     """
-    if not state.ends_complete or not state.former_starts:
+    if not state.ends_complete or state.former_starts == frozenset():
         return False
-    return now < state.former_calls_end_at
+    return now < state.began_at + FORMER_START_WAIT
 
 
 def _is_safe(state: executor.ExecutorState) -> bool:
--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -278,10 +278,9 @@
     result = event.result
     if result is events.CommandResult.DONE and not is_known:
         result = events.CommandResult.UNANSWERED
-    if result is events.CommandResult.NOT_SENT and leases.may_former_start_run(
-        state, local_run.ref, now
+    if result is events.CommandResult.NOT_SENT and leases.may_late_start_run(
+        state, local_run, now
     ):
-        # A former process may have sent another start of the same run.
         result = events.CommandResult.UNANSWERED
     if result is events.CommandResult.DONE:
         return [
--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -7,7 +7,7 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import losses, worker_logs
+from gypsumhold.decisions.jobs import leases, losses, worker_logs
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import executor, runs
 
@@ -21,8 +21,8 @@
 ) -> EffectList:
     """Resets the state for the first or a new incarnation of the worker.
 
-    The runs of a former incarnation have ended. Its starts without an answer
-    are in doubt, as the new one may carry them out. Raises the fence.
+    The runs of a former incarnation have ended. Starts without an answer are in
+    doubt, as the new one may carry them out. Raises the fence.
     """
     log = worker_logs.log_new_life(state, worker, now)
     losses.note_loss(state, worker)
@@ -37,9 +37,10 @@
         local_run.ref: local_run
         for local_run in state.active.values()
         if local_run.is_unanswered()
+        or leases.may_late_start_run(state, local_run, now)
     }
     for local_run in state.active.values():
-        _doubt_again(state, local_run, now)
+        doubt_again(state, local_run, now)
     state.ends.clear()
     state.ends_listed_at.clear()
     state.ignored_ends.clear()
@@ -59,12 +60,16 @@
     return [log]
 
 
-def _doubt_again(
+def doubt_again(
     state: executor.ExecutorState,
     local_run: executor.LocalRun,
     now: datetime.timedelta,
 ) -> None:
-    """Leaves it to the new incarnation whether a start is carried out."""
+    """Leaves it to the next lists whether a start is carried out."""
+    if not local_run.is_unanswered():
+        # Only an earlier start of the run may still be under way.
+        max_call_delay = state.options.limits.max_call_delay
+        local_run.sent_by = local_run.late_until - max_call_delay
     local_run.state = executor.LocalState.IN_DOUBT
     local_run.refusal = runs.Refusal.UNANSWERED
     local_run.fence = state.fence
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -15,6 +15,8 @@
 from gypsumhold.decisions.jobs import lifecycle
 from gypsumhold.model.jobs import events, executor, messages, runs
 
+NO_TIME = datetime.timedelta(0)
+
 EXPIRY_MARGIN = datetime.timedelta(milliseconds=300)
 """Time after the end of a lease at which its runs have certainly ended."""
 
@@ -79,9 +81,8 @@
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> None:
     """Records that a former process may have sent calls until now."""
-    limits = state.options.limits
-    late_run = limits.measure_longest_late_run()
-    state.former_calls_end_at = now + limits.max_call_delay
+    late_run = state.options.limits.measure_longest_late_run()
+    state.began_at = now
     state.former_runs_expire_at = now + late_run + EXPIRY_MARGIN
 
 
@@ -141,10 +142,11 @@
     """Tells whether a run has certainly ended, like the others on the worker.
 
     A start without an answer may be carried out late, by an incarnation that
-    the agent does not reach; its lease then counts from there. So may one of a
-    former process, even if another start of the same run was confirmed.
+    the agent does not reach; its lease then counts from there. So may an
+    earlier start, or one of a former process, even if another start of the same
+    run was confirmed.
     """
-    if may_former_start_run(state, local_run.ref, now):
+    if may_late_start_run(state, local_run, now):
         return False
     if not local_run.is_unanswered():
         return True
@@ -154,20 +156,43 @@
     return now >= local_run.sent_by + late_run + EXPIRY_MARGIN
 
 
+def may_late_start_run(
+    state: executor.ExecutorState,
+    local_run: executor.LocalRun,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether an earlier start of a run may begin or go on."""
+    if local_run.late_until == NO_TIME:
+        return False
+    longest = state.options.limits.measure_longest_lease()
+    return now < local_run.late_until + longest + EXPIRY_MARGIN
+
+
 def may_former_start_run(
     state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
 ) -> bool:
     """Tells whether a start that a former process sent may begin or go on."""
-    if state.former_starts is None or ref not in state.former_starts:
+    starts = state.former_starts
+    if starts is not None and ref not in starts:
         return False
     return now < state.former_runs_expire_at
 
 
+def compute_late_until(
+    state: executor.ExecutorState, ref: runs.RunRef
+) -> datetime.timedelta:
+    """Returns until when a start that a former process sent may be taken."""
+    starts = state.former_starts
+    if starts is not None and ref not in starts:
+        return NO_TIME
+    return state.began_at + state.options.limits.max_call_delay
+
+
 def measure_lease(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> datetime.timedelta:
     """Returns the time until every run has ended unless a lease is sent."""
-    return max(state.runs_expire_at - now, datetime.timedelta(0))
+    return max(state.runs_expire_at - now, NO_TIME)
 
 
 def measure_lease_ms(
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -77,8 +77,8 @@
         or directives.worker_incarnation != state.worker.incarnation
     ):
         return emitted
-    if answered is not None and state.former_starts is None:
-        state.former_starts = _list_former_starts(state, directives)
+    if answered is not None:
+        _record_former_starts(state, directives)
     if answered is not None and directives.grant_ms:
         grant = datetime.timedelta(milliseconds=directives.grant_ms)
         state.grant_end = max(state.grant_end, answered.sent_at + grant)
@@ -161,20 +161,31 @@
     return [*emitted, *commands.start_waiting_runs(state, now)]
 
 
-def _list_former_starts(
+def _record_former_starts(
     state: executor.ExecutorState, directives: messages.Directives
-) -> frozenset[runs.RunRef]:
-    """Returns the runs whose start a former process may have sent.
+) -> None:
+    """Records the runs whose start a former process may have sent.
 
-    The holder has placed them, and the first report does not list them.
+    The holder has placed them, and the first report to it does not list them,
+    or only as requested from this process. A holder that was replaced may not
+    know all of them.
     """
-    requested = (
-        local_run.ref
+    known = state.former_starts
+    if known is not None and directives.term <= state.former_starts_term:
+        return
+    requested = [
+        local_run
         for local_run in state.active.values()
         if local_run.command is not None
-    )
-    starts = (command.ref for command in directives.starts)
-    return frozenset([*requested, *starts, *directives.withdrawn])
+    ]
+    refs = {local_run.ref for local_run in requested}
+    refs.update(command.ref for command in directives.starts)
+    refs.update(directives.withdrawn)
+    state.former_starts = (known or frozenset()) | refs
+    state.former_starts_term = directives.term
+    for local_run in requested:
+        late_until = leases.compute_late_until(state, local_run.ref)
+        local_run.late_until = max(local_run.late_until, late_until)
 
 
 def _refuse_withdrawn(
@@ -185,10 +196,11 @@
     The holder releases the task once it knows that the run never starts. Older
     directives, with the start command, are ignored from now on.
     """
-    if _may_begin_out_of_reach(state, ref, now):
-        return []
     if ref in state.active:
         return commands.stop_run(state, ref)
+    if _may_begin_out_of_reach(state, ref, now):
+        _keep_former_start(state, ref, None, now)
+        return []
     if ref in state.refused or _may_have_ended(state, ref):
         return []
     return commands.refuse_run(state, ref, runs.Refusal.STALE)
@@ -203,6 +215,31 @@
     return leases.may_former_start_run(state, ref, now)
 
 
+def _keep_former_start(
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    command: runs.StartCommand | None,
+    now: datetime.timedelta,
+) -> None:
+    """Keeps a run in doubt that a silent worker may begin.
+
+    Without a command, the run is not to be started by this process.
+    """
+    if any(end.ref == ref for end in state.ends.values()):
+        return
+    state.active[ref] = executor.LocalRun(
+        ref,
+        command,
+        executor.LocalState.IN_DOUBT,
+        received_at=now,
+        sequence=state.sequence,
+        fence=state.fence,
+        doubted_at=now,
+        sent_by=state.began_at,
+        late_until=leases.compute_late_until(state, ref),
+    )
+
+
 def _may_have_ended(state: executor.ExecutorState, ref: runs.RunRef) -> bool:
     """Tells whether a run that is not active has, or may have, ended.
 
@@ -254,14 +291,16 @@
     """
     if command.ref in state.active or command.ref in state.refused:
         return []
+    if _may_begin_out_of_reach(state, command.ref, now):
+        _keep_former_start(state, command.ref, command, now)
+        return []
     if _may_have_ended(state, command.ref):
         return []
     worker = state.worker
     assert worker is not None
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
         return commands.refuse_run(state, command.ref, runs.Refusal.DRAINING)
-    is_open = _may_begin_out_of_reach(state, command.ref, now)
-    if not state.answering and not is_open:
+    if not state.answering:
         return commands.refuse_run(state, command.ref, runs.Refusal.UNHEALTHY)
     state.active[command.ref] = executor.LocalRun(
         command.ref,
@@ -269,5 +308,6 @@
         executor.LocalState.WAITING,
         received_at=now,
         sequence=state.sequence,
+        late_until=leases.compute_late_until(state, command.ref),
     )
     return []
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -125,11 +125,11 @@
     """Handles a run that the worker does not list.
 
     Its end may be among those that did not fit into an incomplete list.
-    Otherwise a start in doubt is refused if the poll was sent after the doubt
-    arose and had the fence that decides it. A running run has ended, and is
-    dropped, if the poll was sent after its start was confirmed. While it is
-    being stopped, it still holds its capacity until its end is listed. Runs in
-    other states are left as they are.
+    Otherwise a start in doubt is refused if the poll was sent
+    after the doubt arose and had the fence that decides it. A running run has
+    ended, and is dropped, if the poll was sent after its start was confirmed.
+    While it is being stopped, it still holds its capacity until its end is
+    listed. Runs in other states are left as they are.
     """
     assert event.clock is not None
     if local_run.state is executor.LocalState.IN_DOUBT:
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -286,7 +286,8 @@
 ) -> EffectList:
     """Marks the worker as silent and refuses the runs that wait for a start.
 
-    The other runs are dropped once they have certainly ended.
+    Those of which an earlier start may be under way are in doubt instead. The
+    other runs are dropped once they have certainly ended.
     """
     emitted: EffectList = []
     if state.answering:
@@ -300,7 +301,9 @@
     for local_run in list(state.active.values()):
         if local_run.state is not executor.LocalState.WAITING:
             continue
-        if not leases.may_former_start_run(state, local_run.ref, now):
+        if leases.may_late_start_run(state, local_run, now):
+            incarnations.doubt_again(state, local_run, now)
+        else:
             emitted += commands.refuse_run(
                 state, local_run.ref, runs.Refusal.UNHEALTHY
             )
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -98,6 +98,9 @@
         doubted_at: Since when the start is in doubt; only a poll that was sent
             later decides.
         sent_by: When the start command had been sent at the latest.
+        late_until: Until when another start of the run may be carried out by
+            a later incarnation of the worker: an earlier one without an answer,
+            or one of a former process of the agent.
         is_fenced: Whether this worker incarnation has answered a poll whose
             fence makes it refuse the start in doubt from then on.
         refusal: Why the run is refused if no list of such a poll has it.
@@ -121,6 +124,7 @@
     fence: int = 0
     doubted_at: datetime.timedelta = ZERO
     sent_by: datetime.timedelta = ZERO
+    late_until: datetime.timedelta = ZERO
     is_fenced: bool = False
     refusal: runs.Refusal = runs.Refusal.UNANSWERED
     confirmed_at: datetime.timedelta = ZERO
@@ -249,10 +253,11 @@
             unless the lease is extended.
         former_runs_expire_at: When every run has ended that a call of a former
             process of the agent may have begun or kept.
-        former_calls_end_at: When every call of a former process has been
-            carried out or never is.
+        began_at: When this process began, after all calls of former ones.
         former_starts: Runs whose start a former process may have sent, by the
-            first answer to a report; None before that answer.
+            first answer of each holder to a report; None before there is one,
+            as it may be any run then.
+        former_starts_term: Term of the latest holder whose answer they have.
         reported_refusals: Refusals in the unanswered report.
         losses: Lost incarnations of the worker, oldest first, until the holder
             has stored the crashes under their runs.
@@ -323,7 +328,8 @@
     has_drained: bool = False
     runs_expire_at: datetime.timedelta = ZERO
     former_runs_expire_at: datetime.timedelta = ZERO
-    former_calls_end_at: datetime.timedelta = ZERO
+    began_at: datetime.timedelta = ZERO
     former_starts: frozenset[runs.RunRef] | None = None
+    former_starts_term: ids.Epoch = ids.Epoch(0)
     reported_refusals: tuple[runs.RunRef, ...] = ()
     losses: list[runs.LossRow] = dataclasses.field(default_factory=list)
