Send a start without an answer once more to the same worker

Change: once the worker refuses the first start, the same run is sent to it again, as the platform allows: a run that is there already is answered with success. If the next incarnation takes the first start, it is the same run, which the next list tells. Only a second start without an answer is refused. Until the first could have ended, the run counts, also after a restart of the worker and while it is out of reach.

test_complete_list_decides_a_start_in_doubt asserted that the first list refuses a start without an answer; it asserts that the second does, and that the start was sent again before.

The four cases of test_first_of_two_starts_may_begin_after_a_restart and two more tests are new.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -311,6 +311,30 @@
     return emitted
 
 
+def decide_missing_start(
+    state: executor.ExecutorState, local_run: executor.LocalRun
+) -> EffectList:
+    """Handles a start in doubt that the worker will not carry out.
+
+    A start without an answer is sent again once: if the worker's next
+    incarnation takes the first one, it is the same run, and no other worker has
+    the task.
+    """
+    is_unanswered = local_run.refusal is runs.Refusal.UNANSWERED
+    if not is_unanswered or local_run.is_repeated or local_run.stop_sent:
+        return refuse_run(state, local_run.ref, local_run.refusal)
+    local_run.is_repeated = True
+    local_run.is_fenced = False
+    local_run.late_until = max(
+        local_run.late_until,
+        local_run.sent_by + state.options.limits.max_call_delay,
+    )
+    local_run.state = executor.LocalState.WAITING
+    ref = local_run.ref
+    inputs = (("task", str(ref.task)), ("run", str(ref.run)))
+    return [effects.Log("start", ref.task.job_id, "again: unanswered", inputs)]
+
+
 def confirm_start(
     state: executor.ExecutorState,
     local_run: executor.LocalRun,
--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -75,6 +75,7 @@
     local_run.fence = state.fence
     local_run.doubted_at = now
     local_run.is_fenced = False
+    local_run.is_repeated = True
     local_run.row = None
     local_run.stop_sent = False
     local_run.unlisted_since = None
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -237,6 +237,7 @@
         doubted_at=now,
         sent_by=state.began_at,
         late_until=leases.compute_late_until(state, ref),
+        is_repeated=command is None,
     )
 
 
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -125,7 +125,7 @@
     """Handles a run that the worker does not list.
 
     Its end may be among those that did not fit into an incomplete list.
-    Otherwise a start in doubt is refused if the poll was sent
+    Otherwise a start in doubt is sent again or refused if the poll was sent
     after the doubt arose and had the fence that decides it. A running run has
     ended, and is dropped, if the poll was sent after its start was confirmed.
     While it is being stopped, it still holds its capacity until its end is
@@ -138,7 +138,7 @@
             return []
         local_run.is_fenced = True
         if event.is_complete:
-            return commands.refuse_run(state, local_run.ref, local_run.refusal)
+            return commands.decide_missing_start(state, local_run)
         return []
     if not event.is_complete:
         return []
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -101,6 +101,7 @@
         late_until: Until when another start of the run may be carried out by
             a later incarnation of the worker: an earlier one without an answer,
             or one of a former process of the agent.
+        is_repeated: Whether a start without an answer is not sent again.
         is_fenced: Whether this worker incarnation has answered a poll whose
             fence makes it refuse the start in doubt from then on.
         refusal: Why the run is refused if no list of such a poll has it.
@@ -125,6 +126,7 @@
     doubted_at: datetime.timedelta = ZERO
     sent_by: datetime.timedelta = ZERO
     late_until: datetime.timedelta = ZERO
+    is_repeated: bool = False
     is_fenced: bool = False
     refusal: runs.Refusal = runs.Refusal.UNANSWERED
     confirmed_at: datetime.timedelta = ZERO
--- a/tests/jobs/test_late_calls.py
+++ b/tests/jobs/test_late_calls.py
@@ -8,7 +8,8 @@
 import msgspec
 import pytest
 
-from gypsumhold.model.jobs import events, executor, runs, specs
+from gypsumhold.model import effects as base_effects
+from gypsumhold.model.jobs import effects, events, executor, runs, specs
 from tests.jobs import linked_agent, lone_agent, worker_fake
 
 RUN = runs.RunRef(runs.TaskRef(specs.JobId("job"), 0, 0, 0), runs.RunNumber(1))
@@ -199,6 +200,78 @@
     assert RUN in agent.state.refused
 
 
+# Starts that are sent again.
+
+
+def list_starts(emitted: base_effects.Effects) -> list[effects.StartRun]:
+    return [e for e in emitted if isinstance(e, effects.StartRun)]
+
+
+def test_start_without_answer_is_sent_again_to_the_same_worker() -> None:
+    """Guards against a second worker for a task whose start may be late.
+
+    Once the worker refuses the first start, the same run is sent to it with a
+    higher fence. A second one without an answer is refused.
+    """
+    agent = linked_agent.LinkedAgent()
+    first = agent.request(RUN)
+    agent.fail_start(first)
+    (second,) = list_starts(agent.poll_now())
+    assert second.command.ref == RUN
+    assert second.fence > first.fence
+    assert RUN not in agent.state.refused
+    agent.fail_start(second)
+    assert not list_starts(agent.poll_now())
+    assert RUN in agent.state.refused
+
+
+@pytest.mark.parametrize("is_heard", [True, False])
+@pytest.mark.parametrize("late_ms", [2000, 11_900])
+def test_first_of_two_starts_may_begin_after_a_restart(
+    late_ms: float, is_heard: bool
+) -> None:
+    """Guards against the confirmed start as proof for the one before it.
+
+    The first start has no answer and is late, the second is confirmed. Then the
+    worker restarts, and its next incarnation takes the first.
+    """
+    agent = linked_agent.LinkedAgent(0.98)
+    first = agent.request(RUN)
+    sent_ms = agent.read_ms()
+    agent.wait(1000)
+    agent.fail_start(first)
+    (second,) = list_starts(agent.poll_now())
+    agent.deliver(agent.take_start(second))
+    assert agent.state.active[RUN].state is executor.LocalState.RUNNING
+    agent.restart()
+    if is_heard:
+        agent.hear()
+    while agent.read_ms() < sent_ms + late_ms:
+        agent.wait(linked_agent.STEP_MS)
+        agent.fail_poll()
+        report = agent.report()
+        assert not linked_agent.is_counted_as_ended(report, RUN)
+        assert RUN not in {row.ref for row in report.refused}
+    agent.take_start(first)
+    agent.measure_cut(RUN, LIMIT_MS)
+
+
+def test_first_of_two_starts_is_found_as_the_same_run() -> None:
+    """Guards against a run that is placed elsewhere and goes on here."""
+    agent = linked_agent.LinkedAgent()
+    first = agent.request(RUN)
+    agent.fail_start(first)
+    (second,) = list_starts(agent.poll_now())
+    agent.deliver(agent.take_start(second))
+    agent.restart()
+    agent.take_start(first)
+    agent.hear()
+    agent.poll_now()
+    report = agent.report()
+    assert [row.ref for row in report.rows] == [RUN]
+    assert not report.refused
+
+
 def build_end(number: int, ref: runs.RunRef) -> runs.EndRow:
     return runs.EndRow(runs.EndNumber(number), ref, runs.RunEnd.DONE)
 
--- a/tests/jobs/test_unlisted_ends.py
+++ b/tests/jobs/test_unlisted_ends.py
@@ -13,6 +13,7 @@
 from gypsumhold.model.jobs import (
     effects,
     events,
+    executor,
     messages,
     runs,
     specs,
@@ -137,18 +138,28 @@
 
 
 @pytest.mark.parametrize(
-    ("result", "refusal"),
-    [(STALE, runs.Refusal.STALE), (UNANSWERED, runs.Refusal.UNANSWERED)],
+    ("result", "refusal", "starts"),
+    [
+        (STALE, runs.Refusal.STALE, 1),
+        (UNANSWERED, runs.Refusal.UNANSWERED, 2),
+    ],
 )
 def test_complete_list_decides_a_start_in_doubt(
-    result: events.CommandResult, refusal: runs.Refusal
+    result: events.CommandResult, refusal: runs.Refusal, starts: int
 ) -> None:
-    """Guards against a task that waits for a run that never comes."""
+    """Guards against a task that waits for a run that never comes.
+
+    A start without an answer is sent once more.
+    """
     agent = lone_agent.LoneAgent()
     agent.direct(starts=(RUN,))
-    agent.answer_start(RUN, result)
-    agent.poll()
+    for _ in range(starts):
+        assert agent.state.refused == {}
+        assert agent.state.active[RUN].state is executor.LocalState.STARTING
+        agent.answer_start(RUN, result)
+        agent.poll()
     assert agent.state.refused == {RUN: refusal}
+    assert RUN not in agent.state.active
 
 
 def test_earlier_poll_decides_no_start_in_doubt() -> None:
