Wait in a freeze until all threads of the process have stopped

Cluster.freeze sent SIGSTOP and returned. The kernel stops the threads of a process one after the other, so that a request right after it could still be answered.

A process that has exited or does not stop raises NotStoppedError.

--- a/tests/processes/test_pauses.py
+++ b/tests/processes/test_pauses.py
@@ -1,9 +1,11 @@
 """Tests of processes that are paused past the end of a lease."""
 
 import concurrent.futures
+import pathlib
 
 import cluster
 import cluster_settings
+import pytest
 
 from tests.processes import load
 
@@ -14,6 +16,35 @@
 LONG_MS = 7000
 """Longer than the lease of a task, so that the lease has to be renewed."""
 
+FREEZE_ROUNDS = 50
+
+
+def read_thread_states(pid: int) -> set[str]:
+    """Returns the states that the threads of a process have, as in `ps`."""
+    stat_files = pathlib.Path(f"/proc/{pid}/task").glob("*/stat")
+    return {
+        file.read_text().rpartition(")")[2].split()[0] for file in stat_files
+    }
+
+
+def test_no_thread_of_a_frozen_process_runs(
+    deployment: cluster.Cluster,
+) -> None:
+    """Guards against a process that answers a request after its freeze."""
+    agent = Member(Role.AGENT, 0)
+    for _ in range(FREEZE_ROUNDS):
+        deployment.freeze(agent)
+        assert read_thread_states(deployment.get_pid(agent)) == {"T"}
+        deployment.thaw(agent)
+
+
+def test_exited_process_cannot_be_frozen(deployment: cluster.Cluster) -> None:
+    """Guards against a freeze that waits for a process that has exited."""
+    agent = Member(Role.AGENT, 0)
+    deployment.kill(agent)
+    with pytest.raises(cluster.NotStoppedError, match="has exited"):
+        deployment.freeze(agent)
+
 
 def test_entry_paused_past_partition_lease(
     deployment: cluster.Cluster, client: load.Client
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import queue
 import signal
 import subprocess
 import sys
@@ -45,6 +46,27 @@
     """A process did not become ready; the message ends with its last output."""
 
 
+class NotStoppedError(Exception):
+    """A process did not stop on SIGSTOP."""
+
+
+def _wait_for_stop(pid: int) -> int | None:
+    """Waits until all threads of a child have stopped, or until it exits.
+
+    The child can still be waited for afterwards.
+
+    Returns:
+        The kind of the change, such as `os.CLD_STOPPED`; None if the exit of
+        the child was already waited for.
+    """
+    options = os.WSTOPPED | os.WEXITED | os.WNOWAIT
+    try:
+        change = os.waitid(os.P_PID, pid, options)
+    except ChildProcessError:
+        return None
+    return change.si_code if change else None
+
+
 class Cluster:
     """A deployment on loopback, as a context manager.
 
@@ -232,8 +254,32 @@
         self._processes[member].wait(STOP_TIMEOUT_S)
 
     def freeze(self, member: cluster_settings.Member) -> None:
-        """Suspends a process with SIGSTOP, to simulate a long pause."""
+        """Suspends a process with SIGSTOP, to simulate a long pause.
+
+        Waits until all threads of the process have stopped, because those that
+        still run after the signal may answer further requests.
+
+        Raises:
+            NotStoppedError: The process has exited, or it has not stopped
+                after STOP_TIMEOUT_S.
+        """
         self._send_signal(member, signal.SIGSTOP)
+        pid = self.get_pid(member)
+        changes: queue.SimpleQueue[int | None] = queue.SimpleQueue()
+        # waitid has no timeout. After one, the thread ends when the process
+        # stops or is killed.
+        threading.Thread(
+            target=lambda: changes.put(_wait_for_stop(pid)), daemon=True
+        ).start()
+        try:
+            change = changes.get(timeout=STOP_TIMEOUT_S)
+        except queue.Empty:
+            raise NotStoppedError(
+                f"{member} has not stopped after {STOP_TIMEOUT_S} s"
+                f" ({self._describe_load(member)})"
+            ) from None
+        if change != os.CLD_STOPPED:
+            raise NotStoppedError(f"{member} has exited")
 
     def thaw(self, member: cluster_settings.Member) -> None:
         """Resumes a frozen process with SIGCONT."""
