Split the simulated world of the job tests by what it simulates

Change: virtual_time has the clock and what is scheduled; deployment the processes with their faults, events and timers; store_link, peer_link and worker_link one kind of calls each, as subclasses of Deployment; world joins them, starts the processes and takes what callers send. LATE_MS stays in world because tests replace it there; World draws from it.

--- a/tests/jobs/large_world.py
+++ b/tests/jobs/large_world.py
@@ -11,7 +11,13 @@
 from gypsumhold.decisions import reducer
 from gypsumhold.model import events as base_events
 from gypsumhold.model.jobs import effects, events, runs, scheduler
-from tests.jobs import nodes, processors, wait_oracle, worker_fake
+from tests.jobs import (
+    nodes,
+    processors,
+    virtual_time,
+    wait_oracle,
+    worker_fake,
+)
 from tests.jobs import world as worlds
 
 WORKER_MILLIS = 32_000
@@ -114,7 +120,7 @@
             return
         delay = self.random.uniform(1, 7)
         self.after(
-            delay + worlds.to_ms(effect.delay),
+            delay + virtual_time.to_ms(effect.delay),
             lambda: self._begin_poll(node, node.incarnation, effect),
         )
 
@@ -132,7 +138,7 @@
         if polled.result is not events.CommandResult.DONE:
             self._schedule_event(node, 2, polled)
             return
-        until_ms = self.now_ms + worlds.to_ms(effect.wait)
+        until_ms = self.now_ms + virtual_time.to_ms(effect.wait)
         self._answer_poll(node, incarnation, effect, polled, until_ms)
 
     def _answer_poll(
--- a/tests/jobs/test_resizing.py
+++ b/tests/jobs/test_resizing.py
@@ -9,7 +9,13 @@
 
 from gypsumhold.model import resources
 from gypsumhold.model.jobs import effects, messages, specs
-from tests.jobs import job_specs, nodes, test_regressions, test_world
+from tests.jobs import (
+    job_specs,
+    nodes,
+    test_regressions,
+    test_world,
+    worker_link,
+)
 from tests.jobs import world as worlds
 
 JOB = specs.JobId("j")
@@ -43,7 +49,7 @@
     for worker in world.workers.values():
         worker.accelerators = FULL.accelerators
     world.run(3000)
-    world.oracle.resize_grace_ms = worlds.HEARTBEAT_MS + CALL_MS
+    world.oracle.resize_grace_ms = worker_link.HEARTBEAT_MS + CALL_MS
     return world
 
 
