--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -2,14 +2,15 @@
 
 import dataclasses
 import datetime
-from collections.abc import Iterator
 
 from gypsumhold.decisions.jobs import (
     capacity,
     choices,
     gang_choices,
+    job_choices,
     lifecycle,
     probations,
+    ready_tasks,
     record_sizes,
     starvation,
     unmet_requests,
@@ -27,7 +28,6 @@
 from gypsumhold.model.jobs.waits import WaitStage
 
 EffectList = list[base_effects.Effect]
-Candidates = dict[str, policies.Candidate]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,35 +44,13 @@
 
     state: scheduler.SchedulerState
     holder_state: scheduler.HolderState
-    candidates: Candidates
+    candidates: choices.Candidates
     now: datetime.timedelta
     unmet: unmet_requests.UnmetRequests = dataclasses.field(
         default_factory=unmet_requests.UnmetRequests
     )
 
 
-def has_ready_task(job: progress.Job) -> bool:
-    """Tells whether a task of an open step is ready."""
-    return any(True for _ in _iterate_ready_tasks(job))
-
-
-def has_ordinary_ready_task(job: progress.Job) -> bool:
-    """Tells whether a ready task of an open step is not best-effort."""
-    return any(not step.spec.fills for step, _ in _iterate_ready_tasks(job))
-
-
-def _iterate_ready_tasks(
-    job: progress.Job,
-) -> Iterator[tuple[progress.Step, int]]:
-    """Yields the step and the index of each ready task in an open step."""
-    for step in job.steps:
-        if not step.open:
-            continue
-        for index, task in enumerate(step.tasks):
-            if task.state is records.TaskState.READY:
-                yield step, index
-
-
 @dataclasses.dataclass(slots=True)
 class Placement:
     """What became of the ready tasks of one job.
@@ -127,15 +105,16 @@
         self._starved = starved
         self._had_placed_task = job.has_placed_task()
         self._skipped_steps: dict[int, WaitStage] = {}
-        self._usable_by_step: dict[tuple[int, bool], Candidates] = {}
-        self._choices: dict[tuple[int, int], choices.StepChoices] = {}
+        self._choices = job_choices.JobChoices(
+            plan.state.policies.placement, job, plan.candidates
+        )
         self._budget = record_sizes.PlacementBudget(
             job, plan.state.options.row_bytes
         )
 
     def place_tasks(self, most: int) -> None:
         """Places ready tasks until so many are placed."""
-        for step, index in list(_iterate_ready_tasks(self._job)):
+        for step, index in list(ready_tasks.iterate_ready_tasks(self._job)):
             if self._placement.placed >= most:
                 break
             if id(step) in self._skipped_steps:
@@ -168,7 +147,7 @@
         """
         if step.spec.gang or step.tasks[index].migrating:
             return False
-        usable = self._get_usable(step)
+        usable = self._choices.get_usable(step, starved=self._starved)
         is_any_usable = usable is self._plan.candidates
         return is_any_usable and self._plan.unmet.covers(self._job, step)
 
@@ -188,50 +167,6 @@
         if step.spec.long_running:
             self._note_obstacle(step, index, self._skipped_steps[id(step)])
 
-    def _get_usable(self, step: progress.Step) -> Candidates:
-        """Returns the candidates for the tasks of a step."""
-        key = (id(step), self._starved)
-        if key not in self._usable_by_step:
-            candidates = self._plan.candidates
-            if not self._starved:
-                candidates = capacity.select_sound(candidates, self._job, step)
-            elif not step.spec.gang and not step.has_suspects():
-                candidates = self._select_responsive(candidates)
-            self._usable_by_step[key] = candidates
-        return self._usable_by_step[key]
-
-    def _select_responsive(self, candidates: Candidates) -> Candidates:
-        """Returns the candidates on which no start of the job is overdue.
-
-        A starved job has no run, so its placed tasks have not started in time.
-        """
-        overdue = {
-            str(task.instance)
-            for step in self._job.steps
-            if step.open
-            for task in step.tasks
-            if task.is_placed() and not task.is_running()
-        }
-        if not overdue:
-            return candidates
-        return {
-            name: candidate
-            for name, candidate in candidates.items()
-            if name not in overdue
-        }
-
-    def _get_choices(
-        self, step: progress.Step, usable: Candidates
-    ) -> choices.StepChoices:
-        """Returns the choices for the tasks of a step among candidates."""
-        key = (id(step), id(usable))
-        if key not in self._choices:
-            policy = self._plan.state.policies.placement
-            self._choices[key] = choices.StepChoices(
-                policy, self._job, step, usable
-            )
-        return self._choices[key]
-
     def _place_gang_once(self, step: progress.Step, index: int) -> None:
         """Places a gang if all of its tasks fit; its other tasks are skipped.
 
@@ -239,7 +174,7 @@
             step: Step of the gang.
             index: Its first ready task.
         """
-        usable = self._get_usable(step)
+        usable = self._choices.get_usable(step, starved=self._starved)
         self._skipped_steps[id(step)] = WaitStage.GANG
         if not self._budget.allows(step, len(step.tasks)):
             self._note_obstacle(step, index, WaitStage.ROW_SIZE)
@@ -261,18 +196,20 @@
     def _place_single_task(self, step: progress.Step, index: int) -> None:
         """Places one task that is not of a gang, if a worker has room."""
         task = step.tasks[index]
-        usable = self._get_usable(step)
+        usable = self._choices.get_usable(step, starved=self._starved)
         is_suspect = step.is_suspect(task)
         # A task that was stopped for a migration had a worker before.
         is_urgent = self._starved or task.migrating
-        candidate = self._choose_for_task(step, task, usable, is_urgent)
+        candidate = self._choices.choose(step, task, usable, urgent=is_urgent)
         if candidate is None and (
             (self._starved and not is_suspect) or self._is_blocked(step, index)
         ):
             # No other worker has room: it may run anywhere.
             task.excluded_instances.clear()
             usable = self._plan.candidates
-            candidate = self._choose_for_task(step, task, usable, is_urgent)
+            candidate = self._choices.choose(
+                step, task, usable, urgent=is_urgent
+            )
         if candidate is None:
             self._handle_miss(step, index, usable)
             return
@@ -282,30 +219,14 @@
         self._budget.take(step)
         self._placement.emitted.append(self._place_task(step, index, candidate))
 
-    def _choose_for_task(
-        self,
-        step: progress.Step,
-        task: progress.Task,
-        usable: Candidates,
-        is_urgent: bool,
-    ) -> policies.Candidate | None:
-        """Lets the policy choose; an urgent task may go against its advice.
-
-        Workers on which the task has failed or was refused are left out.
-        """
-        step_choices = self._get_choices(step, usable)
-        candidate = step_choices.choose(task, late=self._job.gives_way)
-        if candidate is None and is_urgent:
-            return step_choices.choose_emptiest(task)
-        return candidate
-
     def _handle_miss(
-        self, step: progress.Step, index: int, usable: Candidates
+        self, step: progress.Step, index: int, usable: choices.Candidates
     ) -> None:
         """Records that no candidate was chosen for a task."""
         task = step.tasks[index]
         self._reserve_worker(step, task)
-        obstacle = self._get_choices(step, usable).explain_miss(task)
+        step_choices = self._choices.get_step_choices(step, usable)
+        obstacle = step_choices.explain_miss(task)
         is_any_usable = usable is self._plan.candidates
         if obstacle is WaitStage.CAPACITY and is_any_usable:
             self._plan.unmet.add(self._job, step)
@@ -323,9 +244,12 @@
         if not step.is_suspect(task):
             return
         plan = self._plan
-        fitting = self._get_choices(step, plan.candidates).list_fitting(task)
+        step_choices = self._choices.get_step_choices(step, plan.candidates)
         probations.reserve_worker(
-            plan.holder_state, plan.candidates, fitting, plan.now
+            plan.holder_state,
+            plan.candidates,
+            step_choices.list_fitting(task),
+            plan.now,
         )
         # Which worker is reserved shows only in the candidates.
         self._choices.clear()
@@ -358,8 +282,7 @@
         free_millis = candidate.cpu_millis
         capacity.reserve(candidate, step, ref, deferred=job.gives_way)
         probations.record_start(candidate, step, task)
-        for step_choices in self._choices.values():
-            step_choices.update(candidate)
+        self._choices.update(candidate)
         view = self._plan.holder_state.agents[candidate.instance]
         placed = scheduler.PlacedTask(job, step, task)
         lifecycle.place_task(self._plan.holder_state, view, placed, ref, now)
@@ -380,7 +303,7 @@
         )
 
     def _place_gang(
-        self, step: progress.Step, candidates: Candidates
+        self, step: progress.Step, candidates: choices.Candidates
     ) -> EffectList:
         """Places all tasks of a gang with the same run number, or none of them.
 
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -8,6 +8,7 @@
     job_placements,
     migrations,
     ordering,
+    ready_tasks,
     starvation,
     waits,
 )
@@ -90,7 +91,7 @@
         job
         for job in holder_state.open_jobs.values()
         if not job.set_aside
-        and (job.has_best_effort_steps() or job_placements.has_ready_task(job))
+        and (job.has_best_effort_steps() or ready_tasks.has_ready_task(job))
     ]
 
 
@@ -203,7 +204,7 @@
             is_starved
             or job.is_migrating()
             or job.is_long_running()
-            or job_placements.has_ordinary_ready_task(job)
+            or ready_tasks.has_ordinary_ready_task(job)
         )
         if self._misses >= MISSES_BEFORE_SKIP and may_skip:
             waits.note_obstacle(
