Merge validation, log reading and test builders that stood twice

Cause: three parsers of declaration documents had the same validation, two tools the same reader of log files, four modules of tests/jobs the same worker, two loads the same best-effort step, and the large world the same check before a poll goes on.

Ruled out: pairs of the same shape that are interfaces and their subclasses, handlers with the same early return, and structs; one function would need more parameters than it saves lines.

--- a/src/gypsumhold/adapters/declaration_documents.py
+++ b/src/gypsumhold/adapters/declaration_documents.py
@@ -4,7 +4,7 @@
 """
 
 import datetime
-from typing import Any
+from typing import Any, TypeVar
 
 import pydantic
 from returns.result import Failure, Result, Success
@@ -16,6 +16,9 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+_AnyDocument = TypeVar("_AnyDocument", bound=_Document)
+
+
 class ResourcesDocument(_Document):
     """Amounts of resources."""
 
@@ -148,64 +151,53 @@
     )
 
 
-def parse_template(
-    raw: object,
-) -> Result[declarations.Template, errors.Error]:
-    """Validates and converts the JSON document of a template."""
+def _build_change(document: ChangeDocument) -> declarations.Change:
+    return declarations.Change(
+        version=ids.ConfigVersion(document.version),
+        templates=tuple(map(_build_template, document.templates)),
+        organisations=tuple(map(_build_organisation, document.organisations)),
+        deleted_templates=tuple(map(ids.KindName, document.deleted_templates)),
+        deleted_organisations=tuple(
+            map(ids.OrganisationId, document.deleted_organisations)
+        ),
+        author=document.author,
+        comment=document.comment,
+        time=document.time,
+    )
+
+
+def _validate(
+    model: type[_AnyDocument], raw: object, subject: str
+) -> Result[_AnyDocument, errors.Error]:
     try:
-        document = TemplateDocument.model_validate(raw)
+        return Success(model.model_validate(raw))
     except pydantic.ValidationError as problem:
         return Failure(
             build_validation_error(
-                problem, errors.ErrorKind.BAD_DECLARATION, "template"
+                problem, errors.ErrorKind.BAD_DECLARATION, subject
             )
         )
-    return Success(_build_template(document))
+
+
+def parse_template(
+    raw: object,
+) -> Result[declarations.Template, errors.Error]:
+    """Validates and converts the JSON document of a template."""
+    return _validate(TemplateDocument, raw, "template").map(_build_template)
 
 
 def parse_organisation(
     raw: object,
 ) -> Result[declarations.Organisation, errors.Error]:
     """Validates and converts the JSON document of an organisation."""
-    try:
-        document = OrganisationDocument.model_validate(raw)
-    except pydantic.ValidationError as problem:
-        return Failure(
-            build_validation_error(
-                problem, errors.ErrorKind.BAD_DECLARATION, "organisation"
-            )
-        )
-    return Success(_build_organisation(document))
+    return _validate(OrganisationDocument, raw, "organisation").map(
+        _build_organisation
+    )
 
 
 def parse_change(raw: object) -> Result[declarations.Change, errors.Error]:
     """Validates and converts the JSON document of a change."""
-    try:
-        document = ChangeDocument.model_validate(raw)
-    except pydantic.ValidationError as problem:
-        return Failure(
-            build_validation_error(
-                problem, errors.ErrorKind.BAD_DECLARATION, "change"
-            )
-        )
-    return Success(
-        declarations.Change(
-            version=ids.ConfigVersion(document.version),
-            templates=tuple(map(_build_template, document.templates)),
-            organisations=tuple(
-                map(_build_organisation, document.organisations)
-            ),
-            deleted_templates=tuple(
-                map(ids.KindName, document.deleted_templates)
-            ),
-            deleted_organisations=tuple(
-                map(ids.OrganisationId, document.deleted_organisations)
-            ),
-            author=document.author,
-            comment=document.comment,
-            time=document.time,
-        )
-    )
+    return _validate(ChangeDocument, raw, "change").map(_build_change)
 
 
 def render_template(template: declarations.Template) -> dict[str, Any]:
--- a/tests/jobs/builders.py
+++ b/tests/jobs/builders.py
@@ -5,7 +5,7 @@
 
 from gypsumhold.decisions.jobs import policy_sets
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import messages, scheduler
+from gypsumhold.model.jobs import messages, runs, scheduler, specs
 
 
 def build_holder(now: datetime.timedelta) -> scheduler.SchedulerState:
@@ -22,3 +22,20 @@
         ids.Epoch(1), ids.RowVersion(1), now, now
     )
     return state
+
+
+def build_worker(
+    incarnation: runs.WorkerIncarnation, sequence: int = 0
+) -> runs.Worker:
+    """Returns a ready worker of 8 cores, as its heartbeat describes it."""
+    return runs.Worker(
+        incarnation,
+        specs.PoolName("pool"),
+        "10.0.0.2:1",
+        ids.DataCentre("zone"),
+        runs.WorkerState.READY,
+        8000,
+        8000,
+        0,
+        sequence=sequence,
+    )
--- a/tests/jobs/large_world.py
+++ b/tests/jobs/large_world.py
@@ -124,15 +124,23 @@
             lambda: self._begin_poll(node, node.incarnation, effect),
         )
 
-    def _begin_poll(
+    def _reaches_worker(
         self, node: nodes.Node, incarnation: int, effect: effects.PollWorker
-    ) -> None:
-        """Carries a poll out, whose answer waits until a run ends."""
+    ) -> bool:
+        """Tells whether a poll goes on; if its worker is gone, it fails."""
         if node.incarnation != incarnation:
-            return
-        if not self._is_addressed(node, effect):
+            return False
+        is_addressed = self._is_addressed(node, effect)
+        if not is_addressed:
             failure = failure_events.build_failure_event(effect, True)
             self._schedule_event(node, 50, failure)
+        return is_addressed
+
+    def _begin_poll(
+        self, node: nodes.Node, incarnation: int, effect: effects.PollWorker
+    ) -> None:
+        """Carries a poll out, whose answer waits until a run ends."""
+        if not self._reaches_worker(node, incarnation, effect):
             return
         polled = self._deliver_to_worker(node, effect)
         if polled.result is not events.CommandResult.DONE:
@@ -149,11 +157,7 @@
         polled: events.WorkerPolled,
         until_ms: float,
     ) -> None:
-        if node.incarnation != incarnation:
-            return
-        if not self._is_addressed(node, effect):
-            failure = failure_events.build_failure_event(effect, True)
-            self._schedule_event(node, 50, failure)
+        if not self._reaches_worker(node, incarnation, effect):
             return
         worker = self.workers[node.name]
         worker.advance(self.now_ms)
--- a/tests/jobs/loads.py
+++ b/tests/jobs/loads.py
@@ -100,14 +100,7 @@
     ) -> Iterator[Submission]:
         yield 0.0, build_serving_job(agents)
         for number in range(self.jobs_per_agent * agents):
-            step = specs.StepSpec(
-                1,
-                3500,
-                3000,
-                fills=True,
-                checkpoints=True,
-                image=specs.Image(f"best-effort-{number % IMAGES}"),
-            )
+            step = build_best_effort_step(1, number)
             widths = [source.randint(1, 20), source.randint(1, 20)]
             spec = job_specs.build_job_of(
                 f"fills-{number:04}", build_chain(source, widths, step)
@@ -130,14 +123,7 @@
     ) -> Iterator[Submission]:
         yield 0.0, build_serving_job(agents)
         for number in range(self.jobs_per_agent * agents):
-            step = specs.StepSpec(
-                source.randint(4, 10),
-                3500,
-                3000,
-                fills=True,
-                checkpoints=True,
-                image=specs.Image(f"best-effort-{number % IMAGES}"),
-            )
+            step = build_best_effort_step(source.randint(4, 10), number)
             widths = [source.randint(4, 10), source.randint(4, 10)]
             spec = job_specs.build_job_of(
                 f"crowd-{number:04}", build_chain(source, widths, step)
@@ -145,6 +131,17 @@
             yield source.uniform(1500, self.duration_ms), spec
 
 
+def build_best_effort_step(tasks: int, number: int) -> specs.StepSpec:
+    return specs.StepSpec(
+        tasks,
+        3500,
+        3000,
+        fills=True,
+        checkpoints=True,
+        image=specs.Image(f"best-effort-{number % IMAGES}"),
+    )
+
+
 def build_serving_job(agents: int) -> specs.JobSpec:
     step = specs.StepSpec(
         agents * 2,
--- a/tests/jobs/lone_agent.py
+++ b/tests/jobs/lone_agent.py
@@ -13,8 +13,8 @@
     executor,
     messages,
     runs,
-    specs,
 )
+from tests.jobs import builders
 
 NOW = datetime.timedelta(seconds=10)
 MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -44,17 +44,7 @@
 
     def deliver_heartbeat(self) -> base_effects.Effects:
         self.heartbeats += 1
-        worker = runs.Worker(
-            self.incarnation,
-            specs.PoolName("pool"),
-            "10.0.0.2:1",
-            ids.DataCentre("zone"),
-            runs.WorkerState.READY,
-            8000,
-            8000,
-            0,
-            sequence=self.heartbeats,
-        )
+        worker = builders.build_worker(self.incarnation, self.heartbeats)
         return self.deliver(events.HeartbeatReceived(worker))
 
     def restart_worker(self, started_ms: int) -> None:
--- a/tests/jobs/test_gang_attempts.py
+++ b/tests/jobs/test_gang_attempts.py
@@ -55,16 +55,7 @@
         self.job: progress.Job = job
 
     def _add_view(self, name: str, number: int) -> scheduler.AgentView:
-        worker = runs.Worker(
-            runs.WorkerIncarnation(f"i-{number}", 1),
-            specs.PoolName("pool"),
-            "10.0.0.2:1",
-            ids.DataCentre("zone"),
-            runs.WorkerState.READY,
-            8000,
-            8000,
-            0,
-        )
+        worker = builders.build_worker(runs.WorkerIncarnation(f"i-{number}", 1))
         report = messages.Report(
             ids.InstanceId(name),
             ids.Incarnation(1),
--- a/tests/jobs/test_left_out_jobs.py
+++ b/tests/jobs/test_left_out_jobs.py
@@ -18,7 +18,6 @@
     records,
     runs,
     scheduler,
-    specs,
     storage,
 )
 from tests.jobs import builders, job_specs
@@ -133,16 +132,7 @@
         )
         for number in range(1, ends + 1)
     )
-    worker = runs.Worker(
-        runs.WorkerIncarnation("i-0", 1),
-        specs.PoolName("pool"),
-        "10.0.0.2:1",
-        ids.DataCentre("zone"),
-        runs.WorkerState.READY,
-        8000,
-        8000,
-        0,
-    )
+    worker = builders.build_worker(runs.WorkerIncarnation("i-0", 1))
     endpoint = messages.Endpoint("10.0.0.1", 1)
     report = messages.Report(
         INSTANCE, ids.Incarnation(1), 1, endpoint, worker, ids.Epoch(1)
--- a/tests/jobs/test_lost_workers.py
+++ b/tests/jobs/test_lost_workers.py
@@ -201,16 +201,7 @@
     def report(self, ref: runs.RunRef = RUN) -> messages.Directives:
         """Reports a run as lost; returns the answer."""
         self.sequence += 1
-        worker = runs.Worker(
-            runs.WorkerIncarnation("i-1", LATER_MS),
-            specs.PoolName("pool"),
-            "10.0.0.2:1",
-            ids.DataCentre("zone"),
-            runs.WorkerState.READY,
-            8000,
-            8000,
-            0,
-        )
+        worker = builders.build_worker(runs.WorkerIncarnation("i-1", LATER_MS))
         loss = runs.LossRow(LOST, (runs.RunRow(ref, age_ms=7),), 7)
         report = messages.Report(
             INSTANCE,
--- a/tools/job_times.py
+++ b/tools/job_times.py
@@ -21,9 +21,10 @@
 import enum
 import statistics
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import docopt
+import log_files
 import matplotlib.pyplot as plt
 
 from gypsumhold.adapters.jobs import log_lines
@@ -91,15 +92,6 @@
         )
 
 
-def read_lines(paths: list[str]) -> Iterator[str]:
-    """Yields the lines of the files, or of standard input."""
-    if not paths:
-        yield from sys.stdin
-    for path in paths:
-        with open(path, encoding="utf-8") as file:
-            yield from file
-
-
 def read_jobs(lines: Iterable[str]) -> list[Job]:
     """Returns the jobs whose acceptance was logged."""
     jobs: dict[str, Job] = {}
@@ -230,7 +222,7 @@
 def main() -> int:
     """Prints the table and returns the exit code."""
     arguments = docopt.docopt(__doc__)
-    jobs = read_jobs(read_lines(arguments["LOG"]))
+    jobs = read_jobs(log_files.read_lines(arguments["LOG"]))
     queues: dict[str, list[Job]] = {}
     for job in jobs:
         queues.setdefault(job.queue, []).append(job)
--- a/tools/job_waits.py
+++ b/tools/job_waits.py
@@ -26,9 +26,10 @@
 import dataclasses
 import enum
 import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import docopt
+import log_files
 
 from gypsumhold.adapters.jobs import log_lines
 from gypsumhold.model.jobs import stories
@@ -161,15 +162,6 @@
     waits: list[Wait] = dataclasses.field(default_factory=list)
 
 
-def read_lines(paths: list[str]) -> Iterator[str]:
-    """Yields the lines of the files, or of standard input."""
-    if not paths:
-        yield from sys.stdin
-    for path in paths:
-        with open(path, encoding="utf-8") as file:
-            yield from file
-
-
 def parse_lines(texts: Iterable[str]) -> list[TimedLine]:
     """Returns the lines of the decision log in the order of their times."""
     lines = []
@@ -396,7 +388,7 @@
     """Prints the waits and their lengths and returns the exit code."""
     arguments = docopt.docopt(__doc__)
     after_s = float(arguments["--after"] or "-inf")
-    lines = parse_lines(read_lines(arguments["LOG"]))
+    lines = parse_lines(log_files.read_lines(arguments["LOG"]))
     waits = [wait for wait in find_waits(lines) if wait.measure(after_s) > 0.0]
     waits.sort(key=lambda wait: wait.measure(after_s), reverse=True)
     for wait in waits[: int(arguments["--top"])]:
