--- a/tests/jobs/large_world.py
+++ b/tests/jobs/large_world.py
@@ -11,7 +11,13 @@
 from gypsumhold.decisions import reducer
 from gypsumhold.model import events as base_events
 from gypsumhold.model.jobs import effects, events, runs, scheduler
-from tests.jobs import nodes, processors, wait_oracle, worker_fake
+from tests.jobs import (
+    nodes,
+    processors,
+    virtual_time,
+    wait_oracle,
+    worker_fake,
+)
 from tests.jobs import world as worlds
 
 WORKER_MILLIS = 32_000
@@ -114,25 +120,33 @@
             return
         delay = self.random.uniform(1, 7)
         self.after(
-            delay + worlds.to_ms(effect.delay),
+            delay + virtual_time.to_ms(effect.delay),
             lambda: self._begin_poll(node, node.incarnation, effect),
         )
 
-    def _begin_poll(
+    def _reaches_worker(
         self, node: nodes.Node, incarnation: int, effect: effects.PollWorker
-    ) -> None:
-        """Carries a poll out, whose answer waits until a run ends."""
+    ) -> bool:
+        """Tells whether a poll goes on; if its worker is gone, it fails."""
         if node.incarnation != incarnation:
-            return
-        if not self._is_addressed(node, effect):
+            return False
+        is_addressed = self._is_addressed(node, effect)
+        if not is_addressed:
             failure = failure_events.build_failure_event(effect, True)
             self._schedule_event(node, 50, failure)
+        return is_addressed
+
+    def _begin_poll(
+        self, node: nodes.Node, incarnation: int, effect: effects.PollWorker
+    ) -> None:
+        """Carries a poll out, whose answer waits until a run ends."""
+        if not self._reaches_worker(node, incarnation, effect):
             return
         polled = self._deliver_to_worker(node, effect)
         if polled.result is not events.CommandResult.DONE:
             self._schedule_event(node, 2, polled)
             return
-        until_ms = self.now_ms + worlds.to_ms(effect.wait)
+        until_ms = self.now_ms + virtual_time.to_ms(effect.wait)
         self._answer_poll(node, incarnation, effect, polled, until_ms)
 
     def _answer_poll(
@@ -143,11 +157,7 @@
         polled: events.WorkerPolled,
         until_ms: float,
     ) -> None:
-        if node.incarnation != incarnation:
-            return
-        if not self._is_addressed(node, effect):
-            failure = failure_events.build_failure_event(effect, True)
-            self._schedule_event(node, 50, failure)
+        if not self._reaches_worker(node, incarnation, effect):
             return
         worker = self.workers[node.name]
         worker.advance(self.now_ms)
