Count the part of a job's value that does not depend on its work

All jobs count as on time until their longest chain no longer fits, so they share the headroom and become late one after the other.

A small late job stays ahead of large new ones, and large new ones give way to small ones.

test_small_late_job_comes_before_large_new_ones fails before.

--- a/src/gypsumhold/decisions/jobs/ordering.py
+++ b/src/gypsumhold/decisions/jobs/ordering.py
@@ -1,10 +1,10 @@
 """Policies that order jobs by what they can still achieve."""
 
 import datetime
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from gypsumhold.decisions.jobs import estimates
-from gypsumhold.model.jobs import policies, progress
+from gypsumhold.model.jobs import policies, progress, specs
 
 LATE_FACTOR = 3.0
 """Multiple of its objective up to which a late job is still useful."""
@@ -15,6 +15,11 @@
 USELESS_VALUE = 0.03
 """The same for a job that is too late to be useful; its caller still waits."""
 
+FIXED_SHARE = 0.3
+"""Share of the value of a typical job of a queue that does not depend on the
+work. The rest grows with the work, so a small job is worth more for its work
+than a large one."""
+
 MIN_WORK = datetime.timedelta(milliseconds=100)
 """Least remaining work that is assumed, in core time."""
 
@@ -23,6 +28,10 @@
 estimate walks all tasks of the job."""
 
 
+TypicalWork = Mapping[specs.QueueName, datetime.timedelta]
+"""Work of a typical job of each queue, in core time."""
+
+
 def compute_objective(
     job: progress.Job, policy: policies.EstimatePolicy
 ) -> datetime.timedelta:
@@ -65,6 +74,23 @@
     )
 
 
+def measure_typical_work(
+    jobs: Iterable[progress.Job],
+    now: datetime.timedelta,
+    policy: policies.EstimatePolicy,
+) -> TypicalWork:
+    """Returns the mean estimated work of the jobs of each queue."""
+    works: dict[specs.QueueName, list[datetime.timedelta]] = {}
+    for job in jobs:
+        work = refresh_outlook(job, now, policy).work
+        works.setdefault(job.spec.queue.name, []).append(work)
+    return {
+        # Dividing first keeps sums of very large estimates in range.
+        queue: sum((work / len(known) for work in known), datetime.timedelta(0))
+        for queue, known in works.items()
+    }
+
+
 def is_late(
     job: progress.Job,
     now: datetime.timedelta,
@@ -79,30 +105,41 @@
     job: progress.Job,
     now: datetime.timedelta,
     policy: policies.EstimatePolicy,
+    typical_work: TypicalWork | None = None,
 ) -> float:
     """Returns the value of finishing a job over the work that it still takes.
 
-    A job that is on time and not yet begun has a return of 1. It rises with
-    what is done, so that a late job that is nearly done comes before one that
-    has just arrived.
+    A typical job that is on time and not yet begun has a return of 1. It is
+    higher for smaller jobs, and rises with what is done, so that a late job
+    with little left comes before a larger one that has just arrived.
+
+    Args:
+        job: The job.
+        now: Current time.
+        policy: Estimates of run times.
+        typical_work: Work of typical jobs; a job of a queue that is not in it
+            counts as typical itself.
     """
     outlook = refresh_outlook(job, now, policy)
+    typical = (typical_work or {}).get(job.spec.queue.name, outlook.work)
     expected_end = now + outlook.remaining_time
     value = 1.0
     if expected_end > outlook.useful_until:
         value = USELESS_VALUE
     elif expected_end > outlook.due_at:
         value = LATE_VALUE
-    return value * (outlook.work / max(outlook.remaining_work, MIN_WORK))
+    weight = outlook.work * (1 - FIXED_SHARE) + typical * FIXED_SHARE
+    return value * (weight / max(outlook.remaining_work, MIN_WORK))
 
 
 def gives_way(
     job: progress.Job,
     now: datetime.timedelta,
     policy: policies.EstimatePolicy,
+    typical_work: TypicalWork | None = None,
 ) -> bool:
-    """Tells whether a job gives way to one that has just arrived."""
-    return estimate_return(job, now, policy) < 1.0
+    """Tells whether a job gives way to a typical one that has just arrived."""
+    return estimate_return(job, now, policy, typical_work) < 1.0
 
 
 class FirstComeFirstServed(policies.OrderingPolicy):
@@ -131,16 +168,24 @@
         self, jobs: Sequence[progress.Job], now: datetime.timedelta
     ) -> list[progress.Job]:
         """Returns the jobs in the order in which they are placed."""
-        return sorted(jobs, key=lambda job: self._rank(job, now))
+        typical_work = measure_typical_work(
+            (job for job in jobs if job.has_best_effort_steps()),
+            now,
+            self._estimates,
+        )
+        return sorted(jobs, key=lambda job: self._rank(job, now, typical_work))
 
     def _rank(
-        self, job: progress.Job, now: datetime.timedelta
+        self,
+        job: progress.Job,
+        now: datetime.timedelta,
+        typical_work: TypicalWork,
     ) -> tuple[int, int, datetime.timedelta]:
         """Returns the sort key of a job; long-running jobs are never late."""
         if job.is_long_running():
             return (0, job.spec.queue.priority, job.submitted_at)
         if job.has_best_effort_steps():
-            return self._rank_best_effort(job, now)
+            return self._rank_best_effort(job, now, typical_work)
         outlook = refresh_outlook(job, now, self._estimates)
         expected_end = now + outlook.remaining_time
         lateness = 2
@@ -151,7 +196,10 @@
         return (lateness, job.spec.queue.priority, outlook.due_at)
 
     def _rank_best_effort(
-        self, job: progress.Job, now: datetime.timedelta
+        self,
+        job: progress.Job,
+        now: datetime.timedelta,
+        typical_work: TypicalWork,
     ) -> tuple[int, int, datetime.timedelta]:
         """Returns the sort key of a job with best-effort tasks.
 
@@ -160,5 +208,5 @@
         first among those whose completion is worth it.
         """
         outlook = refresh_outlook(job, now, self._estimates)
-        later = int(gives_way(job, now, self._estimates))
+        later = int(gives_way(job, now, self._estimates, typical_work))
         return (later, job.spec.queue.priority, outlook.remaining_work)
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -269,15 +269,18 @@
     """
     emitted: EffectList = []
     policy = state.policies.estimates
+    best_effort: list[progress.Job] = []
     for job in jobs:
         try:
-            if not job.has_best_effort_steps():
-                ordering.is_late(job, now, policy)
-                continue
-            gives_way = ordering.gives_way(job, now, policy)
+            ordering.refresh_outlook(job, now, policy)
         except Exception as problem:
             emitted.append(_set_aside(job, problem))
             continue
+        if job.has_best_effort_steps():
+            best_effort.append(job)
+    typical_work = ordering.measure_typical_work(best_effort, now, policy)
+    for job in best_effort:
+        gives_way = ordering.gives_way(job, now, policy, typical_work)
         if gives_way is not job.gives_way:
             _change_priority(holder_state, job, gives_way)
     return emitted
--- a/tests/jobs/test_ordering.py
+++ b/tests/jobs/test_ordering.py
@@ -49,6 +49,28 @@
     assert order == [new, late]
 
 
+def test_small_late_job_comes_before_large_new_ones() -> None:
+    """Guards against a small job that is halted for good once it is late.
+
+    It gave way to new jobs with a hundred times the work that it had left,
+    although much of the value of a job does not depend on its work.
+    """
+    small = test_estimates.build_job(1)
+    small.steps[0].tasks[0].progress_percent = 60
+    large = [build_job(done=0, submitted_at=NOW) for _ in range(5)]
+    assert ordering.is_late(small, NOW, POLICY)
+    order = ordering.ByObjective(POLICY).sort([*large, small], NOW)
+    assert order[0] is small
+
+
+def test_late_job_that_is_no_smaller_than_others_gives_way() -> None:
+    """Guards against late jobs that make the jobs behind them late too."""
+    late = build_job(done=6)
+    new = [build_job(done=0, submitted_at=NOW) for _ in range(5)]
+    order = ordering.ByObjective(POLICY).sort([late, *new], NOW)
+    assert order[-1] is late
+
+
 def test_return_rises_with_what_is_done() -> None:
     returns = [
         ordering.estimate_return(
