Let best-effort runs on a worker work in the order of their jobs' return

On each worker the best-effort run that was placed first had the headroom first, unless its job was late.

The holder now names all best-effort runs of an instance by the falling return of their jobs, in the field that named those of late jobs; the agent gives CPU and headroom in this order. Runs not yet named come first, as before.

Two new tests fail before: test_runs_work_in_the_order_of_the_holder and test_small_job_works_before_a_large_one_placed_earlier.

--- a/src/gypsumhold/decisions/jobs/colocation.py
+++ b/src/gypsumhold/decisions/jobs/colocation.py
@@ -13,6 +13,9 @@
 
 EffectList = list[base_effects.Effect]
 
+UNRANKED = -1
+"""Rank of a best-effort run that the holder has not ranked yet."""
+
 FULL_PERCENT = 100
 """Percent of full speed at which a run is not throttled."""
 
@@ -137,9 +140,9 @@
 ) -> list[tuple[executor.LocalRun, throttling.Demand]]:
     """Returns the running best-effort runs, the highest priority first.
 
-    Runs of late jobs come last. Among the others the one that was placed first
-    comes first, so that it finishes early and no run starves.
+    Runs that the holder has not yet ranked come first, the others in its order.
     """
+    priorities = {ref: rank for rank, ref in enumerate(state.deferred)}
     best_effort_runs = []
     for local_run in state.active.values():
         command = local_run.command
@@ -150,7 +153,8 @@
                 (local_run, _build_demand(state, command.image, local_run))
             )
     return sorted(
-        best_effort_runs, key=lambda item: item[0].ref in state.deferred
+        best_effort_runs,
+        key=lambda item: priorities.get(item[0].ref, UNRANKED),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -98,11 +98,15 @@
 def _list_deferred(
     view: scheduler.AgentView, now: datetime.timedelta
 ) -> tuple[runs.RunRef, ...]:
-    """Returns the best-effort runs whose jobs are late."""
-    return tuple(
-        runs.RunRef(ref, placed.task.run)
+    """Returns the best-effort runs by the falling return of their jobs."""
+    best_effort = [
+        (ref, placed)
         for ref, placed in view.placed.items()
-        if placed.step.spec.fills and placed.job.gives_way
+        if placed.step.spec.fills
+    ]
+    best_effort.sort(key=lambda item: -item[1].job.expected_return)
+    return tuple(
+        runs.RunRef(ref, placed.task.run) for ref, placed in best_effort
     )
 
 
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -280,6 +280,9 @@
             best_effort.append(job)
     typical_work = ordering.measure_typical_work(best_effort, now, policy)
     for job in best_effort:
+        job.expected_return = ordering.estimate_return(
+            job, now, policy, typical_work
+        )
         gives_way = ordering.gives_way(job, now, policy, typical_work)
         if gives_way is not job.gives_way:
             _change_priority(holder_state, job, gives_way)
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -144,7 +144,7 @@
     for estimate in directives.interference_estimates:
         state.interference_estimates[estimate.pair] = estimate.per_core
     if directives.deferred is not None:
-        state.deferred = frozenset(directives.deferred)
+        state.deferred = directives.deferred
     for command in directives.found:
         local_run = state.active.get(command.ref)
         if local_run is not None and local_run.command is None:
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -128,8 +128,8 @@
         found: Commands of the runs that the report lists as `found`.
         interference_estimates: Estimates for the images that run on the
             agent's worker, from the measurements of all agents.
-        deferred: Best-effort tasks that give way to others because their jobs
-            are late; None in messages that answer no report.
+        deferred: Best-effort runs that give way to those before them and to
+            those that are not named; None in messages that answer no report.
         withdrawn: Placed runs that the report does not list and that are not to
             run any more; the agent refuses those that it does not know.
         stored_losses: Reported losses of which everything that the holder
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -241,6 +241,9 @@
         outlook: Latest estimates; None before the first.
         gives_way: Whether its best-effort tasks gave way to those of other
             jobs when the latest plan was made.
+        expected_return: Value of finishing it over the work that it still
+            took when the latest plan was made; best-effort tasks of jobs
+            with a higher one work first.
         set_aside: Whether a plan failed for this job; its tasks are no longer
             placed.
         running_task: A task that was running when it was last looked for one.
@@ -258,6 +261,7 @@
     ended_at: datetime.timedelta = ZERO
     outlook: Outlook | None = None
     gives_way: bool = False
+    expected_return: float = 1.0
     set_aside: bool = False
     running_task: Task | None = None
     kinds: StepKinds = dataclasses.field(init=False)
--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -342,6 +342,22 @@
     assert state.active[first].throttle_percent == 0
 
 
+def test_runs_work_in_the_order_of_the_holder() -> None:
+    """Guards against large jobs that halt the small ones placed after them."""
+    state = build_state(SENSITIVE, HEAVY, throttling.ThrottleByTailLatency())
+    state.interference_estimates.update(TRUE_INTERFERENCE)
+    placed = [
+        run.ref for run in state.active.values() if run.ref.task.job_id == "f"
+    ]
+    state.deferred = tuple(reversed(placed))
+    state.serving[SENSITIVE] = executor.ServingImage(
+        0.4, 0.4, last_headroom=1.6
+    )
+    colocation.throttle_tasks(state)
+    assert state.active[placed[0]].throttle_percent == 0
+    assert state.active[placed[-1]].throttle_percent > 0
+
+
 def test_best_effort_task_is_placed_beside_a_robust_image() -> None:
     """Guards against tasks that wait for an empty worker without need."""
     step = progress.Step(
--- a/tests/jobs/test_migrations.py
+++ b/tests/jobs/test_migrations.py
@@ -13,6 +13,7 @@
 
 from gypsumhold.decisions.jobs import (
     capacity,
+    directives,
     estimates,
     lifecycle,
     plans,
@@ -64,10 +65,10 @@
             image=SERVING,
             target_latency_ms=18,
         )
-        self._place(self.add_job("serving", serving), self.busy)
+        self.place(self.add_job("serving", serving), self.busy)
         self.holder_state.optimistic_estimates = {PAIR: 0.3}
         self.slow = self.add_job("slow", STEP)
-        self._place(self.slow, self.busy)
+        self.place(self.slow, self.busy)
 
     def fill_free_worker(self) -> None:
         """Places a serving task, which has no headroom left, beside it."""
@@ -79,7 +80,7 @@
             image=SERVING,
             target_latency_ms=18,
         )
-        self._place(self.add_job("more serving", serving), self.free)
+        self.place(self.add_job("more serving", serving), self.free)
 
     def read_clock(self) -> datetime.timedelta:
         return self.world.read_clock()
@@ -93,7 +94,7 @@
         assert job is not None
         return job
 
-    def _place(self, job: progress.Job, view: scheduler.AgentView) -> None:
+    def place(self, job: progress.Job, view: scheduler.AgentView) -> None:
         step = job.steps[0]
         ref = lifecycle.build_task_ref(job, step, 0)
         placed = scheduler.PlacedTask(job, step, step.tasks[0])
@@ -187,6 +188,28 @@
     assert fleet.slow.gives_way
 
 
+def test_small_job_works_before_a_large_one_placed_earlier() -> None:
+    """Guards against large jobs that halt small ones until these are late."""
+    fleet = Fleet()
+    small = fleet.add_job(
+        "small", msgspec.structs.replace(STEP, estimate_ms=900)
+    )
+    fleet.place(small, fleet.busy)
+    fleet.make_plan()
+    directive = directives.build_directives(
+        fleet.state,
+        fleet.holder_state,
+        fleet.busy,
+        fleet.read_clock(),
+        is_answer=True,
+    )
+    assert directive.deferred is not None
+    assert [str(ref.task.job_id) for ref in directive.deferred] == [
+        "small",
+        "slow",
+    ]
+
+
 def test_stopped_task_starts_again_although_its_target_is_full() -> None:
     """Guards against a job without any run while there is room (rule LOST).
 
