Keep the order of best-effort runs in a tuple

Cause: the agent ranks best-effort runs by their place in `deferred`, whose type told nothing of an order.

Change: a tuple, in the test as well, which had a set of one run.

--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -7,7 +7,6 @@
 import dataclasses
 import datetime
 import enum
-from collections.abc import Collection
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
@@ -233,8 +232,8 @@
         next_report_at: When the next regular report is due.
         report_due: Whether something changed since the latest report.
         serving: State of each image that has serving tasks here.
-        deferred: Best-effort runs that give way: those that are not named and
-            those that come before get idle CPU and headroom first.
+        deferred: Best-effort runs in the order in which they get idle CPU and
+            headroom; those that are not named come first.
         last_sample: Readings with which the next sample is compared.
         interference_sums: Interference measured on this worker.
         unreported_pairs: Pairs whose latest sums the holder does not have.
@@ -311,7 +310,7 @@
     serving: dict[specs.Image, ServingImage] = dataclasses.field(
         default_factory=dict
     )
-    deferred: Collection[runs.RunRef] = ()
+    deferred: tuple[runs.RunRef, ...] = ()
     last_sample: Sample | None = None
     interference_sums: dict[runs.ImagePair, runs.InterferenceSums] = (
         dataclasses.field(default_factory=dict)
--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -327,7 +327,7 @@
     first = runs.RunRef(
         runs.TaskRef(specs.JobId("f"), 0, 0, 0), runs.RunNumber(1)
     )
-    state.deferred = frozenset({first})
+    state.deferred = (first,)
     state.serving[SENSITIVE] = executor.ServingImage(
         0.4, 0.4, last_headroom=1.6
     )
