Tell where a request or job would go now, without sending it

Cause: operators learn only from logs, afterwards, why work went where it went. Change: gypsumctl where asks an entry for a preview. The holder of the queue makes the choices of a plan on copies (decisions/jobs/previews.py); an entry lists the eligible instances for a request by the cost of its routing policy (decisions/previews.py). Why a worker gets no run is now a value (previews.WorkerObstacle), which the capacity counts use too. A node serves the route only with an operator_token in its settings. Ruled out: an event of its own in the reducer, whose changes would have to be undone.

--- a/src/gypsumhold/adapters/entry_control.py
+++ b/src/gypsumhold/adapters/entry_control.py
@@ -12,6 +12,7 @@
     peers,
     store,
 )
+from gypsumhold.decisions import previews as preview_decisions
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import (
     declarations,
@@ -22,6 +23,7 @@
     ids,
     members,
     membership,
+    previews,
     rows,
     states,
     status,
@@ -95,6 +97,19 @@
         instances.sort(key=lambda item: item.name)
         return status.Status(copy.entry, tuple(instances), copy.partitions)
 
+    def preview_request(
+        self, organisation: ids.OrganisationId, kind: ids.KindName
+    ) -> previews.RequestPreview:
+        """Returns where a request would go now; sends nothing."""
+        now = self._clock.read_monotonic()
+
+        def preview(state: entry.EntryState) -> previews.RequestPreview:
+            return preview_decisions.preview_request(
+                state, organisation, kind, now
+            )
+
+        return self._runtime.snapshot(preview)
+
     def read_metrics(self) -> str:
         """Returns the metrics in the text format of Prometheus."""
         self._recorder.set_config_version(self.read_configuration().version)
--- a/src/gypsumhold/adapters/operator_calls.py
+++ b/src/gypsumhold/adapters/operator_calls.py
@@ -17,6 +17,7 @@
     events,
     ids,
     members,
+    previews,
     rows,
     status,
 )
@@ -47,6 +48,12 @@
     def read_status(self) -> status.Status:
         """Returns the status of the entry and of the members that it knows."""
 
+    @abc.abstractmethod
+    def preview_request(
+        self, organisation: ids.OrganisationId, kind: ids.KindName
+    ) -> previews.RequestPreview:
+        """Returns where a request would go now; sends nothing."""
+
     @abc.abstractmethod
     def read_metrics(self) -> str:
         """Returns the metrics in the text format of Prometheus."""
--- a/src/gypsumhold/adapters/operator_documents.py
+++ b/src/gypsumhold/adapters/operator_documents.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result
 
 from gypsumhold.adapters import declaration_documents, suggestions
-from gypsumhold.model import declarations, errors, ids, status
+from gypsumhold.model import declarations, errors, ids, previews, status
 
 
 class _Document(pydantic.BaseModel):
@@ -276,3 +276,27 @@
             "remedy": error.remedy,
         }
     }
+
+
+def render_preview(preview: previews.RequestPreview) -> dict[str, Any]:
+    """Returns the document that tells where a request would go."""
+    refusal = preview.refusal
+    return {
+        "entry": preview.entry,
+        "refusal": None if refusal is None else refusal.value,
+        "candidates": [
+            {
+                "instance": choice.instance,
+                "data_centre": choice.data_centre,
+                "cost": round(choice.cost, 3),
+                "free_slots": choice.free_slots,
+                "queued": choice.queued,
+                "in_flight": choice.in_flight,
+            }
+            for choice in preview.candidates
+        ],
+        "excluded": [
+            {"reason": obstacle.value, "instances": list(instances)}
+            for obstacle, instances in preview.excluded
+        ],
+    }
--- a/src/gypsumhold/adapters/operator_routes.py
+++ b/src/gypsumhold/adapters/operator_routes.py
@@ -69,6 +69,7 @@
             ("GET", "/v1/config"): self._reply_configuration,
             ("GET", "/v1/config/history"): self._reply_history,
             ("GET", "/v1/status"): self._reply_status,
+            ("GET", "/v1/where"): self._reply_preview,
         }
         self._instance_routes: dict[
             str, Callable[[ids.InstanceId], operator_calls.Reply]
@@ -169,6 +170,24 @@
             ),
         )
 
+    def _reply_preview(self, call: operator_calls.Call) -> operator_calls.Reply:
+        names = [call.query.get(name, "") for name in ("organisation", "kind")]
+        if not all(names):
+            return operator_calls.reply_error(
+                400,
+                errors.Error(
+                    errors.ErrorKind.BAD_BODY,
+                    "the query lacks the organisation or the kind",
+                    "send both, as 'organisation=NAME&kind=NAME'",
+                ),
+            )
+        preview = self._control.preview_request(
+            ids.OrganisationId(names[0]), ids.KindName(names[1])
+        )
+        return operator_calls.reply_json(
+            200, operator_documents.render_preview(preview)
+        )
+
     def _read_head(self) -> Result[ids.ConfigVersion, errors.Error]:
         return self._control.read_row(rows.HEAD_KEY).map(
             lambda row: (
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -118,10 +118,12 @@
     """Settings of `gypsumhold-node`; the platform supplies the addresses.
 
     `advertised_port` is the port for other processes if a forwarder stands in
-    front of this process.
+    front of this process. With an `operator_token`, an entry also answers
+    operators on the port of the metrics.
     """
 
     deployment_key: Secret
+    operator_token: Secret | None = None
     advertised_port: int | None = pydantic.Field(default=None, ge=1, le=65535)
     metrics_port: int = pydantic.Field(default=9464, ge=1, le=65535)
     log: LogSettings = LogSettings()
--- a/src/gypsumhold/decisions/dispatches.py
+++ b/src/gypsumhold/decisions/dispatches.py
@@ -71,9 +71,7 @@
     If many instances offer the kind, only a random sample is considered, unless
     the sample has no eligible one.
     """
-    if state.instances_by_kind is None:
-        state.instances_by_kind = _index_by_kind(state)
-    instances = state.instances_by_kind.get(kind, [])
+    instances = _list_instances(state, kind)
     if len(instances) > SAMPLE_SIZE:
         sample = state.random.sample(instances, SAMPLE_SIZE)
         eligible = _select_eligible(state, sample, now)
@@ -82,6 +80,22 @@
     return _select_eligible(state, instances, now)
 
 
+def list_eligible(
+    state: entry.EntryState, kind: ids.KindName, now: datetime.timedelta
+) -> list[membership.Member]:
+    """Returns all eligible instances for a kind of request, not a sample."""
+    return _select_eligible(state, _list_instances(state, kind), now)
+
+
+def _list_instances(
+    state: entry.EntryState, kind: ids.KindName
+) -> list[membership.Member]:
+    """Returns the instances that announce a kind of request."""
+    if state.instances_by_kind is None:
+        state.instances_by_kind = _index_by_kind(state)
+    return state.instances_by_kind.get(kind, [])
+
+
 def _index_by_kind(
     state: entry.EntryState,
 ) -> dict[ids.KindName, list[membership.Member]]:
--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -7,6 +7,7 @@
 from gypsumhold.decisions.jobs import interference, probations, throttling
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
+from gypsumhold.model.jobs.previews import WorkerObstacle
 
 MIN_USE_PERCENT = 40
 """A running best-effort task counts as using at least this percent of its CPU
@@ -111,14 +112,27 @@
     now: datetime.timedelta,
 ) -> bool:
     """Tells whether an instance may get new runs, apart from a quarantine."""
+    return find_worker_obstacle(state, view, now) is None
+
+
+def find_worker_obstacle(
+    state: scheduler.SchedulerState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
+) -> WorkerObstacle | None:
+    """Returns why an instance gets no new runs, apart from a quarantine."""
     report = view.report
-    return (
-        report.worker is not None
-        and report.worker.state is runs.WorkerState.READY
-        and report.answering
-        and not report.runs_ended
-        and now < view.last_report_at + state.options.report_timeout
-    )
+    if report.worker is None:
+        return WorkerObstacle.NO_WORKER
+    if report.worker.state is not runs.WorkerState.READY:
+        return WorkerObstacle.DRAINING
+    if not report.answering:
+        return WorkerObstacle.SILENT
+    if report.runs_ended:
+        return WorkerObstacle.LEASES_EXPIRED
+    if now >= view.last_report_at + state.options.report_timeout:
+        return WorkerObstacle.NO_REPORT
+    return None
 
 
 def _build_candidate(
@@ -288,6 +302,32 @@
     ]
 
 
+def find_misfit(
+    candidate: policies.Candidate, job: progress.Job, step: progress.Step
+) -> WorkerObstacle | None:
+    """Returns why `list_fitting` leaves a candidate out; None if it does not.
+
+    `list_fitting` is asked for each step of each plan, so it does not work out
+    the reasons.
+    """
+    spec, worker = step.spec, candidate.worker
+    key = (job.spec.job_id, step.repetition, step.number)
+    limit = spec.max_per_worker
+    obstacles = {
+        WorkerObstacle.POOL: worker.pool != job.spec.queue.pool,
+        WorkerObstacle.LABEL: spec.label and spec.label not in worker.labels,
+        WorkerObstacle.CPU: candidate.cpu_millis
+        < (0 if spec.fills else spec.cpu_millis),
+        WorkerObstacle.MEMORY: candidate.memory_mb < spec.memory_mb,
+        WorkerObstacle.ACCELERATORS: candidate.accelerators < spec.accelerators,
+        WorkerObstacle.STEP_LIMIT: limit
+        and candidate.steps.get(key, 0) >= limit,
+        WorkerObstacle.PROBATION: candidate.on_probation,
+        WorkerObstacle.RESERVED: candidate.reserved and not step.has_suspects(),
+    }
+    return next((name for name, applies in obstacles.items() if applies), None)
+
+
 def fits_when_empty(
     candidate: policies.Candidate, job: progress.Job, step: progress.Step
 ) -> bool:
--- a/src/gypsumhold/decisions/routing.py
+++ b/src/gypsumhold/decisions/routing.py
@@ -55,6 +55,15 @@
         """Returns a random candidate."""
         return rng.choice(candidates) if candidates else None
 
+    def estimate_cost(
+        self,
+        member: membership.Member,
+        data_centre: ids.DataCentre,
+        now: datetime.timedelta,
+    ) -> float:
+        """Returns the same cost for all candidates."""
+        return 0.0
+
     def observe(
         self,
         member: membership.Member,
@@ -98,9 +107,21 @@
         second = rng.choice(others) if others else first
         return min(
             (first, second),
-            key=lambda item: _estimate_cost(item, data_centre, now),
+            key=lambda item: self.estimate_cost(item, data_centre, now),
         )
 
+    def estimate_cost(
+        self,
+        member: membership.Member,
+        data_centre: ids.DataCentre,
+        now: datetime.timedelta,
+    ) -> float:
+        """Returns the load of a candidate times its latency ratio."""
+        latency_ratio = _decay_latency_ratio(member, now)
+        is_slow = latency_ratio >= LATENCY_RATIO_THRESHOLD
+        factor = latency_ratio if is_slow else 1.0
+        return _estimate_load(member, data_centre) * factor
+
     def observe(
         self,
         member: membership.Member,
@@ -171,16 +192,6 @@
     return float(1.0 + (member.latency_ratio - 1.0) * remaining_share)
 
 
-def _estimate_cost(
-    member: membership.Member,
-    data_centre: ids.DataCentre,
-    now: datetime.timedelta,
-) -> float:
-    latency_ratio = _decay_latency_ratio(member, now)
-    factor = latency_ratio if latency_ratio >= LATENCY_RATIO_THRESHOLD else 1.0
-    return _estimate_load(member, data_centre) * factor
-
-
 def _estimate_load(
     member: membership.Member, data_centre: ids.DataCentre
 ) -> float:
--- a/src/gypsumhold/decisions/shares.py
+++ b/src/gypsumhold/decisions/shares.py
@@ -7,8 +7,9 @@
 """
 
 import datetime
+from collections.abc import Mapping
 
-from gypsumhold.model import entry, requests, states
+from gypsumhold.model import entry, ids, requests, states
 
 ACTIVE_TIME = datetime.timedelta(seconds=5)
 """Time for which an organisation counts as active after its latest call."""
@@ -40,11 +41,41 @@
     )
     own_demand.weight = weight
     own_demand.arrived_at = now
-    limit = state.options.waiting_limits[work_class]
-    total = state.waiting[work_class]
-    if total >= limit:
+    if state.waiting[work_class] >= state.options.waiting_limits[work_class]:
         return False
     _remove_idle(state, work_class, now)
+    return _is_within_share(state, demands, own_demand, work_class)
+
+
+def may_wait(
+    state: entry.EntryState,
+    organisation: ids.OrganisationId,
+    work_class: states.WorkClass,
+) -> bool:
+    """Returns whether a call might wait now, and records nothing.
+
+    Organisations that have become idle since the last call still count.
+    """
+    if state.waiting[work_class] >= state.options.waiting_limits[work_class]:
+        return False
+    weight = state.configuration.organisations[organisation].weight
+    demands = dict(state.demand[work_class])
+    own_demand = demands.setdefault(
+        organisation, entry.Demand(weight, datetime.timedelta(0))
+    )
+    return _is_within_share(state, demands, own_demand, work_class)
+
+
+def _is_within_share(
+    state: entry.EntryState,
+    demands: Mapping[ids.OrganisationId, entry.Demand],
+    own_demand: entry.Demand,
+    work_class: states.WorkClass,
+) -> bool:
+    """Returns whether one more call leaves the shares of others free."""
+    limit = state.options.waiting_limits[work_class]
+    total = state.waiting[work_class]
+    weight = own_demand.weight
     total_weight = sum(item.weight for item in demands.values())
     if own_demand.waiting < limit * weight / total_weight:
         return True
--- a/src/gypsumhold/model/policies.py
+++ b/src/gypsumhold/model/policies.py
@@ -22,6 +22,21 @@
     ) -> membership.Member | None:
         """Returns one of the eligible candidates, or None to shed load."""
 
+    @abc.abstractmethod
+    def estimate_cost(
+        self,
+        member: membership.Member,
+        data_centre: ids.DataCentre,
+        now: datetime.timedelta,
+    ) -> float:
+        """Returns the cost by which candidates are compared; lower is better.
+
+        Args:
+            member: A candidate.
+            data_centre: Data centre of the entry.
+            now: Current time.
+        """
+
     @abc.abstractmethod
     def observe(
         self,
--- a/src/gypsumhold/programs/ctl.py
+++ b/src/gypsumhold/programs/ctl.py
@@ -166,6 +166,20 @@
     )
 
 
+def _preview_job(
+    command: ctl_options.PreviewJob, client: ctl_client.Client, raw: bool
+) -> ctl_answers.Report:
+    loaded = _read_text(command.file).bind(
+        lambda file: declaration_files.parse_json(
+            file, errors.ErrorKind.BAD_BODY
+        )
+    )
+    if isinstance(loaded, Failure):
+        return ctl_answers.report_error(loaded.failure())
+    call = ctl_calls.build_job_preview(command, loaded.unwrap())
+    return ctl_answers.report_answer(command, client.send_to_one(call), raw)
+
+
 def _run_online(
     options: ctl_options.Options,
     command: ctl_options.OnlineCommand,
@@ -178,6 +192,8 @@
         if isinstance(loaded, Failure):
             return ctl_answers.report_error(loaded.failure())
         command = loaded.unwrap()
+    if isinstance(command, ctl_options.PreviewJob):
+        return _preview_job(command, client, options.raw)
     call = ctl_calls.build_call(command)
     if isinstance(command, ctl_options.Status):
         answers = client.send_to_every(call)
--- a/src/gypsumhold/programs/ctl_answers.py
+++ b/src/gypsumhold/programs/ctl_answers.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 import json
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from gypsumhold.model import errors
-from gypsumhold.programs import ctl_options
+from gypsumhold.programs import ctl_options, ctl_previews, ctl_tables
 
 REFUSALS = frozenset({401, 403, 404, 405, 409, 422})
 BAD_INPUTS = frozenset({400, 413})
@@ -94,21 +94,6 @@
     )
 
 
-def format_table(
-    header: Sequence[str], rows: Iterable[Sequence[object]]
-) -> str:
-    """Returns a table as text, with aligned columns."""
-    table = [list(header), *([str(cell) for cell in row] for row in rows)]
-    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
-    return "".join(
-        "  ".join(
-            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
-        ).rstrip()
-        + "\n"
-        for row in table
-    )
-
-
 def _describe_change(change: Mapping[str, Any]) -> str:
     parts = [
         f"{sign}{object_type} {name}"
@@ -158,7 +143,7 @@
 
 def _render_list(document: Any) -> str:
     columns = ("task_id", "kind", "state", "instance", "result")
-    return format_table(
+    return ctl_tables.format_table(
         columns,
         (
             tuple(str(task.get(column) or "-")[:60] for column in columns)
@@ -174,6 +159,8 @@
     ctl_options.Submit: lambda body: f"{body['task_id']}\n",
     ctl_options.ShowTask: _render_task,
     ctl_options.ListTasks: _render_list,
+    ctl_options.PreviewRequest: ctl_previews.render_request,
+    ctl_options.PreviewJob: ctl_previews.render_job,
     ctl_options.Cancel: lambda _: "cancelled, unless it had ended before\n",
 }
 
--- a/src/gypsumhold/programs/ctl_calls.py
+++ b/src/gypsumhold/programs/ctl_calls.py
@@ -115,6 +115,25 @@
     return Call(Listener.OPERATORS, "POST", target, recipients=Recipients.EVERY)
 
 
+def _build_request_preview(command: ctl_options.PreviewRequest) -> Call:
+    target = (
+        f"/v1/where?organisation={_quote(command.organisation)}"
+        f"&kind={_quote(command.kind)}"
+    )
+    return Call(Listener.OPERATORS, "GET", target)
+
+
+def build_job_preview(command: ctl_options.PreviewJob, document: Any) -> Call:
+    """Returns the call that tells where a job would go; it changes nothing.
+
+    Args:
+        command: The command.
+        document: Body of a submission.
+    """
+    target = f"/v1/where?queue={_quote(command.queue)}"
+    return Call(Listener.OPERATORS, "POST", target, document)
+
+
 _BUILDERS: Mapping[type, Callable[[Any], Call]] = {
     ctl_options.Diff: lambda _: READ_CONFIGURATION,
     ctl_options.Apply: lambda _: READ_CONFIGURATION,
@@ -127,6 +146,7 @@
         Listener.CALLERS, "GET", _build_task_target(command)
     ),
     ctl_options.ListTasks: _build_list,
+    ctl_options.PreviewRequest: _build_request_preview,
     ctl_options.Cancel: lambda command: Call(
         Listener.CALLERS, "DELETE", _build_task_target(command)
     ),
--- a/src/gypsumhold/programs/ctl_options.py
+++ b/src/gypsumhold/programs/ctl_options.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from gypsumhold.model import errors, ids, resources
+from gypsumhold.model.jobs import specs
 
 USAGE = """Manages the declarations, members and tasks of gypsumhold.
 
@@ -26,6 +27,8 @@
   gypsumctl task --config SETTINGS --organisation NAME [--json] ID
   gypsumctl list --config SETTINGS --organisation NAME [--json]
   gypsumctl cancel --config SETTINGS --organisation NAME [--json] ID
+  gypsumctl where --config SETTINGS --organisation NAME --kind NAME [--json]
+  gypsumctl where --config SETTINGS --queue NAME [--json] FILE
   gypsumctl explain [--json] ID [LOG...]
   gypsumctl --help
   gypsumctl --version
@@ -42,6 +45,9 @@
   task      Show one task.
   list      Show the tasks of an organisation.
   cancel    Cancel a task.
+  where     Tell where a request, or the job in FILE, would go now, and why;
+            sends neither. FILE is the body of a submission. A job needs the
+            metrics address of the entries as 'operators' in the settings.
   explain   Tell the story of a job from log files of gypsumhold-node, and the
             cause of its end; needs no entry. Reads standard input without LOG.
 
@@ -56,7 +62,8 @@
   --limit N            Number of changes [default: 20].
   --check              Exit with 1 if an agent or entry lags behind.
   --organisation NAME  Organisation that pays for the task.
-  --kind NAME          Template of the task.
+  --kind NAME          Template of the task or request.
+  --queue NAME         Queue of the job.
   --key KEY            Idempotency key of the submission.
   --payload TEXT       Text for the worker, or @FILE to read it.
   --cpu-millis N       Declared processors, in thousandths of a core.
@@ -196,6 +203,27 @@
     task_id: ids.TaskId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PreviewRequest:
+    """Options of `where` for a request."""
+
+    organisation: ids.OrganisationId
+    kind: ids.KindName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PreviewJob:
+    """Options of `where` for a job.
+
+    Attributes:
+        queue: Queue of the job.
+        file: Name of the file with the body of a submission.
+    """
+
+    queue: specs.QueueName
+    file: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Explain:
     """Options of `explain`, which reads log files offline.
@@ -221,6 +249,8 @@
     | ShowTask
     | ListTasks
     | Cancel
+    | PreviewRequest
+    | PreviewJob
 )
 Command = Validate | Explain | OnlineCommand
 
@@ -296,6 +326,18 @@
     )
 
 
+def _parse_preview(
+    arguments: Mapping[str, Any],
+) -> PreviewRequest | PreviewJob:
+    if arguments["--queue"] is None:
+        return PreviewRequest(
+            ids.OrganisationId(arguments["--organisation"]),
+            ids.KindName(arguments["--kind"]),
+        )
+    queue = specs.QueueName(arguments["--queue"])
+    return PreviewJob(queue, arguments["FILE"][0])
+
+
 def _parse_command(arguments: Mapping[str, Any]) -> Command:
     files = tuple(arguments["FILE"])
     organisation = ids.OrganisationId(arguments["--organisation"] or "")
@@ -313,6 +355,7 @@
         "task": lambda: ShowTask(organisation, task_id),
         "list": lambda: ListTasks(organisation),
         "cancel": lambda: Cancel(organisation, task_id),
+        "where": lambda: _parse_preview(arguments),
         "explain": lambda: Explain(task_id, tuple(arguments["LOG"])),
     }
     name = next(name for name in parsers if arguments[name])
--- a/src/gypsumhold/programs/ctl_status.py
+++ b/src/gypsumhold/programs/ctl_status.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from gypsumhold.programs import ctl_answers, ctl_options
+from gypsumhold.programs import ctl_answers, ctl_options, ctl_tables
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
 
 
 def _render_entries(merged: _MergedStatus) -> str:
-    return ctl_answers.format_table(
+    return ctl_tables.format_table(
         ("entry", "version", "ready", "waiting", "partitions", "table"),
         (
             (
@@ -111,7 +111,7 @@
         "accelerators",
         "age",
     )
-    return ctl_answers.format_table(
+    return ctl_tables.format_table(
         header,
         (
             (
@@ -133,7 +133,7 @@
 
 
 def _render_partitions(merged: _MergedStatus) -> str:
-    return ctl_answers.format_table(
+    return ctl_tables.format_table(
         ("partition", "holder", "epoch", "queued", "assigned"),
         (
             (
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -60,6 +60,7 @@
     heartbeats,
     job_routes,
     jobstore,
+    preview_routes,
     table,
     worker,
 )
@@ -207,6 +208,7 @@
         threads=effect_pools.SCHEDULER_THREADS,
     )
     stack.callback(runtime.close)
+    serve_metrics(shared, build_operator_routes(shared, runtime), stack)
     service = peers.SchedulerService(runtime)
     serve_peers(shared, service, stack)
     runtime.dispatch(events.SchedulerStarted())
@@ -259,6 +261,7 @@
         threads=effect_pools.EXECUTOR_THREADS,
     )
     stack.callback(runtime.close)
+    serve_metrics(shared, metrics.MetricsRoutes(shared.recorder), stack)
     serve_peers(shared, peers.ExecutorService(runtime), stack)
     runtime.dispatch(events.ExecutorStarted())
     listener = listen(
@@ -271,16 +274,36 @@
 
 
 def serve_metrics(
-    shared: SharedComponents, stack: contextlib.ExitStack
+    shared: SharedComponents,
+    routes: http_routes.Routes,
+    stack: contextlib.ExitStack,
 ) -> None:
-    """Serves the metrics over HTTP until the stack closes."""
+    """Serves the metrics over HTTP until the stack closes.
+
+    Args:
+        shared: Objects that both roles are built from.
+        routes: Routes of the port; they include the metrics.
+        stack: Closes the listener.
+    """
     address = members.Address(
         shared.platform_settings.host, shared.program_settings.metrics_port
     )
-    routes = metrics.MetricsRoutes(shared.recorder)
     listen(address, routes, METRICS_THREADS, stack)
 
 
+def build_operator_routes(
+    shared: SharedComponents, runtime: engine.Engine[scheduler.SchedulerState]
+) -> http_routes.Routes:
+    """Returns the routes of the metrics port, with previews if configured."""
+    routes = metrics.MetricsRoutes(shared.recorder)
+    token = shared.program_settings.operator_token
+    if token is None:
+        return routes
+    return preview_routes.PreviewRoutes(
+        runtime, shared.clock, token.get_secret_value(), routes
+    )
+
+
 def serve_peers(
     shared: SharedComponents,
     service: peers.SchedulerService | peers.ExecutorService,
@@ -353,7 +376,6 @@
             role, program_settings, platform_result.unwrap(), stack
         )
         try:
-            serve_metrics(shared, stack)
             running = ROLES[role](shared, stack)
         except http_routes.ListenError as problem:
             return process.report_start_error(problem.error)
--- a/tests/adapters/operator_fake.py
+++ b/tests/adapters/operator_fake.py
@@ -14,6 +14,7 @@
     events,
     ids,
     members,
+    previews,
     resources,
     rows,
     states,
@@ -132,6 +133,24 @@
             ),
         )
 
+    def preview_request(
+        self, organisation: ids.OrganisationId, kind: ids.KindName
+    ) -> previews.RequestPreview:
+        if organisation != ORGANISATION.name:
+            return previews.RequestPreview(
+                "entry-0", states.Reason.UNKNOWN_ORGANISATION
+            )
+        choice = previews.MemberChoice(
+            ids.InstanceId("lively"), ids.DataCentre("dc-0"), 0.25, 4, 1, 0
+        )
+        silent = (ids.InstanceId("silent"),)
+        return previews.RequestPreview(
+            "entry-0",
+            None,
+            (choice,),
+            ((previews.MemberObstacle.SILENT, silent),),
+        )
+
     def read_metrics(self) -> str:
         return "gypsumhold_calls 1\n"
 
--- a/tests/adapters/test_operator_routes.py
+++ b/tests/adapters/test_operator_routes.py
@@ -56,6 +56,7 @@
         ("POST", "/v1/config"),
         ("GET", "/v1/config"),
         ("GET", "/v1/status"),
+        ("GET", "/v1/where"),
         ("POST", "/v1/retire/silent"),
         ("GET", "/nothing"),
     ):
--- a/tests/programs/test_ctl_translation.py
+++ b/tests/programs/test_ctl_translation.py
@@ -40,6 +40,7 @@
         f"task {CONFIG_OPTION} --organisation o&x t?1",
         f"list {CONFIG_OPTION} --organisation o",
         f"cancel {CONFIG_OPTION} --organisation o t1",
+        f"where {CONFIG_OPTION} --organisation o&x --kind k",
         f"diff {CONFIG_OPTION} a b",
         f"apply {CONFIG_OPTION} --comment c --author n --base 4 --prune a",
     ],
