Start nothing in a data centre that the operator evacuates

Cause: the operator's rows evacuate/NAME in table op are read by nobody, so tasks go on being started in an evacuated data centre.

Change: entries read the rows with the feed of the configuration, and the holder once more when it takes the queue, before it places anything. Plans leave evacuated workers out. Directives carry the evacuated data centres with the version of the store up to which they are known; an agent there refuses what it has not started, and one without an answer for too long starts nothing.

--- a/src/gypsumhold/adapters/effect_pools.py
+++ b/src/gypsumhold/adapters/effect_pools.py
@@ -128,6 +128,9 @@
     ),
     effects.LogMessage: lambda effect: Lane(PoolKind.LOCAL, "note"),
     job_effects.FollowConfig: lambda effect: Lane(PoolKind.LONG_POLL, "config"),
+    job_effects.ReadEvacuations: lambda effect: Lane(
+        PoolKind.TABLE, "evacuations"
+    ),
     job_effects.FollowJobs: lambda effect: Lane(PoolKind.LONG_POLL, "jobs"),
     job_effects.FollowEntries: lambda effect: Lane(
         PoolKind.LONG_POLL, "entries"
--- a/src/gypsumhold/adapters/failure_events.py
+++ b/src/gypsumhold/adapters/failure_events.py
@@ -128,6 +128,9 @@
     job_effects.FollowConfig: lambda effect, _: job_events.ConfigRead(
         None, effect.after, job_events.ReadResult.FAILED
     ),
+    job_effects.ReadEvacuations: lambda effect, _: job_events.EvacuationsRead(
+        effect.term, None
+    ),
     job_effects.WriteJob: lambda effect, started: job_events.JobWritten(
         effect.owner, _choose_write_result(started)
     ),
--- a/src/gypsumhold/adapters/jobs/effect_runners.py
+++ b/src/gypsumhold/adapters/jobs/effect_runners.py
@@ -79,6 +79,7 @@
             log,
             {
                 effects.FollowConfig: self._follow_config,
+                effects.ReadEvacuations: self._read_evacuations,
                 effects.WriteJob: self._write_job,
                 effects.ReadJob: self._read_job,
                 effects.WriteCancel: self._write_cancel,
@@ -105,6 +106,13 @@
         _wait(effect.delay)
         return self._store.follow_config(effect.after, CONFIG_WAIT)
 
+    def _read_evacuations(
+        self, effect: effects.ReadEvacuations
+    ) -> events.Event:
+        _wait(effect.delay)
+        changes = self._store.read_evacuations()
+        return events.EvacuationsRead(effect.term, changes)
+
     def _write_job(self, effect: effects.WriteJob) -> events.Event:
         _wait(effect.delay)
         return events.JobWritten(
--- a/src/gypsumhold/adapters/jobs/interfaces.py
+++ b/src/gypsumhold/adapters/jobs/interfaces.py
@@ -6,6 +6,7 @@
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     effects,
+    evacuations,
     events,
     records,
     specs,
@@ -107,14 +108,18 @@
     def follow_config(
         self, after: ids.RowVersion, wait: datetime.timedelta
     ) -> events.ConfigRead:
-        """Waits for a new configuration.
+        """Waits for a new configuration and new evacuations.
 
         Args:
-            after: Version up to which changes are known; 0 reads the current
-                configuration without waiting.
+            after: Version up to which changes are known; 0 reads what is in
+                force without waiting.
             wait: Longest time to wait for a change.
         """
 
+    @abc.abstractmethod
+    def read_evacuations(self) -> evacuations.EvacuationChanges | None:
+        """Returns all evacuations in force; None if the read failed."""
+
 
 class JobWorker(abc.ABC):
     """Calls the worker on the agent's instance.
--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -4,7 +4,12 @@
 import datetime
 from collections.abc import Iterable, Sequence
 
-from gypsumhold.decisions.jobs import interference, probations, throttling
+from gypsumhold.decisions.jobs import (
+    evacuations,
+    interference,
+    probations,
+    throttling,
+)
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
 
@@ -31,7 +36,9 @@
     The candidates are kept between plans: a plan reserves what it places, and
     the capacity is counted anew only where something else has changed.
     """
-    candidates = {}
+    candidates: dict[str, policies.Candidate] = {}
+    if holder_state.awaits_evacuations:
+        return candidates
     usable = [
         view
         for view in holder_state.agents.values()
@@ -115,6 +122,7 @@
     return (
         report.worker is not None
         and report.worker.state is runs.WorkerState.READY
+        and not evacuations.is_evacuated(state, report.worker)
         and report.answering
         and not report.runs_ended
         and now < view.last_report_at + state.options.report_timeout
@@ -291,8 +299,15 @@
 def fits_when_empty(
     candidate: policies.Candidate, job: progress.Job, step: progress.Step
 ) -> bool:
-    """Tells whether a task of a step would fit if the worker were empty."""
-    spec, worker = step.spec, candidate.worker
+    """Tells whether a task of a step would fit if the candidate were empty."""
+    return is_large_enough(candidate.worker, job, step)
+
+
+def is_large_enough(
+    worker: runs.Worker, job: progress.Job, step: progress.Step
+) -> bool:
+    """Tells whether a worker could run a task of a step if it were empty."""
+    spec = step.spec
     return (
         worker.pool == job.spec.queue.pool
         and (not spec.label or spec.label in worker.labels)
--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -6,6 +6,7 @@
     acknowledgements,
     colocation,
     leases,
+    received_evacuations,
     report_timers,
     worker_clocks,
 )
@@ -54,9 +55,9 @@
 ) -> EffectList:
     """Starts the waiting runs for which lease and capacity suffice.
 
-    Runs that do not fit, and all waiting runs while the worker drains, are
-    refused. Nothing starts before the worker was polled, or while it has runs
-    whose requests the holder has not yet sent.
+    Runs that do not fit, and all waiting runs while the worker drains or its
+    data centre is evacuated, are refused. Nothing starts before the worker was
+    polled, or while it has runs whose requests the holder has not yet sent.
     """
     emitted: EffectList = []
     worker = state.worker
@@ -70,17 +71,14 @@
         for local_run in waiting:
             emitted += refuse_run(state, local_run.ref, runs.Refusal.DRAINING)
         return emitted
+    if received_evacuations.is_evacuated(state):
+        return _refuse_evacuated(state, waiting, now)
     until_ms = leases.compute_lease_end(state, now)
     if until_ms is None:
         return _hold(waiting, executor.HoldReason.NO_LEASE)
-    if not leases.has_start_margin(state, now):
-        return _hold(waiting, executor.HoldReason.SHORT_LEASE)
-    if any(local_run.command is None for local_run in state.active.values()):
-        # The requests of runs that a former process started are unknown, so
-        # the free capacity is unknown too.
-        return _hold(waiting, executor.HoldReason.UNKNOWN_REQUEST)
-    if acknowledgements.must_starts_wait(state, now):
-        return _hold(waiting, executor.HoldReason.ACKNOWLEDGEMENT)
+    reason = _find_hold_reason(state, now)
+    if reason is not None:
+        return _hold(waiting, reason)
     for local_run in waiting:
         if colocation.must_delay_start(state, local_run, now):
             local_run.hold = executor.HoldReason.LATENCY
@@ -90,6 +88,23 @@
     return emitted
 
 
+def _find_hold_reason(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> executor.HoldReason | None:
+    """Returns why an agent with a lease starts no run; None if it may."""
+    if not leases.has_start_margin(state, now):
+        return executor.HoldReason.SHORT_LEASE
+    if received_evacuations.is_outdated(state, now):
+        return executor.HoldReason.EVACUATION_UNKNOWN
+    if any(local_run.command is None for local_run in state.active.values()):
+        # The requests of runs that a former process started are unknown, so
+        # the free capacity is unknown too.
+        return executor.HoldReason.UNKNOWN_REQUEST
+    if acknowledgements.must_starts_wait(state, now):
+        return executor.HoldReason.ACKNOWLEDGEMENT
+    return None
+
+
 def _list_waiting_runs(
     state: executor.ExecutorState,
 ) -> list[executor.LocalRun]:
@@ -100,6 +115,24 @@
     ]
 
 
+def _refuse_evacuated(
+    state: executor.ExecutorState,
+    waiting: list[executor.LocalRun],
+    now: datetime.timedelta,
+) -> EffectList:
+    """Refuses runs in an evacuated data centre, so that they start elsewhere.
+
+    A run that an earlier start may still begin here is held until it cannot.
+    """
+    emitted: EffectList = []
+    for local_run in waiting:
+        if leases.may_late_start_run(state, local_run, now):
+            local_run.hold = executor.HoldReason.EVACUATION
+            continue
+        emitted += refuse_run(state, local_run.ref, runs.Refusal.EVACUATED)
+    return emitted
+
+
 def _hold(
     waiting: list[executor.LocalRun], reason: executor.HoldReason
 ) -> EffectList:
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -2,7 +2,12 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import lifecycle, lost_workers, starvation
+from gypsumhold.decisions.jobs import (
+    evacuations,
+    lifecycle,
+    lost_workers,
+    starvation,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -78,6 +83,7 @@
         _list_deferred(view, now) if is_answer else None,
         _list_withdrawn(view),
         lost_workers.list_stored(holder_state, view),
+        evacuations.build_notice(state, holder_state),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -16,7 +16,12 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import holders, lifecycle, store_health
+from gypsumhold.decisions.jobs import (
+    evacuations,
+    holders,
+    lifecycle,
+    store_health,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
 from gypsumhold.model.jobs import (
@@ -340,6 +345,7 @@
         return [log]
     return [
         log,
+        *evacuations.begin_term(state, state.holder_state),
         effects.LoadJobs(term),
         base_effects.SetTimer(holders.TICK_TIMER, holders.TICK_INTERVAL),
     ]
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/evacuations.py
@@ -0,0 +1,105 @@
+"""Evacuations of data centres in an entry.
+
+The operator's rows in the store are the state. Every entry follows them, and
+the one that takes the queue reads them again before it places anything: what
+it knew may be older than the evacuations that its predecessor obeyed.
+"""
+
+import datetime
+
+from gypsumhold.model import effects as base_effects
+from gypsumhold.model import ids
+from gypsumhold.model.jobs import (
+    effects,
+    evacuations,
+    events,
+    runs,
+    scheduler,
+)
+
+EffectList = list[base_effects.Effect]
+
+READ_RETRY_DELAY = datetime.timedelta(milliseconds=200)
+
+
+def begin_term(
+    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+) -> EffectList:
+    """Reads the evacuations at the begin of a term; nothing is placed before.
+
+    Where the platform sets no time for evacuations, the rows are followed like
+    the configuration and no read is waited for.
+    """
+    if state.options.evacuation_time is None:
+        return []
+    holder_state.awaits_evacuations = True
+    return [effects.ReadEvacuations(holder_state.term)]
+
+
+def handle_evacuations_read(
+    state: scheduler.SchedulerState,
+    event: events.EvacuationsRead,
+    _now: datetime.timedelta,
+) -> EffectList:
+    """Applies the read at the begin of a term, or repeats it if it failed."""
+    holder_state = state.holder_state
+    if holder_state is None or event.term != holder_state.term:
+        return []
+    if event.changes is None:
+        return [effects.ReadEvacuations(holder_state.term, READ_RETRY_DELAY)]
+    holder_state.awaits_evacuations = False
+    holder_state.plan_due = True
+    return apply_changes(state, event.changes)
+
+
+def apply_changes(
+    state: scheduler.SchedulerState,
+    changes: evacuations.EvacuationChanges,
+) -> EffectList:
+    """Puts requested evacuations in force and ends those taken back.
+
+    Two reads may be under way at a time, so one that is older than what is
+    known is ignored.
+    """
+    known = state.known_evacuations
+    if known is not None and changes.version < known.version:
+        return []
+    former = set() if known is None else set(known.data_centres)
+    kept = set() if changes.is_complete else former
+    evacuated = {name for name in kept if changes.evacuated.get(name, True)}
+    evacuated.update(name for name, asked in changes.evacuated.items() if asked)
+    state.known_evacuations = evacuations.Evacuations(
+        changes.version, tuple(sorted(evacuated))
+    )
+    if evacuated != former and state.holder_state is not None:
+        state.holder_state.plan_due = True
+    return [
+        *_log_changes(evacuated - former, "in force", changes.version),
+        *_log_changes(former - evacuated, "taken back", changes.version),
+    ]
+
+
+def _log_changes(
+    data_centres: set[ids.DataCentre], outcome: str, version: ids.RowVersion
+) -> EffectList:
+    inputs = (("row_version", str(version)),)
+    return [
+        effects.Log("evacuation", name, outcome, inputs)
+        for name in sorted(data_centres)
+    ]
+
+
+def is_evacuated(state: scheduler.SchedulerState, worker: runs.Worker) -> bool:
+    """Tells whether the data centre of a worker is evacuated."""
+    known = state.known_evacuations
+    return known is not None and worker.zone in known.data_centres
+
+
+def build_notice(
+    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+) -> evacuations.Evacuations | None:
+    """Returns what the holder tells agents; None before it has read the rows.
+
+    What it knew before its term may be older than what its predecessor sent.
+    """
+    return None if holder_state.awaits_evacuations else state.known_evacuations
--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -6,6 +6,7 @@
 from gypsumhold.decisions.jobs import (
     capacity,
     choices,
+    evacuation_waits,
     gang_choices,
     job_choices,
     lifecycle,
@@ -230,6 +231,14 @@
         is_any_usable = usable is self._plan.candidates
         if obstacle is WaitStage.CAPACITY and is_any_usable:
             self._plan.unmet.add(self._job, step)
+        if obstacle is WaitStage.CAPACITY and evacuation_waits.is_obstacle(
+            self._plan.state,
+            self._plan.holder_state,
+            self._job,
+            step,
+            self._plan.candidates,
+        ):
+            obstacle = WaitStage.EVACUATION
         if waits.is_waiting(self._plan.holder_state, self._job):
             self._note_obstacle(step, index, obstacle)
         self._placement.misses += step.spec.fills and not step.is_suspect(task)
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -5,6 +5,7 @@
 
 from gypsumhold.decisions.jobs import (
     capacity,
+    evacuation_waits,
     job_placements,
     migrations,
     ordering,
@@ -71,6 +72,7 @@
     emitted = _estimate_jobs(state, holder_state, jobs, now)
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
+        evacuation_waits.note_without_candidates(state, holder_state, jobs)
         return emitted
     plan = job_placements.Plan(state, holder_state, candidates, now)
     passes = _PlanPasses(
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -3,7 +3,12 @@
 import dataclasses
 import datetime
 
-from gypsumhold.decisions.jobs import commands, leases, losses
+from gypsumhold.decisions.jobs import (
+    commands,
+    leases,
+    losses,
+    received_evacuations,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import effects, executor, messages, runs
@@ -72,6 +77,11 @@
         emitted.append(
             effects.Log("holder-changed", directives.holder, "followed", inputs)
         )
+    received_evacuations.receive(
+        state,
+        directives.evacuation_notice,
+        None if answered is None else answered.sent_at,
+    )
     if (
         state.worker is None
         or directives.worker_incarnation != state.worker.incarnation
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -37,6 +37,9 @@
 """Ends in a report up to which those of jobs that were left out are kept. The
 worker lists a few hundred at a time, and the agent reports all of them."""
 
+_PASSING_REFUSALS = (runs.Refusal.NO_CAPACITY, runs.Refusal.EVACUATED)
+"""Refusals that say nothing against a later run of the task on the instance."""
+
 _UNDECIDED_ROLES = (scheduler.Role.TAKING, scheduler.Role.LOADING)
 
 
@@ -346,7 +349,7 @@
         view.quarantined_until = max(
             view.quarantined_until, now + REFUSAL_QUARANTINE
         )
-    if refused.reason is not runs.Refusal.NO_CAPACITY:
+    if refused.reason not in _PASSING_REFUSALS:
         placed.task.excluded_instances.add(view.instance)
     return [
         effects.Log(
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -7,6 +7,7 @@
 from gypsumhold.decisions.jobs import (
     batches,
     elections,
+    evacuations,
     holders,
     queries,
     reports,
@@ -34,12 +35,14 @@
     event: events.ConfigRead,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Puts a newer configuration in force; requests the next one."""
+    """Puts what the operator changed in force; requests the next changes."""
     if event.result is events.ReadResult.GAP:
         return [effects.FollowConfig(ids.RowVersion(0))]
     if event.result is events.ReadResult.FAILED:
         return [effects.FollowConfig(event.version, CONFIG_RETRY_DELAY)]
     emitted: EffectList = [effects.FollowConfig(event.version)]
+    if event.evacuation_changes is not None:
+        emitted += evacuations.apply_changes(state, event.evacuation_changes)
     config = event.config
     current = state.config
     if config is not None and (
@@ -163,6 +166,7 @@
     events.JobRead: queries.handle_job_read,
     events.CancelWritten: queries.handle_cancel_written,
     events.QueueTaken: elections.handle_queue_taken,
+    events.EvacuationsRead: evacuations.handle_evacuations_read,
     events.JobsLoaded: holders.handle_jobs_loaded,
     events.SubmissionsDeleted: holders.handle_submissions_deleted,
     events.JobsChanged: holders.handle_jobs_changed,
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -97,9 +97,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FollowConfig:
-    """After `delay`, waits for a queue configuration above version `after`.
+    """After `delay`, waits for what the operator changes after version `after`.
 
-    Results in `ConfigRead`.
+    That is the queue configuration and the evacuations. Results in
+    `ConfigRead`.
     """
 
     after: ids.RowVersion
@@ -107,6 +108,15 @@
     owner: str = NO_OWNER
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadEvacuations:
+    """After `delay`, reads all evacuations; results in `EvacuationsRead`."""
+
+    term: ids.Epoch
+    delay: datetime.timedelta = NO_DELAY
+    owner: str = NO_OWNER
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteJob:
     """Stores a submission after `delay` unless its job id is taken.
@@ -386,6 +396,7 @@
     | AnswerQuery
     | ReplyReport
     | FollowConfig
+    | ReadEvacuations
     | WriteJob
     | ReadJob
     | WriteCancel
--- /dev/null
+++ b/src/gypsumhold/model/jobs/evacuations.py
@@ -0,0 +1,53 @@
+"""Evacuations of data centres, on whose workers nothing more is started."""
+
+import dataclasses
+import datetime
+
+import msgspec
+
+from gypsumhold.model import ids
+
+
+class Evacuations(msgspec.Struct, frozen=True, array_like=True):
+    """Data centres that are evacuated as of a version of the store.
+
+    Of two of these, the one with the higher version is newer, whichever process
+    read it.
+
+    Attributes:
+        version: Version of the store up to which all requests are known.
+        data_centres: The evacuated data centres, sorted by name.
+    """
+
+    version: ids.RowVersion
+    data_centres: tuple[ids.DataCentre, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationChanges:
+    """What a read of the operator's rows tells about evacuations.
+
+    Attributes:
+        version: Version of the store up to which the read has all changes.
+        evacuated: Whether each named data centre is evacuated.
+        is_complete: Whether each data centre that is not named is not
+            evacuated; otherwise the read says nothing about it.
+    """
+
+    version: ids.RowVersion
+    evacuated: dict[ids.DataCentre, bool]
+    is_complete: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ReceivedEvacuations:
+    """What an agent has heard about evacuations from holders of the queue.
+
+    Attributes:
+        latest: The newest that a holder has sent; None before the first.
+        confirmed_at: When the latest report was sent that an answer with
+            evacuations belongs to; None before the first.
+    """
+
+    latest: Evacuations | None = None
+    confirmed_at: datetime.timedelta | None = None
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -5,7 +5,7 @@
 import enum
 
 from gypsumhold.model import ids, members
-from gypsumhold.model.jobs import messages, runs, specs, storage
+from gypsumhold.model.jobs import evacuations, messages, runs, specs, storage
 
 # Events of a scheduler (the role of an entry).
 
@@ -17,17 +17,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigRead:
-    """A read of the queue configuration ended.
+    """A read of the queue configuration and the evacuations ended.
 
     Attributes:
         config: The newest configuration; None if there is no new one.
         version: Version from which the next read continues.
         result: Result of the read.
+        evacuation_changes: What the read tells about evacuations; None if it
+            failed.
     """
 
     config: specs.QueueConfig | None
     version: ids.RowVersion
     result: "ReadResult"
+    evacuation_changes: evacuations.EvacuationChanges | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsRead:
+    """A read of all evacuations ended.
+
+    Attributes:
+        term: Term in which the read was started.
+        changes: The evacuations; None if the read failed.
+    """
+
+    term: ids.Epoch
+    changes: evacuations.EvacuationChanges | None
 
 
 class ReadResult(enum.Enum):
@@ -371,6 +387,7 @@
 Event = (
     SchedulerStarted
     | ConfigRead
+    | EvacuationsRead
     | SubmitArrived
     | JobWritten
     | QueryArrived
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -10,6 +10,7 @@
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
+    evacuations,
     events,
     messages,
     policies,
@@ -38,6 +39,8 @@
         start_margin: Least remaining lease with which a run is started.
         retry_delay: Delay after a failed call to the worker.
         limits: Limits of the worker and of the calls to it.
+        evacuation_time: Within what time after its request an evacuation of a
+            data centre is obeyed; None if the platform sets none.
     """
 
     instance: ids.InstanceId
@@ -49,6 +52,7 @@
     start_margin: datetime.timedelta = datetime.timedelta(milliseconds=1500)
     retry_delay: datetime.timedelta = datetime.timedelta(milliseconds=200)
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
+    evacuation_time: datetime.timedelta | None = None
 
 
 class LocalState(enum.Enum):
@@ -75,6 +79,8 @@
     UNKNOWN_REQUEST = "run without a known request"
     LATENCY = "latency of serving tasks"
     ACKNOWLEDGEMENT = "acknowledgement of ends"
+    EVACUATION = "evacuation"
+    EVACUATION_UNKNOWN = "evacuations not known"
 
 
 @dataclasses.dataclass(slots=True)
@@ -263,6 +269,7 @@
         reported_refusals: Refusals in the unanswered report.
         losses: Lost incarnations of the worker, oldest first, until the holder
             has stored the crashes under their runs.
+        received_evacuations: What holders have told about evacuations.
     """
 
     options: ExecutorOptions
@@ -335,3 +342,6 @@
     former_starts_term: ids.Epoch = ids.Epoch(0)
     reported_refusals: tuple[runs.RunRef, ...] = ()
     losses: list[runs.LossRow] = dataclasses.field(default_factory=list)
+    received_evacuations: evacuations.ReceivedEvacuations = dataclasses.field(
+        default_factory=evacuations.ReceivedEvacuations
+    )
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from gypsumhold.model import ids, members
-from gypsumhold.model.jobs import runs, specs
+from gypsumhold.model.jobs import evacuations, runs, specs
 
 MAX_GRANT_MS = 60_000
 GrantMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_GRANT_MS)]
@@ -134,6 +134,8 @@
             run any more; the agent refuses those that it does not know.
         stored_losses: Reported losses of which everything that the holder
             records is stored.
+        evacuation_notice: Evacuations of data centres; None if the sender has
+            not read them in its term.
     """
 
     term: ids.Epoch
@@ -151,6 +153,7 @@
     deferred: tuple[runs.RunRef, ...] | None = None
     withdrawn: tuple[runs.RunRef, ...] = ()
     stored_losses: tuple[runs.WorkerIncarnation, ...] = ()
+    evacuation_notice: evacuations.Evacuations | None = None
 
 
 class Received(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -81,6 +81,9 @@
 
     INVALID = "invalid"
 
+    EVACUATED = "evacuated"
+    """The data centre of the worker is evacuated."""
+
 
 class WorkerState(enum.Enum):
     """Whether a worker accepts new runs."""
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -7,6 +7,7 @@
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
+    evacuations,
     messages,
     policies,
     progress,
@@ -47,6 +48,8 @@
         row_bytes: Most bytes of one row in the store.
         limits: Limits of the workers and of the calls to them.
         seed: Seed of the random number generator.
+        evacuation_time: Within what time after its request an evacuation of a
+            data centre is obeyed; None if the platform sets none.
     """
 
     name: str
@@ -63,6 +66,7 @@
     row_bytes: int = DEFAULT_ROW_BYTES
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
     seed: int = 0
+    evacuation_time: datetime.timedelta | None = None
 
 
 class Role(enum.Enum):
@@ -298,6 +302,8 @@
         replaced_live_holder: Whether the queue was taken from a holder that
             was still storing batches.
         run_waits: How long jobs and long-running tasks have had no run.
+        awaits_evacuations: Whether the evacuations have still to be read in
+            this term, before which nothing is placed.
     """
 
     term: ids.Epoch
@@ -356,6 +362,7 @@
     run_waits: waits.RunWaits = dataclasses.field(
         default_factory=waits.RunWaits
     )
+    awaits_evacuations: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -385,6 +392,7 @@
             store; 0 if none did.
         waiting_reports: Reports that arrived while this entry takes the queue
             or loads the jobs; they are answered afterwards.
+        known_evacuations: Evacuations in force; None until they are first read.
     """
 
     options: SchedulerOptions
@@ -408,6 +416,7 @@
     waiting_reports: dict[ids.InstanceId, WaitingReport] = dataclasses.field(
         default_factory=dict
     )
+    known_evacuations: evacuations.Evacuations | None = None
 
     def find_holder_address(self) -> members.Address | None:
         """Returns the address of the holder; None if unknown or this entry."""
--- a/src/gypsumhold/model/jobs/waits.py
+++ b/src/gypsumhold/model/jobs/waits.py
@@ -27,6 +27,9 @@
     CAPACITY = "capacity"
     """No usable worker has room for a ready task."""
 
+    EVACUATION = "evacuation"
+    """All workers that could run a ready task are in evacuated data centres."""
+
     EXCLUSION = "exclusion"
     """The workers with room are those on which the task failed."""
 
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -354,6 +354,9 @@
     max_hold_ms: Amount = 10_000
     # Time for which a worker goes on after its draining was confirmed.
     drain_ms: Amount = 2000
+    # Time within which an evacuation of a data centre is obeyed; 0 if data
+    # centres are not evacuated.
+    evacuation_ms: Amount = 0
 
 
 class Settings(PlatformDocument, frozen=True):
--- a/src/gypsumhold/platform/jobstore.py
+++ b/src/gypsumhold/platform/jobstore.py
@@ -14,8 +14,19 @@
 
 from gypsumhold.adapters.jobs import codec, interfaces
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import events, records, specs, storage
-from gypsumhold.platform import documents, row_reader, table
+from gypsumhold.model.jobs import (
+    evacuations,
+    events,
+    records,
+    specs,
+    storage,
+)
+from gypsumhold.platform import (
+    documents,
+    evacuation_rows,
+    row_reader,
+    table,
+)
 
 _LOG = logbook.Logger("gypsumhold.platform.jobstore")
 
@@ -271,26 +282,37 @@
     def follow_config(
         self, after: ids.RowVersion, wait: datetime.timedelta
     ) -> events.ConfigRead:
-        """Waits for a new configuration.
+        """Waits for a new configuration and new evacuations.
 
         Args:
-            after: Version up to which changes are known; 0 reads the current
-                configuration without waiting.
+            after: Version up to which changes are known; 0 reads what is in
+                force without waiting.
             wait: Longest time that the store waits for a change.
         """
         if after:
             feed = self._client.follow(CONFIG_TABLE, after, wait)
             config = find_config(feed.rows)
-            return events.ConfigRead(config, feed.version, feed.result)
-        page = self._client.read(CONFIG_TABLE, CONFIG_PART, CONFIG_KEY)
+            changes = None
+            if feed.result is events.ReadResult.DONE:
+                changes = evacuation_rows.find_changes(feed.rows, feed.version)
+            return events.ConfigRead(config, feed.version, feed.result, changes)
+        page = self._client.read_all(CONFIG_TABLE, CONFIG_PART)
         if page is None:
             return events.ConfigRead(None, after, events.ReadResult.FAILED)
         return events.ConfigRead(
             find_config(page.rows),
             ids.RowVersion(page.row_version),
             events.ReadResult.DONE,
+            evacuation_rows.find_all(page),
         )
 
+    def read_evacuations(self) -> evacuations.EvacuationChanges | None:
+        """Returns all evacuations in force; None if the read failed."""
+        page = self._client.read_all(
+            CONFIG_TABLE, CONFIG_PART, evacuation_rows.PREFIX
+        )
+        return None if page is None else evacuation_rows.find_all(page)
+
     def _find_holder(
         self, rows: tuple[documents.Row, ...]
     ) -> storage.HolderRow:
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -30,6 +30,8 @@
         cores: Processor capacity of the instance, in cores.
         row_bytes: Most bytes of one row in the store.
         limits: Limits of the workers of this deployment.
+        evacuation_time: Within what time after its request an evacuation of a
+            data centre is obeyed; None if the platform sets none.
     """
 
     instance: ids.InstanceId
@@ -43,6 +45,7 @@
     cores: float = 1.0
     row_bytes: int = 65_536
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
+    evacuation_time: datetime.timedelta | None = None
 
 
 def read_settings() -> Result[NodeSettings, errors.Error]:
@@ -89,6 +92,8 @@
                         milliseconds=document.bounds.drain_ms
                     ),
                 ),
+                datetime.timedelta(milliseconds=document.bounds.evacuation_ms)
+                or None,
             )
         )
     except ValueError as problem:
--- a/src/gypsumhold/platform/table.py
+++ b/src/gypsumhold/platform/table.py
@@ -159,17 +159,23 @@
             return None
         return _parse_rows(reply.body)
 
-    def read_all(self, table: str, part: str) -> documents.Rows | None:
+    def read_all(
+        self, table: str, part: str, prefix: str = ""
+    ) -> documents.Rows | None:
         """Returns all rows of a part, or None if a read failed.
 
+        With a prefix, which ends with an ASCII character, returns only those
+        whose keys begin with it.
+
         The version is that of the first page, so that following the table
         from there on returns every change that later pages may have missed.
         """
         rows: list[documents.Row] = []
         version: int | None = None
-        start = ""
+        start = prefix
+        end = prefix and prefix[:-1] + chr(ord(prefix[-1]) + 1)
         while True:
-            page = self.read(table, part, start)
+            page = self.read(table, part, start, end)
             if page is None:
                 return None
             rows += page.rows
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -190,6 +190,7 @@
         cores=shared.platform_settings.cores,
         row_bytes=shared.platform_settings.row_bytes,
         limits=shared.platform_settings.limits,
+        evacuation_time=shared.platform_settings.evacuation_time,
     )
     state = scheduler.SchedulerState(
         options,
@@ -238,6 +239,7 @@
         shared.incarnation,
         build_peer_endpoint(shared),
         limits=shared.platform_settings.limits,
+        evacuation_time=shared.platform_settings.evacuation_time,
     )
     state = executor.ExecutorState(
         options, policy_sets.build_executor_policies()
