Doubt evacuations after a gap in the store, and test them under faults

Cause: a holder that was paused or cut off from the store may answer reports with evacuations that are outdated, and agents would count these as confirmed.

Change: the holder confirms nothing while it stores no batch, and reads the rows again after a gap of more than 2 s. The random world has evacuations and its oracle refuses a start later than the bound.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -7,6 +7,7 @@
 from gypsumhold.decisions.jobs import (
     directives,
     elections,
+    evacuations,
     lifecycle,
     plans,
     progress_records,
@@ -255,6 +256,7 @@
     holder_state.in_flight = None
     holder_state.version = write.version
     holder_state.stored_batch = batch.holder.batch
+    unconfirmed_time = now - holder_state.renewed_at
     holder_state.renewed_at = holder_state.sent_at
     if not holder_state.commit_attempts:
         # An outage tells nothing about the batches after it.
@@ -266,7 +268,7 @@
             holder_state.run_waits.touched.add(progress_write.job_id)
     for job_id in batch.removed_progress:
         lifecycle.remove_job(holder_state, job_id)
-    emitted: EffectList = []
+    emitted = evacuations.read_after_gap(state, holder_state, unconfirmed_time)
     for ticket_id, ticket in list(state.tickets.items()):
         emitted += _answer_cancellation(state, holder_state, ticket_id, ticket)
     return [*emitted, *_push_changes(state, holder_state, now)]
--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -12,6 +12,7 @@
 )
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
+from gypsumhold.model.jobs.evacuations import Knowledge
 
 MIN_USE_PERCENT = 40
 """A running best-effort task counts as using at least this percent of its CPU
@@ -37,7 +38,7 @@
     the capacity is counted anew only where something else has changed.
     """
     candidates: dict[str, policies.Candidate] = {}
-    if holder_state.awaits_evacuations:
+    if holder_state.evacuation_knowledge is Knowledge.UNREAD:
         return candidates
     usable = [
         view
--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -122,11 +122,13 @@
 ) -> EffectList:
     """Refuses runs in an evacuated data centre, so that they start elsewhere.
 
-    A run that an earlier start may still begin here is held until it cannot.
+    A run whose start got no answer, and that was to be sent again, is held
+    until a later incarnation of the worker can no longer take the first one.
     """
     emitted: EffectList = []
     for local_run in waiting:
-        if leases.may_late_start_run(state, local_run, now):
+        may_begin = leases.may_late_start_run(state, local_run, now)
+        if local_run.is_repeated and may_begin:
             local_run.hold = executor.HoldReason.EVACUATION
             continue
         emitted += refuse_run(state, local_run.ref, runs.Refusal.EVACUATED)
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -83,7 +83,7 @@
         _list_deferred(view, now) if is_answer else None,
         _list_withdrawn(view),
         lost_workers.list_stored(holder_state, view),
-        evacuations.build_notice(state, holder_state),
+        evacuations.build_notice(state, holder_state, now),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/evacuations.py
+++ b/src/gypsumhold/decisions/jobs/evacuations.py
@@ -16,9 +16,14 @@
     runs,
     scheduler,
 )
+from gypsumhold.model.jobs.evacuations import Knowledge
 
 EffectList = list[base_effects.Effect]
 
+STORE_GAP = datetime.timedelta(seconds=2)
+"""Time without a stored batch after which the known evacuations are in doubt.
+A holder stores batches four times as often."""
+
 READ_RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
 
@@ -32,7 +37,32 @@
     """
     if state.options.evacuation_time is None:
         return []
-    holder_state.awaits_evacuations = True
+    holder_state.evacuation_knowledge = Knowledge.UNREAD
+    return [effects.ReadEvacuations(holder_state.term)]
+
+
+def read_after_gap(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    unconfirmed_time: datetime.timedelta,
+) -> EffectList:
+    """Reads the evacuations again if the store was out of reach for long.
+
+    The holder may have been paused, and what it follows may be late.
+
+    Args:
+        state: State of the scheduler.
+        holder_state: State of the held queue.
+        unconfirmed_time: Time from sending the batch before until the latest
+            one was known to be stored.
+    """
+    if state.options.evacuation_time is None:
+        return []
+    if unconfirmed_time <= STORE_GAP:
+        return []
+    if holder_state.evacuation_knowledge is not Knowledge.CURRENT:
+        return []
+    holder_state.evacuation_knowledge = Knowledge.IN_DOUBT
     return [effects.ReadEvacuations(holder_state.term)]
 
 
@@ -41,13 +71,13 @@
     event: events.EvacuationsRead,
     _now: datetime.timedelta,
 ) -> EffectList:
-    """Applies the read at the begin of a term, or repeats it if it failed."""
+    """Applies a read of all evacuations, or repeats it if it failed."""
     holder_state = state.holder_state
     if holder_state is None or event.term != holder_state.term:
         return []
     if event.changes is None:
         return [effects.ReadEvacuations(holder_state.term, READ_RETRY_DELAY)]
-    holder_state.awaits_evacuations = False
+    holder_state.evacuation_knowledge = Knowledge.CURRENT
     holder_state.plan_due = True
     return apply_changes(state, event.changes)
 
@@ -96,10 +126,19 @@
 
 
 def build_notice(
-    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
 ) -> evacuations.Evacuations | None:
-    """Returns what the holder tells agents; None before it has read the rows.
+    """Returns what the holder tells agents; None if it may be outdated.
 
-    What it knew before its term may be older than what its predecessor sent.
+    That is so before the rows are read in its term, and while no batch is
+    stored. Agents then go by what they have heard before.
     """
-    return None if holder_state.awaits_evacuations else state.known_evacuations
+    if state.options.evacuation_time is None:
+        return state.known_evacuations
+    if holder_state.evacuation_knowledge is not Knowledge.CURRENT:
+        return None
+    if now >= holder_state.renewed_at + STORE_GAP:
+        return None
+    return state.known_evacuations
--- a/src/gypsumhold/decisions/jobs/received_evacuations.py
+++ b/src/gypsumhold/decisions/jobs/received_evacuations.py
@@ -27,7 +27,7 @@
 
     Args:
         state: State of the executor.
-        notice: What the holder sent; None if it has not read the rows.
+        notice: What the holder sent; None if it knows none for certain.
         report_sent_at: When the report was sent that the directives answer;
             None if they answer none.
     """
--- a/src/gypsumhold/model/jobs/evacuations.py
+++ b/src/gypsumhold/model/jobs/evacuations.py
@@ -2,12 +2,26 @@
 
 import dataclasses
 import datetime
+import enum
 
 import msgspec
 
 from gypsumhold.model import ids
 
 
+class Knowledge(enum.Enum):
+    """Whether the holder of the queue knows the evacuations in force."""
+
+    UNREAD = "unread"
+    """They were not read in this term; nothing is placed."""
+
+    IN_DOUBT = "in doubt"
+    """The store was out of reach since they were read; agents are told nothing
+    until they have been read again."""
+
+    CURRENT = "current"
+
+
 class Evacuations(msgspec.Struct, frozen=True, array_like=True):
     """Data centres that are evacuated as of a version of the store.
 
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -134,8 +134,8 @@
             run any more; the agent refuses those that it does not know.
         stored_losses: Reported losses of which everything that the holder
             records is stored.
-        evacuation_notice: Evacuations of data centres; None if the sender has
-            not read them in its term.
+        evacuation_notice: Evacuations of data centres; None if those that the
+            sender knows may be outdated.
     """
 
     term: ids.Epoch
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -302,8 +302,7 @@
         replaced_live_holder: Whether the queue was taken from a holder that
             was still storing batches.
         run_waits: How long jobs and long-running tasks have had no run.
-        awaits_evacuations: Whether the evacuations have still to be read in
-            this term, before which nothing is placed.
+        evacuation_knowledge: Whether the known evacuations may be outdated.
     """
 
     term: ids.Epoch
@@ -362,7 +361,7 @@
     run_waits: waits.RunWaits = dataclasses.field(
         default_factory=waits.RunWaits
     )
-    awaits_evacuations: bool = False
+    evacuation_knowledge: evacuations.Knowledge = evacuations.Knowledge.CURRENT
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -37,6 +37,8 @@
         started: Every run that a worker has started, in order.
         resize_grace_ms: How long an order may rely on a capacity that has
             shrunk.
+        evacuated_ms: Since when data centres are evacuated, by name.
+        evacuation_ms: Time after which nothing may start there.
         unfrozen_ms: When the agent of a worker was last unfrozen, by the name
             of the worker.
     """
@@ -48,6 +50,8 @@
     )
     started: list[runs.RunRef] = dataclasses.field(default_factory=list)
     resize_grace_ms: float = RESIZE_GRACE_MS
+    evacuated_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    evacuation_ms: float = 5000.0
     unfrozen_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def check_start(
@@ -73,6 +77,7 @@
                 raise Violation(f"{task} runs on two workers")
         if ordered_ms is None:
             self._check_not_done(task, now_ms)
+            self._check_evacuation(worker, now_ms)
         record = self.store.progress.get(task.job_id)
         if task.job_id not in self.store.jobs or record is None:
             raise Violation(f"{task} was started without a stored placement")
@@ -89,6 +94,13 @@
         if is_same_job and now_ms > noted_ms + LATE_START_MS:
             raise Violation(f"{task} was done before")
 
+    def _check_evacuation(
+        self, worker: worker_fake.FakeWorker, now_ms: float
+    ) -> None:
+        since_ms = self.evacuated_ms.get(worker.zone)
+        if since_ms is not None and now_ms > since_ms + self.evacuation_ms:
+            raise Violation(f"{worker.zone} is evacuated since {since_ms} ms")
+
     def _count_submissions(self, job_id: specs.JobId) -> int:
         return sum(
             submitted == job_id and not cancels
--- a/tests/jobs/store_calls.py
+++ b/tests/jobs/store_calls.py
@@ -8,18 +8,16 @@
 
 def apply(store: store_fake.FakeStore, effect: Any, now_ms: float) -> Any:
     """Performs an effect on the store and returns the resulting event."""
+    read = _read(store, effect)
+    if read is not None:
+        return read
     match effect:
         case effects.WriteJob():
             result = store.write_job(effect.spec)
             return events.JobWritten(effect.owner, result)
-        case effects.ReadJob():
-            rows = store.read_job(effect.job_id)
-            return events.JobRead(effect.owner, rows)
         case effects.WriteCancel():
             result = store.write_cancel(effect.job_id)
             return events.CancelWritten(effect.owner, result)
-        case effects.ReadHolder():
-            return events.HolderRead(store.holder)
         case effects.TakeQueue():
             written = store.write_holder(effect.expected, effect.holder)
             if written.result is storage.WriteResult.STORED:
@@ -41,3 +39,16 @@
             written = store.commit(effect.batch)
             return events.BatchCommitted(holder.term, holder.batch, written)
     raise AssertionError(f"no fake for {type(effect).__name__}")
+
+
+def _read(store: store_fake.FakeStore, effect: Any) -> Any:
+    """Performs a read of rows; returns None for other effects."""
+    match effect:
+        case effects.ReadJob():
+            rows = store.read_job(effect.job_id)
+            return events.JobRead(effect.owner, rows)
+        case effects.ReadHolder():
+            return events.HolderRead(store.holder)
+        case effects.ReadEvacuations():
+            return events.EvacuationsRead(effect.term, store.read_evacuations())
+    return None
--- a/tests/jobs/store_fake.py
+++ b/tests/jobs/store_fake.py
@@ -4,7 +4,7 @@
 
 from gypsumhold.adapters.jobs import codec
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import records, specs, storage
+from gypsumhold.model.jobs import evacuations, records, specs, storage
 
 Result = storage.WriteResult
 
@@ -26,6 +26,8 @@
         entries: Registered entries.
         changes: Submissions and cancellations in order: version, job and
             whether it is a cancellation.
+        operator_changes: Begins and ends of evacuations in order: version,
+            data centre and whether it is evacuated.
     """
 
     version: int = 0
@@ -44,6 +46,27 @@
         default_factory=list
     )
 
+    operator_changes: list[tuple[int, ids.DataCentre, bool]] = (
+        dataclasses.field(default_factory=list)
+    )
+
+    def evacuate(self, name: str, *, is_evacuated: bool) -> None:
+        version = self._raise_version()
+        self.operator_changes.append(
+            (version, ids.DataCentre(name), is_evacuated)
+        )
+
+    def read_evacuations(self, after: int = 0) -> evacuations.EvacuationChanges:
+        """Returns all evacuations, or the changes after a version."""
+        changed = {
+            name: is_evacuated
+            for version, name, is_evacuated in self.operator_changes
+            if version > after
+        }
+        return evacuations.EvacuationChanges(
+            ids.RowVersion(self.version), changed, is_complete=not after
+        )
+
     def _raise_version(self) -> ids.RowVersion:
         self.version += 1
         return ids.RowVersion(self.version)
--- a/tests/jobs/store_link.py
+++ b/tests/jobs/store_link.py
@@ -8,6 +8,7 @@
 from tests.jobs import deployment, job_specs, nodes, store_calls, virtual_time
 
 FEED_MS = 40
+CONFIG_WAIT_MS = 1000
 
 
 class StoreLink(deployment.Deployment):
@@ -24,12 +25,26 @@
     def _follow_config(
         self, node: nodes.Node, effect: effects.FollowConfig
     ) -> None:
+        """Answers after the longest wait, whatever changes meanwhile."""
+        wait_ms = 10 if effect.after == 0 else CONFIG_WAIT_MS
+        retry_ms = virtual_time.to_ms(effect.delay)
+        read = self._unless_restarted(node, effect, self._read_config)
+        self.after(wait_ms + retry_ms, read)
+
+    def _read_config(
+        self, node: nodes.Node, effect: effects.FollowConfig
+    ) -> None:
+        if self.store_down or node.cut_store:
+            failure = failure_events.build_failure_event(effect, started=False)
+            self._schedule_event(node, 600, failure)
+            return
         read = events.ConfigRead(
             job_specs.CONFIG if effect.after == 0 else None,
-            ids.RowVersion(1),
+            ids.RowVersion(max(1, self.store.version)),
             events.ReadResult.DONE,
+            self.store.read_evacuations(effect.after),
         )
-        self._schedule_event(node, 10 if effect.after == 0 else 3000, read)
+        self._schedule_event(node, 1, read)
 
     def _follow(self, node: nodes.Node, effect: Any) -> None:
         if self.store_down or node.cut_store:
--- /dev/null
+++ b/tests/jobs/test_evacuations.py
@@ -0,0 +1,368 @@
+"""Guards against starts in a data centre that is evacuated, and lost jobs."""
+
+import datetime
+
+import pytest
+
+from gypsumhold.adapters import failure_events
+from gypsumhold.decisions import reducer
+from gypsumhold.decisions.jobs import evacuations as decisions
+from gypsumhold.decisions.jobs import received_evacuations, report_timers
+from gypsumhold.model import events as base_events
+from gypsumhold.model import ids
+from gypsumhold.model.jobs import (
+    effects,
+    evacuations,
+    events,
+    executor,
+    messages,
+    runs,
+    scheduler,
+    specs,
+)
+from gypsumhold.model.jobs.evacuations import Knowledge
+from gypsumhold.platform import documents, evacuation_rows
+from tests.jobs import builders, job_specs, lone_agent
+from tests.jobs import world as worlds
+
+BOUND = datetime.timedelta(seconds=5)
+NEAR, FAR = "near", "far"
+NOW = datetime.timedelta(seconds=10)
+RUN = runs.RunRef(runs.TaskRef(specs.JobId("job"), 0, 0, 0), runs.RunNumber(1))
+
+
+def build_world(seed: int = 1) -> worlds.World:
+    """Returns a world with two workers in each of two data centres."""
+    world = worlds.World(seed, agents=4, evacuation_time=BOUND)
+    for number, worker in enumerate(world.workers.values()):
+        worker.zone = NEAR if number < 2 else FAR
+    return world
+
+
+def evacuate(
+    world: worlds.World, name: str, *, is_evacuated: bool = True
+) -> None:
+    world.store.evacuate(name, is_evacuated=is_evacuated)
+    if is_evacuated:
+        world.oracle.evacuated_ms.setdefault(name, world.now_ms)
+    else:
+        world.oracle.evacuated_ms.pop(name, None)
+
+
+def submit_repeatedly(world: worlds.World, until_ms: float) -> None:
+    """Submits small jobs, each 200 ms, to the entries in turn."""
+    count = int((until_ms - world.now_ms) / 200)
+    for number in range(count):
+        spec = job_specs.build_job(f"j{number}", (2, 1))
+        entry = f"entry-{number % 2}"
+        world.after(
+            200.0 * number,
+            lambda entry=entry, spec=spec: world.submit(entry, spec),
+        )
+
+
+def count_starts(world: worlds.World, name: str) -> int:
+    return sum(
+        len(worker.highest_runs)
+        for worker in world.workers.values()
+        if worker.zone == name
+    )
+
+
+def list_logged(world: worlds.World, decision: str) -> list[tuple[str, str]]:
+    return [
+        (log.subject, log.outcome)
+        for _, _, log in world.log_lines
+        if log.decision == decision
+    ]
+
+
+def test_evacuated_data_centre_gets_nothing_until_it_is_taken_back() -> None:
+    world = build_world()
+    submit_repeatedly(world, 24_000)
+    world.run(6000)
+    evacuate(world, NEAR)
+    world.run(5000)
+    before = count_starts(world, NEAR)
+    assert before
+    world.run(5000)
+    assert count_starts(world, NEAR) == before
+    evacuate(world, NEAR, is_evacuated=False)
+    world.run(6000)
+    assert count_starts(world, NEAR) > before
+    logged = list_logged(world, "evacuation")
+    assert {(NEAR, "in force"), (NEAR, "taken back")} <= set(logged)
+
+
+def test_jobs_wait_with_a_reason_while_all_is_evacuated() -> None:
+    world = build_world()
+    world.run(3000)
+    evacuate(world, NEAR)
+    evacuate(world, FAR)
+    world.run(2500)
+    world.submit("entry-0", job_specs.build_job("j", (2,)))
+    world.run(8000)
+    assert not world.oracle.started
+    stages = {
+        dict(log.inputs).get("stage")
+        for _, _, log in world.log_lines
+        if log.subject == "j"
+    }
+    assert "evacuation" in stages
+    evacuate(world, FAR, is_evacuated=False)
+    world.run(4000)
+    assert count_starts(world, FAR) == 2
+    assert not count_starts(world, NEAR)
+
+
+def inject_faults(world: worlds.World, until_ms: float) -> None:
+    """Injects faults that excuse no start, one each second or so.
+
+    Entries are killed, paused, or cut off; agents are killed or cut off from
+    the other processes.
+    """
+    while world.now_ms < until_ms:
+        world.run(world.random.uniform(300, 1500))
+        name = world.random.choice(list(world.nodes))
+        node = world.nodes[name]
+        faults = ["kill", "cut"]
+        if name.startswith("entry"):
+            faults += ["freeze", "cut_store"]
+        fault = world.random.choice(faults)
+        duration_ms = world.random.uniform(500, 7000)
+        if fault == "kill":
+            world.kill(name, world.random.uniform(200, 3000))
+        elif fault == "freeze":
+            world.freeze(name, duration_ms)
+        else:
+            setattr(node, fault, True)
+            world.after(
+                duration_ms,
+                lambda node=node, fault=fault: setattr(node, fault, False),
+            )
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_evacuations_are_obeyed_under_faults(seed: int) -> None:
+    """Guards against starts by a holder, or an agent, that knows less.
+
+    The holder may die between reading a request and obeying it, a former one
+    may have directives under way, an agent may have a start that it has not
+    sent, and a request may be taken back while tasks are moved.
+    """
+    world = build_world(seed)
+    world.delivers_to_frozen = bool(seed % 2)
+    submit_repeatedly(world, 30_000)
+    for at_ms, name, is_evacuated in (
+        (5000, NEAR, True),
+        (14_000, NEAR, False),
+        (14_500, FAR, True),
+        (15_000, NEAR, True),
+        (16_000, NEAR, False),
+        (25_000, FAR, False),
+    ):
+        world.after(
+            at_ms,
+            lambda name=name, is_evacuated=is_evacuated: evacuate(
+                world, name, is_evacuated=is_evacuated
+            ),
+        )
+    inject_faults(world, 28_000)
+    world.run(40_000)
+    for job_id in world.store.jobs:
+        record = world.store.progress.get(job_id)
+        assert record is not None, job_id
+        assert record.state is messages.JobState.COMPLETED, job_id
+
+
+# The rows.
+
+
+def build_row(
+    name: str, *, deleted: bool = False, part: str = ""
+) -> documents.Row:
+    key = f"evacuate/{name}"
+    return documents.Row("op", key, 7, part, b"\xff{", deleted=deleted)
+
+
+def test_rows_count_by_their_key_whatever_their_value() -> None:
+    """Guards against an odd row that hides others, or that requests nothing."""
+    rows = (
+        documents.Row("op", "config", 1, "", b"{}"),
+        build_row("a"),
+        build_row("b"),
+        build_row("b", deleted=True),
+        build_row(""),
+        build_row("c", part="other"),
+        documents.Row("op", "evacuated/d", 1),
+    )
+    changes = evacuation_rows.find_changes(rows, ids.RowVersion(9))
+    assert changes.evacuated == {"a": True, "b": False}
+
+
+# The holder.
+
+
+def build_holder() -> scheduler.SchedulerState:
+    state = builders.build_holder(NOW)
+    state.options = scheduler.SchedulerOptions(
+        "entry",
+        ids.Incarnation(1),
+        messages.Endpoint("10.0.0.1", 1000),
+        evacuation_time=BOUND,
+    )
+    return state
+
+
+def build_changes(
+    version: int, *, is_complete: bool = False, **evacuated: bool
+) -> evacuations.EvacuationChanges:
+    return evacuations.EvacuationChanges(
+        ids.RowVersion(version),
+        {ids.DataCentre(name): on for name, on in evacuated.items()},
+        is_complete,
+    )
+
+
+def read_names(state: scheduler.SchedulerState) -> tuple[str, ...]:
+    assert state.known_evacuations is not None
+    return state.known_evacuations.data_centres
+
+
+def test_older_read_changes_nothing() -> None:
+    """Guards against a slow read that brings back what was taken back."""
+    state = build_holder()
+    decisions.apply_changes(state, build_changes(5, is_complete=True, a=True))
+    decisions.apply_changes(state, build_changes(8, a=False, b=True))
+    decisions.apply_changes(state, build_changes(6, is_complete=True, a=True))
+    assert read_names(state) == ("b",)
+
+
+def test_gap_in_the_history_reads_all_rows() -> None:
+    """Guards against a request, or its end, that is in the lost history."""
+    state = build_holder()
+    decisions.apply_changes(state, build_changes(5, a=True, b=True))
+    gap = events.ConfigRead(None, ids.RowVersion(0), events.ReadResult.GAP)
+    emitted = reducer.reduce(state, gap, NOW)
+    assert effects.FollowConfig(ids.RowVersion(0)) in emitted
+    assert read_names(state) == ("a", "b")
+    read = events.ConfigRead(
+        None,
+        ids.RowVersion(9),
+        events.ReadResult.DONE,
+        build_changes(9, is_complete=True, b=True, c=True),
+    )
+    reducer.reduce(state, read, NOW)
+    assert read_names(state) == ("b", "c")
+
+
+def test_silent_store_is_asked_again_and_nothing_is_placed() -> None:
+    """Guards against a new holder that places before it has read the rows."""
+    state = build_holder()
+    holder_state = state.holder_state
+    assert holder_state is not None
+    (read,) = decisions.begin_term(state, holder_state)
+    failure = failure_events.build_failure_event(read, started=True)
+    assert failure is not None
+    emitted = reducer.reduce(state, failure, NOW)
+    reads = [
+        item for item in emitted if isinstance(item, effects.ReadEvacuations)
+    ]
+    assert [item.delay for item in reads] == [decisions.READ_RETRY_DELAY]
+    assert holder_state.evacuation_knowledge is Knowledge.UNREAD
+    assert decisions.build_notice(state, holder_state, NOW) is None
+    changes = build_changes(5, is_complete=True, a=True)
+    reducer.reduce(
+        state, events.EvacuationsRead(holder_state.term, changes), NOW
+    )
+    notice = decisions.build_notice(state, holder_state, NOW)
+    assert notice is not None
+    assert notice.data_centres == ("a",)
+
+
+def test_holder_without_stored_batches_confirms_nothing() -> None:
+    """Guards against answers of a paused holder that has missed a request."""
+    state = build_holder()
+    holder_state = state.holder_state
+    assert holder_state is not None
+    decisions.apply_changes(state, build_changes(5, is_complete=True))
+    later = NOW + decisions.STORE_GAP
+    assert decisions.build_notice(state, holder_state, later) is None
+    gap = decisions.STORE_GAP + datetime.timedelta(milliseconds=1)
+    assert decisions.read_after_gap(state, holder_state, gap)
+    assert decisions.build_notice(state, holder_state, NOW) is None
+
+
+# The agent.
+
+
+def build_agent() -> lone_agent.LoneAgent:
+    agent = lone_agent.LoneAgent()
+    agent.state.options = executor.ExecutorOptions(
+        ids.InstanceId("agent"),
+        ids.Incarnation(1000),
+        messages.Endpoint("10.0.0.1", 1),
+        evacuation_time=BOUND,
+    )
+    return agent
+
+
+def receive(
+    agent: lone_agent.LoneAgent, version: int, *names: str, answers: bool = True
+) -> None:
+    notice = evacuations.Evacuations(
+        ids.RowVersion(version), tuple(map(ids.DataCentre, names))
+    )
+    sent_at = agent.now if answers else None
+    received_evacuations.receive(agent.state, notice, sent_at)
+
+
+def test_agent_refuses_what_it_has_not_started() -> None:
+    """Guards against a start that was ordered before the request."""
+    agent = build_agent()
+    agent.direct(starts=(RUN,))
+    assert agent.state.active[RUN].state is executor.LocalState.WAITING
+    receive(agent, 5, "zone")
+    agent.deliver(base_events.TimerFired(report_timers.REPORT_TIMER))
+    agent.direct(starts=(RUN,))
+    assert agent.state.refused == {RUN: runs.Refusal.EVACUATED}
+
+
+def test_agent_keeps_the_newest_of_two_holders() -> None:
+    """Guards against a late message of a former holder that ends a request."""
+    agent = build_agent()
+    receive(agent, 5, "zone")
+    receive(agent, 4)
+    assert received_evacuations.is_evacuated(agent.state)
+    receive(agent, 6)
+    assert not received_evacuations.is_evacuated(agent.state)
+
+
+def test_agent_that_hears_of_no_evacuations_starts_nothing() -> None:
+    """Guards against a start while a request may be in force unheard."""
+    agent = build_agent()
+    agent.direct(starts=(RUN,))
+    held = agent.state.active[RUN]
+    assert held.hold is executor.HoldReason.EVACUATION_UNKNOWN
+    receive(agent, 5, answers=False)
+    assert received_evacuations.is_outdated(agent.state, agent.now)
+    receive(agent, 5)
+    agent.direct(starts=(RUN,))
+    assert held.state is executor.LocalState.STARTING
+    validity = BOUND - received_evacuations.HOLDER_DELAY
+    assert received_evacuations.is_outdated(agent.state, agent.now + validity)
+
+
+def test_run_that_may_begin_late_is_held_in_an_evacuated_data_centre() -> None:
+    """Guards against a refusal while a start without an answer may come."""
+    agent = build_agent()
+    receive(agent, 5)
+    agent.direct(starts=(RUN,))
+    local_run = agent.state.active[RUN]
+    local_run.state = executor.LocalState.WAITING
+    local_run.is_repeated = True
+    local_run.late_until = agent.now + datetime.timedelta(seconds=12)
+    receive(agent, 6, "zone")
+    agent.direct(starts=(RUN,))
+    assert local_run.hold is executor.HoldReason.EVACUATION
+    assert not agent.state.refused
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -63,6 +63,7 @@
         refuses_starts: Whether it refuses every start as unhealthy.
         hides_stopping: Whether runs that are being stopped are not listed.
         labels: Its kind and its rack.
+        zone: Its data centre.
         former_capacities: Capacities before each change, with its time.
     """
 
@@ -93,6 +94,7 @@
     refuses_starts: bool = False
     hides_stopping: bool = False
     labels: tuple[str, ...] = ("a", "r1-1")
+    zone: str = "zone"
     former_capacities: list[tuple[float, resources.Resources]] = (
         dataclasses.field(default_factory=list)
     )
@@ -142,7 +144,7 @@
             runs.WorkerIncarnation(self.name, self.started_ms),
             "pool",
             f"{self.name}:1",
-            "zone",
+            self.zone,
             runs.WorkerState.DRAINING
             if self.draining
             else runs.WorkerState.READY,
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -30,6 +30,7 @@
     """A small deployment: its processes, workers, store and virtual clock.
 
     Attributes:
+        evacuation_time: Time within which processes obey evacuations.
         entry_cores: Cores by name of the entry; 1 where none are given.
         wall_skew_ms: Error of the clock that new processes read.
         log_lines: Time, name of the process and line of each log effect.
@@ -41,8 +42,10 @@
         entries: int = 2,
         agents: int = 4,
         entry_cores: Mapping[str, float] = MappingProxyType({}),
+        evacuation_time: datetime.timedelta | None = None,
     ) -> None:
         super().__init__(seed)
+        self.evacuation_time = evacuation_time
         self.entry_cores = entry_cores
         self.wall_skew_ms = 0
         self.log_lines: list[tuple[float, str, effects.Log]] = []
@@ -82,6 +85,7 @@
                     incarnation,
                     endpoint,
                     cores=self.entry_cores.get(node.name, 1.0),
+                    evacuation_time=self.evacuation_time,
                 ),
                 policy_sets.build_scheduler_policies(),
                 rng=random.Random(node.incarnation),
@@ -90,7 +94,10 @@
         else:
             node.state = executor.ExecutorState(
                 executor.ExecutorOptions(
-                    ids.InstanceId(node.name), incarnation, endpoint
+                    ids.InstanceId(node.name),
+                    incarnation,
+                    endpoint,
+                    evacuation_time=self.evacuation_time,
                 ),
                 policy_sets.build_executor_policies(),
             )
