Describe evacuations, and bind the notice to the holder's grants

Cause: agents were told nothing as soon as no batch was stored for 2 s, which would hold all starts on a store that is only slow.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -83,7 +83,9 @@
         _list_deferred(view, now) if is_answer else None,
         _list_withdrawn(view),
         lost_workers.list_stored(holder_state, view),
-        evacuations.build_notice(state, holder_state, now),
+        evacuations.build_notice(
+            state, holder_state, may_grant=may_grant(state, holder_state, now)
+        ),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/evacuations.py
+++ b/src/gypsumhold/decisions/jobs/evacuations.py
@@ -20,10 +20,6 @@
 
 EffectList = list[base_effects.Effect]
 
-STORE_GAP = datetime.timedelta(seconds=2)
-"""Time without a stored batch after which the known evacuations are in doubt.
-A holder stores batches four times as often."""
-
 READ_RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
 
@@ -46,9 +42,10 @@
     holder_state: scheduler.HolderState,
     unconfirmed_time: datetime.timedelta,
 ) -> EffectList:
-    """Reads the evacuations again if the store was out of reach for long.
+    """Reads the evacuations again if no batch was stored for long.
 
-    The holder may have been paused, and what it follows may be late.
+    The holder may have been paused, and what it follows may be late. As long
+    as it could not issue grants, it has told agents of no evacuations.
 
     Args:
         state: State of the scheduler.
@@ -58,7 +55,7 @@
     """
     if state.options.evacuation_time is None:
         return []
-    if unconfirmed_time <= STORE_GAP:
+    if unconfirmed_time <= state.options.grant_window:
         return []
     if holder_state.evacuation_knowledge is not Knowledge.CURRENT:
         return []
@@ -128,17 +125,16 @@
 def build_notice(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
-    now: datetime.timedelta,
+    *,
+    may_grant: bool,
 ) -> evacuations.Evacuations | None:
     """Returns what the holder tells agents; None if it may be outdated.
 
-    That is so before the rows are read in its term, and while no batch is
-    stored. Agents then go by what they have heard before.
+    That is so before the rows are read in its term, and while the holder may
+    not issue grants. Agents then go by what they have heard before.
     """
     if state.options.evacuation_time is None:
         return state.known_evacuations
     if holder_state.evacuation_knowledge is not Knowledge.CURRENT:
         return None
-    if now >= holder_state.renewed_at + STORE_GAP:
-        return None
-    return state.known_evacuations
+    return state.known_evacuations if may_grant else None
