--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -4,9 +4,15 @@
 import datetime
 from collections.abc import Iterable, Sequence
 
-from gypsumhold.decisions.jobs import interference, probations, throttling
+from gypsumhold.decisions.jobs import (
+    evacuations,
+    interference,
+    probations,
+    throttling,
+)
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
+from gypsumhold.model.jobs.evacuations import Knowledge
 from gypsumhold.model.jobs.previews import WorkerObstacle
 
 MIN_USE_PERCENT = 40
@@ -32,7 +38,9 @@
     The candidates are kept between plans: a plan reserves what it places, and
     the capacity is counted anew only where something else has changed.
     """
-    candidates = {}
+    candidates: dict[str, policies.Candidate] = {}
+    if holder_state.evacuation_knowledge is Knowledge.UNREAD:
+        return candidates
     usable = [
         view
         for view in holder_state.agents.values()
@@ -126,6 +134,8 @@
         return WorkerObstacle.NO_WORKER
     if report.worker.state is not runs.WorkerState.READY:
         return WorkerObstacle.DRAINING
+    if evacuations.is_evacuated(state, report.worker):
+        return WorkerObstacle.EVACUATED
     if not report.answering:
         return WorkerObstacle.SILENT
     if report.runs_ended:
@@ -331,8 +341,15 @@
 def fits_when_empty(
     candidate: policies.Candidate, job: progress.Job, step: progress.Step
 ) -> bool:
-    """Tells whether a task of a step would fit if the worker were empty."""
-    spec, worker = step.spec, candidate.worker
+    """Tells whether a task of a step would fit if the candidate were empty."""
+    return is_large_enough(candidate.worker, job, step)
+
+
+def is_large_enough(
+    worker: runs.Worker, job: progress.Job, step: progress.Step
+) -> bool:
+    """Tells whether a worker could run a task of a step if it were empty."""
+    spec = step.spec
     return (
         worker.pool == job.spec.queue.pool
         and (not spec.label or spec.label in worker.labels)
