Weigh how long a wait for a place near the data or gang pays

Cause: a task with data took any worker at once when the rack of its data was full, and a colocated gang was split over racks although one had room for all. Away from its rack a task takes longer by the factor that the settings name.

Change: LocalityPolicy with the baseline TakeAnywhere and WeighWait, over a dated forecast of the openings on a rack; waits are bounded by the loss, the objective of the job and the limit without a run, and end by a timer. A gang takes a rack on which all of it fits. Estimates leave the factor out of what runs off its rack. Tasks that are as fast elsewhere avoid an awaited rack.

--- a/src/gypsumhold/adapters/engine.py
+++ b/src/gypsumhold/adapters/engine.py
@@ -61,6 +61,7 @@
     job_effects.Log,
     job_effects.MeasureWait,
     job_effects.SampleWaits,
+    job_effects.MeasureNearWait,
 )
 
 # Delay of the failure event for an effect that a full pool rejected. It keeps
--- a/src/gypsumhold/adapters/jobs/effect_runners.py
+++ b/src/gypsumhold/adapters/jobs/effect_runners.py
@@ -34,7 +34,7 @@
 
 
 def _ignore_measurement(
-    _: effects.MeasureWait | effects.SampleWaits,
+    _: effects.MeasureWait | effects.SampleWaits | effects.MeasureNearWait,
 ) -> None:
     """Does nothing: the observer of the engine has recorded the effect."""
 
@@ -49,6 +49,7 @@
             effects.Log: log.write,
             effects.MeasureWait: _ignore_measurement,
             effects.SampleWaits: _ignore_measurement,
+            effects.MeasureNearWait: _ignore_measurement,
             **handlers,
         }
 
--- a/src/gypsumhold/adapters/jobs/metrics.py
+++ b/src/gypsumhold/adapters/jobs/metrics.py
@@ -87,6 +87,7 @@
             events.ReportAnswered: self._count_report,
             effects.MeasureWait: self._record_wait,
             effects.SampleWaits: self._record_sample,
+            effects.MeasureNearWait: self._record_near_wait,
         }
 
     def _create_wait_instruments(self, meter: api.Meter) -> None:
@@ -108,6 +109,19 @@
             "gypsumhold_jobs_waiting",
             description="Jobs and long-running tasks without a run",
         )
+        self._near_waits_begun = meter.create_counter(
+            "gypsumhold_job_near_waits_begun",
+            description="Waits for a place near the data or the gang",
+        )
+        self._near_wait_seconds = meter.create_histogram(
+            "gypsumhold_job_near_wait_seconds",
+            unit="s",
+            description=(
+                "Time waited for a place near the data or the gang, by how the"
+                " wait ended"
+            ),
+            explicit_bucket_boundaries_advisory=WAIT_BOUNDS,
+        )
         self._event_seconds = meter.create_histogram(
             "gypsumhold_job_slow_event_seconds",
             unit="s",
@@ -156,6 +170,14 @@
             effect.duration.total_seconds(), {"stage": effect.stage.value}
         )
 
+    def _record_near_wait(self, effect: effects.MeasureNearWait) -> None:
+        if effect.outcome is None:
+            self._near_waits_begun.add(1)
+            return
+        self._near_wait_seconds.record(
+            effect.duration.total_seconds(), {"outcome": effect.outcome.value}
+        )
+
     def _record_sample(self, effect: effects.SampleWaits) -> None:
         self._longest_wait.set(effect.longest.total_seconds())
         self._waiting.set(effect.waiting)
--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -315,7 +315,12 @@
 
 def find_rack(candidate: policies.Candidate) -> str:
     """Returns the rack label of a worker, or an empty string."""
-    for label in candidate.worker.labels:
+    return find_rack_label(candidate.worker.labels)
+
+
+def find_rack_label(labels: Iterable[str]) -> str:
+    """Returns the label that names a rack, or an empty string."""
+    for label in labels:
         if label.startswith(RACK_PREFIX) and "-" in label:
             return label
     return ""
--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -100,7 +100,8 @@
     """Updates the speed and the run time of a task from a listing of its run.
 
     The time at full speed is the CPU time used over the requested CPU, so a
-    throttled run counts as far as it was allowed to work.
+    throttled run counts as far as it was allowed to work. Away from its data
+    or gang a task takes longer by a factor, which the run time leaves out.
     """
     share = min(1.0, row.usage / max(1, step.spec.cpu_millis))
     task.speed_share = share
@@ -117,7 +118,8 @@
     reading.read_at = now
     percent = row.progress_percent - reading.first_percent
     if percent >= MIN_MEASURED_PERCENT:
-        task.measured_time = reading.worked * (PERCENT / percent)
+        measured_time = reading.worked * (PERCENT / percent)
+        task.measured_time = measured_time / task.slowdown
 
 
 def estimate_critical_path(
@@ -169,9 +171,12 @@
 def _list_remaining(
     step: progress.Step, policy: policies.EstimatePolicy
 ) -> list[datetime.timedelta]:
-    """Returns the remaining run times of the tasks that are not done."""
+    """Returns the remaining run times of the tasks that are not done.
+
+    Those that are placed count as slow as they are there.
+    """
     return [
-        run_time * (1 - task.progress_percent / PERCENT)
+        run_time * estimate_left(task) * get_slowdown(task)
         for task, run_time in zip(
             step.tasks, policy.estimate_tasks(step), strict=True
         )
@@ -179,6 +184,16 @@
     ]
 
 
+def estimate_left(task: progress.Task) -> float:
+    """Returns the share of a task that is left, by its latest progress."""
+    return 1 - task.progress_percent / PERCENT
+
+
+def get_slowdown(task: progress.Task) -> float:
+    """Returns the factor on the run time of a task where it is placed."""
+    return task.slowdown if task.is_placed() else 1.0
+
+
 def _numbers(job: progress.Job) -> range:
     return range(len(job.spec.steps))
 
--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -16,6 +16,11 @@
     unmet_requests,
     waits,
 )
+from gypsumhold.decisions.jobs.locality import (
+    distances,
+    gang_racks,
+    near_waits,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -39,6 +44,7 @@
         holder_state: State of the held queue.
         candidates: Workers with their free capacity, by instance.
         now: When the plan is made.
+        near: The waits for near places.
         unmet: Requests for which no candidate has capacity.
     """
 
@@ -46,9 +52,8 @@
     holder_state: scheduler.HolderState
     candidates: choices.Candidates
     now: datetime.timedelta
-    unmet: unmet_requests.UnmetRequests = dataclasses.field(
-        default_factory=unmet_requests.UnmetRequests
-    )
+    near: near_waits.NearPlaces
+    unmet: unmet_requests.UnmetRequests
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +109,7 @@
         self._job = job
         self._starved = starved
         self._had_placed_task = job.has_placed_task()
+        self._gang_obstacle = WaitStage.GANG
         self._skipped_steps: dict[int, WaitStage] = {}
         self._choices = job_choices.JobChoices(
             plan.state.policies.placement, job, plan.candidates
@@ -176,6 +182,7 @@
         """
         usable = self._choices.get_usable(step, starved=self._starved)
         self._skipped_steps[id(step)] = WaitStage.GANG
+        self._gang_obstacle = WaitStage.GANG
         if not self._budget.allows(step, len(step.tasks)):
             self._note_obstacle(step, index, WaitStage.ROW_SIZE)
             return
@@ -191,7 +198,7 @@
         self._budget.take(step, len(placements))
         if not placements:
             self._reserve_worker(step, step.tasks[index])
-            self._note_obstacle(step, index, WaitStage.GANG)
+            self._note_obstacle(step, index, self._gang_obstacle)
 
     def _place_single_task(self, step: progress.Step, index: int) -> None:
         """Places one task that is not of a gang, if a worker has room."""
@@ -213,12 +220,29 @@
         if candidate is None:
             self._handle_miss(step, index, usable)
             return
+        if not is_urgent and self._waits_for_rack(step, index, candidate):
+            self._note_obstacle(step, index, WaitStage.NEAR_PLACE)
+            return
         self._starved = False
         has_other = self._had_placed_task or self._placement.placed
         task.is_only_run = not has_other
         self._budget.take(step)
         self._placement.emitted.append(self._place_task(step, index, candidate))
 
+    def _waits_for_rack(
+        self, step: progress.Step, index: int, candidate: policies.Candidate
+    ) -> bool:
+        """Tells whether a task waits for a rack instead of a candidate."""
+        task, near = step.tasks[index], self._plan.near
+        racks = distances.list_racks([candidate])
+        if not near.prefers_rack(step, task):
+            return False
+        if distances.are_near(step.spec, racks):
+            return False
+        ref = lifecycle.build_task_ref(self._job, step, index)
+        placed = scheduler.PlacedTask(self._job, step, task)
+        return near.weigh_task(placed, ref)
+
     def _handle_miss(
         self, step: progress.Step, index: int, usable: choices.Candidates
     ) -> None:
@@ -287,6 +311,10 @@
         placed = scheduler.PlacedTask(job, step, task)
         lifecycle.place_task(self._plan.holder_state, view, placed, ref, now)
         starvation.note_placement(self._plan.holder_state, job, now)
+        if not step.spec.gang:
+            racks = distances.list_racks([candidate])
+            self._plan.near.note_placement(ref, step.spec, racks)
+            self._plan.near.measure_slowdown(step, [task])
         self._placement.placed += 1
         filler_cores = sum(candidate.best_effort_cores.values())
         return effects.Log(
@@ -316,13 +344,12 @@
         ready = records.TaskState.READY
         if any(task.state is not ready for task in step.tasks):
             return []
-        chosen = gang_choices.choose_for_gang(
-            self._plan.state.policies.placement,
-            self._job,
-            step,
-            candidates,
-            starved=self._starved,
-        )
+        chosen = self._choose_for_gang(step, candidates)
+        if not chosen:
+            return []
+        ref = lifecycle.build_task_ref(self._job, step, 0)
+        racks = distances.list_racks(chosen)
+        self._plan.near.note_placement(ref, step.spec, racks)
         highest_run = max(task.run for task in step.tasks)
         saved = next(
             (task.checkpoint for task in step.tasks if task.checkpoint), None
@@ -333,4 +360,37 @@
             if saved is not None:
                 step.tasks[index].checkpoint = saved
             emitted.append(self._place_task(step, index, candidate))
+        self._plan.near.measure_slowdown(step, step.tasks)
         return emitted
+
+    def _choose_for_gang(
+        self, step: progress.Step, candidates: choices.Candidates
+    ) -> list[policies.Candidate]:
+        """Returns a candidate for each task of a gang, or none at all.
+
+        A gang that is faster on one rack takes one on which all of it fits. If
+        there is none, it waits for one or is split.
+        """
+        placement = self._plan.state.policies.placement
+        near, job = self._plan.near, self._job
+        task = step.tasks[0]
+        prefers_rack = near.prefers_rack(step, task)
+        if prefers_rack:
+            chosen = gang_racks.choose_on_one_rack(
+                placement, job, step, candidates
+            )
+            if chosen:
+                return chosen
+        chosen = gang_choices.choose_for_gang(
+            placement, job, step, candidates, starved=self._starved
+        )
+        if not (prefers_rack and chosen) or self._starved:
+            return chosen
+        if distances.are_near(step.spec, distances.list_racks(chosen)):
+            return chosen
+        ref = lifecycle.build_task_ref(job, step, 0)
+        placed = scheduler.PlacedTask(job, step, task)
+        if not near.weigh_gang(placed, ref):
+            return chosen
+        self._gang_obstacle = WaitStage.NEAR_PLACE
+        return []
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/locality/__init__.py
@@ -0,0 +1,1 @@
+"""Decides how long a task waits for a place near its data or gang."""
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -81,6 +81,7 @@
 ) -> bool:
     """Tells whether a task would end earlier after a migration."""
     run_time = estimates.estimate_task(step, task, state.policies.estimates)
+    run_time *= task.slowdown
     done = task.progress_percent / estimates.PERCENT
     time_here = run_time * (1 - done) / max(task.speed_share, MIN_SHARE)
     left = 1 - done if step.spec.checkpoints else 1.0
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -10,8 +10,10 @@
     ordering,
     ready_tasks,
     starvation,
+    unmet_requests,
     waits,
 )
+from gypsumhold.decisions.jobs.locality import near_waits
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, progress, scheduler, specs
 from gypsumhold.model.jobs.waits import WaitStage
@@ -72,7 +74,11 @@
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
         return emitted
-    plan = job_placements.Plan(state, holder_state, candidates, now)
+    unmet = unmet_requests.UnmetRequests()
+    near = near_waits.NearPlaces(state, holder_state, candidates, unmet, now)
+    plan = job_placements.Plan(
+        state, holder_state, candidates, now, near, unmet
+    )
     passes = _PlanPasses(
         plan,
         state.policies.ordering.sort(
@@ -80,7 +86,7 @@
         ),
     )
     passes.place()
-    return [*emitted, *passes.emitted]
+    return [*emitted, *passes.emitted, *near.close()]
 
 
 def _list_plannable(
--- a/src/gypsumhold/decisions/jobs/policy_sets.py
+++ b/src/gypsumhold/decisions/jobs/policy_sets.py
@@ -9,6 +9,7 @@
     throttling,
     verdicts,
 )
+from gypsumhold.decisions.jobs.locality import wait_policies
 from gypsumhold.model.jobs import policies
 
 
@@ -21,6 +22,7 @@
         probations.LeastToLose(spreading.InterferenceAware()),
         admission.AcceptAll(),
         verdicts.ByEvidence(),
+        wait_policies.WeighWait(),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -11,6 +11,7 @@
     lifecycle,
     run_ends,
 )
+from gypsumhold.decisions.jobs.locality import distances
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -190,7 +191,7 @@
     _queue_acknowledgement(holder_state, view)
     for refused in report.refused:
         emitted += _handle_refusal(holder_state, view, refused, now)
-    _apply_run_rows(holder_state, view, now)
+    _apply_run_rows(holder_state, view, state.options.off_rack_slowdown, now)
     return emitted
 
 
@@ -366,6 +367,7 @@
 def _apply_run_rows(
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
+    off_rack_slowdown: float,
     now: datetime.timedelta,
 ) -> None:
     """Updates the tasks placed at an agent from the runs in its latest report.
@@ -393,6 +395,9 @@
         crashes.clear_suspicion(holder_state, view, placed)
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
+        placed.task.slowdown = distances.measure_slowdown(
+            holder_state, placed.step, placed.task, off_rack_slowdown
+        )
         estimates.measure_progress(placed.step, placed.task, row, now)
         if row.progress_percent > placed.task.progress_percent:
             placed.task.progress_percent = row.progress_percent
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -13,6 +13,7 @@
     submissions,
     waits,
 )
+from gypsumhold.decisions.jobs.locality import near_waits
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import events as base_events
 from gypsumhold.model import ids, timers
@@ -64,6 +65,8 @@
             return elections.handle_poll_timer(state)
         case timers.TimerKind.HOLDER_TICK:
             return holders.handle_tick_timer(state, now)
+        case timers.TimerKind.NEAR_PLACE:
+            return near_waits.handle_timer(state)
         case timers.TimerKind.REGISTER:
             return elections.retry_registration(state)
     return []
--- a/src/gypsumhold/decisions/jobs/spreading.py
+++ b/src/gypsumhold/decisions/jobs/spreading.py
@@ -131,6 +131,7 @@
         return (
             on_data_rack,
             not slowed_images,
+            not candidate.awaited,
             has_serving,
             headroom_left,
             capacity.estimate_idle_cores(candidate),
@@ -148,9 +149,11 @@
             -candidate.cpu_millis,
         )
     # Takes the smallest gap that fits. Larger gaps are kept for serving tasks,
-    # which otherwise spread to the workers of best-effort tasks.
+    # which otherwise spread to the workers of best-effort tasks. The smallest
+    # ones are on a rack in demand, where tasks may wait for them.
     return (
         on_data_rack,
+        not candidate.awaited,
         has_serving,
         -candidate.cpu_millis,
         candidate.memory_mb,
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -122,6 +122,21 @@
     return wait.measure(now) >= delay
 
 
+def find_first_run_deadline(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    now: datetime.timedelta,
+) -> datetime.timedelta:
+    """Returns until when a job without a run may wait for a better worker.
+
+    From then on its first run is due. The wait of a job that has just been
+    added has not begun yet; it counts from now.
+    """
+    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
+    since = now if wait is None else wait.since
+    return since + _compute_placement_delay(holder_state) * FIRST_RUN_SHARE
+
+
 def list_starved_jobs(
     holder_state: scheduler.HolderState, now: datetime.timedelta
 ) -> list[progress.Job]:
--- a/src/gypsumhold/decisions/jobs/unmet_requests.py
+++ b/src/gypsumhold/decisions/jobs/unmet_requests.py
@@ -54,6 +54,10 @@
             other for other in smallest if not amounts.is_within(other)
         ] + [amounts]
 
+    def has_any(self) -> bool:
+        """Tells whether there is any."""
+        return bool(self._smallest)
+
     def covers(self, job: progress.Job, step: progress.Step) -> bool:
         """Tells whether no worker has capacity for a task of a step."""
         smallest = self._smallest.get(_read_kind(job, step))
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -9,6 +9,7 @@
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
+    locality,
     messages,
     records,
     runs,
@@ -76,6 +77,21 @@
     owner: str = NO_OWNER
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeasureNearWait:
+    """Tells that a wait for a near place has begun or ended.
+
+    Attributes:
+        outcome: How it ended; None if it has begun.
+        duration: How long it lasted; zero if it has begun.
+        owner: Always empty.
+    """
+
+    outcome: locality.NearWaitOutcome | None
+    duration: datetime.timedelta = NO_DELAY
+    owner: str = NO_OWNER
+
+
 # Effects of a scheduler.
 
 
@@ -383,6 +399,7 @@
     Log
     | MeasureWait
     | SampleWaits
+    | MeasureNearWait
     | AnswerQuery
     | ReplyReport
     | FollowConfig
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import progress, runs, specs
+from gypsumhold.model.jobs import locality, progress, runs, specs
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +39,8 @@
             no suspect runs here that is not cleared.
         quarantined: Whether only tasks that fit on no other worker, or have
             waited too long, are placed here.
+        awaited: Whether tasks wait for a place on this rack, so that tasks
+            which are as fast elsewhere rather go there.
     """
 
     instance: ids.InstanceId
@@ -69,6 +71,7 @@
     reserved: bool = False
     quiet: bool = True
     quarantined: bool = False
+    awaited: bool = False
 
 
 class EstimatePolicy(abc.ABC):
@@ -153,6 +156,18 @@
         return best
 
 
+class LocalityPolicy(abc.ABC):
+    """Decides how long a task waits for a place near its data or gang."""
+
+    @abc.abstractmethod
+    def decide(self, case: locality.NearPlaceCase) -> locality.PlaceDecision:
+        """Decides between a wait and a place elsewhere.
+
+        Args:
+            case: A task, or a gang, that has no near place now.
+        """
+
+
 class CrashPolicy(abc.ABC):
     """Decides when a task is given up for the workers that crashed under it."""
 
@@ -214,6 +229,7 @@
     placement: PlacementPolicy
     admission: AdmissionPolicy
     crashes: CrashPolicy
+    locality: LocalityPolicy
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -62,8 +62,10 @@
         progress_percent: Highest reported progress of the run.
         progressed_at: When the progress last rose.
         reading: Progress of the current run; None before its first listing.
-        measured_time: Run time of the whole task at full speed, extrapolated
-            from its progress; None if it has made too little.
+        measured_time: Run time of the whole task at full speed near its data
+            or gang, extrapolated from its progress; None if it has made too
+            little.
+        slowdown: Factor on the run time where it is placed.
         speed_share: Share of full speed at which the run was last listed.
         slow_since: Since when the run has been listed as slow; None if it was
             fast at its latest listing.
@@ -100,6 +102,7 @@
     progressed_at: datetime.timedelta = ZERO
     reading: ProgressReading | None = None
     measured_time: datetime.timedelta | None = None
+    slowdown: float = 1.0
     speed_share: float = 1.0
     slow_since: datetime.timedelta | None = None
     migration_target: ids.InstanceId | None = None
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -7,6 +7,7 @@
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
+    locality,
     messages,
     policies,
     progress,
@@ -47,6 +48,8 @@
         row_bytes: Most bytes of one row in the store.
         limits: Limits of the workers and of the calls to them.
         seed: Seed of the random number generator.
+        off_rack_slowdown: Factor on the run time of a task away from the rack
+            of its data or gang; at 1 no wait for a near place pays.
     """
 
     name: str
@@ -63,6 +66,7 @@
     row_bytes: int = DEFAULT_ROW_BYTES
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
     seed: int = 0
+    off_rack_slowdown: float = locality.NO_SLOWDOWN
 
 
 class Role(enum.Enum):
@@ -298,6 +302,8 @@
         replaced_live_holder: Whether the queue was taken from a holder that
             was still storing batches.
         run_waits: How long jobs and long-running tasks have had no run.
+        near_waits: Tasks that wait for a near place; a gang is listed by its
+            first task.
     """
 
     term: ids.Epoch
@@ -356,6 +362,9 @@
     run_waits: waits.RunWaits = dataclasses.field(
         default_factory=waits.RunWaits
     )
+    near_waits: dict[runs.TaskRef, locality.NearWait] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gypsumhold/model/jobs/waits.py
+++ b/src/gypsumhold/model/jobs/waits.py
@@ -33,6 +33,9 @@
     POLICY = "policy"
     """The placement policy waits for a better worker."""
 
+    NEAR_PLACE = "near place"
+    """It pays to wait for a place on the rack of the data or of the gang."""
+
     PROBATION = "probation"
     """The task may crash its worker, and no worker is quiet enough for it."""
 
--- a/src/gypsumhold/model/timers.py
+++ b/src/gypsumhold/model/timers.py
@@ -27,6 +27,8 @@
     HOLDER_TICK = "holder-tick"
     NEXT_BATCH = "next-batch"
     """Next plan and batch of the holder, once the former batch is pushed."""
+    NEAR_PLACE = "near-place"
+    """Earliest end of a wait for a near place."""
     REGISTER = "register"
     REPORT = "report"
     THROTTLING = "pace"
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -24,6 +24,7 @@
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Measured = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Millis = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Penalty = Annotated[float, msgspec.Meta(ge=1, le=MAX_STRETCH)]
 Stretch = Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)]
 
 
@@ -354,6 +355,8 @@
     max_hold_ms: Amount = 10_000
     # Time for which a worker goes on after its draining was confirmed.
     drain_ms: Amount = 2000
+    # Factor on the run time of a task away from its data or gang.
+    remote_penalty: Penalty = 1.0
 
 
 class Settings(PlatformDocument, frozen=True):
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from gypsumhold.model import errors, ids, members
-from gypsumhold.model.jobs import messages, worker_limits
+from gypsumhold.model.jobs import locality, messages, worker_limits
 from gypsumhold.platform import documents
 
 PATH_VARIABLE = "GYPSUMHOLD_NODE_FILE"
@@ -30,6 +30,8 @@
         cores: Processor capacity of the instance, in cores.
         row_bytes: Most bytes of one row in the store.
         limits: Limits of the workers of this deployment.
+        off_rack_slowdown: Factor on the run time of a task away from the rack
+            of its data or gang; 1 if the file names none.
     """
 
     instance: ids.InstanceId
@@ -43,6 +45,7 @@
     cores: float = 1.0
     row_bytes: int = 65_536
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
+    off_rack_slowdown: float = locality.NO_SLOWDOWN
 
 
 def read_settings() -> Result[NodeSettings, errors.Error]:
@@ -89,6 +92,7 @@
                         milliseconds=document.bounds.drain_ms
                     ),
                 ),
+                document.bounds.remote_penalty,
             )
         )
     except ValueError as problem:
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -190,6 +190,7 @@
         cores=shared.platform_settings.cores,
         row_bytes=shared.platform_settings.row_bytes,
         limits=shared.platform_settings.limits,
+        off_rack_slowdown=shared.platform_settings.off_rack_slowdown,
     )
     state = scheduler.SchedulerState(
         options,
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -112,6 +112,7 @@
                 base_effects.Stopped()
                 | effects.MeasureWait()
                 | effects.SampleWaits()
+                | effects.MeasureNearWait()
             ):
                 pass
             case effects.FollowConfig():
