--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -24,7 +24,6 @@
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Measured = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Millis = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-Penalty = Annotated[float, msgspec.Meta(ge=1, le=MAX_STRETCH)]
 Stretch = Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)]
 
 
@@ -356,7 +355,7 @@
     # Time for which a worker goes on after its draining was confirmed.
     drain_ms: Amount = 2000
     # Factor on the run time of a task away from its data or gang.
-    remote_penalty: Penalty = 1.0
+    remote_penalty: Stretch = 1.0
 
 
 class Settings(PlatformDocument, frozen=True):
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -92,7 +92,7 @@
                         milliseconds=document.bounds.drain_ms
                     ),
                 ),
-                document.bounds.remote_penalty,
+                max(locality.NO_SLOWDOWN, document.bounds.remote_penalty),
             )
         )
     except ValueError as problem:
--- a/tests/jobs/test_near_places.py
+++ b/tests/jobs/test_near_places.py
@@ -6,12 +6,15 @@
 
 import contextlib
 import datetime
+import json
+import pathlib
 
 import msgspec
 import pytest
 
 from gypsumhold.adapters import clock as clocks
 from gypsumhold.adapters.jobs import metrics
+from gypsumhold.decisions.jobs import estimates
 from gypsumhold.decisions.jobs.locality import wait_policies
 from gypsumhold.model import events as base_events
 from gypsumhold.model import ids, timers
@@ -20,10 +23,17 @@
     locality,
     messages,
     policies,
+    runs,
     specs,
     waits,
 )
-from tests.jobs import job_specs, rack_world, test_regressions
+from gypsumhold.platform import settings
+from tests.jobs import (
+    job_specs,
+    rack_world,
+    test_regressions,
+    test_worker_limits,
+)
 
 AGENTS = 9
 """Workers, three on each rack, each with room for 16 tasks."""
@@ -301,3 +311,58 @@
         text = recorder.render()
     assert "gypsumhold_job_near_waits_begun 1" in text
     assert 'gypsumhold_job_near_wait_seconds_sum{outcome="gave up"} 2.0' in text
+
+
+@pytest.mark.parametrize(
+    ("bounds", "expected"),
+    [
+        ({"bounds": {"remotePenalty": 1.5}}, 1.5),
+        ({"bounds": {"remotePenalty": 0}}, 1.0),
+        ({}, 1.0),
+    ],
+)
+def test_factor_is_that_of_the_deployment(
+    bounds: dict[str, dict[str, float]],
+    expected: float,
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against waits in a deployment where distance costs nothing."""
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({**test_worker_limits.DOCUMENT, **bounds}))
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    assert settings.read_settings().unwrap().off_rack_slowdown == expected
+
+
+def test_run_elsewhere_does_not_raise_the_estimates_near() -> None:
+    """Guards against a factor that is learned as part of the run time."""
+    rush = Rush(busy_ms=20_000)
+    rush.submit("job", TASK, DATA_TASK)
+    rush.world.run(500)
+    holder_state = rush.world.find_holder_state()
+    assert holder_state is not None
+    step = holder_state.jobs[specs.JobId("job")].steps[1]
+    task = step.tasks[0]
+    assert task.slowdown == rack_world.SLOWDOWN
+    task.reading = None
+    now = rush.world.read_clock()
+    for seconds, percent in ((0, 0), (1, 25), (2, 50)):
+        row = runs.RunRow(
+            runs.RunRef(
+                runs.TaskRef(specs.JobId("job"), 0, 1, 0), runs.RunNumber(1)
+            ),
+            progress_percent=percent,
+            usage=TASK.cpu_millis,
+        )
+        at = now + datetime.timedelta(seconds=seconds)
+        estimates.measure_progress(step, task, row, at)
+    assert task.measured_time == datetime.timedelta(seconds=2)
+
+
+def test_jobs_in_a_burst_end_earlier_and_more_of_them_in_time() -> None:
+    """Compares the waits with the baseline under bursts on one rack."""
+    pairs = [rack_world.compare("bursts", seed, 12) for seed in (1, 4)]
+    for before, after in pairs:
+        assert len(after.times_ms) == len(before.times_ms)
+        assert after.on_time >= before.on_time
+        assert after.mean_ms <= before.mean_ms
