--- a/src/gypsumhold/decisions/jobs/locality/near_waits.py
+++ b/src/gypsumhold/decisions/jobs/locality/near_waits.py
@@ -4,6 +4,7 @@
 anew; a job of which nothing runs then counts as having waited already.
 """
 
+import dataclasses
 import datetime
 import math
 from collections.abc import Iterable
@@ -80,10 +81,12 @@
             state.policies.estimates
         )
         self._claims = Claims()
+        self._cases: dict[tuple[int, ids.Rack], locality.NearPlaceCase] = {}
         self._given_up: set[int] = set()
         awaited = {wait.rack for wait in holder_state.near_waits.values()}
         for candidate in candidates.values():
-            candidate.awaited = capacity.find_rack(candidate) in awaited
+            rack = capacity.find_rack(candidate) if awaited else ""
+            candidate.awaited = rack in awaited
 
     def prefers_rack(self, step: progress.Step, task: progress.Task) -> bool:
         """Tells whether a task is faster near, and may wait for that.
@@ -156,7 +159,37 @@
         rack: ids.Rack,
         width: int,
     ) -> locality.NearPlaceCase:
-        """Returns what decides about a wait for some places on a rack."""
+        """Returns what decides about a wait for some places on a rack.
+
+        What the tasks of a step have in common is kept until a task is placed.
+        """
+        step = placed.step
+        key = (id(step), rack)
+        case = self._cases.get(key)
+        if case is None or placed.task.excluded_instances:
+            case = self._build_common_case(placed, ref, rack)
+            if not placed.task.excluded_instances:
+                self._cases[key] = case
+        claimed = self._claims.sum_others(rack, step)
+        if width == 1:
+            claimed = self._claims.sum_all(rack)
+        places_ahead = count_claims(claimed, step.spec) + width - 1
+        if step.spec.gang:
+            # The free places count only for a gang: a single task would have
+            # been placed there.
+            places_ahead = max(0, places_ahead - case.forecast.free)
+        wait = self._holder_state.near_waits.get(ref)
+        return dataclasses.replace(
+            case,
+            work=self._estimate_work(step, ref.index),
+            places_ahead=places_ahead,
+            began_at=None if wait is None else wait.began_at,
+        )
+
+    def _build_common_case(
+        self, placed: scheduler.PlacedTask, ref: runs.TaskRef, rack: ids.Rack
+    ) -> locality.NearPlaceCase:
+        """Returns a case in which nothing is claimed yet."""
         job, step, now = placed.job, placed.step, self._now
         forecast = rack_forecasts.forecast_rack(
             self._holder_state,
@@ -166,16 +199,7 @@
             policy=self._estimates,
             now=now,
         )
-        claimed = self._claims.sum_others(rack, step)
-        if width == 1:
-            claimed = self._claims.sum_all(rack)
-        places_ahead = count_claims(claimed, step.spec) + width - 1
-        if step.spec.gang:
-            # The free places count only for a gang: a single task would have
-            # been placed there.
-            places_ahead = max(0, places_ahead - forecast.free)
         outlook = ordering.refresh_outlook(job, now, self._policies.estimates)
-        wait = self._holder_state.near_waits.get(ref)
         latest_start_at = None
         if not job.has_placed_task():
             latest_start_at = starvation.find_first_run_deadline(
@@ -184,29 +208,25 @@
         return locality.NearPlaceCase(
             now,
             self._slowdown,
-            self._estimate_work(step, step.list_unit(placed.task)),
+            self._estimate_work(step, ref.index),
             forecast,
-            places_ahead,
+            0,
             # No plan is made while a batch is under way.
             self._holder_state.run_waits.batch_time / 2,
             outlook.due_at - outlook.remaining_time - now,
             self._unmet.has_any(),
-            None if wait is None else wait.began_at,
-            latest_start_at,
-            self._estimate_step_end(step),
+            latest_start_at=latest_start_at,
+            step_ends_at=self._estimate_step_end(step),
         )
 
     def _estimate_work(
-        self, step: progress.Step, unit: Iterable[progress.Task]
+        self, step: progress.Step, index: int
     ) -> datetime.timedelta:
-        """Returns the longest run time that is left of some ready tasks."""
-        members = {id(task) for task in unit}
+        """Returns the run time that is left of a ready task, or of a gang."""
+        run_times = self._estimates.estimate_tasks(step)
+        indices = range(len(run_times)) if step.spec.gang else [index]
         return max(
-            run_time * (estimates.estimate_left(task) if task.checkpoint else 1)
-            for task, run_time in zip(
-                step.tasks, self._estimates.estimate_tasks(step), strict=True
-            )
-            if id(task) in members
+            run_times[i] * estimate_unsaved(step.tasks[i]) for i in indices
         )
 
     def _estimate_step_end(self, step: progress.Step) -> datetime.timedelta:
@@ -262,6 +282,7 @@
             spec: Its step.
             racks: The racks on which it, or the gang, is placed.
         """
+        self._cases.clear()
         wait = self._holder_state.near_waits.get(ref)
         if wait is None:
             return
@@ -314,6 +335,11 @@
         return task is not None and task.state is records.TaskState.READY
 
 
+def estimate_unsaved(task: progress.Task) -> float:
+    """Returns the share of a task that its next run has to do."""
+    return estimates.estimate_left(task) if task.checkpoint else 1.0
+
+
 class Claims:
     """What the tasks that wait take of the openings of each rack."""
 
