--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -11,8 +11,10 @@
     ordering,
     ready_tasks,
     starvation,
+    unmet_requests,
     waits,
 )
+from gypsumhold.decisions.jobs.locality import near_waits
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, progress, scheduler, specs
 from gypsumhold.model.jobs.waits import WaitStage
@@ -74,7 +76,11 @@
     if not candidates:
         evacuation_waits.note_without_candidates(state, holder_state, jobs)
         return emitted
-    plan = job_placements.Plan(state, holder_state, candidates, now)
+    unmet = unmet_requests.UnmetRequests()
+    near = near_waits.NearPlaces(state, holder_state, candidates, unmet, now)
+    plan = job_placements.Plan(
+        state, holder_state, candidates, now, near, unmet
+    )
     passes = _PlanPasses(
         plan,
         state.policies.ordering.sort(
@@ -82,7 +88,7 @@
         ),
     )
     passes.place()
-    return [*emitted, *passes.emitted]
+    return [*emitted, *passes.emitted, *near.close()]
 
 
 def _list_plannable(
--- a/src/gypsumhold/decisions/jobs/previews.py
+++ b/src/gypsumhold/decisions/jobs/previews.py
@@ -4,6 +4,7 @@
 sent. Only the entry that holds the queue can tell.
 """
 
+import dataclasses
 import datetime
 from collections.abc import Iterable
 
@@ -11,7 +12,6 @@
     capacity,
     choices,
     gang_choices,
-    job_placements,
     lifecycle,
     ready_tasks,
     repetitions,
@@ -55,7 +55,7 @@
     repetitions.add_repetition(job)
     repetitions.open_steps(job)
     candidates = capacity.build_candidates(state, holder_state, now)
-    plan = job_placements.Plan(state, holder_state, candidates, now)
+    fleet = _Fleet(state, holder_state, candidates, now)
     reports = [
         now - holder_state.agents[candidate.instance].last_report_at
         for candidate in candidates.values()
@@ -67,7 +67,7 @@
         ),
         _count_jobs_before(state, holder_state, job, now),
         max(reports, default=datetime.timedelta(0)),
-        tuple(_StepTrial(plan, job, step).preview() for step in job.steps),
+        tuple(_StepTrial(fleet, job, step).preview() for step in job.steps),
     )
 
 
@@ -86,16 +86,33 @@
     return state.policies.ordering.sort([*waiting, job], now).index(job)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Fleet:
+    """What the trials of all steps have in common.
+
+    Attributes:
+        state: State of the scheduler.
+        holder_state: State of the held queue.
+        candidates: Workers with their free capacity, by instance.
+        now: Current time.
+    """
+
+    state: scheduler.SchedulerState
+    holder_state: scheduler.HolderState
+    candidates: choices.Candidates
+    now: datetime.timedelta
+
+
 class _StepTrial:
     """Places the tasks of one step on copies of the candidates."""
 
     def __init__(
-        self, plan: job_placements.Plan, job: progress.Job, step: progress.Step
+        self, fleet: _Fleet, job: progress.Job, step: progress.Step
     ) -> None:
-        self._plan = plan
+        self._fleet = fleet
         self._job = job
         self._step = step
-        self._usable = capacity.select_sound(plan.candidates, job, step)
+        self._usable = capacity.select_sound(fleet.candidates, job, step)
 
     def preview(self) -> previews.StepPreview:
         """Returns what a plan would do with the step."""
@@ -119,7 +136,7 @@
     def _choose_all(self) -> list[policies.Candidate]:
         """Returns the candidates of the tasks until one finds none."""
         policy, job, step = (
-            self._plan.state.policies.placement,
+            self._fleet.state.policies.placement,
             self._job,
             self._step,
         )
@@ -135,7 +152,7 @@
                 break
             ref = lifecycle.build_task_ref(job, step, index)
             trials.reserve_on_trial(candidate, ref)
-            chosen.append(self._plan.candidates[str(candidate.instance)])
+            chosen.append(self._fleet.candidates[str(candidate.instance)])
         return chosen
 
     def _count_by_worker(
@@ -146,7 +163,7 @@
         for candidate in chosen:
             counts[candidate.instance] = counts.get(candidate.instance, 0) + 1
         return tuple(
-            _describe(self._plan.candidates[str(instance)], count)
+            _describe(self._fleet.candidates[str(instance)], count)
             for instance, count in counts.items()
         )
 
@@ -168,7 +185,7 @@
         )
 
     def _rank(self, candidate: policies.Candidate) -> policies.Rank | None:
-        return self._plan.state.policies.placement.rank(
+        return self._fleet.state.policies.placement.rank(
             self._step, candidate, is_suspect=False, deferred=False
         )
 
@@ -177,7 +194,7 @@
     ) -> tuple[tuple[WorkerObstacle, tuple[ids.InstanceId, ...]], ...]:
         """Returns the workers that take no task of the step, by the reason."""
         excluded: dict[WorkerObstacle, list[ids.InstanceId]] = {}
-        for instance, view in sorted(self._plan.holder_state.agents.items()):
+        for instance, view in sorted(self._fleet.holder_state.agents.items()):
             obstacle = self._find_obstacle(view)
             if obstacle is not None:
                 excluded.setdefault(obstacle, []).append(instance)
@@ -192,11 +209,11 @@
     ) -> WorkerObstacle | None:
         """Returns why a worker takes no task of the step; None if it may."""
         obstacle = capacity.find_worker_obstacle(
-            self._plan.state, view, self._plan.now
+            self._fleet.state, view, self._fleet.now
         )
         if obstacle is not None:
             return obstacle
-        candidate = self._plan.candidates.get(str(view.instance))
+        candidate = self._fleet.candidates.get(str(view.instance))
         if candidate is None:
             return WorkerObstacle.NO_REPORT
         obstacle = capacity.find_misfit(candidate, self._job, self._step)
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -8,6 +8,7 @@
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
     evacuations,
+    locality,
     messages,
     policies,
     progress,
@@ -50,6 +51,8 @@
         seed: Seed of the random number generator.
         evacuation_time: Within what time after its request an evacuation of a
             data centre is obeyed; None if the platform sets none.
+        off_rack_slowdown: Factor on the run time of a task away from the rack
+            of its data or gang; at 1 no wait for a near place pays.
     """
 
     name: str
@@ -67,6 +70,7 @@
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
     seed: int = 0
     evacuation_time: datetime.timedelta | None = None
+    off_rack_slowdown: float = locality.NO_SLOWDOWN
 
 
 class Role(enum.Enum):
@@ -303,6 +307,8 @@
             was still storing batches.
         run_waits: How long jobs and long-running tasks have had no run.
         evacuation_knowledge: Whether the known evacuations may be outdated.
+        near_waits: Tasks that wait for a near place; a gang is listed by its
+            first task.
     """
 
     term: ids.Epoch
@@ -362,6 +368,9 @@
         default_factory=waits.RunWaits
     )
     evacuation_knowledge: evacuations.Knowledge = evacuations.Knowledge.CURRENT
+    near_waits: dict[runs.TaskRef, locality.NearWait] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -357,6 +357,8 @@
     # Time within which an evacuation of a data centre is obeyed; 0 if data
     # centres are not evacuated.
     evacuation_ms: Amount = 0
+    # Factor on the run time of a task away from its data or gang.
+    remote_penalty: Stretch = 1.0
 
 
 class Settings(PlatformDocument, frozen=True):
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from gypsumhold.model import errors, ids, members
-from gypsumhold.model.jobs import messages, worker_limits
+from gypsumhold.model.jobs import locality, messages, worker_limits
 from gypsumhold.platform import documents
 
 PATH_VARIABLE = "GYPSUMHOLD_NODE_FILE"
@@ -32,6 +32,8 @@
         limits: Limits of the workers of this deployment.
         evacuation_time: Within what time after its request an evacuation of a
             data centre is obeyed; None if the platform sets none.
+        off_rack_slowdown: Factor on the run time of a task away from the rack
+            of its data or gang; 1 if the file names none.
     """
 
     instance: ids.InstanceId
@@ -46,6 +48,7 @@
     row_bytes: int = 65_536
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
     evacuation_time: datetime.timedelta | None = None
+    off_rack_slowdown: float = locality.NO_SLOWDOWN
 
 
 def read_settings() -> Result[NodeSettings, errors.Error]:
@@ -94,6 +97,7 @@
                 ),
                 datetime.timedelta(milliseconds=document.bounds.evacuation_ms)
                 or None,
+                max(locality.NO_SLOWDOWN, document.bounds.remote_penalty),
             )
         )
     except ValueError as problem:
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -192,6 +192,7 @@
         row_bytes=shared.platform_settings.row_bytes,
         limits=shared.platform_settings.limits,
         evacuation_time=shared.platform_settings.evacuation_time,
+        off_rack_slowdown=shared.platform_settings.off_rack_slowdown,
     )
     state = scheduler.SchedulerState(
         options,
