Decide admissions from a typed forecast of the holder; keep the baseline

Cause: the only admission policy accepted every job and was given all open jobs, which only the holder has, so no other entry could refuse one.

Change: AdmissionPolicy.decide gets frozen, dated inputs. The holder makes a forecast by queue and size class and publishes it in its row, which followers read twice a second anyway; an entry ages it on its own clock and accepts without a fresh one. Before a refusal the entry reads the job, so that a stored job is never refused. The setting `admission` chooses the policy; the default stays accept-all, which makes and publishes no forecast.

--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -12,6 +12,7 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
+from gypsumhold.decisions.jobs import policy_sets
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import errors, ids, members, options, states
 
@@ -118,13 +119,14 @@
     """Settings of `gypsumhold-node`; the platform supplies the addresses.
 
     `advertised_port` is the port for other processes if a forwarder stands in
-    front of this process.
+    front of this process. `admission` chooses which jobs an entry refuses.
     """
 
     deployment_key: Secret
     advertised_port: int | None = pydantic.Field(default=None, ge=1, le=65535)
     metrics_port: int = pydantic.Field(default=9464, ge=1, le=65535)
     log: LogSettings = LogSettings()
+    admission: policy_sets.AdmissionKind = policy_sets.AdmissionKind.ACCEPT_ALL
 
 
 class EntryTuning(_Settings):
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -14,6 +14,7 @@
     starvation,
     store_health,
 )
+from gypsumhold.decisions.jobs.overload import forecasts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -74,7 +75,8 @@
         and now < holder_state.renewed_at + state.options.renew_interval
     ):
         return emitted
-    batch = _build_batch(state, holder_state)
+    forecasts.refresh(state, holder_state, now)
+    batch = _build_batch(state, holder_state, now)
     holder_state.in_flight = batch
     holder_state.sent_at = now
     holder_state.commit_attempts = 0
@@ -100,7 +102,9 @@
 
 
 def _build_batch(
-    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
 ) -> storage.Batch:
     """Returns the next batch and removes its changes from the pending ones."""
     number = holder_state.next_batch
@@ -141,6 +145,7 @@
         state.options.endpoint,
         number,
         state.options.cores,
+        *forecasts.describe(state, now),
     )
     return storage.Batch(
         holder_state.version, record, tuple(writes), tuple(removed)
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -17,6 +17,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import holders, lifecycle, store_health
+from gypsumhold.decisions.jobs.overload import forecasts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
 from gypsumhold.model.jobs import (
@@ -137,6 +138,7 @@
     if state.holder_row is None or row.version != state.holder_row.version:
         emitted += _log_holder_change(state, row)
         state.holder_seen_at = now
+        forecasts.receive(state, row.record, now)
     state.holder_row = row
     free = _is_queue_free(state, row, now)
     if not _is_own_row(state, row):
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/overload/__init__.py
@@ -0,0 +1,1 @@
+"""What becomes of submissions when there is more work than room."""
--- a/src/gypsumhold/decisions/jobs/policy_sets.py
+++ b/src/gypsumhold/decisions/jobs/policy_sets.py
@@ -1,7 +1,9 @@
 """Selects the policies that schedulers and executors run with."""
 
+import enum
+from collections.abc import Mapping
+
 from gypsumhold.decisions.jobs import (
-    admission,
     estimates,
     ordering,
     probations,
@@ -9,17 +11,33 @@
     throttling,
     verdicts,
 )
+from gypsumhold.decisions.jobs.overload import admission
 from gypsumhold.model.jobs import policies
 
 
-def build_scheduler_policies() -> policies.SchedulerPolicies:
+class AdmissionKind(enum.Enum):
+    """Which admission policy entries run with."""
+
+    ACCEPT_ALL = "accept-all"
+    REFUSE_USELESS = "refuse-useless"
+
+
+ADMISSION_POLICIES: Mapping[AdmissionKind, type[policies.AdmissionPolicy]] = {
+    AdmissionKind.ACCEPT_ALL: admission.AcceptAll,
+    AdmissionKind.REFUSE_USELESS: admission.RefuseUseless,
+}
+
+
+def build_scheduler_policies(
+    admission_kind: AdmissionKind = AdmissionKind.ACCEPT_ALL,
+) -> policies.SchedulerPolicies:
     """Returns the policies of a scheduler."""
     learned = estimates.LearnedEstimates()
     return policies.SchedulerPolicies(
         learned,
         ordering.ByObjective(learned),
         probations.LeastToLose(spreading.InterferenceAware()),
-        admission.AcceptAll(),
+        ADMISSION_POLICIES[admission_kind](),
         verdicts.ByEvidence(),
     )
 
--- a/src/gypsumhold/decisions/jobs/queries.py
+++ b/src/gypsumhold/decisions/jobs/queries.py
@@ -174,6 +174,9 @@
     now: datetime.timedelta,
 ) -> EffectList:
     """Answers a query from the rows of a job, or stores its cancellation."""
+    waiting = state.tickets.get(event.ticket)
+    if waiting is not None and waiting.refusal is not None:
+        return submissions.handle_job_read(state, event, waiting, now)
     ticket = state.tickets.pop(event.ticket, None)
     if ticket is None or ticket.query is None:
         return []
--- a/src/gypsumhold/decisions/jobs/submissions.py
+++ b/src/gypsumhold/decisions/jobs/submissions.py
@@ -7,12 +7,14 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import holders, store_health
+from gypsumhold.decisions.jobs import holders, lifecycle, store_health
+from gypsumhold.decisions.jobs.overload import shares
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     effects,
     events,
+    forecasts,
     messages,
     scheduler,
     specs,
@@ -33,17 +35,15 @@
     event: events.SubmitArrived,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Stores, forwards or refuses a job; accepts one that is in memory."""
+    """Stores, forwards or refuses a job; accepts one that is in memory.
+
+    A job that another entry forwards, or that this entry would forward because
+    it cannot reach the store, is not refused.
+    """
     spec = event.spec
     holder_state = state.holder_state
     if holder_state is not None and spec.job_id in holder_state.jobs:
         return [_accept(event.ticket)]
-    if holder_state is not None and state.role is scheduler.Role.HOLDER:
-        retry_after = state.policies.admission.choose_retry_delay(
-            spec, list(holder_state.open_jobs.values())
-        )
-        if retry_after is not None:
-            return _refuse(event, retry_after, len(holder_state.open_jobs))
     if spec.queue.advised:
         # Starts of its tasks need tickets of an external service, whose calls
         # are not implemented yet.
@@ -56,7 +56,38 @@
         return _forward(state, event.ticket, ticket) or _give_up(
             state, event.ticket, ticket, "store lost"
         )
-    return [effects.WriteJob(event.ticket, spec)]
+    decision = state.policies.admission.decide(
+        forecasts.AdmissionInputs(
+            spec, state.forecast, now, state.shares, state.rng.random()
+        )
+    )
+    if decision.retry_delay is None:
+        shares.record(state.shares, decision, accepted=True)
+        return [effects.WriteJob(event.ticket, spec)]
+    # An earlier attempt may have stored the job, and a stored job runs.
+    ticket.refusal = decision
+    return [effects.ReadJob(event.ticket, spec.job_id)]
+
+
+def handle_job_read(
+    state: scheduler.SchedulerState,
+    event: events.JobRead,
+    ticket: scheduler.Ticket,
+    now: datetime.timedelta,
+) -> EffectList:
+    """Refuses a job as decided, unless it is stored or that is not known."""
+    spec, decision = ticket.spec, ticket.refusal
+    assert spec is not None
+    assert decision is not None
+    ticket.refusal = None
+    is_refused = event.rows is not None and event.rows.spec is None
+    shares.record(state.shares, decision, accepted=not is_refused)
+    if event.rows is None:
+        return [effects.WriteJob(event.ticket, spec)]
+    del state.tickets[event.ticket]
+    if not is_refused:
+        return [_accept(event.ticket)]
+    return _refuse(state, event.ticket, spec, decision, now)
 
 
 def handle_forwarded_submission(
@@ -91,20 +122,34 @@
 
 
 def _refuse(
-    event: events.SubmitArrived, retry_after: datetime.timedelta, open_jobs: int
+    state: scheduler.SchedulerState,
+    ticket_id: ids.TicketId,
+    spec: specs.JobSpec,
+    decision: forecasts.AdmissionDecision,
+    now: datetime.timedelta,
 ) -> EffectList:
-    """Refuses a job because the queue is overloaded."""
+    """Refuses a job that would end too late; logs the inputs."""
+    assert decision.retry_delay is not None
+    assert decision.key is not None
+    retry_after_s = max(1, round(decision.retry_delay.total_seconds()))
     answer = messages.Answer(
-        messages.Verdict.OVERLOADED,
-        retry_after_s=max(1, round(retry_after.total_seconds())),
+        messages.Verdict.OVERLOADED, retry_after_s=retry_after_s
     )
-    log = effects.Log(
-        "submit",
-        event.spec.job_id,
-        "refused: overloaded",
-        (("queue", event.spec.queue.name), ("open_jobs", str(open_jobs))),
+    share = state.shares[decision.key]
+    forecast = state.forecast
+    age = datetime.timedelta(0) if forecast is None else now - forecast.made_at
+    inputs = (
+        ("queue", spec.queue.name),
+        ("size", str(decision.key.size)),
+        ("expected_ms", str(lifecycle.to_ms(decision.expected))),
+        ("limit_ms", str(lifecycle.to_ms(decision.limit))),
+        ("forecast_ms", str(lifecycle.to_ms(age))),
+        ("accepted", f"{share.accepted:.0f}"),
+        ("asked", f"{share.asked:.0f}"),
+        ("retry_after_s", str(retry_after_s)),
     )
-    return [log, effects.AnswerQuery(event.ticket, answer)]
+    log = effects.Log("submit", spec.job_id, "refused: overloaded", inputs)
+    return [log, effects.AnswerQuery(ticket_id, answer)]
 
 
 def _forward(
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -4,9 +4,10 @@
 import dataclasses
 import datetime
 from collections.abc import Collection, Mapping, Sequence
+from typing import ClassVar
 
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import progress, runs, specs
+from gypsumhold.model.jobs import forecasts, progress, runs, specs
 
 
 @dataclasses.dataclass(slots=True)
@@ -168,11 +169,14 @@
 class AdmissionPolicy(abc.ABC):
     """Decides which submissions are accepted."""
 
+    needs_forecast: ClassVar[bool]
+    """Whether the holder makes and publishes forecasts for the policy."""
+
     @abc.abstractmethod
-    def choose_retry_delay(
-        self, spec: specs.JobSpec, jobs: Sequence[progress.Job]
-    ) -> datetime.timedelta | None:
-        """Returns None to accept a job, or else the delay before a retry."""
+    def decide(
+        self, inputs: forecasts.AdmissionInputs
+    ) -> forecasts.AdmissionDecision:
+        """Decides whether a job is accepted."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -5,7 +5,10 @@
 import msgspec
 
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import messages, runs, specs
+from gypsumhold.model.jobs import forecasts, messages, runs, specs
+
+NO_FORECAST = -1
+"""Age of the forecast in a holder's row that has none."""
 
 FORMAT = 1
 """Version of the row format, which is written into each row."""
@@ -93,6 +96,9 @@
         batch: Rises with each batch of one term.
         cores: Processor capacity of the holder, in cores; 0 in rows of
             versions that did not write it.
+        forecast_age_ms: Age of the forecast when the row was built, on the
+            clock of the holder; negative without a forecast.
+        forecast: Queues that are short of room.
     """
 
     version: int
@@ -102,6 +108,8 @@
     endpoint: messages.Endpoint
     batch: int
     cores: runs.Measured = 0.0
+    forecast_age_ms: int = NO_FORECAST
+    forecast: tuple[forecasts.QueueForecast, ...] = ()
 
 
 class EntryRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -7,6 +7,7 @@
 
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
+    forecasts,
     messages,
     policies,
     progress,
@@ -228,6 +229,7 @@
         cancelling: Whether the answer waits until the cancellation is stored.
         forwarded: Whether another entry forwarded the request to this one, or
             this one forwarded the submission; neither is forwarded again.
+        refusal: Decision to refuse the job unless it turns out to be stored.
     """
 
     deadline: datetime.timedelta
@@ -237,6 +239,7 @@
     attempts: int = 0
     cancelling: bool = False
     forwarded: bool = False
+    refusal: forecasts.AdmissionDecision | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -385,6 +388,8 @@
             store; 0 if none did.
         waiting_reports: Reports that arrived while this entry takes the queue
             or loads the jobs; they are answered afterwards.
+        forecast: Latest forecast, made here or read from the holder's row.
+        shares: Recent submissions of queues that were short of room.
     """
 
     options: SchedulerOptions
@@ -408,6 +413,10 @@
     waiting_reports: dict[ids.InstanceId, WaitingReport] = dataclasses.field(
         default_factory=dict
     )
+    forecast: forecasts.Forecast | None = None
+    shares: dict[forecasts.ShareKey, forecasts.Share] = dataclasses.field(
+        default_factory=dict
+    )
 
     def find_holder_address(self) -> members.Address | None:
         """Returns the address of the holder; None if unknown or this entry."""
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -193,7 +193,7 @@
     )
     state = scheduler.SchedulerState(
         options,
-        policy_sets.build_scheduler_policies(),
+        policy_sets.build_scheduler_policies(shared.program_settings.admission),
         rng=random.Random(shared.incarnation),
     )
     runtime: engine.Engine[scheduler.SchedulerState] = engine.Engine(
