Count the whole request of ordinary runs as room in the forecast

Cause: the room that a queue gets was counted by the reported use of its runs, also for ordinary tasks, whose CPU is reserved. Where workers report no use the queue had no room by this count and no forecast was made.

Change: only best-effort runs count by their speed.

--- a/src/gypsumhold/decisions/jobs/overload/forecasts.py
+++ b/src/gypsumhold/decisions/jobs/overload/forecasts.py
@@ -155,9 +155,15 @@
 
 
 def _measure_used_cores(job: progress.Job) -> float:
-    """Returns the cores that the running tasks get."""
+    """Returns the cores that the running tasks get.
+
+    Ordinary tasks have the CPU that they request; best-effort tasks may be
+    throttled.
+    """
     return sum(
-        step.spec.cpu_millis / progress.CORE_MILLIS * task.speed_share
+        step.spec.cpu_millis
+        / progress.CORE_MILLIS
+        * (task.speed_share if step.spec.fills else 1.0)
         for step in job.steps
         if step.open
         for task in step.tasks
