--- a/src/gypsumhold/adapters/jobs/metrics.py
+++ b/src/gypsumhold/adapters/jobs/metrics.py
@@ -26,6 +26,9 @@
 WAIT_BOUNDS = (0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 6.0, 10.0, 20.0)
 """Bounds of the histogram buckets of times without a run, in seconds."""
 
+RETRY_BOUNDS = (1.0, 2.0, 5.0, 10.0, 20.0, 40.0, 80.0)
+"""Bounds of the histogram buckets of `Retry-After`, in seconds."""
+
 EVENT_BOUNDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 """Bounds of the histogram buckets of slow events, in seconds."""
 
@@ -58,6 +61,12 @@
         self._answers = meter.create_counter(
             "gypsumhold_job_answers", description="Answers to callers"
         )
+        self._retry_seconds = meter.create_histogram(
+            "gypsumhold_job_retry_after_seconds",
+            unit="s",
+            description="Delays that refused callers were told, by verdict",
+            explicit_bucket_boundaries_advisory=RETRY_BOUNDS,
+        )
         self._decisions = meter.create_counter(
             "gypsumhold_job_decisions", description="Decisions by kind"
         )
@@ -161,7 +170,11 @@
         self._waiting.set(effect.waiting)
 
     def _count_answer(self, effect: effects.AnswerQuery) -> None:
-        self._answers.add(1, {"verdict": effect.answer.verdict.value})
+        answer = effect.answer
+        verdict = {"verdict": answer.verdict.value}
+        self._answers.add(1, verdict)
+        if answer.retry_after_s:
+            self._retry_seconds.record(answer.retry_after_s, verdict)
 
     def _record_commit_start(self, effect: effects.CommitBatch) -> None:
         self._commit_sent_at = self._clock.read_monotonic()
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -76,9 +76,9 @@
     ):
         return emitted
     forecasts.refresh(state, holder_state, now)
-    batch = _build_batch(state, holder_state, now)
-    holder_state.in_flight = batch
     holder_state.sent_at = now
+    batch = _build_batch(state, holder_state)
+    holder_state.in_flight = batch
     holder_state.commit_attempts = 0
     return [*emitted, effects.CommitBatch(batch)]
 
@@ -102,9 +102,7 @@
 
 
 def _build_batch(
-    state: scheduler.SchedulerState,
-    holder_state: scheduler.HolderState,
-    now: datetime.timedelta,
+    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
 ) -> storage.Batch:
     """Returns the next batch and removes its changes from the pending ones."""
     number = holder_state.next_batch
@@ -145,7 +143,7 @@
         state.options.endpoint,
         number,
         state.options.cores,
-        *forecasts.describe(state, now),
+        *forecasts.describe(state, holder_state.sent_at),
     )
     return storage.Batch(
         holder_state.version, record, tuple(writes), tuple(removed)
