--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -15,6 +15,7 @@
     starvation,
     store_health,
 )
+from gypsumhold.decisions.jobs.overload import forecasts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -75,9 +76,10 @@
         and now < holder_state.renewed_at + state.options.renew_interval
     ):
         return emitted
+    forecasts.refresh(state, holder_state, now)
+    holder_state.sent_at = now
     batch = _build_batch(state, holder_state)
     holder_state.in_flight = batch
-    holder_state.sent_at = now
     holder_state.commit_attempts = 0
     return [*emitted, effects.CommitBatch(batch)]
 
@@ -142,6 +144,7 @@
         state.options.endpoint,
         number,
         state.options.cores,
+        *forecasts.describe(state, holder_state.sent_at),
     )
     return storage.Batch(
         holder_state.version, record, tuple(writes), tuple(removed)
--- a/src/gypsumhold/decisions/jobs/previews.py
+++ b/src/gypsumhold/decisions/jobs/previews.py
@@ -18,6 +18,7 @@
 )
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
+    forecasts,
     policies,
     previews,
     progress,
@@ -25,6 +26,9 @@
     specs,
 )
 
+MEAN_JITTER = 0.5
+"""Stands for the random number that spreads retry delays."""
+
 MAX_RUNNERS_UP = 3
 """Runners-up that a preview names for a step."""
 
@@ -62,15 +66,26 @@
     ]
     return previews.JobPreview(
         holder_state.term,
-        state.policies.admission.choose_retry_delay(
-            spec, list(holder_state.open_jobs.values())
-        ),
+        _decide_admission(state, spec, now).retry_delay,
         _count_jobs_before(state, holder_state, job, now),
         max(reports, default=datetime.timedelta(0)),
         tuple(_StepTrial(fleet, job, step).preview() for step in job.steps),
     )
 
 
+def _decide_admission(
+    state: scheduler.SchedulerState,
+    spec: specs.JobSpec,
+    now: datetime.timedelta,
+) -> forecasts.AdmissionDecision:
+    """Returns the decision about a submission, with the mean retry delay."""
+    return state.policies.admission.decide(
+        forecasts.AdmissionInputs(
+            spec, state.forecast, now, state.shares, MEAN_JITTER
+        )
+    )
+
+
 def _count_jobs_before(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -8,6 +8,7 @@
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
     evacuations,
+    forecasts,
     locality,
     messages,
     policies,
@@ -236,6 +237,7 @@
         cancelling: Whether the answer waits until the cancellation is stored.
         forwarded: Whether another entry forwarded the request to this one, or
             this one forwarded the submission; neither is forwarded again.
+        refusal: Decision to refuse the job unless it turns out to be stored.
     """
 
     deadline: datetime.timedelta
@@ -245,6 +247,7 @@
     attempts: int = 0
     cancelling: bool = False
     forwarded: bool = False
+    refusal: forecasts.AdmissionDecision | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -401,6 +404,8 @@
         waiting_reports: Reports that arrived while this entry takes the queue
             or loads the jobs; they are answered afterwards.
         known_evacuations: Evacuations in force; None until they are first read.
+        forecast: Latest forecast, made here or read from the holder's row.
+        shares: Recent submissions of queues that were short of room.
     """
 
     options: SchedulerOptions
@@ -425,6 +430,10 @@
         default_factory=dict
     )
     known_evacuations: evacuations.Evacuations | None = None
+    forecast: forecasts.Forecast | None = None
+    shares: dict[forecasts.ShareKey, forecasts.Share] = dataclasses.field(
+        default_factory=dict
+    )
 
     def find_holder_address(self) -> members.Address | None:
         """Returns the address of the holder; None if unknown or this entry."""
