Bound the clients of every listener

Cause: cheroot read requests in threads with readline() and read(n) without a bound below a chunked body, and its limit on headers was set on one listener only. A refused body was read on, and only its data counted. A thread waited for each byte of a client, so that slow clients held all threads.

Change: one thread of each HTTP listener receives and sends without blocking; a thread gets a request once it is complete or refused. The reducer decides which connections are closed or refused (model/clients.py, decisions/clients.py): number in all and of one address, sums of request bytes and of unread answers, times. The peers' server waits while 64 handshakes are in progress and reads a message as it arrives. Limits are settings under 'clients'; refused clients are counted and logged.

--- a/src/gypsumhold/adapters/framing.py
+++ b/src/gypsumhold/adapters/framing.py
@@ -15,6 +15,7 @@
 from gypsumhold.model import members
 
 _LENGTH = struct.Struct("!I")
+_READ_BYTES = 262_144
 
 
 class ConnectionFailedError(Exception):
@@ -100,15 +101,16 @@
         Raises:
             ConnectionFailedError: The connection was closed or timed out.
         """
-        buffer = bytearray(size)
-        unfilled = memoryview(buffer)
+        buffer = bytearray()
         try:
-            while unfilled:
+            # The buffer grows with what has arrived: a peer that announces a
+            # long message and sends nothing takes no memory.
+            while len(buffer) < size:
                 self._socket.settimeout(deadline.get_remaining_seconds())
-                count = self._socket.recv_into(unfilled)
-                if count == 0:
+                data = self._socket.recv(min(size - len(buffer), _READ_BYTES))
+                if not data:
                     raise ConnectionFailedError("read: closed by the peer")
-                unfilled = unfilled[count:]
+                buffer += data
         except OSError as problem:
             raise ConnectionFailedError(f"read: {problem}") from problem
         return bytes(buffer)
--- a/src/gypsumhold/adapters/http_server.py
+++ b/src/gypsumhold/adapters/http_server.py
@@ -5,19 +5,16 @@
 header lines and the request target to the routes as they were received.
 """
 
-import contextlib
 import http.client
 import re
-import socket
 import threading
-from collections.abc import Callable
 from typing import Any
 
 import logbook
-from cheroot import connections as cheroot_connections
 from cheroot import server as cheroot_server
 
-from gypsumhold.adapters import connection_filter, http_routes
+from gypsumhold.adapters import http_routes
+from gypsumhold.adapters.listeners import connections, scanner, servers
 from gypsumhold.model import errors, members
 
 _LOG = logbook.Logger("gypsumhold.web")
@@ -26,35 +23,14 @@
 _TARGET = re.compile(r"[\x21-\x7e]+")
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
-# Limit on the bytes of a rejected body that are read and discarded. Closing a
-# socket with unread data resets the connection, so that the response may not
-# arrive.
-DISCARD_BYTES = 16 * 1024 * 1024
-CHUNK_BYTES = 65536
-MAX_HEADER_BYTES = 65536
+MALFORMED = errors.Error(
+    errors.ErrorKind.BAD_HEADER,
+    "the request is malformed or too large",
+    "send a well-formed HTTP/1.1 request",
+)
 
-# Connections that may wait to be accepted. cheroot's default of 5 overflows
-# with 32 clients, and TCP retries a dropped connection only after a second.
-BACKLOG = 256
 
-# Connections that stay open between requests. With more than cheroot's default
-# of 10, each response closes its connection and the client has to reconnect.
-MAX_KEPT_CONNECTIONS = 1024
-
-# Longest wait for the next bytes of a request before the connection is closed.
-CLIENT_TIMEOUT_S = 10
-
-# Longest wait at the close of the server for responses that are in progress.
-CLOSE_TIMEOUT_S = 10
-
-# Longest wait for the next connection that was being opened during the close.
-FINAL_ACCEPT_TIMEOUT_S = 0.02
-
-# Longest wait for the request on a connection accepted during the close.
-FINAL_READ_TIMEOUT_S = 1
-
-
-class _HeaderReader:
+class HeaderReader:
     """Reads header lines strictly and keeps them as received."""
 
     def __init__(self) -> None:
@@ -82,6 +58,8 @@
             raise ValueError(
                 "the request has both Content-Length and Transfer-Encoding"
             )
+        # The connection has answered it; cheroot would answer once more.
+        headers.pop(b"Expect", None)
         return headers
 
     def _split(self, line: bytes) -> tuple[bytes, bytes]:
@@ -102,7 +80,7 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.header_reader = _HeaderReader()
+        self.header_reader = HeaderReader()
 
     def simple_response(self, status: Any, msg: Any = "") -> None:
         """Sends an error response in the form of the routes.
@@ -127,12 +105,6 @@
         send_response(self, self.server.routes.answer_error(code, error))
 
 
-class _Connection(cheroot_server.HTTPConnection):
-    """A connection whose requests are of the type `_Request`."""
-
-    RequestHandlerClass = _Request
-
-
 class _Gateway(cheroot_server.Gateway):
     """Reads the body, calls the routes and writes the response."""
 
@@ -145,6 +117,8 @@
         request = self.req
         routes: http_routes.Routes = request.server.routes
         rejection = self._validate()
+        if rejection is None and request.conn.is_refused:
+            rejection = 400, MALFORMED
         if rejection is not None:
             status, error = rejection
             self._reject(routes.answer_error(status, error))
@@ -184,15 +158,9 @@
         return None
 
     def _reject(self, outgoing: http_routes.HttpResponse) -> None:
-        """Sends a response before the body is read, then discards the body."""
-        request = self.req
-        request.close_connection = True
-        body = request.rfile
+        """Sends a response before the body has arrived."""
+        self.req.close_connection = True
         self._send(outgoing)
-        with contextlib.suppress(OSError, ValueError):
-            for _ in range(DISCARD_BYTES // CHUNK_BYTES):
-                if not body.read(CHUNK_BYTES):
-                    return
 
     def _call_routes(
         self, routes: http_routes.Routes, body: bytes
@@ -245,52 +213,16 @@
     return method == b"HEAD" or status in (204, 304)
 
 
-class _ConnectionManager(cheroot_connections.ConnectionManager):
-    """Serves the requests that have already arrived when the server stops.
+class _Connection(connections.Connection):
+    """A connection whose requests are of the type `_Request`."""
 
-    cheroot closes its sockets about 10 ms after it last polled them. It would
-    reset a connection or request that arrives in between, and the caller could
-    not tell whether the request ran.
-    """
+    RequestHandlerClass = _Request
 
-    # The type stubs of cheroot lack these members.
-    _selector: Any
-    _from_server_socket: Callable[[socket.socket], Any]
 
-    def stop(self) -> None:
-        """Ends the selector loop, then serves the waiting connections."""
-        super().stop()
-        server = self.server
-        try:
-            connection_filter.drop_new_connections(server.socket)
-        except OSError as problem:
-            _LOG.info("new connections cannot be held back: {}", problem)
-        for _ in range(server.request_queue_size):
-            connection = self._accept()
-            if connection is None:
-                break
-            connection.socket.settimeout(FINAL_READ_TIMEOUT_S)
-            server.process_conn(connection)
-        self._selector.unregister(server.socket.fileno())
-        server.socket.close()
-        server.socket = None
-        for descriptor, connection in self._selector.select(timeout=0):
-            self._selector.unregister(descriptor)
-            server.process_conn(connection)
-
-    def _accept(self) -> Any:
-        """Returns the next waiting connection, or None."""
-        self.server.socket.settimeout(FINAL_ACCEPT_TIMEOUT_S)
-        return self._from_server_socket(self.server.socket)
-
-
-class _HttpServer(cheroot_server.HTTPServer):
-    """A cheroot server with the limits and the routes of a listener."""
+class _HttpServer(servers.BoundedServer):
+    """A bounded server with the routes of a listener."""
 
     ConnectionClass = _Connection
-    _connections: cheroot_connections.ConnectionManager
-    request_queue_size = BACKLOG
-    keep_alive_conn_limit = MAX_KEPT_CONNECTIONS
 
     def __init__(
         self,
@@ -298,6 +230,7 @@
         routes: http_routes.Routes,
         threads: int,
         max_body_bytes: int,
+        options: servers.ListenerOptions,
     ) -> None:
         super().__init__(
             (address.host, address.port),
@@ -306,25 +239,11 @@
             maxthreads=threads,
             server_name="gypsumhold",
         )
+        self.set_limits(options, scanner.RequestLimits(max_body_bytes))
         self.routes = routes
         self.max_body_bytes = max_body_bytes
-        self.max_request_header_size = MAX_HEADER_BYTES
-        self.timeout = CLIENT_TIMEOUT_S
-        self.shutdown_timeout = CLOSE_TIMEOUT_S
         self.stopping = False
 
-    def prepare(self) -> None:
-        """Binds the address and starts the threads."""
-        super().prepare()
-        self._connections.close()
-        self._connections = _ConnectionManager(self)
-
-    def error_log(
-        self, msg: str = "", level: int = 20, traceback: bool = False
-    ) -> None:
-        """Writes messages of cheroot to the log."""
-        _LOG.log(logbook.ERROR if traceback else logbook.INFO, msg)
-
 
 class Listener:
     """A listening HTTP server with a fixed number of threads."""
@@ -335,6 +254,7 @@
         routes: http_routes.Routes,
         threads: int,
         max_body_bytes: int,
+        options: servers.ListenerOptions | None = None,
     ) -> None:
         """Binds the address and starts serving.
 
@@ -343,11 +263,18 @@
             routes: Answers the requests.
             threads: Number of requests that are handled concurrently.
             max_body_bytes: Limit on the size of a request body.
+            options: Name of the listener, and limits on its clients.
 
         Raises:
             http_routes.ListenError: The address cannot be used.
         """
-        self._server = _HttpServer(address, routes, threads, max_body_bytes)
+        self._server = _HttpServer(
+            address,
+            routes,
+            threads,
+            max_body_bytes,
+            options or servers.ListenerOptions(),
+        )
         try:
             self._server.prepare()
         except OSError as problem:
@@ -372,4 +299,4 @@
         """Stops the server after the responses that are in progress."""
         self.disable_keep_alive()
         self._server.stop()
-        self._thread.join(CLOSE_TIMEOUT_S)
+        self._thread.join(servers.CLOSE_TIMEOUT_S)
--- a/src/gypsumhold/adapters/jobs/metrics.py
+++ b/src/gypsumhold/adapters/jobs/metrics.py
@@ -11,6 +11,8 @@
 from opentelemetry.sdk.metrics import export
 
 from gypsumhold.adapters import engine, http_routes, metrics
+from gypsumhold.adapters.listeners import observers
+from gypsumhold.model import clients
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import events as base_events
@@ -34,7 +36,7 @@
 out because a histogram costs more than they do."""
 
 
-class JobRecorder(engine.Observer):
+class JobRecorder(engine.Observer, observers.ClientObserver):
     """Counts events and effects of one role and renders them as text."""
 
     def __init__(self, role: str, name: str, clock: clocks.Clock) -> None:
@@ -77,6 +79,7 @@
             "gypsumhold_job_reports",
             description="Reports by whether they were answered",
         )
+        self._clients = metrics.create_client_counter(meter)
         self._create_wait_instruments(meter)
         self._commit_sent_at: datetime.timedelta | None = None
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -137,6 +140,10 @@
         for decision, count in decisions.items():
             self._decisions.add(count, {"decision": decision})
 
+    def count_client(self, listener: str, reason: clients.Reason) -> None:
+        """Counts a client that a listener closed or refused."""
+        self._clients.add(1, {"listener": listener, "reason": reason.value})
+
     def _record_timing(
         self, event: base_events.Event, timing: engine.EventTiming
     ) -> None:
--- /dev/null
+++ b/src/gypsumhold/adapters/listeners/__init__.py
@@ -0,0 +1,1 @@
+"""Connections of HTTP listeners, bounded in bytes, time and number."""
--- a/src/gypsumhold/adapters/metrics.py
+++ b/src/gypsumhold/adapters/metrics.py
@@ -5,12 +5,22 @@
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 
+from opentelemetry import metrics as api
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk import resources as sdk_resources
 from opentelemetry.sdk.metrics import export
 
 from gypsumhold.adapters import engine
-from gypsumhold.model import declarations, effects, events, ids, rows, states
+from gypsumhold.adapters.listeners import observers
+from gypsumhold.model import (
+    clients,
+    declarations,
+    effects,
+    events,
+    ids,
+    rows,
+    states,
+)
 
 # Bucket bounds in seconds. The lowest ones resolve the overhead of a dispatch
 # over loopback.
@@ -35,7 +45,7 @@
 AttemptId = tuple[ids.RequestId, ids.Attempt]
 
 
-class Recorder(engine.Observer):
+class Recorder(engine.Observer, observers.ClientObserver):
     """Updates the metrics of one role and renders them as text."""
 
     def __init__(
@@ -127,6 +137,7 @@
         self._config_version = meter.create_gauge(
             "gypsumhold_config_version", description="Version in force"
         )
+        self._clients = create_client_counter(meter)
 
     def observe(
         self,
@@ -140,6 +151,10 @@
             if handler is not None:
                 handler(item)
 
+    def count_client(self, listener: str, reason: clients.Reason) -> None:
+        """Counts a client that a listener closed or refused."""
+        self._clients.add(1, {"listener": listener, "reason": reason.value})
+
     def set_config_version(self, version: ids.ConfigVersion) -> None:
         """Sets the gauge of the configuration version in force."""
         self._config_version.set(version)
@@ -256,6 +271,14 @@
         self._provider.shutdown()
 
 
+def create_client_counter(meter: api.Meter) -> api.Counter:
+    """Returns the counter of closed and refused clients."""
+    return meter.create_counter(
+        "gypsumhold_refused_clients",
+        description="Clients closed or refused by listener and reason",
+    )
+
+
 def find_work_class(
     configuration: declarations.Configuration,
     organisation: ids.OrganisationId,
--- a/src/gypsumhold/adapters/operator_server.py
+++ b/src/gypsumhold/adapters/operator_server.py
@@ -5,9 +5,16 @@
 from typing import Any
 
 import cherrypy
+from cheroot import server as cheroot_server
 from cheroot import wsgi
 
-from gypsumhold.adapters import operator_calls, operator_routes
+from gypsumhold.adapters import (
+    http_routes,
+    http_server,
+    operator_calls,
+    operator_routes,
+)
+from gypsumhold.adapters.listeners import connections, scanner, servers
 from gypsumhold.model import errors, members
 
 THREADS = 8
@@ -78,28 +85,77 @@
     return application
 
 
+class _Request(cheroot_server.HTTPRequest):
+    """A request that is answered only if it has arrived completely."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.header_reader = http_server.HeaderReader()
+
+    def respond(self) -> None:
+        """Answers the request."""
+        if self.conn.is_refused:
+            self.close_connection = True
+            self.simple_response("400 Bad Request", str(http_server.MALFORMED))
+            return
+        super().respond()
+
+
+class _Connection(connections.Connection):
+    """A connection whose requests are of the type `_Request`."""
+
+    RequestHandlerClass = _Request
+
+
+class _ErrorRoutes(http_routes.Routes):
+    """Renders the refusals of the listener."""
+
+    def answer(
+        self, incoming: http_routes.HttpRequest
+    ) -> http_routes.HttpResponse:
+        """Is not called: the application answers the requests."""
+        raise NotImplementedError
+
+
+class _Server(servers.BoundedServer, wsgi.Server):
+    """A bounded server of a WSGI application."""
+
+    ConnectionClass = _Connection
+
+
 class OperatorServer:
     """Serves the operator routes inside a `with` block.
 
     Args:
         address: Address of the listener.
         routes: Routes that answer the calls.
+        options: Name of the listener, and limits on its clients.
 
     Raises:
         OSError: On entering the block, if the port is in use.
     """
 
     def __init__(
-        self, address: members.Address, routes: operator_routes.OperatorRoutes
+        self,
+        address: members.Address,
+        routes: operator_routes.OperatorRoutes,
+        options: servers.ListenerOptions | None = None,
     ) -> None:
         self._address = address
-        self._server = wsgi.Server(
+        self._server = _Server(
             (address.host, address.port),
             _build_application(routes),
             numthreads=THREADS,
             server_name="gypsumhold",
             max=THREADS,
+            request_queue_size=servers.BACKLOG,
+            shutdown_timeout=servers.CLOSE_TIMEOUT_S,
+        )
+        self._server.set_limits(
+            options or servers.ListenerOptions(),
+            scanner.RequestLimits(MAX_BODY_BYTES, accepts_chunks=True),
         )
+        self._server.routes = _ErrorRoutes()
         self._server.max_request_body_size = MAX_BODY_BYTES
         self._thread = threading.Thread(
             target=self._server.serve, name="operators", daemon=True
--- a/src/gypsumhold/adapters/peerserver.py
+++ b/src/gypsumhold/adapters/peerserver.py
@@ -11,7 +11,8 @@
 from returns.result import Failure
 
 from gypsumhold.adapters import framing, handshake, services, thrift_encoding
-from gypsumhold.model import members
+from gypsumhold.adapters.listeners import observers
+from gypsumhold.model import clients, members
 
 _log = logbook.Logger(__name__)
 _BACKLOG = 256
@@ -25,6 +26,12 @@
         max_connections: Maximum number of open connections. Further ones are
             closed before the handshake, so that their clients know that the
             call was not sent.
+        max_strangers: Maximum number of connections without a completed
+            handshake. Further ones wait until a handshake ends or has taken
+            `stranger_time`, so that clients without the key can keep the
+            others waiting, but not for ever.
+        stranger_time: Time after which a handshake may be given up for another
+            connection.
         handshake_timeout: Longest duration of the handshake.
         transfer_timeout: Longest time to read or write one message.
         idle_time: Time without a call after which a connection is closed.
@@ -32,6 +39,8 @@
     """
 
     max_connections: int = 1024
+    max_strangers: int = 64
+    stranger_time: datetime.timedelta = datetime.timedelta(seconds=1)
     handshake_timeout: datetime.timedelta = datetime.timedelta(seconds=2)
     transfer_timeout: datetime.timedelta = datetime.timedelta(seconds=10)
     idle_time: datetime.timedelta = datetime.timedelta(seconds=120)
@@ -43,11 +52,14 @@
     """A connection of a client.
 
     `busy` is set from the arrival of a call until its reply is written.
+    `stranger` is set until the handshake is completed or given up.
     """
 
     connection: framing.Connection
     peer: str
+    started: float
     busy: bool = False
+    stranger: bool = True
 
 
 class PeerServer:
@@ -61,16 +73,26 @@
         | services.JobService,
         key: bytes,
         options: ServerOptions | None = None,
+        observer: observers.ClientObserver | None = None,
     ) -> None:
         """Binds the address and starts to serve.
 
+        Args:
+            address: Address to listen on.
+            service: Service that handles the calls.
+            key: Key of the deployment.
+            options: Limits of the server.
+            observer: Counts the clients that were closed.
+
         Raises:
             OSError: The address is in use or does not belong to this host.
         """
         self._options = options or ServerOptions()
         self._processor = services.build_processor(service)
         self._key = key
+        self._log = observers.ClientLog("peers", observer)
         self._lock = threading.Lock()
+        self._changed = threading.Condition(self._lock)
         self._sessions: dict[threading.Thread, _Session] = {}
         self._closing = False
         self._listener = socket.create_server(
@@ -94,6 +116,7 @@
         """
         with self._lock:
             self._closing = True
+            self._changed.notify_all()
             sessions = list(self._sessions.values())
         # Wakes the accepting thread; raises OSError on a second close.
         with contextlib.suppress(OSError):
@@ -126,6 +149,7 @@
 
     def _accept_connections(self) -> None:
         while not self._closing:
+            self._wait_for_handshakes()
             try:
                 sock, peer = self._listener.accept()
             except OSError as problem:
@@ -147,7 +171,7 @@
         maximum number of connections. `peer` names the client in the log.
         """
         connection = framing.Connection(sock, self._options.max_message)
-        session = _Session(connection, peer)
+        session = _Session(connection, peer, time.monotonic())
         thread = threading.Thread(
             target=self._run_session,
             args=(session,),
@@ -158,11 +182,44 @@
             full = len(self._sessions) >= self._options.max_connections
             if not full and not self._closing:
                 self._sessions[thread] = session
-                thread.start()
-                return
+                try:
+                    thread.start()
+                    return
+                except RuntimeError as problem:
+                    _log.error("cannot start a thread: {}", problem)
+                    del self._sessions[thread]
         connection.close()
         if full:
-            _log.warning("connection of {} refused: too many connections", peer)
+            self._log.add(clients.Reason.CONNECTIONS, peer)
+
+    def _wait_for_handshakes(self) -> None:
+        """Waits while too many handshakes are in progress.
+
+        Gives up the oldest one if it takes too long.
+        """
+        patience = self._options.stranger_time.total_seconds()
+        with self._lock:
+            while not self._closing:
+                strangers = [
+                    session
+                    for session in self._sessions.values()
+                    if session.stranger
+                ]
+                if len(strangers) < self._options.max_strangers:
+                    return
+                oldest = strangers[0]
+                remaining = oldest.started + patience - time.monotonic()
+                if remaining <= 0:
+                    oldest.stranger = False
+                    oldest.connection.abort()
+                    self._log.add(clients.Reason.HANDSHAKE, oldest.peer)
+                    return
+                self._changed.wait(remaining)
+
+    def _end_handshake(self, session: _Session) -> None:
+        with self._lock:
+            session.stranger = False
+            self._changed.notify_all()
 
     def _run_session(self, session: _Session) -> None:
         peer = session.peer
@@ -182,6 +239,7 @@
     def _remove_session(self, thread: threading.Thread) -> None:
         with self._lock:
             del self._sessions[thread]
+            self._changed.notify_all()
 
     def _authenticate_and_serve(self, session: _Session) -> None:
         deadline = framing.Deadline(self._options.handshake_timeout)
@@ -195,6 +253,7 @@
                 authenticated.failure(),
             )
             return
+        self._end_handshake(session)
         while not self._closing:
             self._serve_call(session)
 
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -1,5 +1,6 @@
 """Reads settings files: JSON with comments, validated by pydantic."""
 
+import dataclasses
 import datetime
 import difflib
 import pathlib
@@ -12,11 +13,17 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
+from gypsumhold.model import clients, errors, ids, members, options, states
 from gypsumhold.model import clock as clocks
-from gypsumhold.model import errors, ids, members, options, states
 
 MIN_SECRET_LENGTH = 16
 
+SMALL_CONNECTIONS = 256
+"""Most connections of a listener for operators, workers, readiness or metrics.
+
+With 2048 of callers and 1024 of peers, a process stays below 3,800 sockets.
+"""
+
 
 def _read_secret(raw: object) -> object:
     """Returns the secret, or reads it from the file that `raw` names."""
@@ -114,6 +121,43 @@
     batch: Count = 16
 
 
+class ClientSettings(_Settings):
+    """Limits on the clients of each listener; see `clients.ClientLimits`.
+
+    The listeners for operators, workers, readiness and metrics allow fewer
+    connections, see `build_small`.
+    """
+
+    max_connections: Count = 2048
+    max_connections_per_host: Count = 1024
+    max_request_bytes: Count = 16_777_216
+    max_unsent_bytes: Count = 16_777_216
+    request_time_ms: Milliseconds = 30_000
+    response_time_ms: Milliseconds = 30_000
+    max_strangers: Count = 64
+
+    def build(self) -> clients.ClientLimits:
+        """Returns the limits of the listener for callers."""
+        return clients.ClientLimits(
+            self.max_connections,
+            self.max_connections_per_host,
+            self.max_request_bytes,
+            self.max_unsent_bytes,
+            datetime.timedelta(milliseconds=self.request_time_ms),
+            datetime.timedelta(milliseconds=self.response_time_ms),
+        )
+
+    def build_small(self) -> clients.ClientLimits:
+        """Returns the limits of a listener that has few clients."""
+        return dataclasses.replace(
+            self.build(),
+            max_connections=min(self.max_connections, SMALL_CONNECTIONS),
+            max_connections_per_host=min(
+                self.max_connections_per_host, SMALL_CONNECTIONS
+            ),
+        )
+
+
 class NodeFileSettings(_Settings):
     """Settings of `gypsumhold-node`; the platform supplies the addresses.
 
@@ -125,6 +169,7 @@
     advertised_port: int | None = pydantic.Field(default=None, ge=1, le=65535)
     metrics_port: int = pydantic.Field(default=9464, ge=1, le=65535)
     log: LogSettings = LogSettings()
+    clients: ClientSettings = ClientSettings()
 
 
 class EntryTuning(_Settings):
@@ -173,6 +218,7 @@
     max_body_bytes: Count = 1_048_576
     caller_threads: Count = 96
     log: LogSettings = LogSettings()
+    clients: ClientSettings = ClientSettings()
     metrics: MetricsSettings = MetricsSettings()
     policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: EntryTuning = EntryTuning()
@@ -211,6 +257,7 @@
     max_body_bytes: Count = 1_048_576
     upstream_connections: Count = 64
     log: LogSettings = LogSettings()
+    clients: ClientSettings = ClientSettings()
     metrics: MetricsSettings = MetricsSettings()
     policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: AgentTuning = AgentTuning()
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -33,6 +33,7 @@
     upstream,
     worker,
 )
+from gypsumhold.adapters.listeners import servers
 from gypsumhold.decisions import policy_sets, reducer
 from gypsumhold.model import agent, events, members
 from gypsumhold.programs import process
@@ -88,7 +89,11 @@
     )
     stack.callback(runtime.close)
     server = peerserver.PeerServer(
-        options.address, event_services.AgentPeerService(runtime), key
+        options.address,
+        event_services.AgentPeerService(runtime),
+        key,
+        process.build_peer_options(agent_settings.clients),
+        recorder,
     )
     stack.callback(server.close, process.PEER_GRACE)
     listener = http_server.Listener(
@@ -100,6 +105,9 @@
         ),
         LOCAL_THREADS,
         agent_settings.max_body_bytes,
+        servers.ListenerOptions(
+            "local", agent_settings.clients.build_small(), recorder
+        ),
     )
     stack.callback(listener.close)
     runtime.dispatch(events.AgentStarted())
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -39,6 +39,7 @@
     store,
     task_routes,
 )
+from gypsumhold.adapters.listeners import servers
 from gypsumhold.decisions import policy_sets, reducer
 from gypsumhold.model import entry, events
 from gypsumhold.programs import process
@@ -96,6 +97,8 @@
         entry_settings.peers.build(),
         event_services.EntryPeerService(runtime),
         key,
+        process.build_peer_options(entry_settings.clients),
+        recorder,
     )
     stack.callback(server.close, process.PEER_GRACE)
     receiver = datagrams.Receiver(entry_settings.announcements.build(), key)
@@ -121,6 +124,9 @@
                 entry_settings.operator_token.get_secret_value(),
                 system_clock,
             ),
+            servers.ListenerOptions(
+                "operators", entry_settings.clients.build_small(), recorder
+            ),
         )
     )
     listener = http_server.Listener(
@@ -132,6 +138,9 @@
         ),
         entry_settings.caller_threads,
         entry_settings.max_body_bytes,
+        servers.ListenerOptions(
+            "callers", entry_settings.clients.build(), recorder
+        ),
     )
     stack.callback(listener.close)
     runtime.dispatch(events.EntryStarted())
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -44,6 +44,7 @@
     metrics,
     peers,
 )
+from gypsumhold.adapters.listeners import servers
 from gypsumhold.decisions import reducer
 from gypsumhold.decisions.jobs import policy_sets
 from gypsumhold.model import clock as clocks
@@ -215,6 +216,11 @@
             shared.platform_settings.callers,
             job_routes.JobRoutes(runtime, shared.clock),
             CALLER_THREADS,
+            servers.ListenerOptions(
+                "callers",
+                shared.program_settings.clients.build(),
+                shared.recorder,
+            ),
             stack,
         ),
         listen(
@@ -223,6 +229,7 @@
                 lambda: runtime.snapshot(job_routes.is_ready)
             ),
             READY_THREADS,
+            build_small_options("readiness", shared),
             stack,
         ),
     )
@@ -265,6 +272,7 @@
         shared.platform_settings.workers,
         heartbeats.HeartbeatRoutes(runtime),
         HEARTBEAT_THREADS,
+        build_small_options("heartbeats", shared),
         stack,
     )
     return RunningNode(runtime, base_events.StopRequested(), (listener,))
@@ -278,7 +286,13 @@
         shared.platform_settings.host, shared.program_settings.metrics_port
     )
     routes = metrics.MetricsRoutes(shared.recorder)
-    listen(address, routes, METRICS_THREADS, stack)
+    listen(
+        address,
+        routes,
+        METRICS_THREADS,
+        build_small_options("metrics", shared),
+        stack,
+    )
 
 
 def serve_peers(
@@ -288,15 +302,29 @@
 ) -> None:
     """Serves calls of other processes until the stack closes."""
     server = peerserver.PeerServer(
-        shared.platform_settings.peers.build_address(), service, shared.key
+        shared.platform_settings.peers.build_address(),
+        service,
+        shared.key,
+        process.build_peer_options(shared.program_settings.clients),
+        shared.recorder,
     )
     stack.callback(server.close, SETTLE_TIME)
 
 
+def build_small_options(
+    name: str, shared: SharedComponents
+) -> servers.ListenerOptions:
+    """Returns the options of a listener that has few clients."""
+    return servers.ListenerOptions(
+        name, shared.program_settings.clients.build_small(), shared.recorder
+    )
+
+
 def listen(
     address: members.Address | None,
     routes: http_routes.Routes,
     threads: int,
+    options: servers.ListenerOptions,
     stack: contextlib.ExitStack,
 ) -> http_server.Listener:
     """Serves routes over HTTP until the stack closes.
@@ -307,7 +335,9 @@
     """
     if address is None:
         raise http_routes.ListenError(http_routes.MISSING_ADDRESS)
-    listener = http_server.Listener(address, routes, threads, MAX_BODY_BYTES)
+    listener = http_server.Listener(
+        address, routes, threads, MAX_BODY_BYTES, options
+    )
     stack.callback(listener.close)
     return listener
 
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -14,7 +14,14 @@
 from opentelemetry.sdk.metrics import export
 from returns.result import Failure
 
-from gypsumhold.adapters import engine, http_routes, http_server, logs, settings
+from gypsumhold.adapters import (
+    engine,
+    http_routes,
+    http_server,
+    logs,
+    peerserver,
+    settings,
+)
 from gypsumhold.model import errors, events
 
 SettingsT = TypeVar("SettingsT", settings.EntrySettings, settings.AgentSettings)
@@ -80,6 +87,13 @@
             _LOG.error("work was still in progress after {}", limit)
 
 
+def build_peer_options(
+    client_settings: settings.ClientSettings,
+) -> peerserver.ServerOptions:
+    """Returns the limits of the server for other processes."""
+    return peerserver.ServerOptions(max_strangers=client_settings.max_strangers)
+
+
 def run(
     path: str, settings_type: type[SettingsT], start: Start[SettingsT]
 ) -> int:
--- a/tests/adapters/test_listener.py
+++ b/tests/adapters/test_listener.py
@@ -7,6 +7,7 @@
 import pytest
 
 from gypsumhold.adapters import http_routes, http_server
+from gypsumhold.adapters.listeners import drains
 from gypsumhold.model import members
 
 WAIT = 5.0
@@ -75,8 +76,8 @@
     results: list[type[Exception] | bytes] = []
     callers: list[threading.Thread] = []
     listener = http_server.Listener(ANY_PORT, SlowRoutes(), 1, 100)
-    manager = http_server._ConnectionManager
-    accept = manager._accept
+    manager = drains.DrainingManager
+    accept = manager._accept_last
 
     def call() -> None:
         try:
@@ -86,7 +87,7 @@
         except OSError as problem:
             results.append(type(problem))
 
-    def accept_and_connect(self: http_server._ConnectionManager) -> object:
+    def accept_and_connect(self: drains.DrainingManager) -> object:
         connection = accept(self)
         if connection is None and not callers:
             callers.append(threading.Thread(target=call))
@@ -94,7 +95,7 @@
             callers[0].join(0.1)
         return connection
 
-    monkeypatch.setattr(manager, "_accept", accept_and_connect)
+    monkeypatch.setattr(manager, "_accept_last", accept_and_connect)
     listener.close()
     callers[0].join(WAIT)
     assert results == [ConnectionRefusedError]
@@ -138,3 +139,35 @@
                 assert part, "the connection was closed"
                 received += part
             assert b"Connection: close" not in received
+
+
+def test_client_that_waits_before_its_body_is_told_to_go_on() -> None:
+    """Guards against a body that neither side starts to transfer.
+
+    A body that is refused is not asked for.
+    """
+    routes = SlowRoutes()
+    routes.gate.set()
+    listener = http_server.Listener(ANY_PORT, routes, 1, 100)
+    head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: "
+    with contextlib.closing(listener):
+        with open_client(listener) as peer:
+            peer.sendall(head + b"3\r\n\r\n")
+            assert peer.recv(65536) == b"HTTP/1.1 100 Continue\r\n\r\n"
+            peer.sendall(b"abc")
+            peer.shutdown(socket.SHUT_WR)
+            assert read_all(peer).startswith(b"HTTP/1.1 200 ")
+        with open_client(listener) as peer:
+            peer.sendall(head + b"101\r\n\r\n")
+            assert read_all(peer).startswith(b"HTTP/1.1 413 ")
+
+
+def test_requests_that_arrive_together_are_answered_in_order() -> None:
+    """Guards against a request that is lost behind another one."""
+    routes = SlowRoutes()
+    routes.gate.set()
+    listener = http_server.Listener(ANY_PORT, routes, 2, 100)
+    last = REQUEST.replace(b"Host", b"Connection: close\r\nHost")
+    with contextlib.closing(listener), open_client(listener) as peer:
+        peer.sendall(REQUEST * 3 + last)
+        assert read_all(peer).count(b"\r\n\r\nwhole") == 4
