Lower the sums of small listeners, and close clients that block an answer

Cause: every listener of a process had sums of 16 MiB of its own, which together exceed a small instance. A provisional answer that a client does not take was left to a connection that waits for reads.

Change: requests and unread answers of the listeners for operators, workers, readiness and metrics are bounded by 4 MiB each. A connection whose provisional answer cannot be sent is closed.

Result: tests/adapters/test_listener.py, test_malformed_requests.py, test_settings.py, tests/programs/test_reference.py and make check pass.

--- a/src/gypsumhold/adapters/listeners/managers.py
+++ b/src/gypsumhold/adapters/listeners/managers.py
@@ -253,7 +253,15 @@
             and not conn.has_continued
         ):
             conn.has_continued = True
+            self._send_continue(conn)
+
+    def _send_continue(self, conn: connections.Connection) -> None:
+        """Asks for a body; ends a connection that does not take the answer."""
+        with contextlib.suppress(OSError):
             conn.wfile.write(CONTINUE)
+            if not conn.wfile.unsent:
+                return
+        self._close(conn)
 
     def _send_rest(self, conn: connections.Connection) -> None:
         """Sends more of an answer that the client was slow to read."""
--- a/src/gypsumhold/adapters/listeners/servers.py
+++ b/src/gypsumhold/adapters/listeners/servers.py
@@ -1,6 +1,7 @@
 """Base of the HTTP servers whose clients are bounded."""
 
 import dataclasses
+import http.client
 from typing import Any
 
 import logbook
@@ -108,7 +109,7 @@
             status, error = 408, TOO_SLOW
         answer = self.routes.answer_error(status, error)
         lines = [
-            f"HTTP/1.1 {status} Refused",
+            f"HTTP/1.1 {status} {http.client.responses[status]}",
             *(f"{name}: {value}" for name, value in answer.headers),
             "Connection: close",
             f"Content-Length: {len(answer.body)}",
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -50,6 +50,13 @@
 Count = Annotated[int, pydantic.Field(ge=1)]
 
 
+SMALL_BYTES = 4 * 1024 * 1024
+"""Most bytes of the requests, and of the unread answers, of such a listener.
+
+All listeners of a process together stay within the memory of an instance.
+"""
+
+
 class _Settings(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
@@ -155,6 +162,8 @@
             max_connections_per_host=min(
                 self.max_connections_per_host, SMALL_CONNECTIONS
             ),
+            max_request_bytes=min(self.max_request_bytes, SMALL_BYTES),
+            max_unsent_bytes=min(self.max_unsent_bytes, SMALL_BYTES),
         )
 
 
