Test that a new holder waits for the evacuations

Cause: no test failed on a copy whose holder places before its read of the rows is answered, but for one that looks at the effect.

Change: a world whose reads of the evacuations are refused for seconds; it fails on that copy and passes here.

--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -119,6 +119,20 @@
     assert not count_starts(world, NEAR)
 
 
+def test_new_holder_places_nothing_before_it_has_read_the_rows() -> None:
+    """Guards against a holder that knows less than its predecessor did."""
+    world = build_world()
+    world.scripted_faults[effects.ReadEvacuations] = ["refused"] * 40
+    world.run(1000)
+    world.submit("entry-0", job_specs.build_job("j", (2,)))
+    world.run(3000)
+    assert world.store.jobs
+    assert not world.oracle.started
+    world.scripted_faults[effects.ReadEvacuations].clear()
+    world.run(3000)
+    assert len(world.oracle.started) == 2
+
+
 def inject_faults(world: worlds.World, until_ms: float) -> None:
     """Injects faults that excuse no start, one each second or so.
 
