--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -54,10 +54,13 @@
 
 
 def submit_repeatedly(world: worlds.World, until_ms: float) -> None:
-    """Submits small jobs, each 200 ms, to the entries in turn."""
+    """Submits small jobs, each 200 ms; every fourth one is a gang."""
     count = int((until_ms - world.now_ms) / 200)
     for number in range(count):
         spec = job_specs.build_job(f"j{number}", (2, 1))
+        if number % 4 == 0:
+            gang = specs.StepSpec(3, 1000, 1000, estimate_ms=1000, gang=True)
+            spec = job_specs.build_job_of(f"j{number}", (gang,))
         entry = f"entry-{number % 2}"
         world.after(
             200.0 * number,
