--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -54,10 +54,13 @@
 
 
 def submit_repeatedly(world: worlds.World, until_ms: float) -> None:
-    """Submits small jobs, each 200 ms, to the entries in turn."""
+    """Submits small jobs, each 200 ms; every fourth one is a gang."""
     count = int((until_ms - world.now_ms) / 200)
     for number in range(count):
         spec = job_specs.build_job(f"j{number}", (2, 1))
+        if number % 4 == 0:
+            gang = specs.StepSpec(3, 1000, 1000, estimate_ms=1000, gang=True)
+            spec = job_specs.build_job_of(f"j{number}", (gang,))
         entry = f"entry-{number % 2}"
         world.after(
             200.0 * number,
@@ -119,6 +122,20 @@
     assert not count_starts(world, NEAR)
 
 
+def test_new_holder_places_nothing_before_it_has_read_the_rows() -> None:
+    """Guards against a holder that knows less than its predecessor did."""
+    world = build_world()
+    world.scripted_faults[effects.ReadEvacuations] = ["refused"] * 40
+    world.run(1000)
+    world.submit("entry-0", job_specs.build_job("j", (2,)))
+    world.run(3000)
+    assert world.store.jobs
+    assert not world.oracle.started
+    world.scripted_faults[effects.ReadEvacuations].clear()
+    world.run(3000)
+    assert len(world.oracle.started) == 2
+
+
 def inject_faults(world: worlds.World, until_ms: float) -> None:
     """Injects faults that excuse no start, one each second or so.
 
