--- a/tests/jobs/test_near_places.py
+++ b/tests/jobs/test_near_places.py
@@ -14,7 +14,7 @@
 
 from gypsumhold.adapters import clock as clocks
 from gypsumhold.adapters.jobs import metrics
-from gypsumhold.decisions.jobs import estimates
+from gypsumhold.decisions.jobs import estimates, spreading
 from gypsumhold.decisions.jobs.locality import wait_policies
 from gypsumhold.model import events as base_events
 from gypsumhold.model import ids, timers
@@ -23,12 +23,14 @@
     locality,
     messages,
     policies,
+    progress,
     runs,
     specs,
     waits,
 )
 from gypsumhold.platform import settings
 from tests.jobs import (
+    builders,
     job_specs,
     rack_world,
     test_regressions,
@@ -279,6 +281,21 @@
     assert set(rush.list_racks("job", 1)) == {"r1-1", "r1-2"}
 
 
+def test_tasks_without_data_avoid_an_awaited_rack() -> None:
+    """Guards against openings that go to tasks which are as fast elsewhere.
+
+    Ordinary tasks take the smallest gap, which is on the fullest rack.
+    """
+    worker = builders.build_worker(runs.WorkerIncarnation("w", 1))
+    full = policies.Candidate(ids.InstanceId("full"), worker, 2000, 2000, 0)
+    empty = policies.Candidate(ids.InstanceId("empty"), worker, 8000, 8000, 0)
+    step = progress.Step(TASK, 0, 0, [progress.Task()], open=True)
+    policy = spreading.InterferenceAware()
+    assert policy.choose(step, step.tasks[0], [full, empty]) is full
+    full.awaited = True
+    assert policy.choose(step, step.tasks[0], [full, empty]) is empty
+
+
 def test_wait_has_a_stage_of_its_own() -> None:
     """Guards against a job without a run of which no line tells why."""
     rush = Rush(busy_ms=900)
