--- a/src/gypsumhold/decisions/jobs/job_placements.py
+++ b/src/gypsumhold/decisions/jobs/job_placements.py
@@ -374,7 +374,8 @@
         placement = self._plan.state.policies.placement
         near, job = self._plan.near, self._job
         task = step.tasks[0]
-        prefers_rack = near.prefers_rack(step, task)
+        is_migrating = any(member.migrating for member in step.tasks)
+        prefers_rack = near.prefers_rack(step, task) and not is_migrating
         if prefers_rack:
             chosen = gang_racks.choose_on_one_rack(
                 placement, job, step, candidates
