Draw the spread of retry delays only for policies that may refuse

Cause: each submission drew a number for the spread, which moved the jitter of later polls also where no job is ever refused.

Change: AcceptAll draws none, so entries behave as before under it.

--- a/src/gypsumhold/decisions/jobs/submissions.py
+++ b/src/gypsumhold/decisions/jobs/submissions.py
@@ -56,9 +56,11 @@
         return _forward(state, event.ticket, ticket) or _give_up(
             state, event.ticket, ticket, "store lost"
         )
-    decision = state.policies.admission.decide(
+    policy = state.policies.admission
+    jitter = state.rng.random() if policy.needs_forecast else 0.0
+    decision = policy.decide(
         forecasts.AdmissionInputs(
-            spec, state.forecast, now, state.shares, state.rng.random()
+            spec, state.forecast, now, state.shares, jitter
         )
     )
     if decision.retry_delay is None:
