Use no forecast whose numbers are impossible; cap the delay of a retry

Cause: a row with a very large age or wait made no duration, so each submission of an entry that read it would have failed with an OverflowError.

Change: a forecast with a number out of range is dropped, the holder clamps its own, and no caller is told to wait for more than a minute.

--- a/src/gypsumhold/decisions/jobs/overload/admission.py
+++ b/src/gypsumhold/decisions/jobs/overload/admission.py
@@ -14,6 +14,9 @@
 wait near the limit does not refuse and accept by turns."""
 
 MIN_RETRY_DELAY = datetime.timedelta(seconds=1)
+MAX_RETRY_DELAY = datetime.timedelta(seconds=60)
+"""What waits now tells little of the room after a minute."""
+
 RETRY_SPREAD = 0.4
 """Range of retry delays, as a share of their mean."""
 
@@ -69,7 +72,7 @@
         if refusing and not shares.needs_floor(share):
             spread = 1 + RETRY_SPREAD * (inputs.jitter - 0.5)
             excess = expected - limit * RESUME_SHARE
-            delay = max(MIN_RETRY_DELAY, excess * spread)
+            delay = min(MAX_RETRY_DELAY, max(MIN_RETRY_DELAY, excess * spread))
         return forecasts.AdmissionDecision(
             delay, key, refusing, expected, limit
         )
--- a/src/gypsumhold/decisions/jobs/overload/forecasts.py
+++ b/src/gypsumhold/decisions/jobs/overload/forecasts.py
@@ -27,6 +27,10 @@
 """Shares of the open jobs of a queue up to which its size classes reach. The
 largest tenth has a class, and so a floor, of its own."""
 
+MAX_MS = 10**12
+"""Longest time and largest work that a forecast tells, in ms. Larger numbers of
+a row are not sound, and some make no duration."""
+
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -71,7 +75,8 @@
         or forecast.term != holder_state.term
     ):
         return records.NO_FORECAST, ()
-    return max(0, (now - forecast.made_at) // MILLISECOND), forecast.queues
+    age_ms = max(0, (now - forecast.made_at) // MILLISECOND)
+    return min(MAX_MS, age_ms), forecast.queues
 
 
 def receive(
@@ -84,13 +89,22 @@
     Ages are durations, so the clocks of entries need not agree. A row of a new
     holder without a forecast drops that of the former holder.
     """
-    if record is None or record.forecast_age_ms < 0:
+    if record is None or not _is_sound(record):
         state.forecast = None
         return
     made_at = now - record.forecast_age_ms * MILLISECOND
     state.forecast = forecasts.Forecast(record.term, made_at, record.forecast)
 
 
+def _is_sound(record: records.HolderRecord) -> bool:
+    """Tells whether a row has a forecast with possible numbers only."""
+    numbers = [record.forecast_age_ms]
+    for queue in record.forecast:
+        for size in queue.sizes:
+            numbers += (size.max_work_ms, size.delay_ms)
+    return all(0 <= number <= MAX_MS for number in numbers)
+
+
 def forecast_queues(
     jobs: Iterable[progress.Job],
     now: datetime.timedelta,
@@ -137,7 +151,8 @@
         )
         sizes.append(
             forecasts.SizeForecast(
-                bound // MILLISECOND, int(ahead / MILLISECOND / used)
+                min(MAX_MS, bound // MILLISECOND),
+                min(MAX_MS, int(ahead / MILLISECOND / used)),
             )
         )
     return forecasts.QueueForecast(jobs[0].spec.queue.name, tuple(sizes))
--- a/tests/jobs/test_admission.py
+++ b/tests/jobs/test_admission.py
@@ -192,6 +192,23 @@
     assert state.forecast is not None
 
 
+@pytest.mark.parametrize("odd_ms", [-2, 2**62])
+def test_forecast_with_an_odd_number_is_not_used(odd_ms: int) -> None:
+    """Guards against a number that makes no duration, at each submission."""
+    odd = types.QueueForecast(
+        SPEC.queue.name, (types.SizeForecast(4000, odd_ms),)
+    )
+    row = build_row(5, TERM, 0)
+    assert row.record is not None
+    for record in (
+        msgspec.structs.replace(row.record, forecast=(odd,)),
+        msgspec.structs.replace(row.record, forecast_age_ms=odd_ms),
+    ):
+        state = build_follower()
+        read_row(state, storage.HolderRow(row.version, record), NOW)
+        assert is_accepted(submit(state, NOW))
+
+
 def test_rows_of_former_versions_have_no_forecast() -> None:
     row = build_row(5, TERM, 0).record
     assert row is not None
