--- a/tests/jobs/wait_search.py
+++ b/tests/jobs/wait_search.py
@@ -23,6 +23,9 @@
 MAX_CANCEL_DELAY_MS = 1500.0
 MAX_FAULT_MS = 4000.0
 
+MAX_DOWN_MS = 3200.0
+"""Longest time until a machine is back after all have lost power."""
+
 ONE_CORE = processors.Costs(
     event=0.05,
     report=1.0,
@@ -48,6 +51,7 @@
         store_ms: Mean time that a batch takes beside its call.
         faults: Number of faults before the judged time.
         cancelled_share: Share of the jobs that are cancelled soon.
+        power_loss: Whether all machines lose power during the load.
     """
 
     load: str
@@ -56,6 +60,7 @@
     store_ms: float = 0.0
     faults: int = 0
     cancelled_share: float = 0.0
+    power_loss: bool = False
 
 
 def play(seed: int, setting: Setting) -> large_world.LargeWorld:
@@ -70,6 +75,9 @@
     source = random.Random(seed)
     last_ms = submit_load(world, source, setting)
     inject_faults(world, source, setting.faults, last_ms)
+    if setting.power_loss:
+        calm_ms = MAX_DOWN_MS + wait_oracle.CALM_MS
+        world.after(max(0.0, last_ms - calm_ms), lambda: lose_power(world))
     world.run(last_ms)
     world.judge(JUDGED_MS, lambda: not list_open_jobs(world))
     return world
@@ -158,6 +166,14 @@
     world.workers[name].restart(world.now_ms, for_ms)
 
 
+def lose_power(world: large_world.LargeWorld) -> None:
+    """Stops all processes and workers; each is back after a time of its own."""
+    for name in (*world.processors, *world.workers):
+        world.kill(name, world.random.uniform(0, MAX_DOWN_MS))
+    for worker in world.workers.values():
+        worker.restart(world.now_ms, world.random.uniform(0, MAX_DOWN_MS))
+
+
 FAULTS: tuple[Fault, ...] = (
     cut_agent,
     cut_worker,
@@ -204,6 +220,7 @@
     parser.add_argument("--store-ms", type=float, default=0.0)
     parser.add_argument("--faults", type=int, default=0)
     parser.add_argument("--cancelled-share", type=float, default=0.0)
+    parser.add_argument("--power-loss", action="store_true")
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=10)
     arguments = parser.parse_args()
@@ -214,6 +231,7 @@
         arguments.store_ms,
         arguments.faults,
         arguments.cancelled_share,
+        arguments.power_loss,
     )
     print(setting, flush=True)
     failed = False
