--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -174,7 +174,8 @@
     `advertised_port` is the port for other processes if a forwarder stands in
     front of this process. With an `operator_token`, an entry also answers
     operators on the port of the metrics.
-    `admission` chooses which jobs an entry refuses.
+    `admission` chooses which jobs an entry refuses, and `locality` whether
+    tasks wait for places near their data or their gang.
     """
 
     deployment_key: Secret
@@ -183,6 +184,7 @@
     metrics_port: int = pydantic.Field(default=9464, ge=1, le=65535)
     log: LogSettings = LogSettings()
     admission: policy_sets.AdmissionKind = policy_sets.AdmissionKind.ACCEPT_ALL
+    locality: policy_sets.LocalityKind = policy_sets.LocalityKind.WEIGH_WAIT
     clients: ClientSettings = ClientSettings()
 
 
--- a/src/gypsumhold/decisions/jobs/policy_sets.py
+++ b/src/gypsumhold/decisions/jobs/policy_sets.py
@@ -23,6 +23,18 @@
     REFUSE_USELESS = "refuse-useless"
 
 
+class LocalityKind(enum.Enum):
+    """Which locality policy a holder runs with."""
+
+    WEIGH_WAIT = "weigh-wait"
+    TAKE_ANYWHERE = "take-anywhere"
+
+
+LOCALITY_POLICIES: Mapping[LocalityKind, type[policies.LocalityPolicy]] = {
+    LocalityKind.WEIGH_WAIT: wait_policies.WeighWait,
+    LocalityKind.TAKE_ANYWHERE: wait_policies.TakeAnywhere,
+}
+
 ADMISSION_POLICIES: Mapping[AdmissionKind, type[policies.AdmissionPolicy]] = {
     AdmissionKind.ACCEPT_ALL: admission.AcceptAll,
     AdmissionKind.REFUSE_USELESS: admission.RefuseUseless,
@@ -31,6 +43,7 @@
 
 def build_scheduler_policies(
     admission_kind: AdmissionKind = AdmissionKind.ACCEPT_ALL,
+    locality_kind: LocalityKind = LocalityKind.WEIGH_WAIT,
 ) -> policies.SchedulerPolicies:
     """Returns the policies of a scheduler."""
     learned = estimates.LearnedEstimates()
@@ -40,7 +53,7 @@
         probations.LeastToLose(spreading.InterferenceAware()),
         ADMISSION_POLICIES[admission_kind](),
         verdicts.ByEvidence(),
-        wait_policies.WeighWait(),
+        LOCALITY_POLICIES[locality_kind](),
     )
 
 
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -197,7 +197,10 @@
     )
     state = scheduler.SchedulerState(
         options,
-        policy_sets.build_scheduler_policies(shared.program_settings.admission),
+        policy_sets.build_scheduler_policies(
+            shared.program_settings.admission,
+            shared.program_settings.locality,
+        ),
         rng=random.Random(shared.incarnation),
     )
     runtime: engine.Engine[scheduler.SchedulerState] = engine.Engine(
