Keep the fence when a poll was overtaken by the agent's own call

Cause: a poll that a start of the same process overtakes is refused for its fence. Two in a row counted as proof of higher fences of a former process, and raised the fence by ten minutes. The next process begins with its clock, so its worker refuses its polls, and the next incarnation takes late calls of the former process first.

Change: a refusal below a fence that the worker has accepted from this process raises nothing.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -231,6 +231,8 @@
         emitted += worker_clocks.doubt(state, event, event.clock)
     if event.result is events.CommandResult.FENCED:
         raise_refused_fence(state, event.fence)
+    elif event.result is events.CommandResult.DONE and is_known:
+        record_accepted_fence(state, event.fence)
     local_run = state.active.get(event.ref)
     if local_run is None:
         return emitted
@@ -248,12 +250,21 @@
     return emitted
 
 
+def record_accepted_fence(state: executor.ExecutorState, fence: int) -> None:
+    """Records that the known incarnation of the worker has taken a call."""
+    state.accepted_fence = max(state.accepted_fence, fence)
+    state.was_fence_refused = False
+
+
 def raise_refused_fence(state: executor.ExecutorState, fence: int) -> None:
     """Raises the fence after the worker refused a call with this one.
 
-    A call of this process with a higher fence may have overtaken it. If not, or
-    if that happens again, a former process has used higher ones.
+    A call of this process with a higher fence may have overtaken it, and has
+    done so if one was accepted. If not, or if that happens again, a former
+    process has used higher ones.
     """
+    if fence < state.accepted_fence:
+        return
     if fence < state.fence and not state.was_fence_refused:
         state.was_fence_refused = True
         return
--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -31,6 +31,7 @@
     # a poll with this fence is answered, which also decides the open starts.
     state.fence += 1
     state.first_fence = state.fence
+    state.accepted_fence = 0
     # A poll of the former incarnation may be unanswered for long.
     state.poll_pending = False
     state.active = {
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -208,7 +208,7 @@
     if not state.answering:
         emitted.append(worker_logs.log_worker(worker, "answers again"))
     state.answering = True
-    state.was_fence_refused = False
+    commands.record_accepted_fence(state, event.fence)
     state.silent_after = None
     _end_doubt(state, event.clock)
     acknowledgements.record_taken(state, event)
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -212,6 +212,8 @@
             has stored.
         discarded: Highest end that the worker may have discarded, by its answer
             to a poll that acknowledged it.
+        accepted_fence: Highest fence of a call that the known incarnation of
+            the worker has accepted; 0 if it has accepted none.
         was_fence_refused: Whether the worker refused a fence since it last
             answered a poll.
         withheld_since: Since when no poll may acknowledge the ends that the
@@ -290,6 +292,7 @@
     )
     acknowledged: runs.EndNumber = runs.EndNumber(0)
     discarded: runs.EndNumber = runs.EndNumber(0)
+    accepted_fence: int = 0
     was_fence_refused: bool = False
     withheld_since: datetime.timedelta | None = None
     doubted_at: datetime.timedelta | None = None
