Serve pipelined requests once and in order

Cause: a thread that puts a connection back registers the socket and only queues the ServeRequest for a buffered request. When the socket was readable too, the receiving thread read it before the effect ran: more bytes emitted a second ServeRequest, so that two threads handled one connection, and the end of the stream closed it with the request unanswered. A request that was already refused could also grow back into one that is served.

Change: the receiving thread runs the queued effects before each ready connection, a connection that is served or closing is not handed over, and only a request in the phase IDLE or READING grows.

--- a/src/gypsumhold/adapters/listeners/managers.py
+++ b/src/gypsumhold/adapters/listeners/managers.py
@@ -154,6 +154,10 @@
         """Waits for clients and serves those that are ready."""
         for descriptor, conn in self._selector.select(timeout=timeout):
             with self._lock:
+                # A thread may have emitted effects on this connection. They
+                # come first, so that a request that has arrived is handed over
+                # before more bytes or the end of the stream are read.
+                self._run_effects()
                 if conn is self.server:
                     self._accept_new()
                 elif conn is None:
@@ -316,6 +320,8 @@
 
     def _hand_over(self, conn: connections.Connection) -> None:
         """Lets a thread answer a request."""
+        if conn.is_served or conn.is_closing:
+            return
         self._unregister(conn)
         conn.is_served = True
         end = conn.scanner.end
--- a/src/gypsumhold/decisions/clients.py
+++ b/src/gypsumhold/decisions/clients.py
@@ -14,6 +14,9 @@
 
 Effects = list[clients.Effect]
 
+_RECEIVING = frozenset({clients.Phase.IDLE, clients.Phase.READING})
+"""Phases in which a request can grow; a refused one is not served later."""
+
 
 def _open(
     state: clients.ClientState,
@@ -134,9 +137,10 @@
 ) -> Effects:
     """Counts the bytes of a request, and refuses the largest if need be."""
     current = event.connection
-    if current not in state.clients:
+    client = state.clients.get(current)
+    if client is None or client.phase not in _RECEIVING:
         return []
-    is_alone = state.request_bytes == state.clients[current].size
+    is_alone = state.request_bytes == client.size
     _move(state, current, clients.Phase.READING, event.size, now)
     effects: Effects = []
     while not is_alone and state.request_bytes > state.limits.max_request_bytes:
--- a/tests/adapters/test_listener.py
+++ b/tests/adapters/test_listener.py
@@ -171,3 +171,79 @@
     with contextlib.closing(listener), open_client(listener) as peer:
         peer.sendall(REQUEST * 3 + last)
         assert read_all(peer).count(b"\r\n\r\nwhole") == 4
+
+
+class RecordingRoutes(http_routes.Routes):
+    """Answers with the request target; the first answer waits for `gate`."""
+
+    def __init__(self) -> None:
+        self.targets: list[str] = []
+        self.arrived = threading.Event()
+        self.gate = threading.Event()
+
+    def answer(
+        self, incoming: http_routes.HttpRequest
+    ) -> http_routes.HttpResponse:
+        self.targets.append(incoming.target)
+        self.arrived.set()
+        self.gate.wait(WAIT)
+        return http_routes.HttpResponse(200, body=incoming.target.encode())
+
+
+def build_request(number: int, headers: str = "") -> bytes:
+    return f"GET /{number} HTTP/1.1\r\nHost: h\r\n{headers}\r\n".encode()
+
+
+def read_targets(peer: socket.socket) -> list[str]:
+    """Returns the bodies of all answers until the end of the connection."""
+    answers = read_all(peer).split(b"HTTP/1.1 200 OK\r\n")
+    assert answers[0] == b""
+    return [answer.partition(b"\r\n\r\n")[2].decode() for answer in answers[1:]]
+
+
+def test_request_that_arrives_behind_a_waiting_one_is_answered() -> None:
+    """Guards against a request that is run without an answer, or is lost.
+
+    The second request waits in the listener and the third one in the socket
+    when the first one is answered.
+    """
+    routes = RecordingRoutes()
+    listener = http_server.Listener(ANY_PORT, routes, 2, 100)
+    targets = ["/1", "/2", "/3"]
+    with contextlib.closing(listener), open_client(listener) as peer:
+        peer.sendall(build_request(1) + build_request(2))
+        assert routes.arrived.wait(WAIT)
+        peer.sendall(build_request(3, "Connection: close\r\n"))
+        routes.gate.set()
+        assert read_targets(peer) == targets
+    assert routes.targets == targets
+
+
+def test_hundreds_of_requests_that_arrive_together_are_answered() -> None:
+    """Guards against a connection that two threads handle at once.
+
+    The requests are larger than what the listener receives at a time.
+    """
+    routes = RecordingRoutes()
+    routes.gate.set()
+    listener = http_server.Listener(ANY_PORT, routes, 4, 100)
+    targets = [f"/{number}" for number in range(400)]
+    padding = f"X: {'a' * 300}\r\n"
+    requests = b"".join(build_request(number, padding) for number in range(399))
+    with contextlib.closing(listener), open_client(listener) as peer:
+        peer.sendall(requests + build_request(399, "Connection: close\r\n"))
+        assert read_targets(peer) == targets
+    assert routes.targets == targets
+
+
+def test_half_closed_connection_gets_all_its_answers() -> None:
+    """Guards against an end of the stream that drops a complete request."""
+    routes = RecordingRoutes()
+    listener = http_server.Listener(ANY_PORT, routes, 2, 100)
+    with contextlib.closing(listener), open_client(listener) as peer:
+        peer.sendall(build_request(1) + build_request(2))
+        peer.shutdown(socket.SHUT_WR)
+        assert routes.arrived.wait(WAIT)
+        routes.gate.set()
+        assert read_targets(peer) == ["/1", "/2"]
+    assert routes.targets == ["/1", "/2"]
--- a/tests/decisions/test_clients.py
+++ b/tests/decisions/test_clients.py
@@ -147,3 +147,28 @@
         clients.CloseConnection(number(2), clients.Reason.DISCARD_TIME),
     ]
     assert state == clients.ClientState(LIMITS)
+
+
+def test_refused_request_is_not_served_when_it_grows() -> None:
+    """Guards against a request that is answered as not run, and runs."""
+    state, emitted = play(
+        (0, opened(1, HOST)),
+        (0, opened(2, OTHER)),
+        (1, grew(1, 90_000, False)),
+        (2, grew(2, 20_000, False)),
+        (3, grew(1, 95_000, True)),
+    )
+    assert emitted == [
+        clients.RefuseRequest(number(1), clients.Reason.REQUEST_BYTES)
+    ]
+    assert state.request_bytes == 20_000
+
+
+def test_request_that_a_thread_handles_is_not_handed_over_again() -> None:
+    """Guards against two threads that handle one connection."""
+    _, emitted = play(
+        (0, opened(1, HOST)),
+        (1, grew(1, 20, True)),
+        (2, grew(1, 40, True)),
+    )
+    assert emitted == [clients.ServeRequest(number(1))]
