Let a listener stop while a thread is busy or a client does not read

Cause: cheroot reads the attribute `closed` of the reader of a connection whose thread is busy at the end of the timeout of the stop; RequestReader had none, so the close raised AttributeError. And while the server stops, the threads sent the rest of their answers with the lock held, for up to 10 s each: one client that did not read held up the other threads and the close.

Change: RequestReader has `closed`. `put` and `end` decide under the lock and send the last bytes after they have left it.

Result: both new tests fail without the change (AttributeError; the lock was held for more than 5 s) and pass with it.

--- a/src/gypsumhold/adapters/listeners/managers.py
+++ b/src/gypsumhold/adapters/listeners/managers.py
@@ -76,41 +76,55 @@
     def put(self, conn: Any) -> None:
         """Takes a connection back from a thread that has answered on it."""
         with self._lock:
-            if self._stopped or conn.is_closed:
-                self._flush(conn)
-                return
-            conn.is_served = False
-            conn.rfile.release()
-            conn.start_request()
-            self._dispatch(
-                clients.AnswerWritten(conn.number, len(conn.wfile.unsent))
-            )
-            if conn.wfile.unsent:
-                self._register(conn, selectors.EVENT_WRITE)
-                return
-            self._await_request(conn)
+            is_last = self._stopped or conn.is_closed
+            if not is_last:
+                self._take_back(conn)
+        if is_last:
+            self._flush(conn)
+
+    def _take_back(self, conn: connections.Connection) -> None:
+        """Waits for the next request, or for the client to read."""
+        conn.is_served = False
+        conn.rfile.release()
+        conn.start_request()
+        self._dispatch(
+            clients.AnswerWritten(conn.number, len(conn.wfile.unsent))
+        )
+        if conn.wfile.unsent:
+            self._register(conn, selectors.EVENT_WRITE)
+            return
+        self._await_request(conn)
 
     def end(self, conn: connections.Connection) -> None:
         """Closes a connection after its answer; called by any thread."""
         with self._lock:
-            if self._stopped or conn.is_closed:
-                self._flush(conn)
-                return
-            conn.is_served = False
-            conn.is_closing = True
-            if not conn.wfile.unsent and not conn.is_refused:
-                self._close(conn)
-                return
-            self._dispatch(
-                clients.AnswerWritten(conn.number, len(conn.wfile.unsent))
-            )
-            if conn.wfile.unsent:
-                self._register(conn, selectors.EVENT_WRITE)
-            else:
-                self._start_discarding(conn)
+            is_last = self._stopped or conn.is_closed
+            if not is_last:
+                self._end(conn)
+        if is_last:
+            self._flush(conn)
+
+    def _end(self, conn: connections.Connection) -> None:
+        """Closes a connection once its client has read the answer."""
+        conn.is_served = False
+        conn.is_closing = True
+        if not conn.wfile.unsent and not conn.is_refused:
+            self._close(conn)
+            return
+        self._dispatch(
+            clients.AnswerWritten(conn.number, len(conn.wfile.unsent))
+        )
+        if conn.wfile.unsent:
+            self._register(conn, selectors.EVENT_WRITE)
+        else:
+            self._start_discarding(conn)
 
     def _flush(self, conn: connections.Connection) -> None:
-        """Sends the answer of a connection while the server stops."""
+        """Sends the answer of a connection while the server stops.
+
+        This waits for the client, so the lock must not be held: the other
+        threads and the close would wait too.
+        """
         if not conn.is_closed and conn.wfile.unsent:
             with contextlib.suppress(OSError):
                 conn.socket.settimeout(FINAL_WRITE_TIMEOUT_S)
@@ -347,7 +361,7 @@
         except OSError:
             self._close(conn)
             return
-        self.end(conn)
+        self._end(conn)
 
     def close(self) -> None:
         """Closes the connections that no thread handles."""
--- a/src/gypsumhold/adapters/listeners/streams.py
+++ b/src/gypsumhold/adapters/listeners/streams.py
@@ -10,9 +10,12 @@
     Attributes:
         data: All bytes that have arrived and were not released.
         bytes_read: Always 0; cheroot requires the attribute for statistics.
+        closed: Whether the reader is closed; cheroot requires the attribute
+            to stop a thread that is busy for longer than its timeout.
     """
 
     def __init__(self) -> None:
+        self.closed = False
         self.data = bytearray()
         self.bytes_read = 0
         self._position = 0
@@ -79,6 +82,7 @@
 
     def close(self) -> None:
         """Releases the memory."""
+        self.closed = True
         self.data = bytearray()
         self._position = self._end = 0
 
--- a/tests/adapters/test_listener.py
+++ b/tests/adapters/test_listener.py
@@ -3,14 +3,19 @@
 import contextlib
 import socket
 import threading
+import time
+from collections.abc import Callable
 
 import pytest
 
 from gypsumhold.adapters import http_routes, http_server
-from gypsumhold.adapters.listeners import drains
+from gypsumhold.adapters.listeners import drains, servers
 from gypsumhold.model import members
 
 WAIT = 5.0
+LARGE_BYTES = 15 * 1024 * 1024
+"""More than the buffers of a socket hold, less than max_unsent_bytes."""
+
 ANY_PORT = members.Address("127.0.0.1", 0)
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -247,3 +252,69 @@
         routes.gate.set()
         assert read_targets(peer) == ["/1", "/2"]
     assert routes.targets == ["/1", "/2"]
+
+
+class LargeRoutes(http_routes.Routes):
+    """Answers after `gate` is set; the answer to `/large` is large."""
+
+    def __init__(self) -> None:
+        self.arrived = threading.Semaphore(0)
+        self.gate = threading.Event()
+        self.large_gate = threading.Event()
+
+    def answer(
+        self, incoming: http_routes.HttpRequest
+    ) -> http_routes.HttpResponse:
+        self.arrived.release()
+        if incoming.target == "/large":
+            self.large_gate.wait(WAIT)
+            return http_routes.HttpResponse(200, body=bytes(LARGE_BYTES))
+        self.gate.wait(WAIT)
+        return http_routes.HttpResponse(200, body=b"whole")
+
+
+def wait_until(holds: Callable[[], bool]) -> None:
+    end = time.monotonic() + WAIT
+    while not holds():
+        assert time.monotonic() < end
+        time.sleep(0.01)
+
+
+def test_stop_waits_for_a_request_that_exceeds_the_timeout(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a close that raises while a thread is busy."""
+    monkeypatch.setattr(servers.BoundedServer, "shutdown_timeout", 0.1)
+    routes = SlowRoutes()
+    listener = http_server.Listener(ANY_PORT, routes, 1, 100)
+    with open_client(listener) as peer:
+        peer.sendall(REQUEST)
+        assert routes.arrived.wait(WAIT)
+        threading.Timer(0.5, routes.gate.set).start()
+        listener.close()
+        assert read_all(peer).endswith(b"\r\n\r\nwhole")
+
+
+def test_unread_answer_at_the_stop_delays_no_other_client() -> None:
+    """Guards against a client that does not read while the server stops."""
+    routes = LargeRoutes()
+    listener = http_server.Listener(ANY_PORT, routes, 2, 100)
+    manager = listener._server._connections
+    closer = threading.Thread(target=listener.close)
+    with open_client(listener) as large, open_client(listener) as peer:
+        large.sendall(REQUEST.replace(b"/ ", b"/large "))
+        peer.sendall(REQUEST)
+        for _ in range(2):
+            assert routes.arrived.acquire(timeout=WAIT)
+        closer.start()
+        wait_until(lambda: manager._stopped)
+        routes.large_gate.set()
+        # The thread of the large answer waits for its client.
+        assert large.recv(1)
+        time.sleep(0.2)
+        assert manager._lock.acquire(timeout=WAIT)
+        manager._lock.release()
+        routes.gate.set()
+        assert read_all(peer).endswith(b"\r\n\r\nwhole")
+    closer.join(WAIT)
+    assert not closer.is_alive()
