Wake the selector of a listener only from other threads

Cause: each effect wrote to the eventfd, also when the thread of the selector emitted it. That thread runs the effects right afterwards, so that it woke up once more for each request, with nothing to do.

Change: only other threads write to the eventfd.

--- a/src/gypsumhold/adapters/listeners/drains.py
+++ b/src/gypsumhold/adapters/listeners/drains.py
@@ -1,6 +1,7 @@
 """Serves what has arrived when a listener stops."""
 
 import os
+import threading
 import time
 from typing import Any
 
@@ -32,6 +33,8 @@
         self._stop_requested = True
         os.eventfd_write(self._wake_descriptor, 1)
         super().stop()
+        # The thread of the selector has ended its loop.
+        self._selector_thread = threading.get_ident()
         server = self.server
         try:
             connection_filter.drop_new_connections(server.socket)
--- a/src/gypsumhold/adapters/listeners/managers.py
+++ b/src/gypsumhold/adapters/listeners/managers.py
@@ -70,6 +70,7 @@
         self._effects: collections.deque[clients.Effect] = collections.deque()
         self._wake_descriptor = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._selector.register(self._wake_descriptor, selectors.EVENT_READ)
+        self._selector_thread: int | None = None
         self._accepts = True
         self._stopped = False
 
@@ -144,7 +145,9 @@
         emitted = reducer.reduce(self._state, event, _read_clock())
         if emitted:
             self._effects.extend(emitted)
-            os.eventfd_write(self._wake_descriptor, 1)
+            # The thread of the selector runs the effects before it waits.
+            if threading.get_ident() != self._selector_thread:
+                os.eventfd_write(self._wake_descriptor, 1)
 
     def _close(self, conn: connections.Connection) -> None:
         self._unregister(conn)
@@ -154,6 +157,7 @@
 
     def _run(self, expiration_interval: float) -> None:
         """Serves the connections until a stop is requested."""
+        self._selector_thread = threading.get_ident()
         next_check = time.monotonic() + expiration_interval
         while not self._stop_requested:
             self._poll(expiration_interval)
--- a/tests/adapters/test_listener.py
+++ b/tests/adapters/test_listener.py
@@ -1,6 +1,7 @@
 """Tests how a listener stops, and how it handles errors and connections."""
 
 import contextlib
+import os
 import socket
 import threading
 import time
@@ -318,3 +319,29 @@
         assert read_all(peer).endswith(b"\r\n\r\nwhole")
     closer.join(WAIT)
     assert not closer.is_alive()
+
+
+def test_request_does_not_wake_the_thread_that_receives_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against three needless system calls for each request."""
+    routes = SlowRoutes()
+    routes.gate.set()
+    listener = http_server.Listener(ANY_PORT, routes, 1, 100)
+    wakes = []
+    write = os.eventfd_write
+
+    def write_and_count(descriptor: int, value: int) -> None:
+        wakes.append(descriptor)
+        write(descriptor, value)
+
+    with contextlib.closing(listener), open_client(listener) as peer:
+        monkeypatch.setattr(os, "eventfd_write", write_and_count)
+        for _ in range(20):
+            peer.sendall(REQUEST)
+            received = b""
+            while not received.endswith(b"\r\n\r\nwhole"):
+                part = peer.recv(65536)
+                assert part, "the connection was closed"
+                received += part
+        assert wakes == []
