--- a/src/gypsumhold/adapters/listeners/managers.py
+++ b/src/gypsumhold/adapters/listeners/managers.py
@@ -70,47 +70,68 @@
         self._effects: collections.deque[clients.Effect] = collections.deque()
         self._wake_descriptor = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
         self._selector.register(self._wake_descriptor, selectors.EVENT_READ)
+        self._selector_thread: int | None = None
         self._accepts = True
         self._stopped = False
 
     def put(self, conn: Any) -> None:
         """Takes a connection back from a thread that has answered on it."""
         with self._lock:
-            if self._stopped or conn.is_closed:
-                self._flush(conn)
-                return
-            conn.is_served = False
-            conn.rfile.release()
-            conn.start_request()
-            self._dispatch(
-                clients.AnswerWritten(conn.number, len(conn.wfile.unsent))
-            )
-            if conn.wfile.unsent:
-                self._register(conn, selectors.EVENT_WRITE)
-                return
-            self._await_request(conn)
+            is_last = self._stopped or conn.is_closed
+            if not is_last:
+                self._take_back(conn)
+        if is_last:
+            self._flush(conn)
+
+    def _take_back(self, conn: connections.Connection) -> None:
+        """Waits for the next request, or for the client to read."""
+        conn.is_served = False
+        conn.rfile.release()
+        conn.start_request()
+        self._count_answer(conn)
+        if conn.wfile.unsent:
+            self._register(conn, selectors.EVENT_WRITE)
+            return
+        self._await_request(conn)
 
     def end(self, conn: connections.Connection) -> None:
         """Closes a connection after its answer; called by any thread."""
         with self._lock:
-            if self._stopped or conn.is_closed:
-                self._flush(conn)
-                return
-            conn.is_served = False
-            conn.is_closing = True
-            if not conn.wfile.unsent and not conn.is_refused:
-                self._close(conn)
-                return
-            self._dispatch(
-                clients.AnswerWritten(conn.number, len(conn.wfile.unsent))
+            is_last = self._stopped or conn.is_closed
+            if not is_last:
+                self._end(conn)
+        if is_last:
+            self._flush(conn)
+
+    def _end(self, conn: connections.Connection) -> None:
+        """Closes a connection once its client has read the answer."""
+        conn.is_served = False
+        conn.is_closing = True
+        # No further request is answered.
+        conn.rfile.close()
+        if not conn.wfile.unsent and not conn.is_refused:
+            self._close(conn)
+            return
+        self._count_answer(conn)
+        if conn.wfile.unsent:
+            self._register(conn, selectors.EVENT_WRITE)
+        else:
+            self._start_discarding(conn)
+
+    def _count_answer(self, conn: connections.Connection) -> None:
+        """Tells the reducer how much an answered connection holds."""
+        self._dispatch(
+            clients.AnswerWritten(
+                conn.number, len(conn.wfile.unsent), len(conn.rfile.data)
             )
-            if conn.wfile.unsent:
-                self._register(conn, selectors.EVENT_WRITE)
-            else:
-                self._start_discarding(conn)
+        )
 
     def _flush(self, conn: connections.Connection) -> None:
-        """Sends the answer of a connection while the server stops."""
+        """Sends the answer of a connection while the server stops.
+
+        This waits for the client, so the lock must not be held: the other
+        threads and the close would wait too.
+        """
         if not conn.is_closed and conn.wfile.unsent:
             with contextlib.suppress(OSError):
                 conn.socket.settimeout(FINAL_WRITE_TIMEOUT_S)
@@ -130,7 +151,9 @@
         emitted = reducer.reduce(self._state, event, _read_clock())
         if emitted:
             self._effects.extend(emitted)
-            os.eventfd_write(self._wake_descriptor, 1)
+            # The thread of the selector runs the effects before it waits.
+            if threading.get_ident() != self._selector_thread:
+                os.eventfd_write(self._wake_descriptor, 1)
 
     def _close(self, conn: connections.Connection) -> None:
         self._unregister(conn)
@@ -140,6 +163,7 @@
 
     def _run(self, expiration_interval: float) -> None:
         """Serves the connections until a stop is requested."""
+        self._selector_thread = threading.get_ident()
         next_check = time.monotonic() + expiration_interval
         while not self._stop_requested:
             self._poll(expiration_interval)
@@ -154,6 +178,10 @@
         """Waits for clients and serves those that are ready."""
         for descriptor, conn in self._selector.select(timeout=timeout):
             with self._lock:
+                # A thread may have emitted effects on this connection. They
+                # come first, so that a request that has arrived is handed over
+                # before more bytes or the end of the stream are read.
+                self._run_effects()
                 if conn is self.server:
                     self._accept_new()
                 elif conn is None:
@@ -267,9 +295,7 @@
         """Sends more of an answer that the client was slow to read."""
         conn.wfile.send_more()
         if conn.wfile.unsent:
-            self._dispatch(
-                clients.AnswerWritten(conn.number, len(conn.wfile.unsent))
-            )
+            self._count_answer(conn)
             return
         self._unregister(conn)
         if conn.is_closing and not conn.is_refused:
@@ -277,12 +303,11 @@
         elif conn.is_closing:
             self._start_discarding(conn)
         else:
-            self._dispatch(clients.AnswerWritten(conn.number, 0))
+            self._count_answer(conn)
             self._await_request(conn)
 
     def _start_discarding(self, conn: connections.Connection) -> None:
         """Ends the answer, and discards what the client still sends."""
-        conn.rfile.close()
         self._dispatch(clients.DiscardStarted(conn.number))
         try:
             conn.socket.shutdown(socket.SHUT_WR)
@@ -316,6 +341,8 @@
 
     def _hand_over(self, conn: connections.Connection) -> None:
         """Lets a thread answer a request."""
+        if conn.is_served or conn.is_closing:
+            return
         self._unregister(conn)
         conn.is_served = True
         end = conn.scanner.end
@@ -341,7 +368,7 @@
         except OSError:
             self._close(conn)
             return
-        self.end(conn)
+        self._end(conn)
 
     def close(self) -> None:
         """Closes the connections that no thread handles."""
