Bound the age of the evacuations that a holder tells

Cause: a notice counted as current while batches were stored. With only the reads of the operator's rows failing, the holder kept answering with an old notice and agents went on starting runs in the evacuated data centre. Change: the scheduler keeps when its latest successful read of the rows was sent, and tells agents nothing once that is 2.4 s ago. The fault injection cuts entries off from these rows alone.

--- a/src/gypsumhold/adapters/failure_events.py
+++ b/src/gypsumhold/adapters/failure_events.py
@@ -129,7 +129,7 @@
         None, effect.after, job_events.ReadResult.FAILED
     ),
     job_effects.ReadEvacuations: lambda effect, _: job_events.EvacuationsRead(
-        effect.term, None
+        effect.term, effect.asked_at, None
     ),
     job_effects.WriteJob: lambda effect, started: job_events.JobWritten(
         effect.owner, _choose_write_result(started)
--- a/src/gypsumhold/adapters/jobs/effect_runners.py
+++ b/src/gypsumhold/adapters/jobs/effect_runners.py
@@ -112,7 +112,7 @@
     ) -> events.Event:
         _wait(effect.delay)
         changes = self._store.read_evacuations()
-        return events.EvacuationsRead(effect.term, changes)
+        return events.EvacuationsRead(effect.term, effect.asked_at, changes)
 
     def _write_job(self, effect: effects.WriteJob) -> events.Event:
         _wait(effect.delay)
--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -271,7 +271,9 @@
             holder_state.run_waits.touched.add(progress_write.job_id)
     for job_id in batch.removed_progress:
         lifecycle.remove_job(holder_state, job_id)
-    emitted = evacuations.read_after_gap(state, holder_state, unconfirmed_time)
+    emitted = evacuations.read_after_gap(
+        state, holder_state, unconfirmed_time, now
+    )
     for ticket_id, ticket in list(state.tickets.items()):
         emitted += _answer_cancellation(state, holder_state, ticket_id, ticket)
     return [*emitted, *_push_changes(state, holder_state, now)]
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -84,7 +84,10 @@
         _list_withdrawn(view),
         lost_workers.list_stored(holder_state, view),
         evacuations.build_notice(
-            state, holder_state, may_grant=may_grant(state, holder_state, now)
+            state,
+            holder_state,
+            now,
+            may_grant=may_grant(state, holder_state, now),
         ),
     )
 
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -55,9 +55,10 @@
 
 
 def handle_started(
-    state: scheduler.SchedulerState, _now: datetime.timedelta
+    state: scheduler.SchedulerState, now: datetime.timedelta
 ) -> EffectList:
     """Starts to read the configuration and the holder's row, and registers."""
+    state.config_asked_at = now
     return [
         effects.FollowConfig(ids.RowVersion(0)),
         effects.ReadHolder(),
@@ -347,7 +348,7 @@
         return [log]
     return [
         log,
-        *evacuations.begin_term(state, state.holder_state),
+        *evacuations.begin_term(state, state.holder_state, now),
         effects.LoadJobs(term),
         base_effects.SetTimer(holders.TICK_TIMER, holders.TICK_INTERVAL),
     ]
--- a/src/gypsumhold/decisions/jobs/evacuations.py
+++ b/src/gypsumhold/decisions/jobs/evacuations.py
@@ -7,6 +7,7 @@
 
 import datetime
 
+from gypsumhold.decisions.jobs import received_evacuations
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -24,7 +25,9 @@
 
 
 def begin_term(
-    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Reads the evacuations at the begin of a term; nothing is placed before.
 
@@ -34,13 +37,14 @@
     if state.options.evacuation_time is None:
         return []
     holder_state.evacuation_knowledge = Knowledge.UNREAD
-    return [effects.ReadEvacuations(holder_state.term)]
+    return [effects.ReadEvacuations(holder_state.term, now)]
 
 
 def read_after_gap(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     unconfirmed_time: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Reads the evacuations again if no batch was stored for long.
 
@@ -52,6 +56,7 @@
         holder_state: State of the held queue.
         unconfirmed_time: Time from sending the batch before until the latest
             one was known to be stored.
+        now: Current time.
     """
     if state.options.evacuation_time is None:
         return []
@@ -60,25 +65,38 @@
     if holder_state.evacuation_knowledge is not Knowledge.CURRENT:
         return []
     holder_state.evacuation_knowledge = Knowledge.IN_DOUBT
-    return [effects.ReadEvacuations(holder_state.term)]
+    return [effects.ReadEvacuations(holder_state.term, now)]
 
 
 def handle_evacuations_read(
     state: scheduler.SchedulerState,
     event: events.EvacuationsRead,
-    _now: datetime.timedelta,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Applies a read of all evacuations, or repeats it if it failed."""
     holder_state = state.holder_state
     if holder_state is None or event.term != holder_state.term:
         return []
     if event.changes is None:
-        return [effects.ReadEvacuations(holder_state.term, READ_RETRY_DELAY)]
+        return [
+            effects.ReadEvacuations(
+                holder_state.term, now + READ_RETRY_DELAY, READ_RETRY_DELAY
+            )
+        ]
     holder_state.evacuation_knowledge = Knowledge.CURRENT
     holder_state.plan_due = True
+    record_read(state, event.asked_at)
     return apply_changes(state, event.changes)
 
 
+def record_read(
+    state: scheduler.SchedulerState, asked_at: datetime.timedelta
+) -> None:
+    """Records that all requests confirmed before `asked_at` are known."""
+    former = state.evacuations_known_at
+    state.evacuations_known_at = max(asked_at, former or asked_at)
+
+
 def apply_changes(
     state: scheduler.SchedulerState,
     changes: evacuations.EvacuationChanges,
@@ -125,16 +143,22 @@
 def build_notice(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
     *,
     may_grant: bool,
 ) -> evacuations.Evacuations | None:
     """Returns what the holder tells agents; None if it may be outdated.
 
-    That is so before the rows are read in its term, and while the holder may
-    not issue grants. Agents then go by what they have heard before.
+    That is so before the rows are read in its term, while the holder may not
+    issue grants, and once its latest successful read is too old: the reads may
+    fail while batches are stored. Agents then go by what they have heard
+    before.
     """
     if state.options.evacuation_time is None:
         return state.known_evacuations
+    known_at = state.evacuations_known_at
+    if known_at is None or now >= known_at + received_evacuations.HOLDER_DELAY:
+        return None
     if holder_state.evacuation_knowledge is not Knowledge.CURRENT:
         return None
     return state.known_evacuations if may_grant else None
--- a/src/gypsumhold/decisions/jobs/received_evacuations.py
+++ b/src/gypsumhold/decisions/jobs/received_evacuations.py
@@ -9,9 +9,13 @@
 
 from gypsumhold.model.jobs import evacuations, executor, messages
 
-HOLDER_DELAY = datetime.timedelta(seconds=2)
-"""Time within which a holder that reaches the store learns of a request: the
-wait and the timeout of a read that gets no answer, and the next read."""
+HOLDER_DELAY = datetime.timedelta(milliseconds=2400)
+"""Age of the holder's latest successful read, counted from when it was sent, at
+which the holder tells agents nothing more. Two reads in a row that each wait
+for a second stay below it, with 200 ms for each answer."""
+
+START_DELAY = datetime.timedelta(milliseconds=100)
+"""Time within which a start command reaches the worker."""
 
 MIN_VALIDITY = 2 * messages.REPORT_INTERVAL
 """Least time for which an answer of the holder lets an agent start runs; the
@@ -54,6 +58,6 @@
     limit = state.options.evacuation_time
     if limit is None:
         return False
-    validity = max(limit - HOLDER_DELAY, MIN_VALIDITY)
+    validity = max(limit - HOLDER_DELAY - START_DELAY, MIN_VALIDITY)
     confirmed_at = state.received_evacuations.confirmed_at
     return confirmed_at is None or now >= confirmed_at + validity
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -37,13 +37,17 @@
     now: datetime.timedelta,
 ) -> EffectList:
     """Puts what the operator changed in force; requests the next changes."""
+    asked_at = state.config_asked_at
+    state.config_asked_at = now
     if event.result is events.ReadResult.GAP:
         return [effects.FollowConfig(ids.RowVersion(0))]
     if event.result is events.ReadResult.FAILED:
+        state.config_asked_at = now + CONFIG_RETRY_DELAY
         return [effects.FollowConfig(event.version, CONFIG_RETRY_DELAY)]
     emitted: EffectList = [effects.FollowConfig(event.version)]
     if event.evacuation_changes is not None:
         emitted += evacuations.apply_changes(state, event.evacuation_changes)
+        evacuations.record_read(state, asked_at)
     config = event.config
     current = state.config
     if config is not None and (
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -126,9 +126,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadEvacuations:
-    """After `delay`, reads all evacuations; results in `EvacuationsRead`."""
+    """After `delay`, reads all evacuations; results in `EvacuationsRead`.
+
+    It is sent at `asked_at` or later.
+    """
 
     term: ids.Epoch
+    asked_at: datetime.timedelta
     delay: datetime.timedelta = NO_DELAY
     owner: str = NO_OWNER
 
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -39,10 +39,12 @@
 
     Attributes:
         term: Term in which the read was started.
+        asked_at: As `effects.ReadEvacuations.asked_at`.
         changes: The evacuations; None if the read failed.
     """
 
     term: ids.Epoch
+    asked_at: datetime.timedelta
     changes: evacuations.EvacuationChanges | None
 
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -404,6 +404,10 @@
         waiting_reports: Reports that arrived while this entry takes the queue
             or loads the jobs; they are answered afterwards.
         known_evacuations: Evacuations in force; None until they are first read.
+        evacuations_known_at: Time before which every confirmed request is
+            known; None until the evacuations are first read.
+        config_asked_at: When the pending read of the configuration was sent at
+            the earliest.
         forecast: Latest forecast, made here or read from the holder's row.
         shares: Recent submissions of queues that were short of room.
     """
@@ -430,6 +434,8 @@
         default_factory=dict
     )
     known_evacuations: evacuations.Evacuations | None = None
+    evacuations_known_at: datetime.timedelta | None = None
+    config_asked_at: datetime.timedelta = ZERO
     forecast: forecasts.Forecast | None = None
     shares: dict[forecasts.ShareKey, forecasts.Share] = dataclasses.field(
         default_factory=dict
--- a/tests/jobs/nodes.py
+++ b/tests/jobs/nodes.py
@@ -63,6 +63,7 @@
         alive: Whether the process runs.
         cut: Whether the process is cut off from the other processes.
         cut_store: Whether the process is cut off from the store.
+        cut_config: Whether its reads of the operator's rows fail.
         cut_worker: Whether the process is cut off from its worker.
         frozen: Whether the process is paused.
         backlog: Actions that wait until the process is no longer paused.
@@ -76,6 +77,7 @@
     alive: bool = True
     cut: bool = False
     cut_store: bool = False
+    cut_config: bool = False
     cut_worker: bool = False
     frozen: bool = False
     backlog: list[Callable[[], None]] = dataclasses.field(default_factory=list)
--- a/tests/jobs/store_calls.py
+++ b/tests/jobs/store_calls.py
@@ -50,5 +50,6 @@
         case effects.ReadHolder():
             return events.HolderRead(store.holder)
         case effects.ReadEvacuations():
-            return events.EvacuationsRead(effect.term, store.read_evacuations())
+            changes = store.read_evacuations()
+            return events.EvacuationsRead(effect.term, effect.asked_at, changes)
     return None
--- a/tests/jobs/store_link.py
+++ b/tests/jobs/store_link.py
@@ -38,6 +38,10 @@
             failure = failure_events.build_failure_event(effect, started=False)
             self._schedule_event(node, 600, failure)
             return
+        if node.cut_config:
+            failure = failure_events.build_failure_event(effect, started=False)
+            self._schedule_event(node, self._draw_latency(), failure)
+            return
         read = events.ConfigRead(
             job_specs.CONFIG if effect.after == 0 else None,
             ids.RowVersion(max(1, self.store.version)),
@@ -75,6 +79,8 @@
             )
             return
         fault = self._draw_fault(effect)
+        if node.cut_config and isinstance(effect, effects.ReadEvacuations):
+            fault = "refused"
         if fault == "refused":
             self._schedule_event(
                 node, delay, failure_events.build_failure_event(effect, False)
--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -1,5 +1,6 @@
 """Guards against starts in a data centre that is evacuated, and lost jobs."""
 
+import dataclasses
 import datetime
 
 import pytest
@@ -139,7 +140,8 @@
 def inject_faults(world: worlds.World, until_ms: float) -> None:
     """Injects faults that excuse no start, one each second or so.
 
-    Entries are killed, paused, or cut off; agents are killed or cut off from
+    Entries are killed, paused, or cut off, some from the operator's rows only;
+    agents are killed or cut off from
     the other processes.
     """
     while world.now_ms < until_ms:
@@ -148,7 +150,7 @@
         node = world.nodes[name]
         faults = ["kill", "cut"]
         if name.startswith("entry"):
-            faults += ["freeze", "cut_store"]
+            faults += ["freeze", "cut_store", "cut_config"]
         fault = world.random.choice(faults)
         duration_ms = world.random.uniform(500, 7000)
         if fault == "kill":
@@ -196,6 +198,55 @@
         assert record.state is messages.JobState.COMPLETED, job_id
 
 
+def cut_config(world: worlds.World, *, is_cut: bool) -> None:
+    for name, node in world.nodes.items():
+        node.cut_config = is_cut and name.startswith("entry")
+
+
+@pytest.mark.parametrize("cut_before_ms", [0, 900, 2000])
+def test_holder_without_the_rows_lets_nothing_start(
+    cut_before_ms: float,
+) -> None:
+    """Guards against starts while only the reads of the rows fail.
+
+    The holder goes on storing batches, so it places tasks and answers reports.
+    """
+    world = build_world()
+    submit_repeatedly(world, 24_000)
+    world.run(6000)
+    cut_config(world, is_cut=True)
+    world.run(cut_before_ms)
+    evacuate(world, NEAR)
+    world.run(5000)
+    before = count_starts(world, NEAR)
+    assert before
+    world.run(6000)
+    assert count_starts(world, NEAR) == before
+    elsewhere = count_starts(world, FAR)
+    cut_config(world, is_cut=False)
+    world.run(4000)
+    assert count_starts(world, NEAR) == before
+    assert count_starts(world, FAR) > elsewhere
+
+
+def test_one_failed_read_of_the_rows_holds_no_start() -> None:
+    """Guards against jobs that wait for a notice after a single failure."""
+    world = build_world()
+    world.run(6000)
+    submit_repeatedly(world, 12_000)
+    world.run(1000)
+    cut_config(world, is_cut=True)
+    world.run(1100)
+    cut_config(world, is_cut=False)
+    world.run(10_000)
+    assert not [
+        log
+        for _, _, log in world.log_lines
+        if ("reason", executor.HoldReason.EVACUATION_UNKNOWN.value)
+        in log.inputs
+    ]
+
+
 # The rows.
 
 
@@ -232,6 +283,7 @@
         messages.Endpoint("10.0.0.1", 1000),
         evacuation_time=BOUND,
     )
+    state.evacuations_known_at = NOW
     return state
 
 
@@ -256,7 +308,7 @@
     assert state.holder_state is not None
     may_grant = directives.may_grant(state, state.holder_state, now)
     return decisions.build_notice(
-        state, state.holder_state, may_grant=may_grant
+        state, state.holder_state, now, may_grant=may_grant
     )
 
 
@@ -292,7 +344,7 @@
     state = build_holder()
     holder_state = state.holder_state
     assert holder_state is not None
-    (read,) = decisions.begin_term(state, holder_state)
+    (read,) = decisions.begin_term(state, holder_state, NOW)
     failure = failure_events.build_failure_event(read, started=True)
     assert failure is not None
     emitted = reducer.reduce(state, failure, NOW)
@@ -304,7 +356,9 @@
     assert build_notice(state, NOW) is None
     changes = build_changes(5, is_complete=True, a=True)
     reducer.reduce(
-        state, events.EvacuationsRead(holder_state.term, changes), NOW
+        state,
+        events.EvacuationsRead(holder_state.term, reads[0].asked_at, changes),
+        NOW,
     )
     notice = build_notice(state, NOW)
     assert notice is not None
@@ -320,11 +374,43 @@
     assert build_notice(state, NOW) is not None
     window = state.options.grant_window
     assert build_notice(state, NOW + window) is None
-    assert not decisions.read_after_gap(state, holder_state, window)
-    assert decisions.read_after_gap(state, holder_state, window * 1.1)
+    state.evacuations_known_at = NOW + window
+    assert build_notice(state, NOW + window) is None
+    assert not decisions.read_after_gap(state, holder_state, window, NOW)
+    assert decisions.read_after_gap(state, holder_state, window * 1.1, NOW)
     assert build_notice(state, NOW) is None
 
 
+def test_notice_ends_with_the_age_of_the_latest_read() -> None:
+    """Guards against a notice that is current by its batches only.
+
+    A read that was sent before a request may be answered after it, so the age
+    counts from when the read was sent.
+    """
+    state = build_holder()
+    holder_state = state.holder_state
+    assert holder_state is not None
+    sent_at, answered_at = NOW, NOW + datetime.timedelta(seconds=1)
+    state.config_asked_at = sent_at
+    read = events.ConfigRead(
+        None,
+        ids.RowVersion(9),
+        events.ReadResult.DONE,
+        build_changes(9, is_complete=True),
+    )
+    reducer.reduce(state, read, answered_at)
+    failed = events.ConfigRead(
+        None, ids.RowVersion(9), events.ReadResult.FAILED
+    )
+    reducer.reduce(state, failed, answered_at)
+    end = sent_at + received_evacuations.HOLDER_DELAY
+    holder_state.renewed_at = end
+    assert build_notice(state, end - lone_agent.MILLISECOND) is not None
+    assert build_notice(state, end) is None
+    state.options = dataclasses.replace(state.options, evacuation_time=None)
+    assert build_notice(state, end) is not None
+
+
 # The agent.
 
 
