Let previews follow the plan for gangs, and mend what a reader stumbled on

Cause: a reader of the diff found that the preview of a colocated gang did not try one rack first, as a plan does; that a holder which has not read the evacuations blamed its agents; and names, unused fields and pages that stop a newcomer.

--- a/src/gypsumhold/decisions/jobs/locality/near_waits.py
+++ b/src/gypsumhold/decisions/jobs/locality/near_waits.py
@@ -93,14 +93,9 @@
 
         Serving tasks and suspects never wait.
         """
-        spec = step.spec
-        return (
-            self._slowdown > locality.NO_SLOWDOWN
-            and distances.has_near_rack(spec)
-            and not spec.long_running
-            and not spec.target_latency_ms
-            and not step.is_suspect(task)
-        )
+        return is_faster_near(
+            step.spec, self._slowdown
+        ) and not step.is_suspect(task)
 
     def weigh_task(
         self, placed: scheduler.PlacedTask, ref: runs.TaskRef
@@ -257,7 +252,7 @@
             self._claims.add(rack, placed.step)
         began_at = self._now if case.began_at is None else case.began_at
         self._holder_state.near_waits[ref] = locality.NearWait(
-            placed.job.spec.job_id, rack, began_at, decision.until
+            rack, began_at, decision.until
         )
         if case.began_at is None:
             self.emitted.append(effects.MeasureNearWait(None))
@@ -335,6 +330,19 @@
         return task is not None and task.state is records.TaskState.READY
 
 
+def is_faster_near(spec: specs.StepSpec, off_rack_slowdown: float) -> bool:
+    """Tells whether the tasks of a step are faster near, and may wait for that.
+
+    Serving and long-running tasks never wait.
+    """
+    return (
+        off_rack_slowdown > locality.NO_SLOWDOWN
+        and distances.has_near_rack(spec)
+        and not spec.long_running
+        and not spec.target_latency_ms
+    )
+
+
 def estimate_unsaved(task: progress.Task) -> float:
     """Returns the share of a task that its next run has to do."""
     return estimates.estimate_left(task) if task.checkpoint else 1.0
--- a/src/gypsumhold/decisions/jobs/locality/rack_forecasts.py
+++ b/src/gypsumhold/decisions/jobs/locality/rack_forecasts.py
@@ -66,7 +66,7 @@
                 )
                 places = found
     openings.sort(key=lambda opening: opening.opens_at)
-    return locality.RackForecast(rack, now, free, tuple(openings))
+    return locality.RackForecast(rack, free, tuple(openings))
 
 
 def _is_usable(
@@ -174,5 +174,7 @@
     """
     left = run_time * estimates.estimate_left(task) * task.slowdown
     left /= max(speed, MIN_SPEED_SHARE)
-    overdue = now - (task.progressed_at + left)
-    return now + abs(overdue)
+    expected_end = task.progressed_at + left
+    if expected_end >= now:
+        return expected_end
+    return now + (now - expected_end)
--- a/src/gypsumhold/decisions/jobs/previews.py
+++ b/src/gypsumhold/decisions/jobs/previews.py
@@ -16,6 +16,7 @@
     ready_tasks,
     repetitions,
 )
+from gypsumhold.decisions.jobs.locality import gang_racks, near_waits
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     forecasts,
@@ -59,7 +60,7 @@
     repetitions.add_repetition(job)
     repetitions.open_steps(job)
     candidates = capacity.build_candidates(state, holder_state, now)
-    fleet = _Fleet(state, holder_state, candidates, now)
+    context = _PreviewContext(state, holder_state, candidates, now)
     reports = [
         now - holder_state.agents[candidate.instance].last_report_at
         for candidate in candidates.values()
@@ -69,7 +70,7 @@
         _decide_admission(state, spec, now).retry_delay,
         _count_jobs_before(state, holder_state, job, now),
         max(reports, default=datetime.timedelta(0)),
-        tuple(_StepTrial(fleet, job, step).preview() for step in job.steps),
+        tuple(_StepTrial(context, job, step).preview() for step in job.steps),
     )
 
 
@@ -102,7 +103,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Fleet:
+class _PreviewContext:
     """What the trials of all steps have in common.
 
     Attributes:
@@ -122,12 +123,12 @@
     """Places the tasks of one step on copies of the candidates."""
 
     def __init__(
-        self, fleet: _Fleet, job: progress.Job, step: progress.Step
+        self, context: _PreviewContext, job: progress.Job, step: progress.Step
     ) -> None:
-        self._fleet = fleet
+        self._context = context
         self._job = job
         self._step = step
-        self._usable = capacity.select_sound(fleet.candidates, job, step)
+        self._usable = capacity.select_sound(context.candidates, job, step)
 
     def preview(self) -> previews.StepPreview:
         """Returns what a plan would do with the step."""
@@ -151,12 +152,17 @@
     def _choose_all(self) -> list[policies.Candidate]:
         """Returns the candidates of the tasks until one finds none."""
         policy, job, step = (
-            self._fleet.state.policies.placement,
+            self._context.state.policies.placement,
             self._job,
             self._step,
         )
         if step.spec.gang:
-            return gang_choices.choose_for_gang(
+            on_one_rack: list[policies.Candidate] = []
+            if near_waits.is_faster_near(step.spec, self._get_slowdown()):
+                on_one_rack = gang_racks.choose_on_one_rack(
+                    policy, job, step, self._usable
+                )
+            return on_one_rack or gang_choices.choose_for_gang(
                 policy, job, step, self._usable, starved=False
             )
         trials = choices.StepChoices(policy, job, step, dict(self._usable))
@@ -167,9 +173,12 @@
                 break
             ref = lifecycle.build_task_ref(job, step, index)
             trials.reserve_on_trial(candidate, ref)
-            chosen.append(self._fleet.candidates[str(candidate.instance)])
+            chosen.append(self._context.candidates[str(candidate.instance)])
         return chosen
 
+    def _get_slowdown(self) -> float:
+        return self._context.state.options.off_rack_slowdown
+
     def _count_by_worker(
         self, chosen: Iterable[policies.Candidate]
     ) -> tuple[previews.WorkerChoice, ...]:
@@ -178,7 +187,7 @@
         for candidate in chosen:
             counts[candidate.instance] = counts.get(candidate.instance, 0) + 1
         return tuple(
-            _describe(self._fleet.candidates[str(instance)], count)
+            _describe(self._context.candidates[str(instance)], count)
             for instance, count in counts.items()
         )
 
@@ -200,7 +209,7 @@
         )
 
     def _rank(self, candidate: policies.Candidate) -> policies.Rank | None:
-        return self._fleet.state.policies.placement.rank(
+        return self._context.state.policies.placement.rank(
             self._step, candidate, is_suspect=False, deferred=False
         )
 
@@ -209,7 +218,7 @@
     ) -> tuple[tuple[WorkerObstacle, tuple[ids.InstanceId, ...]], ...]:
         """Returns the workers that take no task of the step, by the reason."""
         excluded: dict[WorkerObstacle, list[ids.InstanceId]] = {}
-        for instance, view in sorted(self._fleet.holder_state.agents.items()):
+        for instance, view in sorted(self._context.holder_state.agents.items()):
             obstacle = self._find_obstacle(view)
             if obstacle is not None:
                 excluded.setdefault(obstacle, []).append(instance)
@@ -224,13 +233,14 @@
     ) -> WorkerObstacle | None:
         """Returns why a worker takes no task of the step; None if it may."""
         obstacle = capacity.find_worker_obstacle(
-            self._fleet.state, view, self._fleet.now
+            self._context.state, view, self._context.now
         )
         if obstacle is not None:
             return obstacle
-        candidate = self._fleet.candidates.get(str(view.instance))
+        candidate = self._context.candidates.get(str(view.instance))
         if candidate is None:
-            return WorkerObstacle.NO_REPORT
+            # A new holder places nothing before it has read the evacuations.
+            return WorkerObstacle.EVACUATIONS_UNREAD
         obstacle = capacity.find_misfit(candidate, self._job, self._step)
         if obstacle is not None:
             return obstacle
--- a/src/gypsumhold/model/jobs/locality.py
+++ b/src/gypsumhold/model/jobs/locality.py
@@ -5,7 +5,6 @@
 import enum
 
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import specs
 
 NO_SLOWDOWN = 1.0
 """Factor of a deployment in which a task is as fast on any rack."""
@@ -30,13 +29,11 @@
 
     Attributes:
         rack: The rack.
-        made_at: When the forecast was made.
         free: Places that are free already.
         openings: Further places, the earliest first.
     """
 
     rack: ids.Rack
-    made_at: datetime.timedelta
     free: int = 0
     openings: tuple[Opening, ...] = ()
 
@@ -139,13 +136,11 @@
     It is kept in the memory of the holder only: a new holder weighs anew.
 
     Attributes:
-        job_id: The job.
         rack: The rack.
         began_at: Since when it waits.
         until: When it goes elsewhere at the latest, as last weighed.
     """
 
-    job_id: specs.JobId
     rack: ids.Rack
     began_at: datetime.timedelta
     until: datetime.timedelta
--- a/src/gypsumhold/model/jobs/previews.py
+++ b/src/gypsumhold/model/jobs/previews.py
@@ -13,6 +13,7 @@
     NO_WORKER = "its agent knows no worker"
     DRAINING = "draining"
     EVACUATED = "its data centre is evacuated"
+    EVACUATIONS_UNREAD = "the holder has not read the evacuations yet"
     SILENT = "does not answer its agent"
     LEASES_EXPIRED = "its leases have expired"
     NO_REPORT = "no recent report of its agent"
--- a/tests/jobs/test_previews.py
+++ b/tests/jobs/test_previews.py
@@ -12,9 +12,17 @@
 import pytest
 
 from gypsumhold.decisions.jobs import capacity, previews, repetitions
-from gypsumhold.model.jobs import policies, progress, runs, scheduler, specs
+from gypsumhold.decisions.jobs.locality import wait_policies
+from gypsumhold.model.jobs import (
+    evacuations,
+    policies,
+    progress,
+    runs,
+    scheduler,
+    specs,
+)
 from gypsumhold.model.jobs import previews as preview_model
-from tests.jobs import job_specs, nodes, test_regressions
+from tests.jobs import job_specs, nodes, rack_world, test_regressions
 from tests.jobs import world as worlds
 
 StepVerdict = preview_model.StepVerdict
@@ -37,6 +45,7 @@
 
 
 def test_a_job_goes_where_the_preview_said() -> None:
+    """Guards against a preview that decides unlike a plan."""
     world, holder = build_holder()
     spec = job_specs.build_job("j", (5, 2))
     told = preview(world, holder, spec)
@@ -55,7 +64,42 @@
     assert {name: count for name, count in placed.items() if count} == expected
 
 
+def test_a_colocated_gang_goes_to_the_rack_that_the_preview_said() -> None:
+    """Guards against a preview that chooses for a gang unlike a plan."""
+    world = rack_world.RackWorld(1, 12, wait_policies.WeighWait())
+    world.run(SETTLED_MS)
+    holder = test_regressions.find_holder(world)
+    gang = specs.StepSpec(
+        3, 1000, 100, estimate_ms=9000, gang=True, colocated=True
+    )
+    spec = job_specs.build_job_of("gang", (gang,))
+    (step,) = preview(world, holder, spec).steps
+    assert step.verdict is StepVerdict.PLACED
+    assert len({choice.rack for choice in step.chosen}) == 1
+    world.submit("entry-0", spec)
+    world.run(200)
+    placed = {
+        instance
+        for instance, view in holder.state.holder_state.agents.items()
+        if any(ref.job_id == "gang" for ref in view.placed)
+    }
+    assert placed == {choice.instance for choice in step.chosen}
+
+
+def test_a_holder_that_has_not_read_the_evacuations_says_so() -> None:
+    """Guards against blaming sound agents for what the holder lacks."""
+    world, holder = build_holder()
+    holder_state = holder.state.holder_state
+    holder_state.evacuation_knowledge = evacuations.Knowledge.UNREAD
+    (step,) = preview(world, holder, job_specs.build_job("j", (1,))).steps
+    assert step.verdict is StepVerdict.WAITS_FOR_WORKER
+    assert [reason for reason, _ in step.excluded] == [
+        Obstacle.EVACUATIONS_UNREAD
+    ]
+
+
 def test_a_preview_reserves_nothing() -> None:
+    """Guards against a preview that changes what it describes."""
     world, holder = build_holder()
     spec = job_specs.build_job("j", (5,))
     first = preview(world, holder, spec)
@@ -72,6 +116,7 @@
 
 
 def test_a_follower_has_no_preview() -> None:
+    """Guards against an answer of an entry that places nothing."""
     world, holder = build_holder()
     spec = job_specs.build_job("j", (1,))
     followers = [
@@ -106,6 +151,7 @@
 
 
 def test_a_draining_and_a_silent_worker_are_named() -> None:
+    """Guards against a worker that is left out without a reason."""
     world, holder = build_holder(agents=4)
     views = list(holder.state.holder_state.agents.values())
     worker = views[0].report.worker
--- a/tests/jobs/test_wait_policies.py
+++ b/tests/jobs/test_wait_policies.py
@@ -43,7 +43,7 @@
         now=NOW,
         off_rack_slowdown=2.0,
         work=2 * SECOND,
-        forecast=locality.RackForecast(RACK, NOW, 0, openings),
+        forecast=locality.RackForecast(RACK, 0, openings),
         places_ahead=0,
         turnover=datetime.timedelta(0),
         slack=1.99 * SECOND,
