Hold a former process's start in an evacuated data centre

Cause: only a run whose start this process repeats was held. After a restart of the agent the first answer brings the start of the former process again, together with the notice. It was refused at once and placed elsewhere, and a next incarnation of the worker could still take the first call. Change: every run that a late start may begin is held. test_agent_refuses_what_it_has_not_started answers a report without starts first: a start in the first answer may be one of a former process.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -122,13 +122,12 @@
 ) -> EffectList:
     """Refuses runs in an evacuated data centre, so that they start elsewhere.
 
-    A run whose start got no answer, and that was to be sent again, is held
-    until a later incarnation of the worker can no longer take the first one.
+    A run that an earlier start may begin is held meanwhile: that start got no
+    answer and was to be sent again, or a former process may have sent it.
     """
     emitted: EffectList = []
     for local_run in waiting:
-        may_begin = leases.may_late_start_run(state, local_run, now)
-        if local_run.is_repeated and may_begin:
+        if leases.may_late_start_run(state, local_run, now):
             local_run.hold = executor.HoldReason.EVACUATION
             continue
         emitted += refuse_run(state, local_run.ref, runs.Refusal.EVACUATED)
--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -9,6 +9,7 @@
 from gypsumhold.decisions import reducer
 from gypsumhold.decisions.jobs import (
     directives,
+    leases,
     received_evacuations,
     report_timers,
 )
@@ -438,6 +439,7 @@
 def test_agent_refuses_what_it_has_not_started() -> None:
     """Guards against a start that was ordered before the request."""
     agent = build_agent()
+    agent.direct()
     agent.direct(starts=(RUN,))
     assert agent.state.active[RUN].state is executor.LocalState.WAITING
     receive(agent, 5, "zone")
@@ -484,3 +486,32 @@
     agent.direct(starts=(RUN,))
     assert local_run.hold is executor.HoldReason.EVACUATION
     assert not agent.state.refused
+
+
+def test_start_of_a_former_process_is_held_until_it_cannot_begin() -> None:
+    """Guards against a refusal while a former process's start may come.
+
+    The first answer brings the run again, with the notice. A next incarnation
+    of the worker may take the start that the former process sent.
+    """
+    agent = build_agent()
+    receive(agent, 6, "zone")
+    agent.direct(starts=(RUN,))
+    local_run = agent.state.active[RUN]
+    assert not local_run.is_repeated
+    assert local_run.hold is executor.HoldReason.EVACUATION
+    agent.wait(measure_late_ms(agent, local_run))
+    agent.poll()
+    assert not agent.state.refused
+    agent.wait(2)
+    agent.poll()
+    assert RUN in agent.state.refused
+
+
+def measure_late_ms(
+    agent: lone_agent.LoneAgent, local_run: executor.LocalRun
+) -> float:
+    """Returns the time after which a poll still finds that a run may begin."""
+    longest = agent.state.options.limits.measure_longest_lease()
+    end = local_run.late_until + longest + leases.EXPIRY_MARGIN
+    return (end - agent.now) / lone_agent.MILLISECOND - 4
