Hold a stopped run as long as an earlier start may begin it

Cause: an agent refused a waiting run as soon as the holder stopped or withdrew it, or the worker drained, also while a late start could still begin it. The holder then placed the task elsewhere. Change: such a run is marked as unwanted and held until no start can begin it, and refused then. A draining worker's waiting runs are treated alike.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -55,9 +55,11 @@
 ) -> EffectList:
     """Starts the waiting runs for which lease and capacity suffice.
 
-    Runs that do not fit, and all waiting runs while the worker drains or its
-    data centre is evacuated, are refused. Nothing starts before the worker was
-    polled, or while it has runs whose requests the holder has not yet sent.
+    Runs that do not fit, those that the holder has stopped, and all waiting
+    runs while the worker drains or its data centre is evacuated, are refused;
+    those that an earlier start may begin, only once it no longer can. Nothing
+    starts before the worker was polled, or while it has runs whose requests the
+    holder has not yet sent.
     """
     emitted: EffectList = []
     worker = state.worker
@@ -68,17 +70,23 @@
     if not is_known or not state.answering:
         return _hold(waiting, executor.HoldReason.NOT_POLLED)
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
-        for local_run in waiting:
-            emitted += refuse_run(state, local_run.ref, runs.Refusal.DRAINING)
-        return emitted
+        return _refuse_waiting(state, waiting, runs.Refusal.DRAINING, now)
+    unwanted = [local_run for local_run in waiting if local_run.is_unwanted]
+    emitted += _refuse_waiting(state, unwanted, runs.Refusal.STALE, now)
+    waiting = [local_run for local_run in waiting if not local_run.is_unwanted]
     if received_evacuations.is_evacuated(state):
-        return _refuse_evacuated(state, waiting, now)
+        reason = executor.HoldReason.EVACUATION
+        refusal = runs.Refusal.EVACUATED
+        return [
+            *emitted,
+            *_refuse_waiting(state, waiting, refusal, now, reason),
+        ]
     until_ms = leases.compute_lease_end(state, now)
     if until_ms is None:
-        return _hold(waiting, executor.HoldReason.NO_LEASE)
-    reason = _find_hold_reason(state, now)
-    if reason is not None:
-        return _hold(waiting, reason)
+        return [*emitted, *_hold(waiting, executor.HoldReason.NO_LEASE)]
+    obstacle = _find_hold_reason(state, now)
+    if obstacle is not None:
+        return [*emitted, *_hold(waiting, obstacle)]
     for local_run in waiting:
         if colocation.must_delay_start(state, local_run, now):
             local_run.hold = executor.HoldReason.LATENCY
@@ -115,12 +123,14 @@
     ]
 
 
-def _refuse_evacuated(
+def _refuse_waiting(
     state: executor.ExecutorState,
     waiting: list[executor.LocalRun],
+    refusal: runs.Refusal,
     now: datetime.timedelta,
+    reason: executor.HoldReason = executor.HoldReason.EARLIER_START,
 ) -> EffectList:
-    """Refuses runs in an evacuated data centre, so that they start elsewhere.
+    """Refuses runs that are not to start here, so that they start elsewhere.
 
     A run that an earlier start may begin is held meanwhile: that start got no
     answer and was to be sent again, or a former process may have sent it.
@@ -128,9 +138,9 @@
     emitted: EffectList = []
     for local_run in waiting:
         if leases.may_late_start_run(state, local_run, now):
-            local_run.hold = executor.HoldReason.EVACUATION
+            local_run.hold = reason
             continue
-        emitted += refuse_run(state, local_run.ref, runs.Refusal.EVACUATED)
+        emitted += refuse_run(state, local_run.ref, refusal)
     return emitted
 
 
@@ -219,17 +229,21 @@
     )
 
 
-def stop_run(state: executor.ExecutorState, ref: runs.RunRef) -> EffectList:
+def stop_run(
+    state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
+) -> EffectList:
     """Stops a run that the holder no longer wants.
 
-    A run that was not yet started is refused instead.
+    A run that was not yet started is refused instead, or held as long as an
+    earlier start may begin it: the holder places its task elsewhere.
     """
     local_run = state.active.get(ref)
     worker = state.worker
     if local_run is None or worker is None or local_run.stop_sent:
         return []
     if local_run.state is executor.LocalState.WAITING:
-        return refuse_run(state, ref, runs.Refusal.STALE)
+        local_run.is_unwanted = True
+        return _refuse_waiting(state, [local_run], runs.Refusal.STALE, now)
     local_run.stop_sent = True
     return [
         effects.Log(
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -163,7 +163,7 @@
             local_run.command = command
             local_run.throttle_percent = -1
     for ref in directives.stops:
-        emitted += commands.stop_run(state, ref)
+        emitted += commands.stop_run(state, ref, now)
     for ref in directives.withdrawn:
         emitted += _refuse_withdrawn(state, ref, now)
     for command in directives.starts:
@@ -207,7 +207,7 @@
     directives, with the start command, are ignored from now on.
     """
     if ref in state.active:
-        return commands.stop_run(state, ref)
+        return commands.stop_run(state, ref, now)
     if _may_begin_out_of_reach(state, ref, now):
         _keep_former_start(state, ref, None, now)
         return []
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -79,6 +79,7 @@
     UNKNOWN_REQUEST = "run without a known request"
     LATENCY = "latency of serving tasks"
     ACKNOWLEDGEMENT = "acknowledgement of ends"
+    EARLIER_START = "earlier start may be taken"
     EVACUATION = "evacuation"
     EVACUATION_UNKNOWN = "evacuations not known"
 
@@ -113,6 +114,8 @@
         refusal: Why the run is refused if no list of such a poll has it.
         confirmed_at: When the start was confirmed.
         stop_sent: Whether a stop command is unanswered or was carried out.
+        is_unwanted: Whether the holder has stopped it while it was waiting, so
+            that it is not started any more.
         unlisted_since: Since when the worker has no longer listed the run as
             running; None if it lists it.
         throttle_percent: Percent of full speed that was last commanded; -1 if
@@ -137,6 +140,7 @@
     refusal: runs.Refusal = runs.Refusal.UNANSWERED
     confirmed_at: datetime.timedelta = ZERO
     stop_sent: bool = False
+    is_unwanted: bool = False
     unlisted_since: datetime.timedelta | None = None
     throttle_percent: int = 100
 
--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 
+import msgspec
 import pytest
 
 from gypsumhold.adapters import failure_events
@@ -515,3 +516,61 @@
     longest = agent.state.options.limits.measure_longest_lease()
     end = local_run.late_until + longest + leases.EXPIRY_MARGIN
     return (end - agent.now) / lone_agent.MILLISECOND - 4
+
+
+def hold_repeated_run(agent: lone_agent.LoneAgent) -> executor.LocalRun:
+    """Returns a run that waits to be sent again after no answer came."""
+    agent.direct()
+    receive(agent, 5)
+    agent.direct(starts=(RUN,))
+    local_run = agent.state.active[RUN]
+    local_run.state = executor.LocalState.WAITING
+    local_run.is_repeated = True
+    local_run.late_until = agent.now + datetime.timedelta(seconds=12)
+    return local_run
+
+
+@pytest.mark.parametrize("order", ["stops", "withdrawn"])
+@pytest.mark.parametrize("is_evacuated", [False, True])
+def test_stopped_run_is_held_until_it_cannot_begin(
+    order: str, *, is_evacuated: bool
+) -> None:
+    """Guards against a stop that counts as proof that a run never begins."""
+    agent = build_agent()
+    local_run = hold_repeated_run(agent)
+    if is_evacuated:
+        receive(agent, 6, "zone")
+        agent.direct()
+        assert local_run.hold is executor.HoldReason.EVACUATION
+    for _ in range(2):
+        directives = agent.build_directives(
+            agent.state.sequence + 1, **{order: (RUN,)}
+        )
+        emitted = agent.answer_report(agent.report(), directives)
+        assert not any(isinstance(item, effects.StartRun) for item in emitted)
+        assert not agent.state.refused
+    assert local_run.hold is executor.HoldReason.EARLIER_START
+    agent.wait(measure_late_ms(agent, local_run))
+    agent.poll()
+    assert not agent.state.refused
+    agent.wait(2)
+    agent.poll()
+    assert agent.state.refused == {RUN: runs.Refusal.STALE}
+
+
+def test_run_that_may_begin_late_is_held_while_the_worker_drains() -> None:
+    """Guards against a refusal for a drain while a start may come."""
+    agent = build_agent()
+    local_run = hold_repeated_run(agent)
+    assert agent.state.worker is not None
+    agent.state.worker = msgspec.structs.replace(
+        agent.state.worker, state=runs.WorkerState.DRAINING
+    )
+    agent.poll()
+    assert local_run.hold is executor.HoldReason.EARLIER_START
+    agent.wait(measure_late_ms(agent, local_run))
+    agent.poll()
+    assert not agent.state.refused
+    agent.wait(2)
+    agent.poll()
+    assert agent.state.refused == {RUN: runs.Refusal.DRAINING}
