Let only a read sent after the latest gap end the doubt

Cause: a gap between stored batches started no read of the evacuations while one was pending, and any answer made them current, also that of a read sent before the gap. Change: each gap sends a read. Only one that was sent at the latest gap or later ends the doubt, and only the latest is repeated if it fails.

--- a/src/gypsumhold/decisions/jobs/evacuations.py
+++ b/src/gypsumhold/decisions/jobs/evacuations.py
@@ -37,7 +37,7 @@
     if state.options.evacuation_time is None:
         return []
     holder_state.evacuation_knowledge = Knowledge.UNREAD
-    return [effects.ReadEvacuations(holder_state.term, now)]
+    return [_build_read(holder_state, now)]
 
 
 def read_after_gap(
@@ -62,10 +62,20 @@
         return []
     if unconfirmed_time <= state.options.grant_window:
         return []
-    if holder_state.evacuation_knowledge is not Knowledge.CURRENT:
-        return []
-    holder_state.evacuation_knowledge = Knowledge.IN_DOUBT
-    return [effects.ReadEvacuations(holder_state.term, now)]
+    if holder_state.evacuation_knowledge is Knowledge.CURRENT:
+        holder_state.evacuation_knowledge = Knowledge.IN_DOUBT
+    return [_build_read(holder_state, now)]
+
+
+def _build_read(
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
+    delay: datetime.timedelta = effects.NO_DELAY,
+) -> effects.ReadEvacuations:
+    """Returns a read that alone, or one sent after it, ends the doubt."""
+    asked_at = now + delay
+    holder_state.evacuations_asked_at = asked_at
+    return effects.ReadEvacuations(holder_state.term, asked_at, delay)
 
 
 def handle_evacuations_read(
@@ -73,18 +83,22 @@
     event: events.EvacuationsRead,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Applies a read of all evacuations, or repeats it if it failed."""
+    """Applies a read of all evacuations, or repeats the latest if it failed.
+
+    One that was sent before the latest gap does not end the doubt.
+    """
     holder_state = state.holder_state
     if holder_state is None or event.term != holder_state.term:
         return []
+    is_known = holder_state.evacuation_knowledge is Knowledge.CURRENT
     if event.changes is None:
-        return [
-            effects.ReadEvacuations(
-                holder_state.term, now + READ_RETRY_DELAY, READ_RETRY_DELAY
-            )
-        ]
-    holder_state.evacuation_knowledge = Knowledge.CURRENT
-    holder_state.plan_due = True
+        is_latest = event.asked_at == holder_state.evacuations_asked_at
+        if is_known or not is_latest:
+            return []
+        return [_build_read(holder_state, now, READ_RETRY_DELAY)]
+    if event.asked_at >= holder_state.evacuations_asked_at:
+        holder_state.evacuation_knowledge = Knowledge.CURRENT
+        holder_state.plan_due = True
     record_read(state, event.asked_at)
     return apply_changes(state, event.changes)
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -310,6 +310,8 @@
             was still storing batches.
         run_waits: How long jobs and long-running tasks have had no run.
         evacuation_knowledge: Whether the known evacuations may be outdated.
+        evacuations_asked_at: When the pending read of the evacuations is sent
+            at the earliest; one that was sent before ends no doubt.
         near_waits: Tasks that wait for a near place; a gang is listed by its
             first task.
     """
@@ -371,6 +373,7 @@
         default_factory=waits.RunWaits
     )
     evacuation_knowledge: evacuations.Knowledge = evacuations.Knowledge.CURRENT
+    evacuations_asked_at: datetime.timedelta = ZERO
     near_waits: dict[runs.TaskRef, locality.NearWait] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -383,6 +383,50 @@
     assert build_notice(state, NOW) is None
 
 
+def answer_read(
+    state: scheduler.SchedulerState,
+    read: effects.ReadEvacuations,
+    changes: evacuations.EvacuationChanges | None,
+) -> list[effects.ReadEvacuations]:
+    """Answers a read; returns those that follow."""
+    answer = events.EvacuationsRead(read.term, read.asked_at, changes)
+    emitted = reducer.reduce(state, answer, read.asked_at)
+    return [
+        item for item in emitted if isinstance(item, effects.ReadEvacuations)
+    ]
+
+
+@pytest.mark.parametrize(
+    "knowledge", [Knowledge.UNREAD, Knowledge.CURRENT, Knowledge.IN_DOUBT]
+)
+@pytest.mark.parametrize("fails", [False, True])
+def test_read_from_before_a_gap_does_not_end_the_doubt(
+    knowledge: Knowledge, *, fails: bool
+) -> None:
+    """Guards against an old answer that is taken for what is in force."""
+    state = build_holder()
+    holder_state = state.holder_state
+    assert holder_state is not None
+    (old,) = decisions.begin_term(state, holder_state, NOW)
+    assert isinstance(old, effects.ReadEvacuations)
+    holder_state.evacuation_knowledge = knowledge
+    later = NOW + datetime.timedelta(seconds=9)
+    gap = 2 * state.options.grant_window
+    (new,) = decisions.read_after_gap(state, holder_state, gap, later)
+    assert isinstance(new, effects.ReadEvacuations)
+    doubt = holder_state.evacuation_knowledge
+    assert doubt is not Knowledge.CURRENT
+    old_changes = None if fails else build_changes(5, is_complete=True)
+    assert not answer_read(state, old, old_changes)
+    assert holder_state.evacuation_knowledge is doubt
+    (retry,) = answer_read(state, new, None)
+    assert not answer_read(
+        state, retry, build_changes(9, is_complete=True, a=True)
+    )
+    assert holder_state.evacuation_knowledge is Knowledge.CURRENT
+    assert read_names(state) == ("a",)
+
+
 def test_notice_ends_with_the_age_of_the_latest_read() -> None:
     """Guards against a notice that is current by its batches only.
 
