Report refusals for an evacuation with a reason that holders know

Cause: a holder of a former version can't decode the reason "evacuated". After a rollback of the entries one such refusal made the whole report unreadable. Change: the agent reports "no-room", which has the same effect on the holder, and logs the evacuation. The reason stays decodable, as agents of the version before send it and entries are replaced first.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -36,9 +36,14 @@
 def refuse_run(
     state: executor.ExecutorState, ref: runs.RunRef, reason: runs.Refusal
 ) -> EffectList:
-    """Records that a requested run never starts, so that it is reported."""
+    """Records that a requested run never starts, so that it is reported.
+
+    The log tells of an evacuation, the report only that there is no room: a
+    holder of a former version could not decode a report with that reason.
+    """
     state.active.pop(ref, None)
-    state.refused[ref] = reason
+    is_evacuated = reason is runs.Refusal.EVACUATED
+    state.refused[ref] = runs.Refusal.NO_CAPACITY if is_evacuated else reason
     state.report_due = True
     return [
         effects.Log(
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -82,7 +82,11 @@
     INVALID = "invalid"
 
     EVACUATED = "evacuated"
-    """The data centre of the worker is evacuated."""
+    """The data centre of the worker is evacuated.
+
+    Agents report `NO_CAPACITY` instead, as holders of former versions can't
+    decode this. It is kept for the reports of agents that sent it.
+    """
 
 
 class WorkerState(enum.Enum):
