--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -3,12 +3,14 @@
 import dataclasses
 import datetime
 
+import msgspec
 import pytest
 
 from gypsumhold.adapters import failure_events
 from gypsumhold.decisions import reducer
 from gypsumhold.decisions.jobs import (
     directives,
+    leases,
     received_evacuations,
     report_timers,
 )
@@ -381,6 +383,50 @@
     assert build_notice(state, NOW) is None
 
 
+def answer_read(
+    state: scheduler.SchedulerState,
+    read: effects.ReadEvacuations,
+    changes: evacuations.EvacuationChanges | None,
+) -> list[effects.ReadEvacuations]:
+    """Answers a read; returns those that follow."""
+    answer = events.EvacuationsRead(read.term, read.asked_at, changes)
+    emitted = reducer.reduce(state, answer, read.asked_at)
+    return [
+        item for item in emitted if isinstance(item, effects.ReadEvacuations)
+    ]
+
+
+@pytest.mark.parametrize(
+    "knowledge", [Knowledge.UNREAD, Knowledge.CURRENT, Knowledge.IN_DOUBT]
+)
+@pytest.mark.parametrize("fails", [False, True])
+def test_read_from_before_a_gap_does_not_end_the_doubt(
+    knowledge: Knowledge, *, fails: bool
+) -> None:
+    """Guards against an old answer that is taken for what is in force."""
+    state = build_holder()
+    holder_state = state.holder_state
+    assert holder_state is not None
+    (old,) = decisions.begin_term(state, holder_state, NOW)
+    assert isinstance(old, effects.ReadEvacuations)
+    holder_state.evacuation_knowledge = knowledge
+    later = NOW + datetime.timedelta(seconds=9)
+    gap = 2 * state.options.grant_window
+    (new,) = decisions.read_after_gap(state, holder_state, gap, later)
+    assert isinstance(new, effects.ReadEvacuations)
+    doubt = holder_state.evacuation_knowledge
+    assert doubt is not Knowledge.CURRENT
+    old_changes = None if fails else build_changes(5, is_complete=True)
+    assert not answer_read(state, old, old_changes)
+    assert holder_state.evacuation_knowledge is doubt
+    (retry,) = answer_read(state, new, None)
+    assert not answer_read(
+        state, retry, build_changes(9, is_complete=True, a=True)
+    )
+    assert holder_state.evacuation_knowledge is Knowledge.CURRENT
+    assert read_names(state) == ("a",)
+
+
 def test_notice_ends_with_the_age_of_the_latest_read() -> None:
     """Guards against a notice that is current by its batches only.
 
@@ -438,12 +484,35 @@
 def test_agent_refuses_what_it_has_not_started() -> None:
     """Guards against a start that was ordered before the request."""
     agent = build_agent()
+    agent.direct()
     agent.direct(starts=(RUN,))
     assert agent.state.active[RUN].state is executor.LocalState.WAITING
     receive(agent, 5, "zone")
     agent.deliver(base_events.TimerFired(report_timers.REPORT_TIMER))
+    directives = agent.build_directives(agent.state.sequence + 1, (RUN,))
+    emitted = agent.answer_report(agent.report(), directives)
+    logged = [
+        (item.subject, item.outcome)
+        for item in emitted
+        if isinstance(item, effects.Log)
+    ]
+    assert (RUN.task.job_id, "refused: evacuated") in logged
+    assert RUN in agent.state.refused
+
+
+def test_refusal_can_be_decoded_by_a_former_holder() -> None:
+    """Guards against a report with a reason that former versions don't know.
+
+    Such a holder could not read the whole report.
+    """
+    agent = build_agent()
+    agent.direct()
     agent.direct(starts=(RUN,))
-    assert agent.state.refused == {RUN: runs.Refusal.EVACUATED}
+    receive(agent, 5, "zone")
+    agent.direct()
+    (refused,) = agent.report().refused
+    assert refused.ref == RUN
+    assert refused.reason is runs.Refusal.NO_CAPACITY
 
 
 def test_agent_keeps_the_newest_of_two_holders() -> None:
@@ -484,3 +553,90 @@
     agent.direct(starts=(RUN,))
     assert local_run.hold is executor.HoldReason.EVACUATION
     assert not agent.state.refused
+
+
+def test_start_of_a_former_process_is_held_until_it_cannot_begin() -> None:
+    """Guards against a refusal while a former process's start may come.
+
+    The first answer brings the run again, with the notice. A next incarnation
+    of the worker may take the start that the former process sent.
+    """
+    agent = build_agent()
+    receive(agent, 6, "zone")
+    agent.direct(starts=(RUN,))
+    local_run = agent.state.active[RUN]
+    assert not local_run.is_repeated
+    assert local_run.hold is executor.HoldReason.EVACUATION
+    agent.wait(measure_late_ms(agent, local_run))
+    agent.poll()
+    assert not agent.state.refused
+    agent.wait(2)
+    agent.poll()
+    assert RUN in agent.state.refused
+
+
+def measure_late_ms(
+    agent: lone_agent.LoneAgent, local_run: executor.LocalRun
+) -> float:
+    """Returns the time after which a poll still finds that a run may begin."""
+    longest = agent.state.options.limits.measure_longest_lease()
+    end = local_run.late_until + longest + leases.EXPIRY_MARGIN
+    return (end - agent.now) / lone_agent.MILLISECOND - 4
+
+
+def hold_repeated_run(agent: lone_agent.LoneAgent) -> executor.LocalRun:
+    """Returns a run that waits to be sent again after no answer came."""
+    agent.direct()
+    receive(agent, 5)
+    agent.direct(starts=(RUN,))
+    local_run = agent.state.active[RUN]
+    local_run.state = executor.LocalState.WAITING
+    local_run.is_repeated = True
+    local_run.late_until = agent.now + datetime.timedelta(seconds=12)
+    return local_run
+
+
+@pytest.mark.parametrize("order", ["stops", "withdrawn"])
+@pytest.mark.parametrize("is_evacuated", [False, True])
+def test_stopped_run_is_held_until_it_cannot_begin(
+    order: str, *, is_evacuated: bool
+) -> None:
+    """Guards against a stop that counts as proof that a run never begins."""
+    agent = build_agent()
+    local_run = hold_repeated_run(agent)
+    if is_evacuated:
+        receive(agent, 6, "zone")
+        agent.direct()
+        assert local_run.hold is executor.HoldReason.EVACUATION
+    for _ in range(2):
+        directives = agent.build_directives(
+            agent.state.sequence + 1, **{order: (RUN,)}
+        )
+        emitted = agent.answer_report(agent.report(), directives)
+        assert not any(isinstance(item, effects.StartRun) for item in emitted)
+        assert not agent.state.refused
+    assert local_run.hold is executor.HoldReason.EARLIER_START
+    agent.wait(measure_late_ms(agent, local_run))
+    agent.poll()
+    assert not agent.state.refused
+    agent.wait(2)
+    agent.poll()
+    assert agent.state.refused == {RUN: runs.Refusal.STALE}
+
+
+def test_run_that_may_begin_late_is_held_while_the_worker_drains() -> None:
+    """Guards against a refusal for a drain while a start may come."""
+    agent = build_agent()
+    local_run = hold_repeated_run(agent)
+    assert agent.state.worker is not None
+    agent.state.worker = msgspec.structs.replace(
+        agent.state.worker, state=runs.WorkerState.DRAINING
+    )
+    agent.poll()
+    assert local_run.hold is executor.HoldReason.EARLIER_START
+    agent.wait(measure_late_ms(agent, local_run))
+    agent.poll()
+    assert not agent.state.refused
+    agent.wait(2)
+    agent.poll()
+    assert agent.state.refused == {RUN: runs.Refusal.DRAINING}
