Correct the descriptions of threads and attributes of listeners

The class comment said that only the thread of the selector works on connections, two attributes were not described, and the exception for a request that is the only one had no reason.

--- a/src/gypsumhold/adapters/listeners/connections.py
+++ b/src/gypsumhold/adapters/listeners/connections.py
@@ -18,6 +18,8 @@
         is_served: Whether a thread handles a request of the connection.
         is_closing: Whether the connection ends once its answer is sent.
         is_closed: Whether the socket is closed.
+        has_continued: Whether the client was told to send its body.
+        discarded: Bytes of a refused request that were read and discarded.
     """
 
     rfile: streams.RequestReader
--- a/src/gypsumhold/adapters/listeners/managers.py
+++ b/src/gypsumhold/adapters/listeners/managers.py
@@ -46,8 +46,9 @@
 class ConnectionManager(cheroot_connections.ConnectionManager):
     """Carries out what the reducer decides about the connections.
 
-    Any thread may hand a connection back; all else is done by the thread of
-    the selector. The lock covers the state and the registrations.
+    Any thread may hand a connection back or end it; it then registers or closes
+    the socket itself, but leaves the effects to the thread of the selector.
+    The lock covers the state, the registrations and the effects.
     """
 
     # The type stubs of cheroot lack these members.
--- a/src/gypsumhold/decisions/clients.py
+++ b/src/gypsumhold/decisions/clients.py
@@ -140,6 +140,8 @@
     client = state.clients.get(current)
     if client is None or client.phase not in _RECEIVING:
         return []
+    # A request that is the only one takes no memory from others, and its own
+    # size is limited by the listener.
     is_alone = state.request_bytes == client.size
     _move(state, current, clients.Phase.READING, event.size, now)
     effects: Effects = []
