--- a/src/gypsumhold/adapters/peerserver.py
+++ b/src/gypsumhold/adapters/peerserver.py
@@ -26,12 +26,12 @@
         max_connections: Maximum number of open connections. Further ones are
             closed before the handshake, so that their clients know that the
             call was not sent.
-        max_strangers: Maximum number of connections without a completed
-            handshake. Further ones wait until a handshake ends or has taken
-            `stranger_time`, so that clients without the key can keep the
+        max_pending_handshakes: Maximum number of connections whose handshake is
+            not completed. Further ones wait until a handshake ends or has taken
+            `min_handshake_time`, so that clients without the key can keep the
             others waiting, but not for ever.
-        stranger_time: Time after which a handshake may be given up for another
-            connection.
+        min_handshake_time: Time after which a handshake may be given up for
+            another connection.
         handshake_timeout: Longest duration of the handshake.
         transfer_timeout: Longest time to read or write one message.
         idle_time: Time without a call after which a connection is closed.
@@ -39,8 +39,8 @@
     """
 
     max_connections: int = 1024
-    max_strangers: int = 64
-    stranger_time: datetime.timedelta = datetime.timedelta(seconds=1)
+    max_pending_handshakes: int = 64
+    min_handshake_time: datetime.timedelta = datetime.timedelta(seconds=1)
     handshake_timeout: datetime.timedelta = datetime.timedelta(seconds=2)
     transfer_timeout: datetime.timedelta = datetime.timedelta(seconds=10)
     idle_time: datetime.timedelta = datetime.timedelta(seconds=120)
@@ -52,14 +52,14 @@
     """A connection of a client.
 
     `busy` is set from the arrival of a call until its reply is written.
-    `stranger` is set until the handshake is completed or given up.
+    `is_pending` is set until the handshake is completed or given up.
     """
 
     connection: framing.Connection
     peer: str
     started: float
     busy: bool = False
-    stranger: bool = True
+    is_pending: bool = True
 
 
 class PeerServer:
@@ -197,20 +197,20 @@
 
         Gives up the oldest one if it takes too long.
         """
-        patience = self._options.stranger_time.total_seconds()
+        patience = self._options.min_handshake_time.total_seconds()
         with self._lock:
             while not self._closing:
-                strangers = [
+                pending = [
                     session
                     for session in self._sessions.values()
-                    if session.stranger
+                    if session.is_pending
                 ]
-                if len(strangers) < self._options.max_strangers:
+                if len(pending) < self._options.max_pending_handshakes:
                     return
-                oldest = strangers[0]
+                oldest = pending[0]
                 remaining = oldest.started + patience - time.monotonic()
                 if remaining <= 0:
-                    oldest.stranger = False
+                    oldest.is_pending = False
                     oldest.connection.abort()
                     self._log.add(clients.Reason.HANDSHAKE, oldest.peer)
                     return
@@ -218,7 +218,7 @@
 
     def _end_handshake(self, session: _Session) -> None:
         with self._lock:
-            session.stranger = False
+            session.is_pending = False
             self._changed.notify_all()
 
     def _run_session(self, session: _Session) -> None:
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -142,7 +142,7 @@
     max_unsent_bytes: Count = 16_777_216
     request_time_ms: Milliseconds = 30_000
     response_time_ms: Milliseconds = 30_000
-    max_strangers: Count = 64
+    max_pending_handshakes: Count = 64
 
     def build(self) -> clients.ClientLimits:
         """Returns the limits of the listener for callers."""
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -91,7 +91,9 @@
     client_settings: settings.ClientSettings,
 ) -> peerserver.ServerOptions:
     """Returns the limits of the server for other processes."""
-    return peerserver.ServerOptions(max_strangers=client_settings.max_strangers)
+    return peerserver.ServerOptions(
+        max_pending_handshakes=client_settings.max_pending_handshakes
+    )
 
 
 def run(
