--- a/tests/processes/test_uncontrolled_clients.py
+++ b/tests/processes/test_uncontrolled_clients.py
@@ -204,7 +204,7 @@
 def test_connections_without_handshake(
     small_deployment: cluster.Cluster,
 ) -> None:
-    """Guards against descriptors that are held by pending handshakes at the peers."""
+    """Guards against descriptors that pending handshakes hold at the peers."""
     target = find_target(small_deployment, "peers")
     with contextlib.ExitStack() as stack:
         for _ in range(CONNECTIONS):
