Mend docstrings that a reader of the diff stumbled on

Cause: docstrings that said less than the code does, and the exception to the rule on whole steps without its reason.

--- a/src/gypsumhold/adapters/listeners/connections.py
+++ b/src/gypsumhold/adapters/listeners/connections.py
@@ -13,8 +13,8 @@
 
     Attributes:
         number: Id of the connection in the state of its listener.
-        is_refused: Whether the scanner refused the request, which may have
-            arrived only in part.
+        is_refused: Whether the request was refused, by the scanner or by a
+            limit; it may have arrived only in part.
         is_served: Whether a thread handles a request of the connection.
         is_closing: Whether the connection ends once its answer is sent.
         is_closed: Whether the socket is closed.
--- a/src/gypsumhold/decisions/jobs/locality/near_waits.py
+++ b/src/gypsumhold/decisions/jobs/locality/near_waits.py
@@ -105,7 +105,8 @@
             return False
         rack = placed.step.spec.data_rack
         # A step ends with its last task, so its job gains nothing unless all of
-        # its ready tasks get a near place in time.
+        # its ready tasks get a near place in time. Where other tasks find no
+        # capacity, each task that runs near leaves more of it to them.
         width = 1
         if not self._unmet.has_any():
             width = count_ready(placed.step)
--- a/src/gypsumhold/model/clients.py
+++ b/src/gypsumhold/model/clients.py
@@ -38,7 +38,11 @@
 
 
 class Reason(enum.StrEnum):
-    """Why a connection was closed or its request refused."""
+    """Why a connection was closed or its request refused.
+
+    All but `MALFORMED` and `HANDSHAKE`, which the listeners themselves find,
+    are limits of `ClientLimits`.
+    """
 
     CONNECTIONS = "connections"
     HOST_CONNECTIONS = "host-connections"
--- a/src/gypsumhold/model/jobs/evacuations.py
+++ b/src/gypsumhold/model/jobs/evacuations.py
@@ -20,6 +20,7 @@
     until they have been read again."""
 
     CURRENT = "current"
+    """They were read in this term, and the store was in reach since."""
 
 
 class Evacuations(msgspec.Struct, frozen=True, array_like=True):
@@ -59,8 +60,8 @@
 
     Attributes:
         latest: The newest that a holder has sent; None before the first.
-        confirmed_at: When the latest report was sent that an answer with
-            evacuations belongs to; None before the first.
+        confirmed_at: When the newest report was sent whose answer carried
+            evacuations; None before the first.
     """
 
     latest: Evacuations | None = None
