Split the components and the listeners off the composition root of the node

Change: node_components builds what both roles share, node_listeners serves the ports; the root wires the roles. Nothing else changed.

--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -27,19 +27,14 @@
 
 import gypsumhold
 from gypsumhold.adapters import (
-    clock,
-    connection_pool,
     effect_pools,
     engine,
-    http_client,
     http_routes,
     http_server,
     logs,
-    peerserver,
     settings,
 )
 from gypsumhold.adapters.jobs import (
-    decision_log,
     effect_runners,
     metrics,
     peers,
@@ -47,36 +42,24 @@
 from gypsumhold.adapters.listeners import servers
 from gypsumhold.decisions import reducer
 from gypsumhold.decisions.jobs import policy_sets
-from gypsumhold.model import clock as clocks
 from gypsumhold.model import events as base_events
-from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
     effects,
     events,
     executor,
-    messages,
     scheduler,
 )
 from gypsumhold.platform import (
     heartbeats,
     job_routes,
-    jobstore,
-    preview_routes,
-    table,
     worker,
 )
 from gypsumhold.platform import settings as node_settings
-from gypsumhold.programs import process
+from gypsumhold.programs import node_components, node_listeners, process
 
-MAX_BODY_BYTES = 1024 * 1024
 CALLER_THREADS = 24
 READY_THREADS = 2
 HEARTBEAT_THREADS = 2
-METRICS_THREADS = 1
-
-STORE_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=800)
-STORE_READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
-"""Longest wait for the next bytes of an answer of the store."""
 
 STOP_TIMEOUT = datetime.timedelta(seconds=3)
 """Longest wait for a role to stop, for example to release the queue.
@@ -84,43 +67,10 @@
 Must be shorter than the time that the platform leaves a process to stop.
 """
 
-SETTLE_TIME = datetime.timedelta(milliseconds=300)
-"""How long a stopped role still answers requests on open connections.
-
-Also the longest wait for calls of peers that are in progress.
-"""
-
 _LOG = logbook.Logger("gypsumhold.node")
 _State = TypeVar("_State", scheduler.SchedulerState, executor.ExecutorState)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SharedComponents:
-    """The objects that both roles are built from.
-
-    Attributes:
-        program_settings: Settings of the program, from the --config file.
-        platform_settings: Settings that the platform writes.
-        clock: Clock of the process.
-        store: Store of the jobs.
-        client: Client for calls to other processes.
-        log: Log of the decisions.
-        recorder: Metrics of the role.
-        incarnation: Incarnation of the process; a later one is higher.
-        key: Key that peers of the deployment share.
-    """
-
-    program_settings: settings.NodeFileSettings
-    platform_settings: node_settings.NodeSettings
-    clock: clocks.Clock
-    store: jobstore.PlatformJobStore
-    client: peers.JobClient
-    log: decision_log.DecisionLog
-    recorder: metrics.JobRecorder
-    incarnation: ids.Incarnation
-    key: bytes
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunningNode:
     """A started entry or agent, which the function `stop` ends.
@@ -136,59 +86,14 @@
     listeners: tuple[http_server.Listener, ...]
 
 
-def build_shared_components(
-    role: str,
-    program_settings: settings.NodeFileSettings,
-    platform_settings: node_settings.NodeSettings,
-    stack: contextlib.ExitStack,
-) -> SharedComponents:
-    """Builds the objects that both roles need; the stack closes them."""
-    system_clock = clock.SystemClock()
-    log = decision_log.DecisionLog(system_clock, platform_settings.instance)
-    stack.callback(log.close)
-    recorder = metrics.JobRecorder(
-        role, platform_settings.instance, system_clock
-    )
-    stack.callback(recorder.close)
-    store_client = http_client.HttpClient(
-        http_client.CallOptions(
-            platform_settings.store, STORE_CONNECT_TIMEOUT, STORE_READ_TIMEOUT
-        )
-    )
-    stack.callback(store_client.close)
-    key = program_settings.deployment_key.get_secret_value().encode()
-    connections = connection_pool.ConnectionPool(
-        key, connection_pool.PoolOptions(max_idle=4)
-    )
-    stack.callback(connections.close)
-    return SharedComponents(
-        program_settings,
-        platform_settings,
-        system_clock,
-        jobstore.PlatformJobStore(table.TableClient(store_client)),
-        peers.JobClient(connections),
-        log,
-        recorder,
-        ids.Incarnation(int(system_clock.read_wall().timestamp() * 1000)),
-        key,
-    )
-
-
-def build_peer_endpoint(shared: SharedComponents) -> messages.Endpoint:
-    """Returns the address on which other processes reach this one."""
-    own = shared.platform_settings.peers
-    port = shared.program_settings.advertised_port
-    return own if port is None else messages.Endpoint(own.host, port)
-
-
 def start_entry(
-    shared: SharedComponents, stack: contextlib.ExitStack
+    shared: node_components.SharedComponents, stack: contextlib.ExitStack
 ) -> RunningNode:
     """Builds an entry and starts its services."""
     options = scheduler.SchedulerOptions(
         shared.platform_settings.instance,
         shared.incarnation,
-        build_peer_endpoint(shared),
+        node_components.build_peer_endpoint(shared),
         cores=shared.platform_settings.cores,
         row_bytes=shared.platform_settings.row_bytes,
         limits=shared.platform_settings.limits,
@@ -214,12 +119,14 @@
         threads=effect_pools.SCHEDULER_THREADS,
     )
     stack.callback(runtime.close)
-    serve_metrics(shared, build_operator_routes(shared, runtime), stack)
+    node_listeners.serve_metrics(
+        shared, node_listeners.build_operator_routes(shared, runtime), stack
+    )
     service = peers.SchedulerService(runtime)
-    serve_peers(shared, service, stack)
+    node_listeners.serve_peers(shared, service, stack)
     runtime.dispatch(events.SchedulerStarted())
     listeners = (
-        listen(
+        node_listeners.listen(
             shared.platform_settings.callers,
             job_routes.JobRoutes(runtime, shared.clock),
             CALLER_THREADS,
@@ -230,13 +137,13 @@
             ),
             stack,
         ),
-        listen(
+        node_listeners.listen(
             shared.platform_settings.readiness,
             job_routes.ReadyRoutes(
                 lambda: runtime.snapshot(job_routes.is_ready)
             ),
             READY_THREADS,
-            build_small_options("readiness", shared),
+            node_listeners.build_small_options("readiness", shared),
             stack,
         ),
     )
@@ -244,13 +151,13 @@
 
 
 def start_agent(
-    shared: SharedComponents, stack: contextlib.ExitStack
+    shared: node_components.SharedComponents, stack: contextlib.ExitStack
 ) -> RunningNode:
     """Builds an agent and starts its services."""
     options = executor.ExecutorOptions(
         shared.platform_settings.instance,
         shared.incarnation,
-        build_peer_endpoint(shared),
+        node_components.build_peer_endpoint(shared),
         limits=shared.platform_settings.limits,
         evacuation_time=shared.platform_settings.evacuation_time,
     )
@@ -274,105 +181,26 @@
         threads=effect_pools.EXECUTOR_THREADS,
     )
     stack.callback(runtime.close)
-    serve_metrics(shared, metrics.MetricsRoutes(shared.recorder), stack)
-    serve_peers(shared, peers.ExecutorService(runtime), stack)
+    node_listeners.serve_metrics(
+        shared, metrics.MetricsRoutes(shared.recorder), stack
+    )
+    node_listeners.serve_peers(shared, peers.ExecutorService(runtime), stack)
     runtime.dispatch(events.ExecutorStarted())
-    listener = listen(
+    listener = node_listeners.listen(
         shared.platform_settings.workers,
         heartbeats.HeartbeatRoutes(runtime),
         HEARTBEAT_THREADS,
-        build_small_options("heartbeats", shared),
+        node_listeners.build_small_options("heartbeats", shared),
         stack,
     )
     return RunningNode(runtime, base_events.StopRequested(), (listener,))
 
 
-def serve_metrics(
-    shared: SharedComponents,
-    routes: http_routes.Routes,
-    stack: contextlib.ExitStack,
-) -> None:
-    """Serves the metrics over HTTP until the stack closes.
-
-    Args:
-        shared: Objects that both roles are built from.
-        routes: Routes of the port; they include the metrics.
-        stack: Closes the listener.
-    """
-    address = members.Address(
-        shared.platform_settings.host, shared.program_settings.metrics_port
-    )
-    listen(
-        address,
-        routes,
-        METRICS_THREADS,
-        build_small_options("metrics", shared),
-        stack,
-    )
-
-
-def build_operator_routes(
-    shared: SharedComponents, runtime: engine.Engine[scheduler.SchedulerState]
-) -> http_routes.Routes:
-    """Returns the routes of the metrics port, with previews if configured."""
-    routes = metrics.MetricsRoutes(shared.recorder)
-    token = shared.program_settings.operator_token
-    if token is None:
-        return routes
-    return preview_routes.PreviewRoutes(
-        runtime, shared.clock, token.get_secret_value(), routes
-    )
-
-
-def serve_peers(
-    shared: SharedComponents,
-    service: peers.SchedulerService | peers.ExecutorService,
-    stack: contextlib.ExitStack,
-) -> None:
-    """Serves calls of other processes until the stack closes."""
-    server = peerserver.PeerServer(
-        shared.platform_settings.peers.build_address(),
-        service,
-        shared.key,
-        process.build_peer_options(shared.program_settings.clients),
-        shared.recorder,
-    )
-    stack.callback(server.close, SETTLE_TIME)
-
-
-def build_small_options(
-    name: str, shared: SharedComponents
-) -> servers.ListenerOptions:
-    """Returns the options of a listener that has few clients."""
-    return servers.ListenerOptions(
-        name, shared.program_settings.clients.build_small(), shared.recorder
-    )
-
-
-def listen(
-    address: members.Address | None,
-    routes: http_routes.Routes,
-    threads: int,
-    options: servers.ListenerOptions,
-    stack: contextlib.ExitStack,
-) -> http_server.Listener:
-    """Serves routes over HTTP until the stack closes.
-
-    Raises:
-        http_routes.ListenError: The settings have no address, or it cannot be
-            used.
-    """
-    if address is None:
-        raise http_routes.ListenError(http_routes.MISSING_ADDRESS)
-    listener = http_server.Listener(
-        address, routes, threads, MAX_BODY_BYTES, options
-    )
-    stack.callback(listener.close)
-    return listener
-
-
 ROLES: dict[
-    str, Callable[[SharedComponents, contextlib.ExitStack], RunningNode]
+    str,
+    Callable[
+        [node_components.SharedComponents, contextlib.ExitStack], RunningNode
+    ],
 ] = {
     "entry": start_entry,
     "agent": start_agent,
@@ -408,7 +236,7 @@
             program_settings.log.as_json,
             sys.stdout,
         )
-        shared = build_shared_components(
+        shared = node_components.build_shared_components(
             role, program_settings, platform_result.unwrap(), stack
         )
         try:
@@ -423,7 +251,7 @@
 
 
 def log_process_event(
-    shared: SharedComponents, decision: str, outcome: str
+    shared: node_components.SharedComponents, decision: str, outcome: str
 ) -> None:
     """Writes a line about the process to the decision log."""
     inputs = (
@@ -438,7 +266,8 @@
 
 
 def wait_for_stop(
-    shared: SharedComponents, awaited_signals: tuple[signal.Signals, ...]
+    shared: node_components.SharedComponents,
+    awaited_signals: tuple[signal.Signals, ...],
 ) -> None:
     """Waits for a stop signal.
 
@@ -465,13 +294,13 @@
     """Stops a role.
 
     Waits until the role has stopped, at most STOP_TIMEOUT, and then for
-    SETTLE_TIME. Connections end with their next response.
+    node_listeners.SETTLE_TIME. Connections end with their next response.
     """
     for listener in running.listeners:
         listener.disable_keep_alive()
     running.runtime.dispatch(running.stop)
     running.runtime.wait_stopped(STOP_TIMEOUT)
-    threading.Event().wait(SETTLE_TIME.total_seconds())
+    threading.Event().wait(node_listeners.SETTLE_TIME.total_seconds())
 
 
 def main() -> int:
