Plan a job again after one of its plans has failed

Callers saw a job without a run until the queue changed hands, if a plan had raised an exception for it once. Cause: such a job was left out of all plans of that holder, and its wait was forgotten, so that no line told of it. What a plan raises may be about one moment only. Change: the job is looked at again after 250 ms, and after twice as long with each further failure, 2 s at most (`failed_plans`). Its wait goes on, with a stage of its own, `set aside`. The log line tells when the job is looked at again; there is none for a further failure that changes nothing.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -6,6 +6,7 @@
 from gypsumhold.decisions.jobs import (
     capacity,
     evacuation_waits,
+    failed_plans,
     job_placements,
     migrations,
     ordering,
@@ -16,7 +17,7 @@
 )
 from gypsumhold.decisions.jobs.locality import near_waits
 from gypsumhold.model import effects as base_effects
-from gypsumhold.model.jobs import effects, progress, scheduler, specs
+from gypsumhold.model.jobs import progress, scheduler, specs
 from gypsumhold.model.jobs.waits import WaitStage
 
 EffectList = list[base_effects.Effect]
@@ -68,9 +69,9 @@
     have had none for some time; the rest follows in the order of the policy.
     In a full fleet that order alone counts, and starved jobs that the plan does
     not get to follow at its end. A job for which this raises an exception is
-    set aside, so that it does not stop the others.
+    set aside for a time, so that it does not stop the others.
     """
-    jobs = _list_plannable(holder_state)
+    jobs = _list_plannable(holder_state, now)
     emitted = _estimate_jobs(state, holder_state, jobs, now)
     candidates = capacity.build_candidates(state, holder_state, now)
     if not candidates:
@@ -84,7 +85,7 @@
     passes = _PlanPasses(
         plan,
         state.policies.ordering.sort(
-            [job for job in jobs if not job.set_aside], now
+            [job for job in jobs if not job.is_set_aside(now)], now
         ),
     )
     passes.place()
@@ -92,13 +93,13 @@
 
 
 def _list_plannable(
-    holder_state: scheduler.HolderState,
+    holder_state: scheduler.HolderState, now: datetime.timedelta
 ) -> list[progress.Job]:
     """Returns the jobs that may have a task to place or to migrate."""
     return [
         job
         for job in holder_state.open_jobs.values()
-        if not job.set_aside
+        if not job.is_set_aside(now)
         and (job.has_best_effort_steps() or ready_tasks.has_ready_task(job))
     ]
 
@@ -192,7 +193,9 @@
 
     def _is_left(self, job: progress.Job) -> bool:
         """Tells whether this plan may place tasks of a job."""
-        return job.spec.job_id not in self._without_place and not job.set_aside
+        if job.is_set_aside(self._plan.now):
+            return False
+        return job.spec.job_id not in self._without_place
 
     def _leave(self, jobs: Sequence[progress.Job]) -> None:
         """Leaves jobs to the next plan."""
@@ -248,7 +251,10 @@
     starved: bool,
     migrations_due: bool = False,
 ) -> job_placements.Placement:
-    """Places at most so many tasks of a job; sets it aside if that fails."""
+    """Places at most so many tasks of a job; sets it aside if that fails.
+
+    A job for which it does not fail is no longer set aside.
+    """
     placement = job_placements.Placement()
     try:
         if migrations_due:
@@ -256,23 +262,14 @@
                 plan.state, plan.holder_state, job, plan.candidates, plan.now
             )
         job_placements.place_tasks(plan, job, placement, most, starved=starved)
+        job.set_aside = None
     except Exception as problem:
-        placement.emitted.append(_set_aside(job, problem))
+        placement.emitted += failed_plans.set_aside(
+            plan.holder_state, job, problem, plan.now
+        )
     return placement
 
 
-def _set_aside(job: progress.Job, problem: Exception) -> base_effects.Effect:
-    """Excludes a job from all plans of this holder; returns the log line.
-
-    Tasks that were placed already go on.
-    """
-    job.set_aside = True
-    inputs = (("problem", repr(problem)),)
-    return effects.Log(
-        "job-set-aside", job.spec.job_id, "cancel and correct it", inputs
-    )
-
-
 def _estimate_jobs(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
@@ -290,7 +287,7 @@
         try:
             ordering.refresh_outlook(job, now, policy)
         except Exception as problem:
-            emitted.append(_set_aside(job, problem))
+            emitted += failed_plans.set_aside(holder_state, job, problem, now)
             continue
         if job.has_best_effort_steps():
             best_effort.append(job)
--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -31,7 +31,7 @@
     run_waits = holder_state.run_waits
     for job_id in run_waits.touched:
         job = holder_state.open_jobs.get(job_id)
-        if job is None or job.set_aside:
+        if job is None:
             _forget(holder_state, job_id)
         else:
             emitted += _update_job(holder_state, job, now, now)
@@ -51,8 +51,6 @@
     emitted: EffectList = []
     assumed = now - starvation.MAX_PLACEMENT_DELAY
     for job in holder_state.open_jobs.values():
-        if job.set_aside:
-            continue
         since = min(max(assumed, job.submitted_at), now)
         emitted += _update_job(holder_state, job, since, now)
         if job.has_placed_task():
@@ -74,7 +72,7 @@
         ended_at: When the worker listed the end.
         now: Current time.
     """
-    if not job.is_open() or job.set_aside:
+    if not job.is_open():
         return []
     return _update_job(holder_state, job, min(ended_at, now), now)
 
@@ -133,7 +131,7 @@
 
 
 def _forget(holder_state: scheduler.HolderState, job_id: specs.JobId) -> None:
-    """Drops the waits of a job that has ended or is set aside."""
+    """Drops the waits of a job that has ended."""
     run_waits = holder_state.run_waits
     run_waits.jobs.pop(job_id, None)
     for ref in [ref for ref in run_waits.tasks if ref.job_id == job_id]:
@@ -158,7 +156,7 @@
     if running is None:
         stage = _find_job_stage(holder_state, job, wait)
     if stage is not None:
-        wait = wait or _begin(job_id, None, since, now)
+        wait = wait or _begin(job, None, since, now)
         run_waits.jobs[job_id] = wait
         wait.enter(stage, now)
     elif wait is not None:
@@ -198,7 +196,7 @@
     None if no task is ready or placed, as in a timed job between repetitions.
     """
     stages = {
-        _find_task_stage(holder_state, task, wait)
+        _find_task_stage(holder_state, job, task, wait)
         for step in job.steps
         if step.open and not step.spec.long_running
         for task in step.tasks
@@ -218,12 +216,13 @@
 
 def _find_task_stage(
     holder_state: scheduler.HolderState,
+    job: progress.Job,
     task: progress.Task,
     wait: waits.RunWait | None,
 ) -> waits.WaitStage:
     """Returns the stage of a task that is ready or placed and does not run."""
     if not task.is_placed():
-        return waits.WaitStage.PLAN if wait is None else wait.obstacle
+        return _find_first_obstacle(job) if wait is None else wait.obstacle
     if task.migrating:
         return waits.WaitStage.STOP
     if task.batch > holder_state.stored_batch:
@@ -233,6 +232,16 @@
     return waits.WaitStage.START
 
 
+def _find_first_obstacle(job: progress.Job) -> waits.WaitStage:
+    """Returns the obstacle of a wait that begins.
+
+    A plan that failed for the job may have been made before.
+    """
+    if job.set_aside is None:
+        return waits.WaitStage.PLAN
+    return waits.WaitStage.SET_ASIDE
+
+
 def _update_long_running(
     holder_state: scheduler.HolderState,
     job: progress.Job,
@@ -253,20 +262,27 @@
                     del run_waits.tasks[ref]
                     emitted += _end(holder_state, wait, task, now)
                 continue
-            stage = _find_task_stage(holder_state, task, wait)
-            wait = wait or _begin(job.spec.job_id, ref, since, now)
+            stage = _find_task_stage(holder_state, job, task, wait)
+            wait = wait or _begin(job, ref, since, now)
             run_waits.tasks[ref] = wait
             wait.enter(stage, now)
     return emitted
 
 
 def _begin(
-    job_id: specs.JobId,
+    job: progress.Job,
     task: runs.TaskRef | None,
     since: datetime.timedelta,
     now: datetime.timedelta,
 ) -> waits.RunWait:
-    wait = waits.RunWait(job_id, task, since, waits.WaitStage.REPORT, since)
+    wait = waits.RunWait(
+        job.spec.job_id,
+        task,
+        since,
+        waits.WaitStage.REPORT,
+        since,
+        _find_first_obstacle(job),
+    )
     wait.enter(waits.WaitStage.PLAN, now)
     return wait
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -229,6 +229,21 @@
     gang: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetAside:
+    """A job that is left out of plans for a time, as one has failed for it.
+
+    Attributes:
+        problem: The latest exception.
+        delay: Time for which the job is left out after it.
+        until: When a plan looks at the job again.
+    """
+
+    problem: str
+    delay: datetime.timedelta
+    until: datetime.timedelta
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """One accepted job.
@@ -250,8 +265,8 @@
         expected_return: Value of finishing it over the work that it still
             took when the latest plan was made; best-effort tasks of jobs
             with a higher one work first.
-        set_aside: Whether a plan failed for this job; its tasks are no longer
-            placed.
+        set_aside: How long plans leave the job out, as the latest one that
+            looked at it failed; None if that one did not fail.
         running_task: A task that was running when it was last looked for one.
         kinds: Kinds of steps that the job has.
     """
@@ -268,7 +283,7 @@
     outlook: Outlook | None = None
     gives_way: bool = False
     expected_return: float = 1.0
-    set_aside: bool = False
+    set_aside: SetAside | None = None
     running_task: Task | None = None
     kinds: StepKinds = dataclasses.field(init=False)
 
@@ -284,6 +299,10 @@
         """Tells whether the job has not ended, so its tasks may be placed."""
         return self.state not in messages.FINAL_STATES
 
+    def is_set_aside(self, now: datetime.timedelta) -> bool:
+        """Tells whether plans leave the job out at present."""
+        return self.set_aside is not None and now < self.set_aside.until
+
     def is_end_stored(self) -> bool:
         """Tells whether a final state is stored, so callers may see it."""
         return self.stored_state in messages.FINAL_STATES
--- a/src/gypsumhold/model/jobs/waits.py
+++ b/src/gypsumhold/model/jobs/waits.py
@@ -24,6 +24,9 @@
     PLAN_LIMIT = "plan limit"
     """The latest plan ended, or began to skip jobs, before it came to them."""
 
+    SET_ASIDE = "set aside"
+    """The latest plan failed for the job; a later one looks at it again."""
+
     CAPACITY = "capacity"
     """No usable worker has room for a ready task."""
 
@@ -74,7 +77,7 @@
         stage: The present stage.
         stage_since: Since when it is the present stage.
         obstacle: What kept the latest plan from placing a task; `PLAN` if none
-            has looked at the job since the wait began.
+            has looked at the job since the wait began and none failed for it.
         spent: Time spent in earlier stages.
         placed_at: When a task was last placed during the wait; None if none
             was.
--- a/tests/jobs/test_faulty_jobs.py
+++ b/tests/jobs/test_faulty_jobs.py
@@ -1,13 +1,14 @@
 """Tests that a faulty job or message does not stop the others."""
 
 import dataclasses
+import math
 
 import msgspec
 import pytest
 
 from gypsumhold.decisions.jobs import validation
 from gypsumhold.model.jobs import messages, policies, progress, specs
-from tests.jobs import job_specs
+from tests.jobs import job_specs, large_world
 from tests.jobs import world as worlds
 
 HUGE = 10**18
@@ -68,9 +69,10 @@
 
 @dataclasses.dataclass
 class FailingPlacement(policies.PlacementPolicy):
-    """Raises an error for the tasks of one job."""
+    """Raises an error for the tasks of one job, the first so many times."""
 
     inner: policies.PlacementPolicy
+    failures_left: float = math.inf
 
     def rank(
         self,
@@ -80,7 +82,8 @@
         is_suspect: bool,
         deferred: bool,
     ) -> policies.Rank | None:
-        if step.spec.image == "faulty":
+        if step.spec.image == "faulty" and self.failures_left:
+            self.failures_left -= 1
             raise ArithmeticError
         return self.inner.rank(
             step, candidate, is_suspect=is_suspect, deferred=deferred
@@ -115,10 +118,7 @@
 def test_job_that_cannot_be_placed_is_set_aside() -> None:
     """Guards against an exception in one job that leaves a plan half done."""
     world = worlds.World(1)
-    for node in world.nodes.values():
-        if node.name.startswith("entry"):
-            placement = node.state.policies.placement
-            node.state.policies.placement = FailingPlacement(placement)
+    fail_placements(world)
     world.run(3000)
     step = msgspec.structs.replace(STEP, image=specs.Image("faulty"))
     faulty = msgspec.structs.replace(
@@ -127,6 +127,77 @@
     submit_beside(faulty, world)
 
 
+def fail_placements(world: worlds.World, failures: float = math.inf) -> None:
+    """Lets so many placements of faulty tasks fail in each entry."""
+    for node in world.nodes.values():
+        if node.name.startswith("entry"):
+            placement = node.state.policies.placement
+            node.state.policies.placement = FailingPlacement(
+                placement, failures
+            )
+
+
+def build_faulty_chain(*, fills: bool = False) -> specs.JobSpec:
+    """Returns a job of two steps, for the second of which plans fail."""
+    first = specs.StepSpec(1, 1000, 100, estimate_ms=1000)
+    second = specs.StepSpec(
+        2,
+        1000,
+        100,
+        estimate_ms=10_000,
+        after=(0,),
+        fills=fills,
+        image=specs.Image("faulty"),
+    )
+    return job_specs.build_job_of("faulty", (first, second))
+
+
+def list_inputs(
+    world: worlds.World, decision: str, subject: str
+) -> list[dict[str, str]]:
+    return [
+        dict(line.inputs)
+        for _, _, line in world.log_lines
+        if (line.decision, line.subject) == (decision, subject)
+    ]
+
+
+@pytest.mark.parametrize("fills", [False, True])
+@pytest.mark.parametrize("failures", [1, 3])
+def test_job_runs_in_time_after_plans_that_failed(
+    failures: int, *, fills: bool
+) -> None:
+    """Guards against one exception that leaves a job without a run for good.
+
+    What a plan raises may be about one moment, as of a worker that changes.
+    """
+    world = large_world.LargeWorld(1, 4)
+    fail_placements(world, failures)
+    world.run(4000)
+    world.submit("entry-0", build_faulty_chain(fills=fills))
+    world.judge(8000, lambda: False)
+    assert list_inputs(world, "job-set-aside", "faulty")
+    assert world.waits.violations == {}
+    assert any(run.task.step == 1 for run in world.oracle.started)
+
+
+def test_job_for_which_plans_fail_is_looked_at_ever_less_often() -> None:
+    """Guards against a log that fills up, and a wait that no line tells of."""
+    world = large_world.LargeWorld(1, 4)
+    fail_placements(world)
+    world.run(4000)
+    world.submit("entry-0", build_faulty_chain())
+    world.run(30_000)
+    lines = list_inputs(world, "job-set-aside", "faulty")
+    assert [int(line["again_ms"]) for line in lines] == [250, 500, 1000, 2000]
+    overdue = [
+        dict(line.inputs)
+        for _, _, line in world.log_lines
+        if (line.decision, line.outcome) == ("wait", "overdue")
+    ]
+    assert [line["stage"] for line in overdue] == ["set aside"]
+
+
 def test_row_that_cannot_be_added_is_left_out() -> None:
     """Guards against one stored row that keeps a holder from reading the rest.
 
