Move halted tasks of late jobs to idle workers

Cause: a best-effort task beside serving tasks is halted, and a task of a job that gives way was never moved, so it stood still for as long as its worker served. Change: a halted task of such a job is moved after 1.5 s, to a worker whose CPU nobody else uses, those that give way included. Tasks that work stay. test_task_of_a_late_job_stays said that such a task stays although another worker is empty, to guard against tasks that are moved again and again; in its place three tests say that it stays while it works, for some time, and where the CPU of the other worker is used by its like. Result: test_halted_task_of_a_late_job_goes_to_an_idle_worker fails before.

--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -3,6 +3,10 @@
 A best-effort task that is throttled beside serving tasks ends late, and with it
 its job. It is moved to a worker on which it slows no serving task down as soon
 as one has the capacity, which is reserved until the task gets there.
+
+A job that gives way to others moves only tasks that do not work at all, and
+only to a worker whose CPU nobody else uses. Without that, such a task would
+stand still for as long as its worker serves, while others are idle.
 """
 
 import datetime
@@ -23,6 +27,14 @@
 """Time for which a task is slow before it is migrated; the readings of its
 speed cover half a second."""
 
+HALTED_SHARE = 0.1
+"""Share of full speed below which a task counts as halted."""
+
+HALTED_TIME = datetime.timedelta(milliseconds=1500)
+"""Time for which a task of a job that gives way is halted before it is
+migrated. Others may come before it there too, so this bounds how often it is
+moved."""
+
 MIGRATION_TIME = datetime.timedelta(milliseconds=1300)
 """Time that a task does not work while it is stopped, started elsewhere and
 restored from its checkpoint."""
@@ -45,15 +57,14 @@
 
     The tasks are placed on that worker once their runs have ended.
     """
-    if job.gives_way:
-        # Its tasks give way to others wherever they run.
-        return []
     emitted: EffectList = []
     for step in job.steps:
         if not step.spec.fills:
             continue
         for index, task in enumerate(step.tasks):
-            if not _is_slow(task, now) or not _saves_time(state, step, task):
+            if not _is_slow(job, task, now):
+                continue
+            if not _saves_time(state, step, task):
                 continue
             target = _choose_target(job, step, task, candidates)
             if target is None:
@@ -65,15 +76,17 @@
     return emitted
 
 
-def _is_slow(task: progress.Task, now: datetime.timedelta) -> bool:
-    """Tells whether a running task has been slow for some time."""
-    return (
-        task.is_placed()
-        and task.reported
-        and not task.migrating
-        and task.slow_since is not None
-        and now >= task.slow_since + SLOW_TIME
-    )
+def _is_slow(
+    job: progress.Job, task: progress.Task, now: datetime.timedelta
+) -> bool:
+    """Tells whether a running task has been too slow for too long."""
+    is_running = task.is_placed() and task.reported and not task.migrating
+    if not is_running or task.slow_since is None:
+        return False
+    if not job.gives_way:
+        return now >= task.slow_since + SLOW_TIME
+    is_halted = task.speed_share < HALTED_SHARE
+    return is_halted and now >= task.slow_since + HALTED_TIME
 
 
 def _saves_time(
@@ -94,7 +107,10 @@
     task: progress.Task,
     candidates: dict[str, policies.Candidate],
 ) -> policies.Candidate | None:
-    """Returns the worker with the most idle CPU on which a task runs freely."""
+    """Returns the worker with the most idle CPU on which a task runs freely.
+
+    For a job that gives way, what other jobs that do so use is not idle either.
+    """
     targets = [
         candidate
         for candidate in candidates.values()
@@ -103,9 +119,17 @@
         and candidate.instance not in task.excluded_instances
         and capacity.fits(candidate, job, step)
         and not spreading.find_slowed_images(step, candidate)
-        and spreading.can_host_best_effort(step, candidate, deferred=False)
+        and spreading.can_host_best_effort(
+            step, candidate, deferred=job.gives_way
+        )
     ]
-    return max(targets, key=capacity.estimate_idle_cores, default=None)
+    return max(
+        targets,
+        key=lambda target: capacity.estimate_idle_cores(
+            target, deferred=job.gives_way
+        ),
+        default=None,
+    )
 
 
 def _start_migration(
--- a/tests/jobs/test_migrations.py
+++ b/tests/jobs/test_migrations.py
@@ -103,8 +103,8 @@
         )
         view.candidate = None
 
-    def report_speed(self, share: float) -> None:
-        """Lists the run of the slow job for a second."""
+    def report_speed(self, share: float, times: int = 1) -> None:
+        """Lists the run of the slow job each second, for so many seconds."""
         task = self.slow.steps[0].tasks[0]
         ref = lifecycle.build_task_ref(self.slow, self.slow.steps[0], 0)
         task.reported = True
@@ -114,7 +114,8 @@
             usage=int(STEP.cpu_millis * share),
         )
         now = self.read_clock()
-        for at in (now - SECOND, now):
+        for ago in range(times, -1, -1):
+            at = now - ago * SECOND
             estimates.measure_progress(self.slow.steps[0], task, row, at)
 
     def make_plan(self) -> list[effects.Log]:
@@ -176,16 +177,64 @@
     assert not any(log.decision == "move" for log in fleet.make_plan())
 
 
-def test_task_of_a_late_job_stays() -> None:
+def make_late(fleet: Fleet) -> None:
+    """Makes the slow job so late that it gives way to others."""
+    fleet.slow.submitted_at -= 100 * SECOND
+
+
+def list_moves(fleet: Fleet) -> list[effects.Log]:
+    return [log for log in fleet.make_plan() if log.decision == "move"]
+
+
+def test_halted_task_of_a_late_job_goes_to_an_idle_worker() -> None:
+    """Guards against a job that stands still while a worker is idle.
+
+    Its only task is halted beside serving tasks for as long as these serve.
+    """
+    fleet = Fleet()
+    make_late(fleet)
+    fleet.report_speed(0.0, times=2)
+    moves = list_moves(fleet)
+    assert fleet.slow.gives_way
+    assert [dict(log.inputs)["to"] for log in moves] == [fleet.free.instance]
+
+
+@pytest.mark.parametrize("share", [0.1, 0.5])
+def test_working_task_of_a_late_job_stays(share: float) -> None:
+    """Guards against tasks of late jobs that are moved while they work."""
+    fleet = Fleet()
+    make_late(fleet)
+    fleet.report_speed(share, times=2)
+    assert not list_moves(fleet)
+    assert fleet.slow.gives_way
+
+
+def test_task_of_a_late_job_stays_for_some_time() -> None:
     """Guards against tasks that are moved again and again.
 
     The tasks of a late job give way to others wherever they run.
     """
     fleet = Fleet()
-    fleet.slow.submitted_at -= 100 * SECOND
-    fleet.report_speed(0.1)
-    assert not any(log.decision == "move" for log in fleet.make_plan())
+    make_late(fleet)
+    fleet.report_speed(0.0)
+    assert not list_moves(fleet)
+    assert fleet.slow.gives_way
+
+
+def test_task_of_a_late_job_stays_where_others_use_the_cpu() -> None:
+    """Guards against late jobs that move into the place of one another.
+
+    Other jobs are placed as if the tasks of late jobs were not there.
+    """
+    fleet = Fleet()
+    make_late(fleet)
+    other = fleet.add_job("other", STEP)
+    other.submitted_at -= 100 * SECOND
+    fleet.place(other, fleet.free)
+    fleet.report_speed(0.0, times=2)
+    assert not list_moves(fleet)
     assert fleet.slow.gives_way
+    assert other.gives_way
 
 
 def test_small_job_works_before_a_large_one_placed_earlier() -> None:
