Place starved jobs first while less than 60% of the fleet runs

Callers saw jobs without a run for over 3 s while workers ran less than half of their capacity, if runs were short and many tasks were ready. Cause: the limit on the time without a run holds by what workers run; a plan went by what is placed. Where runs are short, starts under way and ends not yet reported can be more than half of that, so plans took the fleet for full, went by the order of the policy alone, and jobs late in it found nothing left. Change: starved jobs go first until 60% runs by the latest reports (`fleet_shares`). The order of all other first runs is as before.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -59,20 +59,6 @@
     return candidates
 
 
-def measure_placed_share(
-    candidates: dict[str, policies.Candidate],
-) -> float:
-    """Returns the larger share of CPU and memory that placed tasks request."""
-    workers = [candidate.worker for candidate in candidates.values()]
-    cpu_millis = sum(worker.cpu_millis for worker in workers)
-    memory_mb = sum(worker.memory_mb for worker in workers)
-    free_millis = sum(item.cpu_millis for item in candidates.values())
-    free_mb = sum(item.memory_mb for item in candidates.values())
-    return 1 - min(
-        free_millis / max(1, cpu_millis), free_mb / max(1, memory_mb)
-    )
-
-
 def _list_quarantined(
     usable: Sequence[scheduler.AgentView], now: datetime.timedelta
 ) -> set[ids.InstanceId]:
@@ -167,11 +153,14 @@
             for allowance in view.report.allowances
         },
     )
-    usages = {row.ref: row.usage for row in view.report.rows}
+    rows = {row.ref: row for row in view.report.rows}
     for ref, placed in view.placed.items():
         late = placed.step.spec.fills and placed.job.gives_way
-        usage = usages.get(runs.RunRef(ref, placed.task.run))
+        row = rows.get(runs.RunRef(ref, placed.task.run))
+        usage = None if row is None else row.usage
         reserve(candidate, placed.step, ref, deferred=late, usage=usage)
+        if row is not None:
+            _count_running(candidate, placed.step.spec, row)
     for ref, placed in view.expected.items():
         reserve(candidate, placed.step, ref, deferred=placed.job.gives_way)
     for row in view.report.rows:
@@ -197,6 +186,17 @@
     spec = job.spec.steps[ref.step]
     step = progress.Step(spec, ref.repetition, ref.step, [])
     reserve(candidate, step, ref, usage=row.usage)
+    _count_running(candidate, spec, row)
+
+
+def _count_running(
+    candidate: policies.Candidate, spec: specs.StepSpec, row: runs.RunRow
+) -> None:
+    """Adds the request of a listed run if the worker has begun it."""
+    if row.age_ms == runs.UNKNOWN_AGE:
+        return
+    candidate.running_millis += 0 if spec.fills else spec.cpu_millis
+    candidate.running_mb += spec.memory_mb
 
 
 def reserve(
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -7,6 +7,7 @@
     capacity,
     evacuation_waits,
     failed_plans,
+    fleet_shares,
     job_placements,
     migrations,
     ordering,
@@ -47,6 +48,10 @@
 what is placed has ended or not begun. In a full fleet, first runs of late jobs
 would make urgent ones late."""
 
+MAX_SHARE_FOR_STARVED_JOBS = 0.6
+"""Share of the fleet that runs from which starved jobs don't go first. The rule
+goes by what runs, of which reports tell with a delay."""
+
 MAX_STARVED_JOBS = 60
 """Placements of starved jobs that a plan makes beyond these limits, so that one
 batch can store them. Jobs that fit nowhere do not count, as those behind them
@@ -133,13 +138,19 @@
         """Places the jobs as far as the limits of a plan allow.
 
         While the fleet has room, each job gets a run before any gets a further
-        one, and starved jobs come first of all.
+        one, and starved jobs come first of all. They also do while less than
+        that runs: the others might take all that is not placed.
         """
-        share = capacity.measure_placed_share(self._plan.candidates)
-        if share < MAX_SHARE_FOR_FIRST_RUNS:
+        candidates = self._plan.candidates
+        placed = fleet_shares.measure_placed_share(candidates)
+        running = fleet_shares.measure_running_share(candidates)
+        if placed < MAX_SHARE_FOR_FIRST_RUNS:
             self._place_starved()
             self._place_first_runs()
             self._place_in_order()
+        elif running < MAX_SHARE_FOR_STARVED_JOBS:
+            self._place_starved()
+            self._place_in_order()
         else:
             self._place_in_order()
             self._place_starved()
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -20,6 +20,9 @@
         cpu_millis: CPU that no task reserves, in thousandths of a core.
         memory_mb: Memory that no task requests.
         accelerators: Accelerators that no task requests.
+        running_millis: CPU that the runs reserve which the worker has begun,
+            by the latest report.
+        running_mb: Memory that these runs request.
         idle_millis: CPU that other tasks are expected to leave to best-effort
             tasks.
         serving: Number of tasks with a latency target, by image.
@@ -49,6 +52,8 @@
     cpu_millis: int
     memory_mb: int
     accelerators: int
+    running_millis: int = 0
+    running_mb: int = 0
     idle_millis: int = 0
     serving: dict[specs.Image, int] = dataclasses.field(default_factory=dict)
     allowances: dict[specs.Image, float] = dataclasses.field(
