Distrust readings of a worker's clock until they fit those before

Callers would see two runs of one task: a worker whose lists have a clock that is ahead for a while, and that is then cut off, keeps a run for up to 10.2 s after a late poll, when its agent has counted the run as ended.

Cause: a reading was odd if it did not fit the one before. Of several readings that are wrong by the same amount, only the first was odd. Leases by the others counted as they were sent, while the worker cuts them to the longest lease.

Change: readings stay odd until they fit the last one before them, or have fit each other for 22.2 s, when every call that was sent by earlier ones has ended. A reading that does not fit the one before is odd, as it was.

--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -46,7 +46,8 @@
     state.ends_listed_at.clear()
     state.ignored_ends.clear()
     state.refused.clear()
-    state.clock = None
+    state.clock = state.steady_clock = None
+    state.odd_since = None
     state.grant_end = datetime.timedelta(0)
     state.polled = False
     state.ends_complete = True
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -45,7 +45,7 @@
     limits = state.options.limits
     sent_ms = until_ms - state.clock.clock_ms
     length = datetime.timedelta(milliseconds=sent_ms)
-    if state.is_clock_odd:
+    if state.odd_since is not None:
         length = limits.max_call_delay + limits.max_hold
     _count_lease(state, state.clock.received_at, length)
 
--- a/src/gypsumhold/decisions/jobs/worker_clocks.py
+++ b/src/gypsumhold/decisions/jobs/worker_clocks.py
@@ -32,10 +32,32 @@
         or clock.clock_ms >= known.clock_ms
         or clock.sent_at >= known.received_at
     ):
-        state.is_clock_odd = not fits(state, clock)
+        _compare(state, clock)
         state.clock = clock
 
 
+def _compare(state: executor.ExecutorState, clock: events.WorkerClock) -> None:
+    """Notes whether a reading fits those before it.
+
+    Several readings in a row may be wrong by the same amount, so that each fits
+    the one before. They count as odd until they fit the last one before them,
+    or until every call has ended that was sent by those before.
+    """
+    limits = state.options.limits
+    if not fits(state, clock):
+        if state.odd_since is None:
+            state.steady_clock = state.clock
+        state.odd_since = clock.received_at
+    elif state.odd_since is not None:
+        steady = state.steady_clock
+        assert steady is not None
+        settled_at = state.odd_since + limits.measure_longest_late_run()
+        if clock.sent_at >= settled_at or _may_be_of_one_clock(
+            steady, clock, limits
+        ):
+            state.odd_since = state.steady_clock = None
+
+
 def fits(
     state: executor.ExecutorState, clock: events.WorkerClock | None
 ) -> bool:
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -203,8 +203,10 @@
         policies: Policies of the executor.
         worker: The worker beside the agent, by its latest heartbeat.
         clock: Latest reading of the worker's clock.
-        is_clock_odd: Whether that reading does not fit the one before, so that
-            a lease that is computed from it may last for any time.
+        odd_since: Since when the readings do not fit earlier ones, so that a
+            lease that is computed from them may last for any time; None if
+            they fit.
+        steady_clock: The latest reading before that; None if they fit.
         polled: Whether the current worker incarnation has answered a poll.
         ends_complete: Whether the latest poll listed all ends. Otherwise a run
             that the agent does not know may have ended.
@@ -282,7 +284,8 @@
     policies: policies.ExecutorPolicies
     worker: runs.Worker | None = None
     clock: events.WorkerClock | None = None
-    is_clock_odd: bool = False
+    odd_since: datetime.timedelta | None = None
+    steady_clock: events.WorkerClock | None = None
     polled: bool = False
     ends_complete: bool = True
     poll_pending: bool = False
