Take no notice of departure from a worker that has just started

Callers would see two runs of one task: the notice of a former incarnation arrives while the next one, under the same name, has drained for longer than the shortest drain. Then a cut ends its runs for its agent at once, and they go on for up to 10.2 s.

Cause: a departure names no incarnation, and only the drain was asked for.

Change: a departure is proof only if, by its clock, the present incarnation started at least the longest call delay (12 s) before. A former one has sent its notice before that. While readings of the clock are odd, nothing is proved.

--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -126,12 +126,35 @@
 def record_departure(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> None:
-    """Records the notice that the worker shuts down."""
+    """Records the notice that the worker shuts down.
+
+    It is no proof while a former incarnation may have sent it.
+    """
     state.worker_left = True
     since = state.drains_since
     limits = state.options.limits
     shortest = limits.min_drain * (1 - limits.clock_slack)
-    state.has_drained = since is not None and now >= since + shortest
+    state.has_drained = (
+        since is not None
+        and now >= since + shortest
+        and _has_been_up(state, limits.max_call_delay, now)
+    )
+
+
+def _has_been_up(
+    state: executor.ExecutorState,
+    span: datetime.timedelta,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether the present incarnation started at least so long ago.
+
+    Its clock counts from its start and is not fast.
+    """
+    clock = state.clock
+    if clock is None or state.odd_since is not None:
+        return False
+    up_at_reading = datetime.timedelta(milliseconds=clock.clock_ms)
+    return up_at_reading + now - clock.received_at >= span
 
 
 def has_run_ended(
