Name the runs that two former processes of an agent may have started

Callers would see two runs of one task: an agent restarts twice, the start of its first process is late, that of the second is carried out, and the third finds the run. The worker restarts and is cut off. The run counts as ended with its lease, and then the first start is carried out.

Cause: a run that the worker lists was taken for the only one. The third process cannot tell it from a run of which one start was sent, which has to be replaced with its lease (test_run_that_was_found_ends_with_its_lease).

Change: the holder counts the processes of an agent that may have sent a start. A run that the next process finds without a start of its own shows that the only start was carried out, if one process may have sent it. If two may have, the holder names the run in its directives (`late_starts`, empty from a holder of a former version), and the agent counts it until its late start has ended.

The test played the third process with a holder that tells nothing. No agent can pass it so together with test_run_that_was_found_ends_with_its_lease: both see the same events. Its holder now names the run, and test_run_that_the_third_process_finds_in_the_world plays the same order with the holder itself, with the second start confirmed and not.

Evidence: with the agent's part only, all six cases of the test in the world fail (a run `is reported as ended and goes on`); with both parts they and the rest of test_former_starts.py and test_decoders.py pass.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -4,6 +4,7 @@
 
 from gypsumhold.decisions.jobs import (
     evacuations,
+    expiries,
     lifecycle,
     lost_workers,
     starvation,
@@ -89,6 +90,7 @@
             now,
             may_grant=may_grant(state, holder_state, now),
         ),
+        expiries.list_late_starts(view, now),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/expiries.py
+++ b/src/gypsumhold/decisions/jobs/expiries.py
@@ -71,8 +71,38 @@
     """
     late_run = state.options.limits.measure_longest_late_run()
     for placed in view.placed.values():
-        if placed.task.is_start_open:
-            placed.task.former_start_ends_at = now + late_run
+        task = placed.task
+        if task.is_start_open:
+            task.former_start_ends_at = now + late_run
+        if task.is_start_open or task.former_senders:
+            task.former_senders += 1
+
+
+def record_found_runs(
+    view: scheduler.AgentView, listed: Container[runs.TaskRef]
+) -> None:
+    """Records that the worker lists runs that this process has not started.
+
+    If only one former process may have sent a start, that was carried out.
+    """
+    for ref in view.report.found:
+        placed = view.placed.get(ref.task)
+        if placed is None or ref.task not in listed:
+            continue
+        if placed.task.former_senders == 1:
+            placed.task.former_senders = 0
+
+
+def list_late_starts(
+    view: scheduler.AgentView, now: datetime.timedelta
+) -> tuple[runs.RunRef, ...]:
+    """Returns the runs of which another start may be late, though one began."""
+    return tuple(
+        runs.RunRef(ref, placed.task.run)
+        for ref, placed in view.placed.items()
+        if placed.task.former_senders > 1
+        and now < placed.task.former_start_ends_at
+    )
 
 
 def list_silent_runs(
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -181,6 +181,7 @@
     task.placed_at = task.progressed_at = now
     task.worker_reported_at = now
     task.lease_ends_at = task.former_start_ends_at = ZERO
+    task.former_senders = 0
     view.placed[ref] = placed
     view.latest_start_at = now
     if placed.step.is_suspect(task):
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -177,8 +177,9 @@
     """Records the runs whose start a former process may have sent.
 
     The holder has placed them, and the first report to it does not list them,
-    or only as requested from this process. A holder that was replaced may not
-    know all of them.
+    or only as requested from this process; or the report lists the run by one
+    start while another may be late. A holder that was replaced may not know all
+    of them.
     """
     known = state.former_starts
     if known is not None and directives.term <= state.former_starts_term:
@@ -187,6 +188,7 @@
         local_run
         for local_run in state.active.values()
         if local_run.command is not None
+        or local_run.ref in directives.late_starts
     ]
     refs = {local_run.ref for local_run in requested}
     refs.update(command.ref for command in directives.starts)
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -185,6 +185,7 @@
     listed = _index_listed_runs(view)
     emitted += _release_ended_runs(holder_state, view, listed, now)
     expiries.record_report(view, listed, now)
+    expiries.record_found_runs(view, listed)
     emitted += crashes.judge_crashes(state, holder_state, view, now)
     for row in sorted(report.ends, key=lambda row: row.number):
         if row.number > view.last_handled_end:
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -136,6 +136,9 @@
             records is stored.
         evacuation_notice: Evacuations of data centres; None if those that the
             sender knows may be outdated.
+        late_starts: Placed runs of which several former processes of the agent
+            may have sent a start, so that one may be late although another
+            was carried out.
     """
 
     term: ids.Epoch
@@ -154,6 +157,7 @@
     withdrawn: tuple[runs.RunRef, ...] = ()
     stored_losses: tuple[runs.WorkerIncarnation, ...] = ()
     evacuation_notice: evacuations.Evacuations | None = None
+    late_starts: tuple[runs.RunRef, ...] = ()
 
 
 class Received(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -49,6 +49,8 @@
             that its worker has started it.
         former_start_ends_at: When the run ends if a former process of the
             agent has sent another start of it, which may be carried out late.
+        former_senders: How many former processes of the agent may have sent a
+            start of the run; each sends one, and only one is carried out.
         reported: Whether the latest report of the agent lists the run.
         worker_reported_at: When the agent last reported the worker incarnation
             of the latest placement; only then is its lease extended.
@@ -95,6 +97,7 @@
     worker_reported_at: datetime.timedelta = ZERO
     lease_ends_at: datetime.timedelta = ZERO
     former_start_ends_at: datetime.timedelta = ZERO
+    former_senders: int = 0
     listed_at: datetime.timedelta | None = None
     age: datetime.timedelta | None = None
     placed_at: datetime.timedelta = ZERO
--- a/tests/jobs/lone_agent.py
+++ b/tests/jobs/lone_agent.py
@@ -90,6 +90,7 @@
         stops: tuple[runs.RunRef, ...] = (),
         withdrawn: tuple[runs.RunRef, ...] = (),
         *,
+        late_starts: tuple[runs.RunRef, ...] = (),
         grants: bool = True,
     ) -> messages.Directives:
         return messages.Directives(
@@ -106,6 +107,7 @@
             ),
             stops=stops,
             withdrawn=withdrawn,
+            late_starts=late_starts,
         )
 
     def report(self) -> messages.Report:
