Bound the replies that the HTTP clients read

What was seen: a store that answers without an end took a node beyond the memory of its instance; a server that sends interim replies, trailers or a byte now and then held the calling thread for as long as it sent.

Cause: one reply could have 64 MiB and was held twice, for any number of calls at once; each chunk was an object of its own, so that small ones took many times their size. Interim replies and trailers are read by the libraries and were not counted. The timeout of a socket bounds the wait for the next bytes only.

Change: adapters/reply_reader.py counts the bytes of a reply as they arrive and ends it at a deadline; decisions/replies.py decides by numbers which limit it exceeds.

--- a/src/gypsumhold/adapters/http_client.py
+++ b/src/gypsumhold/adapters/http_client.py
@@ -17,14 +17,15 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
-from gypsumhold.model import members
+from gypsumhold.adapters import reply_reader
+from gypsumhold.model import members, replies
 
 _LOG = logbook.Logger("gypsumhold.http_client")
 
-MAX_REPLY_BYTES = 64 * 1024 * 1024
-"""Limit on the size of a reply, so that a faulty peer cannot exhaust memory."""
+TIMEOUTS_PER_REPLY = 10
+"""How many times the longest wait for the next bytes a reply may take. A reply
+that arrives in small pieces would otherwise hold its thread for ever."""
 
-CHUNK_BYTES = 64 * 1024
 NO_WAIT = datetime.timedelta(0)
 BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -56,12 +57,24 @@
         connect_timeout: Longest wait for a connection.
         read_timeout: Longest wait for the next bytes of a reply.
         connections: Maximum number of connections kept open for reuse.
+        limits: Limits on the replies.
     """
 
     address: members.Address
     connect_timeout: datetime.timedelta = datetime.timedelta(seconds=1)
     read_timeout: datetime.timedelta = datetime.timedelta(seconds=2)
     connections: int = 16
+    limits: replies.ReplyLimits = replies.ReplyLimits()
+
+
+class _Connection(reply_reader.Connection):
+    timeouts_per_reply = TIMEOUTS_PER_REPLY
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    """A pool of connections that read replies within limits."""
+
+    ConnectionCls = _Connection
 
 
 class HttpClient:
@@ -75,7 +88,8 @@
         """
         self._options = options
         self._lock = threading.Lock()
-        self._pool = _build_pool(options)
+        self._pending = reply_reader.PendingReplies(options.limits)
+        self._pool = self._build_pool()
 
     def call(
         self,
@@ -124,9 +138,19 @@
         with self._lock:
             if self._pool is not pool:
                 return
-            self._pool = _build_pool(self._options)
+            self._pool = self._build_pool()
         pool.close()
 
+    def _build_pool(self) -> _Pool:
+        return _Pool(
+            self._options.address.host,
+            self._options.address.port,
+            maxsize=self._options.connections,
+            block=False,
+            retries=False,
+            pending=self._pending,
+        )
+
     def _call(
         self,
         pool: urllib3.HTTPConnectionPool,
@@ -179,32 +203,15 @@
         self._pool.close()
 
 
-def _build_pool(options: CallOptions) -> urllib3.HTTPConnectionPool:
-    return urllib3.HTTPConnectionPool(
-        options.address.host,
-        options.address.port,
-        maxsize=options.connections,
-        block=False,
-        retries=False,
-    )
-
-
 def _read_reply(
     response: urllib3.BaseHTTPResponse,
 ) -> Result[Reply, CallFailure]:
     if not _has_length(response):
         response.close()
         return Failure(CallFailure.UNKNOWN)
-    chunks: list[bytes] = []
-    size = 0
-    for chunk in response.stream(CHUNK_BYTES, decode_content=False):
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > MAX_REPLY_BYTES:
-            response.close()
-            return Failure(CallFailure.UNKNOWN)
+    body = reply_reader.read_body(response)
     response.release_conn()
-    return Success(Reply(response.status, b"".join(chunks)))
+    return Success(Reply(response.status, body))
 
 
 def _has_length(response: urllib3.BaseHTTPResponse) -> bool:
--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -14,7 +14,15 @@
 from returns.result import Failure, Result, Success
 
 from gypsumhold.decisions.jobs import policy_sets
-from gypsumhold.model import clients, errors, ids, members, options, states
+from gypsumhold.model import (
+    clients,
+    errors,
+    ids,
+    members,
+    options,
+    replies,
+    states,
+)
 from gypsumhold.model import clock as clocks
 
 MIN_SECRET_LENGTH = 16
@@ -168,6 +176,23 @@
         )
 
 
+class ReplySettings(_Settings):
+    """Limits on what this process reads from each service of the platform.
+
+    See `replies.ReplyLimits`.
+    """
+
+    max_body_bytes: Count = 16_777_216
+    max_pending_bytes: Count = 33_554_432
+
+    def build(self) -> replies.ReplyLimits:
+        """Returns the limits."""
+        return replies.ReplyLimits(
+            max_body_bytes=self.max_body_bytes,
+            max_pending_bytes=max(self.max_pending_bytes, self.max_body_bytes),
+        )
+
+
 class NodeFileSettings(_Settings):
     """Settings of `gypsumhold-node`; the platform supplies the addresses.
 
@@ -186,6 +211,7 @@
     admission: policy_sets.AdmissionKind = policy_sets.AdmissionKind.ACCEPT_ALL
     locality: policy_sets.LocalityKind = policy_sets.LocalityKind.WEIGH_WAIT
     clients: ClientSettings = ClientSettings()
+    replies: ReplySettings = ReplySettings()
 
 
 class EntryTuning(_Settings):
@@ -235,6 +261,7 @@
     caller_threads: Count = 96
     log: LogSettings = LogSettings()
     clients: ClientSettings = ClientSettings()
+    replies: ReplySettings = ReplySettings()
     metrics: MetricsSettings = MetricsSettings()
     policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: EntryTuning = EntryTuning()
@@ -274,6 +301,7 @@
     upstream_connections: Count = 64
     log: LogSettings = LogSettings()
     clients: ClientSettings = ClientSettings()
+    replies: ReplySettings = ReplySettings()
     metrics: MetricsSettings = MetricsSettings()
     policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: AgentTuning = AgentTuning()
--- a/src/gypsumhold/adapters/upstream.py
+++ b/src/gypsumhold/adapters/upstream.py
@@ -13,13 +13,22 @@
 import urllib3.exceptions
 import urllib3.util
 
-from gypsumhold.adapters import headers
-from gypsumhold.model import effects, events, members, requests, states
+from gypsumhold.adapters import headers, reply_reader
+from gypsumhold.model import (
+    effects,
+    events,
+    members,
+    replies,
+    requests,
+    states,
+)
 
 # A local upstream that does not accept a connection within this time is
 # overloaded or stopped.
 CONNECT_TIMEOUT_S = 2.0
-CHUNK_BYTES = 65536
+
+FRAMING_FACTOR = 8
+"""Most bytes of framing for each byte of a body; chunks of one byte need 5."""
 
 # urllib3 adds these headers if they are absent; SKIP_HEADER prevents that.
 _DEFAULT_HEADERS = ("accept-encoding", "user-agent")
@@ -34,7 +43,7 @@
 
 
 class IncompleteAnswerError(Exception):
-    """The response is truncated, too large, or has no verifiable length."""
+    """The response is truncated or has no verifiable length."""
 
 
 class Upstream(abc.ABC):
@@ -63,7 +72,7 @@
         return copied
 
 
-class _Connection(urllib3.connection.HTTPConnection):
+class _Connection(reply_reader.Connection):
     """A connection that sends the target of `_RequestHeaders`."""
 
     def request(  # type: ignore[override]
@@ -92,7 +101,13 @@
             max_body_bytes: Limit on the size of a response body.
         """
         self._connections = connections
-        self._max_body_bytes = max_body_bytes
+        self._pending = reply_reader.PendingReplies(
+            replies.ReplyLimits(
+                max_body_bytes=max_body_bytes,
+                max_framing_bytes=FRAMING_FACTOR * max_body_bytes,
+                max_pending_bytes=connections * max_body_bytes,
+            )
+        )
         self._lock = threading.Lock()
         self._address: members.Address | None = None
         self._pool: _Pool | None = None
@@ -143,6 +158,7 @@
                     address.port,
                     maxsize=self._connections,
                     block=True,
+                    pending=self._pending,
                 )
             return self._pool
 
@@ -163,7 +179,9 @@
                 self._find_pool(effect.address), effect, deadline
             )
         address = effect.address
-        with _Pool(address.host, address.port, maxsize=1) as new_pool:
+        with _Pool(
+            address.host, address.port, maxsize=1, pending=self._pending
+        ) as new_pool:
             return self._exchange_over(new_pool, effect, deadline)
 
     def _exchange_over(
@@ -187,7 +205,7 @@
             decode_content=False,
         )
         try:
-            body = self._read_body(payload.method, response, deadline)
+            body = _read_body(payload.method, response)
         except BaseException:
             # The next call must not read the rest of this response.
             response.close()
@@ -197,37 +215,25 @@
         forwarded = headers.drop_hop_by_hop(tuple(response.headers.items()))
         return requests.Answer(response.status, forwarded, body)
 
-    def _read_body(
-        self, method: str, response: urllib3.BaseHTTPResponse, deadline: float
-    ) -> bytes:
-        """Returns the complete body of a response.
 
-        Raises:
-            IncompleteAnswerError: The body is too large, or its end cannot be
-                verified.
-            TimeoutError: The deadline passed.
-        """
-        if response.status < 200:
-            raise IncompleteAnswerError(
-                "the response ended with an interim status"
-            )
-        if method == "HEAD" or response.status in (204, 304):
-            return b""
-        has_length = "Content-Length" in response.headers
-        if not has_length and not getattr(response, "chunked", False):
-            # Only the end of the connection would mark the end of the body, and
-            # a crash of the upstream ends the connection as well.
-            raise IncompleteAnswerError("the response has no length")
-        chunks: list[bytes] = []
-        size = 0
-        for chunk in response.stream(CHUNK_BYTES, decode_content=False):
-            size += len(chunk)
-            if size > self._max_body_bytes:
-                raise IncompleteAnswerError("the response is too large")
-            if time.monotonic() > deadline:
-                raise TimeoutError
-            chunks.append(chunk)
-        return b"".join(chunks)
+def _read_body(method: str, response: urllib3.BaseHTTPResponse) -> bytes:
+    """Returns the complete body of a response.
+
+    Raises:
+        IncompleteAnswerError: The end of the body cannot be verified.
+        OSError, urllib3.exceptions.HTTPError: The body exceeds a limit, or the
+            connection failed.
+    """
+    if response.status < 200:
+        raise IncompleteAnswerError("the response ended with an interim status")
+    if method == "HEAD" or response.status in (204, 304):
+        return b""
+    has_length = "Content-Length" in response.headers
+    if not has_length and not getattr(response, "chunked", False):
+        # Only the end of the connection would mark the end of the body, and
+        # a crash of the upstream ends the connection as well.
+        raise IncompleteAnswerError("the response has no length")
+    return reply_reader.read_body(response)
 
 
 def _build_headers(effect: effects.CallUpstream) -> _RequestHeaders:
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -11,7 +11,7 @@
 from gypsumhold.adapters import decoding, http_client
 from gypsumhold.adapters.jobs import interfaces
 from gypsumhold.model import clock as clocks
-from gypsumhold.model import members
+from gypsumhold.model import members, replies
 from gypsumhold.model.jobs import effects, events, runs, specs
 from gypsumhold.platform import documents
 
@@ -32,6 +32,7 @@
 MAX_LOGGED_NAME = 100
 """Most characters of a malformed name that a line shows."""
 
+DEFAULT_LIMITS = replies.ReplyLimits()
 EXPECTED_HEADER = "X-Expected-Instance"
 
 _REASONS = {
@@ -50,9 +51,19 @@
     the same address refuses the call.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
-        """Creates a client that reads the times of its calls from `clock`."""
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        limits: replies.ReplyLimits = DEFAULT_LIMITS,
+    ) -> None:
+        """Creates a client without connections.
+
+        Args:
+            clock: Clock that gives the times of the calls.
+            limits: Limits on the replies of each worker.
+        """
         self._clock = clock
+        self._limits = limits
         self._clients_by_address: dict[str, http_client.HttpClient] = {}
 
     def close(self) -> None:
@@ -153,6 +164,7 @@
                     members.Address(host, int(port)),
                     CONNECT_TIMEOUT,
                     ANSWER_TIMEOUT,
+                    limits=self._limits,
                 )
             )
             self._clients_by_address[address] = client
--- a/src/gypsumhold/programs/agent.py
+++ b/src/gypsumhold/programs/agent.py
@@ -59,7 +59,9 @@
     )
     key = agent_settings.deployment_key.get_secret_value().encode()
     worker_client = http_client.HttpClient(
-        http_client.CallOptions(agent_settings.worker.build())
+        http_client.CallOptions(
+            agent_settings.worker.build(), limits=agent_settings.replies.build()
+        )
     )
     stack.callback(worker_client.close)
     upstream_client = upstream.HttpUpstream(
--- a/src/gypsumhold/programs/entry.py
+++ b/src/gypsumhold/programs/entry.py
@@ -57,12 +57,17 @@
         random.Random(options.incarnation),
     )
     table_client = http_client.HttpClient(
-        http_client.CallOptions(entry_settings.table.build())
+        http_client.CallOptions(
+            entry_settings.table.build(), limits=entry_settings.replies.build()
+        )
     )
     stack.callback(table_client.close)
     table = store.HttpTable(table_client)
     object_client = http_client.HttpClient(
-        http_client.CallOptions(entry_settings.objects.build())
+        http_client.CallOptions(
+            entry_settings.objects.build(),
+            limits=entry_settings.replies.build(),
+        )
     )
     stack.callback(object_client.close)
     objects = store.HttpObjectStore(object_client)
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -164,7 +164,9 @@
     state = executor.ExecutorState(
         options, policy_sets.build_executor_policies()
     )
-    worker_client = worker.PlatformWorker(shared.clock)
+    worker_client = worker.PlatformWorker(
+        shared.clock, shared.program_settings.replies.build()
+    )
     stack.callback(worker_client.close)
     runtime: engine.Engine[executor.ExecutorState] = engine.Engine(
         state,
--- a/src/gypsumhold/programs/node_components.py
+++ b/src/gypsumhold/programs/node_components.py
@@ -60,7 +60,10 @@
     stack.callback(recorder.close)
     store_client = http_client.HttpClient(
         http_client.CallOptions(
-            platform_settings.store, STORE_CONNECT_TIMEOUT, STORE_READ_TIMEOUT
+            platform_settings.store,
+            STORE_CONNECT_TIMEOUT,
+            STORE_READ_TIMEOUT,
+            limits=program_settings.replies.build(),
         )
     )
     stack.callback(store_client.close)
