End a read of the table whose page does not advance

What was seen: a store that repeats its page and says that more rows follow kept a read going for as long as it did so, with more memory for each page.

Cause: read_all took the next page's start from the last key without a check that this key is in the range that it had asked for.

Change: a page whose last key is before the start of its range is logged, and the read fails as any other does. Keys are compared by code points, which is the order of their UTF-8 bytes.

--- a/src/gypsumhold/platform/table.py
+++ b/src/gypsumhold/platform/table.py
@@ -16,6 +16,9 @@
 
 PAGE_ROWS = 500
 
+MAX_LOGGED_KEY = 100
+"""Most characters of a key that a line shows."""
+
 FEED_TIMEOUT = datetime.timedelta(milliseconds=600)
 """Time beyond the requested wait after which a feed read counts as failed.
 
@@ -176,7 +179,7 @@
         end = prefix and prefix[:-1] + chr(ord(prefix[-1]) + 1)
         while True:
             page = self.read(table, part, start, end)
-            if page is None:
+            if page is None or not _is_page_from(page, start):
                 return None
             rows += page.rows
             version = page.row_version if version is None else version
@@ -220,6 +223,17 @@
         return FeedPage(events.ReadResult.DONE, rows.rows, version)
 
 
+def _is_page_from(page: documents.Rows, start: str) -> bool:
+    """Returns whether a page ends at or after the first key of its range.
+
+    With a page that is repeated, reading page by page would never end.
+    """
+    if not page.rows or page.rows[-1].key >= start:
+        return True
+    _LOG.error("the store returned rows before {!r}", start[:MAX_LOGGED_KEY])
+    return False
+
+
 def _parse_rows(body: bytes) -> documents.Rows | None:
     """Returns the rows; None if one of them cannot be told from others.
 
