Add tests of large unread answers, many hosts, and more listeners

Cause: by the list of what a test of a crowd has to check, open descriptors were checked beside memory in two tests only; no crowd came from many addresses; no slow reader waited for the large answer of an upstream; streams without an end reached neither the agent's listener nor that of the peers.

Change: every check of a target includes its descriptors (300). 400 connections come from as many loopback addresses. 24 clients ask for answers of 1 MB, below the limit of the agent, and read little; entry and agent are checked. The streams go to the listeners 'local' and 'peers' too. Bounds are those of the other tests, 48 MB and 300 descriptors; on the callers' listener the 400 connections are inside the limits and have to stay open.

--- a/tests/processes/crowd.py
+++ b/tests/processes/crowd.py
@@ -45,9 +45,21 @@
 }
 
 
-def connect(address: members.Address) -> socket.socket:
-    """Returns a connection whose operations time out after WAIT_S."""
-    return socket.create_connection((address.host, address.port), WAIT_S)
+def connect(address: members.Address, host: str = HOST) -> socket.socket:
+    """Returns a connection whose operations time out after WAIT_S.
+
+    Args:
+        address: Where it leads to.
+        host: Loopback address from which it comes.
+    """
+    return socket.create_connection(
+        (address.host, address.port), WAIT_S, source_address=(host, 0)
+    )
+
+
+def name_host(number: int) -> str:
+    """Returns one of many loopback addresses."""
+    return f"127.1.{number // 250}.{1 + number % 250}"
 
 
 def send_stream(address: members.Address, stream: Stream) -> None:
--- a/tests/processes/test_uncontrolled_clients.py
+++ b/tests/processes/test_uncontrolled_clients.py
@@ -37,6 +37,9 @@
 CALLER_THREADS = 24
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BODY_CLIENTS = 24
+LARGE_ANSWER_BYTES = 1_000_000
+"""Below the limit of the agent, which is 1 MiB."""
+
 CONNECTIONS = 400
 SLOW_CLIENTS = 32
 """More than the threads of any listener here."""
@@ -88,8 +91,9 @@
         assert growth <= MAX_GROWTH, f"grew by {growth >> 20} MB"
 
     def check(self) -> None:
-        """Checks that the process lives, its memory, and a request."""
+        """Checks that the process lives, its use, and an ordinary request."""
         self.check_memory()
+        assert self.count_new_descriptors() <= MAX_NEW_DESCRIPTORS
         self.check_ordinary()
 
 
@@ -138,7 +142,7 @@
     return Target(deployment.get_pid(member), address, check)
 
 
-@pytest.mark.parametrize("listener", LISTENERS)
+@pytest.mark.parametrize("listener", [*LISTENERS, "local", "peers"])
 @pytest.mark.parametrize("stream", crowd.STREAMS)
 def test_request_without_end(
     small_deployment: cluster.Cluster, listener: str, stream: str
@@ -205,6 +209,45 @@
         assert target.count_new_descriptors() <= MAX_NEW_DESCRIPTORS
 
 
+@pytest.mark.parametrize("listener", ["callers", "operators", "local"])
+def test_connections_from_many_hosts(
+    small_deployment: cluster.Cluster, listener: str
+) -> None:
+    """Guards against a limit that holds for each address only."""
+    target = find_target(small_deployment, listener)
+    with contextlib.ExitStack() as stack:
+        for number in range(CONNECTIONS):
+            host = crowd.name_host(number)
+            stack.enter_context(crowd.connect(target.address, host))
+        target.check_memory()
+        target.check_ordinary()
+        count = target.count_new_descriptors()
+    if listener == "callers":
+        # All of them are inside the limits of this listener.
+        assert count >= CONNECTIONS
+    else:
+        assert count <= MAX_NEW_DESCRIPTORS
+
+
+def test_slow_readers_of_large_answers(
+    small_deployment: cluster.Cluster,
+) -> None:
+    """Guards the entry and the agent against large answers that wait."""
+    target = find_target(small_deployment, "callers")
+    agent = find_target(small_deployment, "local")
+    # The upstream repeats the body in its answer.
+    head = "POST /large HTTP/1.1\r\nHost: h\r\n" + "".join(
+        f"{name}: {value}\r\n"
+        for name, value in load.Request("/large").build_headers().items()
+    )
+    body = b"a" * LARGE_ANSWER_BYTES
+    call = f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    with crowd.hold(target.address, BODY_CLIENTS, call, crowd.receive_little):
+        time.sleep(5 * crowd.DRIP_PAUSE_S)
+        target.check()
+        agent.check()
+
+
 def test_connections_without_handshake(
     small_deployment: cluster.Cluster,
 ) -> None:
