Return the memory of large freed blocks to the system

What was seen: with 24 callers that did not read their answers of 1 MB, all of them inside the limits, an entry grew by 64 to 77 MB.

Cause: glibc raises the size from which it maps a block to that of the largest freed one. Bodies then come from an arena for each of many threads, which keeps them after they are freed.

Its effect on speed was not measured.

--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -27,6 +27,7 @@
 
 import gypsumhold
 from gypsumhold.adapters import (
+    allocator,
     effect_pools,
     engine,
     http_routes,
@@ -226,6 +227,7 @@
     if isinstance(platform_result, Failure):
         return process.report_start_error(platform_result.failure())
     sys.setswitchinterval(process.SWITCH_INTERVAL_S)
+    allocator.return_large_blocks()
     threading.stack_size(process.STACK_BYTES)
     awaited_signals = (*process.STOP_SIGNALS, signal.SIGHUP)
     # Blocked before any thread starts, so that only sigwait receives them.
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -15,6 +15,7 @@
 from returns.result import Failure
 
 from gypsumhold.adapters import (
+    allocator,
     engine,
     http_routes,
     http_server,
@@ -115,6 +116,7 @@
         return report_start_error(result.failure())
     program_settings = result.unwrap()
     sys.setswitchinterval(SWITCH_INTERVAL_S)
+    allocator.return_large_blocks()
     # Blocked before any thread starts, so that only sigwait receives them.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     with contextlib.ExitStack() as stack:
