Move only tasks of late jobs that have stood still all the time

Change: a task has a time since when it is halted; tasks that can't resume are moved only before they have made progress; gangs of late jobs stay.

--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -19,6 +19,9 @@
 SLOW_SHARE = 0.6
 """Share of full speed below which a task counts as slow."""
 
+HALTED_SHARE = 0.1
+"""Share of full speed below which a task counts as halted."""
+
 MAX_MEASURED_INTERVAL = datetime.timedelta(seconds=2)
 """Longest time between two listings of a run over which its CPU use counts as
 constant."""
@@ -105,10 +108,10 @@
     """
     share = min(1.0, row.usage / max(1, step.spec.cpu_millis))
     task.speed_share = share
-    if share >= SLOW_SHARE:
-        task.slow_since = None
-    elif task.slow_since is None:
-        task.slow_since = now
+    task.slow_since = _find_begin(task.slow_since, share < SLOW_SHARE, now)
+    task.halted_since = _find_begin(
+        task.halted_since, share < HALTED_SHARE, now
+    )
     reading = task.reading
     if reading is None or row.progress_percent < reading.first_percent:
         task.reading = progress.ProgressReading(row.progress_percent, now)
@@ -122,6 +125,15 @@
         task.measured_time = measured_time / task.slowdown
 
 
+def _find_begin(
+    since: datetime.timedelta | None, applies: bool, now: datetime.timedelta
+) -> datetime.timedelta | None:
+    """Returns since when something applies; None if it does not."""
+    if not applies:
+        return None
+    return now if since is None else since
+
+
 def estimate_critical_path(
     job: progress.Job, policy: policies.EstimatePolicy
 ) -> datetime.timedelta:
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -27,9 +27,6 @@
 """Time for which a task is slow before it is migrated; the readings of its
 speed cover half a second."""
 
-HALTED_SHARE = 0.1
-"""Share of full speed below which a task counts as halted."""
-
 HALTED_TIME = datetime.timedelta(milliseconds=1500)
 """Time for which a task of a job that gives way is halted before it is
 migrated. Others may come before it there too, so this bounds how often it is
@@ -62,7 +59,7 @@
         if not step.spec.fills:
             continue
         for index, task in enumerate(step.tasks):
-            if not _is_slow(job, task, now):
+            if not _is_due(job, step, task, now):
                 continue
             if not _saves_time(state, step, task):
                 continue
@@ -76,17 +73,33 @@
     return emitted
 
 
-def _is_slow(
-    job: progress.Job, task: progress.Task, now: datetime.timedelta
+def _is_due(
+    job: progress.Job,
+    step: progress.Step,
+    task: progress.Task,
+    now: datetime.timedelta,
 ) -> bool:
     """Tells whether a running task has been too slow for too long."""
-    is_running = task.is_placed() and task.reported and not task.migrating
-    if not is_running or task.slow_since is None:
+    if not task.is_placed() or not task.reported or task.migrating:
+        return False
+    if job.gives_way:
+        return _is_halted(step, task, now)
+    return task.slow_since is not None and now >= task.slow_since + SLOW_TIME
+
+
+def _is_halted(
+    step: progress.Step, task: progress.Task, now: datetime.timedelta
+) -> bool:
+    """Tells whether a task of a job that gives way has stood still too long.
+
+    One that can't resume elsewhere stays once it has made progress: it might
+    never end if it were moved again and again. A gang has to move as a whole.
+    """
+    may_restart = task.progress_percent < estimates.MIN_MEASURED_PERCENT
+    if step.spec.gang or not (step.spec.checkpoints or may_restart):
         return False
-    if not job.gives_way:
-        return now >= task.slow_since + SLOW_TIME
-    is_halted = task.speed_share < HALTED_SHARE
-    return is_halted and now >= task.slow_since + HALTED_TIME
+    halted_since = task.halted_since
+    return halted_since is not None and now >= halted_since + HALTED_TIME
 
 
 def _saves_time(
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -69,6 +69,8 @@
         speed_share: Share of full speed at which the run was last listed.
         slow_since: Since when the run has been listed as slow; None if it was
             fast at its latest listing.
+        halted_since: Since when the run has been listed as hardly working;
+            None if it worked at its latest listing.
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
@@ -105,6 +107,7 @@
     slowdown: float = 1.0
     speed_share: float = 1.0
     slow_since: datetime.timedelta | None = None
+    halted_since: datetime.timedelta | None = None
     migration_target: ids.InstanceId | None = None
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
--- a/tests/jobs/test_migrations.py
+++ b/tests/jobs/test_migrations.py
@@ -49,7 +49,7 @@
 class Fleet:
     """A holder with a worker that serves and a free one."""
 
-    def __init__(self) -> None:
+    def __init__(self, step: specs.StepSpec = STEP) -> None:
         self.world = worlds.World(1, agents=2)
         self.world.run(3000)
         self.node = test_regressions.find_holder(self.world)
@@ -67,7 +67,7 @@
         )
         self.place(self.add_job("serving", serving), self.busy)
         self.holder_state.optimistic_estimates = {PAIR: 0.3}
-        self.slow = self.add_job("slow", STEP)
+        self.slow = self.add_job("slow", step)
         self.place(self.slow, self.busy)
 
     def fill_free_worker(self) -> None:
@@ -103,14 +103,16 @@
         )
         view.candidate = None
 
-    def report_speed(self, share: float, times: int = 1) -> None:
+    def report_speed(
+        self, share: float, times: int = 1, percent: int = 5
+    ) -> None:
         """Lists the run of the slow job each second, for so many seconds."""
         task = self.slow.steps[0].tasks[0]
         ref = lifecycle.build_task_ref(self.slow, self.slow.steps[0], 0)
         task.reported = True
         row = runs.RunRow(
             runs.RunRef(ref, task.run),
-            progress_percent=5,
+            progress_percent=percent,
             usage=int(STEP.cpu_millis * share),
         )
         now = self.read_clock()
@@ -186,14 +188,17 @@
     return [log for log in fleet.make_plan() if log.decision == "move"]
 
 
-def test_halted_task_of_a_late_job_goes_to_an_idle_worker() -> None:
+@pytest.mark.parametrize("share", [0.0, 0.09])
+def test_halted_task_of_a_late_job_goes_to_an_idle_worker(
+    share: float,
+) -> None:
     """Guards against a job that stands still while a worker is idle.
 
     Its only task is halted beside serving tasks for as long as these serve.
     """
     fleet = Fleet()
     make_late(fleet)
-    fleet.report_speed(0.0, times=2)
+    fleet.report_speed(share, times=2)
     moves = list_moves(fleet)
     assert fleet.slow.gives_way
     assert [dict(log.inputs)["to"] for log in moves] == [fleet.free.instance]
@@ -209,6 +214,28 @@
     assert fleet.slow.gives_way
 
 
+def test_task_of_a_late_job_that_was_halted_for_a_moment_stays() -> None:
+    """Guards against tasks that work and are moved for a short pause."""
+    fleet = Fleet()
+    make_late(fleet)
+    fleet.report_speed(0.5, times=4)
+    fleet.report_speed(0.0, times=0)
+    assert not list_moves(fleet)
+    assert fleet.slow.gives_way
+
+
+@pytest.mark.parametrize("percent", [5, 60])
+def test_task_of_a_late_job_that_cannot_resume_stays(percent: int) -> None:
+    """Guards against a task that starts anew each time and never ends."""
+    step = msgspec.structs.replace(STEP, checkpoints=False)
+    fleet = Fleet(step)
+    make_late(fleet)
+    fleet.slow.steps[0].tasks[0].progress_percent = percent
+    fleet.report_speed(0.0, times=2, percent=percent)
+    assert bool(list_moves(fleet)) is (percent < 8)
+    assert fleet.slow.gives_way
+
+
 def test_task_of_a_late_job_stays_for_some_time() -> None:
     """Guards against tasks that are moved again and again.
 
