Place a task elsewhere once a worker has refused it twice for want of room

Callers saw a job without a run for as long as one worker had less room than it told, although others had enough. Cause: a refusal for want of capacity says nothing against a later run there, so the worker was not excluded, and the policy chose the same one again: the fullest on which the task fits. Change: a second such refusal in a row by one instance excludes it for the task, as other refusals do at once.

--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -40,7 +40,8 @@
 worker lists a few hundred at a time, and the agent reports all of them."""
 
 _PASSING_REFUSALS = (runs.Refusal.NO_CAPACITY, runs.Refusal.EVACUATED)
-"""Refusals that say nothing against a later run of the task on the instance."""
+"""Refusals that say nothing against a later run of the task on the instance,
+unless it refuses the next one too: it has less room than its reports tell."""
 
 _UNDECIDED_ROLES = (scheduler.Role.TAKING, scheduler.Role.LOADING)
 
@@ -362,7 +363,9 @@
         view.quarantined_until = max(
             view.quarantined_until, now + REFUSAL_QUARANTINE
         )
-    if refused.reason not in _PASSING_REFUSALS:
+    is_repeated = placed.task.refused_by == view.instance
+    placed.task.refused_by = view.instance
+    if is_repeated or refused.reason not in _PASSING_REFUSALS:
         placed.task.excluded_instances.add(view.instance)
     return [
         effects.Log(
@@ -407,6 +410,7 @@
                 holder_state.run_waits.touched.add(placed.job.spec.job_id)
             placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
             placed.task.is_start_open = False
+            placed.task.refused_by = ids.InstanceId("")
         crashes.clear_suspicion(holder_state, view, placed)
         if row.checkpoint and row.checkpoint != placed.task.checkpoint:
             placed.task.checkpoint = row.checkpoint
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -72,6 +72,7 @@
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
+        refused_by: Instance that refused the latest run; empty if none did.
         is_only_run: Whether nothing else of the job was placed at the latest
             placement, so that the agent starts the run without delay.
         is_first_of_batch: Whether `batch` has no earlier placement of its job,
@@ -109,6 +110,7 @@
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
     )
+    refused_by: ids.InstanceId = ids.InstanceId("")
     is_only_run: bool = False
     is_first_of_batch: bool = False
     crashes: tuple[runs.Crash, ...] = ()
--- a/tests/jobs/test_runless_jobs.py
+++ b/tests/jobs/test_runless_jobs.py
@@ -7,6 +7,7 @@
 import math
 
 import msgspec
+import pytest
 
 from gypsumhold.model.jobs import effects, specs
 from tests.jobs import job_specs, large_world, worker_fake
@@ -166,6 +167,28 @@
     judge_wait(world)
 
 
+@pytest.mark.parametrize("cpu_millis", [1000, 20_000])
+def test_job_runs_beside_a_worker_with_less_room_than_it_tells(
+    cpu_millis: int,
+) -> None:
+    """Guards against a job that is sent to the same worker again and again.
+
+    The worker refuses all starts for want of capacity, which says nothing
+    against a later run there, and the policy prefers the fullest worker.
+    """
+    world = build_world(agents=4)
+    filler = specs.StepSpec(1, 10_000, 1000, estimate_ms=60_000)
+    submit_chain(world, "filler", filler)
+    first = specs.StepSpec(1, 1000, 100, estimate_ms=60_000)
+    second = specs.StepSpec(1, cpu_millis, 100, estimate_ms=1000)
+    submit_chain(world, WAITING, first, second)
+    world.run(1500)
+    for worker in world.workers.values():
+        jobs = {run.ref.task.job_id for run in worker.running.values()}
+        worker.lacks_room = "filler" in jobs
+    judge_wait(world)
+
+
 def test_starved_best_effort_gang_runs() -> None:
     """Guards against a gang that the placement policy delays for ever.
 
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -61,6 +61,7 @@
         checkpoint_chars: Length of the checkpoints of its runs.
         max_listed_ends: Most ends that it lists at a time.
         refuses_starts: Whether it refuses every start as unhealthy.
+        lacks_room: Whether it refuses every start for want of capacity.
         hides_stopping: Whether runs that are being stopped are not listed.
         labels: Its kind and its rack.
         zone: Its data centre.
@@ -92,6 +93,7 @@
     checkpoint_chars: int = 0
     max_listed_ends: int = 500
     refuses_starts: bool = False
+    lacks_room: bool = False
     hides_stopping: bool = False
     labels: tuple[str, ...] = ("a", "r1-1")
     zone: str = "zone"
@@ -217,6 +219,8 @@
     ) -> Result:
         if self.refuses_starts:
             return Result.UNHEALTHY
+        if self.lacks_room:
+            return Result.NO_CAPACITY
         command = effect.command
         task, run = command.ref.task, command.ref.run
         if effect.fence < self.fence:
