Bound what submissions take while they are decoded

What was seen: 24 callers with bodies of 1 MiB, which the listener accepts, took 736 MB in an entry of 160 MB, though each of them is refused.

Cause: a body full of steps takes about 30 times its size as objects. The size of a job is checked after the whole body is decoded and converted, in as many threads as there are callers.

Change: the decoder refuses more than 3,000 steps, or predecessors of a step: each step has a task, and a job may have 3,000. A list that names predecessors several times is refused from the same length. One submission at a time is decoded, converted and checked; the interpreter ran them one after another before, too. A refusal stays 400, before anything is stored.

Its effect on speed was not measured, and no test of a whole process sends such bodies.

--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -11,6 +11,7 @@
 from returns.result import Result
 
 from gypsumhold.adapters import decoding
+from gypsumhold.decisions.jobs import validation
 from gypsumhold.model import errors
 
 _Document = TypeVar("_Document")
@@ -20,6 +21,10 @@
 
 MAX_STRETCH = 1_000_000
 
+MAX_STEPS = validation.MAX_REPETITION_TASKS
+"""Most steps of a job, each of which has a task. The decoder itself refuses
+more: as objects, the steps of a body of 1 MiB take many times its size."""
+
 Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Measured = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
@@ -81,7 +86,7 @@
     # The caller's estimate of one task's duration.
     estimated_ms: int = 0
     # Numbers of the steps that have to be done before this one.
-    after: tuple[int, ...] = ()
+    after: Annotated[tuple[int, ...], msgspec.Meta(max_length=MAX_STEPS)] = ()
     # Whether tasks save their progress.
     checkpointing: bool = False
     # Whether the tasks only work when all of them run.
@@ -113,7 +118,7 @@
 
     # Passed to the worker unchanged.
     specification: str
-    steps: tuple[Step, ...]
+    steps: Annotated[tuple[Step, ...], msgspec.Meta(max_length=MAX_STEPS)]
     # Number of times that the steps run; 0 for once, immediately.
     repetitions: int = 0
     # Unix time of the first repetition.
--- a/src/gypsumhold/platform/job_routes.py
+++ b/src/gypsumhold/platform/job_routes.py
@@ -2,10 +2,11 @@
 
 import datetime
 import re
+import threading
 from collections.abc import Callable
 
 import logbook
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from gypsumhold.adapters import engine, http_routes
 from gypsumhold.adapters import headers as header_lines
@@ -61,6 +62,7 @@
         """
         self._runtime = runtime
         self._clock = clock
+        self._decoding = threading.Lock()
 
     def answer(
         self, incoming: http_routes.HttpRequest
@@ -120,18 +122,29 @@
         body: bytes,
         remaining: datetime.timedelta,
     ) -> http_routes.HttpResponse:
+        # A large body takes many times its size until it is refused, so one at
+        # a time is decoded and checked.
+        with self._decoding:
+            checked = self._read_job(queue, job_id, body)
+        if isinstance(checked, Failure):
+            return http_routes.render_error(400, checked.failure())
+        spec = checked.unwrap()
+        ticket = peers.create_ticket_id()
+        event = events.SubmitArrived(ticket, spec, remaining)
+        return self._wait_for_answer(ticket, event, remaining)
+
+    def _read_job(
+        self, queue: specs.Queue, job_id: specs.JobId, body: bytes
+    ) -> Result[specs.JobSpec, errors.Error]:
+        """Returns the job of a submission, or why it is refused."""
         match documents.parse(body, documents.Submission):
             case Failure(error):
-                return http_routes.render_error(400, error)
+                return Failure(error)
             case Success(document):
                 now_ms = int(self._clock.read_wall().timestamp() * 1000)
                 spec = build_spec(queue, job_id, document, now_ms)
-        error = validation.check_job(spec)
-        if error is not None:
-            return http_routes.render_error(400, error)
-        ticket = peers.create_ticket_id()
-        event = events.SubmitArrived(ticket, spec, remaining)
-        return self._wait_for_answer(ticket, event, remaining)
+        problem = validation.check_job(spec)
+        return Success(spec) if problem is None else Failure(problem)
 
     def _query_job(
         self,
