--- a/src/gypsumhold/adapters/settings.py
+++ b/src/gypsumhold/adapters/settings.py
@@ -1,6 +1,5 @@
 """Reads settings files: JSON with comments, validated by pydantic."""
 
-import dataclasses
 import datetime
 import difflib
 import pathlib
@@ -13,26 +12,19 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
+from gypsumhold.adapters import limit_settings
 from gypsumhold.decisions.jobs import policy_sets
+from gypsumhold.model import clock as clocks
 from gypsumhold.model import (
-    clients,
     errors,
     ids,
     members,
     options,
-    replies,
     states,
 )
-from gypsumhold.model import clock as clocks
 
 MIN_SECRET_LENGTH = 16
 
-SMALL_CONNECTIONS = 256
-"""Most connections of a listener for operators, workers, readiness or metrics.
-
-With 2048 of callers and 1024 of peers, a process stays below 3,800 sockets.
-"""
-
 
 def _read_secret(raw: object) -> object:
     """Returns the secret, or reads it from the file that `raw` names."""
@@ -52,25 +44,12 @@
     pydantic.Field(min_length=MIN_SECRET_LENGTH),
 ]
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
-Milliseconds = Annotated[int, pydantic.Field(ge=1)]
 _SERVICE_URL = re.compile(
     r"http://\[?(?P<host>[0-9A-Fa-f.:]+)\]?:(?P<port>[0-9]{1,5})"
 )
-Count = Annotated[int, pydantic.Field(ge=1)]
-
-
-SMALL_BYTES = 4 * 1024 * 1024
-"""Most bytes of the requests, and of the unread answers, of such a listener.
 
-All listeners of a process together stay within the memory of an instance.
-"""
 
-
-class _Settings(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class AddressSettings(_Settings):
+class AddressSettings(limit_settings.Settings):
     """An IP address and a port."""
 
     host: pydantic.IPvAnyAddress
@@ -94,7 +73,7 @@
         return host
 
 
-class ServiceSettings(_Settings):
+class ServiceSettings(limit_settings.Settings):
     """An HTTP service of the platform."""
 
     url: str
@@ -114,14 +93,14 @@
         return members.Address(host.strip("[]"), int(port))
 
 
-class LogSettings(_Settings):
+class LogSettings(limit_settings.Settings):
     """Format and level of the log on the standard error stream."""
 
     as_json: bool = pydantic.Field(default=False, alias="json")
     level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
-class MetricsSettings(_Settings):
+class MetricsSettings(limit_settings.Settings):
     """OTLP endpoint to which metrics are sent, besides the metrics route."""
 
     otlp_url: str | None = pydantic.Field(
@@ -129,71 +108,15 @@
     )
 
 
-class WaitingSettings(_Settings):
+class WaitingSettings(limit_settings.Settings):
     """Maximum number of waiting calls for each class of work."""
 
-    urgent: Count = 40
-    standard: Count = 24
-    batch: Count = 16
-
-
-class ClientSettings(_Settings):
-    """Limits on the clients of each listener; see `clients.ClientLimits`.
-
-    The listeners for operators, workers, readiness and metrics allow fewer
-    connections, see `build_small`.
-    """
-
-    max_connections: Count = 2048
-    max_connections_per_host: Count = 1024
-    max_request_bytes: Count = 16_777_216
-    max_unsent_bytes: Count = 16_777_216
-    request_time_ms: Milliseconds = 30_000
-    response_time_ms: Milliseconds = 30_000
-    max_pending_handshakes: Count = 64
-
-    def build(self) -> clients.ClientLimits:
-        """Returns the limits of the listener for callers."""
-        return clients.ClientLimits(
-            self.max_connections,
-            self.max_connections_per_host,
-            self.max_request_bytes,
-            self.max_unsent_bytes,
-            datetime.timedelta(milliseconds=self.request_time_ms),
-            datetime.timedelta(milliseconds=self.response_time_ms),
-        )
-
-    def build_small(self) -> clients.ClientLimits:
-        """Returns the limits of a listener that has few clients."""
-        return dataclasses.replace(
-            self.build(),
-            max_connections=min(self.max_connections, SMALL_CONNECTIONS),
-            max_connections_per_host=min(
-                self.max_connections_per_host, SMALL_CONNECTIONS
-            ),
-            max_request_bytes=min(self.max_request_bytes, SMALL_BYTES),
-            max_unsent_bytes=min(self.max_unsent_bytes, SMALL_BYTES),
-        )
-
-
-class ReplySettings(_Settings):
-    """Limits on what this process reads from each service of the platform.
-
-    See `replies.ReplyLimits`.
-    """
-
-    max_body_bytes: Count = 16_777_216
-    max_pending_bytes: Count = 33_554_432
-
-    def build(self) -> replies.ReplyLimits:
-        """Returns the limits."""
-        return replies.ReplyLimits(
-            max_body_bytes=self.max_body_bytes,
-            max_pending_bytes=max(self.max_pending_bytes, self.max_body_bytes),
-        )
+    urgent: limit_settings.Count = 40
+    standard: limit_settings.Count = 24
+    batch: limit_settings.Count = 16
 
 
-class NodeFileSettings(_Settings):
+class NodeFileSettings(limit_settings.Settings):
     """Settings of `gypsumhold-node`; the platform supplies the addresses.
 
     `advertised_port` is the port for other processes if a forwarder stands in
@@ -210,40 +133,40 @@
     log: LogSettings = LogSettings()
     admission: policy_sets.AdmissionKind = policy_sets.AdmissionKind.ACCEPT_ALL
     locality: policy_sets.LocalityKind = policy_sets.LocalityKind.WEIGH_WAIT
-    clients: ClientSettings = ClientSettings()
-    replies: ReplySettings = ReplySettings()
+    clients: limit_settings.ClientSettings = limit_settings.ClientSettings()
+    replies: limit_settings.ReplySettings = limit_settings.ReplySettings()
 
 
-class EntryTuning(_Settings):
+class EntryTuning(limit_settings.Settings):
     """Options of an entry; an omitted option keeps its default."""
 
-    partitions: Count | None = None
+    partitions: limit_settings.Count | None = None
     waiting_limits: WaitingSettings = WaitingSettings()
-    max_deadline_ms: Milliseconds | None = None
-    max_attempts: Count | None = None
-    partition_lease_ms: Milliseconds | None = None
-    partition_poll_ms: Milliseconds | None = None
-    batch_rows: Count | None = None
-    sync_interval_ms: Milliseconds | None = None
-    config_poll_ms: Milliseconds | None = None
-    suspect_after_ms: Milliseconds | None = None
-    forget_after_ms: Milliseconds | None = None
-    table_pause_ms: Milliseconds | None = None
-    claim_patience_ms: Milliseconds | None = None
-    claim_poll_ms: Milliseconds | None = None
-
-
-class AgentTuning(_Settings):
+    max_deadline_ms: limit_settings.Milliseconds | None = None
+    max_attempts: limit_settings.Count | None = None
+    partition_lease_ms: limit_settings.Milliseconds | None = None
+    partition_poll_ms: limit_settings.Milliseconds | None = None
+    batch_rows: limit_settings.Count | None = None
+    sync_interval_ms: limit_settings.Milliseconds | None = None
+    config_poll_ms: limit_settings.Milliseconds | None = None
+    suspect_after_ms: limit_settings.Milliseconds | None = None
+    forget_after_ms: limit_settings.Milliseconds | None = None
+    table_pause_ms: limit_settings.Milliseconds | None = None
+    claim_patience_ms: limit_settings.Milliseconds | None = None
+    claim_poll_ms: limit_settings.Milliseconds | None = None
+
+
+class AgentTuning(limit_settings.Settings):
     """Options of an agent; an omitted option keeps its default."""
 
-    max_deadline_ms: Milliseconds | None = None
-    queue_limit: Count | None = None
-    announce_interval_ms: Milliseconds | None = None
-    worker_poll_ms: Milliseconds | None = None
-    upstream_silence_ms: Milliseconds | None = None
+    max_deadline_ms: limit_settings.Milliseconds | None = None
+    queue_limit: limit_settings.Count | None = None
+    announce_interval_ms: limit_settings.Milliseconds | None = None
+    worker_poll_ms: limit_settings.Milliseconds | None = None
+    upstream_silence_ms: limit_settings.Milliseconds | None = None
 
 
-class EntrySettings(_Settings):
+class EntrySettings(limit_settings.Settings):
     """Settings of gypsumhold-entry."""
 
     name: Name
@@ -257,11 +180,11 @@
     objects: ServiceSettings
     deployment_key: Secret
     operator_token: Secret
-    max_body_bytes: Count = 1_048_576
-    caller_threads: Count = 96
+    max_body_bytes: limit_settings.Count = 1_048_576
+    caller_threads: limit_settings.Count = 96
     log: LogSettings = LogSettings()
-    clients: ClientSettings = ClientSettings()
-    replies: ReplySettings = ReplySettings()
+    clients: limit_settings.ClientSettings = limit_settings.ClientSettings()
+    replies: limit_settings.ReplySettings = limit_settings.ReplySettings()
     metrics: MetricsSettings = MetricsSettings()
     policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: EntryTuning = EntryTuning()
@@ -285,7 +208,7 @@
     region: Name
 
 
-class AgentSettings(_Settings):
+class AgentSettings(limit_settings.Settings):
     """Settings of gypsumhold-agent."""
 
     instance: Name
@@ -297,11 +220,11 @@
     worker: ServiceSettings
     entries: tuple[EntryAddressSettings, ...] = pydantic.Field(min_length=1)
     deployment_key: Secret
-    max_body_bytes: Count = 1_048_576
-    upstream_connections: Count = 64
+    max_body_bytes: limit_settings.Count = 1_048_576
+    upstream_connections: limit_settings.Count = 64
     log: LogSettings = LogSettings()
-    clients: ClientSettings = ClientSettings()
-    replies: ReplySettings = ReplySettings()
+    clients: limit_settings.ClientSettings = limit_settings.ClientSettings()
+    replies: limit_settings.ReplySettings = limit_settings.ReplySettings()
     metrics: MetricsSettings = MetricsSettings()
     policies: states.PolicyChoice = states.PolicyChoice.STANDARD
     tuning: AgentTuning = AgentTuning()
@@ -425,7 +348,7 @@
     return typing.get_args(annotation)[0]
 
 
-def _build_option_arguments(tuning: _Settings) -> dict[str, Any]:
+def _build_option_arguments(tuning: limit_settings.Settings) -> dict[str, Any]:
     """Returns the keyword arguments of an options object.
 
     Fields in milliseconds become durations without the suffix `_ms`.
--- a/src/gypsumhold/programs/process.py
+++ b/src/gypsumhold/programs/process.py
@@ -19,6 +19,7 @@
     engine,
     http_routes,
     http_server,
+    limit_settings,
     logs,
     peerserver,
     settings,
@@ -89,7 +90,7 @@
 
 
 def build_peer_options(
-    client_settings: settings.ClientSettings,
+    client_settings: limit_settings.ClientSettings,
 ) -> peerserver.ServerOptions:
     """Returns the limits of the server for other processes."""
     return peerserver.ServerOptions(
