--- a/src/gypsumhold/decisions/jobs/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/incarnations.py
@@ -41,9 +41,7 @@
         or leases.may_late_start_run(state, local_run, now)
     }
     for local_run in state.active.values():
-        may_repeat = _may_repeat(local_run)
         doubt_again(state, local_run, now)
-        local_run.is_repeated = not may_repeat
     state.ends.clear()
     state.ends_listed_at.clear()
     state.ignored_ends.clear()
@@ -64,19 +62,6 @@
     return [log]
 
 
-def _may_repeat(local_run: executor.LocalRun) -> bool:
-    """Tells whether a start is sent once more if the next lists lack the run.
-
-    If another incarnation takes the first start, it is the same run.
-    """
-    return (
-        local_run.command is not None
-        and local_run.is_unanswered()
-        and not local_run.is_repeated
-        and not local_run.stop_sent
-    )
-
-
 def doubt_again(
     state: executor.ExecutorState,
     local_run: executor.LocalRun,
--- a/src/gypsumhold/decisions/jobs/lost_workers.py
+++ b/src/gypsumhold/decisions/jobs/lost_workers.py
@@ -6,10 +6,9 @@
 
 import dataclasses
 import datetime
-from collections.abc import Container
 
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import progress, runs, scheduler, specs
+from gypsumhold.model.jobs import runs, scheduler, specs
 
 LostRuns = dict[runs.TaskRef, scheduler.LostRun]
 
@@ -40,53 +39,6 @@
         )
 
 
-def move_open_starts(
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    listed: Container[runs.TaskRef],
-    incarnation: runs.WorkerIncarnation,
-) -> None:
-    """Moves runs that may begin to the worker incarnation that is reported.
-
-    A delayed command was carried out there, or the start is sent there once
-    more, so that the first one begins no other run. Besides listed runs, these
-    are open starts of a former process of the agent, whose fence may be higher
-    than that of this one. Each may have crashed the former incarnation.
-    """
-    refused = {row.ref.task for row in view.report.refused}
-    moved = {
-        ref: placed
-        for ref, placed in view.placed.items()
-        if ref in listed
-        or (
-            ref not in refused
-            and _may_former_start_begin(placed.task, incarnation)
-        )
-    }
-    crashed = {
-        ref: placed
-        for ref, placed in moved.items()
-        if placed.task.is_start_open
-        and _is_earlier(placed.task.worker_incarnation, incarnation)
-    }
-    remember(holder_state, view.instance, crashed)
-    for placed in moved.values():
-        placed.task.worker_incarnation = incarnation
-
-
-def _may_former_start_begin(
-    task: progress.Task, incarnation: runs.WorkerIncarnation
-) -> bool:
-    is_former = task.is_start_open and task.former_senders > 0
-    return is_former and _is_earlier(task.worker_incarnation, incarnation)
-
-
-def _is_earlier(
-    former: runs.WorkerIncarnation, incarnation: runs.WorkerIncarnation
-) -> bool:
-    return former.started_ms < incarnation.started_ms
-
-
 def take(
     holder_state: scheduler.HolderState, view: scheduler.AgentView
 ) -> list[LostWorker]:
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -9,7 +9,6 @@
     expiries,
     holders,
     lifecycle,
-    lost_workers,
     run_ends,
 )
 from gypsumhold.decisions.jobs.locality import distances
@@ -265,9 +264,9 @@
     report = view.report
     worker = report.worker
     if worker is not None:
-        lost_workers.move_open_starts(
-            holder_state, view, listed, worker.incarnation
-        )
+        for ref in listed:
+            # A delayed command was carried out by a newer worker incarnation.
+            view.placed[ref].task.worker_incarnation = worker.incarnation
     ended_runs = {
         ref: placed
         for ref, placed in view.placed.items()
