Type the connections that read replies without suppressions

Cause: two type suppressions came in with the limits on replies. Change: the response class of the library and the result of getresponse, whose types differ between its base classes, are Any. No suppression is added since.

--- a/src/gypsumhold/adapters/reply_reader.py
+++ b/src/gypsumhold/adapters/reply_reader.py
@@ -136,6 +136,8 @@
     """
 
     timeouts_per_reply: ClassVar[float] = 1
+    # Declared as a class by the library, which only calls it.
+    response_class: Any
 
     def __init__(
         self, *args: Any, pending: PendingReplies, **options: Any
@@ -145,10 +147,10 @@
         self.pending = pending
         self.progress = replies.ReplyProgress()
 
-    def getresponse(  # type: ignore[override]
-        self,
-    ) -> urllib3.HTTPResponse:
-        """Reads the head of a reply."""
+    # The types of this method differ between the two base classes, so that only
+    # Any fits both.
+    def getresponse(self) -> Any:
+        """Reads the head of a reply; returns a `urllib3.HTTPResponse`."""
         timeout = self.timeout or 0.0
         source = _Source(
             self.sock,
@@ -156,9 +158,7 @@
             time.monotonic() + timeout * self.timeouts_per_reply,
         )
         self.progress = source.progress
-        self.response_class = functools.partial(  # type: ignore[assignment]
-            _Response, source=source
-        )
+        self.response_class = functools.partial(_Response, source=source)
         return super().getresponse()
 
 
