--- a/src/gypsumhold/decisions/jobs/progress_records.py
+++ b/src/gypsumhold/decisions/jobs/progress_records.py
@@ -4,7 +4,12 @@
 
 from gypsumhold.decisions.jobs import record_sizes, repetitions
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import progress, records, runs, scheduler
+from gypsumhold.model.jobs import (
+    progress,
+    records,
+    runs,
+    scheduler_options,
+)
 
 
 def restore_progress(
@@ -84,7 +89,7 @@
 
 
 def build_record(
-    job: progress.Job, row_bytes: int = scheduler.DEFAULT_ROW_BYTES
+    job: progress.Job, row_bytes: int = scheduler_options.DEFAULT_ROW_BYTES
 ) -> records.ProgressRecord:
     """Returns the record that stores the progress of a job.
 
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -49,6 +49,7 @@
     events,
     executor,
     scheduler,
+    scheduler_options,
 )
 from gypsumhold.platform import (
     heartbeats,
@@ -91,7 +92,7 @@
     shared: node_components.SharedComponents, stack: contextlib.ExitStack
 ) -> RunningNode:
     """Builds an entry and starts its services."""
-    options = scheduler.SchedulerOptions(
+    options = scheduler_options.SchedulerOptions(
         shared.platform_settings.instance,
         shared.incarnation,
         node_components.build_peer_endpoint(shared),
--- a/tests/jobs/builders.py
+++ b/tests/jobs/builders.py
@@ -5,13 +5,19 @@
 
 from gypsumhold.decisions.jobs import policy_sets
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import messages, runs, scheduler, specs
+from gypsumhold.model.jobs import (
+    messages,
+    runs,
+    scheduler,
+    scheduler_options,
+    specs,
+)
 
 
 def build_holder(now: datetime.timedelta) -> scheduler.SchedulerState:
     """Returns a scheduler that holds the queue since `now`, without jobs."""
     state = scheduler.SchedulerState(
-        scheduler.SchedulerOptions(
+        scheduler_options.SchedulerOptions(
             "entry", ids.Incarnation(1), messages.Endpoint("10.0.0.1", 1000)
         ),
         policy_sets.build_scheduler_policies(),
--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -25,6 +25,7 @@
     messages,
     runs,
     scheduler,
+    scheduler_options,
     specs,
 )
 from gypsumhold.model.jobs.evacuations import Knowledge
@@ -279,7 +280,7 @@
 
 def build_holder() -> scheduler.SchedulerState:
     state = builders.build_holder(NOW)
-    state.options = scheduler.SchedulerOptions(
+    state.options = scheduler_options.SchedulerOptions(
         "entry",
         ids.Incarnation(1),
         messages.Endpoint("10.0.0.1", 1000),
--- a/tests/jobs/test_holders.py
+++ b/tests/jobs/test_holders.py
@@ -10,7 +10,7 @@
 
 from gypsumhold.decisions.jobs import expiries, policy_sets
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import messages, scheduler
+from gypsumhold.model.jobs import messages, scheduler, scheduler_options
 from tests.jobs import nodes, test_world
 from tests.jobs import world as worlds
 
@@ -84,7 +84,7 @@
     A replaced holder that was storing batches could grant until its grant
     window ended, longer than one whose row had been unchanged.
     """
-    options = scheduler.SchedulerOptions(
+    options = scheduler_options.SchedulerOptions(
         "entry", ids.Incarnation(1), messages.Endpoint("10.0.0.1", 1000)
     )
     state = scheduler.SchedulerState(
--- a/tests/jobs/test_withdrawals.py
+++ b/tests/jobs/test_withdrawals.py
@@ -19,6 +19,7 @@
     messages,
     runs,
     scheduler,
+    scheduler_options,
     specs,
 )
 from gypsumhold.platform import job_routes
@@ -93,7 +94,7 @@
 def test_dropped_queue_stays_dropped() -> None:
     """Guards against a configuration that reverts to an older version."""
     state = scheduler.SchedulerState(
-        scheduler.SchedulerOptions(
+        scheduler_options.SchedulerOptions(
             "entry-0", ids.Incarnation(1), messages.Endpoint("10.0.0.1", 1)
         ),
         policy_sets.build_scheduler_policies(),
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -18,6 +18,7 @@
     executor,
     messages,
     scheduler,
+    scheduler_options,
     specs,
 )
 from tests.jobs import nodes, peer_link, store_link, worker_fake, worker_link
@@ -80,7 +81,7 @@
         incarnation = ids.Incarnation(wall_ms)
         if node.name.startswith("entry"):
             node.state = scheduler.SchedulerState(
-                scheduler.SchedulerOptions(
+                scheduler_options.SchedulerOptions(
                     node.name,
                     incarnation,
                     endpoint,
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -18,13 +18,17 @@
 
 from gypsumhold.adapters import settings
 from gypsumhold.model import options
-from gypsumhold.model.jobs import scheduler
+from gypsumhold.model.jobs import scheduler_options
 
 PAGE = pathlib.Path(__file__).parent.parent / "docs" / "settings.md"
 ROLES: tuple[tuple[str, type[pydantic.BaseModel], type], ...] = (
     ("gypsumhold-entry", settings.EntrySettings, options.EntryOptions),
     ("gypsumhold-agent", settings.AgentSettings, options.AgentOptions),
-    ("gypsumhold-node", settings.NodeFileSettings, scheduler.SchedulerOptions),
+    (
+        "gypsumhold-node",
+        settings.NodeFileSettings,
+        scheduler_options.SchedulerOptions,
+    ),
 )
 TYPE_NAMES = {
     "str": "text",
