--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -175,7 +175,7 @@
     task.migration_target = None
     task.blocked_since = None
     task.speed_share = 1.0
-    task.slow_since = task.halted_since = None
+    task.slow_since = task.halted_since = task.halt_logged_since = None
     task.reading = None
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -10,6 +10,7 @@
     holders,
     lifecycle,
     run_ends,
+    run_speeds,
 )
 from gypsumhold.decisions.jobs.locality import distances
 from gypsumhold.model import effects as base_effects
@@ -199,7 +200,7 @@
     for refused in report.refused:
         emitted += _handle_refusal(holder_state, view, refused, now)
     slowdown = state.options.off_rack_slowdown
-    _apply_run_rows(holder_state, view, listed, slowdown, now)
+    emitted += _apply_run_rows(holder_state, view, listed, slowdown, now)
     return emitted
 
 
@@ -389,14 +390,17 @@
     listed: ListedRuns,
     off_rack_slowdown: float,
     now: datetime.timedelta,
-) -> None:
+) -> EffectList:
     """Updates the tasks placed at an agent from the runs in its latest report.
 
     A task counts as reported if the report lists its current run, and as not
     reported otherwise. For a listed run, the checkpoint is updated, and the
     percentage and the time of progress if the percentage has risen. Ends of
     runs are handled elsewhere.
+
+    Returns the log lines of runs that have stopped working or work again.
     """
+    emitted: EffectList = []
     for ref, placed in view.placed.items():
         row = listed.get(ref)
         if placed.task.reported is not (row is not None):
@@ -422,3 +426,5 @@
         if row.progress_percent > placed.task.progress_percent:
             placed.task.progress_percent = row.progress_percent
             placed.task.progressed_at = now
+        emitted += run_speeds.log_change(ref, placed, now)
+    return emitted
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -73,6 +73,8 @@
             fast at its latest listing.
         halted_since: Since when the run has been listed as hardly working;
             None if it worked at its latest listing.
+        halt_logged_since: `halted_since` as the log tells of it; None if its
+            latest line tells that the run works, or there is none.
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
@@ -112,6 +114,7 @@
     speed_share: float = 1.0
     slow_since: datetime.timedelta | None = None
     halted_since: datetime.timedelta | None = None
+    halt_logged_since: datetime.timedelta | None = None
     migration_target: ids.InstanceId | None = None
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
