Take a run that is listed without its usage for one that works

Cause: a row of a worker without a usage was read as 0, which means that the run stands still, and its run time was measured as 0. Change: the usage of such a row is not known, and the run counts as working. Result: test_run_without_a_usage_counts_as_working failed before.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -157,7 +157,7 @@
     for ref, placed in view.placed.items():
         late = placed.step.spec.fills and placed.job.gives_way
         row = rows.get(runs.RunRef(ref, placed.task.run))
-        usage = None if row is None else row.usage
+        usage = None if row is None else _read_usage(row)
         reserve(candidate, placed.step, ref, deferred=late, usage=usage)
         if row is not None:
             _count_running(candidate, placed.step.spec, row)
@@ -185,10 +185,15 @@
         return
     spec = job.spec.steps[ref.step]
     step = progress.Step(spec, ref.repetition, ref.step, [])
-    reserve(candidate, step, ref, usage=row.usage)
+    reserve(candidate, step, ref, usage=_read_usage(row))
     _count_running(candidate, spec, row)
 
 
+def _read_usage(row: runs.RunRow) -> int | None:
+    """Returns the CPU that a listed run uses; None if that is not known."""
+    return None if row.usage == runs.UNKNOWN_USAGE else row.usage
+
+
 def _count_running(
     candidate: policies.Candidate, spec: specs.StepSpec, row: runs.RunRow
 ) -> None:
--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -104,9 +104,12 @@
 
     The time at full speed is the CPU time used over the requested CPU, so a
     throttled run counts as far as it was allowed to work. Away from its data
-    or gang a task takes longer by a factor, which the run time leaves out.
+    or gang a task takes longer by a factor, which the run time leaves out. A
+    run that is listed without its usage counts as working at full speed.
     """
-    share = min(1.0, row.usage / max(1, step.spec.cpu_millis))
+    share = 1.0
+    if row.usage != runs.UNKNOWN_USAGE:
+        share = min(1.0, row.usage / max(1, step.spec.cpu_millis))
     task.speed_share = share
     task.slow_since = _find_begin(task.slow_since, share < SLOW_SHARE, now)
     task.halted_since = _find_begin(
--- a/src/gypsumhold/decisions/jobs/interference.py
+++ b/src/gypsumhold/decisions/jobs/interference.py
@@ -71,7 +71,7 @@
         if command.target_latency_ms and row.usage > 0:
             headroom = min(command.target_latency_ms / row.usage, MAX_HEADROOM)
             headrooms.setdefault(command.image, {})[local_run.ref] = headroom
-        elif command.best_effort:
+        elif command.best_effort and row.usage >= 0:
             used = row.usage / CORE_MILLIS
             cores[command.image] = cores.get(command.image, 0.0) + used
     return executor.Sample(now, headrooms, cores)
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -210,6 +210,9 @@
 UNKNOWN_AGE = -1
 """Stands for the age of a run of which the worker has not said that it runs."""
 
+UNKNOWN_USAGE = -1
+"""Stands for the usage of a run that its worker lists without one."""
+
 MAX_SPAN_MS = 10**12
 
 SpanMs = Annotated[int, msgspec.Meta(ge=-1, le=MAX_SPAN_MS)]
@@ -226,7 +229,8 @@
         progress_percent: Percent of the work that is done; 100 for a
             long-running task once it is up.
         usage: Tail latency in milliseconds of a serving task, otherwise the
-            CPU in use in thousandths of a core.
+            CPU in use in thousandths of a core; `UNKNOWN_USAGE` if the worker
+            does not tell.
         age_ms: Time from the confirmed start of the run until the worker last
             answered or was found silent; `UNKNOWN_AGE` if the start is not
             confirmed.
@@ -235,7 +239,7 @@
     ref: RunRef
     checkpoint: Checkpoint = Checkpoint("")
     progress_percent: int = 0
-    usage: int = 0
+    usage: int = UNKNOWN_USAGE
     age_ms: SpanMs = UNKNOWN_AGE
 
 
--- a/src/gypsumhold/platform/worker.py
+++ b/src/gypsumhold/platform/worker.py
@@ -354,7 +354,7 @@
         name, run, checkpoint, percent = _RUNNING_WITHOUT_USAGE_DECODER.decode(
             raw
         )
-        usage = 0
+        usage = runs.UNKNOWN_USAGE
     return runs.RunRow(
         runs.RunRef(_require_task(name), runs.RunNumber(run)),
         runs.Checkpoint(checkpoint),
--- a/tests/jobs/test_estimates.py
+++ b/tests/jobs/test_estimates.py
@@ -153,3 +153,19 @@
     )
     estimates.measure_progress(step, task, row, SECOND)
     assert task.measured_time is None
+
+
+def test_run_without_a_usage_counts_as_working() -> None:
+    """Guards against runs taken for halted where workers tell no usage."""
+    job = build_job(tasks=1)
+    step = job.steps[0]
+    task = step.tasks[0]
+    ref = runs.RunRef(
+        runs.TaskRef(specs.JobId("job"), 0, 0, 0), runs.RunNumber(1)
+    )
+    for second in range(3):
+        row = runs.RunRow(ref, progress_percent=10 * second)
+        estimates.measure_progress(step, task, row, second * SECOND)
+    assert task.halted_since is None
+    assert task.speed_share == 1.0
+    assert task.measured_time == 10 * SECOND
