Get a run of a job to work when all of its runs stand still

Cause: a run that does not work counted as a run. Change: a wait goes on, or begins, while all runs of a job are halted, and the owner of the limit gets one of them to work: first on its worker before other best-effort runs, else another task or the run itself on the worker where it gets the most.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -159,10 +159,12 @@
         row = rows.get(runs.RunRef(ref, placed.task.run))
         usage = None if row is None else _read_usage(row)
         reserve(candidate, placed.step, ref, deferred=late, usage=usage)
+        _count_boosted(candidate, placed)
         if row is not None:
             _count_running(candidate, placed.step.spec, row)
     for ref, placed in view.expected.items():
         reserve(candidate, placed.step, ref, deferred=placed.job.gives_way)
+        _count_boosted(candidate, placed)
     for row in view.report.rows:
         current = view.placed.get(row.ref.task)
         if current is None or current.task.run != row.ref.run:
@@ -189,6 +191,19 @@
     _count_running(candidate, spec, row)
 
 
+def _count_boosted(
+    candidate: policies.Candidate, placed: scheduler.PlacedTask
+) -> None:
+    if placed.task.boosted_at is not None:
+        add_boosted(candidate, placed.step.spec)
+
+
+def add_boosted(candidate: policies.Candidate, spec: specs.StepSpec) -> None:
+    """Counts a task that goes before all other best-effort tasks."""
+    if spec.fills:
+        _add_cores(candidate.boosted_cores, spec)
+
+
 def _read_usage(row: runs.RunRow) -> int | None:
     """Returns the CPU that a listed run uses; None if that is not known."""
     return None if row.usage == runs.UNKNOWN_USAGE else row.usage
@@ -372,6 +387,7 @@
         serving=dict(candidate.serving),
         best_effort_cores=dict(candidate.best_effort_cores),
         deferred_cores=dict(candidate.deferred_cores),
+        boosted_cores=dict(candidate.boosted_cores),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -111,13 +111,21 @@
 def _list_deferred(
     view: scheduler.AgentView, now: datetime.timedelta
 ) -> tuple[runs.RunRef, ...]:
-    """Returns the best-effort runs by the falling return of their jobs."""
+    """Returns the best-effort runs by the falling return of their jobs.
+
+    Boosted runs come first.
+    """
     best_effort = [
         (ref, placed)
         for ref, placed in view.placed.items()
         if placed.step.spec.fills
     ]
-    best_effort.sort(key=lambda item: -item[1].job.expected_return)
+    best_effort.sort(
+        key=lambda item: (
+            item[1].task.boosted_at is None,
+            -item[1].job.expected_return,
+        )
+    )
     return tuple(
         runs.RunRef(ref, placed.task.run) for ref, placed in best_effort
     )
--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -105,8 +105,11 @@
     The time at full speed is the CPU time used over the requested CPU, so a
     throttled run counts as far as it was allowed to work. Away from its data
     or gang a task takes longer by a factor, which the run time leaves out. A
-    run that is listed without its usage counts as working at full speed.
+    run that is listed without its usage counts as working at full speed, and so
+    does one that lasts: its usage is not about its own work.
     """
+    if step.spec.long_running:
+        return
     share = 1.0
     if row.usage != runs.UNKNOWN_USAGE:
         share = min(1.0, row.usage / max(1, step.spec.cpu_millis))
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -172,6 +172,7 @@
     task.is_start_open = True
     task.reported = False
     task.listed_at = task.age = None
+    task.boosted_at = now if task.migrating and task.boosted_at else None
     task.migration_target = None
     task.blocked_since = None
     task.speed_share = 1.0
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -69,7 +69,7 @@
                 break
             ref = lifecycle.build_task_ref(job, step, index)
             placed = scheduler.PlacedTask(job, step, task)
-            emitted.append(_start_migration(holder_state, placed, ref, target))
+            emitted.append(start_migration(holder_state, placed, ref, target))
     return emitted
 
 
@@ -82,6 +82,9 @@
     """Tells whether a running task has been too slow for too long."""
     if not task.is_placed() or not task.reported or task.migrating:
         return False
+    if task.boosted_at is not None:
+        # It stays until `boosts` finds that it does not work there.
+        return False
     if job.gives_way:
         return _is_halted(step, task, now)
     return task.slow_since is not None and now >= task.slow_since + SLOW_TIME
@@ -145,7 +148,7 @@
     )
 
 
-def _start_migration(
+def start_migration(
     holder_state: scheduler.HolderState,
     placed: scheduler.PlacedTask,
     ref: runs.TaskRef,
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from gypsumhold.decisions.jobs import (
+    boosts,
     capacity,
     evacuation_waits,
     failed_plans,
@@ -57,6 +58,10 @@
 batch can store them. Jobs that fit nowhere do not count, as those behind them
 would never be placed."""
 
+MAX_BOOSTS = 8
+"""Halted jobs for which a plan looks for a better worker, once a tick: each
+takes about as long as several placements."""
+
 MISSES_BEFORE_SKIP = 40
 """Best-effort tasks without a candidate after which a plan skips the other jobs
 of which only such tasks are ready, but for starved ones, which have to get a
@@ -131,8 +136,10 @@
         self._without_place: set[specs.JobId] = set()
         self._placed = 0
         self._misses = 0
+        self._is_full = False
         self._migrations_due = holder_state.migrations_due
         holder_state.migrations_due = False
+        self._boosts_left = MAX_BOOSTS if self._migrations_due else 0
 
     def place(self) -> None:
         """Places the jobs as far as the limits of a plan allow.
@@ -144,6 +151,7 @@
         candidates = self._plan.candidates
         placed = fleet_shares.measure_placed_share(candidates)
         running = fleet_shares.measure_running_share(candidates)
+        self._is_full = running >= MAX_SHARE_FOR_STARVED_JOBS
         if placed < MAX_SHARE_FOR_FIRST_RUNS:
             self._place_starved()
             self._place_first_runs()
@@ -157,14 +165,41 @@
 
     def _place_starved(self) -> None:
         """Places a task, or a gang, of each starved job not yet looked at."""
+        holder_state = self._plan.holder_state
         most = self._placed + MAX_STARVED_JOBS
         for job in list(self._starved.values()):
             if self._placed >= most:
-                self._plan.holder_state.plan_due = True
+                holder_state.plan_due = True
                 break
-            if self._is_left(job):
+            if not self._is_left(job):
+                continue
+            if starvation.is_halted(holder_state, job):
+                self._boost(job)
+            else:
                 self._place_first_run(job)
 
+    def _boost(self, job: progress.Job) -> None:
+        """Gets a run of a job to work of which all runs are halted.
+
+        In a full fleet, the jobs that are worth more for their work come first.
+        """
+        self._starved.pop(job.spec.job_id, None)
+        holder_state, now = self._plan.holder_state, self._plan.now
+        if self._is_full or not self._boosts_left:
+            return
+        if not starvation.is_boost_due(holder_state, job, now):
+            return
+        self._boosts_left -= 1
+        try:
+            self.emitted += boosts.boost(self._plan, job)
+        except Exception as problem:
+            self.emitted += failed_plans.set_aside(
+                holder_state, job, problem, now
+            )
+            return
+        if job.is_migrating():
+            self._place_job(job, 1)
+
     def _place_first_runs(self) -> None:
         """Places a task, or a gang, of each job whose first run is due."""
         holder_state, now = self._plan.holder_state, self._plan.now
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -403,6 +403,7 @@
     emitted: EffectList = []
     for ref, placed in view.placed.items():
         row = listed.get(ref)
+        was_working = placed.task.is_working()
         if placed.task.reported is not (row is not None):
             holder_state.run_waits.touched.add(placed.job.spec.job_id)
         placed.task.reported = row is not None
@@ -426,5 +427,7 @@
         if row.progress_percent > placed.task.progress_percent:
             placed.task.progress_percent = row.progress_percent
             placed.task.progressed_at = now
+        if placed.task.is_working() is not was_working:
+            holder_state.run_waits.touched.add(placed.job.spec.job_id)
         emitted += run_speeds.log_change(ref, placed, now)
     return emitted
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -1,8 +1,9 @@
-"""Owns the limit on the time that a job or a long-running task has no run.
+"""Owns the limit on the time that no run of a job, or lasting task, works.
 
 Every part on the way to a run asks here whether a job has waited for too long:
 plans place such a job first and anywhere, batches store it first, and its agent
-starts it at once. `waits` follows the waits.
+starts it at once. A job of which all runs are halted gets one of them to work
+(`boosts`). `waits` follows the waits.
 """
 
 import datetime
@@ -27,6 +28,15 @@
 """Time until a start command whose answer is lost counts as in doubt, or until
 the answer to a report repeats a start whose push was lost."""
 
+HALTED_DELAY = datetime.timedelta(milliseconds=600)
+"""Time without a run that works after which a job of which all runs are halted
+gets one of them to work. A report tells of the halt up to a second late, and
+it takes about as long to go on elsewhere."""
+
+BOOST_TIME = datetime.timedelta(milliseconds=1500)
+"""Time in which a boosted run has to work: the next report of its agent brings
+it the new order, and its worker tells the speed of the last half second."""
+
 MAX_PLACEMENT_DELAY = MAX_TIME_WITHOUT_RUN - START_TIME - LOST_CALL_TIME
 """Longest time without a run after which a job gets one wherever there is
 capacity, regardless of the placement policy."""
@@ -89,6 +99,25 @@
     return wait is not None and _is_long(holder_state, wait, now)
 
 
+def is_halted(holder_state: scheduler.HolderState, job: progress.Job) -> bool:
+    """Tells whether a job waits, and has no more than runs that are halted."""
+    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
+    return wait is not None and wait.stage is waits.WaitStage.HALTED
+
+
+def is_boost_due(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a way to get a halted job to work is to be looked for."""
+    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
+    if wait is None:
+        return False
+    tried_at = wait.boost_tried_at
+    return tried_at is None or now >= tried_at + BOOST_TIME
+
+
 def must_know_start(
     holder_state: scheduler.HolderState,
     job: progress.Job,
@@ -185,7 +214,10 @@
     wait: waits.RunWait,
     now: datetime.timedelta,
 ) -> bool:
-    return wait.measure(now) >= _compute_placement_delay(holder_state)
+    delay = _compute_placement_delay(holder_state)
+    if wait.stage is waits.WaitStage.HALTED:
+        delay = min(delay, HALTED_DELAY)
+    return wait.measure(now) >= delay
 
 
 def _compute_placement_delay(
--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -1,9 +1,10 @@
-"""Follows how long jobs and long-running tasks have no run, and why.
+"""Follows how long jobs and long-running tasks have no run that works, and why.
 
-A wait begins when a task is ready and nothing of its job runs; for a task that
-runs until its job is cancelled, when it is ready itself. It ends when a report
-tells that the worker has confirmed a start. The present stage follows from the
-state of the tasks, and before a placement from what the latest plan met.
+A wait begins when a task is ready, or its run is halted, and nothing of its job
+works; for a task that runs until its job is cancelled, when it is ready itself.
+It ends when a report tells that the worker has confirmed a start, or that a run
+works again. The present stage follows from the state of the tasks, and before a
+placement from what the latest plan met.
 """
 
 import datetime
@@ -22,6 +23,13 @@
 
 EffectList = list[base_effects.Effect]
 
+_RUN_STAGES = (
+    waits.WaitStage.HALTED,
+    waits.WaitStage.STOP,
+    *waits.PLACED_STAGES,
+)
+"""The stages of a task that has a run or is placed, in their order."""
+
 
 def update(
     holder_state: scheduler.HolderState, now: datetime.timedelta
@@ -34,7 +42,7 @@
         if job is None:
             _forget(holder_state, job_id)
         else:
-            emitted += _update_job(holder_state, job, now, now)
+            emitted += _update_job(holder_state, job, None, now)
     run_waits.touched.clear()
     return emitted
 
@@ -121,7 +129,7 @@
 
 
 def is_waiting(holder_state: scheduler.HolderState, job: progress.Job) -> bool:
-    """Tells whether a job, or a long-running task of it, has no run."""
+    """Tells whether no run of a job, or of a long-running task of it, works."""
     run_waits = holder_state.run_waits
     if job.spec.job_id in run_waits.jobs:
         return True
@@ -141,49 +149,84 @@
 def _update_job(
     holder_state: scheduler.HolderState,
     job: progress.Job,
-    since: datetime.timedelta,
+    since: datetime.timedelta | None,
     now: datetime.timedelta,
 ) -> EffectList:
-    """Updates the waits of one open job; new ones count from `since`."""
+    """Updates the waits of one open job.
+
+    Args:
+        holder_state: State of the held queue.
+        job: The job.
+        since: When its latest run ended, from which new waits count; None if
+            that is not why they begin.
+        now: Current time.
+    """
     emitted: EffectList = []
     if job.is_long_running():
-        emitted += _update_long_running(holder_state, job, since, now)
+        emitted += _update_long_running(
+            holder_state, job, now if since is None else since, now
+        )
     run_waits = holder_state.run_waits
     job_id = job.spec.job_id
     wait = run_waits.jobs.get(job_id)
-    running = find_running_task(job)
+    working = find_working_task(job)
     stage = None
-    if running is None:
+    if working is None:
         stage = _find_job_stage(holder_state, job, wait)
     if stage is not None:
-        wait = wait or _begin(job, None, since, now)
+        if wait is None:
+            wait = _begin(job, None, _find_begin(job, since, now), now)
         run_waits.jobs[job_id] = wait
         wait.enter(stage, now)
     elif wait is not None:
         del run_waits.jobs[job_id]
-        emitted += _end(holder_state, wait, running, now)
+        emitted += _end(holder_state, wait, working, now)
     return emitted
 
 
-def find_running_task(job: progress.Job) -> progress.Task | None:
-    """Returns a task of which a worker has confirmed the current run.
+def find_working_task(job: progress.Job) -> progress.Task | None:
+    """Returns a task whose current run is confirmed and not halted.
 
-    The one that was found last is looked at first: it runs on in most cases.
+    The one that was found last is looked at first: it works on in most cases.
     """
-    known = job.running_task
-    if known is not None and known.is_running() and not job.has_gangs():
+    known = job.working_task
+    if known is not None and known.is_working() and not job.has_gangs():
         return known
-    job.running_task = next(
+    job.working_task = next(
         (
             task
             for step in job.steps
-            if step.open and not step.lacks_gang_member()
+            if step.open
+            and not step.lacks_gang_member()
+            and not step.has_halted_member()
             for task in step.tasks
-            if task.is_running()
+            if task.is_working()
         ),
         None,
     )
-    return job.running_task
+    return job.working_task
+
+
+def _find_begin(
+    job: progress.Job,
+    ended_at: datetime.timedelta | None,
+    now: datetime.timedelta,
+) -> datetime.timedelta:
+    """Returns since when nothing of a job works.
+
+    That is when its latest run ended or its last one was halted, whichever is
+    later, and now if neither is known.
+    """
+    times = [
+        task.halted_since
+        for step in job.steps
+        if step.open
+        for task in step.tasks
+        if task.is_running() and task.halted_since is not None
+    ]
+    if ended_at is not None:
+        times.append(ended_at)
+    return max(times, default=now)
 
 
 def _find_job_stage(
@@ -208,9 +251,9 @@
 
 
 def _list_position(stage: waits.WaitStage) -> int:
-    """Returns how far a stage is on the way to a run."""
-    if stage in waits.PLACED_STAGES:
-        return 1 + waits.PLACED_STAGES.index(stage)
+    """Returns how far a stage is on the way to a run that works."""
+    if stage in _RUN_STAGES:
+        return 1 + _RUN_STAGES.index(stage)
     return 0
 
 
@@ -220,11 +263,13 @@
     task: progress.Task,
     wait: waits.RunWait | None,
 ) -> waits.WaitStage:
-    """Returns the stage of a task that is ready or placed and does not run."""
+    """Returns the stage of a task that is ready or placed and does not work."""
     if not task.is_placed():
         return _find_first_obstacle(job) if wait is None else wait.obstacle
     if task.migrating:
         return waits.WaitStage.STOP
+    if task.is_running() and not task.is_working():
+        return waits.WaitStage.HALTED
     if task.batch > holder_state.stored_batch:
         return waits.WaitStage.STORE
     if not task.reported:
@@ -290,17 +335,20 @@
 def _end(
     holder_state: scheduler.HolderState,
     wait: waits.RunWait,
-    running: progress.Task | None,
+    working: progress.Task | None,
     now: datetime.timedelta,
 ) -> EffectList:
     """Ends a wait; returns its duration for the metrics, and a log line.
 
     The wait lasted until the worker confirmed the run, which is reported a
-    little later. Without a run, its tasks ended otherwise.
+    little later, or until a halted run worked. Without a run, its tasks ended
+    otherwise.
     """
-    if running is None:
+    if working is None:
         return []
-    started_at = max(now - (running.age or datetime.timedelta(0)), wait.since)
+    started_at = max(now - (working.age or datetime.timedelta(0)), wait.since)
+    if wait.stage is waits.WaitStage.HALTED:
+        started_at = now
     spent = wait.list_spent(started_at)
     longest = max(spent, key=lambda stage: spent[stage])
     emitted: EffectList = [
--- a/src/gypsumhold/model/jobs/policies.py
+++ b/src/gypsumhold/model/jobs/policies.py
@@ -33,6 +33,8 @@
         best_effort_millis: CPU that all best-effort tasks here are expected to
             use.
         deferred_millis: The part of this CPU that deferred tasks use.
+        boosted_cores: The part of `best_effort_cores` of tasks that go before
+            all other best-effort tasks here.
         interference_estimates: Headroom that one core of a best-effort image
             takes from a serving image, by an optimistic estimate.
         steps: Number of tasks here by job, repetition and step.
@@ -67,6 +69,9 @@
     )
     best_effort_millis: int = 0
     deferred_millis: int = 0
+    boosted_cores: dict[specs.Image, float] = dataclasses.field(
+        default_factory=dict
+    )
     interference_estimates: Mapping[runs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -12,6 +12,10 @@
 CORE_MILLIS = 1000
 """Thousandths of a core in a core."""
 
+MEASURED_TIME = datetime.timedelta(seconds=1)
+"""Age from which the speed of a run is known: its worker tells it for the last
+half second, and the run resumes from its checkpoint before."""
+
 NOT_STORED = sys.maxsize
 """Stands for the number of a batch that has not been built yet; the number of
 a stored batch never reaches it."""
@@ -75,6 +79,8 @@
             None if it worked at its latest listing.
         halt_logged_since: `halted_since` as the log tells of it; None if its
             latest line tells that the run works, or there is none.
+        boosted_at: When the run was put before all other best-effort runs of
+            its worker, as nothing of its job worked; None if it was not.
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
@@ -115,6 +121,7 @@
     slow_since: datetime.timedelta | None = None
     halted_since: datetime.timedelta | None = None
     halt_logged_since: datetime.timedelta | None = None
+    boosted_at: datetime.timedelta | None = None
     migration_target: ids.InstanceId | None = None
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
@@ -155,6 +162,19 @@
             and self.migration_target is None
         )
 
+    def is_working(self) -> bool:
+        """Tells whether the run gets on, as far as its worker has told.
+
+        What a worker tells of the first second of a run covers the time before
+        it, and what the run needs to resume from its checkpoint.
+        """
+        if not self.is_running():
+            return False
+        return self.halted_since is None or self._is_new()
+
+    def _is_new(self) -> bool:
+        return self.age is not None and self.age < MEASURED_TIME
+
 
 @dataclasses.dataclass(slots=True)
 class Step:
@@ -203,6 +223,12 @@
             task.state is records.TaskState.READY for task in self.tasks
         )
 
+    def has_halted_member(self) -> bool:
+        """Tells whether this is a gang that waits for a halted run."""
+        return self.spec.gang and any(
+            task.is_running() and not task.is_working() for task in self.tasks
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outlook:
@@ -278,7 +304,7 @@
             with a higher one work first.
         set_aside: How long plans leave the job out, as the latest one that
             looked at it failed; None if that one did not fail.
-        running_task: A task that was running when it was last looked for one.
+        working_task: A task that worked when it was last looked for one.
         kinds: Kinds of steps that the job has.
     """
 
@@ -295,7 +321,7 @@
     gives_way: bool = False
     expected_return: float = 1.0
     set_aside: SetAside | None = None
-    running_task: Task | None = None
+    working_task: Task | None = None
     kinds: StepKinds = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
--- a/src/gypsumhold/model/jobs/waits.py
+++ b/src/gypsumhold/model/jobs/waits.py
@@ -1,4 +1,4 @@
-"""Waits of jobs and long-running tasks that have no run."""
+"""Waits of jobs and long-running tasks of which no run works."""
 
 import dataclasses
 import datetime
@@ -15,6 +15,10 @@
     REPORT = "report"
     """The agent has to report the end of the latest run."""
 
+    HALTED = "halted"
+    """The runs of the job stand still, as they are throttled or their workers
+    do not get on; one of them has to work, or another one elsewhere."""
+
     STOP = "stop"
     """The latest run has to stop, so that its task can go on elsewhere."""
 
@@ -67,13 +71,13 @@
 
 @dataclasses.dataclass(slots=True)
 class RunWait:
-    """Time without a run although a task is ready or placed.
+    """Time without a run that works although a task is ready or placed.
 
     Attributes:
         job_id: The job.
         task: The long-running task; None if no task of the job runs.
-        since: When the latest run ended on its worker, or the first task
-            became ready.
+        since: When the latest run ended on its worker or was halted, or the
+            first task became ready.
         stage: The present stage.
         stage_since: Since when it is the present stage.
         obstacle: What kept the latest plan from placing a task; `PLAN` if none
@@ -81,6 +85,8 @@
         spent: Time spent in earlier stages.
         placed_at: When a task was last placed during the wait; None if none
             was.
+        boost_tried_at: When a way to get a halted run to work was last looked
+            for; None if it was not.
         is_logged: Whether a line of the log tells about the wait.
         is_overdue_logged: Whether a line tells that it exceeds the limit.
     """
@@ -95,6 +101,7 @@
         default_factory=dict
     )
     placed_at: datetime.timedelta | None = None
+    boost_tried_at: datetime.timedelta | None = None
     is_logged: bool = False
     is_overdue_logged: bool = False
 
@@ -128,7 +135,7 @@
     """All waits of a holder.
 
     Attributes:
-        jobs: Waits of jobs of which nothing runs.
+        jobs: Waits of jobs of which nothing works.
         tasks: Waits of long-running tasks.
         touched: Jobs whose tasks have changed since their waits were updated.
         batch_time: Recent time from sending a batch until it was stored.
