Measure the run time of a resumed task from when it has resumed

Cause: a run is listed with no progress until it has resumed from its checkpoint, so the progress of earlier runs counted as work of the first second. Change: the progress of a later run is measured once it is a second old. Result: test_restored_progress_is_not_work_of_the_run failed before (0.12 s for a task of which nothing was measured).

--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -28,6 +28,8 @@
 
 PERCENT = 100
 
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
 
 class DeclaredEstimates(policies.EstimatePolicy):
     """Baseline: every task takes the time that its step declares."""
@@ -119,6 +121,9 @@
         task.halted_since, share < HALTED_SHARE, now
     )
     reading = task.reading
+    if _may_resume(task, row):
+        task.reading = None
+        return
     if reading is None or row.progress_percent < reading.first_percent:
         task.reading = progress.ProgressReading(row.progress_percent, now)
         return
@@ -131,6 +136,15 @@
         task.measured_time = measured_time / task.slowdown
 
 
+def _may_resume(task: progress.Task, row: runs.RunRow) -> bool:
+    """Tells whether a run may still have to resume from its checkpoint.
+
+    Until then it is listed without the progress that was made before.
+    """
+    is_new = 0 <= row.age_ms < progress.MEASURED_TIME / MILLISECOND
+    return is_new and task.run > 1
+
+
 def _find_begin(
     since: datetime.timedelta | None, applies: bool, now: datetime.timedelta
 ) -> datetime.timedelta | None:
--- a/tests/jobs/test_estimates.py
+++ b/tests/jobs/test_estimates.py
@@ -155,6 +155,32 @@
     assert task.measured_time is None
 
 
+def test_restored_progress_is_not_work_of_the_run() -> None:
+    """Guards against a run time measured from progress that was restored.
+
+    A run is listed with no progress until it has resumed from its checkpoint.
+    """
+    job = build_job(tasks=1)
+    step = job.steps[0]
+    task = step.tasks[0]
+    ref = runs.RunRef(
+        runs.TaskRef(specs.JobId("job"), 0, 0, 0), runs.RunNumber(2)
+    )
+    task.run = ref.run
+    for age_ms, percent, usage in (
+        (20, 0, 0),
+        (1020, 86, CPU_MILLIS // 10),
+        (2020, 86, 0),
+        (3020, 86, 0),
+    ):
+        row = runs.RunRow(
+            ref, progress_percent=percent, usage=usage, age_ms=age_ms
+        )
+        now = datetime.timedelta(milliseconds=age_ms)
+        estimates.measure_progress(step, task, row, now)
+    assert task.measured_time is None
+
+
 def test_run_without_a_usage_counts_as_working() -> None:
     """Guards against runs taken for halted where workers tell no usage."""
     job = build_job(tasks=1)
