Answer in progress once a call has read another's open claim

Cause: a call that followed the claim of another entry could still be told `not-run`. After `claim_patience` it asks the agent; if that proves that the claimed attempt has not run, the call takes the claim over. If it could not (a read or a commit failed within the last second, or no upstream was there), it was refused as a call that has not looked at its claim. But the call that wrote the claim is still there: its attempt is refused by the tombstone of the probe, and it makes the next one. A caller that believes `not-run` may send the work again under a new key, and it runs twice.

Change: such a refusal is *in progress*, with the same reason and retry time, if the claim that was last read is open for another call. A refusal for want of an upstream also asks whether this entry works under the key, as refusals without the table did. A claim that is recorded as not run still leads to `not-run`.

--- a/src/gypsumhold/decisions/claims.py
+++ b/src/gypsumhold/decisions/claims.py
@@ -36,7 +36,7 @@
     call is refused if there is none.
     """
     if now < state.table_failed_at + state.options.table_pause:
-        return _refuse_without_table(state, call)
+        return _refuse(state, call, states.Reason.TABLE_UNAVAILABLE)
     member = dispatches.choose_target(state, call, now)
     if member is not None:
         return claim_attempt(state, call, member, now)
@@ -46,10 +46,7 @@
         call.claim_read = True
         call.phase = states.CallPhase.WAITING_RESULT
         return _read_claim(call, now)
-    result = dispatches.build_refusal(
-        states.Reason.NO_UPSTREAM, dispatches.RETRY_AFTER
-    )
-    return dispatches.finish_call(state, call, result)
+    return _refuse(state, call, states.Reason.NO_UPSTREAM)
 
 
 def claim_attempt(
@@ -151,21 +148,40 @@
         # taken effect. It then names an attempt that was never sent; the agent
         # reports this when a later call with this key asks for the outcome.
         del state.operations[operation]
-        return _refuse_without_table(state, call)
+        return _refuse(state, call, states.Reason.TABLE_UNAVAILABLE)
     return dispatches.pause_call(call, states.CallPhase.CLAIMING, RESEND_DELAY)
 
 
-def _refuse_without_table(
-    state: entry.EntryState, call: entry.Call
+def _refuse(
+    state: entry.EntryState, call: entry.Call, reason: states.Reason
 ) -> list[effects.Effect]:
-    """Ends a call that cannot be claimed because the table is unavailable."""
-    refusal = dispatches.build_refusal(
-        states.Reason.TABLE_UNAVAILABLE, dispatches.RETRY_AFTER
-    )
+    """Ends a call that cannot claim its key.
+
+    The answer is *in progress* if other work under the key is known, from this
+    entry or from a look at the claim.
+    """
+    refusal = dispatches.build_refusal(reason, dispatches.RETRY_AFTER)
     result = qualify_refusal(state, call.request, refusal)
+    if _is_claimed_by_other(call):
+        result = dataclasses.replace(
+            refusal, outcome=states.Outcome.IN_PROGRESS
+        )
     return dispatches.finish_call(state, call, result)
 
 
+def _is_claimed_by_other(call: entry.Call) -> bool:
+    """Returns whether the claim that was last read is open for another call.
+
+    The call that wrote it makes further attempts after one that has not run.
+    """
+    claim = call.claim.value if call.claim else None
+    return (
+        isinstance(claim, rows.ClaimRow)
+        and claim.state is states.ClaimState.CLAIMED
+        and claim.request_id != call.request.request_id
+    )
+
+
 def qualify_refusal(
     state: entry.EntryState,
     request: requests.Request,
