Hold the body of a reply once while it is completed

Cause: the body was gathered in a bytearray, and its copy as bytes was made after its size had left the sum of the replies that are being read. So two replies of 16 MiB that were complete at once took up to 64 MiB, not the 32 MiB of the limit.

Change: the body is gathered in a BytesIO, whose value is not copied, and leaves the sum afterwards.

--- a/src/gypsumhold/adapters/reply_reader.py
+++ b/src/gypsumhold/adapters/reply_reader.py
@@ -173,16 +173,17 @@
     """
     connection = response.connection
     assert isinstance(connection, Connection)
-    # Chunks of a few bytes would take many times their size as objects.
-    body = bytearray()
+    # Chunks of a few bytes would take many times their size as objects. The
+    # value of this buffer is not copied, unlike that of a bytearray.
+    body = io.BytesIO()
     try:
         for part in response.stream(READ_BYTES, decode_content=False):
             connection.pending.add(connection.progress, len(part))
-            body += part
+            body.write(part)
+        return body.getvalue()
     except BaseException:
         # The next call must not read the rest of this response.
         response.close()
         raise
     finally:
         connection.pending.remove(connection.progress)
-    return bytes(body)
