Free a refused body before its bytes leave the sum of the replies

Cause: a refused reply left the sum of the bodies that are being read while the traceback of the refusal still held its buffer. Until that was handled, other replies of the peer could grow by as much again: up to 16 MiB more than the limit of 32 MiB for each refused reply.

Change: the buffer is closed, and with it freed, before the sum is reduced.

Result: test_refused_body_is_freed_before_others_may_grow found 4,299,608 bytes still allocated at the moment of the reduction, above its bound of 1 MiB, and passes now.

--- a/src/gypsumhold/adapters/reply_reader.py
+++ b/src/gypsumhold/adapters/reply_reader.py
@@ -184,6 +184,8 @@
     except BaseException:
         # The next call must not read the rest of this response.
         response.close()
+        # The traceback still holds the buffer after the body has left the sum.
+        body.close()
         raise
     finally:
         connection.pending.remove(connection.progress)
--- a/tests/adapters/test_reply_memory.py
+++ b/tests/adapters/test_reply_memory.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterator
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
-from gypsumhold.adapters import http_client
+from gypsumhold.adapters import http_client, reply_reader
 from gypsumhold.model import replies
 from tests.processes import answers, crowd
 
@@ -53,3 +53,27 @@
     assert result.unwrap().body == crowd.BLOCK * BLOCKS
     # A buffer that grows has up to an eighth more than its contents.
     assert peak <= BODY_BYTES * 9 / 8 + MARGIN_BYTES
+
+
+def test_refused_body_is_freed_before_others_may_grow(
+    memory: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against bodies that are held after the sum has let them go."""
+    held: list[int] = []
+    remove = reply_reader.PendingReplies.remove
+
+    def measure_and_remove(
+        pending: reply_reader.PendingReplies, progress: replies.ReplyProgress
+    ) -> None:
+        held.append(tracemalloc.get_traced_memory()[0] - memory)
+        remove(pending, progress)
+
+    monkeypatch.setattr(
+        reply_reader.PendingReplies, "remove", measure_and_remove
+    )
+    limits = replies.ReplyLimits(max_body_bytes=BODY_BYTES // 2)
+    with call_server(limits) as client:
+        result = client.call("GET", "/")
+    assert result == Failure(http_client.CallFailure.UNKNOWN)
+    (held_bytes,) = held
+    assert held_bytes <= MARGIN_BYTES
