Give the tests of endless answers the allocator of the programs

Cause: test_answer_without_end[declared body-service] measures the memory of the pytest process, which had not set the options of the C allocator that each program sets at its start (adapters/allocator.py). Without them, glibc raises the size from which a block has pages of its own to that of the largest freed block; a body that grows is then copied, and its former places stay in the process. The product's bodies were inside their limit.

Change: the module sets these options before its tests. The bound stays at 48 MiB.

--- a/tests/adapters/test_endless_answers.py
+++ b/tests/adapters/test_endless_answers.py
@@ -15,7 +15,7 @@
 import pytest
 from returns.result import Failure
 
-from gypsumhold.adapters import http_client, upstream
+from gypsumhold.adapters import allocator, http_client, upstream
 from gypsumhold.model import effects, events, ids, members, requests, states
 from tests.processes import answers, crowd
 
@@ -33,6 +33,15 @@
 Call = Callable[[], object]
 
 
+@pytest.fixture(autouse=True, scope="module")
+def use_allocator_of_programs() -> None:
+    """Sets the options of the C allocator that each program sets.
+
+    Without them, glibc copies a body that grows, and keeps its former places.
+    """
+    allocator.return_large_blocks()
+
+
 def build_effect(
     address: members.Address, timeout: datetime.timedelta
 ) -> effects.CallUpstream:
