Give simulated runs a speed, and ask that each job works

Change: a model of the work of a worker's runs, with fixed ends as the baseline and one with speeds; the model of tail latencies is that of test_colocation, which now imports it. The oracle takes a rule that counts only runs that work, and one by which lost ends count for good; both are off by default.

--- a/tests/jobs/large_world.py
+++ b/tests/jobs/large_world.py
@@ -5,6 +5,7 @@
 """
 
 import datetime
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,7 @@
     virtual_time,
     wait_oracle,
     worker_fake,
+    worker_speeds,
 )
 from tests.jobs import world as worlds
 
@@ -48,7 +50,9 @@
         costs: processors.Costs = processors.NO_COSTS,
         entries: int = 2,
         evacuation_time: datetime.timedelta | None = None,
+        conditions: worker_speeds.Conditions | None = None,
     ) -> None:
+        """Creates a site; its runs have speeds if conditions are given."""
         self.processors = {
             f"entry-{number}": processors.Processor(costs)
             for number in range(entries)
@@ -63,10 +67,23 @@
             worker.cpu_millis = WORKER_MILLIS
             worker.memory_mb = WORKER_MB
             worker.labels = ("a", f"r1-{number // RACK_SIZE}")
+        if conditions is not None:
+            self._set_speeds(random.Random(seed), conditions)
         self.waits = wait_oracle.WaitOracle(
             self.store, self.workers, self.oracle
         )
 
+    def _set_speeds(
+        self, source: random.Random, conditions: worker_speeds.Conditions
+    ) -> None:
+        for worker in self.workers.values():
+            worker.work_model = worker_speeds.VaryingSpeeds(
+                conditions.draw_machine(source), self._saves_progress
+            )
+
+    def _saves_progress(self, task: runs.TaskRef) -> bool:
+        return self.store.jobs[task.job_id].steps[task.step].checkpoints
+
     # Processors.
 
     def _start_process(self, node: nodes.Node) -> None:
@@ -198,14 +215,17 @@
         self, worker: worker_fake.FakeWorker, until_ms: float
     ) -> float:
         """Returns the time until the worker is next looked at."""
-        finishes = [run.finish_ms for run in worker.running.values()]
+        finishes = [
+            worker.work_model.estimate_finish_ms(run, self.now_ms)
+            for run in worker.running.values()
+        ]
         next_ms = min((*finishes, until_ms, self.now_ms + MAX_POLL_STEP_MS))
         return max(1.0, next_ms - self.now_ms)
 
     def _draw_work_ms(self, task: runs.TaskRef) -> float:
         step = self.store.jobs[task.job_id].steps[task.step]
         if step.long_running:
-            return 1e9
+            return worker_fake.LASTING_MS
         return step.estimate_ms * self.random.uniform(*RUN_TIME_SPREAD)
 
     # Judging.
--- a/tests/jobs/loads.py
+++ b/tests/jobs/loads.py
@@ -11,10 +11,11 @@
 import msgspec
 
 from gypsumhold.model.jobs import specs
-from tests.jobs import job_specs
+from tests.jobs import job_specs, tail_latency
 
 Submission = tuple[float, specs.JobSpec]
-"""Time after the start of the load, in ms, and the job."""
+"""Time after the start of the load, in ms, and the job. Its `submitted_ms` is
+relative to that time; it is negative for a job that comes late."""
 
 StepTuple = tuple[specs.StepSpec, ...]
 
@@ -155,6 +156,61 @@
     return job_specs.build_job_of("serving", (step,))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slowing(Load):
+    """Best-effort jobs that slow the serving tasks of most workers down.
+
+    A run of them may stand still for as long as its worker serves. Some were
+    submitted long ago, so that they give way to the others.
+    """
+
+    jobs_per_agent: float = 1.5
+    duration_ms: float = 6000.0
+    served_share: float = 0.85
+    late_share: float = 0.5
+    max_age_ms: int = 60_000
+    images: tuple[specs.Image, ...] = (
+        tail_latency.HEAVY,
+        tail_latency.EXTREME,
+        tail_latency.EXTREME,
+    )
+
+    def list_submissions(
+        self, source: random.Random, agents: int
+    ) -> Iterator[Submission]:
+        yield 0.0, self._build_serving_job(agents)
+        for number in range(int(self.jobs_per_agent * agents)):
+            step = specs.StepSpec(
+                1,
+                source.choice((2000, 3500, 4000)),
+                source.choice((3000, 5776)),
+                fills=True,
+                checkpoints=source.random() < 0.8,
+                image=source.choice(self.images),
+            )
+            widths = [source.randint(1, 4), source.randint(1, 4)]
+            spec = job_specs.build_job_of(
+                f"slowing-{number:04}", build_chain(source, widths, step)
+            )
+            if source.random() < self.late_share:
+                age_ms = source.randint(self.max_age_ms // 2, self.max_age_ms)
+                spec = msgspec.structs.replace(spec, submitted_ms=-age_ms)
+            yield source.uniform(1500, self.duration_ms), spec
+
+    def _build_serving_job(self, agents: int) -> specs.JobSpec:
+        step = specs.StepSpec(
+            int(agents * self.served_share),
+            6000,
+            6000,
+            estimate_ms=1000,
+            long_running=True,
+            max_per_worker=1,
+            target_latency_ms=50,
+            image=tail_latency.SENSITIVE,
+        )
+        return job_specs.build_job_of("serving", (step,))
+
+
 class Gangs(Load):
     """Jobs whose second step is a gang, beside jobs of short steps."""
 
@@ -219,6 +275,7 @@
     "waves": Waves(),
     "fills": BestEffort(),
     "crowd": Crowd(),
+    "slowing": Slowing(),
     "gangs": Gangs(),
     "wide": WideSteps(),
     "mixed": Mixed(),
--- a/tests/jobs/test_colocation.py
+++ b/tests/jobs/test_colocation.py
@@ -7,7 +7,6 @@
 
 import dataclasses
 import datetime
-import math
 
 import pytest
 
@@ -28,21 +27,17 @@
     runs,
     specs,
 )
+from tests.jobs import tail_latency
 
 TARGET_MS = 100
 POLL_INTERVAL = datetime.timedelta(milliseconds=300)
-SENSITIVE = specs.Image("sensitive")
-ROBUST = specs.Image("robust")
-HEAVY = specs.Image("heavy")
-LIGHT = specs.Image("light")
-EXTREME = specs.Image("extreme")
-TRUE_INTERFERENCE = {
-    runs.ImagePair(SENSITIVE, HEAVY): 0.2,
-    runs.ImagePair(SENSITIVE, LIGHT): 0.01,
-    runs.ImagePair(SENSITIVE, EXTREME): 0.6,
-    runs.ImagePair(ROBUST, HEAVY): 0.01,
-    runs.ImagePair(ROBUST, LIGHT): 0.01,
-}
+SENSITIVE = tail_latency.SENSITIVE
+ROBUST = tail_latency.ROBUST
+HEAVY = tail_latency.HEAVY
+LIGHT = tail_latency.LIGHT
+EXTREME = tail_latency.EXTREME
+TRUE_INTERFERENCE = tail_latency.TRUE_INTERFERENCE
+LOAD = tail_latency.ServingLoad()
 WORKER = runs.Worker(
     runs.WorkerIncarnation("w", 1),
     specs.PoolName("pool"),
@@ -132,8 +127,7 @@
     on_target_at = longest = datetime.timedelta(0)
     for number in range(polls):
         now = POLL_INTERVAL * number
-        load = 0.42 * (1 + 0.5 * math.sin(now.total_seconds() * 0.63))
-        headroom = 4.5 * (1 - load)
+        load = LOAD.measure(now.total_seconds())
         for local_run in state.active.values():
             command = local_run.command
             assert command is not None
@@ -151,10 +145,9 @@
             command = local_run.command
             assert command is not None
             if not command.best_effort:
-                remaining = headroom - compute_taken_headroom(
-                    state, command.image
-                )
-                tail = TARGET_MS / max(0.05, remaining)
+                taken = compute_taken_headroom(state, command.image)
+                headroom = tail_latency.compute_headroom(load, taken)
+                tail = tail_latency.compute_tail_ms(TARGET_MS, headroom)
                 over_target += tail > TARGET_MS
                 local_run.row = runs.RunRow(local_run.ref, usage=round(tail))
         if all(
@@ -181,16 +174,15 @@
 def compute_taken_headroom(
     state: executor.ExecutorState, serving: specs.Image
 ) -> float:
-    taken = 0.0
+    cores: dict[specs.Image, float] = {}
     for local_run in state.active.values():
-        if (
-            local_run.command is not None
-            and local_run.command.best_effort
-            and local_run.row
-        ):
-            pair = runs.ImagePair(serving, local_run.command.image)
-            taken += TRUE_INTERFERENCE[pair] * local_run.row.usage / 1000
-    return taken
+        command, row = local_run.command, local_run.row
+        if command is not None and command.best_effort and row:
+            used = row.usage / interference.CORE_MILLIS
+            cores[command.image] = cores.get(command.image, 0.0) + used
+    return tail_latency.compute_taken_headroom(
+        TRUE_INTERFERENCE, serving, cores
+    )
 
 
 def test_throttled_runs_use_the_headroom_that_load_leaves() -> None:
--- a/tests/jobs/wait_oracle.py
+++ b/tests/jobs/wait_oracle.py
@@ -9,7 +9,7 @@
 
 from gypsumhold.model import resources
 from gypsumhold.model.jobs import messages, runs, specs
-from tests.jobs import oracle, store_fake, worker_fake
+from tests.jobs import oracle, store_fake, wait_rules, worker_fake
 
 MAX_WAIT_MS = 3000.0
 """Longest time that an open job may have nothing running."""
@@ -68,6 +68,9 @@
         started_ms: Start of the incarnation of each worker.
         done: Tasks that are done, by job and step.
         last_run_ms: When a task that lasts last ran.
+        run_rule: Which runs keep their job from waiting. Those of tasks that
+            last always do.
+        lost_ends: What becomes of an end that its worker loses.
     """
 
     store: store_fake.FakeStore
@@ -87,31 +90,48 @@
     last_run_ms: dict[runs.TaskRef, float] = dataclasses.field(
         default_factory=dict
     )
+    run_rule: wait_rules.RunRule = dataclasses.field(
+        default_factory=wait_rules.AnyRun
+    )
+    lost_ends: wait_rules.LostEnds = wait_rules.LostEnds.RUN_AGAIN
 
     def sample(self, now_ms: float) -> None:
         """Reads all workers and updates the waits."""
-        running: set[runs.TaskRef] = set()
+        up = [
+            worker
+            for worker in self.workers.values()
+            if worker.up_at_ms <= now_ms
+        ]
+        for worker in up:
+            worker.advance(now_ms)
         for instance, worker in self.workers.items():
-            if worker.up_at_ms <= now_ms:
-                worker.advance(now_ms)
-                running.update(worker.running)
             self._read_ends(instance, worker)
-        room = _Room(
-            [
-                worker
-                for worker in self.workers.values()
-                if worker.up_at_ms <= now_ms and not worker.draining
-            ]
-        )
+        running = {task for worker in up for task in worker.running}
+        working_jobs = {
+            run.ref.task.job_id
+            for worker in up
+            for run in worker.running.values()
+            if self._counts(worker, run)
+        }
+        room = _Room([worker for worker in up if not worker.draining])
         is_half_free = room.measure_used_share() < MAX_USED_SHARE
         waiting = dict(
-            self._list_waiting(running, room, now_ms, is_half_free=is_half_free)
+            self._list_waiting(
+                running, working_jobs, room, now_ms, is_half_free=is_half_free
+            )
         )
         for key in self.waits.keys() - waiting.keys():
             del self.waits[key]
         for key, task in waiting.items():
             self._extend_wait(key, task, now_ms)
 
+    def _counts(
+        self, worker: worker_fake.FakeWorker, run: worker_fake.FakeRun
+    ) -> bool:
+        task = run.ref.task
+        is_done = task.index in self.done.get((task.job_id, task.step), ())
+        return self.run_rule.counts(worker, run, is_done=is_done)
+
     def _extend_wait(self, key: Key, task: runs.TaskRef, now_ms: float) -> None:
         before = self.waits.get(key, Wait(task, now_ms, now_ms))
         wait = dataclasses.replace(before, task=task, until_ms=now_ms)
@@ -126,13 +146,15 @@
         """Counts tasks as done from their end on the worker.
 
         An end that the worker loses in a restart, before it was acknowledged,
-        does not count any more: the task runs again.
+        does not count any more: the task runs again. Where lost ends count,
+        it does.
         """
         listed = self.listed_done.setdefault(instance, set())
         if self.started_ms.get(instance) != worker.started_ms:
             self.started_ms[instance] = worker.started_ms
-            for task in listed - self.checks.noted_done.keys():
-                self._get_done(task).discard(task.index)
+            if self.lost_ends is wait_rules.LostEnds.RUN_AGAIN:
+                for task in listed - self.checks.noted_done.keys():
+                    self._get_done(task).discard(task.index)
             listed.clear()
         listed.difference_update(self.checks.noted_done)
         first = self.seen_ends.get(instance, 0)
@@ -148,17 +170,17 @@
     def _list_waiting(
         self,
         running: set[runs.TaskRef],
+        working_jobs: set[specs.JobId],
         room: "_Room",
         now_ms: float,
         *,
         is_half_free: bool,
     ) -> Iterator[tuple[Key, runs.TaskRef]]:
         """Yields what could run and does not, with its first such task."""
-        running_jobs = {task.job_id for task in running}
         for job_id, spec in self.store.jobs.items():
             if not self._is_open(job_id):
                 continue
-            if is_half_free and job_id not in running_jobs:
+            if is_half_free and job_id not in working_jobs:
                 task = self._find_due_task(spec, room)
                 if task is not None:
                     yield job_id, task
--- a/tests/jobs/wait_search.py
+++ b/tests/jobs/wait_search.py
@@ -15,7 +15,15 @@
 import msgspec
 
 from gypsumhold.model.jobs import effects, messages, specs
-from tests.jobs import large_world, loads, processors, wait_oracle
+from tests.jobs import (
+    large_world,
+    loads,
+    processors,
+    tail_latency,
+    wait_oracle,
+    wait_rules,
+    worker_speeds,
+)
 
 START_MS = 4000.0
 """Time until a holder places tasks."""
@@ -55,6 +63,9 @@
         power_loss: Whether all machines lose power during the load.
         evacuation_ms: Time within which evacuations are obeyed; 0 where the
             platform sets none. No data centre is evacuated.
+        speeds: Whether runs have speeds; only those that work count then.
+        interference: Factor on how much images slow each other down.
+        lost_ends_count: Whether ends that workers lose count for good.
     """
 
     load: str
@@ -65,12 +76,24 @@
     cancelled_share: float = 0.0
     power_loss: bool = False
     evacuation_ms: float = 0.0
+    speeds: bool = False
+    interference: float = 1.0
+    lost_ends_count: bool = False
 
     def get_evacuation_time(self) -> datetime.timedelta | None:
         if not self.evacuation_ms:
             return None
         return datetime.timedelta(milliseconds=self.evacuation_ms)
 
+    def build_conditions(self) -> worker_speeds.Conditions | None:
+        if not self.speeds:
+            return None
+        return worker_speeds.Conditions(
+            tail_latency.scale(
+                tail_latency.TRUE_INTERFERENCE, self.interference
+            )
+        )
+
 
 def play(seed: int, setting: Setting) -> large_world.LargeWorld:
     """Plays a load and judges it from when it is calm until all jobs end."""
@@ -80,7 +103,12 @@
         setting.agents,
         costs,
         evacuation_time=setting.get_evacuation_time(),
+        conditions=setting.build_conditions(),
     )
+    if setting.speeds:
+        world.waits.run_rule = wait_rules.WorkingRun()
+    if setting.lost_ends_count:
+        world.waits.lost_ends = wait_rules.LostEnds.DONE
     world.run(START_MS)
     if setting.store_ms:
         world.pauses_ms[effects.CommitBatch] = lambda: world.random.uniform(
@@ -116,7 +144,8 @@
 
 def submit(world: large_world.LargeWorld, spec: specs.JobSpec) -> None:
     entry = world.random.choice(list(world.processors))
-    submitted = msgspec.structs.replace(spec, submitted_ms=int(world.now_ms))
+    submitted_ms = int(world.now_ms) + spec.submitted_ms
+    submitted = msgspec.structs.replace(spec, submitted_ms=submitted_ms)
     world.submit(entry, submitted)
 
 
@@ -236,6 +265,9 @@
     parser.add_argument("--cancelled-share", type=float, default=0.0)
     parser.add_argument("--power-loss", action="store_true")
     parser.add_argument("--evacuation-ms", type=float, default=0.0)
+    parser.add_argument("--speeds", action="store_true")
+    parser.add_argument("--interference", type=float, default=1.0)
+    parser.add_argument("--lost-ends-count", action="store_true")
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=10)
     arguments = parser.parse_args()
@@ -248,6 +280,9 @@
         arguments.cancelled_share,
         arguments.power_loss,
         arguments.evacuation_ms,
+        arguments.speeds,
+        arguments.interference,
+        arguments.lost_ends_count,
     )
     print(setting, flush=True)
     failed = False
--- a/tests/jobs/worker_fake.py
+++ b/tests/jobs/worker_fake.py
@@ -1,7 +1,10 @@
 """A fake worker with the platform's rules for fences, runs, leases and ends."""
 
+import abc
 import dataclasses
 
+import msgspec
+
 from gypsumhold.model import resources
 from gypsumhold.model.jobs import effects, events, runs
 
@@ -12,6 +15,10 @@
 shortened."""
 
 
+LASTING_MS = 1e9
+"""Work of a task that runs until its job is cancelled."""
+
+
 @dataclasses.dataclass(slots=True)
 class FakeRun:
     """A running task; its times are readings of the simulation's clock.
@@ -35,6 +42,71 @@
     stopped_at_ms: float | None = None
 
 
+class WorkModel(abc.ABC):
+    """How the runs of a worker get on, and what the worker tells of that."""
+
+    @abc.abstractmethod
+    def begin(
+        self, run: FakeRun, command: runs.StartCommand, now_ms: float
+    ) -> None:
+        """Takes note of a run that has just started."""
+
+    @abc.abstractmethod
+    def work(self, worker: "FakeWorker", until_ms: float) -> None:
+        """Lets the runs of a worker go on until a time."""
+
+    @abc.abstractmethod
+    def throttle(self, ref: runs.RunRef, percent: int, now_ms: float) -> None:
+        """Limits a run to a percentage of its full speed."""
+
+    @abc.abstractmethod
+    def estimate_finish_ms(self, run: FakeRun, now_ms: float) -> float:
+        """Returns when a run ends by itself at its present speed."""
+
+    @abc.abstractmethod
+    def get_speed(self, run: FakeRun) -> float:
+        """Returns the present speed of a run as a share of full speed."""
+
+    @abc.abstractmethod
+    def read_checkpoint(self, run: FakeRun) -> runs.Checkpoint:
+        """Returns the latest saved progress of a run."""
+
+    @abc.abstractmethod
+    def build_row(self, run: FakeRun) -> runs.RunRow:
+        """Returns what the worker lists of a run."""
+
+
+class FixedEnds(WorkModel):
+    """Baseline: each run ends at a time that is fixed at its start."""
+
+    def begin(
+        self, run: FakeRun, command: runs.StartCommand, now_ms: float
+    ) -> None:
+        """Does nothing: the run has its end already."""
+
+    def work(self, worker: "FakeWorker", until_ms: float) -> None:
+        """Does nothing: no run depends on what happens meanwhile."""
+
+    def throttle(self, ref: runs.RunRef, percent: int, now_ms: float) -> None:
+        """Does nothing: a run is never throttled."""
+
+    def estimate_finish_ms(self, run: FakeRun, now_ms: float) -> float:
+        """Returns the fixed end."""
+        return run.finish_ms
+
+    def get_speed(self, run: FakeRun) -> float:
+        """Returns full speed."""
+        return 1.0
+
+    def read_checkpoint(self, run: FakeRun) -> runs.Checkpoint:
+        """Returns none: runs begin anew."""
+        return runs.Checkpoint("")
+
+    def build_row(self, run: FakeRun) -> runs.RunRow:
+        """Returns a row without progress and usage."""
+        return runs.RunRow(run.ref)
+
+
 @dataclasses.dataclass(slots=True)
 class FakeWorker:
     """One worker; `restart` begins its next incarnation.
@@ -66,6 +138,7 @@
         labels: Its kind and its rack.
         zone: Its data centre.
         former_capacities: Capacities before each change, with its time.
+        work_model: How its runs get on.
     """
 
     name: str
@@ -100,6 +173,7 @@
     former_capacities: list[tuple[float, resources.Resources]] = (
         dataclasses.field(default_factory=list)
     )
+    work_model: WorkModel = dataclasses.field(default_factory=FixedEnds)
 
     def read_capacity(self) -> resources.Resources:
         return resources.Resources(
@@ -123,11 +197,18 @@
 
     def list_runs(self) -> tuple[runs.RunRow, ...]:
         return tuple(
-            runs.RunRow(run.ref, runs.Checkpoint("c" * self.checkpoint_chars))
+            self._build_row(run)
             for run in self.running.values()
             if not (self.hides_stopping and run.stopped_at_ms is not None)
         )
 
+    def _build_row(self, run: FakeRun) -> runs.RunRow:
+        row = self.work_model.build_row(run)
+        if not self.checkpoint_chars:
+            return row
+        checkpoint = runs.Checkpoint("c" * self.checkpoint_chars)
+        return msgspec.structs.replace(row, checkpoint=checkpoint)
+
     def list_ends(self) -> tuple[runs.EndRow, ...]:
         return tuple(self.ends[: self.max_listed_ends])
 
@@ -171,8 +252,11 @@
     def advance(self, now_ms: float) -> None:
         """Ends the runs that have finished or whose lease has expired."""
         expired = self.read_clock(now_ms) >= self.until_ms
+        lease_end_ms = self.up_at_ms + self.until_ms / self.rate
+        self.work_model.work(self, min(now_ms, lease_end_ms))
         for run in list(self.running.values()):
-            if run.finish_ms <= now_ms and not self.stuck:
+            finish_ms = self.work_model.estimate_finish_ms(run, now_ms)
+            if finish_ms <= now_ms and not self.stuck:
                 self.end_run(run, run.end)
             elif run.stopped_at_ms is not None and run.stopped_at_ms <= now_ms:
                 self.end_run(run, runs.RunEnd.STOPPED)
@@ -182,7 +266,12 @@
     def end_run(self, run: FakeRun, end: runs.RunEnd) -> None:
         del self.running[run.ref.task]
         self.last_end += 1
-        row = runs.EndRow(runs.EndNumber(self.last_end), run.ref, end)
+        row = runs.EndRow(
+            runs.EndNumber(self.last_end),
+            run.ref,
+            end,
+            self.work_model.read_checkpoint(run),
+        )
         self.ends.append(row)
         self.finished.append(row)
 
@@ -236,7 +325,7 @@
             return Result.STALE
         self.highest_runs[task] = run
         cpu_millis = 0 if command.best_effort else command.cpu_millis
-        self.running[task] = FakeRun(
+        started = FakeRun(
             command.ref,
             finish_ms,
             end,
@@ -244,6 +333,12 @@
             command.memory_mb,
             command.accelerators,
         )
+        self.running[task] = started
+        self.work_model.begin(started, command, now_ms)
+        return Result.DONE
+
+    def throttle(self, effect: effects.ThrottleRun, now_ms: float) -> Result:
+        self.work_model.throttle(effect.ref, effect.throttle_percent, now_ms)
         return Result.DONE
 
     def stop(self, effect: effects.StopRun, now_ms: float = 0.0) -> Result:
--- a/tests/jobs/worker_link.py
+++ b/tests/jobs/worker_link.py
@@ -188,7 +188,7 @@
             result = worker.stop(effect, self.now_ms)
             kind, ref = events.CommandKind.STOP, effect.ref
         else:
-            result = events.CommandResult.DONE
+            result = worker.throttle(effect, self.now_ms)
             kind, ref = events.CommandKind.THROTTLE, effect.ref
         return events.CommandAnswered(
             effect.worker.incarnation,
@@ -250,5 +250,5 @@
     def _draw_work_ms(self, task: runs.TaskRef) -> float:
         step = self.store.jobs[task.job_id].steps[task.step]
         if step.long_running:
-            return 1e9
+            return worker_fake.LASTING_MS
         return self.random.uniform(300, 2500)
