--- a/tests/jobs/test_wait_oracle.py
+++ b/tests/jobs/test_wait_oracle.py
@@ -7,12 +7,16 @@
     job_specs,
     oracle,
     store_fake,
+    tail_latency,
     wait_oracle,
+    wait_rules,
     worker_fake,
+    worker_speeds,
 )
 
 SAMPLE_MS = 50.0
 LATE_MS = 20_000.0
+MACHINE = worker_speeds.Machine(1.0, tail_latency.ServingLoad(), {})
 
 
 class Site:
@@ -45,6 +49,22 @@
             ref, self.now_ms + for_ms, runs.RunEnd.DONE, cpu_millis
         )
 
+    def start_with_speed(self, instance: str = "first") -> runs.RunRef:
+        """Starts a best-effort run of the first task, which has a speed."""
+        task = runs.TaskRef(specs.JobId("j"), 0, 0, 0)
+        ref = runs.RunRef(task, runs.RunNumber(1))
+        command = runs.StartCommand(
+            ref, "", runs.Checkpoint(""), 1000, 1000, 0, best_effort=True
+        )
+        worker = self.workers[instance]
+        worker.work_model = worker_speeds.VaryingSpeeds(MACHINE, lambda _: True)
+        run = worker_fake.FakeRun(
+            ref, self.now_ms + LATE_MS, runs.RunEnd.DONE, 0
+        )
+        worker.running[task] = run
+        worker.work_model.begin(run, command, self.now_ms)
+        return ref
+
     def sample(self, for_ms: float) -> None:
         until_ms = self.now_ms + for_ms
         while self.now_ms < until_ms:
@@ -198,3 +218,111 @@
     site.workers["second"].labels = ("special", "r1-2")
     site.sample(2 * wait_oracle.MAX_WAIT_MS)
     assert list(site.waits.violations) == ["j"]
+
+
+def test_end_that_was_lost_before_the_first_sample_does_not_count() -> None:
+    """Guards against a job that is not judged although its task runs again."""
+    site = Site()
+    site.submit(build_step())
+    site.start(step=0, for_ms=500)
+    first = site.workers["first"]
+    first.advance(600)
+    first.restart(600, 0.0)
+    site.now_ms = 600
+    site.sample(2 * wait_oracle.MAX_WAIT_MS)
+    assert list(site.waits.violations) == ["j"]
+
+
+@pytest.mark.parametrize("is_sampled", [False, True])
+def test_lost_end_counts_for_good_as_for_the_platform(
+    is_sampled: bool,
+) -> None:
+    """Guards against a second step that counts as not due on a lost end.
+
+    The end is lost before the first sample, or after it.
+    """
+    site = Site()
+    site.waits.lost_ends = wait_rules.LostEnds.DONE
+    site.submit(build_step(), specs.StepSpec(1, 1000, 1000, after=(0,)))
+    site.start(step=0, for_ms=500)
+    if is_sampled:
+        site.sample(600)
+    site.now_ms = 600
+    first = site.workers["first"]
+    first.advance(site.now_ms)
+    first.restart(site.now_ms, 0.0)
+    site.sample(2 * wait_oracle.MAX_WAIT_MS)
+    wait = site.waits.violations[specs.JobId("j")]
+    assert wait.task.step == 1
+
+
+@pytest.mark.parametrize("counts_for_good", [False, True])
+def test_second_run_of_a_done_task_does_not_count_as_work(
+    counts_for_good: bool,
+) -> None:
+    """Guards against a run whose work is lost that hides an idle job."""
+    site = Site()
+    site.waits.run_rule = wait_rules.WorkingRun()
+    if counts_for_good:
+        site.waits.lost_ends = wait_rules.LostEnds.DONE
+    site.submit(build_step(), specs.StepSpec(1, 1000, 1000, after=(0,)))
+    site.start(step=0, for_ms=500)
+    site.sample(600)
+    first = site.workers["first"]
+    first.restart(site.now_ms, 0.0)
+    first.until_ms = 10**9
+    site.start(step=0)
+    site.sample(2 * wait_oracle.MAX_WAIT_MS)
+    assert bool(site.waits.violations) is counts_for_good
+
+
+@pytest.mark.parametrize(
+    ("percent", "is_reported"), [(0, True), (9, True), (10, False)]
+)
+def test_run_that_hardly_works_is_reported(
+    percent: int, is_reported: bool
+) -> None:
+    """Guards against a run that stands still and hides that its job does."""
+    site = Site()
+    site.waits.run_rule = wait_rules.WorkingRun()
+    site.submit(build_step())
+    ref = site.start_with_speed()
+    site.workers["first"].work_model.throttle(ref, percent, site.now_ms)
+    site.sample(wait_oracle.MAX_WAIT_MS)
+    assert site.waits.violations == {}
+    site.sample(worker_speeds.THROTTLE_DELAY_MS + 3 * SAMPLE_MS)
+    assert bool(site.waits.violations) is is_reported
+
+
+def test_run_that_works_now_and_then_is_not_reported() -> None:
+    """Guards against short halts that count as one long one."""
+    site = Site()
+    site.waits.run_rule = wait_rules.WorkingRun()
+    site.submit(build_step())
+    ref = site.start_with_speed()
+    for percent in (0, 50, 0, 50, 0):
+        site.workers["first"].work_model.throttle(ref, percent, site.now_ms)
+        site.sample(wait_oracle.MAX_WAIT_MS - 500)
+    assert site.waits.violations == {}
+
+
+def test_halted_run_counts_without_the_rule() -> None:
+    """Guards against a change of what the oracle reports by default."""
+    site = Site()
+    site.submit(build_step())
+    ref = site.start_with_speed()
+    site.workers["first"].work_model.throttle(ref, 0, site.now_ms)
+    site.sample(2 * wait_oracle.MAX_WAIT_MS)
+    assert site.waits.longest == {}
+
+
+def test_halted_run_counts_in_a_fleet_half_full() -> None:
+    """Guards against reports where the platform judges nothing."""
+    site = Site()
+    site.waits.run_rule = wait_rules.WorkingRun()
+    site.submit(build_step())
+    site.start(step=0, job="other", cpu_millis=8000)
+    ref = site.start_with_speed("second")
+    site.workers["second"].work_model.throttle(ref, 0, site.now_ms)
+    site.sample(2 * wait_oracle.MAX_WAIT_MS)
+    assert site.waits.longest == {}
--- a/tests/jobs/wait_oracle.py
+++ b/tests/jobs/wait_oracle.py
@@ -160,10 +160,22 @@
         first = self.seen_ends.get(instance, 0)
         self.seen_ends[instance] = len(worker.finished)
         for end in worker.finished[first:]:
-            if end.end is runs.RunEnd.DONE:
+            if end.end is runs.RunEnd.DONE and self._is_kept(worker, end):
                 self._get_done(end.ref.task).add(end.ref.task.index)
                 listed.add(end.ref.task)
 
+    def _is_kept(
+        self, worker: worker_fake.FakeWorker, end: runs.EndRow
+    ) -> bool:
+        """Tells whether an end counts that is read for the first time.
+
+        Its worker may have lost it already, between two samples or before the
+        first one.
+        """
+        if self.lost_ends is wait_rules.LostEnds.DONE:
+            return True
+        return end in worker.ends or end.ref.task in self.checks.noted_done
+
     def _get_done(self, task: runs.TaskRef) -> set[int]:
         return self.done.setdefault((task.job_id, task.step), set())
 
