Schedule the loss of power of a search in a function of its own

Change: one function for it; the time is at least 0. The workers of test_worker_speeds have a name of their own.

--- a/tests/jobs/test_worker_speeds.py
+++ b/tests/jobs/test_worker_speeds.py
@@ -15,7 +15,7 @@
 LISTED = builders.build_worker(runs.WorkerIncarnation("w", 1))
 
 
-class Machine:
+class LoneWorker:
     """A worker of eight cores whose runs have speeds."""
 
     def __init__(
@@ -95,47 +95,47 @@
 
 def test_throttled_run_works_at_that_percent() -> None:
     """Guards against throttle commands that change nothing."""
-    machine = Machine()
-    ref = machine.start(0, work_ms=1000)
-    machine.throttle(ref, 50)
-    machine.wait(worker_speeds.THROTTLE_DELAY_MS)
-    assert machine.find_row(ref).progress_percent == 10
-    machine.wait(800)
-    row = machine.find_row(ref)
+    lone = LoneWorker()
+    ref = lone.start(0, work_ms=1000)
+    lone.throttle(ref, 50)
+    lone.wait(worker_speeds.THROTTLE_DELAY_MS)
+    assert lone.find_row(ref).progress_percent == 10
+    lone.wait(800)
+    row = lone.find_row(ref)
     assert row.progress_percent == 50
     assert row.usage == 1000
-    machine.wait(1000)
-    assert [end.end for end in machine.worker.ends] == [runs.RunEnd.DONE]
+    lone.wait(1000)
+    assert [end.end for end in lone.worker.ends] == [runs.RunEnd.DONE]
 
 
 def test_halted_run_never_ends() -> None:
     """Guards against runs that end while they stand still."""
-    machine = Machine()
-    ref = machine.start(0, work_ms=1000)
-    machine.throttle(ref, 0)
-    machine.wait(100_000)
-    row = machine.find_row(ref)
+    lone = LoneWorker()
+    ref = lone.start(0, work_ms=1000)
+    lone.throttle(ref, 0)
+    lone.wait(100_000)
+    row = lone.find_row(ref)
     assert (row.progress_percent, row.usage) == (10, 0)
 
 
 def test_usage_covers_half_a_second() -> None:
     """Guards against readings that follow a halt at once."""
-    machine = Machine()
-    ref = machine.start(0)
-    machine.wait(1000)
-    machine.throttle(ref, 0)
-    machine.wait(worker_speeds.THROTTLE_DELAY_MS + 250)
-    assert machine.find_row(ref).usage == 1000
-    machine.wait(250)
-    assert machine.find_row(ref).usage == 0
+    lone = LoneWorker()
+    ref = lone.start(0)
+    lone.wait(1000)
+    lone.throttle(ref, 0)
+    lone.wait(worker_speeds.THROTTLE_DELAY_MS + 250)
+    assert lone.find_row(ref).usage == 1000
+    lone.wait(250)
+    assert lone.find_row(ref).usage == 0
 
 
 def test_slow_machine_takes_longer_with_all_the_cpu() -> None:
     """Guards against slow workers that list less CPU than they use."""
-    machine = Machine(speed=0.5)
-    ref = machine.start(0, work_ms=2000)
-    machine.wait(1000)
-    row = machine.find_row(ref)
+    lone = LoneWorker(speed=0.5)
+    ref = lone.start(0, work_ms=2000)
+    lone.wait(1000)
+    row = lone.find_row(ref)
     assert (row.progress_percent, row.usage) == (25, 2000)
 
 
@@ -146,48 +146,48 @@
     ordinary_millis: int, usage: int
 ) -> None:
     """Guards against best-effort runs that use the CPU of ordinary ones."""
-    machine = Machine()
+    lone = LoneWorker()
     if ordinary_millis:
-        machine.start(2, ordinary_millis, best_effort=False)
-    refs = [machine.start(index, 6000) for index in range(2)]
-    machine.wait(1000)
-    assert [machine.find_row(ref).usage for ref in refs] == [usage] * 2
+        lone.start(2, ordinary_millis, best_effort=False)
+    refs = [lone.start(index, 6000) for index in range(2)]
+    lone.wait(1000)
+    assert [lone.find_row(ref).usage for ref in refs] == [usage] * 2
 
 
 def test_serving_runs_leave_what_their_load_does_not_use() -> None:
-    machine = Machine()
-    machine.serve(0, 4000)
-    ref = machine.start(1, 8000)
-    machine.wait(1000)
-    assert machine.find_row(ref).usage == 6000
+    lone = LoneWorker()
+    lone.serve(0, 4000)
+    ref = lone.start(1, 8000)
+    lone.wait(1000)
+    assert lone.find_row(ref).usage == 6000
 
 
 def test_tail_latency_follows_the_best_effort_runs() -> None:
     """Guards against serving runs that nothing slows down."""
-    machine = Machine(tail_latency.TRUE_INTERFERENCE)
-    serving = machine.serve(0)
-    machine.wait(1000)
-    alone = machine.find_row(serving)
+    lone = LoneWorker(tail_latency.TRUE_INTERFERENCE)
+    serving = lone.serve(0)
+    lone.wait(1000)
+    alone = lone.find_row(serving)
     assert alone.progress_percent == worker_speeds.FULL_PERCENT
     assert alone.usage == round(TARGET_MS / (4.5 * 0.5))
-    ref = machine.start(1, 5000)
-    machine.wait(1000)
-    beside = machine.find_row(serving)
+    ref = lone.start(1, 5000)
+    lone.wait(1000)
+    beside = lone.find_row(serving)
     assert beside.usage == round(TARGET_MS / (4.5 * 0.5 - 0.2 * 5))
-    machine.throttle(ref, 0)
-    machine.wait(1000)
-    assert machine.find_row(serving).usage == alone.usage
+    lone.throttle(ref, 0)
+    lone.wait(1000)
+    assert lone.find_row(serving).usage == alone.usage
 
 
 def test_run_goes_on_from_its_checkpoint_elsewhere() -> None:
     """Guards against work that is done twice, or never."""
-    first = Machine()
+    first = LoneWorker()
     ref = first.start(0, work_ms=2000)
     first.wait(1300)
     first.worker.stop(effects.StopRun(LISTED, 0, ref))
     end = first.worker.ends[0]
     assert end.end is runs.RunEnd.STOPPED
-    second = Machine()
+    second = LoneWorker()
     again = second.start(0, work_ms=9000, checkpoint=end.checkpoint)
     assert second.find_row(again).progress_percent == 50
     second.wait(1000)
@@ -196,29 +196,29 @@
 
 def test_run_without_checkpoints_starts_anew() -> None:
     """Guards against progress that the platform would have lost."""
-    machine = Machine(saves_progress=False)
-    ref = machine.start(0, work_ms=2000)
-    machine.wait(1300)
-    machine.worker.stop(effects.StopRun(LISTED, 0, ref))
-    assert machine.worker.ends[0].checkpoint == ""
+    lone = LoneWorker(saves_progress=False)
+    ref = lone.start(0, work_ms=2000)
+    lone.wait(1300)
+    lone.worker.stop(effects.StopRun(LISTED, 0, ref))
+    assert lone.worker.ends[0].checkpoint == ""
 
 
 def test_no_work_is_done_after_the_lease() -> None:
     """Guards against runs that count as done although their lease expired."""
-    machine = Machine()
-    machine.start(0, work_ms=2000)
-    machine.worker.until_ms = 1000
-    machine.wait(5000)
-    assert [end.end for end in machine.worker.ends] == [runs.RunEnd.EXPIRED]
+    lone = LoneWorker()
+    lone.start(0, work_ms=2000)
+    lone.worker.until_ms = 1000
+    lone.wait(5000)
+    assert [end.end for end in lone.worker.ends] == [runs.RunEnd.EXPIRED]
 
 
 def test_fixed_ends_ignore_throttling() -> None:
     """Guards against changed timing where no speeds are asked for."""
-    machine = Machine()
-    machine.worker.work_model = worker_fake.FixedEnds()
-    ref = machine.start(0, work_ms=1000)
-    machine.throttle(ref, 0)
-    machine.wait(500)
-    assert machine.find_row(ref) == runs.RunRow(ref)
-    machine.wait(500)
-    assert [end.end for end in machine.worker.ends] == [runs.RunEnd.DONE]
+    lone = LoneWorker()
+    lone.worker.work_model = worker_fake.FixedEnds()
+    ref = lone.start(0, work_ms=1000)
+    lone.throttle(ref, 0)
+    lone.wait(500)
+    assert lone.find_row(ref) == runs.RunRow(ref)
+    lone.wait(500)
+    assert [end.end for end in lone.worker.ends] == [runs.RunEnd.DONE]
--- a/tests/jobs/wait_search.py
+++ b/tests/jobs/wait_search.py
@@ -127,19 +127,33 @@
     last_ms = submit_load(world, source, setting)
     inject_faults(world, source, setting.faults, last_ms)
     if setting.power_loss:
-        calm_ms = MAX_DOWN_MS + wait_oracle.CALM_MS
-        lost_ms = max(MIN_LOSS_MS, last_ms - calm_ms)
-        last_ms = lost_ms + calm_ms
-        world.after(
-            lost_ms - setting.store_down_ms,
-            lambda: setattr(world, "store_down", setting.store_down_ms > 0),
-        )
-        world.after(lost_ms, lambda: lose_power(world))
+        last_ms = schedule_power_loss(world, setting, last_ms)
     world.run(last_ms)
     world.judge(JUDGED_MS, lambda: not list_open_jobs(world))
     return world
 
 
+def schedule_power_loss(
+    world: large_world.LargeWorld, setting: Setting, last_ms: float
+) -> float:
+    """Schedules a loss of power; returns the time until it is calm after it.
+
+    Args:
+        world: The world.
+        setting: What is simulated.
+        last_ms: Time until the last submission.
+    """
+    calm_ms = MAX_DOWN_MS + wait_oracle.CALM_MS
+    lost_ms = max(MIN_LOSS_MS, last_ms - calm_ms)
+    if setting.store_down_ms:
+        world.after(
+            max(0.0, lost_ms - setting.store_down_ms),
+            lambda: setattr(world, "store_down", True),
+        )
+    world.after(lost_ms, lambda: lose_power(world))
+    return lost_ms + calm_ms
+
+
 def submit_load(
     world: large_world.LargeWorld, source: random.Random, setting: Setting
 ) -> float:
