--- a/src/gypsumhold/decisions/jobs/boosts.py
+++ b/src/gypsumhold/decisions/jobs/boosts.py
@@ -74,8 +74,6 @@
     """
     if not _has_share_left(plan, job):
         return []
-    wait = plan.holder_state.run_waits.jobs[job.spec.job_id]
-    wait.boost_tried_at = plan.now
     here = max(
         _list_present(plan, job), key=lambda option: option.share, default=None
     )
@@ -101,7 +99,7 @@
         for step in job.steps
         if step.open and step.spec.fills
         for task in step.tasks
-        if task.is_placed() and task.boosted_at is not None
+        if task.is_working() and task.boosted_at is not None
     )
     return boosted_millis < fleet_millis * MAX_BOOSTED_SHARE
 
@@ -215,12 +213,17 @@
     step: progress.Step,
     index: int,
 ) -> Iterator[policies.Candidate]:
-    """Yields the sound workers that have room for a task and don't run it."""
+    """Yields the sound workers that have room for a task.
+
+    Not the one on which it runs, nor one on which it failed or was halted.
+    """
     task = step.tasks[index]
+    excluded = task.excluded_instances | task.halted_on
+    if task.is_placed():
+        excluded.add(task.instance)
     usable = capacity.select_sound(plan.candidates, job, step).values()
     for candidate in capacity.list_fitting(usable, job, step):
-        is_here = task.is_placed() and candidate.instance == task.instance
-        if not is_here and candidate.instance not in task.excluded_instances:
+        if candidate.instance not in excluded:
             yield candidate
 
 
@@ -299,6 +302,7 @@
     ]
     task.boosted_at = plan.now
     if option.is_move:
+        task.halted_on.add(task.instance)
         emitted.append(
             migrations.start_migration(
                 plan.holder_state, placed, ref, option.candidate
--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -194,7 +194,10 @@
 def _count_boosted(
     candidate: policies.Candidate, placed: scheduler.PlacedTask
 ) -> None:
-    if placed.task.boosted_at is not None:
+    """Counts a boosted task, but for one that stands still all the same."""
+    task = placed.task
+    stands_still = task.is_running() and not task.is_working()
+    if task.boosted_at is not None and not stands_still:
         add_boosted(candidate, placed.step.spec)
 
 
--- a/src/gypsumhold/decisions/jobs/choices.py
+++ b/src/gypsumhold/decisions/jobs/choices.py
@@ -56,13 +56,19 @@
     def choose(
         self, task: progress.Task, *, late: bool = False
     ) -> policies.Candidate | None:
-        """Lets the placement policy choose among the fitting candidates."""
+        """Lets the placement policy choose among the fitting candidates.
+
+        A boosted task goes to the worker that was chosen for it: the policy
+        counts the best-effort tasks there, which come after it.
+        """
         fitting = self.list_fitting(task)
         targets = [
             candidate
             for candidate in fitting
             if candidate.instance == task.migration_target
         ]
+        if targets and task.boosted_at is not None:
+            return targets[0]
         return self._choose_among(task, targets, late) or self._choose_among(
             task, fitting, late
         )
--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -108,9 +108,9 @@
     throttled run counts as far as it was allowed to work. Away from its data
     or gang a task takes longer by a factor, which the run time leaves out. A
     run that is listed without its usage counts as working at full speed, and so
-    does one that lasts: its usage is not about its own work.
+    does a serving one, whose usage is a latency.
     """
-    if step.spec.long_running:
+    if step.spec.target_latency_ms:
         return
     share = 1.0
     if row.usage != runs.UNKNOWN_USAGE:
--- a/src/gypsumhold/decisions/jobs/migrations.py
+++ b/src/gypsumhold/decisions/jobs/migrations.py
@@ -11,7 +11,13 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import capacity, estimates, lifecycle, spreading
+from gypsumhold.decisions.jobs import (
+    capacity,
+    estimates,
+    lifecycle,
+    spreading,
+    starvation,
+)
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -82,8 +88,8 @@
     """Tells whether a running task has been too slow for too long."""
     if not task.is_placed() or not task.reported or task.migrating:
         return False
-    if task.boosted_at is not None:
-        # It stays until `boosts` finds that it does not work there.
+    boosted_at = task.boosted_at
+    if boosted_at is not None and now < boosted_at + starvation.BOOST_TIME:
         return False
     if job.gives_way:
         return _is_halted(step, task, now)
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -139,7 +139,6 @@
         self._is_full = False
         self._migrations_due = holder_state.migrations_due
         holder_state.migrations_due = False
-        self._boosts_left = MAX_BOOSTS if self._migrations_due else 0
 
     def place(self) -> None:
         """Places the jobs as far as the limits of a plan allow.
@@ -164,7 +163,11 @@
             self._place_starved()
 
     def _place_starved(self) -> None:
-        """Places a task, or a gang, of each starved job not yet looked at."""
+        """Places a task, or a gang, of each starved job not yet looked at.
+
+        Of a job that has only halted runs, one is to work first.
+        """
+        halted: list[progress.Job] = []
         holder_state = self._plan.holder_state
         most = self._placed + MAX_STARVED_JOBS
         for job in list(self._starved.values()):
@@ -174,22 +177,27 @@
             if not self._is_left(job):
                 continue
             if starvation.is_halted(holder_state, job):
-                self._boost(job)
+                halted.append(job)
             else:
                 self._place_first_run(job)
+        self._boost_halted(halted)
 
-    def _boost(self, job: progress.Job) -> None:
-        """Gets a run of a job to work of which all runs are halted.
+    def _boost_halted(self, halted: Sequence[progress.Job]) -> None:
+        """Gets a run to work of some of the jobs that are due for it.
 
         In a full fleet, the jobs that are worth more for their work come first.
         """
-        self._starved.pop(job.spec.job_id, None)
-        holder_state, now = self._plan.holder_state, self._plan.now
-        if self._is_full or not self._boosts_left:
+        for job in halted:
+            self._starved.pop(job.spec.job_id, None)
+        if self._is_full or not self._migrations_due:
             return
-        if not starvation.is_boost_due(holder_state, job, now):
-            return
-        self._boosts_left -= 1
+        for job in starvation.order_boosts(halted, self._plan.now)[:MAX_BOOSTS]:
+            self._boost(job)
+
+    def _boost(self, job: progress.Job) -> None:
+        """Gets a run of a job to work of which all runs are halted."""
+        holder_state, now = self._plan.holder_state, self._plan.now
+        job.boost_tried_at = now
         try:
             self.emitted += boosts.boost(self._plan, job)
         except Exception as problem:
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -7,6 +7,7 @@
 """
 
 import datetime
+from collections.abc import Iterable
 
 from gypsumhold.model.jobs import (
     messages,
@@ -105,17 +106,16 @@
     return wait is not None and wait.stage is waits.WaitStage.HALTED
 
 
-def is_boost_due(
-    holder_state: scheduler.HolderState,
-    job: progress.Job,
-    now: datetime.timedelta,
-) -> bool:
-    """Tells whether a way to get a halted job to work is to be looked for."""
-    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
-    if wait is None:
-        return False
-    tried_at = wait.boost_tried_at
-    return tried_at is None or now >= tried_at + BOOST_TIME
+def order_boosts(
+    halted: Iterable[progress.Job], now: datetime.timedelta
+) -> list[progress.Job]:
+    """Returns the halted jobs for which a boost is due.
+
+    The one for which none was looked for the longest comes first, so that jobs
+    that no worker lets work do not keep the others from their turn.
+    """
+    due = [job for job in halted if now >= job.boost_tried_at + BOOST_TIME]
+    return sorted(due, key=lambda job: job.boost_tried_at)
 
 
 def must_know_start(
--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -239,7 +239,9 @@
     None if no task is ready or placed, as in a timed job between repetitions.
     """
     stages = {
-        _find_task_stage(holder_state, job, task, wait)
+        waits.WaitStage.HALTED
+        if task.is_running() and step.has_halted_member()
+        else _find_task_stage(holder_state, job, task, wait)
         for step in job.steps
         if step.open and not step.spec.long_running
         for task in step.tasks
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -81,6 +81,7 @@
             latest line tells that the run works, or there is none.
         boosted_at: When the run was put before all other best-effort runs of
             its worker, as nothing of its job worked; None if it was not.
+        halted_on: Instances on which it was halted and left by a boost.
         migration_target: Instance on which the task continues once its run has
             been stopped; None if it stays where it is.
         excluded_instances: Instances on which the task failed or was refused.
@@ -122,6 +123,7 @@
     halted_since: datetime.timedelta | None = None
     halt_logged_since: datetime.timedelta | None = None
     boosted_at: datetime.timedelta | None = None
+    halted_on: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     migration_target: ids.InstanceId | None = None
     excluded_instances: set[ids.InstanceId] = dataclasses.field(
         default_factory=set
@@ -304,6 +306,8 @@
             with a higher one work first.
         set_aside: How long plans leave the job out, as the latest one that
             looked at it failed; None if that one did not fail.
+        boost_tried_at: When a way to get one of its halted runs to work was
+            last looked for.
         working_task: A task that worked when it was last looked for one.
         kinds: Kinds of steps that the job has.
     """
@@ -321,6 +325,7 @@
     gives_way: bool = False
     expected_return: float = 1.0
     set_aside: SetAside | None = None
+    boost_tried_at: datetime.timedelta = ZERO
     working_task: Task | None = None
     kinds: StepKinds = dataclasses.field(init=False)
 
--- a/src/gypsumhold/model/jobs/waits.py
+++ b/src/gypsumhold/model/jobs/waits.py
@@ -85,8 +85,6 @@
         spent: Time spent in earlier stages.
         placed_at: When a task was last placed during the wait; None if none
             was.
-        boost_tried_at: When a way to get a halted run to work was last looked
-            for; None if it was not.
         is_logged: Whether a line of the log tells about the wait.
         is_overdue_logged: Whether a line tells that it exceeds the limit.
     """
@@ -101,7 +99,6 @@
         default_factory=dict
     )
     placed_at: datetime.timedelta | None = None
-    boost_tried_at: datetime.timedelta | None = None
     is_logged: bool = False
     is_overdue_logged: bool = False
 
