Count only runs of known speed as work that a boost comes before

Cause: a run is taken to work until its speed is known, so a halted run was boosted in place beside runs that were about to be halted too, and the move that it needed came 1.5 s later.

--- a/src/gypsumhold/decisions/jobs/boosts.py
+++ b/src/gypsumhold/decisions/jobs/boosts.py
@@ -140,7 +140,8 @@
 ) -> float:
     """Returns the CPU that other best-effort runs beside a task use.
 
-    Those that are boosted do not count; in thousandths of a core.
+    Those that are boosted, or whose speed is not known yet, do not count; in
+    thousandths of a core.
     """
     view = plan.holder_state.agents[task.instance]
     return sum(
@@ -149,7 +150,8 @@
         if placed.step.spec.fills
         and placed.task is not task
         and placed.task.boosted_at is None
-        and placed.task.is_running()
+        and placed.task.is_working()
+        and not placed.task.is_new()
     )
 
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -172,9 +172,10 @@
         """
         if not self.is_running():
             return False
-        return self.halted_since is None or self._is_new()
+        return self.halted_since is None or self.is_new()
 
-    def _is_new(self) -> bool:
+    def is_new(self) -> bool:
+        """Tells whether the speed of the run is not known yet."""
         return self.age is not None and self.age < MEASURED_TIME
 
 
