Leave out progress that was made while a run used nothing

Cause: a run that works between two readings that both tell no use, as it was halted in between, counted as having made its progress in no time; its run time was measured as 0, and it was never moved. Change: progress that a listing tells together with no use is not measured. Result: test_progress_between_readings_without_use_is_not_measured failed before.

--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -130,6 +130,10 @@
     interval = min(now - reading.read_at, MAX_MEASURED_INTERVAL)
     reading.worked += interval * share
     reading.read_at = now
+    if share < HALTED_SHARE:
+        # It worked in between, for a time that no listing tells.
+        risen = row.progress_percent - task.progress_percent
+        reading.first_percent += max(0, risen)
     percent = row.progress_percent - reading.first_percent
     if percent >= MIN_MEASURED_PERCENT:
         measured_time = reading.worked * (PERCENT / percent)
--- a/tests/jobs/test_estimates.py
+++ b/tests/jobs/test_estimates.py
@@ -181,6 +181,25 @@
     assert task.measured_time is None
 
 
+def test_progress_between_readings_without_use_is_not_measured() -> None:
+    """Guards against a run time of nothing for a run that was halted later.
+
+    It worked before its worker was first asked for the use of the last half
+    second, and was halted then.
+    """
+    job = build_job(tasks=1)
+    step = job.steps[0]
+    task = step.tasks[0]
+    ref = runs.RunRef(
+        runs.TaskRef(specs.JobId("job"), 0, 0, 0), runs.RunNumber(1)
+    )
+    for second, percent in enumerate((0, 14, 14, 14)):
+        row = runs.RunRow(ref, progress_percent=percent, usage=0)
+        estimates.measure_progress(step, task, row, second * SECOND)
+        task.progress_percent = percent
+    assert task.measured_time is None
+
+
 def test_run_without_a_usage_counts_as_working() -> None:
     """Guards against runs taken for halted where workers tell no usage."""
     job = build_job(tasks=1)
