Release the queue when only the operator's rows can't be read

Cause: a holder whose reads of the operator's rows failed kept the queue as long as it could store batches. Agents hold all starts from 4.9 s after the latest successful read, so looking for another worker does not help; but another entry may read the rows. test_reads_fail_for_long cuts off the reads of the holder only, for 8 s: jobs had no run for 5.4 s.

Change: a holder that has stored batches for the validity of its last notice without a recent read releases the queue (`release-queue`). An entry whose latest read is too old leaves a released queue to others for the takeover delay, and does not take the queue from a smaller holder. A holder that has not read the rows in its term keeps the queue, so that it does not go round if nobody can read them. In an outage of the whole store no batch is stored, and nothing is released.

Ruled out: to ask another entry for what it has read, as the holder knows no other entries.

What no entry can read remains LOST from about 6 s on, by design. test_unread_evacuations guards the handover: none in an outage of the whole store (1.5 to 6 s) or for reads that fail for 2.5 s, one if nobody can read for 15 s, and no run is lost by it. test_evacuations, test_handover, test_holder_loss, test_holders, test_stopping, test_world, test_lost_answers, test_interleavings, test_wait_search, test_restarts and ten other modules of tests/jobs pass.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -255,7 +255,10 @@
     batch = holder_state.in_flight
     assert batch is not None
     if not batch.holder.holder:
-        return _end_term(state)
+        if state.stopping:
+            return _end_term(state)
+        row = storage.HolderRow(write.version, batch.holder)
+        return elections.handle_queue_lost(state, row, now)
     holder_state.in_flight = None
     holder_state.version = write.version
     holder_state.stored_batch = batch.holder.batch
@@ -274,6 +277,7 @@
     emitted = evacuations.read_after_gap(
         state, holder_state, unconfirmed_time, now
     )
+    emitted += evacuations.release_if_unreadable(state, holder_state)
     for ticket_id, ticket in list(state.tickets.items()):
         emitted += _answer_cancellation(state, holder_state, ticket_id, ticket)
     return [*emitted, *_push_changes(state, holder_state, now)]
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -110,7 +110,8 @@
     delay = state.options.poll_interval * jitter
     record = None if state.holder_row is None else state.holder_row.record
     if record is not None:
-        due_at = state.holder_seen_at + _compute_takeover_delay(state, record)
+        takeover_delay = _compute_takeover_delay(state, record, now)
+        due_at = state.holder_seen_at + takeover_delay
         spread = TAKEOVER_SPREAD * state.rng.random()
         if due_at > now:
             delay = min(delay, due_at + spread - now)
@@ -153,6 +154,7 @@
         # the holder that it replaced still counts.
         state.replacing_live_holder = _is_row_unreadable(row) or (
             not free
+            and not evacuations.are_outdated(state, now)
             and (_is_holder_small(state, row) or _is_holder_unable(state, row))
         )
     if not free and not state.replacing_live_holder:
@@ -183,16 +185,21 @@
     record = row.record
     if record is None:
         return True
-    return now >= state.holder_seen_at + _compute_takeover_delay(state, record)
+    delay = _compute_takeover_delay(state, record, now)
+    return now >= state.holder_seen_at + delay
 
 
 def _compute_takeover_delay(
-    state: scheduler.SchedulerState, record: records.HolderRecord
+    state: scheduler.SchedulerState,
+    record: records.HolderRecord,
+    now: datetime.timedelta,
 ) -> datetime.timedelta:
     """Returns how long the row of a holder must stay unchanged."""
     # An earlier incarnation of this entry may have held the queue.
     is_released = record.holder in {"", state.options.name}
-    delay = ZERO if is_released else state.options.takeover_delay
+    # An entry that can't read the evacuations would place nothing.
+    is_free = is_released and not evacuations.are_outdated(state, now)
+    delay = ZERO if is_free else state.options.takeover_delay
     if record.cores >= state.options.cores * LARGER_FACTOR:
         delay += SMALLER_ENTRY_DELAY
     return delay
--- a/src/gypsumhold/decisions/jobs/evacuations.py
+++ b/src/gypsumhold/decisions/jobs/evacuations.py
@@ -148,6 +148,52 @@
     ]
 
 
+def are_outdated(
+    state: scheduler.SchedulerState, at: datetime.timedelta
+) -> bool:
+    """Tells whether the latest read of this entry is too old to tell agents."""
+    if state.options.evacuation_time is None:
+        return False
+    known_at = state.evacuations_known_at
+    return (
+        known_at is None or at >= known_at + received_evacuations.HOLDER_DELAY
+    )
+
+
+def release_if_unreadable(
+    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+) -> EffectList:
+    """Releases the queue if batches are stored but the rows can't be read.
+
+    It does so once agents hold all starts: another entry may be able to read
+    the rows. A holder that has not read them in its term keeps the queue, as
+    its predecessor may have released it for the same reason. Called for each
+    stored batch.
+    """
+    limit = state.options.evacuation_time
+    if limit is None:
+        return []
+    sent_at = holder_state.sent_at
+    is_unread = holder_state.evacuation_knowledge is Knowledge.UNREAD
+    if is_unread or not are_outdated(state, sent_at):
+        holder_state.stored_unread_since = None
+        return []
+    since = holder_state.stored_unread_since
+    if since is None:
+        holder_state.stored_unread_since = sent_at
+        return []
+    validity = received_evacuations.measure_validity(limit)
+    if sent_at < since + validity or holder_state.releasing:
+        return []
+    holder_state.releasing = True
+    inputs = (("term", str(holder_state.term)),)
+    return [
+        effects.Log(
+            "release-queue", state.options.name, "evacuations unread", inputs
+        )
+    ]
+
+
 def is_evacuated(state: scheduler.SchedulerState, worker: runs.Worker) -> bool:
     """Tells whether the data centre of a worker is evacuated."""
     known = state.known_evacuations
--- a/src/gypsumhold/decisions/jobs/received_evacuations.py
+++ b/src/gypsumhold/decisions/jobs/received_evacuations.py
@@ -58,6 +58,14 @@
     limit = state.options.evacuation_time
     if limit is None:
         return False
-    validity = max(limit - HOLDER_DELAY - START_DELAY, MIN_VALIDITY)
     confirmed_at = state.received_evacuations.confirmed_at
-    return confirmed_at is None or now >= confirmed_at + validity
+    return confirmed_at is None or now >= confirmed_at + measure_validity(limit)
+
+
+def measure_validity(limit: datetime.timedelta) -> datetime.timedelta:
+    """Returns for how long an answer of the holder lets an agent start runs.
+
+    Args:
+        limit: Time after which an agent that hears nothing has to obey.
+    """
+    return max(limit - HOLDER_DELAY - START_DELAY, MIN_VALIDITY)
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -261,6 +261,8 @@
         evacuation_knowledge: Whether the known evacuations may be outdated.
         evacuations_asked_at: When the pending read of the evacuations is sent
             at the earliest; one that was sent before ends no doubt.
+        stored_unread_since: When the first batch was sent that was stored while
+            the rows could not be read; None if they can be, or none was.
         near_waits: Tasks that wait for a near place; a gang is listed by its
             first task.
     """
@@ -323,6 +325,7 @@
     )
     evacuation_knowledge: evacuations.Knowledge = evacuations.Knowledge.CURRENT
     evacuations_asked_at: datetime.timedelta = ZERO
+    stored_unread_since: datetime.timedelta | None = None
     near_waits: dict[runs.TaskRef, locality.NearWait] = dataclasses.field(
         default_factory=dict
     )
