Answer in progress after another call has fenced the attempt

Cause: an agent that is asked about an attempt it has never seen leaves a tombstone, and the call that asked takes the claim over. The dispatch that comes later is refused as `tombstoned`. If the table then failed, whether for the claim of the next attempt or for the record of the last one, the first call was told `not-run` while the other one ran the work under the same key.

Change: such an answer is *in progress*. The record that is written later still says that the attempt has not run; it has no effect if the claim was taken over.

Result: the two cases of test_refusal_after_another_call_has_fenced_the_attempt failed before (outcome NOT_RUN) and pass. tests/decisions, tests/fuzz and tests/adapters/test_caller_routes pass.

--- a/src/gypsumhold/decisions/claims.py
+++ b/src/gypsumhold/decisions/claims.py
@@ -157,12 +157,12 @@
 ) -> list[effects.Effect]:
     """Ends a call that cannot claim its key.
 
-    The answer is *in progress* if other work under the key is known, from this
-    entry or from a look at the claim.
+    The answer is *in progress* if other work under the key is known: from this
+    entry, from a look at the claim, or because the latest attempt was fenced.
     """
     refusal = dispatches.build_refusal(reason, dispatches.RETRY_AFTER)
     result = qualify_refusal(state, call.request, refusal)
-    if _is_claimed_by_other(call):
+    if results.is_fenced(call.reason) or _is_claimed_by_other(call):
         result = dataclasses.replace(
             refusal, outcome=states.Outcome.IN_PROGRESS
         )
--- a/src/gypsumhold/decisions/results.py
+++ b/src/gypsumhold/decisions/results.py
@@ -158,12 +158,32 @@
     return [effects.Commit(request.request_id, transaction)]
 
 
+def is_fenced(reason: states.Reason) -> bool:
+    """Tells whether an attempt was refused because of a question of others.
+
+    The entry that asks about an attempt which its agent has never seen takes
+    the claim over.
+    """
+    return reason is states.Reason.TOMBSTONED
+
+
 def defer_record(
     state: entry.EntryState, call: entry.Call, now: datetime.timedelta
 ) -> list[effects.Effect]:
-    """Answers the caller although the record failed and retries the record."""
+    """Answers the caller although the record failed and retries the record.
+
+    Another call may have taken the claim over if the attempt was fenced. The
+    record has no effect then, and the work is in progress.
+    """
     assert call.transaction is not None
     assert call.result is not None
+    result = call.result
+    if result.outcome is states.Outcome.NOT_RUN and is_fenced(result.reason):
+        result = dataclasses.replace(
+            result,
+            outcome=states.Outcome.IN_PROGRESS,
+            retry_after=dispatches.RETRY_AFTER,
+        )
     operation = call.transaction.operation
     state.operations[operation] = entry.Operation(
         states.OperationKind.RECORD, operation
@@ -172,7 +192,7 @@
         call.transaction, now + RECORD_TIMEOUT
     )
     return [
-        *dispatches.finish_call(state, call, call.result),
+        *dispatches.finish_call(state, call, result),
         _set_record_timer(operation),
     ]
 
--- a/tests/decisions/test_claims.py
+++ b/tests/decisions/test_claims.py
@@ -129,3 +129,34 @@
     (emitted,) = read_claim(state, now, (build_row(ended),))
     assert isinstance(emitted, effects.AnswerCall)
     assert emitted.result.outcome is states.Outcome.NOT_RUN
+
+
+@pytest.mark.parametrize("attempts", [1, 2])
+def test_refusal_after_another_call_has_fenced_the_attempt(
+    attempts: int,
+) -> None:
+    """Guards against the outcome NOT_RUN for work that is taken over.
+
+    Another entry has asked the agent before the dispatch came. It takes the
+    claim over, and the table does not answer this entry. The attempt was the
+    last one, or another one is still allowed.
+    """
+    state = test_results.build_entry()
+    state.options = dataclasses.replace(state.options, max_attempts=attempts)
+    (sent,) = test_results.answer_commit(
+        state,
+        test_results.feed_call(state, CALL),
+        test_results.COMMITTED,
+    )
+    assert isinstance(sent, effects.SendDispatch)
+    reply = requests.DispatchReply(
+        states.Outcome.NOT_RUN, states.Reason.TOMBSTONED
+    )
+    answered = events.DispatchAnswered(CALL, sent.dispatch.attempt, reply)
+    (commit,) = reducer.reduce(state, answered, ARRIVAL)
+    assert isinstance(commit, effects.Commit)
+    emitted = test_results.answer_commit(
+        state, commit, rows.CommitAnswer(states.CommitResult.UNAVAILABLE)
+    )
+    assert isinstance(emitted[0], effects.AnswerCall)
+    assert emitted[0].result.outcome is states.Outcome.IN_PROGRESS
