Leave a ready task that was not placed where it was, and log halted waits less

Lines about long waits of halted jobs have the limit of other waits now, as a full fleet has many. Change: choosing a way to work, applying it and taking it back are apart.

--- a/src/gypsumhold/decisions/jobs/boosts.py
+++ b/src/gypsumhold/decisions/jobs/boosts.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Iterator
 
 from gypsumhold.decisions.jobs import (
@@ -37,11 +38,27 @@
 MIN_GAIN_SHARE = 0.1
 """Least share of full speed that a run has to gain by a move."""
 
+MIN_CORES = 0.1
+"""Least cores that a task is taken to request."""
+
 MAX_BOOSTED_SHARE = 0.1
 """Share of the CPU of the fleet that boosted runs may request. Jobs that are
 worth more for their work come first with the rest."""
 
 
+class OptionKind(enum.Enum):
+    """What is done with a task so that it works."""
+
+    IN_PLACE = "in place"
+    """Its run goes before the other best-effort runs of its worker."""
+
+    ANOTHER_TASK = "another task"
+    """It is ready and starts."""
+
+    MOVE = "move"
+    """Its run is stopped and goes on elsewhere."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Option:
     """A way to get a task to work.
@@ -51,14 +68,14 @@
         index: Index of the task in the step.
         candidate: Worker on which it is to run.
         share: Expected share of full speed there.
-        is_move: Whether a run has to be stopped for it.
+        kind: What is done with the task.
     """
 
     step: progress.Step
     index: int
     candidate: policies.Candidate
     share: float
-    is_move: bool
+    kind: OptionKind
 
     @property
     def task(self) -> progress.Task:
@@ -66,26 +83,60 @@
         return self.step.tasks[self.index]
 
 
-def boost(plan: job_placements.Plan, job: progress.Job) -> EffectList:
-    """Boosts the task of a halted job that is expected to work best.
+def choose(plan: job_placements.Plan, job: progress.Job) -> Option | None:
+    """Returns the way by which a task of a halted job is expected to work best.
 
-    Nothing is done while boosted runs have their share of the fleet. A ready
-    task is left to this plan to place, on the worker that was chosen.
+    None if there is none, or while boosted runs have their share of the fleet.
     """
     if not _has_share_left(plan, job):
-        return []
-    here = max(
-        _list_present(plan, job), key=lambda option: option.share, default=None
+        return None
+    in_place = max(
+        _list_in_place(plan, job), key=lambda option: option.share, default=None
     )
-    if here is not None and here.share >= GOOD_SHARE:
-        return _boost_in_place(plan, job, here)
-    there = max(_list_others(plan, job), key=_rank_other, default=None)
-    share_here = 0.0 if here is None else here.share
-    if there is not None and there.share >= share_here + MIN_GAIN_SHARE:
-        return _boost_elsewhere(plan, job, there)
-    if here is not None and here.share > 0:
-        return _boost_in_place(plan, job, here)
-    return []
+    if in_place is not None and in_place.share >= GOOD_SHARE:
+        return in_place
+    elsewhere = max(
+        _list_elsewhere(plan, job), key=_rank_elsewhere, default=None
+    )
+    share = 0.0 if in_place is None else in_place.share
+    if elsewhere is not None and elsewhere.share >= share + MIN_GAIN_SHARE:
+        return elsewhere
+    return in_place if share > 0 else None
+
+
+def apply(
+    plan: job_placements.Plan, job: progress.Job, option: Option
+) -> EffectList:
+    """Boosts a task.
+
+    A halted run goes on where it is, or is stopped to go on elsewhere. A ready
+    task is left to this plan to place; `withdraw` takes it back.
+    """
+    emitted: EffectList = [_log(plan, job, option)]
+    if option.kind is OptionKind.IN_PLACE:
+        _boost_in_place(plan, option)
+        return emitted
+    task = option.task
+    task.boosted_at = plan.now
+    if option.kind is OptionKind.ANOTHER_TASK:
+        task.migration_target = option.candidate.instance
+    else:
+        task.halted_on.add(task.instance)
+        ref = lifecycle.build_task_ref(job, option.step, option.index)
+        placed = scheduler.PlacedTask(job, option.step, task)
+        emitted.append(
+            migrations.start_migration(
+                plan.holder_state, placed, ref, option.candidate
+            )
+        )
+    capacity.add_boosted(option.candidate, option.step.spec)
+    return emitted
+
+
+def withdraw(option: Option) -> None:
+    """Takes a boost back of a ready task that was not placed."""
+    if not option.task.is_placed():
+        option.task.boosted_at = option.task.migration_target = None
 
 
 def _has_share_left(plan: job_placements.Plan, job: progress.Job) -> bool:
@@ -114,7 +165,7 @@
                 yield step, index
 
 
-def _list_present(
+def _list_in_place(
     plan: job_placements.Plan, job: progress.Job
 ) -> Iterator[Option]:
     """Yields the halted best-effort runs that a boost may get to work.
@@ -132,7 +183,7 @@
             estimate_share(step, candidate),
             used_millis / max(1, step.spec.cpu_millis),
         )
-        yield Option(step, index, candidate, share, is_move=False)
+        yield Option(step, index, candidate, share, OptionKind.IN_PLACE)
 
 
 def _measure_use_by_others(
@@ -155,7 +206,7 @@
     )
 
 
-def _list_others(
+def _list_elsewhere(
     plan: job_placements.Plan, job: progress.Job
 ) -> Iterator[Option]:
     """Yields what can be done on other workers.
@@ -163,22 +214,23 @@
     That is the first ready task of each step, and the movable halted task of
     each step that has made the most progress.
     """
-    chosen: dict[tuple[int, bool], tuple[progress.Step, int]] = {}
+    chosen: dict[tuple[int, OptionKind], tuple[progress.Step, int]] = {}
     for step in job.steps:
         ready = _find_ready(step)
         if ready is not None:
-            chosen[id(step), False] = step, ready
+            chosen[id(step), OptionKind.ANOTHER_TASK] = step, ready
     for step, index in _list_halted(job):
         if not _may_move(plan, step, step.tasks[index]):
             continue
-        known = chosen.setdefault((id(step), True), (step, index))
+        key = id(step), OptionKind.MOVE
+        known = chosen.setdefault(key, (step, index))
         best = step.tasks[known[1]].progress_percent
         if step.tasks[index].progress_percent > best:
-            chosen[id(step), True] = step, index
-    for (_, is_move), (step, index) in chosen.items():
+            chosen[key] = step, index
+    for (_, kind), (step, index) in chosen.items():
         for candidate in _list_targets(plan, job, step, index):
             share = estimate_share(step, candidate)
-            yield Option(step, index, candidate, share, is_move)
+            yield Option(step, index, candidate, share, kind)
 
 
 def _find_ready(step: progress.Step) -> int | None:
@@ -241,7 +293,7 @@
     cores = spec.cpu_millis / interference.CORE_MILLIS
     idle = candidate.idle_millis / interference.CORE_MILLIS
     idle -= sum(candidate.boosted_cores.values())
-    share = min(1.0, max(0.0, idle) / max(cores, MIN_GAIN_SHARE))
+    share = min(1.0, max(0.0, idle) / max(cores, MIN_CORES))
     for serving in spreading.find_slowed_images(step, candidate):
         left = candidate.allowances.get(serving, 0.0)
         left -= _estimate_taken(candidate, serving, candidate.boosted_cores)
@@ -263,7 +315,7 @@
     )
 
 
-def _rank_other(option: Option) -> tuple[float, bool, bool, float]:
+def _rank_elsewhere(option: Option) -> tuple[float, bool, bool, float]:
     """Returns the rank of an option elsewhere; the highest is best.
 
     At the same speed, a ready task goes before one that has to be stopped, and
@@ -272,15 +324,13 @@
     candidate = option.candidate
     return (
         option.share,
-        not option.is_move,
+        option.kind is OptionKind.ANOTHER_TASK,
         not spreading.find_slowed_images(option.step, candidate),
         capacity.estimate_idle_cores(candidate, deferred=True),
     )
 
 
-def _boost_in_place(
-    plan: job_placements.Plan, job: progress.Job, option: Option
-) -> EffectList:
+def _boost_in_place(plan: job_placements.Plan, option: Option) -> None:
     """Boosts a halted run, or its whole gang, where it is."""
     for task in option.step.list_unit(option.task):
         if not task.is_placed():
@@ -289,38 +339,10 @@
         candidate = plan.candidates.get(str(task.instance))
         if candidate is not None:
             capacity.add_boosted(candidate, option.step.spec)
-    return [_log(plan, job, option, "in place")]
-
-
-def _boost_elsewhere(
-    plan: job_placements.Plan, job: progress.Job, option: Option
-) -> EffectList:
-    """Lets a task start on the chosen worker, once its run has stopped."""
-    task = option.task
-    ref = lifecycle.build_task_ref(job, option.step, option.index)
-    placed = scheduler.PlacedTask(job, option.step, task)
-    emitted: EffectList = [
-        _log(plan, job, option, "move" if option.is_move else "another task")
-    ]
-    task.boosted_at = plan.now
-    if option.is_move:
-        task.halted_on.add(task.instance)
-        emitted.append(
-            migrations.start_migration(
-                plan.holder_state, placed, ref, option.candidate
-            )
-        )
-    else:
-        task.migration_target = option.candidate.instance
-    capacity.add_boosted(option.candidate, option.step.spec)
-    return emitted
 
 
 def _log(
-    plan: job_placements.Plan,
-    job: progress.Job,
-    option: Option,
-    outcome: str,
+    plan: job_placements.Plan, job: progress.Job, option: Option
 ) -> base_effects.Effect:
     """Returns the line of an act for a job of which nothing works."""
     wait = plan.holder_state.run_waits.jobs[job.spec.job_id]
@@ -332,4 +354,4 @@
         ("percent", str(option.task.progress_percent)),
         ("waited_ms", str(lifecycle.to_ms(wait.measure(plan.now)))),
     )
-    return effects.Log("boost", job.spec.job_id, outcome, inputs)
+    return effects.Log("boost", job.spec.job_id, option.kind.value, inputs)
--- a/src/gypsumhold/decisions/jobs/estimates.py
+++ b/src/gypsumhold/decisions/jobs/estimates.py
@@ -125,15 +125,17 @@
         task.reading = None
         return
     if reading is None or row.progress_percent < reading.first_percent:
-        task.reading = progress.ProgressReading(row.progress_percent, now)
+        percent = row.progress_percent
+        task.reading = progress.ProgressReading(percent, percent, now)
         return
     interval = min(now - reading.read_at, MAX_MEASURED_INTERVAL)
     reading.worked += interval * share
     reading.read_at = now
     if share < HALTED_SHARE:
         # It worked in between, for a time that no listing tells.
-        risen = row.progress_percent - task.progress_percent
+        risen = row.progress_percent - reading.last_percent
         reading.first_percent += max(0, risen)
+    reading.last_percent = row.progress_percent
     percent = row.progress_percent - reading.first_percent
     if percent >= MIN_MEASURED_PERCENT:
         measured_time = reading.worked * (PERCENT / percent)
--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -199,14 +199,17 @@
         holder_state, now = self._plan.holder_state, self._plan.now
         job.boost_tried_at = now
         try:
-            self.emitted += boosts.boost(self._plan, job)
+            option = boosts.choose(self._plan, job)
+            if option is not None:
+                self.emitted += boosts.apply(self._plan, job, option)
         except Exception as problem:
             self.emitted += failed_plans.set_aside(
                 holder_state, job, problem, now
             )
             return
-        if job.is_migrating():
+        if option and option.kind is boosts.OptionKind.ANOTHER_TASK:
             self._place_job(job, 1)
+            boosts.withdraw(option)
 
     def _place_first_runs(self) -> None:
         """Places a task, or a gang, of each job whose first run is due."""
--- a/src/gypsumhold/decisions/jobs/wait_logs.py
+++ b/src/gypsumhold/decisions/jobs/wait_logs.py
@@ -54,10 +54,11 @@
 ) -> EffectList:
     """Returns the log line of a wait, unless there were too many.
 
-    None is left out of a wait that exceeds the limit.
+    None is left out of a wait without a run that exceeds the limit.
     """
     run_waits = holder_state.run_waits
-    if not _is_overdue(wait, now):
+    is_halted = wait.stage is waits.WaitStage.HALTED
+    if is_halted or not _is_overdue(wait, now):
         if not run_waits.lines_left:
             run_waits.lines_dropped += 1
             return []
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -26,12 +26,15 @@
     """Progress of the current run of a task since it was first listed.
 
     Attributes:
-        first_percent: Progress at that listing.
+        first_percent: Progress at that listing, and all that was made since
+            without a measured use.
+        last_percent: Progress when the run was last listed.
         read_at: When the run was last listed.
         worked: Time that it has worked since, in terms of full speed.
     """
 
     first_percent: int
+    last_percent: int
     read_at: datetime.timedelta
     worked: datetime.timedelta = ZERO
 
--- a/tests/jobs/test_reviewed_boosts.py
+++ b/tests/jobs/test_reviewed_boosts.py
@@ -7,10 +7,12 @@
 import datetime
 
 import msgspec
+import pytest
 
 from gypsumhold.decisions.jobs import (
     estimates,
     lifecycle,
+    plans,
     run_ends,
     starvation,
     waits,
@@ -212,6 +214,35 @@
     assert moves <= MAX_MOVES
 
 
+def test_ready_task_is_not_left_on_its_way(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a chosen ready task that is not placed, as a gang is.
+
+    It keeps its target and its boost, and no capacity is reserved there.
+    """
+    monkeypatch.setattr(plans, "MAX_PLACEMENTS", 1)
+    monkeypatch.setattr(plans, "MIN_FURTHER_RUNS", 0)
+    fleet = test_boosts.HaltedFleet()
+    for _ in range(4):
+        fleet.fill_with_late_job()
+    ordinary = msgspec.structs.replace(STEP, fills=False, cpu_millis=500)
+    gang = msgspec.structs.replace(ordinary, gang=True, count=2)
+    specs = fleet.slow.spec.steps
+    fleet.slow.spec = msgspec.structs.replace(
+        fleet.slow.spec, steps=(*specs, gang, ordinary)
+    )
+    for spec in (gang, ordinary):
+        tasks = [progress.Task() for _ in range(spec.count)]
+        number = len(fleet.slow.steps)
+        fleet.slow.steps.append(
+            progress.Step(spec, 0, number, tasks, open=True)
+        )
+    fleet.list_boosts()
+    task = fleet.slow.steps[-1].tasks[0]
+    assert task.is_placed() or not task.migrating
+
+
 def test_slow_lasting_run_is_migrated() -> None:
     """Guards against a best-effort run that lasts and stands still for good."""
     step = msgspec.structs.replace(STEP, long_running=True)
@@ -234,7 +265,7 @@
     task.reported = True
     task.progress_percent = 14
     for age_ms, percent in LISTINGS:
-        row = runs.RunRow(ref, percent, usage=0, age_ms=age_ms)
+        row = runs.RunRow(ref, progress_percent=percent, usage=0, age_ms=age_ms)
         at = begin + age_ms * SECOND / 1000
         task.age = age_ms * SECOND / 1000
         estimates.measure_progress(step, task, row, at)
--- a/tests/jobs/test_standing_runs.py
+++ b/tests/jobs/test_standing_runs.py
@@ -19,6 +19,9 @@
 
 SEEDS = (5, 7, 14)
 
+LONG_TASKS = dataclasses.replace(STANDING, load="slowing-long")
+LONG_SEEDS = (4, 5, 7, 10)
+
 LOST = wait_search.Setting(
     "slowing",
     agents=AGENTS,
@@ -40,6 +43,14 @@
     assert world.waits.violations == {}
 
 
+@pytest.mark.parametrize("seed", LONG_SEEDS)
+def test_something_of_each_job_with_long_tasks_works(seed: int) -> None:
+    """Guards against a run that stands still where it was boosted or moved."""
+    world = wait_search.play(seed, LONG_TASKS)
+    assert wait_search.list_open_jobs(world) == []
+    assert world.waits.violations == {}
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_jobs_that_slow_nobody_down_work(seed: int) -> None:
     """Guards against a model in which jobs stand still whatever is decided."""
