Keep halted jobs out of the placements that go against the policy

Cause: in a full fleet a job of which all runs are halted still counted as one without a run when the plan went through the jobs in order, so it got another task on any worker with memory, which mostly stood still too. Result: test_halted_job_gets_no_run_anywhere_in_a_full_fleet failed before.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -129,14 +129,18 @@
         self.emitted: EffectList = []
         self._plan = plan
         self._jobs = jobs
+        starved = starvation.list_starved_jobs(holder_state, plan.now)
+        self._halted = [
+            job for job in starved if starvation.is_halted(holder_state, job)
+        ]
         self._starved = {
             job.spec.job_id: job
-            for job in starvation.list_starved_jobs(holder_state, plan.now)
+            for job in starved
+            if not starvation.is_halted(holder_state, job)
         }
         self._without_place: set[specs.JobId] = set()
         self._placed = 0
         self._misses = 0
-        self._is_full = False
         self._migrations_due = holder_state.migrations_due
         holder_state.migrations_due = False
 
@@ -150,7 +154,9 @@
         candidates = self._plan.candidates
         placed = fleet_shares.measure_placed_share(candidates)
         running = fleet_shares.measure_running_share(candidates)
-        self._is_full = running >= MAX_SHARE_FOR_STARVED_JOBS
+        if running < MAX_SHARE_FOR_STARVED_JOBS:
+            # In a full fleet, jobs that are worth more for their work go first.
+            self._boost_halted()
         if placed < MAX_SHARE_FOR_FIRST_RUNS:
             self._place_starved()
             self._place_first_runs()
@@ -163,36 +169,23 @@
             self._place_starved()
 
     def _place_starved(self) -> None:
-        """Places a task, or a gang, of each starved job not yet looked at.
-
-        Of a job that has only halted runs, one is to work first.
-        """
-        halted: list[progress.Job] = []
-        holder_state = self._plan.holder_state
+        """Places a task, or a gang, of each starved job not yet looked at."""
         most = self._placed + MAX_STARVED_JOBS
         for job in list(self._starved.values()):
             if self._placed >= most:
-                holder_state.plan_due = True
+                self._plan.holder_state.plan_due = True
                 break
-            if not self._is_left(job):
-                continue
-            if starvation.is_halted(holder_state, job):
-                halted.append(job)
-            else:
+            if self._is_left(job):
                 self._place_first_run(job)
-        self._boost_halted(halted)
 
-    def _boost_halted(self, halted: Sequence[progress.Job]) -> None:
-        """Gets a run to work of some of the jobs that are due for it.
-
-        In a full fleet, the jobs that are worth more for their work come first.
-        """
-        for job in halted:
-            self._starved.pop(job.spec.job_id, None)
-        if self._is_full or not self._migrations_due:
+    def _boost_halted(self) -> None:
+        """Gets a run to work of some of the jobs of which all are halted."""
+        if not self._migrations_due:
             return
-        for job in starvation.order_boosts(halted, self._plan.now)[:MAX_BOOSTS]:
-            self._boost(job)
+        due = starvation.order_boosts(self._halted, self._plan.now)
+        for job in due[:MAX_BOOSTS]:
+            if self._is_left(job):
+                self._boost(job)
 
     def _boost(self, job: progress.Job) -> None:
         """Gets a run of a job to work of which all runs are halted."""
--- a/tests/jobs/test_boosts.py
+++ b/tests/jobs/test_boosts.py
@@ -17,7 +17,7 @@
     starvation,
     waits,
 )
-from gypsumhold.model.jobs import effects, progress, specs
+from gypsumhold.model.jobs import effects, progress, runs, specs
 from tests.jobs import test_migrations
 
 STEP = test_migrations.STEP
@@ -123,7 +123,7 @@
     """Guards against a move where an earlier turn on the worker suffices."""
     step = msgspec.structs.replace(STEP, image=HARMLESS)
     fleet = HaltedFleet(step)
-    pair = test_migrations.runs.ImagePair(test_migrations.SERVING, HARMLESS)
+    pair = runs.ImagePair(test_migrations.SERVING, HARMLESS)
     fleet.holder_state.optimistic_estimates = {pair: 0.0}
     early = fleet.add_job("early", step)
     fleet.place_working(early)
@@ -200,7 +200,7 @@
     """Guards against moves before an earlier boost shows."""
     step = msgspec.structs.replace(STEP, image=HARMLESS)
     fleet = HaltedFleet(step)
-    pair = test_migrations.runs.ImagePair(test_migrations.SERVING, HARMLESS)
+    pair = runs.ImagePair(test_migrations.SERVING, HARMLESS)
     fleet.holder_state.optimistic_estimates = {pair: 0.0}
     fleet.place_working(fleet.add_job("early", step))
     assert len(fleet.list_boosts()) == 1
@@ -232,3 +232,25 @@
     assert fleet.task.boosted_at is not None
     ref = lifecycle.build_task_ref(fleet.slow, fleet.slow.steps[0], 0)
     assert ref in fleet.free.placed
+
+
+def test_halted_job_gets_no_run_anywhere_in_a_full_fleet() -> None:
+    """Guards against halted jobs that start against the placement policy.
+
+    In a full fleet that would fill workers with runs that stand still too.
+    """
+    fleet = HaltedFleet(msgspec.structs.replace(STEP, count=2))
+    fleet.fill_free_worker()
+    for number, view in enumerate((fleet.busy, fleet.free)):
+        worker = view.report.worker
+        assert worker is not None
+        large = msgspec.structs.replace(
+            STEP, cpu_millis=100, memory_mb=worker.memory_mb * 4 // 5
+        )
+        job = fleet.add_job(f"large {number}", large)
+        fleet.place(job, view)
+        ref = lifecycle.build_task_ref(job, job.steps[0], 0)
+        row = runs.RunRow(runs.RunRef(ref, job.steps[0].tasks[0].run), age_ms=1)
+        view.report = msgspec.structs.replace(view.report, rows=(row,))
+    fleet.make_plan()
+    assert not fleet.slow.steps[0].tasks[1].is_placed()
