--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -41,18 +41,17 @@
     The log tells of an evacuation, the report only that there is no room: a
     holder of a former version could not decode a report with that reason.
     """
-    state.active.pop(ref, None)
+    local_run = state.active.pop(ref, None)
     is_evacuated = reason is runs.Refusal.EVACUATED
     state.refused[ref] = runs.Refusal.NO_CAPACITY if is_evacuated else reason
     state.report_due = True
-    return [
-        effects.Log(
-            "start",
-            ref.task.job_id,
-            f"refused: {reason.value}",
-            (("task", str(ref.task)), ("run", str(ref.run))),
-        )
-    ]
+    inputs = (
+        ("task", str(ref.task)),
+        ("run", str(ref.run)),
+        ("sent_again", str(local_run is not None and local_run.is_repeated)),
+    )
+    outcome = f"refused: {reason.value}"
+    return [effects.Log("start", ref.task.job_id, outcome, inputs)]
 
 
 def start_waiting_runs(
