--- a/src/gypsumhold/decisions/jobs/acknowledgements.py
+++ b/src/gypsumhold/decisions/jobs/acknowledgements.py
@@ -11,6 +11,7 @@
 
 import datetime
 
+from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model.jobs import events, executor, runs
 
 NO_END = runs.EndNumber(0)
@@ -29,14 +30,14 @@
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> runs.EndNumber:
     """Returns the end up to which the next poll acknowledges; 0 for none."""
-    if not _is_due(state) or is_withheld(state, now):
+    if not _is_due(state, now) or is_withheld(state, now):
         return NO_END
-    return state.acknowledged
+    return _find_last_acknowledged(state, now)
 
 
 def is_withheld(state: executor.ExecutorState, now: datetime.timedelta) -> bool:
     """Tells whether the worker lists ends that no poll may acknowledge yet."""
-    if not _is_due(state):
+    if not _is_due(state, now):
         return False
     return not _is_safe(state) or _may_former_start_arrive(state, now)
 
@@ -52,7 +53,7 @@
     """
     if acknowledged:
         state.fence += 1
-    if not _is_due(state) or _is_safe(state):
+    if not _is_due(state, now) or _is_safe(state):
         state.withheld_since = None
     elif state.withheld_since is None:
         state.withheld_since = now
@@ -76,8 +77,26 @@
         state.discarded = NO_END
 
 
-def _is_due(state: executor.ExecutorState) -> bool:
-    return state.acknowledged > state.discarded
+def _is_due(state: executor.ExecutorState, now: datetime.timedelta) -> bool:
+    return _find_last_acknowledged(state, now) > state.discarded
+
+
+def _find_last_acknowledged(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> runs.EndNumber:
+    """Returns the last end that the worker may discard.
+
+    It keeps the end of a run that a later incarnation may begin once more,
+    unless it has more ends than it lists: only acknowledgements make room.
+    """
+    if not state.ends_complete:
+        return state.acknowledged
+    late = [
+        number
+        for number, ref in state.late_ends.items()
+        if open_starts.must_keep_end(state, ref, now)
+    ]
+    return runs.EndNumber(min([state.acknowledged, *(n - 1 for n in late)]))
 
 
 def _may_former_start_arrive(
--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -10,6 +10,7 @@
     report_timers,
     worker_clocks,
 )
+from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
@@ -34,13 +35,21 @@
 
 
 def refuse_run(
-    state: executor.ExecutorState, ref: runs.RunRef, reason: runs.Refusal
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    reason: runs.Refusal,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Records that a requested run never starts, so that it is reported.
 
+    The holder then places its task elsewhere. So a run that an open start may
+    begin is held until that can't be carried out any more.
+
     The log tells of an evacuation, the report only that there is no room: a
     holder of a former version could not decode a report with that reason.
     """
+    if open_starts.may_work(state, ref, now):
+        return _withhold_refusal(state, ref, reason)
     local_run = state.active.pop(ref, None)
     is_evacuated = reason is runs.Refusal.EVACUATED
     state.refused[ref] = runs.Refusal.NO_CAPACITY if is_evacuated else reason
@@ -48,12 +57,41 @@
     inputs = (
         ("task", str(ref.task)),
         ("run", str(ref.run)),
-        ("sent_again", str(local_run is not None and local_run.is_repeated)),
+        ("sent_again", str(local_run is not None and local_run.was_repeated())),
     )
     outcome = f"refused: {reason.value}"
     return [effects.Log("start", ref.task.job_id, outcome, inputs)]
 
 
+def _withhold_refusal(
+    state: executor.ExecutorState, ref: runs.RunRef, reason: runs.Refusal
+) -> EffectList:
+    """Holds a run that is not to start, as an open start may begin it."""
+    local_run = state.active.get(ref)
+    if local_run is None:
+        local_run = executor.LocalRun(
+            ref,
+            state.open_starts[ref].command,
+            executor.LocalState.WAITING,
+            sequence=state.sequence,
+        )
+        state.active[ref] = local_run
+    is_new = local_run.withheld_refusal is None
+    local_run.state = executor.LocalState.WAITING
+    local_run.withheld_refusal = reason
+    local_run.hold = executor.HoldReason.EARLIER_START
+    if not is_new:
+        return []
+    inputs = (
+        ("task", str(ref.task)),
+        ("run", str(ref.run)),
+        ("refusal", reason.value),
+    )
+    return [
+        effects.Log("start", ref.task.job_id, "held: start is open", inputs)
+    ]
+
+
 def start_waiting_runs(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> EffectList:
@@ -67,7 +105,7 @@
     """
     emitted: EffectList = []
     worker = state.worker
-    waiting = _list_waiting_runs(state)
+    waiting = list_waiting_runs(state)
     if worker is None or not waiting:
         return emitted
     is_known = state.polled and state.doubted_at is None
@@ -75,16 +113,16 @@
         return _hold(waiting, executor.HoldReason.NOT_POLLED)
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
         return _refuse_waiting(state, waiting, runs.Refusal.DRAINING, now)
-    unwanted = [local_run for local_run in waiting if local_run.is_unwanted]
-    emitted += _refuse_waiting(state, unwanted, runs.Refusal.STALE, now)
-    waiting = [local_run for local_run in waiting if not local_run.is_unwanted]
+    for local_run in waiting:
+        if local_run.withheld_refusal is not None:
+            refusal = local_run.withheld_refusal
+            emitted += refuse_run(state, local_run.ref, refusal, now)
+    waiting = [
+        local_run for local_run in waiting if local_run.withheld_refusal is None
+    ]
     if received_evacuations.is_evacuated(state):
-        reason = executor.HoldReason.EVACUATION
         refusal = runs.Refusal.EVACUATED
-        return [
-            *emitted,
-            *_refuse_waiting(state, waiting, refusal, now, reason),
-        ]
+        return [*emitted, *_refuse_waiting(state, waiting, refusal, now)]
     until_ms = leases.compute_lease_end(state, now)
     if until_ms is None:
         return [*emitted, *_hold(waiting, executor.HoldReason.NO_LEASE)]
@@ -96,7 +134,7 @@
             local_run.hold = executor.HoldReason.LATENCY
             continue
         local_run.hold = None
-        emitted += _start_run(state, worker, local_run, until_ms)
+        emitted += _start_run(state, worker, local_run, until_ms, now)
     return emitted
 
 
@@ -117,9 +155,10 @@
     return None
 
 
-def _list_waiting_runs(
+def list_waiting_runs(
     state: executor.ExecutorState,
 ) -> list[executor.LocalRun]:
+    """Returns the runs whose start is yet to be sent, or sent again."""
     return [
         local_run
         for local_run in state.active.values()
@@ -132,19 +171,11 @@
     waiting: list[executor.LocalRun],
     refusal: runs.Refusal,
     now: datetime.timedelta,
-    reason: executor.HoldReason = executor.HoldReason.EARLIER_START,
 ) -> EffectList:
-    """Refuses runs that are not to start here, so that they start elsewhere.
-
-    A run that an earlier start may begin is held meanwhile: that start got no
-    answer and was to be sent again, or a former process may have sent it.
-    """
+    """Refuses runs that are not to start here, so that they start elsewhere."""
     emitted: EffectList = []
     for local_run in waiting:
-        if leases.may_late_start_run(state, local_run, now):
-            local_run.hold = reason
-            continue
-        emitted += refuse_run(state, local_run.ref, refusal)
+        emitted += refuse_run(state, local_run.ref, refusal, now)
     return emitted
 
 
@@ -165,7 +196,7 @@
     There is one line for each reason.
     """
     emitted: EffectList = []
-    for local_run in _list_waiting_runs(state):
+    for local_run in list_waiting_runs(state):
         waited = now - local_run.received_at
         is_logged = local_run.hold is local_run.logged_hold
         if waited < LOGGED_HOLD or local_run.hold is None or is_logged:
@@ -187,14 +218,16 @@
     worker: runs.Worker,
     local_run: executor.LocalRun,
     until_ms: int,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Sends the start command of a run, or refuses a run that does not fit."""
     assert local_run.command is not None
-    if not _has_free_capacity(state, worker, local_run.command):
-        return refuse_run(state, local_run.ref, runs.Refusal.NO_CAPACITY)
+    if not _has_free_capacity(state, worker, local_run.command, now):
+        refusal = runs.Refusal.NO_CAPACITY
+        return refuse_run(state, local_run.ref, refusal, now)
     local_run.state = executor.LocalState.STARTING
     local_run.fence = state.fence
-    local_run.sent_by = state.grant_end
+    open_starts.record_sent(state, local_run.command)
     leases.record_lease_sent(state, until_ms)
     return [
         effects.StartRun(
@@ -211,18 +244,23 @@
     state: executor.ExecutorState,
     worker: runs.Worker,
     command: runs.StartCommand,
+    now: datetime.timedelta,
 ) -> bool:
     """Tells whether a run fits beside all runs that may be on the worker.
 
-    Best-effort runs reserve no CPU.
+    The next incarnation may carry out any open start, also of a run that has
+    ended on the present one. Best-effort runs reserve no CPU.
     """
+    others = open_starts.list_commands(state, now)
+    for local_run in state.active.values():
+        is_waiting = local_run.state is executor.LocalState.WAITING
+        if local_run.command is not None and not is_waiting:
+            others[local_run.ref] = local_run.command
+    others.pop(command.ref, None)
     cpu = 0 if command.best_effort else command.cpu_millis
     memory = command.memory_mb
     accelerators = command.accelerators
-    for local_run in state.active.values():
-        held = local_run.command
-        if held is None or local_run.state is executor.LocalState.WAITING:
-            continue
+    for held in others.values():
         cpu += 0 if held.best_effort else held.cpu_millis
         memory += held.memory_mb
         accelerators += held.accelerators
@@ -238,16 +276,15 @@
 ) -> EffectList:
     """Stops a run that the holder no longer wants.
 
-    A run that was not yet started is refused instead, or held as long as an
-    earlier start may begin it: the holder places its task elsewhere.
+    A run that was not yet started is refused instead: the holder places its
+    task elsewhere.
     """
     local_run = state.active.get(ref)
     worker = state.worker
     if local_run is None or worker is None or local_run.stop_sent:
         return []
     if local_run.state is executor.LocalState.WAITING:
-        local_run.is_unwanted = True
-        return _refuse_waiting(state, [local_run], runs.Refusal.STALE, now)
+        return refuse_run(state, ref, runs.Refusal.STALE, now)
     local_run.stop_sent = True
     return [
         effects.Log(
@@ -270,6 +307,10 @@
     A stop or throttling that failed is sent again when it is due next.
     """
     leases.record_lease_taken(state, event.until_ms, event.clock)
+    if event.kind is events.CommandKind.START:
+        open_starts.record_answer(
+            state, event, now, is_proof=_tells_what_happened(state, event)
+        )
     if (
         state.worker is None
         or event.worker_incarnation != state.worker.incarnation
@@ -302,6 +343,18 @@
     return emitted
 
 
+def _tells_what_happened(
+    state: executor.ExecutorState, event: events.CommandAnswered
+) -> bool:
+    """Tells whether the answer to a start proves that none is under way.
+
+    A start that was carried out by an unknown incarnation may go on there.
+    """
+    if event.result is events.CommandResult.DONE:
+        return worker_clocks.fits(state, event.clock)
+    return event.result is not events.CommandResult.UNANSWERED
+
+
 def record_accepted_fence(state: executor.ExecutorState, fence: int) -> None:
     """Records that the known incarnation of the worker has taken a call."""
     state.accepted_fence = max(state.accepted_fence, fence)
@@ -336,14 +389,14 @@
     If it may be of an incarnation that is not known yet, the run may be on that
     one, like a start without an answer.
     """
-    if local_run.state is not executor.LocalState.STARTING:
+    is_latest = event.fence == local_run.fence
+    if local_run.state is not executor.LocalState.STARTING or not is_latest:
         return []
     result = event.result
     if result is events.CommandResult.DONE and not is_known:
         result = events.CommandResult.UNANSWERED
-    if result is events.CommandResult.NOT_SENT and leases.may_late_start_run(
-        state, local_run, now
-    ):
+    may_work = open_starts.may_work(state, event.ref, now)
+    if result is events.CommandResult.NOT_SENT and may_work:
         result = events.CommandResult.UNANSWERED
     if result is events.CommandResult.DONE:
         return [
@@ -355,7 +408,7 @@
         # A poll with a higher fence shows whether the run was started. That
         # fence also makes the worker refuse this command if it arrives late.
         state.fence += 1
-        local_run.sent_by = min(local_run.sent_by, now)
+        state.report_due = True
         _doubt_start(state, local_run, runs.Refusal.UNANSWERED, now)
         return [_log_start(event, "doubtful")]
     if result is events.CommandResult.STALE:
@@ -364,7 +417,7 @@
         _doubt_start(state, local_run, runs.Refusal.STALE, now)
         return [_log_start(event, "known to the worker")]
     if result in _REFUSALS:
-        return refuse_run(state, local_run.ref, _REFUSALS[result])
+        return refuse_run(state, local_run.ref, _REFUSALS[result], now)
     # Late, fenced or answered by another incarnation: the run was not started
     # and is started again unless the holder stops it.
     local_run.state = executor.LocalState.WAITING
@@ -375,23 +428,22 @@
 
 
 def decide_missing_start(
-    state: executor.ExecutorState, local_run: executor.LocalRun
+    state: executor.ExecutorState,
+    local_run: executor.LocalRun,
+    now: datetime.timedelta,
 ) -> EffectList:
-    """Handles a start in doubt that the worker will not carry out.
+    """Handles a start in doubt that this incarnation will not carry out.
 
-    A start without an answer is sent again once: if the worker's next
-    incarnation takes the first one, it is the same run, and no other worker has
-    the task.
+    A start without an answer is sent again: if the worker's next incarnation
+    takes an earlier one, it is the same run, and no other worker has the task.
     """
-    is_unanswered = local_run.refusal is runs.Refusal.UNANSWERED
-    if not is_unanswered or local_run.is_repeated or local_run.stop_sent:
-        return refuse_run(state, local_run.ref, local_run.refusal)
-    local_run.is_repeated = True
+    refusal = local_run.withheld_refusal or local_run.refusal
+    is_unanswered = refusal is runs.Refusal.UNANSWERED
+    may_repeat = local_run.starts_left and local_run.command is not None
+    if not is_unanswered or not may_repeat or local_run.stop_sent:
+        return refuse_run(state, local_run.ref, refusal, now)
+    local_run.starts_left -= 1
     local_run.is_fenced = False
-    local_run.late_until = max(
-        local_run.late_until,
-        local_run.sent_by + state.options.limits.max_call_delay,
-    )
     local_run.state = executor.LocalState.WAITING
     ref = local_run.ref
     inputs = (("task", str(ref.task)), ("run", str(ref.run)))
@@ -410,6 +462,7 @@
     """
     local_run.state = executor.LocalState.RUNNING
     local_run.confirmed_at = now
+    local_run.withheld_refusal = None
     command = local_run.command
     if command is not None and command.reported_at_once:
         state.report_due = True
--- a/src/gypsumhold/decisions/jobs/expiries.py
+++ b/src/gypsumhold/decisions/jobs/expiries.py
@@ -73,11 +73,26 @@
     for placed in view.placed.values():
         task = placed.task
         if task.is_start_open:
-            task.former_start_ends_at = now + late_run
+            task.late_run_ends_at = now + late_run
         if task.is_start_open or task.former_senders:
             task.former_senders += 1
 
 
+def keep_former_starts(
+    view: scheduler.AgentView, incarnation: runs.WorkerIncarnation
+) -> None:
+    """Leaves a task with the worker that a former agent process may start on.
+
+    Agent and worker have restarted. The present incarnation refuses that start,
+    of which the new process knows nothing, but a later one may carry it out.
+    """
+    for placed in view.placed.values():
+        task = placed.task
+        is_same_name = task.worker_incarnation.name == incarnation.name
+        if task.is_start_open and task.former_senders and is_same_name:
+            task.worker_incarnation = incarnation
+
+
 def record_found_runs(
     view: scheduler.AgentView, listed: Container[runs.TaskRef]
 ) -> None:
@@ -96,15 +111,52 @@
 def list_late_starts(
     view: scheduler.AgentView, now: datetime.timedelta
 ) -> tuple[runs.RunRef, ...]:
-    """Returns the runs of which another start may be late, though one began."""
+    """Returns the runs of which another start may be late, though one began.
+
+    The process that reported such a start last knows it.
+    """
+    known_to = (None, view.report.incarnation)
     return tuple(
         runs.RunRef(ref, placed.task.run)
         for ref, placed in view.placed.items()
         if placed.task.former_senders > 1
-        and now < placed.task.former_start_ends_at
+        or placed.task.late_start_reporter not in known_to
+        if now < placed.task.late_run_ends_at
     )
 
 
+def record_late_starts(
+    view: scheduler.AgentView, now: datetime.timedelta
+) -> None:
+    """Records which placed runs may begin once more, by the latest report."""
+    report = view.report
+    reported = {late.ref: late.left_ms for late in report.late_starts}
+    for ref, placed in view.placed.items():
+        task = placed.task
+        left_ms = reported.get(runs.RunRef(ref, task.run))
+        if left_ms is not None:
+            ends_at = now + left_ms * MILLISECOND
+            task.late_run_ends_at = max(task.late_run_ends_at, ends_at)
+            task.late_start_reporter = report.incarnation
+        elif task.late_start_reporter == report.incarnation:
+            task.late_start_reporter = None
+            task.former_senders = 0
+
+
+def may_begin_again(
+    view: scheduler.AgentView, ref: runs.RunRef, now: datetime.timedelta
+) -> bool:
+    """Tells whether a placed run that has ended may begin once more."""
+    placed = view.placed.get(ref.task)
+    if placed is None or placed.task.run != ref.run:
+        return False
+    if not placed.job.is_open():
+        return False
+    task = placed.task
+    is_late = task.former_senders > 1 or task.late_start_reporter is not None
+    return is_late and now < task.late_run_ends_at
+
+
 def list_silent_runs(
     state: scheduler.SchedulerState,
     view: scheduler.AgentView,
@@ -135,4 +187,4 @@
     if task.is_start_open:
         late_run = state.options.limits.measure_longest_late_run()
         return grant_end + late_run
-    return max(grant_end, task.lease_ends_at, task.former_start_ends_at)
+    return max(grant_end, task.lease_ends_at, task.late_run_ends_at)
--- a/src/gypsumhold/decisions/jobs/leases.py
+++ b/src/gypsumhold/decisions/jobs/leases.py
@@ -13,7 +13,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import lifecycle
-from gypsumhold.model.jobs import events, executor, messages, runs
+from gypsumhold.model.jobs import events, executor, messages
 
 NO_TIME = datetime.timedelta(0)
 
@@ -102,8 +102,9 @@
     """Tells whether every run that the worker had has certainly ended.
 
     That is the case once the worker is silent and either has left or all leases
-    that were sent have expired. Starts without an answer are judged one by one,
-    as are those of a former process once the holder has named them.
+    that were sent have expired. Starts without an answer are judged one by one
+    (`run_bounds.open_starts`), as are those of a former process once the holder
+    has named them.
     """
     if state.answering:
         return False
@@ -157,60 +158,6 @@
     return up_at_reading + now - clock.received_at >= span
 
 
-def has_run_ended(
-    state: executor.ExecutorState,
-    local_run: executor.LocalRun,
-    now: datetime.timedelta,
-) -> bool:
-    """Tells whether a run has certainly ended, like the others on the worker.
-
-    A start without an answer may be carried out late, by an incarnation that
-    the agent does not reach; its lease then counts from there. So may an
-    earlier start, or one of a former process, even if another start of the same
-    run was confirmed.
-    """
-    if may_late_start_run(state, local_run, now):
-        return False
-    if not local_run.is_unanswered():
-        return True
-    if local_run.state is executor.LocalState.STARTING:
-        return False
-    late_run = state.options.limits.measure_longest_late_run()
-    return now >= local_run.sent_by + late_run + EXPIRY_MARGIN
-
-
-def may_late_start_run(
-    state: executor.ExecutorState,
-    local_run: executor.LocalRun,
-    now: datetime.timedelta,
-) -> bool:
-    """Tells whether an earlier start of a run may begin or go on."""
-    if local_run.late_until == NO_TIME:
-        return False
-    longest = state.options.limits.measure_longest_lease()
-    return now < local_run.late_until + longest + EXPIRY_MARGIN
-
-
-def may_former_start_run(
-    state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
-) -> bool:
-    """Tells whether a start that a former process sent may begin or go on."""
-    starts = state.former_starts
-    if starts is not None and ref not in starts:
-        return False
-    return now < state.former_runs_expire_at
-
-
-def compute_late_until(
-    state: executor.ExecutorState, ref: runs.RunRef
-) -> datetime.timedelta:
-    """Returns until when a start that a former process sent may be taken."""
-    starts = state.former_starts
-    if starts is not None and ref not in starts:
-        return NO_TIME
-    return state.began_at + state.options.limits.max_call_delay
-
-
 def measure_lease(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> datetime.timedelta:
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -181,7 +181,8 @@
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
     task.worker_reported_at = now
-    task.lease_ends_at = task.former_start_ends_at = ZERO
+    task.lease_ends_at = task.late_run_ends_at = ZERO
+    task.late_start_reporter = None
     task.former_senders = 0
     view.placed[ref] = placed
     view.latest_start_at = now
--- a/src/gypsumhold/decisions/jobs/losses.py
+++ b/src/gypsumhold/decisions/jobs/losses.py
@@ -38,6 +38,19 @@
     return max(until - local_run.confirmed_at, NO_TIME)
 
 
+def has_outlived_start(
+    state: executor.ExecutorState, local_run: executor.LocalRun
+) -> bool:
+    """Tells whether a run was too old to have crashed its worker by its start.
+
+    A run that was not confirmed may have begun just before the crash.
+    """
+    age = measure_age(state, local_run)
+    if age is None:
+        return False
+    return age - (state.silent_after or NO_TIME) > FRESH_TIME
+
+
 def build_row(
     state: executor.ExecutorState, local_run: executor.LocalRun
 ) -> runs.RunRow:
@@ -81,7 +94,7 @@
         runs.RunRow(local_run.ref, age_ms=lifecycle.to_ms(age))
         for local_run in state.active.values()
         if (age := measure_age(state, local_run)) is not None
-        and age - (state.silent_after or NO_TIME) <= FRESH_TIME
+        and not has_outlived_start(state, local_run)
     )
     if not rows:
         return
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -5,10 +5,10 @@
 
 from gypsumhold.decisions.jobs import (
     commands,
-    leases,
     losses,
     received_evacuations,
 )
+from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import effects, executor, messages, runs
@@ -88,14 +88,14 @@
     ):
         return emitted
     if answered is not None:
-        _record_former_starts(state, directives)
+        _record_former_starts(state, directives, now)
     if answered is not None and directives.grant_ms:
         grant = datetime.timedelta(milliseconds=directives.grant_ms)
         state.grant_end = max(state.grant_end, answered.sent_at + grant)
     _acknowledge(state, directives.acknowledged)
     losses.forget_stored(state, directives.stored_losses)
     if answered is not None:
-        emitted += _drop_revoked_starts(state, directives, answered)
+        emitted += _drop_revoked_starts(state, directives, now, answered)
     if directives.sequence <= state.sequence:
         # An outdated answer brings no commands, but maybe the first lease.
         return [*emitted, *commands.start_waiting_runs(state, now)]
@@ -114,6 +114,7 @@
 def _drop_revoked_starts(
     state: executor.ExecutorState,
     directives: messages.Directives,
+    now: datetime.timedelta,
     answered: AnsweredReport,
 ) -> EffectList:
     """Drops the waiting runs that the holder has released since it sent them.
@@ -134,6 +135,8 @@
         )
         if not is_waiting or not is_earlier:
             continue
+        if open_starts.may_work(state, local_run.ref, now):
+            continue
         if was_listed or local_run.ref in wanted:
             continue
         del state.active[local_run.ref]
@@ -172,7 +175,9 @@
 
 
 def _record_former_starts(
-    state: executor.ExecutorState, directives: messages.Directives
+    state: executor.ExecutorState,
+    directives: messages.Directives,
+    now: datetime.timedelta,
 ) -> None:
     """Records the runs whose start a former process may have sent.
 
@@ -184,20 +189,21 @@
     known = state.former_starts
     if known is not None and directives.term <= state.former_starts_term:
         return
-    requested = [
-        local_run
+    commands_sent: dict[runs.RunRef, runs.StartCommand | None] = {
+        local_run.ref: local_run.command
         for local_run in state.active.values()
         if local_run.command is not None
-        or local_run.ref in directives.late_starts
-    ]
-    refs = {local_run.ref for local_run in requested}
-    refs.update(command.ref for command in directives.starts)
-    refs.update(directives.withdrawn)
-    state.former_starts = (known or frozenset()) | refs
+    }
+    commands_sent |= dict.fromkeys(directives.late_starts)
+    commands_sent |= dict.fromkeys(directives.withdrawn)
+    commands_sent |= {command.ref: command for command in directives.starts}
+    state.former_starts = (known or frozenset()) | frozenset(commands_sent)
     state.former_starts_term = directives.term
-    for local_run in requested:
-        late_until = leases.compute_late_until(state, local_run.ref)
-        local_run.late_until = max(local_run.late_until, late_until)
+    if now >= state.former_runs_expire_at:
+        return
+    for ref, command in commands_sent.items():
+        is_late = ref in directives.late_starts
+        open_starts.record_former(state, ref, command, is_late=is_late)
 
 
 def _refuse_withdrawn(
@@ -215,7 +221,7 @@
         return []
     if ref in state.refused or _may_have_ended(state, ref):
         return []
-    return commands.refuse_run(state, ref, runs.Refusal.STALE)
+    return commands.refuse_run(state, ref, runs.Refusal.STALE, now)
 
 
 def _may_begin_out_of_reach(
@@ -224,7 +230,9 @@
     """Tells whether a silent worker may begin a run for a former process."""
     if state.answering:
         return False
-    return leases.may_former_start_run(state, ref, now)
+    if state.former_starts is None:
+        return now < state.former_runs_expire_at
+    return open_starts.may_work(state, ref, now)
 
 
 def _keep_former_start(
@@ -239,6 +247,8 @@
     """
     if any(end.ref == ref for end in state.ends.values()):
         return
+    if state.former_starts is None:
+        open_starts.record_former(state, ref, command)
     state.active[ref] = executor.LocalRun(
         ref,
         command,
@@ -247,9 +257,7 @@
         sequence=state.sequence,
         fence=state.fence,
         doubted_at=now,
-        sent_by=state.began_at,
-        late_until=leases.compute_late_until(state, ref),
-        is_repeated=command is None,
+        withheld_refusal=runs.Refusal.STALE if command is None else None,
     )
 
 
@@ -312,15 +320,18 @@
     worker = state.worker
     assert worker is not None
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
-        return commands.refuse_run(state, command.ref, runs.Refusal.DRAINING)
+        refusal = runs.Refusal.DRAINING
+        return commands.refuse_run(state, command.ref, refusal, now)
     if not state.answering:
-        return commands.refuse_run(state, command.ref, runs.Refusal.UNHEALTHY)
+        refusal = runs.Refusal.UNHEALTHY
+        return commands.refuse_run(state, command.ref, refusal, now)
+    if state.former_starts is None and now < state.former_runs_expire_at:
+        open_starts.record_former(state, command.ref, command)
     state.active[command.ref] = executor.LocalRun(
         command.ref,
         command,
         executor.LocalState.WAITING,
         received_at=now,
         sequence=state.sequence,
-        late_until=leases.compute_late_until(state, command.ref),
     )
     return []
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -13,6 +13,7 @@
     report_timers,
     worker_polls,
 )
+from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
@@ -167,6 +168,7 @@
         else lifecycle.to_ms(state.silent_after),
         tuple(state.losses) if state.polled else (),
         leases.measure_lease_ms(state, now),
+        open_starts.list_late(state, now),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -186,14 +186,13 @@
     emitted += _release_ended_runs(holder_state, view, listed, now)
     expiries.record_report(view, listed, now)
     expiries.record_found_runs(view, listed)
+    expiries.record_late_starts(view, now)
     emitted += crashes.judge_crashes(state, holder_state, view, now)
-    for row in sorted(report.ends, key=lambda row: row.number):
-        if row.number > view.last_handled_end:
-            view.last_handled_end = row.number
-            age = datetime.timedelta(milliseconds=row.age_ms)
-            emitted += run_ends.handle_run_end(
-                holder_state, view, row, now, received_at - age
-            )
+    for row in _take_new_ends(view, now):
+        age = datetime.timedelta(milliseconds=row.age_ms)
+        emitted += run_ends.handle_run_end(
+            holder_state, view, row, now, received_at - age
+        )
     _queue_acknowledgement(holder_state, view)
     for refused in report.refused:
         emitted += _handle_refusal(holder_state, view, refused, now)
@@ -202,6 +201,29 @@
     return emitted
 
 
+def _take_new_ends(
+    view: scheduler.AgentView, now: datetime.timedelta
+) -> list[runs.EndRow]:
+    """Returns the ends of the latest report that are to be handled now.
+
+    The task of a run that may begin once more keeps its place until it can't:
+    it must not run elsewhere. Its end is handled then, unless its task is done.
+    """
+    taken = []
+    for row in sorted(view.report.ends, key=lambda row: row.number):
+        is_new = row.number > view.last_handled_end
+        if not is_new and row.number not in view.deferred_ends:
+            continue
+        view.last_handled_end = max(view.last_handled_end, row.number)
+        view.deferred_ends.discard(row.number)
+        is_done = row.end is runs.RunEnd.DONE
+        if not is_done and expiries.may_begin_again(view, row.ref, now):
+            view.deferred_ends.add(row.number)
+            continue
+        taken.append(row)
+    return taken
+
+
 def _index_listed_runs(view: scheduler.AgentView) -> ListedRuns:
     """Returns the rows of the latest report that list current runs."""
     listed: ListedRuns = {}
@@ -226,6 +248,7 @@
     view.last_handled_end = runs.EndNumber(0)
     view.acknowledged = runs.EndNumber(0)
     view.acknowledgements.clear()
+    view.deferred_ends.clear()
     view.failed_jobs.clear()
     view.quarantines = 0
     holder_state.plan_due = True
@@ -266,6 +289,7 @@
         for ref in listed:
             # A delayed command was carried out by a newer worker incarnation.
             view.placed[ref].task.worker_incarnation = worker.incarnation
+        expiries.keep_former_starts(view, worker.incarnation)
     ended_runs = {
         ref: placed
         for ref, placed in view.placed.items()
@@ -334,16 +358,17 @@
     """Returns the number up to which the handled ends may be acknowledged.
 
     The end of a run whose job was left out has no effect yet. The worker keeps
-    it for a holder that can apply the job's record, as long as it lists few.
+    it for a holder that can apply the job's record, as long as it lists few. So
+    it does with the end of a run that may begin once more.
     """
     ends = view.report.ends
-    if not holder_state.left_out_jobs or len(ends) > MAX_HELD_ENDS:
-        return view.last_handled_end
-    held = [
-        row.number
-        for row in ends
-        if row.ref.task.job_id in holder_state.left_out_jobs
-    ]
+    held = list(view.deferred_ends)
+    if holder_state.left_out_jobs and len(ends) <= MAX_HELD_ENDS:
+        held += [
+            row.number
+            for row in ends
+            if row.ref.task.job_id in holder_state.left_out_jobs
+        ]
     return runs.EndNumber(min([view.last_handled_end + 1, *held]) - 1)
 
 
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
@@ -0,0 +1,183 @@
+"""Owns the question until when a run may work that nothing confirms.
+
+A start without an answer may be carried out until the longest call delay has
+passed, by each incarnation of the worker that has not seen a higher fence. So
+a list that lacks the run decides for one incarnation only, and a confirmed run
+may have an earlier start that is still under way. What is known of the starts
+of a run outlives its entry among the active runs: refusals, ends, capacity,
+acknowledgements and reports all ask here.
+
+The bound falls only by proof: an answer, a list that has the run while no other
+start is open, or a list that was asked for after the last start could be
+carried out.
+"""
+
+import datetime
+
+from gypsumhold.decisions.jobs import leases, lifecycle
+from gypsumhold.model.jobs import events, executor, messages, runs, sent_starts
+
+NO_TIME = datetime.timedelta(0)
+
+SEVERAL = 2
+"""Stands for a number of starts of which one may be late if another is carried
+out."""
+
+
+def record_sent(
+    state: executor.ExecutorState, command: runs.StartCommand
+) -> None:
+    """Records that a start with the present fence goes out.
+
+    It is not sent after the present grant has ended.
+    """
+    starts = _get_or_add(state, command.ref, command)
+    starts.pending[state.fence] = state.grant_end
+
+
+def record_answer(
+    state: executor.ExecutorState,
+    event: events.CommandAnswered,
+    now: datetime.timedelta,
+    *,
+    is_proof: bool,
+) -> None:
+    """Records the answer to a start, or that none came.
+
+    Args:
+        state: State of the executor.
+        event: The answer, also one of a former incarnation.
+        now: Current time.
+        is_proof: Whether the answer tells what became of the start.
+    """
+    starts = state.open_starts.get(event.ref)
+    if starts is None:
+        return
+    sent_by = starts.pending.pop(event.fence, None)
+    if sent_by is None:
+        return
+    if not is_proof:
+        starts.unanswered += 1
+        late_until = min(sent_by, now) + state.options.limits.max_call_delay
+        starts.taken_until = max(starts.taken_until, late_until)
+    elif not starts.count():
+        del state.open_starts[event.ref]
+
+
+def record_former(
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    command: runs.StartCommand | None,
+    *,
+    is_late: bool = False,
+) -> None:
+    """Records that a former process of the agent may have sent a start.
+
+    Args:
+        state: State of the executor.
+        ref: The run.
+        command: Its start command, if it is known.
+        is_late: Whether several starts may have been sent, so that one may be
+            late although another was carried out.
+    """
+    starts = _get_or_add(state, ref, command)
+    starts.former = SEVERAL if is_late else max(starts.former, 1)
+    late_until = state.began_at + state.options.limits.max_call_delay
+    starts.taken_until = max(starts.taken_until, late_until)
+
+
+def record_listed(state: executor.ExecutorState, ref: runs.RunRef) -> None:
+    """Records that an incarnation lists a run that had not been confirmed.
+
+    If one start was open, it has been carried out; of several, any may be left.
+    """
+    starts = state.open_starts.get(ref)
+    if starts is None:
+        return
+    if starts.count() <= 1:
+        del state.open_starts[ref]
+
+
+def settle(state: executor.ExecutorState, asked_at: datetime.timedelta) -> None:
+    """Forgets the starts that nobody can carry out any more.
+
+    The lists of the worker, which was asked then, tell which of them were.
+    """
+    for ref, starts in list(state.open_starts.items()):
+        if asked_at >= _find_last_moment(state, starts):
+            del state.open_starts[ref]
+
+
+def may_work(
+    state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
+) -> bool:
+    """Tells whether an open start may begin a run, or keep it at work."""
+    starts = state.open_starts.get(ref)
+    return starts is not None and now < _compute_end(state, starts)
+
+
+def must_keep_end(
+    state: executor.ExecutorState, ref: runs.RunRef, now: datetime.timedelta
+) -> bool:
+    """Tells whether the worker has to list the end of a run for now.
+
+    A later incarnation may begin the run once more, and only an end that was
+    acknowledged counts: it is lost with its worker otherwise. That is not worth
+    late acknowledgements after each restart of an agent, so starts of former
+    processes don't count.
+    """
+    starts = state.open_starts.get(ref)
+    if starts is None or not starts.unanswered:
+        return False
+    return now < _compute_end(state, starts)
+
+
+def list_late(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> tuple[messages.LateStart, ...]:
+    """Returns the runs with starts that got no answer, for a report."""
+    return tuple(
+        messages.LateStart(ref, lifecycle.to_ms(end - now))
+        for ref, starts in state.open_starts.items()
+        if starts.unanswered or starts.former
+        if now < (end := _compute_end(state, starts))
+    )
+
+
+def list_commands(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> dict[runs.RunRef, runs.StartCommand]:
+    """Returns the start commands of all runs that may work by an open start."""
+    return {
+        ref: starts.command
+        for ref, starts in state.open_starts.items()
+        if starts.command is not None and now < _compute_end(state, starts)
+    }
+
+
+def _get_or_add(
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    command: runs.StartCommand | None,
+) -> sent_starts.OpenStarts:
+    starts = state.open_starts.setdefault(ref, sent_starts.OpenStarts(command))
+    if starts.command is None:
+        starts.command = command
+    return starts
+
+
+def _find_last_moment(
+    state: executor.ExecutorState, starts: sent_starts.OpenStarts
+) -> datetime.timedelta:
+    """Returns until when one of the starts may be carried out."""
+    sent_by = max(starts.pending.values(), default=NO_TIME)
+    late_until = sent_by + state.options.limits.max_call_delay
+    return max(starts.taken_until, late_until if starts.pending else NO_TIME)
+
+
+def _compute_end(
+    state: executor.ExecutorState, starts: sent_starts.OpenStarts
+) -> datetime.timedelta:
+    """Returns until when a run by one of the starts may work, if unheard of."""
+    longest = state.options.limits.measure_longest_lease()
+    return _find_last_moment(state, starts) + longest + leases.EXPIRY_MARGIN
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -3,6 +3,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import commands
+from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
@@ -36,6 +37,8 @@
             state.ends[end.number] = end
             state.ends_listed_at[end.number] = now
             state.report_due = True
+            if open_starts.must_keep_end(state, end.ref, now):
+                state.late_ends[end.number] = end.ref
         state.active.pop(end.ref, None)
     listed = {row.ref: row for row in event.rows}
     for row in event.rows:
@@ -50,6 +53,7 @@
         local_run.row = row
         local_run.unlisted_since = None
         if local_run.state is not executor.LocalState.RUNNING:
+            open_starts.record_listed(state, row.ref)
             emitted += commands.confirm_start(state, local_run, now)
             emitted.append(_log_listed_start(row))
     for local_run in list(state.active.values()):
@@ -138,7 +142,7 @@
             return []
         local_run.is_fenced = True
         if event.is_complete:
-            return commands.decide_missing_start(state, local_run)
+            return commands.decide_missing_start(state, local_run, now)
         return []
     if not event.is_complete:
         return []
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -16,6 +16,7 @@
     worker_clocks,
     worker_logs,
 )
+from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
@@ -216,6 +217,7 @@
         emitted.append(worker_logs.log_odd_clock(event, state.clock))
     worker_clocks.record(state, event.clock)
     emitted += run_lists.reconcile(state, event, now)
+    open_starts.settle(state, event.clock.sent_at)
     emitted += run_lists.note_completeness(state, event)
     if not state.polled:
         leases.record_first_contact(state, event.clock)
@@ -298,14 +300,12 @@
         if state.clock is not None:
             state.silent_after = now - state.clock.received_at
     state.answering = False
-    for local_run in list(state.active.values()):
-        if local_run.state is not executor.LocalState.WAITING:
-            continue
-        if leases.may_late_start_run(state, local_run, now):
+    for local_run in commands.list_waiting_runs(state):
+        if open_starts.may_work(state, local_run.ref, now):
             incarnations.doubt_again(state, local_run, now)
         else:
             emitted += commands.refuse_run(
-                state, local_run.ref, runs.Refusal.UNHEALTHY
+                state, local_run.ref, runs.Refusal.UNHEALTHY, now
             )
     return [*emitted, *_drop_ended_runs(state, event, now)]
 
@@ -324,7 +324,7 @@
     ended = [
         local_run.ref
         for local_run in state.active.values()
-        if leases.has_run_ended(state, local_run, now)
+        if not open_starts.may_work(state, local_run.ref, now)
     ]
     if not ended:
         return []
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -16,12 +16,17 @@
     policies,
     records,
     runs,
+    sent_starts,
     specs,
     worker_limits,
 )
 
 ZERO = datetime.timedelta(0)
 
+MAX_REPEATED_STARTS = 4
+"""How often a start without an answer is sent again. A worker that answers
+polls and no starts keeps the task until the last one can't be carried out."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExecutorOptions:
@@ -104,18 +109,14 @@
         fence: Least fence of a poll that decides a start in doubt.
         doubted_at: Since when the start is in doubt; only a poll that was sent
             later decides.
-        sent_by: When the start command had been sent at the latest.
-        late_until: Until when another start of the run may be carried out by
-            a later incarnation of the worker: an earlier one without an answer,
-            or one of a former process of the agent.
-        is_repeated: Whether a start without an answer is not sent again.
+        starts_left: How often a start without an answer is sent again.
         is_fenced: Whether this worker incarnation has answered a poll whose
             fence makes it refuse the start in doubt from then on.
         refusal: Why the run is refused if no list of such a poll has it.
         confirmed_at: When the start was confirmed.
         stop_sent: Whether a stop command is unanswered or was carried out.
-        is_unwanted: Whether the holder has stopped it while it was waiting, so
-            that it is not started any more.
+        withheld_refusal: Why it is not started any more; it is refused once
+            no start of it can be carried out. None if it may be started.
         unlisted_since: Since when the worker has no longer listed the run as
             running; None if it lists it.
         throttle_percent: Percent of full speed that was last commanded; -1 if
@@ -133,17 +134,19 @@
     row: runs.RunRow | None = None
     fence: int = 0
     doubted_at: datetime.timedelta = ZERO
-    sent_by: datetime.timedelta = ZERO
-    late_until: datetime.timedelta = ZERO
-    is_repeated: bool = False
+    starts_left: int = MAX_REPEATED_STARTS
     is_fenced: bool = False
     refusal: runs.Refusal = runs.Refusal.UNANSWERED
     confirmed_at: datetime.timedelta = ZERO
     stop_sent: bool = False
-    is_unwanted: bool = False
+    withheld_refusal: runs.Refusal | None = None
     unlisted_since: datetime.timedelta | None = None
     throttle_percent: int = 100
 
+    def was_repeated(self) -> bool:
+        """Tells whether a start without an answer was sent again."""
+        return self.starts_left < MAX_REPEATED_STARTS
+
     def is_unanswered(self) -> bool:
         """Tells whether the start was sent and nothing tells what became of it.
 
@@ -215,8 +218,13 @@
             incarnation or a call that the worker refused for its fence.
         first_fence: Fence of the first poll of the present incarnation.
         active: Runs that were requested or found and have not ended.
+        open_starts: Starts that may still be carried out, by run; a run may
+            have ended, or be confirmed by another start.
         ends: Ends that the holder has not acknowledged.
         ends_listed_at: When the worker first listed each of these ends.
+        late_ends: Runs of the ends that were listed while a start of the same
+            run was open; they are not acknowledged until it can't be carried
+            out.
         ignored_ends: Numbers of ends that cannot be right.
         refused: Runs that never start; kept until the holder has answered a
             report that lists them.
@@ -294,12 +302,18 @@
     active: dict[runs.RunRef, LocalRun] = dataclasses.field(
         default_factory=dict
     )
+    open_starts: dict[runs.RunRef, sent_starts.OpenStarts] = dataclasses.field(
+        default_factory=dict
+    )
     ends: dict[runs.EndNumber, runs.EndRow] = dataclasses.field(
         default_factory=dict
     )
     ends_listed_at: dict[runs.EndNumber, datetime.timedelta] = (
         dataclasses.field(default_factory=dict)
     )
+    late_ends: dict[runs.EndNumber, runs.RunRef] = dataclasses.field(
+        default_factory=dict
+    )
     ignored_ends: set[runs.EndNumber] = dataclasses.field(default_factory=set)
     refused: dict[runs.RunRef, runs.Refusal] = dataclasses.field(
         default_factory=dict
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -49,6 +49,18 @@
     return bool(is_host) and members.MIN_PORT <= port <= members.MAX_PORT
 
 
+class LateStart(msgspec.Struct, frozen=True, array_like=True):
+    """A run of which a start got no answer, and may be carried out late.
+
+    Attributes:
+        ref: The run; it may have ended, or be confirmed by another start.
+        left_ms: How long a run by that start may go on if nobody hears of it.
+    """
+
+    ref: runs.RunRef
+    left_ms: LeaseMs
+
+
 REPORT_INTERVAL = datetime.timedelta(seconds=1)
 """Longest pause between two reports of an agent."""
 
@@ -87,6 +99,7 @@
             they had just started, until the holder has stored these crashes.
         lease_left_ms: How long runs that have begun may go on if the agent
             sends no further lease.
+        late_starts: Runs with starts that may be carried out late.
     """
 
     instance: ids.InstanceId
@@ -106,6 +119,7 @@
     silent_after_ms: runs.SpanMs = UNKNOWN_SILENCE
     losses: tuple[runs.LossRow, ...] = ()
     lease_left_ms: LeaseMs = 0
+    late_starts: tuple[LateStart, ...] = ()
 
 
 class Directives(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -136,8 +150,8 @@
             records is stored.
         evacuation_notice: Evacuations of data centres; None if those that the
             sender knows may be outdated.
-        late_starts: Placed runs of which several former processes of the agent
-            may have sent a start, so that one may be late although another
+        late_starts: Placed runs of which former processes of the agent may
+            have sent several starts, so that one may be late although another
             was carried out.
     """
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -54,8 +54,10 @@
         batch: Number of the batch that stores the latest placement.
         is_start_open: Whether this holder placed the run and no report has told
             that its worker has started it.
-        former_start_ends_at: When the run ends if a former process of the
-            agent has sent another start of it, which may be carried out late.
+        late_run_ends_at: When the run ends if another start of it, also one
+            of a former process of the agent, is carried out late.
+        late_start_reporter: Process of the agent that was the last to report
+            such a start; None if it has settled them.
         former_senders: How many former processes of the agent may have sent a
             start of the run; each sends one, and only one is carried out.
         reported: Whether the latest report of the agent lists the run.
@@ -111,7 +113,8 @@
     reported: bool = False
     worker_reported_at: datetime.timedelta = ZERO
     lease_ends_at: datetime.timedelta = ZERO
-    former_start_ends_at: datetime.timedelta = ZERO
+    late_run_ends_at: datetime.timedelta = ZERO
+    late_start_reporter: ids.Incarnation | None = None
     former_senders: int = 0
     listed_at: datetime.timedelta | None = None
     age: datetime.timedelta | None = None
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -117,6 +117,8 @@
         sequence: Number of the latest directives.
         last_handled_end: Highest number among the handled ends of runs of the
             current worker incarnation.
+        deferred_ends: Ends up to that one that are not handled yet, as their
+            runs may begin once more.
         acknowledgements: Acknowledgements that wait for a batch, in the order
             of their numbers.
         acknowledged: Highest number of an end that is stored.
@@ -145,6 +147,7 @@
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     sequence: int = 0
     last_handled_end: runs.EndNumber = runs.EndNumber(0)
+    deferred_ends: set[runs.EndNumber] = dataclasses.field(default_factory=set)
     acknowledgements: list[Acknowledgement] = dataclasses.field(
         default_factory=list
     )
--- a/tests/jobs/lone_agent.py
+++ b/tests/jobs/lone_agent.py
@@ -42,6 +42,12 @@
         self.deliver_heartbeat()
         self.poll()
 
+    def outlive_former_starts(self) -> None:
+        """Waits until no start of a former process can be carried out."""
+        limits = self.state.options.limits
+        self.now += limits.measure_longest_late_run() + MILLISECOND
+        self.poll()
+
     def deliver_heartbeat(self) -> base_effects.Effects:
         self.heartbeats += 1
         worker = builders.build_worker(self.incarnation, self.heartbeats)
--- a/tests/jobs/test_evacuations.py
+++ b/tests/jobs/test_evacuations.py
@@ -10,7 +10,6 @@
 from gypsumhold.decisions import reducer
 from gypsumhold.decisions.jobs import (
     directives,
-    leases,
     received_evacuations,
     report_timers,
 )
@@ -26,6 +25,7 @@
     runs,
     scheduler,
     scheduler_options,
+    sent_starts,
     specs,
 )
 from gypsumhold.model.jobs.evacuations import Knowledge
@@ -548,11 +548,10 @@
     agent.direct(starts=(RUN,))
     local_run = agent.state.active[RUN]
     local_run.state = executor.LocalState.WAITING
-    local_run.is_repeated = True
-    local_run.late_until = agent.now + datetime.timedelta(seconds=12)
+    add_open_start(agent, local_run)
     receive(agent, 6, "zone")
     agent.direct(starts=(RUN,))
-    assert local_run.hold is executor.HoldReason.EVACUATION
+    assert local_run.hold is executor.HoldReason.EARLIER_START
     assert not agent.state.refused
 
 
@@ -566,8 +565,8 @@
     receive(agent, 6, "zone")
     agent.direct(starts=(RUN,))
     local_run = agent.state.active[RUN]
-    assert not local_run.is_repeated
-    assert local_run.hold is executor.HoldReason.EVACUATION
+    assert local_run.withheld_refusal is runs.Refusal.EVACUATED
+    assert local_run.hold is executor.HoldReason.EARLIER_START
     agent.wait(measure_late_ms(agent, local_run))
     agent.poll()
     assert not agent.state.refused
@@ -576,12 +575,22 @@
     assert RUN in agent.state.refused
 
 
+def add_open_start(
+    agent: lone_agent.LoneAgent, local_run: executor.LocalRun
+) -> None:
+    """Lets a start of a run be without an answer, and sent just now."""
+    agent.state.open_starts[local_run.ref] = sent_starts.OpenStarts(
+        local_run.command,
+        unanswered=1,
+        taken_until=agent.now + datetime.timedelta(seconds=12),
+    )
+
+
 def measure_late_ms(
     agent: lone_agent.LoneAgent, local_run: executor.LocalRun
 ) -> float:
     """Returns the time after which a poll still finds that a run may begin."""
-    longest = agent.state.options.limits.measure_longest_lease()
-    end = local_run.late_until + longest + leases.EXPIRY_MARGIN
+    end = agent.state.open_starts[local_run.ref].taken_until
     return (end - agent.now) / lone_agent.MILLISECOND - 4
 
 
@@ -592,8 +601,7 @@
     agent.direct(starts=(RUN,))
     local_run = agent.state.active[RUN]
     local_run.state = executor.LocalState.WAITING
-    local_run.is_repeated = True
-    local_run.late_until = agent.now + datetime.timedelta(seconds=12)
+    add_open_start(agent, local_run)
     return local_run
 
 
@@ -608,7 +616,7 @@
     if is_evacuated:
         receive(agent, 6, "zone")
         agent.direct()
-        assert local_run.hold is executor.HoldReason.EVACUATION
+        assert local_run.hold is executor.HoldReason.EARLIER_START
     for _ in range(2):
         directives = agent.build_directives(
             agent.state.sequence + 1, **{order: (RUN,)}
--- a/tests/jobs/test_late_calls.py
+++ b/tests/jobs/test_late_calls.py
@@ -166,16 +166,16 @@
         agent.fail_poll()
     directives = agent.build_directives(agent.state.sequence + 1, (RUN,))
     agent.answer_report(agent.report(), directives)
-    if way == "waiting":
-        agent.state.active[RUN].state = executor.LocalState.WAITING
-    if way == "not sent":
+    if way != "requested":
         agent.deliver(
             events.CommandAnswered(
                 start.worker.incarnation,
                 events.CommandKind.START,
                 RUN,
                 agent.state.fence,
-                events.CommandResult.NOT_SENT,
+                events.CommandResult.LATE
+                if way == "waiting"
+                else events.CommandResult.NOT_SENT,
             )
         )
     agent.restart()
@@ -210,18 +210,29 @@
 def test_start_without_answer_is_sent_again_to_the_same_worker() -> None:
     """Guards against a second worker for a task whose start may be late.
 
-    Once the worker refuses the first start, the same run is sent to it with a
-    higher fence. A second one without an answer is refused.
+    Each list that lacks the run lets the same run be sent once more, with a
+    higher fence, a few times. After that it is held: it is not refused, and its
+    task is placed nowhere else, until a list was asked for when the last start
+    can't be carried out any more.
     """
     agent = linked_agent.LinkedAgent()
-    first = agent.request(RUN)
-    agent.fail_start(first)
-    (second,) = list_starts(agent.poll_now())
-    assert second.command.ref == RUN
-    assert second.fence > first.fence
-    assert RUN not in agent.state.refused
-    agent.fail_start(second)
-    assert not list_starts(agent.poll_now())
+    start = agent.request(RUN)
+    for _ in range(executor.MAX_REPEATED_STARTS):
+        agent.fail_start(start)
+        (later,) = list_starts(agent.poll_now())
+        assert later.command.ref == RUN
+        assert later.fence > start.fence
+        assert RUN not in agent.state.refused
+        start = later
+    agent.fail_start(start)
+    failed_ms = agent.read_ms()
+    while agent.read_ms() < failed_ms + MAX_CALL_DELAY_MS - 100:
+        assert not list_starts(agent.poll_now())
+        assert RUN not in agent.state.refused
+        assert RUN in {row.ref for row in agent.report().rows}
+        agent.wait(linked_agent.STEP_MS)
+    agent.wait(100)
+    agent.poll_now()
     assert RUN in agent.state.refused
 
 
--- a/tests/jobs/test_lost_workers.py
+++ b/tests/jobs/test_lost_workers.py
@@ -151,6 +151,7 @@
 def test_number_of_reported_losses_is_bounded() -> None:
     """Guards against reports that grow while no holder answers."""
     agent = lone_agent.LoneAgent()
+    agent.outlive_former_starts()
     for number in range(1, 3 * losses.MAX_LOSSES):
         start_run(agent)
         agent.restart_worker(LOST.started_ms + 1000 * number)
--- a/tests/jobs/test_open_starts.py
+++ b/tests/jobs/test_open_starts.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+import msgspec
 import pytest
 
 from gypsumhold.model.jobs import effects, events, executor, records, runs
@@ -91,6 +92,46 @@
     assert_kept(agent)
 
 
+@pytest.mark.parametrize("end", [runs.RunEnd.DONE, runs.RunEnd.FAILED])
+def test_ended_run_may_begin_once_more(end: runs.RunEnd) -> None:
+    """Guards against an end that makes the agent forget the first start.
+
+    The end is not acknowledged while a restart may bring the run back: an end
+    that was acknowledged counts for good.
+    """
+    agent = linked_agent.LinkedAgent()
+    first, second = hold_first_start(agent)
+    agent.deliver(agent.take_start(second))
+    agent.worker.end_run(agent.worker.running[RUN.task], end)
+    agent.poll_now()
+    report = agent.report()
+    assert [late.ref for late in report.late_starts] == [RUN]
+    directives = msgspec.structs.replace(
+        agent.build_directives(agent.state.sequence + 1),
+        acknowledged=runs.EndNumber(agent.worker.last_end),
+    )
+    agent.answer_report(report, directives)
+    for _ in range(3):
+        poll = linked_agent.find_poll(agent.poll_now())
+        assert poll.acknowledged < agent.worker.last_end
+        agent.wait(1000)
+    let_next_incarnation_begin(agent, first)
+    assert RUN in agent.state.active
+
+
+def test_end_is_acknowledged_once_no_start_is_open() -> None:
+    """Guards against ends that a worker lists for good."""
+    agent = linked_agent.LinkedAgent()
+    _, second = hold_first_start(agent)
+    agent.deliver(agent.take_start(second))
+    test_late_calls.acknowledge(agent, RUN)
+    agent.wait(test_late_calls.MAX_CALL_DELAY_MS)
+    agent.poll_now()
+    poll = linked_agent.find_poll(agent.poll_now())
+    assert poll.acknowledged == agent.worker.last_end
+    assert not agent.report().late_starts
+
+
 def test_ended_run_with_an_open_start_keeps_its_capacity() -> None:
     """Guards against two late starts that overload an incarnation (LIMIT)."""
     agent = linked_agent.LinkedAgent()
@@ -108,6 +149,29 @@
     assert used.fits_in(agent.worker.read_capacity())
 
 
+def test_answered_start_is_not_open() -> None:
+    """Guards against tasks that wait although nothing is under way."""
+    agent = linked_agent.LinkedAgent()
+    agent.deliver(agent.take_start(agent.request(RUN)))
+    agent.restart()
+    agent.hear()
+    agent.poll_now()
+    report = agent.report()
+    assert not report.rows
+    assert not report.late_starts
+
+
+def test_start_that_the_list_has_is_not_open() -> None:
+    """Guards against tasks that wait for a start that was carried out."""
+    agent = linked_agent.LinkedAgent()
+    start = agent.request(RUN)
+    agent.take_start(start)
+    agent.fail_start(start)
+    agent.poll_now()
+    assert agent.state.active[RUN].state is executor.LocalState.RUNNING
+    assert not agent.report().late_starts
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_failed_run_with_an_open_start_runs_nowhere_else(
     monkeypatch: pytest.MonkeyPatch, seed: int
--- a/tests/jobs/test_unlisted_ends.py
+++ b/tests/jobs/test_unlisted_ends.py
@@ -31,6 +31,7 @@
 LISTED_ENDS = 5
 DOWN_MS = 4200
 SETTLE_MS = 20_000
+MAX_CALL_DELAY_MS = 12_000
 
 RUN = runs.RunRef(runs.TaskRef(JOB, 0, 0, 0), runs.RunNumber(1))
 
@@ -100,14 +101,14 @@
     """Guards against a start without answer that counts as never carried out.
 
     Late starts are blocked by a fence, so that each task runs once even if its
-    first run has to be refused.
+    first run has to be refused. That takes the longest call delay.
     """
     world = start_world(seed)
     world.scripted_faults[effects.StartRun] = [fault, "done"] * TASKS
     world.run(700)
     world.store_down = True
     world.after(DOWN_MS, lambda: setattr(world, "store_down", False))
-    world.run(SETTLE_MS)
+    world.run(SETTLE_MS + MAX_CALL_DELAY_MS)
     check_each_task_ran_once(world)
 
 
@@ -141,7 +142,11 @@
     ("result", "refusal", "starts"),
     [
         (STALE, runs.Refusal.STALE, 1),
-        (UNANSWERED, runs.Refusal.UNANSWERED, 2),
+        (
+            UNANSWERED,
+            runs.Refusal.UNANSWERED,
+            1 + executor.MAX_REPEATED_STARTS,
+        ),
     ],
 )
 def test_complete_list_decides_a_start_in_doubt(
@@ -149,15 +154,21 @@
 ) -> None:
     """Guards against a task that waits for a run that never comes.
 
-    A start without an answer is sent once more.
+    A start without an answer is sent again a few times, and refused once none
+    of them can be carried out any more.
     """
     agent = lone_agent.LoneAgent()
+    agent.outlive_former_starts()
     agent.direct(starts=(RUN,))
     for _ in range(starts):
         assert agent.state.refused == {}
         assert agent.state.active[RUN].state is executor.LocalState.STARTING
         agent.answer_start(RUN, result)
         agent.poll()
+    if result is UNANSWERED:
+        assert agent.state.refused == {}
+        agent.wait(MAX_CALL_DELAY_MS)
+        agent.poll()
     assert agent.state.refused == {RUN: refusal}
     assert RUN not in agent.state.active
 
@@ -184,6 +195,7 @@
 def test_unknown_run_is_not_judged_by_an_incomplete_list(way: str) -> None:
     """Guards against an agent that takes its lack of memory for proof."""
     agent = lone_agent.LoneAgent()
+    agent.outlive_former_starts()
     agent.poll(is_complete=False)
     agent.direct(**{way: (RUN,)})
     assert agent.state.active == {}
