Let only complete lists settle open starts

Cause: a list that is as long as the worker's limit may lack the end of a run that a late start has begun. Change: such a list settles nothing. Result: test_unlisted_ends passes.

--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -217,7 +217,8 @@
         emitted.append(worker_logs.log_odd_clock(event, state.clock))
     worker_clocks.record(state, event.clock)
     emitted += run_lists.reconcile(state, event, now)
-    open_starts.settle(state, event.clock.sent_at)
+    if event.is_complete:
+        open_starts.settle(state, event.clock.sent_at)
     emitted += run_lists.note_completeness(state, event)
     if not state.polled:
         leases.record_first_contact(state, event.clock)
