Give the modules on the bounds of runs a folder of their own

Cause: what decides until when a run may work lay in five of 62 modules of one folder. Change: leases, worker_clocks, incarnations, acknowledgements and expiries move to decisions/jobs/run_bounds beside open_starts; only imports change.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -3,14 +3,16 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
-    acknowledgements,
     colocation,
-    leases,
     received_evacuations,
     report_timers,
+)
+from gypsumhold.decisions.jobs.run_bounds import (
+    acknowledgements,
+    leases,
+    open_starts,
     worker_clocks,
 )
-from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -4,11 +4,11 @@
 
 from gypsumhold.decisions.jobs import (
     evacuations,
-    expiries,
     lifecycle,
     lost_workers,
     starvation,
 )
+from gypsumhold.decisions.jobs.run_bounds import expiries
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -8,7 +8,6 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
-    expiries,
     interference,
     lifecycle,
     lost_workers,
@@ -16,6 +15,7 @@
     wait_logs,
     waits,
 )
+from gypsumhold.decisions.jobs.run_bounds import expiries
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, timers
 from gypsumhold.model.jobs import (
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -6,14 +6,13 @@
 
 from gypsumhold.decisions.jobs import (
     commands,
-    leases,
     lifecycle,
     losses,
     received_directives,
     report_timers,
     worker_polls,
 )
-from gypsumhold.decisions.jobs.run_bounds import open_starts
+from gypsumhold.decisions.jobs.run_bounds import leases, open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import (
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -5,12 +5,12 @@
 from gypsumhold.decisions.jobs import (
     crashes,
     directives,
-    expiries,
     holders,
     lifecycle,
     listed_runs,
     run_ends,
 )
+from gypsumhold.decisions.jobs.run_bounds import expiries
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
--- a/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
@@ -14,7 +14,8 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import leases, lifecycle
+from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.decisions.jobs.run_bounds import leases
 from gypsumhold.model.jobs import events, executor, messages, runs, sent_starts
 
 NO_TIME = datetime.timedelta(0)
--- a/src/gypsumhold/decisions/jobs/worker_logs.py
+++ b/src/gypsumhold/decisions/jobs/worker_logs.py
@@ -2,7 +2,8 @@
 
 import datetime
 
-from gypsumhold.decisions.jobs import leases, lifecycle
+from gypsumhold.decisions.jobs import lifecycle
+from gypsumhold.decisions.jobs.run_bounds import leases
 from gypsumhold.model.jobs import effects, events, executor, runs
 
 UNKNOWN = "unknown"
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -7,16 +7,18 @@
 import datetime
 
 from gypsumhold.decisions.jobs import (
-    acknowledgements,
     colocation,
     commands,
+    run_lists,
+    worker_logs,
+)
+from gypsumhold.decisions.jobs.run_bounds import (
+    acknowledgements,
     incarnations,
     leases,
-    run_lists,
+    open_starts,
     worker_clocks,
-    worker_logs,
 )
-from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import effects, events, executor, runs
 
--- a/tests/jobs/test_holders.py
+++ b/tests/jobs/test_holders.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from gypsumhold.decisions.jobs import expiries, policy_sets
+from gypsumhold.decisions.jobs import policy_sets
+from gypsumhold.decisions.jobs.run_bounds import expiries
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages, scheduler, scheduler_options
 from tests.jobs import nodes, test_world
