Split starts and refusals off the commands, and document open starts

Change: starts.py starts the waiting runs, refusals.py lets runs go; the pages tell who asks the owner of open starts, and what the log shows.

--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -7,6 +7,8 @@
     commands,
     losses,
     received_evacuations,
+    refusals,
+    starts,
 )
 from gypsumhold.decisions.jobs.run_bounds import open_starts
 from gypsumhold.model import effects as base_effects
@@ -98,7 +100,7 @@
         emitted += _drop_revoked_starts(state, directives, now, answered)
     if directives.sequence <= state.sequence:
         # An outdated answer brings no commands, but maybe the first lease.
-        return [*emitted, *commands.start_waiting_runs(state, now)]
+        return [*emitted, *starts.start_waiting_runs(state, now)]
     state.sequence = directives.sequence
     return [*emitted, *_carry_out(state, directives, now)]
 
@@ -171,7 +173,7 @@
         emitted += _refuse_withdrawn(state, ref, now)
     for command in directives.starts:
         emitted += _accept_start(state, command, now)
-    return [*emitted, *commands.start_waiting_runs(state, now)]
+    return [*emitted, *starts.start_waiting_runs(state, now)]
 
 
 def _record_former_starts(
@@ -221,7 +223,7 @@
         return []
     if ref in state.refused or _may_have_ended(state, ref):
         return []
-    return commands.refuse_run(state, ref, runs.Refusal.STALE, now)
+    return refusals.refuse_run(state, ref, runs.Refusal.STALE, now)
 
 
 def _may_begin_out_of_reach(
@@ -321,10 +323,10 @@
     assert worker is not None
     if worker.state is runs.WorkerState.DRAINING or state.worker_left:
         refusal = runs.Refusal.DRAINING
-        return commands.refuse_run(state, command.ref, refusal, now)
+        return refusals.refuse_run(state, command.ref, refusal, now)
     if not state.answering:
         refusal = runs.Refusal.UNHEALTHY
-        return commands.refuse_run(state, command.ref, refusal, now)
+        return refusals.refuse_run(state, command.ref, refusal, now)
     if state.former_starts is None and now < state.former_runs_expire_at:
         open_starts.record_former(state, command.ref, command)
     state.active[command.ref] = executor.LocalRun(
--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -5,11 +5,11 @@
 import msgspec
 
 from gypsumhold.decisions.jobs import (
-    commands,
     lifecycle,
     losses,
     received_directives,
     report_timers,
+    starts,
     worker_polls,
 )
 from gypsumhold.decisions.jobs.run_bounds import leases, open_starts
@@ -81,7 +81,7 @@
     emitted = report_timers.begin_interval(state, now)
     if state.worker is not None:
         emitted += worker_polls.poll_worker(state, now)
-    return [*emitted, *commands.log_held_runs(state, now)]
+    return [*emitted, *starts.log_held_runs(state, now)]
 
 
 def send_due_report(
--- a/src/gypsumhold/decisions/jobs/run_bounds/__init__.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/__init__.py
@@ -1,4 +1,5 @@
 """Until when a run may work, on any incarnation of its worker.
 
-`open_starts` answers that for the agent, and `late_starts` for the holder.
+`open_starts` owns the runs that nothing confirms, and `leases` the confirmed
+ones; `expiries` has the holder's copy of both.
 """
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -9,7 +9,9 @@
 from gypsumhold.decisions.jobs import (
     colocation,
     commands,
+    refusals,
     run_lists,
+    starts,
     worker_logs,
 )
 from gypsumhold.decisions.jobs.run_bounds import (
@@ -61,7 +63,7 @@
     state.worker = new
     _note_draining(state, new, now)
     emitted += poll_worker(state, now)
-    return [*emitted, *commands.start_waiting_runs(state, now)]
+    return [*emitted, *starts.start_waiting_runs(state, now)]
 
 
 def _note_draining(
@@ -227,11 +229,11 @@
         state.report_due = True
         emitted.append(worker_logs.log_first_lists(event))
     state.polled = True
-    emitted += commands.start_waiting_runs(state, now)
+    emitted += starts.start_waiting_runs(state, now)
     emitted += colocation.adjust_throttling(state, now)
     emitted += poll_worker(state, now, _choose_delay(state, now))
     # This poll may carry the acknowledgement for which runs have waited.
-    return [*emitted, *commands.start_waiting_runs(state, now)]
+    return [*emitted, *starts.start_waiting_runs(state, now)]
 
 
 def _handle_fenced_poll(
@@ -303,11 +305,11 @@
         if state.clock is not None:
             state.silent_after = now - state.clock.received_at
     state.answering = False
-    for local_run in commands.list_waiting_runs(state):
+    for local_run in starts.list_waiting_runs(state):
         if open_starts.may_work(state, local_run.ref, now):
             incarnations.doubt_again(state, local_run, now)
         else:
-            emitted += commands.refuse_run(
+            emitted += refusals.refuse_run(
                 state, local_run.ref, runs.Refusal.UNHEALTHY, now
             )
     return [*emitted, *_drop_ended_runs(state, event, now)]
