Tell a successor which starts may be open

Cause: the record of a job does not tell which starts were confirmed, so the successor released them all after the former grants, 10.5 s. Change: the holder's row has a watermark on the clock of the queue; every start that was placed before it is settled. The record of a task has when it was placed. No further write is needed. Tasks placed after the watermark wait 31 s for an agent that does not report, the others 10.5 s as before. An agent process that is gone counts as the sender of an adopted start.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -16,6 +16,7 @@
     store_health,
 )
 from gypsumhold.decisions.jobs.overload import forecasts
+from gypsumhold.decisions.jobs.run_bounds import settled_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
@@ -78,7 +79,7 @@
         return emitted
     forecasts.refresh(state, holder_state, now)
     holder_state.sent_at = now
-    batch = _build_batch(state, holder_state)
+    batch = _build_batch(state, holder_state, now)
     holder_state.in_flight = batch
     holder_state.commit_attempts = 0
     return [*emitted, effects.CommitBatch(batch)]
@@ -103,7 +104,9 @@
 
 
 def _build_batch(
-    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    now: datetime.timedelta,
 ) -> storage.Batch:
     """Returns the next batch and removes its changes from the pending ones."""
     number = holder_state.next_batch
@@ -145,6 +148,8 @@
         number,
         state.options.cores,
         *forecasts.describe(state, holder_state.sent_at),
+        clock_ms=settled_starts.read_clock_ms(holder_state, now),
+        settled_ms=settled_starts.compute_settled_ms(holder_state, now),
     )
     return storage.Batch(
         holder_state.version, record, tuple(writes), tuple(removed)
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -233,6 +233,18 @@
     return ids.Epoch(former + 1)
 
 
+def _read_former_clock(row: storage.HolderRow | None) -> records.QueueMs:
+    """Returns the queue's clock in a row; the next holder goes on from it."""
+    record = None if row is None else row.record
+    return records.QueueMs(0) if record is None else record.clock_ms
+
+
+def _read_former_watermark(row: storage.HolderRow | None) -> records.QueueMs:
+    """Returns the watermark of settled starts in a row."""
+    record = None if row is None else row.record
+    return records.QueueMs(0) if record is None else record.settled_ms
+
+
 def _is_holder_small(
     state: scheduler.SchedulerState, row: storage.HolderRow
 ) -> bool:
@@ -299,6 +311,8 @@
         options.endpoint,
         0,
         options.cores,
+        clock_ms=_read_former_clock(row),
+        settled_ms=_read_former_watermark(row),
     )
     entry = records.EntryRecord(
         records.FORMAT, options.name, options.endpoint, True, term
@@ -345,6 +359,8 @@
         now,
         now,
         replaced_live_holder=state.replacing_live_holder,
+        clock_base_ms=_read_former_clock(state.holder_row),
+        former_settled_ms=_read_former_watermark(state.holder_row),
     )
     log = effects.Log(
         "take-queue", state.options.name, "taken", (("term", str(term)),)
--- a/src/gypsumhold/decisions/jobs/holders.py
+++ b/src/gypsumhold/decisions/jobs/holders.py
@@ -171,13 +171,13 @@
         return emitted
     if now >= expiries.compute_former_grant_expiry(state, holder_state):
         for instance in lifecycle.list_unreported_instances(holder_state):
-            emitted += release_tasks(
-                holder_state,
-                instance,
-                holder_state.orphans[instance],
-                "unheard",
-                now,
+            unheard = expiries.list_unheard_runs(
+                state, holder_state, holder_state.orphans[instance], now
             )
+            if unheard:
+                emitted += release_tasks(
+                    holder_state, instance, unheard, "unheard", now
+                )
         for view in holder_state.agents.values():
             emitted += _release_silent_runs(state, holder_state, view, now)
     for job in list(holder_state.open_jobs.values()):
--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -3,6 +3,7 @@
 import datetime
 
 from gypsumhold.decisions.jobs import progress_records, repetitions
+from gypsumhold.decisions.jobs.run_bounds import settled_starts
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     messages,
@@ -84,6 +85,7 @@
                 ref = build_task_ref(job, step, index)
                 orphans = holder_state.orphans.setdefault(task.instance, {})
                 orphans[ref] = scheduler.PlacedTask(job, step, task)
+                settled_starts.restore(holder_state, orphans[ref], ref)
 
 
 def _is_being_deleted(
@@ -180,6 +182,7 @@
     task.reading = None
     task.progress_percent = 0
     task.placed_at = task.progressed_at = now
+    settled_starts.record_placement(holder_state, placed, ref, now)
     task.worker_reported_at = now
     task.lease_ends_at = task.late_run_ends_at = ZERO
     task.late_start_reporter = None
--- a/src/gypsumhold/decisions/jobs/progress_records.py
+++ b/src/gypsumhold/decisions/jobs/progress_records.py
@@ -44,6 +44,7 @@
                 crash.instance for crash in saved.crashes
             )
             task.batch = 0
+            task.placed_ms = saved.placed_ms
             task.placed_at = task.progressed_at = now
             task.worker_reported_at = now
     repetitions.open_steps(job)
@@ -135,4 +136,5 @@
         checkpoint,
         failed_runs,
         crashes,
+        task.placed_ms if is_placed else records.NEVER_PLACED,
     )
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -181,7 +181,7 @@
     view.stops_sent.clear()
     for sums in report.interference_sums:
         view.interference_sums[sums.pair] = sums
-    _adopt_orphans(holder_state, view)
+    _adopt_orphans(state, holder_state, view, now)
     listed = _index_listed_runs(view)
     emitted += _release_ended_runs(holder_state, view, listed, now)
     expiries.record_report(view, listed, now)
@@ -265,11 +265,20 @@
 
 
 def _adopt_orphans(
-    holder_state: scheduler.HolderState, view: scheduler.AgentView
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
 ) -> None:
-    """Moves the orphans of an instance that has reported to its view."""
+    """Moves the orphans of an instance that has reported to its view.
+
+    The process that was to start those that it does not list may be gone.
+    """
+    listed = {row.ref for row in view.report.rows}
     for ref, placed in holder_state.orphans.pop(view.instance, {}).items():
         view.placed[ref] = placed
+        if runs.RunRef(ref, placed.task.run) not in listed:
+            expiries.record_former_start(state, placed.task, now)
 
 
 def _release_ended_runs(
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -20,19 +20,51 @@
     state: scheduler.SchedulerState, holder_state: scheduler.HolderState
 ) -> datetime.timedelta:
     """Returns when every grant of the former holder has expired."""
-    options = state.options
-    # The former holder may have issued grants for up to `grant_window` after
-    # the last change of the row, which was seen at least `takeover_delay`
-    # before the takeover unless the former holder was still active.
-    left = options.grant_window
-    if not holder_state.replaced_live_holder:
-        left -= options.takeover_delay
     # A worker incarnation that was heard just before the takeover may have
     # taken a late lease.
-    longest = max(left + options.grant, options.limits.measure_longest_lease())
+    longest = max(
+        _measure_former_grant(state, holder_state),
+        state.options.limits.measure_longest_lease(),
+    )
     return holder_state.term_started_at + longest + GRANT_MARGIN
 
 
+def _measure_former_grant(
+    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+) -> datetime.timedelta:
+    """Returns the time from the takeover until the former grants expire.
+
+    The former holder may have issued grants for up to `grant_window` after the
+    last change of the row, which was seen at least `takeover_delay` before the
+    takeover unless the former holder was still active.
+    """
+    left = state.options.grant_window
+    if not holder_state.replaced_live_holder:
+        left -= state.options.takeover_delay
+    return left + state.options.grant
+
+
+def list_unheard_runs(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    orphans: dict[runs.TaskRef, scheduler.PlacedTask],
+    now: datetime.timedelta,
+) -> dict[runs.TaskRef, scheduler.PlacedTask]:
+    """Returns the tasks of an instance unheard of whose runs have ended.
+
+    The former grants have expired. An open start may have been sent until then,
+    and be carried out late.
+    """
+    late_run = state.options.limits.measure_longest_late_run()
+    longest = _measure_former_grant(state, holder_state) + late_run
+    may_be_late = now < holder_state.term_started_at + longest + GRANT_MARGIN
+    return {
+        ref: placed
+        for ref, placed in orphans.items()
+        if not (placed.task.is_start_open and may_be_late)
+    }
+
+
 def record_report(
     view: scheduler.AgentView,
     listed: Container[runs.TaskRef],
@@ -69,13 +101,21 @@
 
     The new process sends them again, and its answer is no proof for the others.
     """
-    late_run = state.options.limits.measure_longest_late_run()
     for placed in view.placed.values():
-        task = placed.task
-        if task.is_start_open:
-            task.late_run_ends_at = now + late_run
-        if task.is_start_open or task.former_senders:
-            task.former_senders += 1
+        record_former_start(state, placed.task, now)
+
+
+def record_former_start(
+    state: scheduler.SchedulerState,
+    task: progress.Task,
+    now: datetime.timedelta,
+) -> None:
+    """Records that a process that is gone may have sent a start of a task."""
+    late_run = state.options.limits.measure_longest_late_run()
+    if task.is_start_open:
+        task.late_run_ends_at = now + late_run
+    if task.is_start_open or task.former_senders:
+        task.former_senders += 1
 
 
 def keep_former_starts(
@@ -88,8 +128,11 @@
     """
     for placed in view.placed.values():
         task = placed.task
-        is_same_name = task.worker_incarnation.name == incarnation.name
-        if task.is_start_open and task.former_senders and is_same_name:
+        known = task.worker_incarnation
+        is_later = known.started_ms < incarnation.started_ms
+        if known.name != incarnation.name or not is_later:
+            continue
+        if task.is_start_open and task.former_senders:
             task.worker_incarnation = incarnation
 
 
--- /dev/null
+++ b/src/gypsumhold/decisions/jobs/run_bounds/settled_starts.py
@@ -0,0 +1,67 @@
+"""Tells a successor which starts may be open, without a write for each start.
+
+The holder's row has a watermark on the clock of the queue, which goes on from
+holder to holder: every start that was placed before it has been confirmed. The
+record of a task has when it was placed. So after the loss of the holder, only
+the tasks that were placed later may have a start that is under way.
+"""
+
+import datetime
+
+from gypsumhold.model.jobs import records, runs, scheduler
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+def read_clock_ms(
+    holder_state: scheduler.HolderState, now: datetime.timedelta
+) -> records.QueueMs:
+    """Returns the reading of the queue's clock, which runs while it is held."""
+    passed_ms = (now - holder_state.term_started_at) // MILLISECOND
+    return records.QueueMs(holder_state.clock_base_ms + passed_ms)
+
+
+def record_placement(
+    holder_state: scheduler.HolderState,
+    placed: scheduler.PlacedTask,
+    ref: runs.TaskRef,
+    now: datetime.timedelta,
+) -> None:
+    """Records that the present run of a task was placed."""
+    placed.task.placed_ms = read_clock_ms(holder_state, now)
+    run_ref = runs.RunRef(ref, placed.task.run)
+    holder_state.unsettled_starts[run_ref] = placed
+
+
+def restore(
+    holder_state: scheduler.HolderState,
+    placed: scheduler.PlacedTask,
+    ref: runs.TaskRef,
+) -> None:
+    """Judges the start of a task that a former holder placed."""
+    if placed.task.placed_ms >= holder_state.former_settled_ms:
+        placed.task.is_start_open = True
+        run_ref = runs.RunRef(ref, placed.task.run)
+        holder_state.unsettled_starts[run_ref] = placed
+
+
+def compute_settled_ms(
+    holder_state: scheduler.HolderState, now: datetime.timedelta
+) -> records.QueueMs:
+    """Returns the watermark, and forgets the starts that are settled."""
+    unsettled = {
+        ref: placed
+        for ref, placed in holder_state.unsettled_starts.items()
+        if _is_unsettled(placed, ref)
+    }
+    holder_state.unsettled_starts = unsettled
+    placed_ms = [placed.task.placed_ms for placed in unsettled.values()]
+    return min([read_clock_ms(holder_state, now), *placed_ms])
+
+
+def _is_unsettled(placed: scheduler.PlacedTask, ref: runs.RunRef) -> bool:
+    """Tells whether a start of a placed run may still be carried out."""
+    task = placed.task
+    if task.run != ref.run or not task.is_placed():
+        return False
+    return task.is_start_open or task.late_start_reporter is not None
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -52,8 +52,9 @@
         worker_incarnation: Incarnation of the worker of the latest placement.
         checkpoint: Latest saved progress.
         batch: Number of the batch that stores the latest placement.
-        is_start_open: Whether this holder placed the run and no report has told
-            that its worker has started it.
+        is_start_open: Whether no report has told that the worker has started
+            the run; of a run that a former holder placed, whether that may be.
+        placed_ms: When the run was placed, on the queue's clock.
         late_run_ends_at: When the run ends if another start of it, also one
             of a former process of the agent, is carried out late.
         late_start_reporter: Process of the agent that was the last to report
@@ -110,6 +111,7 @@
     checkpoint: runs.Checkpoint = runs.Checkpoint("")
     batch: int = NOT_STORED
     is_start_open: bool = False
+    placed_ms: records.QueueMs = records.NEVER_PLACED
     reported: bool = False
     worker_reported_at: datetime.timedelta = ZERO
     lease_ends_at: datetime.timedelta = ZERO
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -1,6 +1,7 @@
 """Rows of the table that stores jobs, their progress and the holder."""
 
 import enum
+from typing import NewType
 
 import msgspec
 
@@ -10,6 +11,12 @@
 NO_FORECAST = -1
 """Age of the forecast in a holder's row that has none."""
 
+QueueMs = NewType("QueueMs", int)
+"""Milliseconds for which the queue has been held, by all holders together."""
+
+NEVER_PLACED = QueueMs(-1)
+"""Stands for the time of a placement in rows of versions without it."""
+
 FORMAT = 1
 """Version of the row format, which is written into each row."""
 
@@ -39,6 +46,7 @@
     checkpoint: runs.Checkpoint = runs.Checkpoint("")
     failed_runs: tuple[runs.RunNumber, ...] = ()
     crashes: tuple[runs.Crash, ...] = ()
+    placed_ms: QueueMs = NEVER_PLACED
 
 
 class StepRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -99,6 +107,9 @@
         forecast_age_ms: Age of the forecast when the row was built, on the
             clock of the holder; negative without a forecast.
         forecast: Queues that are short of room.
+        clock_ms: Reading of the queue's clock when the row was built.
+        settled_ms: Every start of a run that was placed before this reading
+            has been confirmed, and no other start of the run is under way.
     """
 
     version: int
@@ -110,6 +121,8 @@
     cores: runs.Measured = 0.0
     forecast_age_ms: int = NO_FORECAST
     forecast: tuple[forecasts.QueueForecast, ...] = ()
+    clock_ms: QueueMs = QueueMs(0)
+    settled_ms: QueueMs = QueueMs(0)
 
 
 class EntryRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -13,6 +13,7 @@
     messages,
     policies,
     progress,
+    records,
     runs,
     scheduler_options,
     specs,
@@ -260,6 +261,10 @@
         releasing: Whether the next batch leaves the queue without a holder.
         replaced_live_holder: Whether the queue was taken from a holder that
             was still storing batches.
+        clock_base_ms: Reading of the queue's clock when the term started.
+        former_settled_ms: Watermark of settled starts in the former row.
+        unsettled_starts: Placed runs whose starts may be under way; some may
+            have been settled since the latest batch was built.
         run_waits: How long jobs and long-running tasks have had no run.
         evacuation_knowledge: Whether the known evacuations may be outdated.
         evacuations_asked_at: When the pending read of the evacuations is sent
@@ -317,6 +322,11 @@
     load_failed: bool = False
     releasing: bool = False
     replaced_live_holder: bool = False
+    clock_base_ms: records.QueueMs = records.QueueMs(0)
+    former_settled_ms: records.QueueMs = records.QueueMs(0)
+    unsettled_starts: dict[runs.RunRef, PlacedTask] = dataclasses.field(
+        default_factory=dict
+    )
     cautious_estimates: dict[runs.ImagePair, float] = dataclasses.field(
         default_factory=dict
     )
