Count jobs as waiting until a worker has begun a run of them

Cause: the count of waiting jobs took the jobs in the state queued, which ends with the first placement; a start may be lost or go without an answer after it. Change: each job has a flag that the first confirmed run sets: a reported run with an age, a run reported as lost with its worker, or a listed end of a run that was placed. The count asks the flag. The progress record has it as a last field, which the next batch of the job writes; the flag makes none due. In rows of former versions, done tasks, failures and checkpoints tell of a run, and the first report of the agent does for the others. The state that callers see stays the stored one: running since the first placement, as it must not go back, and a state by confirmed runs would cost a batch for each job. A record grows by a byte.

--- a/src/gypsumhold/decisions/jobs/crashes.py
+++ b/src/gypsumhold/decisions/jobs/crashes.py
@@ -253,8 +253,13 @@
     placed: scheduler.PlacedTask,
     crash: runs.Crash,
 ) -> bool:
-    """Adds a crash to a task; returns False if the task has it already."""
+    """Adds a crash to a task; returns False if the task has it already.
+
+    A run that had begun there may be in no report.
+    """
     task = placed.task
+    if crash.began:
+        placed.job.has_begun = True
     identity = (crash.instance, crash.started_ms)
     if identity in {(old.instance, old.started_ms) for old in task.crashes}:
         return False
--- a/src/gypsumhold/decisions/jobs/listed_runs.py
+++ b/src/gypsumhold/decisions/jobs/listed_runs.py
@@ -41,6 +41,7 @@
             placed.task.listed_at = view.latest_start_at = now
         if row.age_ms != runs.UNKNOWN_AGE:
             if placed.task.age is None:
+                placed.job.has_begun = True
                 holder_state.run_waits.touched.add(placed.job.spec.job_id)
             placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
             placed.task.is_start_open = False
--- a/src/gypsumhold/decisions/jobs/progress_records.py
+++ b/src/gypsumhold/decisions/jobs/progress_records.py
@@ -25,6 +25,7 @@
     if not job.is_open():
         job.ended_at = now
         return
+    job.has_begun = record.has_begun or _tells_begun_run(record)
     _restore_done_repetitions(job, record.done_repetitions)
     for step_record in record.steps:
         step = _open_recorded_step(job, step_record)
@@ -49,6 +50,26 @@
     repetitions.open_steps(job)
 
 
+def _tells_begun_run(record: records.ProgressRecord) -> bool:
+    """Tells whether a run has left a trace in a record.
+
+    Records of former versions have no other sign that a job has begun. A run
+    without a trace is reported by its agent, or its task begins again.
+    """
+    return record.done_repetitions > 0 or any(
+        not step.tasks or any(_has_trace(task) for task in step.tasks)
+        for step in record.steps
+    )
+
+
+def _has_trace(task: records.TaskRecord) -> bool:
+    return (
+        task.state is records.TaskState.DONE
+        or task.failures > 0
+        or bool(task.checkpoint)
+    )
+
+
 def _open_recorded_step(
     job: progress.Job, step_record: records.StepRecord
 ) -> progress.Step:
@@ -110,7 +131,11 @@
         for step in layout.steps
     )
     return records.ProgressRecord(
-        records.FORMAT, job.state, steps, layout.done_repetitions
+        records.FORMAT,
+        job.state,
+        steps,
+        layout.done_repetitions,
+        job.has_begun,
     )
 
 
--- a/src/gypsumhold/decisions/jobs/queries.py
+++ b/src/gypsumhold/decisions/jobs/queries.py
@@ -89,8 +89,7 @@
     query = event.query
     if query.kind is messages.QueryKind.WAITING:
         waiting = sum(
-            job.spec.queue.name == query.queue
-            and job.state is messages.JobState.QUEUED
+            job.spec.queue.name == query.queue and not job.has_begun
             for job in holder_state.open_jobs.values()
         )
         return _answer(event.ticket, messages.Verdict.WAITING, waiting=waiting)
--- a/src/gypsumhold/decisions/jobs/run_ends.py
+++ b/src/gypsumhold/decisions/jobs/run_ends.py
@@ -40,6 +40,7 @@
         ended_at: When the agent saw the end in the list of the worker; None
             if that was just now.
     """
+    _note_begin(holder_state, row.ref)
     ref = row.ref.task
     placed = view.placed.get(ref)
     if placed is None or placed.task.run != row.ref.run:
@@ -65,6 +66,17 @@
     ]
 
 
+def _note_begin(holder_state: scheduler.HolderState, ref: runs.RunRef) -> None:
+    """Records that a job has begun, as a run of it has ended.
+
+    A run that was never placed belongs to an earlier job with the same id.
+    """
+    job = holder_state.jobs.get(ref.task.job_id)
+    task = None if job is None else job.find_task(ref.task)
+    if job is not None and task is not None and ref.run <= task.run:
+        job.has_begun = True
+
+
 def _handle_former_run_end(
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -199,7 +199,11 @@
     """State of a job that callers see."""
 
     QUEUED = "queued"
+    """No task has been placed yet."""
+
     RUNNING = "running"
+    """A task has been placed; whether a run has begun is another question."""
+
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
@@ -239,7 +243,8 @@
     Attributes:
         verdict: Result of the request.
         state: State of the job, for the verdict `STATE`.
-        waiting: Number of queued jobs, for the verdict `WAITING`.
+        waiting: Number of jobs of which no run has begun, for the verdict
+            `WAITING`.
         retry_after_s: Seconds before the caller should retry; 0 for no advice.
     """
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -297,6 +297,9 @@
             holder.
         state: State that callers see once `batch` is stored.
         stored_state: State that is stored; callers see this one.
+        has_begun: Whether a worker has confirmed a run of a task, or listed the
+            end of one. Until then the job counts as waiting; a task that is
+            only placed may never start.
         batch: Number of the latest batch that includes the job.
         steps: Steps of the repetitions that are due, in order.
         next_repetition: First repetition that is not yet due.
@@ -320,6 +323,7 @@
     submitted_at: datetime.timedelta
     state: messages.JobState = messages.JobState.QUEUED
     stored_state: messages.JobState = messages.JobState.QUEUED
+    has_begun: bool = False
     batch: int = 0
     steps: list[Step] = dataclasses.field(default_factory=list)
     next_repetition: int = 0
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -62,12 +62,15 @@
             that has ended.
         done_repetitions: Number of first repetitions whose steps are all done
             and left out to save space.
+        has_begun: Whether a run of the job was known to have begun when the
+            row was built; False in rows of former versions, which do not say.
     """
 
     version: int
     state: messages.JobState
     steps: tuple[StepRecord, ...]
     done_repetitions: int = 0
+    has_begun: bool = False
 
 
 class JobRecord(msgspec.Struct, frozen=True, array_like=True):
