Name what a placed step is asked by what it tells

Cause: Step.has_begun told whether a task of the step was ever placed, while LostRun.has_begun and Job.has_begun ask whether a worker has confirmed a run. Change: it is called was_placed; no change of behaviour.

--- a/src/gypsumhold/decisions/jobs/record_sizes.py
+++ b/src/gypsumhold/decisions/jobs/record_sizes.py
@@ -115,7 +115,7 @@
     """Which steps of a job its record has.
 
     Attributes:
-        steps: Steps that have begun and are stored one by one.
+        steps: Steps of which a task was placed, stored one by one.
         done_repetitions: Number of first repetitions whose steps are all done
             and that are stored by their number alone. A former version would
             run them again, so only large jobs have any.
@@ -141,7 +141,7 @@
     steps = tuple(
         step
         for step in job.steps
-        if step.repetition >= first and step.has_begun()
+        if step.repetition >= first and step.was_placed()
     )
     return Layout(steps, first, large)
 
@@ -174,10 +174,10 @@
         """Creates the budget for one plan."""
         self._is_limited = is_large(job)
         self._left = row_bytes
-        self._begun: set[int] = set()
+        self._placed: set[int] = set()
         if self._is_limited:
             self._left -= estimate_record(job, Detail.ESSENTIAL)
-            self._begun = {id(step) for step in job.steps if step.has_begun()}
+            self._placed = {id(step) for step in job.steps if step.was_placed()}
 
     def allows(self, step: progress.Step, tasks: int = 1) -> bool:
         """Tells whether so many more tasks of a step can be placed."""
@@ -187,10 +187,10 @@
         """Records placements of a step."""
         if self._is_limited and tasks:
             self._left -= self._measure(step, tasks)
-            self._begun.add(id(step))
+            self._placed.add(id(step))
 
     def _measure(self, step: progress.Step, tasks: int) -> int:
         size = (PLACED_TASK_BYTES - DONE_TASK_BYTES) * tasks
-        if id(step) in self._begun:
+        if id(step) in self._placed:
             return size
         return size + DONE_TASK_BYTES * len(step.tasks)
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -212,8 +212,8 @@
         """Tells whether a crash may be the fault of one of the tasks."""
         return any(task.is_suspect() for task in self.tasks)
 
-    def has_begun(self) -> bool:
-        """Tells whether a task was ever placed."""
+    def was_placed(self) -> bool:
+        """Tells whether a task was ever placed, whether or not it ran."""
         return any(task.run for task in self.tasks)
 
     def is_done(self) -> bool:
