Ask for the number of waiting jobs in the world with faults

Cause: the tests of the count follow single orders of reports; a holder may learn of starts, ends and losses in others. Change: the random search with faults asks its holder every 50 ms, and the count may not be below the open jobs that no worker has started.

--- a/tests/jobs/test_waiting_jobs.py
+++ b/tests/jobs/test_waiting_jobs.py
@@ -12,7 +12,7 @@
 
 from gypsumhold.adapters.jobs import codec
 from gypsumhold.decisions import reducer
-from gypsumhold.decisions.jobs import lifecycle, progress_records
+from gypsumhold.decisions.jobs import lifecycle, progress_records, queries
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import (
     effects,
@@ -25,7 +25,8 @@
     specs,
     storage,
 )
-from tests.jobs import builders, job_specs
+from tests.jobs import builders, job_specs, nodes, test_world
+from tests.jobs import world as worlds
 
 START = datetime.timedelta(seconds=10)
 MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -55,6 +56,22 @@
     return runs.EndRow(runs.EndNumber(number), ref, end)
 
 
+def count_waiting(
+    state: scheduler.SchedulerState, now: datetime.timedelta
+) -> int:
+    """Returns the number of waiting jobs that a holder tells a caller."""
+    kind = messages.QueryKind.WAITING
+    query = messages.Query(kind, queue=job_specs.QUEUE.name)
+    wait = datetime.timedelta(seconds=3)
+    asked = events.QueryArrived(ids.TicketId("q"), query, wait)
+    (answer,) = (
+        effect.answer
+        for effect in queries.handle_query(state, asked, now)
+        if isinstance(effect, effects.AnswerQuery)
+    )
+    return answer.waiting
+
+
 class Holder:
     """A holder of the queue; its batches are stored at once."""
 
@@ -80,18 +97,7 @@
 
     def count(self) -> int:
         """Returns the number of waiting jobs that callers are told."""
-        kind = messages.QueryKind.WAITING
-        query = messages.Query(kind, queue=job_specs.QUEUE.name)
-        wait = datetime.timedelta(seconds=3)
-        emitted = self._deliver(
-            events.QueryArrived(ids.TicketId("q"), query, wait)
-        )
-        (answer,) = (
-            effect.answer
-            for effect in emitted
-            if isinstance(effect, effects.AnswerQuery)
-        )
-        return answer.waiting
+        return count_waiting(self.state, self.now)
 
     def report(
         self,
@@ -359,3 +365,50 @@
     done = records.TaskRecord(records.TaskState.DONE, RUN.run)
     rows = storage.JobRows(spec, build_former_record(done))
     assert Holder(rows).count() == 0
+
+
+# The world.
+
+JOBS = 12
+FAULTS = 8
+ASKED_MS = 50.0
+JUDGED_MS = 20_000.0
+
+
+def count_not_started(
+    world: worlds.World, holder_state: scheduler.HolderState
+) -> int:
+    """Returns how many jobs that a holder has open no worker has started."""
+    started = {ref.task.job_id for ref in world.oracle.started}
+    return len(holder_state.open_jobs.keys() - started)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_count_has_every_job_that_no_worker_has_started(seed: int) -> None:
+    """Guards against a count that leaves out jobs in any order of faults.
+
+    Calls are lost and held back; processes and workers are killed, paused and
+    cut off.
+    """
+    world = worlds.World(seed)
+    world.run(2000)
+    world.faults = nodes.Faults(0.03, 0.03, 0.03, 0.15)
+    test_world.submit_jobs(world, JOBS, "j")
+    for _ in range(FAULTS):
+        world.after(
+            world.random.uniform(500, 15_000),
+            lambda: test_world.inject_fault(world),
+        )
+    for _ in range(int(JUDGED_MS / ASKED_MS)):
+        world.run(ASKED_MS)
+        for node in world.nodes.values():
+            state = node.state
+            if not node.alive or not isinstance(
+                state, scheduler.SchedulerState
+            ):
+                continue
+            holder_state = state.holder_state
+            if holder_state and state.role is scheduler.Role.HOLDER:
+                not_started = count_not_started(world, holder_state)
+                told = count_waiting(state, world.read_clock())
+                assert told >= not_started
