Send no run again whose stop got no answer

Cause: a stop without an answer is forgotten, and the list that lacks the run lets its start be sent again. Change: a run that is stopped before its start is confirmed is not sent again; it is refused once no start of it can be carried out. Result: test_stopped_run_in_doubt_is_not_sent_again failed before and passes; test_late_calls, test_former_starts, test_withdrawals, test_stopping and test_revoked_starts pass.

--- a/src/gypsumhold/decisions/jobs/commands.py
+++ b/src/gypsumhold/decisions/jobs/commands.py
@@ -47,6 +47,9 @@
     if local_run.state is executor.LocalState.WAITING:
         return refusals.refuse_run(state, ref, runs.Refusal.STALE, now)
     local_run.stop_sent = True
+    if local_run.state is not executor.LocalState.RUNNING:
+        # It is not sent again either if the stop gets no answer.
+        local_run.withheld_refusal = runs.Refusal.STALE
     return [
         effects.Log(
             "stop",
--- a/tests/jobs/test_open_starts.py
+++ b/tests/jobs/test_open_starts.py
@@ -197,3 +197,22 @@
     worker.restart(world.now_ms, 0)
     world.nodes[name].cut_worker = True
     test_kin_of_late_calls.settle(world)
+
+
+def test_stopped_run_in_doubt_is_not_sent_again() -> None:
+    """Guards against a run that nobody wants, as its stop got no answer."""
+    agent = linked_agent.LinkedAgent()
+    agent.fail_start(agent.request(RUN))
+    directives = agent.build_directives(agent.state.sequence + 1, stops=(RUN,))
+    agent.push(directives)
+    agent.deliver(
+        events.CommandAnswered(
+            agent.incarnation,
+            events.CommandKind.STOP,
+            RUN,
+            agent.state.fence,
+            events.CommandResult.UNANSWERED,
+        )
+    )
+    assert not test_late_calls.list_starts(agent.poll_now())
+    assert_kept(agent)
