Hold a run that the holder released while a start of it is open

Callers saw: nothing; by reading, a run that was to be sent again was sent although the holder had released it, if no report had listed it yet. Cause: released runs with an open start were left as they were. Change: they are held until no start of them can be carried out. Result: test_revoked_run_with_an_open_start_is_not_sent_again failed before and passes; the other tests of test_open_starts pass.

--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -125,6 +125,7 @@
     grant is for the runs that the holder still has placed here: it names them
     to start, unless the report listed them, and then it names those to stop.
     Commands that were sent after the answer, and overtook it, are not dropped.
+    Nor is a run that an open start may begin, but it is not sent again.
     """
     wanted = {command.ref for command in directives.starts}
     emitted: EffectList = []
@@ -137,10 +138,12 @@
         )
         if not is_waiting or not is_earlier:
             continue
-        if open_starts.may_work(state, local_run.ref, now):
-            continue
         if was_listed or local_run.ref in wanted:
             continue
+        if open_starts.may_work(state, local_run.ref, now):
+            refusal = runs.Refusal.STALE
+            emitted += refusals.refuse_run(state, local_run.ref, refusal, now)
+            continue
         del state.active[local_run.ref]
         emitted.append(_log_revoked_start(local_run.ref))
     return emitted
--- a/tests/jobs/test_open_starts.py
+++ b/tests/jobs/test_open_starts.py
@@ -216,3 +216,25 @@
     )
     assert not test_late_calls.list_starts(agent.poll_now())
     assert_kept(agent)
+
+
+def test_revoked_run_with_an_open_start_is_not_sent_again() -> None:
+    """Guards against a start that the holder has released meanwhile.
+
+    The answer to a report that did not list the run yet names it no more.
+    """
+    agent = linked_agent.LinkedAgent()
+    agent.answer_report(
+        agent.report(), agent.build_directives(agent.state.sequence + 1)
+    )
+    report = agent.report()
+    emitted = agent.push(
+        agent.build_directives(agent.state.sequence + 1, (RUN,))
+    )
+    agent.fail_start(linked_agent.find_start(emitted))
+    agent.state.active[RUN].state = executor.LocalState.WAITING
+    directives = agent.build_directives(agent.state.sequence + 1)
+    emitted = agent.answer_report(report, directives)
+    assert not test_late_calls.list_starts(emitted)
+    assert not test_late_calls.list_starts(agent.poll_now())
+    assert RUN in agent.state.active
