--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -341,6 +341,10 @@
         self._thread.join(5)
         self._listener.close()
 
+    def is_cut(self) -> bool:
+        """Tells whether the worker can't be reached."""
+        return False
+
     def _is_down(self) -> bool:
         return time.monotonic() * 1000 < self.fake.up_at_ms
 
@@ -381,7 +385,7 @@
             heartbeat = documents.Heartbeat(
                 POOL,
                 str(self.address),
-                "zone",
+                self.fake.zone,
                 "ready",
                 self.fake.heartbeats,
                 self.fake.started_ms,
@@ -463,6 +467,10 @@
         """Returns how long a run of a task lasts."""
         return self._random.uniform(100, 900)
 
+    def _measure_cpu_millis(self, run: worker_fake.FakeRun) -> int:
+        """Returns the CPU in use; without any, a run counts as halted."""
+        return 0
+
     def _render(
         self, path: str, result: events.CommandResult, now_ms: float
     ) -> http_routes.HttpResponse:
@@ -479,7 +487,13 @@
         if path == "/hold":
             document["born"] = self.fake.started_ms
             document["running"] = [
-                [str(run.ref.task), run.ref.run, "", 50, 0]
+                [
+                    str(run.ref.task),
+                    run.ref.run,
+                    "",
+                    50,
+                    self._measure_cpu_millis(run),
+                ]
                 for run in self.fake.running.values()
             ]
             document["ended"] = [
