--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -1,6 +1,7 @@
 """How the calls to a worker and its work behave in a play."""
 
 import abc
+import enum
 import random
 from collections.abc import Callable
 
@@ -93,6 +94,31 @@
         return True
 
 
+class UnansweredCalls(CutRule):
+    """Calls that arrive during a cut are carried out; the answers are lost."""
+
+    def await_delivery(
+        self, left_s: float, wait: Callable[[float], object]
+    ) -> bool:
+        """Returns True at once."""
+        return True
+
+
+class CutKind(enum.Enum):
+    """What a cut does to calls."""
+
+    DROPPED = "dropped"
+    DELIVERED = "delivered"
+    UNANSWERED = "unanswered"
+
+
+CUT_RULES: dict[CutKind, CutRule] = {
+    CutKind.DROPPED: DroppedCalls(),
+    CutKind.DELIVERED: DeliveredCalls(),
+    CutKind.UNANSWERED: UnansweredCalls(),
+}
+
+
 class Durations(abc.ABC):
     """How long the runs of tasks last."""
 
