Search the orders of calls in a small deployment exhaustively

The answers of the fake worker are built in tests/jobs/worker_calls.py, which the worker link shares.

--- /dev/null
+++ b/tests/jobs/order_search/__main__.py
@@ -0,0 +1,58 @@
+"""Command of the search; see the package for what a step is."""
+
+import argparse
+import dataclasses
+import sys
+
+from tests.jobs import order_search
+from tests.jobs.order_search import reports, steps, walk
+
+
+def build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m tests.jobs.order_search",
+        description=order_search.__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--depth", type=int, default=5, help="steps of an order"
+    )
+    parser.add_argument("--entries", type=int, default=1)
+    parser.add_argument("--tasks", type=int, default=1)
+    parser.add_argument("--processes", type=int, default=1)
+    parser.add_argument(
+        "--shown", type=int, default=20, help="different orders to print"
+    )
+    parser.add_argument(
+        "--journal", action="store_true", help="print what each step causes"
+    )
+    for field in dataclasses.fields(steps.Limits):
+        name = "--" + field.name.replace("_", "-")
+        parser.add_argument(name, type=int, default=field.default)
+    return parser
+
+
+def main() -> int:
+    """Walks the orders; returns 1 if one breaks a rule."""
+    arguments = build_parser().parse_args()
+    limits = steps.Limits(
+        **{
+            field.name: getattr(arguments, field.name)
+            for field in dataclasses.fields(steps.Limits)
+        }
+    )
+    setting = walk.Setting(
+        arguments.depth, limits, arguments.entries, arguments.tasks
+    )
+    print(setting, flush=True)
+    found: list[walk.Found] = []
+    for level in walk.walk(setting, arguments.processes):
+        print(reports.describe_level(level), flush=True)
+        found += level.found
+    for order in walk.select_different(found)[: arguments.shown]:
+        print(reports.describe_order(order, setting, arguments.journal))
+    return int(bool(found))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/jobs/order_search/reports.py
@@ -0,0 +1,40 @@
+"""Texts about a search and the orders that it found."""
+
+import contextlib
+
+from tests.jobs.order_search import rules, walk
+
+
+def describe_level(level: walk.Level) -> str:
+    """Returns a line with the numbers of a level."""
+    different = len(walk.select_different(level.found))
+    return (
+        f"depth {level.depth}: {level.orders} orders, {level.states} new"
+        f" states, {len(level.found)} broke a rule ({different} different),"
+        f" {level.seconds:.1f} s"
+    )
+
+
+def describe_order(
+    order: walk.Found, setting: walk.Setting, with_journal: bool = False
+) -> str:
+    """Returns an order as a numbered list, and the rule that it broke.
+
+    It is played once more, for the times of its steps.
+    """
+    world = walk.build_world(setting)
+    world.journal = []
+    begun_ms = world.now_ms
+    lines = []
+    for number, step in enumerate(order.path, 1):
+        with contextlib.suppress(rules.Violation):
+            step.take(world)
+            world.drop_expired_calls()
+        elapsed = (world.now_ms - begun_ms) / 1000
+        lines.append(f"  {number}. {step.describe()} (until {elapsed:.3f} s)")
+        if with_journal:
+            lines += [f"       {line}" for line in world.journal]
+        world.journal.clear()
+    return "\n".join(
+        [f"{order.violation}, after {len(order.path)} steps:", *lines]
+    )
--- /dev/null
+++ b/tests/jobs/order_search/walk.py
@@ -0,0 +1,202 @@
+"""Walks all orders of steps, shortest first, each state once."""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import pickle
+import time
+import zlib
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from tests.jobs.order_search import digests, rules, small_world, steps
+
+Path = tuple[steps.Step, ...]
+Spread = Callable[..., Iterable[Any]]
+"""As `map`, over one process or several."""
+
+CHUNK = 200
+"""States that one process continues at a time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Setting:
+    """What is searched.
+
+    Attributes:
+        depth: Most steps of an order.
+        limits: How often an order may have each kind of step.
+        entries: Number of entries.
+        tasks: Number of tasks; each of two or more fills a worker.
+    """
+
+    depth: int
+    limits: steps.Limits = steps.Limits()
+    entries: int = 1
+    tasks: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """An order that breaks a rule, and the rule."""
+
+    path: Path
+    violation: str
+
+    def list_kinds(self) -> tuple[str, ...]:
+        """Returns its faults without pauses, whichever worker they meet."""
+        names: dict[str, str] = {}
+        kinds = []
+        for step in self.path:
+            if isinstance(step, steps.Pause):
+                continue
+            node = getattr(step, "node", None)
+            if node is not None:
+                names.setdefault(node, f"#{len(names)}")
+            kinds.append(f"{type(step).__name__}{step.kind}{names.get(node)}")
+        return (self.violation, *kinds)
+
+
+@dataclasses.dataclass(slots=True)
+class Level:
+    """What the orders of one length came to.
+
+    Attributes:
+        depth: Their length.
+        orders: Number of orders that were walked.
+        states: Number of different states that they reached; those of the last
+            level are not compared, as nothing follows them.
+        found: Orders that broke a rule.
+        seconds: Time that the level took.
+    """
+
+    depth: int
+    orders: int = 0
+    states: int = 0
+    found: list[Found] = dataclasses.field(default_factory=list)
+    seconds: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _State:
+    """A state as it is kept between two levels."""
+
+    path: Path
+    packed: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Continued:
+    """A state that one more step has reached; or the broken rule."""
+
+    path: Path
+    digest: bytes = b""
+    packed: bytes = b""
+    violation: str = ""
+
+
+def build_world(setting: Setting) -> small_world.SmallWorld:
+    """Returns the world in which every order begins."""
+    return small_world.SmallWorld(2, setting.entries, setting.tasks)
+
+
+def walk(setting: Setting, processes: int = 1) -> Iterator[Level]:
+    """Walks all orders; yields each level once it is done.
+
+    Orders that broke a rule are not continued.
+    """
+    world = build_world(setting)
+    seen = {digests.compute_digest(world)}
+    states = [_State((), _pack(world))]
+    with contextlib.ExitStack() as stack:
+        spread: Spread = map
+        if processes > 1:
+            pool = concurrent.futures.ProcessPoolExecutor(processes)
+            spread = stack.enter_context(pool).map
+        for depth in range(1, setting.depth + 1):
+            begun = time.monotonic()
+            level = Level(depth)
+            reached: list[_State] = []
+            for continued in _continue_all(spread, states, setting, depth):
+                level.orders += 1
+                if continued.violation:
+                    level.found.append(
+                        Found(continued.path, continued.violation)
+                    )
+                elif depth < setting.depth and continued.digest not in seen:
+                    seen.add(continued.digest)
+                    reached.append(_State(continued.path, continued.packed))
+            level.states = len(reached)
+            level.seconds = time.monotonic() - begun
+            yield level
+            states = reached
+
+
+def _continue_all(
+    spread: Spread, states: list[_State], setting: Setting, depth: int
+) -> Iterator[_Continued]:
+    """Yields all that one more step reaches from these states."""
+    is_last = depth == setting.depth
+    chunks = [
+        (states[begin : begin + CHUNK], setting.limits, is_last)
+        for begin in range(0, len(states), CHUNK)
+    ]
+    for continued in spread(_continue_chunk, chunks):
+        yield from continued
+
+
+def _continue_chunk(
+    chunk: tuple[list[_State], steps.Limits, bool],
+) -> list[_Continued]:
+    states, limits, is_last = chunk
+    return [
+        continued
+        for state in states
+        for continued in _continue(state, limits, is_last)
+    ]
+
+
+def _continue(
+    state: _State, limits: steps.Limits, is_last: bool
+) -> Iterator[_Continued]:
+    """Yields what each step reaches that may follow a state."""
+    unpacked = zlib.decompress(state.packed)
+    world = pickle.loads(unpacked)
+    for step in steps.list_steps(world, state.path, limits):
+        if is_last and not step.may_start_runs:
+            continue
+        world = pickle.loads(unpacked)
+        path = (*state.path, step)
+        try:
+            if not step.take(world):
+                continue
+        except rules.Violation as violation:
+            yield _Continued(path, violation=str(violation))
+            continue
+        world.drop_expired_calls()
+        if is_last:
+            yield _Continued(path)
+        else:
+            yield _Continued(path, digests.compute_digest(world), _pack(world))
+
+
+def _pack(world: small_world.SmallWorld) -> bytes:
+    return zlib.compress(pickle.dumps(world, pickle.HIGHEST_PROTOCOL), 1)
+
+
+def select_different(found: Iterable[Found]) -> list[Found]:
+    """Returns the orders that contain no earlier one, but for pauses."""
+    selected: list[Found] = []
+    known: list[tuple[str, ...]] = []
+    for order in found:
+        kinds = order.list_kinds()
+        if not any(_contains(kinds, other) for other in known):
+            known.append(kinds)
+            selected.append(order)
+    return selected
+
+
+def _contains(kinds: tuple[str, ...], part: tuple[str, ...]) -> bool:
+    """Tells whether the second order is a subsequence of the first."""
+    left = iter(kinds)
+    return all(kind in left for kind in part)
--- a/tests/jobs/worker_link.py
+++ b/tests/jobs/worker_link.py
@@ -5,7 +5,13 @@
 
 from gypsumhold.adapters import failure_events
 from gypsumhold.model.jobs import effects, events, runs
-from tests.jobs import deployment, nodes, virtual_time, worker_fake
+from tests.jobs import (
+    deployment,
+    nodes,
+    virtual_time,
+    worker_calls,
+    worker_fake,
+)
 
 HEARTBEAT_MS = 1100
 HELD_MS = (0, 1500)
@@ -159,46 +165,19 @@
         sent_at = (
             now if sent_ms is None else datetime.timedelta(milliseconds=sent_ms)
         )
-        incarnation = runs.WorkerIncarnation(worker.name, worker.started_ms)
         clock = events.WorkerClock(worker.read_clock(self.now_ms), sent_at, now)
         if isinstance(effect, effects.PollWorker):
             listed = list(worker.ends)
             result = worker.poll(effect, self.now_ms)
             self.oracle.check_discarded_ends(worker, listed, self.now_ms)
-            rows = worker.list_runs()
-            ends = worker.list_ends()
-            return events.WorkerPolled(
-                effect.worker.incarnation,
-                effect.fence,
-                result,
-                clock,
-                incarnation.started_ms,
-                rows,
-                ends,
-                len(ends) < worker.max_listed_ends,
-                effect.until_ms,
-                effect.acknowledged,
-            )
-        until_ms = None
+            return worker_calls.build_poll_answer(worker, effect, result, clock)
         if isinstance(effect, effects.StartRun):
             result = self._start(worker, effect, sent_ms)
-            until_ms = effect.until_ms
-            kind, ref = events.CommandKind.START, effect.command.ref
         elif isinstance(effect, effects.StopRun):
             result = worker.stop(effect, self.now_ms)
-            kind, ref = events.CommandKind.STOP, effect.ref
         else:
             result = worker.throttle(effect, self.now_ms)
-            kind, ref = events.CommandKind.THROTTLE, effect.ref
-        return events.CommandAnswered(
-            effect.worker.incarnation,
-            kind,
-            ref,
-            effect.fence,
-            result,
-            clock,
-            until_ms,
-        )
+        return worker_calls.build_command_answer(effect, result, clock)
 
     def _start(
         self,
