Tell states apart by the steps that may still follow

A state was not walked again if another order had reached it with fewer steps of a kind left. A longer pause goes on from the shorter one before it, which makes the walk faster.

--- a/tests/jobs/order_search/digests.py
+++ b/tests/jobs/order_search/digests.py
@@ -38,10 +38,15 @@
     """A number that comes from the wall clock."""
 
 
-def compute_digest(world: small_world.SmallWorld) -> bytes:
-    """Returns the digest of all that decides how the world goes on."""
+def compute_digest(world: small_world.SmallWorld, rest: str) -> bytes:
+    """Returns the digest of all that decides how an order goes on.
+
+    Args:
+        world: The world that the order has reached.
+        rest: What else decides which steps may follow.
+    """
     walker = _Walker(world.now_ms)
-    tokens: Tokens = []
+    tokens: Tokens = [rest]
     for node in world.processes.values():
         walker.walk(
             (node.state, node.alive, node.cut, node.cut_worker, node.cut_store),
--- a/tests/jobs/order_search/steps.py
+++ b/tests/jobs/order_search/steps.py
@@ -1,6 +1,7 @@
 """The steps among which the search chooses."""
 
 import abc
+import collections
 import dataclasses
 from typing import ClassVar
 
@@ -12,7 +13,6 @@
 given up and its task placed elsewhere; a silent agent gets no more starts;
 confirmed leases end."""
 
-LONGEST_PAUSE_MS = PAUSES_MS[-1]
 MAX_WAIT_FOR_CALL_MS = 3000
 WAIT_STEP_MS = 1.0
 LATE_HEARTBEAT_MS = 3000.0
@@ -81,14 +81,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pause(Step):
-    """Time passes; whatever is due happens."""
+    """Time passes; whatever is due happens.
 
+    Attributes:
+        until_ms: When it ends.
+        for_ms: How long it lasts.
+    """
+
+    until_ms: float
     for_ms: float
     kind: ClassVar[str] = "pauses"
     may_start_runs: ClassVar[bool] = True
 
     def take(self, world: small_world.SmallWorld) -> bool:
-        world.run(self.for_ms)
+        world.run(self.until_ms - world.now_ms)
         return True
 
     def describe(self) -> str:
@@ -269,27 +275,39 @@
     """Returns the steps that may follow an order."""
     last = path[-1] if path else None
     steps = [
-        *_list_pauses(last),
         *_list_held_calls(world, limits),
         *(CarryOut(index) for index in range(len(world.held))),
         *_list_faults(world, limits),
         *_list_ends(world),
+        *_list_pauses(world.now_ms, last),
     ]
-    left = dict.fromkeys(("",), len(path) + 1)
-    for name in Limits.__dataclass_fields__:
-        left[name] = getattr(limits, name)
-    for step in path:
-        left[step.kind] -= 1
-        if _is_heard_late(step):
-            left["late_heartbeats"] -= 1
+    used = count_steps(path)
     return [
         step
         for step in steps
-        if left[step.kind] > 0
-        and not (_is_heard_late(step) and left["late_heartbeats"] <= 0)
+        if all(used[kind] < getattr(limits, kind) for kind in _list_kinds(step))
     ]
 
 
+def count_steps(path: tuple[Step, ...]) -> collections.Counter[str]:
+    """Returns how often an order has the steps of each limit."""
+    return collections.Counter(
+        kind for step in path for kind in _list_kinds(step)
+    )
+
+
+def describe_rest(path: tuple[Step, ...]) -> str:
+    """Returns what decides which steps may follow, apart from the world."""
+    used = sorted(count_steps(path).items())
+    return f"{used} {bool(path) and isinstance(path[-1], Pause)}"
+
+
+def _list_kinds(step: Step) -> list[str]:
+    """Returns the limits that a step counts against."""
+    kinds = [step.kind] if step.kind else []
+    return [*kinds, "late_heartbeats"] if _is_heard_late(step) else kinds
+
+
 def _is_heard_late(step: Step) -> bool:
     return (
         isinstance(step, RestartWorker)
@@ -297,11 +315,10 @@
     )
 
 
-def _list_pauses(last: Step | None) -> list[Step]:
-    """Returns the pauses; after a pause only the longest one."""
-    if isinstance(last, Pause):
-        return [Pause(LONGEST_PAUSE_MS)]
-    return [Pause(for_ms) for for_ms in PAUSES_MS]
+def _list_pauses(now_ms: float, last: Step | None) -> list[Step]:
+    """Returns the pauses by length; after a pause only the longest one."""
+    lengths = PAUSES_MS[-1:] if isinstance(last, Pause) else PAUSES_MS
+    return [Pause(now_ms + for_ms, for_ms) for for_ms in lengths]
 
 
 def _list_held_calls(
--- a/tests/jobs/order_search/walk.py
+++ b/tests/jobs/order_search/walk.py
@@ -106,7 +106,7 @@
     Orders that broke a rule are not continued.
     """
     world = build_world(setting)
-    seen = {digests.compute_digest(world)}
+    seen = {digests.compute_digest(world, steps.describe_rest(()))}
     states = [_State((), _pack(world))]
     with contextlib.ExitStack() as stack:
         spread: Spread = map
@@ -159,25 +159,33 @@
 def _continue(
     state: _State, limits: steps.Limits, is_last: bool
 ) -> Iterator[_Continued]:
-    """Yields what each step reaches that may follow a state."""
+    """Yields what each step reaches that may follow a state.
+
+    A longer pause goes on from the shorter one before it.
+    """
     unpacked = zlib.decompress(state.packed)
     world = pickle.loads(unpacked)
+    paused = pickle.loads(unpacked)
     for step in steps.list_steps(world, state.path, limits):
         if is_last and not step.may_start_runs:
             continue
-        world = pickle.loads(unpacked)
         path = (*state.path, step)
+        is_pause = isinstance(step, steps.Pause)
+        reached = paused if is_pause else pickle.loads(unpacked)
         try:
-            if not step.take(world):
+            if not step.take(reached):
                 continue
         except rules.Violation as violation:
             yield _Continued(path, violation=str(violation))
+            if is_pause:
+                return
             continue
-        world.drop_expired_calls()
+        reached.drop_expired_calls()
         if is_last:
             yield _Continued(path)
         else:
-            yield _Continued(path, digests.compute_digest(world), _pack(world))
+            digest = digests.compute_digest(reached, steps.describe_rest(path))
+            yield _Continued(path, digest, _pack(reached))
 
 
 def _pack(world: small_world.SmallWorld) -> bytes:
