--- a/tests/jobs/order_search/__main__.py
+++ b/tests/jobs/order_search/__main__.py
@@ -7,6 +7,13 @@
 from tests.jobs import order_search
 from tests.jobs.order_search import reports, steps, walk
 
+COUNTS = [
+    field.name
+    for field in dataclasses.fields(steps.Limits)
+    if field.type is int
+]
+"""Names of the limits that are numbers of steps."""
+
 
 def build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
@@ -26,9 +33,17 @@
     parser.add_argument(
         "--journal", action="store_true", help="print what each step causes"
     )
-    for field in dataclasses.fields(steps.Limits):
-        name = "--" + field.name.replace("_", "-")
-        parser.add_argument(name, type=int, default=field.default)
+    parser.add_argument(
+        "--pause-lengths-ms",
+        type=float,
+        nargs="+",
+        default=steps.PAUSES_MS,
+        metavar="MS",
+    )
+    for name in COUNTS:
+        flag = "--" + name.replace("_", "-")
+        default = getattr(steps.Limits(), name)
+        parser.add_argument(flag, type=int, default=default)
     return parser
 
 
@@ -36,10 +51,8 @@
     """Walks the orders; returns 1 if one breaks a rule."""
     arguments = build_parser().parse_args()
     limits = steps.Limits(
-        **{
-            field.name: getattr(arguments, field.name)
-            for field in dataclasses.fields(steps.Limits)
-        }
+        **{name: getattr(arguments, name) for name in COUNTS},
+        pause_lengths_ms=tuple(sorted(arguments.pause_lengths_ms)),
     )
     setting = walk.Setting(
         arguments.depth, limits, arguments.entries, arguments.tasks
--- a/tests/jobs/order_search/reports.py
+++ b/tests/jobs/order_search/reports.py
@@ -10,8 +10,9 @@
     different = len(walk.select_different(level.found))
     return (
         f"depth {level.depth}: {level.orders} orders, {level.states} new"
-        f" states, {len(level.found)} broke a rule ({different} different),"
-        f" {level.seconds:.1f} s"
+        f" states, {level.misdirected} with a start on another incarnation and"
+        f" no rule broken, {len(level.found)} broke a rule ({different}"
+        f" different), {level.seconds:.1f} s"
     )
 
 
--- a/tests/jobs/order_search/small_world.py
+++ b/tests/jobs/order_search/small_world.py
@@ -128,6 +128,8 @@
         waiting_polls: Polls that workers answer later, by name of the agent.
         reports: Sender, its incarnation, effect and time of reports under way.
         heartbeats: Number of the next heartbeat, by name of the agent.
+        misdirected_starts: Number of held starts that another incarnation than
+            the one that they were meant for has carried out.
         journal: Lines about what happened; None unless they are wanted.
     """
 
@@ -146,6 +148,7 @@
             str, tuple[str, int, effects.SendReport, datetime.timedelta]
         ] = {}
         self.heartbeats: dict[str, int] = {}
+        self.misdirected_starts = 0
         self.journal: list[str] | None = None
         for number in range(entries):
             self._add_process(f"entry-{number}", number)
@@ -527,6 +530,16 @@
             ),
         )
 
+    def carry_out_held(self, index: int) -> None:
+        """Lets the worker that is up take a call that is under way."""
+        call = self.held.pop(index)
+        result = self.carry_out(call.node, call.effect)
+        is_start = isinstance(call.effect, effects.StartRun)
+        meant_for = call.effect.worker.incarnation.started_ms
+        is_other = meant_for != self.workers[call.node].started_ms
+        if is_start and is_other and result is events.CommandResult.DONE:
+            self.misdirected_starts += 1
+
     def carry_out(self, name: str, effect: Any) -> events.CommandResult:
         """Lets the worker that is up take a call now."""
         worker = self.workers[name]
--- a/tests/jobs/order_search/steps.py
+++ b/tests/jobs/order_search/steps.py
@@ -43,6 +43,7 @@
         ends: Runs that finish.
         lost_holders: Losses of the holder.
         pauses: Pauses.
+        pause_lengths_ms: How long pauses may be, shortest first.
     """
 
     held_starts: int = 2
@@ -57,6 +58,7 @@
     ends: int = 0
     lost_holders: int = 0
     pauses: int = 3
+    pause_lengths_ms: tuple[float, ...] = PAUSES_MS
 
 
 class Step(abc.ABC):
@@ -144,8 +146,7 @@
     may_start_runs: ClassVar[bool] = True
 
     def take(self, world: small_world.SmallWorld) -> bool:
-        call = world.held.pop(self.index)
-        world.carry_out(call.node, call.effect)
+        world.carry_out_held(self.index)
         return True
 
     def describe(self) -> str:
@@ -279,7 +280,7 @@
         *(CarryOut(index) for index in range(len(world.held))),
         *_list_faults(world, limits),
         *_list_ends(world),
-        *_list_pauses(world.now_ms, last),
+        *_list_pauses(world.now_ms, last, limits),
     ]
     used = count_steps(path)
     return [
@@ -315,9 +316,13 @@
     )
 
 
-def _list_pauses(now_ms: float, last: Step | None) -> list[Step]:
+def _list_pauses(
+    now_ms: float, last: Step | None, limits: Limits
+) -> list[Step]:
     """Returns the pauses by length; after a pause only the longest one."""
-    lengths = PAUSES_MS[-1:] if isinstance(last, Pause) else PAUSES_MS
+    lengths = limits.pause_lengths_ms
+    if isinstance(last, Pause):
+        lengths = lengths[-1:]
     return [Pause(now_ms + for_ms, for_ms) for for_ms in lengths]
 
 
--- a/tests/jobs/order_search/walk.py
+++ b/tests/jobs/order_search/walk.py
@@ -66,6 +66,9 @@
         orders: Number of orders that were walked.
         states: Number of different states that they reached; those of the last
             level are not compared, as nothing follows them.
+        misdirected: Number of orders that broke no rule although another
+            incarnation has carried out a start. Without any, a search shows
+            nothing.
         found: Orders that broke a rule.
         seconds: Time that the level took.
     """
@@ -73,6 +76,7 @@
     depth: int
     orders: int = 0
     states: int = 0
+    misdirected: int = 0
     found: list[Found] = dataclasses.field(default_factory=list)
     seconds: float = 0.0
 
@@ -92,6 +96,7 @@
     path: Path
     digest: bytes = b""
     packed: bytes = b""
+    is_misdirected: bool = False
     violation: str = ""
 
 
@@ -119,6 +124,7 @@
             reached: list[_State] = []
             for continued in _continue_all(spread, states, setting, depth):
                 level.orders += 1
+                level.misdirected += continued.is_misdirected
                 if continued.violation:
                     level.found.append(
                         Found(continued.path, continued.violation)
@@ -181,11 +187,12 @@
                 return
             continue
         reached.drop_expired_calls()
-        if is_last:
-            yield _Continued(path)
-        else:
+        digest = packed = b""
+        if not is_last:
             digest = digests.compute_digest(reached, steps.describe_rest(path))
-            yield _Continued(path, digest, _pack(reached))
+            packed = _pack(reached)
+        is_misdirected = reached.misdirected_starts > 0
+        yield _Continued(path, digest, packed, is_misdirected)
 
 
 def _pack(world: small_world.SmallWorld) -> bytes:
--- /dev/null
+++ b/tests/jobs/test_order_search.py
@@ -0,0 +1,94 @@
+"""Bounded part of the search over all orders of calls around restarts.
+
+`python -m tests.jobs.order_search` walks further; its package tells what a step
+is. An order that breaks a rule is printed with the failure.
+"""
+
+import pytest
+
+from tests.jobs.order_search import (
+    digests,
+    reports,
+    small_world,
+    steps,
+    walk,
+)
+
+SHORT_PAUSES_MS = (300, 1500)
+
+ONE_RESTART = walk.Setting(
+    5,
+    steps.Limits(
+        held_starts=2,
+        restarts=1,
+        pauses=1,
+        pause_lengths_ms=SHORT_PAUSES_MS,
+    ),
+)
+TWO_RESTARTS = walk.Setting(
+    5,
+    steps.Limits(
+        held_starts=1,
+        restarts=2,
+        pauses=1,
+        pause_lengths_ms=SHORT_PAUSES_MS,
+    ),
+)
+CAPACITY = walk.Setting(
+    6,
+    steps.Limits(
+        held_starts=3,
+        restarts=1,
+        pauses=1,
+        pause_lengths_ms=SHORT_PAUSES_MS,
+    ),
+    tasks=3,
+)
+ENDS = walk.Setting(
+    6,
+    steps.Limits(
+        held_starts=1,
+        restarts=1,
+        ends=1,
+        pauses=2,
+        pause_lengths_ms=SHORT_PAUSES_MS,
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    "setting",
+    [ONE_RESTART, TWO_RESTARTS, CAPACITY, ENDS],
+    ids=["one restart", "two restarts", "capacity", "ends"],
+)
+def test_no_order_breaks_a_rule(setting: walk.Setting) -> None:
+    """Guards against orders of calls that let a task run twice.
+
+    A start is carried out by another incarnation than the one that it was meant
+    for, which random seeds seldom bring about at the moment that matters.
+    """
+    levels = list(walk.walk(setting))
+    found = walk.select_different(
+        order for level in levels for order in level.found
+    )
+    texts = [reports.describe_order(order, setting) for order in found]
+    assert not found, "\n" + "\n".join(texts)
+    assert sum(level.misdirected for level in levels) > 0
+
+
+def test_equal_worlds_have_equal_digests() -> None:
+    """Guards against states that are walked twice, or taken for another."""
+    world, other = (small_world.SmallWorld(2, 1, 1) for _ in range(2))
+    for each in (world, other):
+        each.run(steps.PAUSES_MS[0])
+    first, second = world.workers
+    world.restart_worker(first, small_world.FIRST_HEARTBEAT_MS)
+    world.restart_worker(second, small_world.FIRST_HEARTBEAT_MS)
+    other.restart_worker(second, small_world.FIRST_HEARTBEAT_MS)
+    assert digests.compute_digest(world, "") != digests.compute_digest(
+        other, ""
+    )
+    other.restart_worker(first, small_world.FIRST_HEARTBEAT_MS)
+    assert digests.compute_digest(world, "") == digests.compute_digest(
+        other, ""
+    )
