Refuse to digest values whose fields cannot be read

An object without a dictionary would have been left out of a digest, so that different states could pass for one; now the search stops with its type. Readings of a worker's clock are placed by the rate of that clock, and the package passes the strict type check.

--- a/tests/jobs/order_search/digests.py
+++ b/tests/jobs/order_search/digests.py
@@ -11,6 +11,7 @@
 plain objects are walked as they are.
 """
 
+import collections
 import dataclasses
 import datetime
 import enum
@@ -18,7 +19,7 @@
 import hashlib
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping, Set
 from typing import Any
 
 import msgspec
@@ -76,31 +77,33 @@
 
 
 def _order_scheduled(
-    item: tuple[float, int, functools.partial[None]],
+    item: tuple[float, int, Callable[[], None]],
 ) -> tuple[float, str, int]:
     """Orders what is due at the same moment only within one receiver."""
     due_ms, number, action = item
+    assert isinstance(action, functools.partial)
     name = action.func.__name__
     receiver = action.args[1] if name == "report" else action.args[0]
     return due_ms, f"{name == 'reach_store'} {receiver}", number
 
 
 def _is_current(
-    world: small_world.SmallWorld, action: functools.partial[None]
+    world: small_world.SmallWorld, action: Callable[[], None]
 ) -> bool:
     """Tells whether a scheduled action still does anything."""
+    assert isinstance(action, functools.partial)
     name = action.func.__name__
     arguments = action.args
     if name == "fire":
         process, timer, number = arguments
-        return world.processes[process].timers.get(timer) == number
+        return bool(world.processes[process].timers.get(timer) == number)
     if name == "beat":
-        return world.heartbeats[arguments[0]] == arguments[1]
+        return bool(world.heartbeats[arguments[0]] == arguments[1])
     if name == "end_poll":
         polls = world.waiting_polls[arguments[0]]
         return any(poll.number == arguments[1] for poll in polls)
     if name in ("deliver_unless_restarted", "reach_store", "send_call"):
-        return world.processes[arguments[0]].incarnation == arguments[1]
+        return bool(world.processes[arguments[0]].incarnation == arguments[1])
     if name == "give_up":
         waiting = world.reports.get(arguments[0])
         return waiting is not None and waiting[3] == arguments[1]
@@ -124,7 +127,10 @@
 
     def __init__(self, now_ms: float) -> None:
         self.now_ms = now_ms
-        self.reading_ms = worker_link.UPTIME_MS + (now_ms - processes.BEGIN_MS)
+        elapsed_ms = now_ms - processes.BEGIN_MS
+        self.reading_ms = (
+            worker_link.UPTIME_MS + worker_link.CLOCK_RATE * elapsed_ms
+        )
 
     def walk(self, value: Any, tokens: Tokens) -> None:
         """Appends the tokens of a value."""
@@ -151,11 +157,11 @@
 
     def _walk_compound(self, value: Any, tokens: Tokens) -> None:
         tokens.append(type(value).__name__)
-        if isinstance(value, dict):
+        if isinstance(value, Mapping):
             self._walk_sorted(value.items(), tokens)
-        elif isinstance(value, set | frozenset):
+        elif isinstance(value, Set):
             self._walk_sorted(value, tokens)
-        elif isinstance(value, list | tuple):
+        elif isinstance(value, list | tuple | collections.deque):
             for item in value:
                 self.walk(item, tokens)
         elif isinstance(value, functools.partial):
@@ -191,4 +197,6 @@
         ]
     if isinstance(value, msgspec.Struct):
         return [getattr(value, name) for name in value.__struct_fields__]
-    return [item for _, item in sorted(getattr(value, "__dict__", {}).items())]
+    if not hasattr(value, "__dict__"):
+        raise TypeError(f"no digest of {type(value).__name__}")
+    return [item for _, item in sorted(vars(value).items())]
--- a/tests/jobs/order_search/store_link.py
+++ b/tests/jobs/order_search/store_link.py
@@ -7,6 +7,7 @@
 from gypsumhold.model.jobs import (
     effects,
     events,
+    storage,
 )
 from tests.jobs import (
     job_specs,
@@ -71,6 +72,6 @@
                 entries = tuple(self.store.entries.values())
                 version = ids.RowVersion(self.store.version)
                 return events.EntriesChanged(
-                    store_calls.storage.EntryChanges(entries, version)
+                    storage.EntryChanges(entries, version)
                 )
         return store_calls.apply(self.store, effect, wall_ms)
--- a/tests/jobs/order_search/worker_link.py
+++ b/tests/jobs/order_search/worker_link.py
@@ -22,6 +22,7 @@
 UPTIME_MS = 3_000_000_000.0
 """Reading of the workers' clocks at the begin, far above any later one."""
 
+CLOCK_RATE = 0.98
 HEARTBEAT_MS = 1100.0
 FIRST_HEARTBEAT_MS = 100.0
 MAX_CALL_DELAY_MS = 12_000.0
@@ -74,7 +75,7 @@
         worker = worker_fake.FakeWorker(
             f"w-{number}",
             processes.WALL_OFFSET_MS + int(processes.BEGIN_MS),
-            rate=0.98,
+            rate=CLOCK_RATE,
         )
         worker.up_at_ms = processes.BEGIN_MS - UPTIME_MS / worker.rate
         self.workers[name] = worker
