Let the search hold a poll that acknowledges ends

A step that holds the next poll nearly always met one without an acknowledgement, so late acknowledgements were hardly searched. A limit of its own, held_acknowledgements, holds the next poll that has one.

--- a/tests/jobs/order_search/processes.py
+++ b/tests/jobs/order_search/processes.py
@@ -42,10 +42,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trap:
-    """The next call that is to be held: its type, and its sender if any."""
+    """The next call that is to be held.
+
+    Attributes:
+        kind: Its type.
+        node: Who sends it; None for anyone.
+        acknowledges: Whether it has to be a poll that acknowledges ends.
+    """
 
     kind: type
     node: str | None
+    acknowledges: bool = False
 
 
 class Processes(virtual_time.VirtualTime, abc.ABC):
@@ -129,5 +136,7 @@
             return False
         if trap.node not in (None, name):
             return False
+        if trap.acknowledges and not effect.acknowledged:
+            return False
         self.trap = None
         return True
--- a/tests/jobs/order_search/steps.py
+++ b/tests/jobs/order_search/steps.py
@@ -34,6 +34,7 @@
         held_starts: Starts that are held.
         held_stops: Stops that are held.
         held_polls: Polls that are held.
+        held_acknowledgements: Polls that acknowledge ends and are held.
         restarts: Restarts of workers.
         late_heartbeats: Restarts whose first heartbeat is late.
         worker_cuts: Cuts between an agent and its worker.
@@ -49,6 +50,7 @@
     held_starts: int = 2
     held_stops: int = 0
     held_polls: int = 0
+    held_acknowledgements: int = 0
     restarts: int = 2
     late_heartbeats: int = 0
     worker_cuts: int = 0
@@ -112,18 +114,22 @@
     Attributes:
         effect: Type of the call.
         node: Who sends it; None for anyone.
+        acknowledges: Whether it has to be a poll that acknowledges ends.
     """
 
     effect: type
     node: str | None = None
+    acknowledges: bool = False
     may_start_runs: ClassVar[bool] = True
 
     @property
     def kind(self) -> str:  # type: ignore[override]
+        if self.acknowledges:
+            return "held_acknowledgements"
         return HELD_KINDS[self.effect]
 
     def take(self, world: small_world.SmallWorld) -> bool:
-        world.trap = processes.Trap(self.effect, self.node)
+        world.trap = processes.Trap(self.effect, self.node, self.acknowledges)
         until_ms = world.now_ms + MAX_WAIT_FOR_CALL_MS
         while world.trap is not None and world.now_ms < until_ms:
             world.run(WAIT_STEP_MS)
@@ -134,6 +140,8 @@
     def describe(self) -> str:
         by = "" if self.node is None else f" of {self.node}"
         is_report = self.effect is effects.SendReport
+        if self.acknowledges:
+            by += " that acknowledges ends"
         what = "is lost" if is_report else "gets no answer and is under way"
         return f"the next {self.effect.__name__}{by} {what}"
 
@@ -332,6 +340,8 @@
     steps: list[Step] = [HoldCall(effects.StartRun)]
     if limits.held_stops:
         steps.append(HoldCall(effects.StopRun))
+    if limits.held_acknowledgements:
+        steps.append(HoldCall(effects.PollWorker, acknowledges=True))
     for name in world.workers:
         if limits.held_polls:
             steps.append(HoldCall(effects.PollWorker, name))
