Give equally long waits the order of the ids of their jobs

Cause: waits that begin with one report got their order from a set of job ids, and with it from the hash seed of the process. The starved jobs and the boosts follow that order, so the better worker went to one job or another.

The waits of touched jobs are now updated in the order of their ids. The new test failed before.

--- a/src/gypsumhold/decisions/jobs/waits.py
+++ b/src/gypsumhold/decisions/jobs/waits.py
@@ -37,7 +37,8 @@
     """Begins, continues or ends the waits of the jobs that have changed."""
     emitted: EffectList = []
     run_waits = holder_state.run_waits
-    for job_id in run_waits.touched:
+    # In the order of their ids, as that of a set depends on the hash seed.
+    for job_id in sorted(run_waits.touched):
         job = holder_state.open_jobs.get(job_id)
         if job is None:
             _forget(holder_state, job_id)
--- a/tests/jobs/test_boosts.py
+++ b/tests/jobs/test_boosts.py
@@ -107,6 +107,23 @@
     assert not starvation.is_starved(fleet.holder_state, fleet.slow, now)
 
 
+def test_equally_long_waits_have_one_order() -> None:
+    """Guards against an order of starved jobs that depends on the hash seed.
+
+    Which of two jobs gets the better worker was then drawn anew in each
+    process, and a seed of a search broke the limit in some processes only.
+    """
+    fleet = HaltedFleet()
+    names = [f"job {number}" for number in range(8)]
+    for name in reversed(names):
+        job = fleet.add_job(name, STEP)
+        fleet.holder_state.run_waits.touched.add(job.spec.job_id)
+    fleet.update_waits()
+    later = fleet.read_clock() + starvation.MAX_TIME_WITHOUT_RUN
+    starved = starvation.list_starved_jobs(fleet.holder_state, later)
+    assert [job.spec.job_id for job in starved] == ["slow", *names]
+
+
 def test_halted_run_goes_where_late_jobs_use_the_cpu() -> None:
     """Guards against a job that stands still as no worker is empty.
 
