Look again at a halted job for which no way to work was found

Cause: the next look at a job whose runs are all halted was due 1.5 s after the latest one, the time in which a boosted run has to work, also if nothing had been found and so no run was boosted. A worker that came free meanwhile, or a run that might be moved meanwhile, was found up to 1.6 s late.

The time counts from a boost only. The number of jobs that a plan looks at and their order by the latest look stay, so hopeless jobs still let others have their turn. The new test fails without the change.

--- a/src/gypsumhold/decisions/jobs/plans.py
+++ b/src/gypsumhold/decisions/jobs/plans.py
@@ -194,6 +194,7 @@
         try:
             option = boosts.choose(self._plan, job)
             if option is not None:
+                job.boost_due_at = now + starvation.BOOST_TIME
                 self.emitted += boosts.apply(self._plan, job, option)
         except Exception as problem:
             self.emitted += failed_plans.set_aside(
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -114,7 +114,7 @@
     The one for which none was looked for the longest comes first, so that jobs
     that no worker lets work do not keep the others from their turn.
     """
-    due = [job for job in halted if now >= job.boost_tried_at + BOOST_TIME]
+    due = [job for job in halted if now >= job.boost_due_at]
     return sorted(due, key=lambda job: job.boost_tried_at)
 
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -312,6 +312,8 @@
             looked at it failed; None if that one did not fail.
         boost_tried_at: When a way to get one of its halted runs to work was
             last looked for.
+        boost_due_at: When it is looked for again; not before a run that was
+            boosted has had the time to work.
         working_task: A task that worked when it was last looked for one.
         kinds: Kinds of steps that the job has.
     """
@@ -330,6 +332,7 @@
     expected_return: float = 1.0
     set_aside: SetAside | None = None
     boost_tried_at: datetime.timedelta = ZERO
+    boost_due_at: datetime.timedelta = ZERO
     working_task: Task | None = None
     kinds: StepKinds = dataclasses.field(init=False)
 
--- a/tests/jobs/test_reviewed_boosts.py
+++ b/tests/jobs/test_reviewed_boosts.py
@@ -171,6 +171,19 @@
     assert fleet.task.boosted_at is not None
 
 
+def test_job_without_a_way_to_work_is_looked_at_again_at_once() -> None:
+    """Guards against a wait for the effect of a boost that was not made.
+
+    A worker that lets the job work may be free a moment later.
+    """
+    fleet = MovingFleet()
+    fleet.fill_free_worker()
+    assert fleet.list_boosts() == []
+    fleet.advance(TICK)
+    fleet.allow(fleet.free, 3.0)
+    assert fleet.list_targets() == [fleet.free.instance]
+
+
 def test_boosted_run_that_stands_still_gives_its_share_back() -> None:
     """Guards against halted runs that keep all other jobs from a boost."""
     fleet = test_boosts.HaltedFleet()
