Move a halted run that can't resume before its job breaks the limit

Cause: such a run moved only once it had been halted for as long as it had worked, however long that was.

Once nothing of its job has worked for 2.3 s, which leaves the time for a start, such a run may move the first time. A task that was moved before keeps the old rule, so that it ends.

--- a/src/gypsumhold/decisions/jobs/boosts.py
+++ b/src/gypsumhold/decisions/jobs/boosts.py
@@ -19,6 +19,7 @@
     lifecycle,
     migrations,
     spreading,
+    starvation,
 )
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
@@ -220,7 +221,7 @@
         if ready is not None:
             chosen[id(step), OptionKind.ANOTHER_TASK] = step, ready
     for step, index in _list_halted(job):
-        if not _may_move(plan, step, step.tasks[index]):
+        if not _may_move(plan, job, step, step.tasks[index]):
             continue
         key = id(step), OptionKind.MOVE
         known = chosen.setdefault(key, (step, index))
@@ -244,17 +245,25 @@
 
 
 def _may_move(
-    plan: job_placements.Plan, step: progress.Step, task: progress.Task
+    plan: job_placements.Plan,
+    job: progress.Job,
+    step: progress.Step,
+    task: progress.Task,
 ) -> bool:
     """Tells whether a halted run may be stopped to go on elsewhere.
 
     One that can't resume has to be halted for as long as it worked, so that
-    it loses no more time by starting anew than it has lost by waiting.
+    it loses no more time by starting anew than it has lost by waiting. It does
+    not have to if the job would break its limit until then, but for a task that
+    was moved before: it might be started anew again and again.
     """
     if step.spec.gang or task.halted_since is None or task.is_suspect():
         return False
     if step.spec.checkpoints:
         return True
+    must_work = starvation.must_work(plan.holder_state, job, plan.now)
+    if must_work and not task.halted_on:
+        return True
     policy = plan.state.policies.estimates
     worked = estimates.estimate_task(step, task, policy)
     worked *= task.progress_percent / estimates.PERCENT
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -106,6 +106,21 @@
     return wait is not None and wait.stage is waits.WaitStage.HALTED
 
 
+def must_work(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a job has to lose work so that one of its runs works.
+
+    A start elsewhere would come too late if it waited any longer.
+    """
+    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
+    if wait is None:
+        return False
+    return wait.measure(now) >= MAX_TIME_WITHOUT_RUN - START_TIME
+
+
 def order_boosts(
     halted: Iterable[progress.Job], now: datetime.timedelta
 ) -> list[progress.Job]:
--- a/tests/jobs/test_boosts.py
+++ b/tests/jobs/test_boosts.py
@@ -17,6 +17,7 @@
     starvation,
     waits,
 )
+from gypsumhold.model import ids
 from gypsumhold.model.jobs import effects, progress, runs, specs
 from tests.jobs import test_migrations
 
@@ -172,6 +173,26 @@
     assert fleet.task.migrating is moves
 
 
+def test_run_that_cannot_resume_moves_before_the_limit() -> None:
+    """Guards against a job that waits longer the more its run has done.
+
+    Standing still for as long as the run had worked may take longer than a job
+    may be without a run that works.
+    """
+    step = msgspec.structs.replace(STEP, checkpoints=False)
+    fleet = HaltedFleet(step, percent=95)
+    assert fleet.list_targets() == [fleet.free.instance]
+    assert fleet.task.migrating
+
+
+def test_moved_run_that_cannot_resume_waits_for_what_it_lost() -> None:
+    """Guards against a task that starts anew so often that it never ends."""
+    step = msgspec.structs.replace(STEP, checkpoints=False)
+    fleet = HaltedFleet(step, percent=95)
+    fleet.task.halted_on.add(ids.InstanceId("another worker"))
+    assert fleet.list_boosts() == []
+
+
 def test_halted_ordinary_run_goes_elsewhere() -> None:
     """Guards against an ordinary task that hangs with its worker."""
     fleet = HaltedFleet(msgspec.structs.replace(STEP, fills=False))
