Promise what other runs use beside a halted run to one job only

Cause: a run that is boosted in place is expected to get the CPU that other runs use there. What runs boosted a moment before are going to take was not left out, as a halted boosted run counts as one that stands still all the same.

Boosted runs that do not work yet are left out of that use for 1.5 s. The new test fails without it.

--- a/src/gypsumhold/decisions/jobs/boosts.py
+++ b/src/gypsumhold/decisions/jobs/boosts.py
@@ -190,21 +190,27 @@
 def _measure_use_by_others(
     plan: job_placements.Plan, task: progress.Task
 ) -> float:
-    """Returns the CPU that other best-effort runs beside a task use.
+    """Returns the CPU that a task can take from best-effort runs beside it.
 
-    Those that are boosted, or whose speed is not known yet, do not count; in
-    thousandths of a core.
+    Those that are boosted, or whose speed is not known yet, give none up. What
+    runs that were boosted a moment ago will take is left out: it can't be
+    promised to several jobs. In thousandths of a core.
     """
     view = plan.holder_state.agents[task.instance]
-    return sum(
-        placed.step.spec.cpu_millis * placed.task.speed_share
-        for placed in view.placed.values()
-        if placed.step.spec.fills
-        and placed.task is not task
-        and placed.task.boosted_at is None
-        and placed.task.is_working()
-        and not placed.task.is_new()
-    )
+    used = 0.0
+    for placed in view.placed.values():
+        other, cpu_millis = placed.task, placed.step.spec.cpu_millis
+        if not placed.step.spec.fills or other is task:
+            continue
+        if other.boosted_at is None:
+            if other.is_working() and not other.is_new():
+                used += cpu_millis * other.speed_share
+        elif (
+            not other.is_working()
+            and plan.now < other.boosted_at + starvation.BOOST_TIME
+        ):
+            used -= cpu_millis
+    return max(0.0, used)
 
 
 def _list_elsewhere(
--- a/tests/jobs/test_reviewed_boosts.py
+++ b/tests/jobs/test_reviewed_boosts.py
@@ -171,6 +171,25 @@
     assert fleet.task.boosted_at is not None
 
 
+def test_use_of_one_run_is_not_promised_to_two_jobs() -> None:
+    """Guards against a boost in place that can't help, as others come first.
+
+    Two halted jobs counted on the CPU that one run of a third one used, and the
+    second of them stood still until the next look at it.
+    """
+    fleet = MovingFleet()
+    fleet.allow(fleet.busy, 9.0)
+    working = fleet.add_job("working", STEP)
+    place_at(fleet, working, 0, fleet.busy, halted=False).speed_share = 0.5
+    small = msgspec.structs.replace(STEP, cpu_millis=STEP.cpu_millis // 5)
+    first = fleet.add_job("first", small)
+    task = place_at(fleet, first, 0, fleet.busy, halted=True)
+    task.halted_since = fleet.read_clock() - 5 * SECOND
+    fleet.holder_state.run_waits.touched.add(first.spec.job_id)
+    fleet.update_waits()
+    assert fleet.list_targets() == [fleet.busy.instance, fleet.free.instance]
+
+
 def test_job_without_a_way_to_work_is_looked_at_again_at_once() -> None:
     """Guards against a wait for the effect of a boost that was not made.
 
