--- a/src/gypsumhold/decisions/jobs/boosts.py
+++ b/src/gypsumhold/decisions/jobs/boosts.py
@@ -19,6 +19,7 @@
     lifecycle,
     migrations,
     spreading,
+    starvation,
 )
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
@@ -189,21 +190,27 @@
 def _measure_use_by_others(
     plan: job_placements.Plan, task: progress.Task
 ) -> float:
-    """Returns the CPU that other best-effort runs beside a task use.
+    """Returns the CPU that a task can take from best-effort runs beside it.
 
-    Those that are boosted, or whose speed is not known yet, do not count; in
-    thousandths of a core.
+    Those that are boosted, or whose speed is not known yet, give none up. What
+    runs that were boosted a moment ago will take is left out: it can't be
+    promised to several jobs. In thousandths of a core.
     """
     view = plan.holder_state.agents[task.instance]
-    return sum(
-        placed.step.spec.cpu_millis * placed.task.speed_share
-        for placed in view.placed.values()
-        if placed.step.spec.fills
-        and placed.task is not task
-        and placed.task.boosted_at is None
-        and placed.task.is_working()
-        and not placed.task.is_new()
-    )
+    used = 0.0
+    for placed in view.placed.values():
+        other, cpu_millis = placed.task, placed.step.spec.cpu_millis
+        if not placed.step.spec.fills or other is task:
+            continue
+        if other.boosted_at is None:
+            if other.is_working() and not other.is_new():
+                used += cpu_millis * other.speed_share
+        elif (
+            not other.is_working()
+            and plan.now < other.boosted_at + starvation.BOOST_TIME
+        ):
+            used -= cpu_millis
+    return max(0.0, used)
 
 
 def _list_elsewhere(
@@ -220,7 +227,7 @@
         if ready is not None:
             chosen[id(step), OptionKind.ANOTHER_TASK] = step, ready
     for step, index in _list_halted(job):
-        if not _may_move(plan, step, step.tasks[index]):
+        if not _may_move(plan, job, step, step.tasks[index]):
             continue
         key = id(step), OptionKind.MOVE
         known = chosen.setdefault(key, (step, index))
@@ -244,17 +251,25 @@
 
 
 def _may_move(
-    plan: job_placements.Plan, step: progress.Step, task: progress.Task
+    plan: job_placements.Plan,
+    job: progress.Job,
+    step: progress.Step,
+    task: progress.Task,
 ) -> bool:
     """Tells whether a halted run may be stopped to go on elsewhere.
 
     One that can't resume has to be halted for as long as it worked, so that
-    it loses no more time by starting anew than it has lost by waiting.
+    it loses no more time by starting anew than it has lost by waiting. It does
+    not have to if the job would break its limit until then, but for a task that
+    was moved before: it might be started anew again and again.
     """
     if step.spec.gang or task.halted_since is None or task.is_suspect():
         return False
     if step.spec.checkpoints:
         return True
+    must_work = starvation.must_work(plan.holder_state, job, plan.now)
+    if must_work and not task.halted_on:
+        return True
     policy = plan.state.policies.estimates
     worked = estimates.estimate_task(step, task, policy)
     worked *= task.progress_percent / estimates.PERCENT
--- a/src/gypsumhold/decisions/jobs/starvation.py
+++ b/src/gypsumhold/decisions/jobs/starvation.py
@@ -106,6 +106,21 @@
     return wait is not None and wait.stage is waits.WaitStage.HALTED
 
 
+def must_work(
+    holder_state: scheduler.HolderState,
+    job: progress.Job,
+    now: datetime.timedelta,
+) -> bool:
+    """Tells whether a job has to lose work so that one of its runs works.
+
+    A start elsewhere would come too late if it waited any longer.
+    """
+    wait = holder_state.run_waits.jobs.get(job.spec.job_id)
+    if wait is None:
+        return False
+    return wait.measure(now) >= MAX_TIME_WITHOUT_RUN - START_TIME
+
+
 def order_boosts(
     halted: Iterable[progress.Job], now: datetime.timedelta
 ) -> list[progress.Job]:
@@ -114,7 +129,7 @@
     The one for which none was looked for the longest comes first, so that jobs
     that no worker lets work do not keep the others from their turn.
     """
-    due = [job for job in halted if now >= job.boost_tried_at + BOOST_TIME]
+    due = [job for job in halted if now >= job.boost_due_at]
     return sorted(due, key=lambda job: job.boost_tried_at)
 
 
