Let the holder count the capacity of runs that may begin once more

Cause: an agent keeps the capacity of a run that has ended while a start of it is open; the holder took it for free, and placed tasks there. Change: the holder subtracts the requests of the late starts in a report.

--- a/src/gypsumhold/decisions/jobs/capacity.py
+++ b/src/gypsumhold/decisions/jobs/capacity.py
@@ -137,7 +137,8 @@
     """Returns the capacity of a worker minus that of its placed tasks.
 
     Runs that the worker still lists although they are no longer placed there
-    hold their capacity until they have ended.
+    hold their capacity until they have ended, and those that may begin once
+    more by a late start until they can't.
     """
     worker = view.report.worker
     assert worker is not None
@@ -166,18 +167,26 @@
         reserve(candidate, placed.step, ref, deferred=placed.job.gives_way)
         _count_boosted(candidate, placed)
     for row in view.report.rows:
-        current = view.placed.get(row.ref.task)
-        if current is None or current.task.run != row.ref.run:
+        if not _is_placed(view, row.ref):
             _reserve_former_run(holder_state, candidate, row)
+    for start in view.report.late_starts:
+        if start.ref not in rows and not _is_placed(view, start.ref):
+            _reserve_former_run(holder_state, candidate, runs.RunRow(start.ref))
     return candidate
 
 
+def _is_placed(view: scheduler.AgentView, ref: runs.RunRef) -> bool:
+    """Tells whether a run is the present one of a task placed at an agent."""
+    placed = view.placed.get(ref.task)
+    return placed is not None and placed.task.run == ref.run
+
+
 def _reserve_former_run(
     holder_state: scheduler.HolderState,
     candidate: policies.Candidate,
     row: runs.RunRow,
 ) -> None:
-    """Subtracts the request of a run that is to stop, if its job is known.
+    """Subtracts the request of a run that was released, if its job is known.
 
     A holder that has read a closed job does not know where its tasks ran.
     """
--- a/tests/jobs/test_open_starts.py
+++ b/tests/jobs/test_open_starts.py
@@ -9,8 +9,20 @@
 import msgspec
 import pytest
 
-from gypsumhold.model.jobs import effects, events, executor, records, runs
-from tests.jobs import linked_agent, test_kin_of_late_calls, test_late_calls
+from gypsumhold.model.jobs import (
+    effects,
+    events,
+    executor,
+    records,
+    runs,
+    specs,
+)
+from tests.jobs import (
+    job_specs,
+    linked_agent,
+    test_kin_of_late_calls,
+    test_late_calls,
+)
 from tests.jobs import world as worlds
 
 RUN = test_late_calls.RUN
@@ -19,6 +31,8 @@
 UNTIL_STOPPED_MS = 100
 FULL_WORKER = test_kin_of_late_calls.FULL_WORKER
 MAX_SENT = 10
+JOBS = 4
+SUBMIT_INTERVAL_MS = 1300
 
 
 def hold_first_start(
@@ -238,3 +252,30 @@
     assert not test_late_calls.list_starts(emitted)
     assert not test_late_calls.list_starts(agent.poll_now())
     assert RUN in agent.state.active
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_holder_counts_what_the_agent_reserves(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against placements that agents refuse for want of room.
+
+    A job of one task that fills its worker is done by its second start, while
+    the first may come late. Then jobs that fill a worker come one by one.
+    """
+    world, name = test_kin_of_late_calls.send_late_start(
+        monkeypatch, seed, LATEST_MS
+    )
+    running = executor.LocalState.RUNNING
+    assert test_kin_of_late_calls.wait_for_state(world, running) == name
+    (run,) = world.workers[name].running.values()
+    world.workers[name].end_run(run, runs.RunEnd.DONE)
+    world.run(UNTIL_STOPPED_MS)
+    step = specs.StepSpec(1, FULL_WORKER, 100, estimate_ms=1000)
+    for number in range(JOBS):
+        spec = job_specs.build_job_of(f"full{number}", (step,))
+        world.submit("entry-0", spec)
+        world.run(SUBMIT_INTERVAL_MS)
+    started = world.oracle.started
+    assert len({ref.task.job_id for ref in started}) == 1 + JOBS
+    assert {ref.run for ref in started} == {1}
