Keep open starts in mind across processes of the agent

Cause: what one process knew of an open start was lost with it, or with agent and worker together; a start that awaits its answer was not late; the end of a done run was acknowledged by the next process; a late start that was found had no request, so its room was given away. Change: the holder keeps a task with its worker, and an end as done from being acknowledged, while a start that got no answer may be carried out, whatever restarts; reports name starts that are pending beside a confirmed one; the request of a found run is kept; an end settles its only start; an answer by an unknown incarnation shows that the start was carried out; the watermark does not wait for starts that are over. Log lines of a worker name the open starts.

--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -186,6 +186,7 @@
     task.worker_reported_at = now
     task.lease_ends_at = task.late_run_ends_at = ZERO
     task.late_start_reporter = None
+    task.keeps_end = False
     task.former_senders = 0
     view.placed[ref] = placed
     view.latest_start_at = now
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -166,6 +166,7 @@
     if directives.deferred is not None:
         state.deferred = directives.deferred
     for command in directives.found:
+        open_starts.record_command(state, command)
         local_run = state.active.get(command.ref)
         if local_run is not None and local_run.command is None:
             local_run.command = command
--- a/src/gypsumhold/decisions/jobs/record_sizes.py
+++ b/src/gypsumhold/decisions/jobs/record_sizes.py
@@ -19,7 +19,7 @@
 DONE_TASK_BYTES = 18
 """Bytes of a task that has no checkpoint and no instance."""
 
-PLACED_TASK_BYTES = 170
+PLACED_TASK_BYTES = 184
 """Bytes of a placed task, with the names of its instance and worker."""
 
 FAILED_RUN_BYTES = 5
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -181,7 +181,7 @@
     view.stops_sent.clear()
     for sums in report.interference_sums:
         view.interference_sums[sums.pair] = sums
-    _adopt_orphans(state, holder_state, view, now)
+    _adopt_orphans(holder_state, view)
     listed = _index_listed_runs(view)
     emitted += _release_ended_runs(holder_state, view, listed, now)
     expiries.record_report(view, listed, now)
@@ -193,7 +193,7 @@
         emitted += run_ends.handle_run_end(
             holder_state, view, row, now, received_at - age
         )
-    _queue_acknowledgement(holder_state, view)
+    _queue_acknowledgement(holder_state, view, now)
     for refused in report.refused:
         emitted += _handle_refusal(holder_state, view, refused, now)
     slowdown = state.options.off_rack_slowdown
@@ -216,10 +216,11 @@
             continue
         view.last_handled_end = max(view.last_handled_end, row.number)
         view.deferred_ends.discard(row.number)
-        is_done = row.end is runs.RunEnd.DONE
-        if not is_done and expiries.may_begin_again(view, row.ref, now):
-            view.deferred_ends.add(row.number)
-            continue
+        if expiries.may_begin_again(view, row.ref, now):
+            if row.end is not runs.RunEnd.DONE:
+                view.deferred_ends.add(row.number)
+                continue
+            expiries.keep_end(view, row)
         taken.append(row)
     return taken
 
@@ -249,6 +250,7 @@
     view.acknowledged = runs.EndNumber(0)
     view.acknowledgements.clear()
     view.deferred_ends.clear()
+    view.kept_ends.clear()
     view.failed_jobs.clear()
     view.quarantines = 0
     holder_state.plan_due = True
@@ -265,20 +267,11 @@
 
 
 def _adopt_orphans(
-    state: scheduler.SchedulerState,
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    now: datetime.timedelta,
+    holder_state: scheduler.HolderState, view: scheduler.AgentView
 ) -> None:
-    """Moves the orphans of an instance that has reported to its view.
-
-    The process that was to start those that it does not list may be gone.
-    """
-    listed = {row.ref for row in view.report.rows}
+    """Moves the orphans of an instance that has reported to its view."""
     for ref, placed in holder_state.orphans.pop(view.instance, {}).items():
         view.placed[ref] = placed
-        if runs.RunRef(ref, placed.task.run) not in listed:
-            expiries.record_former_start(state, placed.task, now)
 
 
 def _release_ended_runs(
@@ -298,7 +291,7 @@
         for ref in listed:
             # A delayed command was carried out by a newer worker incarnation.
             view.placed[ref].task.worker_incarnation = worker.incarnation
-        expiries.keep_former_starts(view, worker.incarnation)
+        expiries.keep_former_starts(view, worker.incarnation, now)
     ended_runs = {
         ref: placed
         for ref, placed in view.placed.items()
@@ -336,7 +329,9 @@
 
 
 def _queue_acknowledgement(
-    holder_state: scheduler.HolderState, view: scheduler.AgentView
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
 ) -> None:
     """Schedules the acknowledgement of the handled ends.
 
@@ -345,7 +340,7 @@
     """
     pending = view.acknowledgements
     latest_number = pending[-1].number if pending else view.acknowledged
-    number = _find_last_applied_end(holder_state, view)
+    number = _find_last_applied_end(holder_state, view, now)
     if number <= latest_number:
         return
     batch = (
@@ -362,7 +357,9 @@
 
 
 def _find_last_applied_end(
-    holder_state: scheduler.HolderState, view: scheduler.AgentView
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
 ) -> runs.EndNumber:
     """Returns the number up to which the handled ends may be acknowledged.
 
@@ -371,7 +368,7 @@
     it does with the end of a run that may begin once more.
     """
     ends = view.report.ends
-    held = list(view.deferred_ends)
+    held = [*view.deferred_ends, *expiries.list_kept_ends(view, now)]
     if holder_state.left_out_jobs and len(ends) <= MAX_HELD_ENDS:
         held += [
             row.number
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -101,30 +101,25 @@
 
     The new process sends them again, and its answer is no proof for the others.
     """
-    for placed in view.placed.values():
-        record_former_start(state, placed.task, now)
-
-
-def record_former_start(
-    state: scheduler.SchedulerState,
-    task: progress.Task,
-    now: datetime.timedelta,
-) -> None:
-    """Records that a process that is gone may have sent a start of a task."""
     late_run = state.options.limits.measure_longest_late_run()
-    if task.is_start_open:
-        task.late_run_ends_at = now + late_run
-    if task.is_start_open or task.former_senders:
-        task.former_senders += 1
+    for placed in view.placed.values():
+        task = placed.task
+        if task.is_start_open:
+            task.late_run_ends_at = now + late_run
+        if task.is_start_open or task.former_senders:
+            task.former_senders += 1
 
 
 def keep_former_starts(
-    view: scheduler.AgentView, incarnation: runs.WorkerIncarnation
+    view: scheduler.AgentView,
+    incarnation: runs.WorkerIncarnation,
+    now: datetime.timedelta,
 ) -> None:
     """Leaves a task with the worker that a former agent process may start on.
 
     Agent and worker have restarted. The present incarnation refuses that start,
-    of which the new process knows nothing, but a later one may carry it out.
+    of which the new process knows nothing, but a later one may carry it out,
+    also if another start of the run had been confirmed.
     """
     for placed in view.placed.values():
         task = placed.task
@@ -132,8 +127,11 @@
         is_later = known.started_ms < incarnation.started_ms
         if known.name != incarnation.name or not is_later:
             continue
-        if task.is_start_open and task.former_senders:
+        is_open = task.is_start_open and task.former_senders
+        if is_open or (task.keeps_end and now < task.late_run_ends_at):
             task.worker_incarnation = incarnation
+            task.is_start_open = True
+            task.age = None
 
 
 def record_found_runs(
@@ -173,16 +171,20 @@
 ) -> None:
     """Records which placed runs may begin once more, by the latest report."""
     report = view.report
-    reported = {late.ref: late.left_ms for late in report.late_starts}
+    reported = {start.ref: start for start in report.late_starts}
     for ref, placed in view.placed.items():
         task = placed.task
-        left_ms = reported.get(runs.RunRef(ref, task.run))
-        if left_ms is not None:
-            ends_at = now + left_ms * MILLISECOND
+        start = reported.get(runs.RunRef(ref, task.run))
+        if start is not None:
+            ends_at = now + start.left_ms * MILLISECOND
             task.late_run_ends_at = max(task.late_run_ends_at, ends_at)
+            if task.late_start_reporter in (None, report.incarnation):
+                task.keeps_end = False
+            task.keeps_end = task.keeps_end or start.keeps_end
             task.late_start_reporter = report.incarnation
         elif task.late_start_reporter == report.incarnation:
             task.late_start_reporter = None
+            task.keeps_end = False
             task.former_senders = 0
 
 
@@ -193,9 +195,37 @@
     placed = view.placed.get(ref.task)
     if placed is None or placed.task.run != ref.run:
         return False
-    if not placed.job.is_open():
-        return False
-    task = placed.task
+    return placed.job.is_open() and _may_be_late(placed.task, now)
+
+
+def keep_end(view: scheduler.AgentView, row: runs.EndRow) -> None:
+    """Keeps the end as done of a run that may begin again, if that is due."""
+    task = view.placed[row.ref.task].task
+    if task.keeps_end:
+        view.kept_ends[row.number] = scheduler.KeptEnd(
+            row.ref, task.late_start_reporter, task.late_run_ends_at
+        )
+
+
+def list_kept_ends(
+    view: scheduler.AgentView, now: datetime.timedelta
+) -> list[runs.EndNumber]:
+    """Returns the ends as done that the worker is to list for now.
+
+    Forgets those whose starts the process that reported them has settled.
+    """
+    late = {start.ref for start in view.report.late_starts if start.keeps_end}
+    view.kept_ends = {
+        number: kept
+        for number, kept in view.kept_ends.items()
+        if now < kept.until
+        and (kept.ref in late or kept.reporter != view.report.incarnation)
+    }
+    return list(view.kept_ends)
+
+
+def _may_be_late(task: progress.Task, now: datetime.timedelta) -> bool:
+    """Tells whether another start of a run may be late, though one began."""
     is_late = task.former_senders > 1 or task.late_start_reporter is not None
     return is_late and now < task.late_run_ends_at
 
--- a/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
@@ -60,6 +60,9 @@
     if not is_proof:
         starts.unanswered += 1
         late_until = min(sent_by, now) + state.options.limits.max_call_delay
+        if event.result is events.CommandResult.DONE:
+            # It has been carried out, by an incarnation that is not known.
+            late_until = now
         starts.taken_until = max(starts.taken_until, late_until)
     elif not starts.count():
         del state.open_starts[event.ref]
@@ -128,23 +131,44 @@
     processes don't count.
     """
     starts = state.open_starts.get(ref)
-    if starts is None or not starts.unanswered:
+    if starts is None or not (starts.unanswered or starts.pending):
         return False
     return now < _compute_end(state, starts)
 
 
+def list_open(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> list[runs.RunRef]:
+    """Returns the runs that may work by an open start."""
+    return [ref for ref in state.open_starts if may_work(state, ref, now)]
+
+
 def list_late(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> tuple[messages.LateStart, ...]:
-    """Returns the runs with starts that got no answer, for a report."""
+    """Returns the runs with starts that may be late, for a report.
+
+    A run that is being started for the first time is not among them.
+    """
     return tuple(
-        messages.LateStart(ref, lifecycle.to_ms(end - now))
+        messages.LateStart(
+            ref, lifecycle.to_ms(end - now), must_keep_end(state, ref, now)
+        )
         for ref, starts in state.open_starts.items()
-        if starts.unanswered or starts.former
+        if starts.unanswered or starts.former or _has_other(state, ref, starts)
         if now < (end := _compute_end(state, starts))
     )
 
 
+def record_command(
+    state: executor.ExecutorState, command: runs.StartCommand
+) -> None:
+    """Records the command of a run of which only former processes knew it."""
+    starts = state.open_starts.get(command.ref)
+    if starts is not None and starts.command is None:
+        starts.command = command
+
+
 def list_commands(
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> dict[runs.RunRef, runs.StartCommand]:
@@ -156,6 +180,17 @@
     }
 
 
+def _has_other(
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    starts: sent_starts.OpenStarts,
+) -> bool:
+    """Tells whether a start awaits its answer beside that of a starting run."""
+    local_run = state.active.get(ref)
+    is_starting = local_run is not None and local_run.is_unanswered()
+    return len(starts.pending) > is_starting
+
+
 def _get_or_add(
     state: executor.ExecutorState,
     ref: runs.RunRef,
--- a/src/gypsumhold/decisions/jobs/run_bounds/settled_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/settled_starts.py
@@ -52,16 +52,19 @@
     unsettled = {
         ref: placed
         for ref, placed in holder_state.unsettled_starts.items()
-        if _is_unsettled(placed, ref)
+        if _is_unsettled(placed, ref, now)
     }
     holder_state.unsettled_starts = unsettled
     placed_ms = [placed.task.placed_ms for placed in unsettled.values()]
     return min([read_clock_ms(holder_state, now), *placed_ms])
 
 
-def _is_unsettled(placed: scheduler.PlacedTask, ref: runs.RunRef) -> bool:
+def _is_unsettled(
+    placed: scheduler.PlacedTask, ref: runs.RunRef, now: datetime.timedelta
+) -> bool:
     """Tells whether a start of a placed run may still be carried out."""
     task = placed.task
     if task.run != ref.run or not task.is_placed():
         return False
-    return task.is_start_open or task.late_start_reporter is not None
+    is_late = task.late_start_reporter is not None
+    return task.is_start_open or (is_late and now < task.late_run_ends_at)
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -33,6 +33,7 @@
     for end in event.ends:
         if end.number in state.ignored_ends:
             continue
+        _record_carried_out(state, end.ref)
         if end.number > state.acknowledged and end.number not in state.ends:
             state.ends[end.number] = end
             state.ends_listed_at[end.number] = now
@@ -62,6 +63,18 @@
     return emitted
 
 
+def _record_carried_out(
+    state: executor.ExecutorState, ref: runs.RunRef
+) -> None:
+    """Records that a run has ended that had not been confirmed."""
+    local_run = state.active.get(ref)
+    if (
+        local_run is not None
+        and local_run.state is not executor.LocalState.RUNNING
+    ):
+        open_starts.record_listed(state, ref)
+
+
 def _ignore_impossible_ends(
     state: executor.ExecutorState, event: events.WorkerPolled
 ) -> EffectList:
--- a/src/gypsumhold/decisions/jobs/worker_logs.py
+++ b/src/gypsumhold/decisions/jobs/worker_logs.py
@@ -1,9 +1,10 @@
 """Log lines about the worker beside an agent and its incarnations."""
 
 import datetime
+from collections.abc import Iterable
 
 from gypsumhold.decisions.jobs import lifecycle
-from gypsumhold.decisions.jobs.run_bounds import leases
+from gypsumhold.decisions.jobs.run_bounds import leases, open_starts
 from gypsumhold.model.jobs import effects, events, executor, runs
 
 UNKNOWN = "unknown"
@@ -48,20 +49,21 @@
     state: executor.ExecutorState, now: datetime.timedelta
 ) -> Inputs:
     """Returns which runs may be on the worker, and until when."""
-    doubtful = [
-        f"{run.ref.task}:{run.ref.run}"
-        for run in state.active.values()
-        if run.is_unanswered()
-    ]
+    doubtful = [run.ref for run in state.active.values() if run.is_unanswered()]
     left_ms = lifecycle.to_ms(leases.measure_lease(state, now))
     return (
         ("runs", str(len(state.active))),
-        ("doubtful", ",".join(doubtful)),
+        ("doubtful", _list_runs(doubtful)),
+        ("open_starts", _list_runs(open_starts.list_open(state, now))),
         ("runs_end_in_ms", str(left_ms)),
         ("fence", str(state.fence)),
     )
 
 
+def _list_runs(refs: Iterable[runs.RunRef]) -> str:
+    return ",".join(f"{ref.task}:{ref.run}" for ref in refs)
+
+
 def log_first_lists(event: events.WorkerPolled) -> effects.Log:
     """Returns the line of the first answer of an incarnation to a poll."""
     assert event.clock is not None
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -55,10 +55,13 @@
     Attributes:
         ref: The run; it may have ended, or be confirmed by another start.
         left_ms: How long a run by that start may go on if nobody hears of it.
+        keeps_end: Whether the end of the run as done must not be acknowledged
+            meanwhile.
     """
 
     ref: runs.RunRef
     left_ms: LeaseMs
+    keeps_end: bool = False
 
 
 REPORT_INTERVAL = datetime.timedelta(seconds=1)
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -59,8 +59,11 @@
             of a former process of the agent, is carried out late.
         late_start_reporter: Process of the agent that was the last to report
             such a start; None if it has settled them.
+        keeps_end: Whether the end of the run as done is not to be acknowledged
+            while such a start may be carried out.
         former_senders: How many former processes of the agent may have sent a
-            start of the run; each sends one, and only one is carried out.
+            start of the run. Each counts for one start, though it may have sent
+            a second one that no report told of.
         reported: Whether the latest report of the agent lists the run.
         worker_reported_at: When the agent last reported the worker incarnation
             of the latest placement; only then is its lease extended.
@@ -117,6 +120,7 @@
     lease_ends_at: datetime.timedelta = ZERO
     late_run_ends_at: datetime.timedelta = ZERO
     late_start_reporter: ids.Incarnation | None = None
+    keeps_end: bool = False
     former_senders: int = 0
     listed_at: datetime.timedelta | None = None
     age: datetime.timedelta | None = None
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -106,6 +106,22 @@
         return self.age is not None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptEnd:
+    """The end as done of a run that may begin once more.
+
+    Attributes:
+        ref: The run.
+        reporter: Process of the agent that reported the late start last; None
+            if none has.
+        until: Until when the run may work by that start.
+    """
+
+    ref: runs.RunRef
+    reporter: ids.Incarnation | None
+    until: datetime.timedelta
+
+
 @dataclasses.dataclass(slots=True)
 class AgentView:
     """The holder's view of one agent.
@@ -118,6 +134,7 @@
         sequence: Number of the latest directives.
         last_handled_end: Highest number among the handled ends of runs of the
             current worker incarnation.
+        kept_ends: Handled ends as done that are not acknowledged yet.
         deferred_ends: Ends up to that one that are not handled yet, as their
             runs may begin once more.
         acknowledgements: Acknowledgements that wait for a batch, in the order
@@ -148,6 +165,9 @@
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     sequence: int = 0
     last_handled_end: runs.EndNumber = runs.EndNumber(0)
+    kept_ends: dict[runs.EndNumber, KeptEnd] = dataclasses.field(
+        default_factory=dict
+    )
     deferred_ends: set[runs.EndNumber] = dataclasses.field(default_factory=set)
     acknowledgements: list[Acknowledgement] = dataclasses.field(
         default_factory=list
