Hold ends back only from the next process of an agent

Cause: the holder kept the ends as done of runs with open starts from being acknowledged by any process, also while the worker had more ends than it lists; the process that reported the start sees to that by itself. Change: only directives for another process leave such ends out.

--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -76,7 +76,7 @@
         view.sequence,
         worker_incarnation,
         grant_ms,
-        view.acknowledged,
+        expiries.find_acknowledged(view, now),
         _list_starts(holder_state, view, worker_incarnation, now),
         _list_stops(view),
         _list_found_commands(holder_state, view),
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -193,7 +193,7 @@
         emitted += run_ends.handle_run_end(
             holder_state, view, row, now, received_at - age
         )
-    _queue_acknowledgement(holder_state, view, now)
+    _queue_acknowledgement(holder_state, view)
     for refused in report.refused:
         emitted += _handle_refusal(holder_state, view, refused, now)
     slowdown = state.options.off_rack_slowdown
@@ -329,9 +329,7 @@
 
 
 def _queue_acknowledgement(
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    now: datetime.timedelta,
+    holder_state: scheduler.HolderState, view: scheduler.AgentView
 ) -> None:
     """Schedules the acknowledgement of the handled ends.
 
@@ -340,7 +338,7 @@
     """
     pending = view.acknowledgements
     latest_number = pending[-1].number if pending else view.acknowledged
-    number = _find_last_applied_end(holder_state, view, now)
+    number = _find_last_applied_end(holder_state, view)
     if number <= latest_number:
         return
     batch = (
@@ -357,9 +355,7 @@
 
 
 def _find_last_applied_end(
-    holder_state: scheduler.HolderState,
-    view: scheduler.AgentView,
-    now: datetime.timedelta,
+    holder_state: scheduler.HolderState, view: scheduler.AgentView
 ) -> runs.EndNumber:
     """Returns the number up to which the handled ends may be acknowledged.
 
@@ -368,7 +364,7 @@
     it does with the end of a run that may begin once more.
     """
     ends = view.report.ends
-    held = [*view.deferred_ends, *expiries.list_kept_ends(view, now)]
+    held = list(view.deferred_ends)
     if holder_state.left_out_jobs and len(ends) <= MAX_HELD_ENDS:
         held += [
             row.number
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -207,21 +207,28 @@
         )
 
 
-def list_kept_ends(
+def find_acknowledged(
     view: scheduler.AgentView, now: datetime.timedelta
-) -> list[runs.EndNumber]:
-    """Returns the ends as done that the worker is to list for now.
+) -> runs.EndNumber:
+    """Returns the end up to which the present process may acknowledge.
 
-    Forgets those whose starts the process that reported them has settled.
+    The process that reported the late start of a run keeps its end by itself;
+    a later one knows nothing of it. Forgets the ends whose starts are settled.
     """
     late = {start.ref for start in view.report.late_starts if start.keeps_end}
+    reporter = view.report.incarnation
     view.kept_ends = {
         number: kept
         for number, kept in view.kept_ends.items()
-        if now < kept.until
-        and (kept.ref in late or kept.reporter != view.report.incarnation)
+        if now < kept.until and (kept.ref in late or kept.reporter != reporter)
     }
-    return list(view.kept_ends)
+    kept_numbers = [
+        number
+        for number, kept in view.kept_ends.items()
+        if kept.reporter != reporter
+    ]
+    last = min([view.acknowledged, *(number - 1 for number in kept_numbers)])
+    return runs.EndNumber(last)
 
 
 def _may_be_late(task: progress.Task, now: datetime.timedelta) -> bool:
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -134,7 +134,8 @@
         sequence: Number of the latest directives.
         last_handled_end: Highest number among the handled ends of runs of the
             current worker incarnation.
-        kept_ends: Handled ends as done that are not acknowledged yet.
+        kept_ends: Handled ends as done that only the process that reported
+            their late starts may acknowledge.
         deferred_ends: Ends up to that one that are not handled yet, as their
             runs may begin once more.
         acknowledgements: Acknowledgements that wait for a batch, in the order
