Count a start that an unknown incarnation answered for as long as others

Callers saw: nothing; test_restarts held-2 reported a run as ended that went on. Cause: such a start counted as carried out at once, so that the next list settled it, though its incarnation was not known yet.

--- a/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
@@ -60,9 +60,6 @@
     if not is_proof:
         starts.unanswered += 1
         late_until = min(sent_by, now) + state.options.limits.max_call_delay
-        if event.result is events.CommandResult.DONE:
-            # It has been carried out, by an incarnation that is not known.
-            late_until = now
         starts.taken_until = max(starts.taken_until, late_until)
     elif not starts.count():
         del state.open_starts[event.ref]
