Drop two suppressions that the search of orders does not need

Cause: mypy checks the sources only, so the comments suppress nothing. Change: two comments in tests/jobs/order_search. Result: ruff and mypy clean; no test run, as no code changed.

--- a/tests/jobs/order_search/processes.py
+++ b/tests/jobs/order_search/processes.py
@@ -76,7 +76,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_ms = BEGIN_MS
-        self.numbers = Counter()  # type: ignore[assignment]
+        self.numbers = Counter()
         self.processes: dict[str, nodes.Node] = {}
         self.trap: Trap | None = None
         self.journal: list[str] | None = None
--- a/tests/jobs/order_search/steps.py
+++ b/tests/jobs/order_search/steps.py
@@ -123,7 +123,7 @@
     may_start_runs: ClassVar[bool] = True
 
     @property
-    def kind(self) -> str:  # type: ignore[override]
+    def kind(self) -> str:
         if self.acknowledges:
             return "held_acknowledgements"
         return HELD_KINDS[self.effect]
