Name open starts in the holder's row, so that they hold back no others

Callers saw jobs of which nothing ran for 31 s after the loss of all processes and of a worker. Cause: the watermark of settled starts is the least placement among all unsettled ones, so one start without an answer made every start since then count as open for a successor, also those that were confirmed long ago. The row now names the oldest unsettled starts, 64 at most, and the watermark goes on. A start that a later incarnation may carry out again counts as unsettled once more.

--- a/src/gypsumhold/decisions/jobs/batches.py
+++ b/src/gypsumhold/decisions/jobs/batches.py
@@ -139,6 +139,7 @@
     holder_state.batch_instances |= holder_state.changed_instances
     holder_state.changed_instances.clear()
     _assign_acknowledgements(holder_state, number)
+    settled = settled_starts.compute_settled(holder_state, now)
     record = records.HolderRecord(
         records.FORMAT,
         holder_state.term,
@@ -149,7 +150,8 @@
         state.options.cores,
         *forecasts.describe(state, holder_state.sent_at),
         clock_ms=settled_starts.read_clock_ms(holder_state, now),
-        settled_ms=settled_starts.compute_settled_ms(holder_state, now),
+        settled_ms=settled.before_ms,
+        open_starts=settled.open,
     )
     return storage.Batch(
         holder_state.version, record, tuple(writes), tuple(removed)
--- a/src/gypsumhold/decisions/jobs/elections.py
+++ b/src/gypsumhold/decisions/jobs/elections.py
@@ -239,10 +239,14 @@
     return records.QueueMs(0) if record is None else record.clock_ms
 
 
-def _read_former_watermark(row: storage.HolderRow | None) -> records.QueueMs:
-    """Returns the watermark of settled starts in a row."""
+def _read_settled_starts(
+    row: storage.HolderRow | None,
+) -> records.SettledStarts:
+    """Returns which starts are settled by a row."""
     record = None if row is None else row.record
-    return records.QueueMs(0) if record is None else record.settled_ms
+    if record is None:
+        return records.SettledStarts()
+    return records.SettledStarts(record.settled_ms, record.open_starts)
 
 
 def _is_holder_small(
@@ -303,6 +307,7 @@
     term = _choose_term(row)
     options = state.options
     state.role = scheduler.Role.TAKING
+    settled = _read_settled_starts(row)
     holder = records.HolderRecord(
         records.FORMAT,
         term,
@@ -312,7 +317,8 @@
         0,
         options.cores,
         clock_ms=_read_former_clock(row),
-        settled_ms=_read_former_watermark(row),
+        settled_ms=settled.before_ms,
+        open_starts=settled.open,
     )
     entry = records.EntryRecord(
         records.FORMAT, options.name, options.endpoint, True, term
@@ -353,6 +359,7 @@
         return [log, *_schedule_poll(state, now)]
     term = _choose_term(state.holder_row)
     state.role = scheduler.Role.LOADING
+    settled = _read_settled_starts(state.holder_row)
     state.holder_state = scheduler.HolderState(
         term,
         write.version,
@@ -360,7 +367,8 @@
         now,
         replaced_live_holder=state.replacing_live_holder,
         clock_base_ms=_read_former_clock(state.holder_row),
-        former_settled_ms=_read_former_watermark(state.holder_row),
+        former_settled_ms=settled.before_ms,
+        former_open_starts=frozenset(settled.open),
     )
     log = effects.Log(
         "take-queue", state.options.name, "taken", (("term", str(term)),)
--- a/src/gypsumhold/decisions/jobs/run_bounds/settled_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/settled_starts.py
@@ -1,9 +1,10 @@
 """Tells a successor which starts may be open, without a write for each start.
 
 The holder's row has a watermark on the clock of the queue, which goes on from
-holder to holder: every start that was placed before it has been confirmed. The
-record of a task has when it was placed. So after the loss of the holder, only
-the tasks that were placed later may have a start that is under way.
+holder to holder: every start that was placed before it has been confirmed, but
+for those that the row names. The record of a task has when it was placed. So
+after the loss of the holder, only the named tasks and those that were placed
+later may have a start that is under way.
 """
 
 import datetime
@@ -12,6 +13,10 @@
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
+MAX_NAMED_STARTS = 64
+"""Most starts that a row names, about 2 KB. A start without an answer is open
+for 12 s, in which hundreds of others begin."""
+
 
 def read_clock_ms(
     holder_state: scheduler.HolderState, now: datetime.timedelta
@@ -39,24 +44,34 @@
     ref: runs.TaskRef,
 ) -> None:
     """Judges the start of a task that a former holder placed."""
-    if placed.task.placed_ms >= holder_state.former_settled_ms:
+    run_ref = runs.RunRef(ref, placed.task.run)
+    is_later = placed.task.placed_ms >= holder_state.former_settled_ms
+    if is_later or run_ref in holder_state.former_open_starts:
         placed.task.is_start_open = True
-        run_ref = runs.RunRef(ref, placed.task.run)
         holder_state.unsettled_starts[run_ref] = placed
 
 
-def compute_settled_ms(
+def compute_settled(
     holder_state: scheduler.HolderState, now: datetime.timedelta
-) -> records.QueueMs:
-    """Returns the watermark, and forgets the starts that are settled."""
+) -> records.SettledStarts:
+    """Returns the watermark and the named starts; forgets the settled ones.
+
+    The oldest starts are named, as they would hold the watermark back most.
+    """
     unsettled = {
         ref: placed
         for ref, placed in holder_state.unsettled_starts.items()
         if _is_unsettled(placed, ref, now)
     }
     holder_state.unsettled_starts = unsettled
-    placed_ms = [placed.task.placed_ms for placed in unsettled.values()]
-    return min([read_clock_ms(holder_state, now), *placed_ms])
+    oldest_first = sorted(
+        unsettled, key=lambda ref: unsettled[ref].task.placed_ms
+    )
+    named = oldest_first[:MAX_NAMED_STARTS]
+    settled_ms = read_clock_ms(holder_state, now)
+    for ref in oldest_first[MAX_NAMED_STARTS:][:1]:
+        settled_ms = min(settled_ms, unsettled[ref].task.placed_ms)
+    return records.SettledStarts(settled_ms, tuple(named))
 
 
 def _is_unsettled(
--- a/src/gypsumhold/model/jobs/records.py
+++ b/src/gypsumhold/model/jobs/records.py
@@ -95,6 +95,20 @@
     job_id: specs.JobId
 
 
+class SettledStarts(msgspec.Struct, frozen=True, array_like=True):
+    """Which starts of placed runs are settled.
+
+    Attributes:
+        before_ms: Every start of a run that was placed before this reading of
+            the queue's clock is settled, but for those that are named: it has
+            been confirmed, and no other start of the run is under way.
+        open: Runs that were placed before, and whose start may be under way.
+    """
+
+    before_ms: QueueMs = QueueMs(0)
+    open: tuple[runs.RunRef, ...] = ()
+
+
 class HolderRecord(msgspec.Struct, frozen=True, array_like=True):
     """The holder of the queue, which rewrites this row with each batch.
 
@@ -111,8 +125,9 @@
             clock of the holder; negative without a forecast.
         forecast: Queues that are short of room.
         clock_ms: Reading of the queue's clock when the row was built.
-        settled_ms: Every start of a run that was placed before this reading
-            has been confirmed, and no other start of the run is under way.
+        settled_ms: As `SettledStarts.before_ms`.
+        open_starts: As `SettledStarts.open`. A holder of a former version
+            writes none, and takes those of a row for settled.
     """
 
     version: int
@@ -126,6 +141,7 @@
     forecast: tuple[forecasts.QueueForecast, ...] = ()
     clock_ms: QueueMs = QueueMs(0)
     settled_ms: QueueMs = QueueMs(0)
+    open_starts: tuple[runs.RunRef, ...] = ()
 
 
 class EntryRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -284,6 +284,7 @@
             was still storing batches.
         clock_base_ms: Reading of the queue's clock when the term started.
         former_settled_ms: Watermark of settled starts in the former row.
+        former_open_starts: Starts before it that the row names as open.
         unsettled_starts: Placed runs whose starts may be under way; some may
             have been settled since the latest batch was built.
         run_waits: How long jobs and long-running tasks have had no run.
@@ -345,6 +346,7 @@
     replaced_live_holder: bool = False
     clock_base_ms: records.QueueMs = records.QueueMs(0)
     former_settled_ms: records.QueueMs = records.QueueMs(0)
+    former_open_starts: frozenset[runs.RunRef] = frozenset()
     unsettled_starts: dict[runs.RunRef, PlacedTask] = dataclasses.field(
         default_factory=dict
     )
