Take the incarnation that answers polls for the present one

Cause: a worker that is back with an earlier start time, as its clock was set back, counted as a former life. So its agent's reports released none of its former tasks, and nobody sent their starts again. An agent names an incarnation once it has answered a poll; in a report that was sent in the present term, each other one is former, whatever the start times. An earlier report may be older than a placement, and start times decide there as before.

--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -291,11 +291,13 @@
         for ref in listed:
             # A delayed command was carried out by a newer worker incarnation.
             view.placed[ref].task.worker_incarnation = worker.incarnation
-        expiries.keep_former_starts(view, worker.incarnation, now)
+        expiries.keep_former_starts(holder_state, view, now)
     ended_runs = {
         ref: placed
         for ref, placed in view.placed.items()
-        if _has_ended(report, placed.task, is_listed=ref in listed)
+        if _has_ended(
+            holder_state, report, placed.task, is_listed=ref in listed
+        )
     }
     if not ended_runs:
         return []
@@ -314,17 +316,20 @@
 
 
 def _has_ended(
-    report: messages.Report, task: progress.Task, *, is_listed: bool
+    holder_state: scheduler.HolderState,
+    report: messages.Report,
+    task: progress.Task,
+    *,
+    is_listed: bool,
 ) -> bool:
     """Tells whether a placed run has ended, by a report without its end.
 
     A late report may be of a former incarnation of the worker, and tells
     nothing of the runs of later ones.
     """
-    if report.worker is not None:
-        reported_ms = report.worker.incarnation.started_ms
-        if task.worker_incarnation.started_ms != reported_ms:
-            return task.worker_incarnation.started_ms < reported_ms
+    worker = report.worker
+    if worker is not None and worker.incarnation != task.worker_incarnation:
+        return expiries.is_former(holder_state, report, task.worker_incarnation)
     return report.runs_ended and not is_listed
 
 
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -8,7 +8,7 @@
 import datetime
 from collections.abc import Container
 
-from gypsumhold.model.jobs import progress, runs, scheduler
+from gypsumhold.model.jobs import messages, progress, runs, scheduler
 
 GRANT_MARGIN = datetime.timedelta(milliseconds=300)
 """Allows for the drift between two clocks during a grant."""
@@ -110,9 +110,28 @@
             task.former_senders += 1
 
 
+def is_former(
+    holder_state: scheduler.HolderState,
+    report: messages.Report,
+    known: runs.WorkerIncarnation,
+) -> bool:
+    """Tells whether an incarnation ended before the one that a report names.
+
+    An agent names the one that answers its polls. So if the report was sent in
+    this term, every other one is former, whatever the clocks tell of their
+    starts. A report that was sent before may be older than the placement.
+    """
+    worker = report.worker
+    if worker is None or worker.incarnation == known:
+        return False
+    if report.term == holder_state.term:
+        return True
+    return known.started_ms < worker.incarnation.started_ms
+
+
 def keep_former_starts(
+    holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
-    incarnation: runs.WorkerIncarnation,
     now: datetime.timedelta,
 ) -> None:
     """Leaves a task with the worker that a former agent process may start on.
@@ -121,17 +140,23 @@
     of which the new process knows nothing, but a later one may carry it out,
     also if another start of the run had been confirmed.
     """
-    for placed in view.placed.values():
+    worker = view.report.worker
+    assert worker is not None
+    incarnation = worker.incarnation
+    for ref, placed in view.placed.items():
         task = placed.task
         known = task.worker_incarnation
-        is_later = known.started_ms < incarnation.started_ms
-        if known.name != incarnation.name or not is_later:
+        if known.name != incarnation.name:
+            continue
+        if not is_former(holder_state, view.report, known):
             continue
         is_open = task.is_start_open and task.former_senders
         if is_open or (task.keeps_end and now < task.late_run_ends_at):
             task.worker_incarnation = incarnation
             task.is_start_open = True
             task.age = None
+            run_ref = runs.RunRef(ref, task.run)
+            holder_state.unsettled_starts[run_ref] = placed
 
 
 def record_found_runs(
