Count an open start from when the agent can have sent it

Cause: a successor counted an open start from the end of the grant, 7 s after it had loaded the jobs, although no process lived that could have sent it. Reports now tell for how long no process of the agent has sent a start. A start that the present process doesn't know was sent before that.

--- a/src/gypsumhold/decisions/jobs/reporting.py
+++ b/src/gypsumhold/decisions/jobs/reporting.py
@@ -168,6 +168,7 @@
         tuple(state.losses) if state.polled else (),
         leases.measure_lease_ms(state, now),
         open_starts.list_late(state, now),
+        open_starts.measure_idle_ms(state, now),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -177,6 +177,9 @@
         expiries.record_agent_restart(state, view, now)
     view.report = report
     view.last_report_at = now
+    view.starts_sent_by = expiries.compute_last_start(state, report, now)
+    if report.worker is not None and report.answering:
+        view.heard_at = now
     view.candidate = None
     view.stops_sent.clear()
     for sums in report.interference_sums:
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -262,6 +262,35 @@
     return is_late and now < task.late_run_ends_at
 
 
+def compute_last_start(
+    state: scheduler.SchedulerState,
+    report: messages.Report,
+    now: datetime.timedelta,
+) -> datetime.timedelta:
+    """Returns when an agent had sent its latest start, by a report.
+
+    One that is on its way out is sent before the grant ends.
+    """
+    if not report.idle_ms:
+        return now + state.options.grant
+    return now - report.idle_ms * MILLISECOND
+
+
+def knows_run(view: scheduler.AgentView, task: progress.Task) -> bool:
+    """Tells whether the present process of an agent may start a placed run.
+
+    It may if it lists the run, or knows the worker, for which it is sent the
+    start. Otherwise only its former processes can have sent one.
+    """
+    worker = view.report.worker
+    if task.reported:
+        return True
+    return (
+        worker is not None
+        and worker.incarnation.name == task.worker_incarnation.name
+    )
+
+
 def list_silent_runs(
     state: scheduler.SchedulerState,
     view: scheduler.AgentView,
@@ -276,20 +305,25 @@
     return {
         ref: placed
         for ref, placed in view.placed.items()
-        if now >= _compute_expiry(state, placed.task) + GRANT_MARGIN
+        if now >= _compute_expiry(state, view, placed.task) + GRANT_MARGIN
     }
 
 
 def _compute_expiry(
-    state: scheduler.SchedulerState, task: progress.Task
+    state: scheduler.SchedulerState,
+    view: scheduler.AgentView,
+    task: progress.Task,
 ) -> datetime.timedelta:
     """Returns when a run has ended if its agent reports no more.
 
-    A run that its worker has confirmed ends with its lease. So does one that a
-    former holder placed, as far as this one can tell.
+    A run that its worker has confirmed ends with its lease. An open start may
+    have been sent until the grant ended, but not after the latest start of an
+    agent that does not know the run.
     """
     grant_end = task.worker_reported_at + state.options.grant
     if task.is_start_open:
-        late_run = state.options.limits.measure_longest_late_run()
-        return grant_end + late_run
+        sent_by = grant_end
+        if not knows_run(view, task):
+            sent_by = min(grant_end, view.starts_sent_by)
+        return sent_by + state.options.limits.measure_longest_late_run()
     return max(grant_end, task.lease_ends_at, task.late_run_ends_at)
--- a/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
@@ -57,6 +57,7 @@
     sent_by = starts.pending.pop(event.fence, None)
     if sent_by is None:
         return
+    state.last_start_at = max(state.last_start_at, min(sent_by, now))
     if not is_proof:
         starts.unanswered += 1
         late_until = min(sent_by, now) + state.options.limits.max_call_delay
@@ -157,6 +158,20 @@
     )
 
 
+def measure_idle_ms(
+    state: executor.ExecutorState, now: datetime.timedelta
+) -> messages.IdleMs:
+    """Returns for how long no start was sent, for a report.
+
+    Former processes have sent none since this one began. One that awaits its
+    answer may still be on its way out.
+    """
+    if any(starts.pending for starts in state.open_starts.values()):
+        return 0
+    idle = now - max(state.began_at, state.last_start_at)
+    return min(max(lifecycle.to_ms(idle), 0), messages.MAX_IDLE_MS)
+
+
 def record_command(
     state: executor.ExecutorState, command: runs.StartCommand
 ) -> None:
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -280,6 +280,8 @@
         began_at: When this process began, after all calls of former ones.
         former_starts: Runs whose start a former process may have sent, by the
             first answer of each holder to a report; None before there is one,
+        last_start_at: When the latest start that was answered, or counts as
+            unanswered, had been sent; zero before there is one.
             as it may be any run then.
         former_starts_term: Term of the latest holder whose answer they have.
         reported_refusals: Refusals in the unanswered report.
@@ -365,6 +367,7 @@
     former_starts: frozenset[runs.RunRef] | None = None
     former_starts_term: ids.Epoch = ids.Epoch(0)
     reported_refusals: tuple[runs.RunRef, ...] = ()
+    last_start_at: datetime.timedelta = ZERO
     losses: list[runs.LossRow] = dataclasses.field(default_factory=list)
     received_evacuations: evacuations.ReceivedEvacuations = dataclasses.field(
         default_factory=evacuations.ReceivedEvacuations
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -16,6 +16,15 @@
 MAX_LEASE_MS = 120_000
 LeaseMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_LEASE_MS)]
 
+MAX_IDLE_MS = 3_600_000
+"""Longest idle time that an agent tells, in ms; what happened before does not
+matter any more."""
+IdleMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_IDLE_MS)]
+
+NOT_ABSENT = -1
+"""Stands for a worker that the platform's latest list has, or that no list was
+asked for."""
+
 MAX_HOST_LENGTH = 253
 HOST_PATTERN = (
     r"\A(?:[A-Za-z0-9_-]{1,63}(?:\.[A-Za-z0-9_-]{1,63})*"
@@ -103,6 +112,8 @@
         lease_left_ms: How long runs that have begun may go on if the agent
             sends no further lease.
         late_starts: Runs with starts that may be carried out late.
+        idle_ms: For how long no process of the agent has sent a start; 0 if one
+            may be on its way out, or the agent does not tell.
     """
 
     instance: ids.InstanceId
@@ -123,6 +134,7 @@
     losses: tuple[runs.LossRow, ...] = ()
     lease_left_ms: LeaseMs = 0
     late_starts: tuple[LateStart, ...] = ()
+    idle_ms: IdleMs = 0
 
 
 class Directives(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -130,6 +130,8 @@
         instance: Name of the agent's instance.
         report: The latest report.
         last_report_at: When the latest report arrived.
+        starts_sent_by: When the agent had sent its latest start, by the latest
+            report; later starts are those that it lists or is sent.
         worker_incarnation: Latest reported incarnation of the worker.
         sequence: Number of the latest directives.
         last_handled_end: Highest number among the handled ends of runs of the
@@ -163,6 +165,7 @@
     instance: ids.InstanceId
     report: messages.Report
     last_report_at: datetime.timedelta
+    starts_sent_by: datetime.timedelta = ZERO
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     sequence: int = 0
     last_handled_end: runs.EndNumber = runs.EndNumber(0)
