Ask the platform which workers are up, and end the waits of those that are gone

Callers saw lasting tasks of lost workers without a run for 12 s, or 31 s if a start was open. Leases were the only proof that a run had ended on a worker that is silent. The platform lists its machines with their workers; one that is not listed has no runs at that moment. So the holder reads the list while a worker with placed tasks does not answer, once a second at most. A confirmed run ends with it; one that may have crashed its worker is kept for 4 s, as the next incarnation proves the crash. An open start ends with a list that was asked for after it could be carried out the last time. A worker that is cut off is listed, and its leases decide as before.

--- a/src/gypsumhold/adapters/effect_pools.py
+++ b/src/gypsumhold/adapters/effect_pools.py
@@ -131,6 +131,9 @@
     job_effects.ReadEvacuations: lambda effect: Lane(
         PoolKind.TABLE, "evacuations"
     ),
+    job_effects.ListWorkers: lambda effect: Lane(
+        PoolKind.PEERS, "workers", True
+    ),
     job_effects.FollowJobs: lambda effect: Lane(PoolKind.LONG_POLL, "jobs"),
     job_effects.FollowEntries: lambda effect: Lane(
         PoolKind.LONG_POLL, "entries"
--- a/src/gypsumhold/adapters/failure_events.py
+++ b/src/gypsumhold/adapters/failure_events.py
@@ -131,6 +131,9 @@
     job_effects.ReadEvacuations: lambda effect, _: job_events.EvacuationsRead(
         effect.term, effect.asked_at, None
     ),
+    job_effects.ListWorkers: lambda effect, _: job_events.WorkersListed(
+        effect.term, effect.asked_at, None
+    ),
     job_effects.WriteJob: lambda effect, started: job_events.JobWritten(
         effect.owner, _choose_write_result(started)
     ),
--- a/src/gypsumhold/adapters/jobs/effect_runners.py
+++ b/src/gypsumhold/adapters/jobs/effect_runners.py
@@ -64,6 +64,7 @@
     def __init__(
         self,
         store: interfaces.JobStore,
+        directory: interfaces.WorkerDirectory,
         client: peers.JobClient,
         clock: clocks.Clock,
         log: decision_log.DecisionLog,
@@ -72,6 +73,7 @@
 
         Args:
             store: Store of the jobs.
+            directory: The platform's list of workers.
             client: Client for calls to agents and other entries.
             clock: Clock that gives the time of reads.
             log: Log of the decisions.
@@ -81,6 +83,7 @@
             {
                 effects.FollowConfig: self._follow_config,
                 effects.ReadEvacuations: self._read_evacuations,
+                effects.ListWorkers: self._list_workers,
                 effects.WriteJob: self._write_job,
                 effects.ReadJob: self._read_job,
                 effects.WriteCancel: self._write_cancel,
@@ -97,6 +100,7 @@
             },
         )
         self._store = store
+        self._directory = directory
         self._client = client
         self._clock = clock
 
@@ -114,6 +118,10 @@
         changes = self._store.read_evacuations()
         return events.EvacuationsRead(effect.term, effect.asked_at, changes)
 
+    def _list_workers(self, effect: effects.ListWorkers) -> events.Event:
+        up = self._directory.list_up()
+        return events.WorkersListed(effect.term, effect.asked_at, up)
+
     def _write_job(self, effect: effects.WriteJob) -> events.Event:
         _wait(effect.delay)
         return events.JobWritten(
--- a/src/gypsumhold/adapters/jobs/interfaces.py
+++ b/src/gypsumhold/adapters/jobs/interfaces.py
@@ -9,6 +9,7 @@
     evacuations,
     events,
     records,
+    runs,
     specs,
     storage,
 )
@@ -121,6 +122,18 @@
         """Returns all evacuations in force; None if the read failed."""
 
 
+class WorkerDirectory(abc.ABC):
+    """The platform's list of the workers that are up."""
+
+    @abc.abstractmethod
+    def list_up(self) -> frozenset[runs.WorkerName] | None:
+        """Returns the names of all workers that are up as of one moment.
+
+        That moment lies within the call. None if the platform has no such list
+        or the read failed; the method doesn't raise.
+        """
+
+
 class JobWorker(abc.ABC):
     """Calls the worker on the agent's instance.
 
--- a/src/gypsumhold/decisions/jobs/directives.py
+++ b/src/gypsumhold/decisions/jobs/directives.py
@@ -8,7 +8,7 @@
     lost_workers,
     starvation,
 )
-from gypsumhold.decisions.jobs.run_bounds import expiries
+from gypsumhold.decisions.jobs.run_bounds import absences, expiries
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model.jobs import (
     effects,
@@ -91,6 +91,7 @@
             may_grant=may_grant(state, holder_state, now),
         ),
         expiries.list_late_starts(view, now),
+        absences.measure_absence_ms(holder_state, view, now),
     )
 
 
--- a/src/gypsumhold/decisions/jobs/received_directives.py
+++ b/src/gypsumhold/decisions/jobs/received_directives.py
@@ -10,7 +10,7 @@
     refusals,
     starts,
 )
-from gypsumhold.decisions.jobs.run_bounds import open_starts
+from gypsumhold.decisions.jobs.run_bounds import leases, open_starts
 from gypsumhold.model import effects as base_effects
 from gypsumhold.model import ids, members
 from gypsumhold.model.jobs import effects, executor, messages, runs
@@ -94,6 +94,8 @@
     if answered is not None and directives.grant_ms:
         grant = datetime.timedelta(milliseconds=directives.grant_ms)
         state.grant_end = max(state.grant_end, answered.sent_at + grant)
+    if answered is not None and directives.absent_ms != messages.NOT_ABSENT:
+        _record_absence(state, directives.absent_ms, answered)
     _acknowledge(state, directives.acknowledged)
     losses.forget_stored(state, directives.stored_losses)
     if answered is not None:
@@ -105,6 +107,23 @@
     return [*emitted, *_carry_out(state, directives, now)]
 
 
+def _record_absence(
+    state: executor.ExecutorState,
+    absent_ms: runs.SpanMs,
+    answered: AnsweredReport,
+) -> None:
+    """Records that the platform lists no worker of this name.
+
+    The age of the list counts from before the answer was built. No run of the
+    worker went on at that moment, and only a later start can begin one.
+    """
+    if state.answering:
+        return
+    asked_at = answered.sent_at - datetime.timedelta(milliseconds=absent_ms)
+    leases.record_absence(state, asked_at)
+    open_starts.settle(state, asked_at)
+
+
 def _confirm_term(state: executor.ExecutorState, term: ids.Epoch) -> None:
     """Counts the sequences of directives anew, from those of this term."""
     state.confirmed_term = term
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -74,7 +74,7 @@
         ]
     emitted: EffectList = []
     if view is None:
-        view = scheduler.AgentView(report.instance, report, now)
+        view = scheduler.AgentView(report.instance, report, now, heard_at=now)
         holder_state.agents[report.instance] = view
         emitted.append(_log_agent(report, "joined"))
         holder_state.plan_due = True
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -29,6 +29,15 @@
     return holder_state.term_started_at + longest + GRANT_MARGIN
 
 
+def compute_last_former_grant(
+    state: scheduler.SchedulerState, holder_state: scheduler.HolderState
+) -> datetime.timedelta:
+    """Returns until when an agent may send starts for the former holder."""
+    return holder_state.term_started_at + _measure_former_grant(
+        state, holder_state
+    )
+
+
 def _measure_former_grant(
     state: scheduler.SchedulerState, holder_state: scheduler.HolderState
 ) -> datetime.timedelta:
@@ -256,6 +265,12 @@
     return runs.EndNumber(last)
 
 
+def may_begin(task: progress.Task) -> bool:
+    """Tells whether some start of the current run may still be under way."""
+    is_late = task.former_senders > 1 or task.late_start_reporter is not None
+    return task.is_start_open or is_late
+
+
 def _may_be_late(task: progress.Task, now: datetime.timedelta) -> bool:
     """Tells whether another start of a run may be late, though one began."""
     is_late = task.former_senders > 1 or task.late_start_reporter is not None
--- a/src/gypsumhold/decisions/jobs/run_bounds/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/incarnations.py
@@ -57,6 +57,7 @@
     state.acknowledged = state.discarded = runs.EndNumber(0)
     state.doubted_at = None
     state.answering = True
+    state.absent_at = datetime.timedelta(0)
     state.silent_after = None
     state.worker_left = state.has_drained = False
     state.drains_since = None
--- a/src/gypsumhold/decisions/jobs/run_bounds/leases.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/leases.py
@@ -108,13 +108,30 @@
     """
     if state.answering:
         return False
-    if has_left(state):
+    if has_left(state) or _is_known_absent(state):
         return True
     if state.former_starts is None and now < state.former_runs_expire_at:
         return False
     return now >= state.runs_expire_at
 
 
+def record_absence(
+    state: executor.ExecutorState, asked_at: datetime.timedelta
+) -> None:
+    """Records that the platform listed no worker of this name, asked then."""
+    state.absent_at = max(state.absent_at, asked_at)
+
+
+def _is_known_absent(state: executor.ExecutorState) -> bool:
+    """Tells whether the known incarnation has ended since it last answered.
+
+    The platform's list lacked a worker of its name. A later incarnation that
+    has the name again has none of its runs.
+    """
+    clock = state.clock
+    return clock is not None and state.absent_at > clock.received_at
+
+
 def has_left(state: executor.ExecutorState) -> bool:
     """Tells whether the present incarnation has certainly shut down.
 
--- a/src/gypsumhold/decisions/jobs/schedulers.py
+++ b/src/gypsumhold/decisions/jobs/schedulers.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from gypsumhold.decisions.jobs import (
+    absent_workers,
     batches,
     elections,
     evacuations,
@@ -75,7 +76,10 @@
         case timers.TimerKind.HOLDER_POLL:
             return elections.handle_poll_timer(state)
         case timers.TimerKind.HOLDER_TICK:
-            return holders.handle_tick_timer(state, now)
+            return [
+                *holders.handle_tick_timer(state, now),
+                *absent_workers.ask_if_due(state, now),
+            ]
         case timers.TimerKind.NEAR_PLACE:
             return near_waits.handle_timer(state)
         case timers.TimerKind.REGISTER:
@@ -178,6 +182,7 @@
     events.CancelWritten: queries.handle_cancel_written,
     events.QueueTaken: elections.handle_queue_taken,
     events.EvacuationsRead: evacuations.handle_evacuations_read,
+    events.WorkersListed: absent_workers.handle_workers_listed,
     events.JobsLoaded: holders.handle_jobs_loaded,
     events.SubmissionsDeleted: holders.handle_submissions_deleted,
     events.JobsChanged: holders.handle_jobs_changed,
--- a/src/gypsumhold/model/jobs/effects.py
+++ b/src/gypsumhold/model/jobs/effects.py
@@ -137,6 +137,18 @@
     owner: str = NO_OWNER
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListWorkers:
+    """Reads which workers the platform has up; results in `WorkersListed`.
+
+    It is sent at `asked_at` or later.
+    """
+
+    term: ids.Epoch
+    asked_at: datetime.timedelta
+    owner: str = NO_OWNER
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteJob:
     """Stores a submission after `delay` unless its job id is taken.
@@ -418,6 +430,7 @@
     | ReplyReport
     | FollowConfig
     | ReadEvacuations
+    | ListWorkers
     | WriteJob
     | ReadJob
     | WriteCancel
--- a/src/gypsumhold/model/jobs/events.py
+++ b/src/gypsumhold/model/jobs/events.py
@@ -48,6 +48,21 @@
     changes: evacuations.EvacuationChanges | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkersListed:
+    """A read of the workers that are up ended.
+
+    Attributes:
+        term: Term in which the read was started.
+        asked_at: As `effects.ListWorkers.asked_at`.
+        up: Names of all workers that are up; None if the read failed.
+    """
+
+    term: ids.Epoch
+    asked_at: datetime.timedelta
+    up: frozenset[runs.WorkerName] | None
+
+
 class ReadResult(enum.Enum):
     """Result of a read of changes."""
 
@@ -390,6 +405,7 @@
     SchedulerStarted
     | ConfigRead
     | EvacuationsRead
+    | WorkersListed
     | SubmitArrived
     | JobWritten
     | QueryArrived
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -264,6 +264,8 @@
             takes from a serving image, as estimated from the measurements of
             all agents.
         answering: Whether the worker answered the latest poll.
+        absent_at: When the platform's list was last asked for that lacked a
+            worker of this name; zero if none did.
         silent_after: Time from its latest answer until the poll that found it
             silent; None if it answers or has answered nothing.
         other_life_ms: Start of the other incarnation that answered a poll of
@@ -278,10 +280,10 @@
         former_runs_expire_at: When every run has ended that a call of a former
             process of the agent may have begun or kept.
         began_at: When this process began, after all calls of former ones.
-        former_starts: Runs whose start a former process may have sent, by the
-            first answer of each holder to a report; None before there is one,
         last_start_at: When the latest start that was answered, or counts as
             unanswered, had been sent; zero before there is one.
+        former_starts: Runs whose start a former process may have sent, by the
+            first answer of each holder to a report; None before there is one,
             as it may be any run then.
         former_starts_term: Term of the latest holder whose answer they have.
         reported_refusals: Refusals in the unanswered report.
@@ -356,6 +358,7 @@
         default_factory=dict
     )
     answering: bool = True
+    absent_at: datetime.timedelta = ZERO
     silent_after: datetime.timedelta | None = None
     other_life_ms: int = 0
     worker_left: bool = False
@@ -364,10 +367,10 @@
     runs_expire_at: datetime.timedelta = ZERO
     former_runs_expire_at: datetime.timedelta = ZERO
     began_at: datetime.timedelta = ZERO
+    last_start_at: datetime.timedelta = ZERO
     former_starts: frozenset[runs.RunRef] | None = None
     former_starts_term: ids.Epoch = ids.Epoch(0)
     reported_refusals: tuple[runs.RunRef, ...] = ()
-    last_start_at: datetime.timedelta = ZERO
     losses: list[runs.LossRow] = dataclasses.field(default_factory=list)
     received_evacuations: evacuations.ReceivedEvacuations = dataclasses.field(
         default_factory=evacuations.ReceivedEvacuations
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -168,6 +168,8 @@
         late_starts: Placed runs of which former processes of the agent may
             have sent several starts, so that one may be late although another
             was carried out.
+        absent_ms: How long ago the platform's list was asked for that did not
+            have the worker; `NOT_ABSENT` if there is none.
     """
 
     term: ids.Epoch
@@ -187,6 +189,7 @@
     stored_losses: tuple[runs.WorkerIncarnation, ...] = ()
     evacuation_notice: evacuations.Evacuations | None = None
     late_starts: tuple[runs.RunRef, ...] = ()
+    absent_ms: runs.SpanMs = NOT_ABSENT
 
 
 class Received(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/gypsumhold/model/jobs/runs.py
+++ b/src/gypsumhold/model/jobs/runs.py
@@ -96,6 +96,10 @@
     DRAINING = "draining"
 
 
+WorkerName = NewType("WorkerName", str)
+"""Name of a worker; its incarnations may share one."""
+
+
 class WorkerIncarnation(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of a worker process; its runs end with it.
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -122,6 +122,36 @@
     until: datetime.timedelta
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Absence:
+    """A worker that does not answer, and that the platform does not list.
+
+    Attributes:
+        since: When the first list was asked for that lacked it.
+        asked_at: When the latest one was.
+    """
+
+    since: datetime.timedelta
+    asked_at: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerList:
+    """What the holder knows of the platform's list of workers.
+
+    Attributes:
+        is_pending: Whether a read has not ended yet.
+        due_at: When the next read may be sent.
+        absences: Workers that the latest list lacks.
+    """
+
+    is_pending: bool = False
+    due_at: datetime.timedelta = ZERO
+    absences: dict[runs.WorkerName, Absence] = dataclasses.field(
+        default_factory=dict
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class AgentView:
     """The holder's view of one agent.
@@ -132,6 +162,8 @@
         last_report_at: When the latest report arrived.
         starts_sent_by: When the agent had sent its latest start, by the latest
             report; later starts are those that it lists or is sent.
+        heard_at: When the latest report arrived that told that the worker
+            answers; when the first one did if none has.
         worker_incarnation: Latest reported incarnation of the worker.
         sequence: Number of the latest directives.
         last_handled_end: Highest number among the handled ends of runs of the
@@ -166,6 +198,7 @@
     report: messages.Report
     last_report_at: datetime.timedelta
     starts_sent_by: datetime.timedelta = ZERO
+    heard_at: datetime.timedelta = ZERO
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     sequence: int = 0
     last_handled_end: runs.EndNumber = runs.EndNumber(0)
@@ -298,6 +331,7 @@
             the rows could not be read; None if they can be, or none was.
         near_waits: Tasks that wait for a near place; a gang is listed by its
             first task.
+        worker_list: The platform's list of workers.
     """
 
     term: ids.Epoch
@@ -368,6 +402,7 @@
     near_waits: dict[runs.TaskRef, locality.NearWait] = dataclasses.field(
         default_factory=dict
     )
+    worker_list: WorkerList = dataclasses.field(default_factory=WorkerList)
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/gypsumhold/model/jobs/scheduler_options.py
+++ b/src/gypsumhold/model/jobs/scheduler_options.py
@@ -37,6 +37,7 @@
             data centre is obeyed; None if the platform sets none.
         off_rack_slowdown: Factor on the run time of a task away from the rack
             of its data or gang; at 1 no wait for a near place pays.
+        lists_workers: Whether the platform lists the workers that are up.
     """
 
     name: str
@@ -55,3 +56,4 @@
     seed: int = 0
     evacuation_time: datetime.timedelta | None = None
     off_rack_slowdown: float = locality.NO_SLOWDOWN
+    lists_workers: bool = False
--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -343,6 +343,28 @@
     row_bytes: int = 65_536
 
 
+class MachineListSettings(PlatformDocument, frozen=True):
+    """Where the platform lists its machines."""
+
+    address: str = ""
+
+
+class Machine(PlatformDocument, frozen=True):
+    """One machine of the platform."""
+
+    state: str
+    # Name of the worker that runs on it; empty if none does.
+    id: str | None = ""
+
+
+class MachinePage(PlatformDocument, frozen=True):
+    """Some of the platform's machines, by rising name."""
+
+    machines: tuple[Machine, ...]
+    # Where the next page begins; none on the last one.
+    next_token: str | None = None
+
+
 class ProcessLimits(PlatformDocument, frozen=True):
     """What the platform lets a process use."""
 
@@ -380,6 +402,8 @@
     internal_port_range: tuple[int, int]
     # The table store.
     platform: StoreSettings
+    # The list of machines, on platforms that have one.
+    cloud_api: MachineListSettings = MachineListSettings()
     heartbeat_interval_ms: int = 1000
     limits: ProcessLimits = ProcessLimits()
     bounds: Bounds = Bounds()
--- a/src/gypsumhold/platform/settings.py
+++ b/src/gypsumhold/platform/settings.py
@@ -34,6 +34,8 @@
             data centre is obeyed; None if the platform sets none.
         off_rack_slowdown: Factor on the run time of a task away from the rack
             of its data or gang; 1 if the file names none.
+        machines: Address of the platform's list of machines; None if it has
+            none.
     """
 
     instance: ids.InstanceId
@@ -49,6 +51,7 @@
     limits: worker_limits.WorkerLimits = worker_limits.WorkerLimits()
     evacuation_time: datetime.timedelta | None = None
     off_rack_slowdown: float = locality.NO_SLOWDOWN
+    machines: members.Address | None = None
 
 
 def read_settings() -> Result[NodeSettings, errors.Error]:
@@ -98,6 +101,7 @@
                 datetime.timedelta(milliseconds=document.bounds.evacuation_ms)
                 or None,
                 max(locality.NO_SLOWDOWN, document.bounds.remote_penalty),
+                _parse_optional_address(document.cloud_api.address),
             )
         )
     except ValueError as problem:
--- a/src/gypsumhold/programs/node.py
+++ b/src/gypsumhold/programs/node.py
@@ -101,6 +101,7 @@
         limits=shared.platform_settings.limits,
         evacuation_time=shared.platform_settings.evacuation_time,
         off_rack_slowdown=shared.platform_settings.off_rack_slowdown,
+        lists_workers=shared.platform_settings.machines is not None,
     )
     state = scheduler.SchedulerState(
         options,
@@ -115,7 +116,11 @@
         reducer.reduce,
         shared.clock,
         effect_runners.SchedulerRunner(
-            shared.store, shared.client, shared.clock, shared.log
+            shared.store,
+            node_components.build_directory(shared, stack),
+            shared.client,
+            shared.clock,
+            shared.log,
         ),
         shared.recorder,
         threads=effect_pools.SCHEDULER_THREADS,
--- a/src/gypsumhold/programs/node_components.py
+++ b/src/gypsumhold/programs/node_components.py
@@ -5,17 +5,21 @@
 import datetime
 
 from gypsumhold.adapters import clock, connection_pool, http_client, settings
-from gypsumhold.adapters.jobs import decision_log, metrics, peers
+from gypsumhold.adapters.jobs import decision_log, interfaces, metrics, peers
 from gypsumhold.model import clock as clocks
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import messages
-from gypsumhold.platform import jobstore, table
+from gypsumhold.platform import jobstore, machines, table
 from gypsumhold.platform import settings as node_settings
 
 STORE_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=800)
 STORE_READ_TIMEOUT = datetime.timedelta(milliseconds=1500)
 """Longest wait for the next bytes of an answer of the store."""
 
+MACHINES_TIMEOUT = datetime.timedelta(seconds=1)
+"""Longest wait for a connection to the list of machines, and for the next bytes
+of its answer."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedComponents:
@@ -85,6 +89,26 @@
     )
 
 
+def build_directory(
+    shared: SharedComponents, stack: contextlib.ExitStack
+) -> interfaces.WorkerDirectory:
+    """Returns the platform's list of workers; the stack closes its client."""
+    address = shared.platform_settings.machines
+    if address is None:
+        return machines.NoDirectory()
+    client = http_client.HttpClient(
+        http_client.CallOptions(
+            address,
+            MACHINES_TIMEOUT,
+            MACHINES_TIMEOUT,
+            connections=1,
+            limits=shared.program_settings.replies.build(),
+        )
+    )
+    stack.callback(client.close)
+    return machines.MachineDirectory(client)
+
+
 def build_peer_endpoint(shared: SharedComponents) -> messages.Endpoint:
     """Returns the address on which other processes reach this one."""
     own = shared.platform_settings.peers
--- a/tests/jobs/test_kin_of_late_calls.py
+++ b/tests/jobs/test_kin_of_late_calls.py
@@ -57,12 +57,16 @@
 """All CPU of a worker, in thousandths of a core."""
 
 
-def build_world(seed: int, entries: int = 3) -> worlds.World:
+def build_world(
+    seed: int, entries: int = 3, *, lists_workers: bool = False
+) -> worlds.World:
     """Returns a world whose workers have been up for minutes.
 
     A reading of their clocks is far ahead of the next incarnation.
     """
-    world = test_restarts.RestartWorld(seed, entries=entries, agents=3)
+    world = test_restarts.RestartWorld(
+        seed, entries=entries, agents=3, lists_workers=lists_workers
+    )
     for worker in world.workers.values():
         worker.up_at_ms = -linked_agent.UPTIME_MS
     return world
@@ -85,11 +89,15 @@
 
 
 def send_late_start(
-    monkeypatch: pytest.MonkeyPatch, seed: int, late_ms: float = LATE_MS
+    monkeypatch: pytest.MonkeyPatch,
+    seed: int,
+    late_ms: float = LATE_MS,
+    *,
+    lists_workers: bool = False,
 ) -> tuple[worlds.World, str]:
     """Returns a world with a start that is late, and the agent that sent it."""
     monkeypatch.setattr(worlds, "LATE_MS", (late_ms, late_ms))
-    world = build_world(seed)
+    world = build_world(seed, lists_workers=lists_workers)
     world.run(3000)
     world.scripted_faults[effects.StartRun] = ["late"]
     submit(world)
--- a/tests/jobs/test_liveness.py
+++ b/tests/jobs/test_liveness.py
@@ -133,7 +133,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_open_jobs_run_after_all_faults(seed: int) -> None:
     """Guards against a job that waits for something that never comes."""
-    world = worlds.World(seed, agents=6)
+    world = worlds.World(seed, agents=6, lists_workers=True)
     world.run(2500)
     world.faults = nodes.Faults(0.03, 0.03, 0.03, 0.04)
     submit_jobs(world)
--- a/tests/jobs/worker_link.py
+++ b/tests/jobs/worker_link.py
@@ -1,6 +1,7 @@
 """Calls of simulated agents to their workers, and crashes of the workers."""
 
 import datetime
+import random
 from typing import Any
 
 from gypsumhold.adapters import failure_events
@@ -16,6 +17,7 @@
 HEARTBEAT_MS = 1100
 HELD_MS = (0, 1500)
 ANSWER_TIMEOUT_MS = 1000
+LIST_MS = (1, 300)
 
 
 class WorkerLink(deployment.Deployment):
@@ -24,12 +26,15 @@
     Attributes:
         deadly: Tasks that crash each worker that starts them.
         crashes: The crashes of workers under these tasks.
+        list_random: Source of the random times of the list of workers, apart
+            from the others: a read changes no other choice.
     """
 
     def __init__(self, seed: int) -> None:
         super().__init__(seed)
         self.deadly: set[runs.TaskRef] = set()
         self.crashes: list[nodes.Crash] = []
+        self.list_random = random.Random(seed)
 
     def _send_heartbeat(self, name: str) -> None:
         is_cut = self.nodes[name].cut_worker
@@ -53,6 +58,35 @@
         heartbeat = events.HeartbeatReceived(self.workers[name].describe())
         self.deliver(self.nodes[name], heartbeat)
 
+    def _list_workers(
+        self, node: nodes.Node, effect: effects.ListWorkers
+    ) -> None:
+        """Answers with the workers that are up when the call arrives.
+
+        Those that are cut off are listed. A process that does not reach the
+        store does not reach the list either.
+        """
+        scripted = self.scripted_faults.get(effects.ListWorkers)
+        is_lost = self.list_random.random() < self.faults.lost
+        if scripted:
+            is_lost = scripted.pop(0) == "lost"
+        if is_lost or self.store_down or node.cut_store:
+            failure = failure_events.build_failure_event(effect, True)
+            self._schedule_event(node, ANSWER_TIMEOUT_MS, failure)
+            return
+        read = self._unless_restarted(node, effect, self._read_list)
+        self.after(self.list_random.uniform(*LIST_MS), read)
+
+    def _read_list(self, node: nodes.Node, effect: effects.ListWorkers) -> None:
+        up = frozenset(
+            runs.WorkerName(worker.name)
+            for worker in self.workers.values()
+            if worker.up_at_ms <= self.now_ms
+        )
+        listed = events.WorkersListed(effect.term, effect.asked_at, up)
+        delay_ms = self.list_random.uniform(*LIST_MS)
+        self._schedule_event(node, delay_ms, listed)
+
     def _call_worker(self, node: nodes.Node, effect: Any) -> None:
         fault = self._draw_fault(effect)
         delay = self.random.uniform(1, 7)
--- a/tests/jobs/world.py
+++ b/tests/jobs/world.py
@@ -34,6 +34,7 @@
         evacuation_time: Time within which processes obey evacuations.
         entry_cores: Cores by name of the entry; 1 where none are given.
         wall_skew_ms: Error of the clock that new processes read.
+        lists_workers: Whether the platform lists the workers that are up.
         log_lines: Time, name of the process and line of each log effect.
     """
 
@@ -44,10 +45,12 @@
         agents: int = 4,
         entry_cores: Mapping[str, float] = MappingProxyType({}),
         evacuation_time: datetime.timedelta | None = None,
+        lists_workers: bool = False,
     ) -> None:
         super().__init__(seed)
         self.evacuation_time = evacuation_time
         self.entry_cores = entry_cores
+        self.lists_workers = lists_workers
         self.wall_skew_ms = 0
         self.log_lines: list[tuple[float, str, effects.Log]] = []
         for number in range(entries):
@@ -87,6 +90,7 @@
                     endpoint,
                     cores=self.entry_cores.get(node.name, 1.0),
                     evacuation_time=self.evacuation_time,
+                    lists_workers=self.lists_workers,
                 ),
                 policy_sets.build_scheduler_policies(),
                 rng=random.Random(node.incarnation),
@@ -125,6 +129,8 @@
                 pass
             case effects.FollowConfig():
                 self._follow_config(node, effect)
+            case effects.ListWorkers():
+                self._list_workers(node, effect)
             case effects.FollowJobs() | effects.FollowEntries():
                 self._schedule_follow(node, effect)
             case (
