--- a/tests/jobs/test_absent_workers.py
+++ b/tests/jobs/test_absent_workers.py
@@ -151,8 +151,8 @@
 ) -> float:
     """Returns after how long the task runs again, from when its start was sent.
 
-    The start has no answer, and is carried out as late as possible if the worker
-    is up then.
+    The start has no answer, and is carried out as late as possible if its
+    worker is up then.
     """
     world, name = test_kin_of_late_calls.send_late_start(
         monkeypatch, seed, DELAY_MS - 100, lists_workers=True
