Believe a worker that is back with an earlier start once it answers

Callers saw lasting tasks without a run for 7.7 s although their worker was up. Cause: an agent ignored the heartbeats of an incarnation whose start lies before that of the known one, as its clock was set back, until the former leases had ended, although it answered the polls that were meant for that one. An incarnation that has answered such a poll is up after the known one.

--- a/src/gypsumhold/decisions/jobs/run_bounds/incarnations.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/incarnations.py
@@ -58,6 +58,7 @@
     state.doubted_at = None
     state.answering = True
     state.absent_at = datetime.timedelta(0)
+    state.other_life_ms = 0
     state.silent_after = None
     state.worker_left = state.has_drained = False
     state.drains_since = None
--- a/src/gypsumhold/decisions/jobs/worker_polls.py
+++ b/src/gypsumhold/decisions/jobs/worker_polls.py
@@ -83,9 +83,15 @@
     new: runs.Worker,
     now: datetime.timedelta,
 ) -> bool:
-    """Tells whether a heartbeat is older than the one that is known."""
+    """Tells whether a heartbeat is older than the one that is known.
+
+    An incarnation that has answered a poll of the known one is up after it,
+    also if a clock that was set back gives it an earlier start.
+    """
     if new.incarnation == old.incarnation:
         return 0 <= old.sequence - new.sequence <= run_lists.MAX_NUMBER_GAP
+    if new.incarnation.started_ms == state.other_life_ms:
+        return False
     is_older = new.incarnation.started_ms < old.incarnation.started_ms
     return is_older and _may_be_running(state, now)
 
@@ -213,6 +219,7 @@
     if not state.answering:
         emitted.append(worker_logs.log_worker(worker, "answers again"))
     state.answering = True
+    state.other_life_ms = 0
     commands.record_accepted_fence(state, event.fence)
     state.silent_after = None
     _end_doubt(state, event.clock)
--- a/src/gypsumhold/model/jobs/executor.py
+++ b/src/gypsumhold/model/jobs/executor.py
@@ -269,7 +269,7 @@
         silent_after: Time from its latest answer until the poll that found it
             silent; None if it answers or has answered nothing.
         other_life_ms: Start of the other incarnation that answered a poll of
-            the known one last, as logged; 0 if none has.
+            the known one last; 0 if none has since that answered or was heard.
         worker_left: Whether the worker announced that it shuts down.
         drains_since: When the present incarnation was first heard to drain;
             None if it was not.
--- a/tests/jobs/test_absent_workers.py
+++ b/tests/jobs/test_absent_workers.py
@@ -197,3 +197,17 @@
     """
     waited_ms = lose_worker_with_open_start(monkeypatch, 0, kills_all=kills_all)
     assert waited_ms <= LASTING_LIMIT_MS
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_worker_that_is_back_with_an_earlier_start(seed: int) -> None:
+    """Guards against a worker that is taken for its own former life.
+
+    Its clock was set back before it restarted under its name. It answers the
+    polls that are meant for the incarnation before.
+    """
+    world = start_serving(seed)
+    worker = world.workers[find_agent(world)]
+    worker.restart(world.now_ms, 500)
+    worker.started_ms -= 60_000
+    assert measure_wait(world) <= QUICK_MS
