--- a/tests/jobs/test_reviewed_absences.py
+++ b/tests/jobs/test_reviewed_absences.py
@@ -13,6 +13,7 @@
 from gypsumhold.model.jobs import effects, events, executor, runs
 from tests.jobs import (
     linked_agent,
+    test_absent_workers,
     test_handover,
     test_kin_of_late_calls,
     worker_link,
@@ -31,6 +32,7 @@
 SLOW_LIST_MS = 9000
 REPORT_AGE = datetime.timedelta(milliseconds=800)
 MAX_REPORT_DELAY_MS = 3000
+LASTING_LIMIT_MS = test_absent_workers.LASTING_LIMIT_MS
 
 
 def deliver_stray_heartbeat(world: worlds.World, name: str) -> None:
@@ -161,3 +163,34 @@
     arrived = events.ReportArrived(ids.TicketId("late"), former)
     world.deliver(holder, arrived)
     test_kin_of_late_calls.settle(world)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_worker_with_an_earlier_start_is_used_in_time(seed: int) -> None:
+    """Guards against an agent that ignores a worker whose clock was set back.
+
+    It waits for the leases of the former incarnation, although the later one
+    answers its polls.
+    """
+    world = test_absent_workers.start_serving(seed)
+    for worker in world.workers.values():
+        worker.restart(world.now_ms, 300)
+        worker.started_ms -= 2500
+    assert test_absent_workers.measure_wait(world) <= LASTING_LIMIT_MS
+
+
+def test_loss_is_kept_if_the_next_incarnation_has_an_earlier_start() -> None:
+    """Guards against a crash without proof after a clock was set back."""
+    agent = linked_agent.LinkedAgent()
+    start = agent.request(RUN)
+    agent.deliver(agent.take_start(start))
+    agent.restart()
+    agent.worker.started_ms -= 60_000
+    for _ in range(300):
+        agent.wait(50)
+        agent.fail_poll()
+        agent.hear()
+        if agent.state.worker.incarnation == agent.incarnation:
+            break
+    agent.poll_now()
+    assert agent.report().losses
