Prove crashes also if the next incarnation has an earlier start

Cause: an agent noted the loss of a worker, and the holder took the runs that it had released, only if the next incarnation starts later by the clocks. After a clock was set back no crash was proved, so a deadly task went on without a limit. The incarnation that answers polls is the present one.

--- a/src/gypsumhold/decisions/jobs/losses.py
+++ b/src/gypsumhold/decisions/jobs/losses.py
@@ -80,15 +80,12 @@
         later: The worker in its later incarnation.
     """
     state.losses = [
-        loss
-        for loss in state.losses
-        if loss.incarnation.started_ms < later.incarnation.started_ms
+        loss for loss in state.losses if loss.incarnation != later.incarnation
     ]
     worker = state.worker
     if worker is None or state.worker_left:
         return
-    is_later = worker.incarnation.started_ms < later.incarnation.started_ms
-    if not is_later or worker.state is runs.WorkerState.DRAINING:
+    if worker.state is runs.WorkerState.DRAINING:
         return
     rows = tuple(
         runs.RunRow(local_run.ref, age_ms=lifecycle.to_ms(age))
--- a/src/gypsumhold/decisions/jobs/lost_workers.py
+++ b/src/gypsumhold/decisions/jobs/lost_workers.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 
+from gypsumhold.decisions.jobs.run_bounds import expiries
 from gypsumhold.model import ids
 from gypsumhold.model.jobs import runs, scheduler, specs
 
@@ -76,7 +77,7 @@
     taken: dict[runs.WorkerIncarnation, LostRuns] = {}
     for ref, lost_run in list(remembered.items()):
         incarnation = lost_run.worker_incarnation
-        if incarnation.started_ms < worker.incarnation.started_ms:
+        if expiries.is_former(holder_state, view.report, incarnation):
             taken.setdefault(incarnation, {})[ref] = remembered.pop(ref)
     return taken
 
