Turn away reports of an agent process that was replaced

Cause: the clock of an agent is set back, and its next process, with a lower incarnation, is accepted 3 s after the last report. A report of the former process that was under way arrived after that, counted as that of a later process, and named the former worker in the present term; the run at work was released as of a former incarnation.

--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -110,11 +110,13 @@
     A lower incarnation comes from a delayed report of a former process, or from
     a new process on an instance whose clock was set back. In the second case
     the former process has stopped reporting, so the report is accepted after
-    `MAX_REPORT_DELAY`.
+    `MAX_REPORT_DELAY`, and later ones of the former process are outdated.
     """
     previous = view.report
     if report.incarnation == previous.incarnation:
         return report.sequence <= previous.sequence
+    if report.incarnation == view.replaced_process:
+        return True
     is_recent = now < view.last_report_at + MAX_REPORT_DELAY
     return report.incarnation < previous.incarnation and is_recent
 
@@ -173,6 +175,7 @@
     if _has_worker_changed(view.report, report):
         holder_state.plan_due = True
     if view.report.incarnation != report.incarnation:
+        view.replaced_process = view.report.incarnation
         view.sequence = 0
         expiries.record_agent_restart(state, view, now)
     view.report = report
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -162,8 +162,11 @@
         last_report_at: When the latest report arrived.
         starts_sent_by: When the agent had sent its latest start, by the latest
             report; later starts are those that it lists or is sent.
-        heard_at: When the latest report arrived that told that the worker
-            answers; when the first one did if none has.
+        heard_at: When the latest report arrived by which the worker was up:
+            it answers, its incarnation is new, or a run has been confirmed;
+            when the first one arrived if there is none.
+        replaced_process: Process of the agent that reported before the present
+            one; None if that is the first.
         worker_incarnation: Latest reported incarnation of the worker.
         sequence: Number of the latest directives.
         last_handled_end: Highest number among the handled ends of runs of the
@@ -199,6 +202,7 @@
     last_report_at: datetime.timedelta
     starts_sent_by: datetime.timedelta = ZERO
     heard_at: datetime.timedelta = ZERO
+    replaced_process: ids.Incarnation | None = None
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     sequence: int = 0
     last_handled_end: runs.EndNumber = runs.EndNumber(0)
