Count a start that a poll confirms in the idle time of an agent

Found by the review: a task ran twice. Cause: a poll that lists a run before its start has an answer ended what is known of the start, so that the agent told an idle time from before it. After a lost report and a stray heartbeat the holder released the run, 1.6 s after it had begun.

--- a/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
@@ -88,16 +88,21 @@
     starts.taken_until = max(starts.taken_until, late_until)
 
 
-def record_listed(state: executor.ExecutorState, ref: runs.RunRef) -> None:
+def record_listed(
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    now: datetime.timedelta,
+) -> None:
     """Records that an incarnation lists a run that had not been confirmed.
 
     If one start was open, it has been carried out; of several, any may be left.
     """
     starts = state.open_starts.get(ref)
-    if starts is None:
+    if starts is None or starts.count() > 1:
         return
-    if starts.count() <= 1:
-        del state.open_starts[ref]
+    if starts.pending:
+        state.last_start_at = now
+    del state.open_starts[ref]
 
 
 def settle(state: executor.ExecutorState, asked_at: datetime.timedelta) -> None:
@@ -107,6 +112,8 @@
     """
     for ref, starts in list(state.open_starts.items()):
         if asked_at >= _find_last_moment(state, starts):
+            sent_by = max(starts.pending.values(), default=NO_TIME)
+            state.last_start_at = max(state.last_start_at, sent_by)
             del state.open_starts[ref]
 
 
--- a/src/gypsumhold/decisions/jobs/run_lists.py
+++ b/src/gypsumhold/decisions/jobs/run_lists.py
@@ -33,7 +33,7 @@
     for end in event.ends:
         if end.number in state.ignored_ends:
             continue
-        _record_carried_out(state, end.ref)
+        _record_carried_out(state, end.ref, now)
         if end.number > state.acknowledged and end.number not in state.ends:
             state.ends[end.number] = end
             state.ends_listed_at[end.number] = now
@@ -54,7 +54,7 @@
         local_run.row = row
         local_run.unlisted_since = None
         if local_run.state is not executor.LocalState.RUNNING:
-            open_starts.record_listed(state, row.ref)
+            open_starts.record_listed(state, row.ref, now)
             emitted += commands.confirm_start(state, local_run, now)
             emitted.append(_log_listed_start(row))
     for local_run in list(state.active.values()):
@@ -64,7 +64,9 @@
 
 
 def _record_carried_out(
-    state: executor.ExecutorState, ref: runs.RunRef
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    now: datetime.timedelta,
 ) -> None:
     """Records that a run has ended that had not been confirmed."""
     local_run = state.active.get(ref)
@@ -72,7 +74,7 @@
         local_run is not None
         and local_run.state is not executor.LocalState.RUNNING
     ):
-        open_starts.record_listed(state, ref)
+        open_starts.record_listed(state, ref, now)
 
 
 def _ignore_impossible_ends(
