Let no list count that is older than what is known of a worker

Found by the review: a task ran twice. Cause: a list of workers that took 9 s was older than the incarnation that had carried out a start meanwhile; the only report of it told that the worker did not answer, so that the worker did not count as heard since. A worker now counts as heard also when its incarnation is new or a run is confirmed, a list that took over 2 s does not count, nor does one that lacks a worker that answers. The bound of an open start is at least its grant and lease.

Names are clearer where the review stumbled, and a start that several former processes may have sent is named in the row too.

--- a/src/gypsumhold/decisions/jobs/absent_workers.py
+++ b/src/gypsumhold/decisions/jobs/absent_workers.py
@@ -13,6 +13,9 @@
 
 EffectList = list[base_effects.Effect]
 
+MAX_LIST_TIME = datetime.timedelta(seconds=2)
+"""Longest time from a request to its answer for a list that still counts."""
+
 LIST_INTERVAL = datetime.timedelta(seconds=1)
 """Time between two reads of the list while a worker does not answer."""
 
@@ -28,7 +31,7 @@
     worker_list = holder_state.worker_list
     if worker_list.is_pending or now < worker_list.due_at:
         return []
-    if not absences.list_unheard(state, holder_state, now):
+    if not absences.list_unheard_workers(state, holder_state, now):
         worker_list.absences.clear()
         return []
     worker_list.is_pending = True
@@ -47,12 +50,17 @@
     worker_list = holder_state.worker_list
     worker_list.is_pending = False
     worker_list.due_at = event.asked_at + LIST_INTERVAL
-    if event.up is None:
+    if event.up is None or now > event.asked_at + MAX_LIST_TIME:
         return [effects.Log("worker-list", state.options.name, "no answer")]
-    unheard = absences.list_unheard(state, holder_state, now)
+    missing = absences.find_missing(state, holder_state, event.up, now)
+    if missing is not None:
+        return [effects.Log("worker-list", missing, "incomplete")]
+    unheard = absences.list_unheard_workers(state, holder_state, now)
     emitted: EffectList = [
         _log_absence(name, event, now)
-        for name in sorted(absences.record(holder_state, event, unheard))
+        for name in sorted(
+            absences.record_absences(holder_state, event, unheard)
+        )
     ]
     ended: list[tuple[ids.InstanceId, absences.PlacedTasks]] = list(
         absences.list_ended_runs(state, holder_state, now)
--- a/src/gypsumhold/decisions/jobs/listed_runs.py
+++ b/src/gypsumhold/decisions/jobs/listed_runs.py
@@ -44,6 +44,8 @@
                 placed.job.has_begun = True
                 holder_state.run_waits.touched.add(placed.job.spec.job_id)
             placed.task.age = datetime.timedelta(milliseconds=row.age_ms)
+            if placed.task.is_start_open:
+                view.heard_at = now
             placed.task.is_start_open = False
             placed.task.refused_by = ids.InstanceId("")
         crashes.clear_suspicion(holder_state, view, placed)
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -171,7 +171,7 @@
     report = event.report
     received_at = now if event.received_at is None else event.received_at
     crashes.note_loss(holder_state, view, report, now)
-    emitted = _apply_worker_incarnation(holder_state, view, report)
+    emitted = _apply_worker_incarnation(holder_state, view, report, now)
     if _has_worker_changed(view.report, report):
         holder_state.plan_due = True
     if view.report.incarnation != report.incarnation:
@@ -180,7 +180,7 @@
         expiries.record_agent_restart(state, view, now)
     view.report = report
     view.last_report_at = now
-    view.starts_sent_by = expiries.compute_last_start(state, report, now)
+    view.starts_sent_by = expiries.bound_last_start(state, report, now)
     if report.worker is not None and report.answering:
         view.heard_at = now
     view.candidate = None
@@ -246,12 +246,14 @@
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView,
     report: messages.Report,
+    now: datetime.timedelta,
 ) -> EffectList:
     """Resets the numbers of ends if the report has a new worker incarnation."""
     worker = report.worker
     if worker is None or worker.incarnation == view.worker_incarnation:
         return []
     view.worker_incarnation = worker.incarnation
+    view.heard_at = now
     view.last_handled_end = runs.EndNumber(0)
     view.acknowledged = runs.EndNumber(0)
     view.acknowledgements.clear()
--- a/src/gypsumhold/decisions/jobs/run_bounds/absences.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/absences.py
@@ -26,7 +26,7 @@
 PlacedTasks = dict[runs.TaskRef, scheduler.PlacedTask]
 
 
-def list_unheard(
+def list_unheard_workers(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     now: datetime.timedelta,
@@ -64,7 +64,28 @@
     return is_recent and report.worker is not None and report.answering
 
 
-def record(
+def find_missing(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    up: frozenset[runs.WorkerName],
+    now: datetime.timedelta,
+) -> runs.WorkerName | None:
+    """Returns a worker that answers but is not listed; None if there is none.
+
+    The list is incomplete then, or the worker has just been lost. Its agent
+    tells soon, and the next list is as good.
+    """
+    for view in holder_state.agents.values():
+        worker = view.report.worker
+        if worker is None or not _is_heard(state, view, now):
+            continue
+        name = runs.WorkerName(worker.incarnation.name)
+        if name not in up:
+            return name
+    return None
+
+
+def record_absences(
     holder_state: scheduler.HolderState,
     event: events.WorkersListed,
     unheard: set[runs.WorkerName],
@@ -100,13 +121,13 @@
             ref: placed
             for ref, placed in tasks.items()
             if (absence := absences.get(_read_name(placed.task))) is not None
-            and _has_ended(state, holder_state, view, placed.task, absence)
+            and _has_run_ended(state, holder_state, view, placed.task, absence)
         }
         if ended:
             yield instance, ended
 
 
-def _has_ended(
+def _has_run_ended(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView | None,
@@ -117,7 +138,7 @@
     heard_at = holder_state.term_started_at if view is None else view.heard_at
     if absence.asked_at < max(heard_at, task.placed_at):
         return False
-    if expiries.may_begin(task):
+    if expiries.has_open_start(task):
         sent_by = _find_last_send(state, holder_state, view, task)
         late_until = sent_by + state.options.limits.max_call_delay
         return absence.asked_at >= late_until + expiries.GRANT_MARGIN
@@ -148,7 +169,7 @@
     former_grant = expiries.compute_last_former_grant(state, holder_state)
     if view is None:
         return former_grant
-    if not expiries.knows_run(view, task):
+    if not expiries.may_process_start(view, task):
         return view.starts_sent_by
     return max(view.last_report_at + state.options.grant, former_grant)
 
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -229,7 +229,7 @@
     placed = view.placed.get(ref.task)
     if placed is None or placed.task.run != ref.run:
         return False
-    return placed.job.is_open() and _may_be_late(placed.task, now)
+    return placed.job.is_open() and may_be_late(placed.task, now)
 
 
 def keep_end(view: scheduler.AgentView, row: runs.EndRow) -> None:
@@ -265,24 +265,27 @@
     return runs.EndNumber(last)
 
 
-def may_begin(task: progress.Task) -> bool:
+def has_open_start(task: progress.Task) -> bool:
     """Tells whether some start of the current run may still be under way."""
-    is_late = task.former_senders > 1 or task.late_start_reporter is not None
-    return task.is_start_open or is_late
+    return task.is_start_open or _has_other_start(task)
 
 
-def _may_be_late(task: progress.Task, now: datetime.timedelta) -> bool:
+def _has_other_start(task: progress.Task) -> bool:
+    """Tells whether a start may be late although another was carried out."""
+    return task.former_senders > 1 or task.late_start_reporter is not None
+
+
+def may_be_late(task: progress.Task, now: datetime.timedelta) -> bool:
     """Tells whether another start of a run may be late, though one began."""
-    is_late = task.former_senders > 1 or task.late_start_reporter is not None
-    return is_late and now < task.late_run_ends_at
+    return _has_other_start(task) and now < task.late_run_ends_at
 
 
-def compute_last_start(
+def bound_last_start(
     state: scheduler.SchedulerState,
     report: messages.Report,
     now: datetime.timedelta,
 ) -> datetime.timedelta:
-    """Returns when an agent had sent its latest start, by a report.
+    """Returns by when an agent has sent its latest start, by a report.
 
     One that is on its way out is sent before the grant ends.
     """
@@ -291,7 +294,7 @@
     return now - report.idle_ms * MILLISECOND
 
 
-def knows_run(view: scheduler.AgentView, task: progress.Task) -> bool:
+def may_process_start(view: scheduler.AgentView, task: progress.Task) -> bool:
     """Tells whether the present process of an agent may start a placed run.
 
     It may if it lists the run, or knows the worker, for which it is sent the
@@ -338,7 +341,8 @@
     grant_end = task.worker_reported_at + state.options.grant
     if task.is_start_open:
         sent_by = grant_end
-        if not knows_run(view, task):
+        if not may_process_start(view, task):
             sent_by = min(grant_end, view.starts_sent_by)
-        return sent_by + state.options.limits.measure_longest_late_run()
+        late_run = state.options.limits.measure_longest_late_run()
+        return max(grant_end, task.lease_ends_at, sent_by + late_run)
     return max(grant_end, task.lease_ends_at, task.late_run_ends_at)
--- a/src/gypsumhold/decisions/jobs/run_bounds/settled_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/settled_starts.py
@@ -9,6 +9,7 @@
 
 import datetime
 
+from gypsumhold.decisions.jobs.run_bounds import expiries
 from gypsumhold.model.jobs import records, runs, scheduler
 
 MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -69,8 +70,9 @@
     )
     named = oldest_first[:MAX_NAMED_STARTS]
     settled_ms = read_clock_ms(holder_state, now)
-    for ref in oldest_first[MAX_NAMED_STARTS:][:1]:
-        settled_ms = min(settled_ms, unsettled[ref].task.placed_ms)
+    if len(unsettled) > MAX_NAMED_STARTS:
+        first_unnamed = unsettled[oldest_first[MAX_NAMED_STARTS]].task
+        settled_ms = min(settled_ms, first_unnamed.placed_ms)
     return records.SettledStarts(settled_ms, tuple(named))
 
 
@@ -81,5 +83,4 @@
     task = placed.task
     if task.run != ref.run or not task.is_placed():
         return False
-    is_late = task.late_start_reporter is not None
-    return task.is_start_open or (is_late and now < task.late_run_ends_at)
+    return task.is_start_open or expiries.may_be_late(task, now)
