Take a list of machines with an entry that can't be read for unknown

A worker that the list lacks counts as gone. An entry that was up with an id that was missing, null or empty, or with a state that the protocol does not name, was passed over, so that a worker that may be up looked absent. Such an entry now makes the whole list unknown; entries of another type did so before.

--- a/src/gypsumhold/platform/documents.py
+++ b/src/gypsumhold/platform/documents.py
@@ -4,6 +4,7 @@
 are in camel case. A comment explains a field whose name is not clear.
 """
 
+import enum
 import functools
 from typing import Annotated, TypeVar
 
@@ -349,11 +350,20 @@
     address: str = ""
 
 
+class MachineState(enum.Enum):
+    """Whether a machine has a worker; with another state, none is decoded."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
 class Machine(PlatformDocument, frozen=True):
     """One machine of the platform."""
 
-    state: str
-    # Name of the worker that runs on it; empty if none does.
+    state: MachineState
+    # Name of the worker that runs on it, if it is up.
     id: str | None = ""
 
 
--- a/src/gypsumhold/platform/machines.py
+++ b/src/gypsumhold/platform/machines.py
@@ -12,8 +12,6 @@
 
 _LOG = logbook.Logger("gypsumhold.platform.machines")
 
-UP_STATE = "up"
-
 MAX_PAGES = 100
 """Most pages of one list; more come from a list that never ends."""
 
@@ -26,9 +24,11 @@
         self._client = client
 
     def list_up(self) -> frozenset[runs.WorkerName] | None:
-        """Returns the workers of all machines; None if a page is missing.
+        """Returns the workers of all machines; None if that is not known.
 
-        A machine that is up during the whole call is on one of the pages.
+        A machine that is up during the whole call is on one of the pages. A
+        worker that is not returned counts as gone, so one entry that can't be
+        read makes the list unknown.
         """
         names: set[runs.WorkerName] = set()
         token = ""
@@ -36,11 +36,13 @@
             page = self._read_page(token)
             if page is None:
                 return None
-            names.update(
-                runs.WorkerName(machine.id)
-                for machine in page.machines
-                if machine.state == UP_STATE and machine.id
-            )
+            for machine in page.machines:
+                if machine.state is not documents.MachineState.UP:
+                    continue
+                if not machine.id:
+                    _LOG.warning("a machine that is up names no worker")
+                    return None
+                names.add(runs.WorkerName(machine.id))
             if not page.next_token:
                 return frozenset(names)
             token = page.next_token
