Let workers of the soak be absent from a list of machines for seconds

The soak had no list of machines, and its workers were down for 0.3 s at most, so the release of runs by that list was never played with real processes. The stand-in of the platform now serves `GET /machines` in pages, the settings of the programs name it, and plays of the kind `absent` are as `late` with workers that are down for 0.5 to 5 s; commands that are due meanwhile wait for the next incarnation, up to 12 s in all. The count of orders tells how many runs the list released.

--- a/tests/soak/orders.py
+++ b/tests/soak/orders.py
@@ -20,6 +20,9 @@
 from tests.soak import event_logs
 
 Line = dict[str, str]
+NOT_LISTED = "worker not listed"
+"""Reason of the holder for releases by the list of machines."""
+
 RunKey = tuple[str, str]
 """Task and number of a run, as in the logs."""
 
@@ -93,6 +96,8 @@
         lapsed_leases: Leases that lapsed while runs had them.
         lapsed_runs: Runs that ended so.
         outlived: Runs that worked after they were counted as ended.
+        absent_runs: Runs that the holder released as the list of machines did
+            not have their worker as up.
     """
 
     late_starts: int
@@ -100,6 +105,7 @@
     lapsed_leases: int
     lapsed_runs: int
     outlived: list[Outlived]
+    absent_runs: int
 
     def describe(self) -> list[str]:
         """Returns lines for a reader."""
@@ -110,7 +116,8 @@
             f"orders: {self.late_starts} starts reached another incarnation"
             f" ({self.begun} began a run), {len(self.outlived)} runs outlived"
             f" their end in the books (longest {longest_ms:.0f} ms),"
-            f" {self.lapsed_leases} leases lapsed with {self.lapsed_runs} runs"
+            f" {self.lapsed_leases} leases lapsed with {self.lapsed_runs} runs,"
+            f" {self.absent_runs} runs released by the list of machines"
         )
         return [summary, *(f"  {run}" for run in self.outlived)]
 
@@ -220,8 +227,18 @@
     late_starts, begun = count_late_starts(lines)
     lapses = [line for line in lines if line["decision"] == "lapse"]
     lapsed_runs = sum(int(line["runs"]) for line in lapses)
+    absent_runs = sum(
+        int(line["runs"])
+        for line in lines
+        if line["decision"] == "runs-lapsed" and line["reason"] == NOT_LISTED
+    )
     return Orders(
-        late_starts, begun, len(lapses), lapsed_runs, list_outlived(lines)
+        late_starts,
+        begun,
+        len(lapses),
+        lapsed_runs,
+        list_outlived(lines),
+        absent_runs,
     )
 
 
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -46,7 +46,8 @@
         folder: Folder of the settings and logs.
         ports: Ports for callers or the worker, for readiness, for peers and
             for metrics, in this order.
-        store: Proxy through which the process calls the table.
+        store: Proxy through which the process calls the table, and reads the
+            list of machines.
         seed: Seed of the proxy `peers`.
         launcher: Script that starts the process, with the sources beside it.
         peers: Proxy through which other processes call this one.
@@ -83,6 +84,7 @@
             "listen": listen,
             "internalPortRange": [peer_port, peer_port],
             "platform": {"address": str(self.store.address)},
+            "cloudApi": {"address": str(self.store.address)},
         }
 
     def start(self) -> None:
--- a/tests/soak/restart_faults.py
+++ b/tests/soak/restart_faults.py
@@ -11,6 +11,9 @@
 RESTART_INTERVAL_S = 6.0
 RARE_RESTART_INTERVAL_S = 9.0
 DOWN_MS = (50.0, 300.0)
+ABSENT_MS = (500.0, 5_000.0)
+"""Downtimes that the list of machines shows."""
+
 MAX_RESTARTED = 4
 UNTIL_CUT_S = (0.6, 1.8)
 CUT_DURATION_S = (9.0, 10.0)
@@ -41,6 +44,7 @@
     """
 
     cut_duration_s = CUT_DURATION_S
+    down_ms = DOWN_MS
 
     def __init__(
         self,
@@ -70,7 +74,7 @@
 
     def _restart(self, worker: restart_workers.RestartWorker) -> None:
         """Starts the next incarnation of a worker."""
-        worker.restart(self._random.uniform(*DOWN_MS))
+        worker.restart(self._random.uniform(*self.down_ms))
 
     def _cut_soon(self, worker: restart_workers.RestartWorker) -> None:
         """Cuts a worker off shortly after its restart."""
@@ -142,6 +146,12 @@
         """Does nothing: the cut follows the restart."""
 
 
+class Absences(LateCommands):
+    """As `LateCommands`, and workers are down for seconds."""
+
+    down_ms = ABSENT_MS
+
+
 class CentreRestarts(Series):
     """Restarts all workers of a data centre and cuts them off, three times."""
 
--- a/tests/soak/restart_plays.py
+++ b/tests/soak/restart_plays.py
@@ -18,6 +18,7 @@
     SINGLE = "single"
     CENTRE = "centre"
     LATE = "late"
+    ABSENT = "absent"
 
 
 class Play(abc.ABC):
@@ -110,9 +111,19 @@
         return restart_faults.LateCommands(generator, workers)
 
 
+class AbsentPlay(HarshPlay):
+    """As `LatePlay`, and workers are down for seconds before they are back."""
+
+    def _build_restarts(
+        self, generator: random.Random, workers: restart_faults.Workers
+    ) -> faults.Injector:
+        return restart_faults.Absences(generator, workers)
+
+
 PLAYS: dict[PlayKind, Play] = {
     PlayKind.SHORT: ShortPlay(),
     PlayKind.SINGLE: SinglePlay(),
     PlayKind.CENTRE: CentrePlay(),
     PlayKind.LATE: LatePlay(),
+    PlayKind.ABSENT: AbsentPlay(),
 }
--- a/tests/soak/restart_workers.py
+++ b/tests/soak/restart_workers.py
@@ -22,6 +22,9 @@
 AFTER_RESTART_S = (0.0, 1.0)
 """Time after a restart at which the next incarnation takes these commands."""
 
+MAX_DELAY_S = 12.0
+"""Longest time that the platform delays a call."""
+
 NEVER = float("-inf")
 
 
@@ -219,6 +222,8 @@
     def _carry_out_held(self, call: HeldCall) -> http_routes.HttpResponse:
         """Carries out a call on the present incarnation."""
         request, body = call.request, call.body
+        if call.life != self._lives:
+            self._await_incarnation(call)
         life = self._lives
         self._wait_for_ends(request.read_path(), body)
         if self._lives != life or self._stopped.is_set():
@@ -232,6 +237,14 @@
             self._log_late_call(call, clock_ms, response)
         return self._leave_unanswered() if self.is_cut() else response
 
+    def _await_incarnation(self, call: HeldCall) -> None:
+        """Holds a call on while the worker is down, up to the longest delay."""
+        up_at = self.fake.up_at_ms / 1000 + self._delays.uniform(
+            *AFTER_RESTART_S
+        )
+        if self._is_down() and up_at - call.arrived_at < MAX_DELAY_S:
+            self._stopped.wait(up_at - time.monotonic())
+
     def _apply(
         self, path: str, body: Any, now_ms: float
     ) -> events.CommandResult:
--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -17,7 +17,8 @@
                    and `centre`: holds of up to 12 s, tasks of up to 60 s,
                    leases that lapse, and restarts of single workers or of whole
                    data centres. `late`: as `single`, and workers hold most
-                   commands back before they restart [default: short].
+                   commands back before they restart. `absent`: as `late`, and
+                   workers are down for up to 5 s [default: short].
   --cut RULE       Calls that arrive during a cut are `dropped`, `delivered`
                    when it ends, or carried out but `unanswered`
                    [default: dropped].
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -65,9 +65,9 @@
     ) -> None:
         self.launcher = launcher
         self.random = random.Random(seed)
-        self.table = standins.TableStandin(seed)
-        stack.callback(self.table.close)
         self.checker = self._build_checker()
+        self.table = standins.TableStandin(seed, self.checker)
+        stack.callback(self.table.close)
         self.workers: list[standins.WorkerStandin] = []
         self.programs: list[programs.Program] = []
         self.entries: list[str] = []
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -1,4 +1,4 @@
-"""The platform on loopback: its table, and workers that check their starts."""
+"""The platform on loopback: its table and machines, and checking workers."""
 
 import datetime
 import random
@@ -24,6 +24,7 @@
 SLOW_DELAY_S = (0.2, 0.9)
 DOWN_MS = 700
 LATE_PROBABILITY = 0.3
+MACHINES_PER_PAGE = 4
 CANCELLATION_GRACE_S = 12.0
 """Time after which grants from before a cancellation have expired."""
 
@@ -32,6 +33,8 @@
 
 HEARTBEAT_INTERVAL_S = 0.5
 POOL = "pool"
+MEMORY_MB = 64_000
+LABELS = ("a", "r1-1")
 HOST = "queue.example"
 CONFIG = {
     "version": 1,
@@ -53,7 +56,7 @@
 
 
 class TableStandin(http_routes.Routes):
-    """The table service.
+    """The table service, which also lists the machines of the workers.
 
     Attributes:
         fault: Name of the simulated fault, or empty. `busy` refuses requests,
@@ -63,8 +66,9 @@
         address: Address at which the table listens.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, checker: "InvariantChecker") -> None:
         self.fault = ""
+        self._checker = checker
         self._random = random.Random(seed)
         self._changed = threading.Condition()
         self._version = 1
@@ -110,12 +114,28 @@
                 request.target.partition("?")[2]
             ).items()
         }
+        if path == "/machines":
+            return self._list_machines(int(query.get("pageToken", "0")))
         if path == "/rows-tx":
             return self._transact(request.body)
         if path == "/rows-get":
             return self._read(query)
         return self._follow(query)
 
+    def _list_machines(self, first: int) -> http_routes.HttpResponse:
+        """Returns the page of the list of machines from a number on."""
+        end = first + MACHINES_PER_PAGE
+        with self._checker.lock:
+            workers = self._checker.workers
+            page: dict[str, Any] = {
+                "machines": [
+                    worker.describe_machine() for worker in workers[first:end]
+                ]
+            }
+            if end < len(workers):
+                page["nextToken"] = str(end)
+        return http_routes.render_json(200, page)
+
     def _transact(self, body: bytes) -> http_routes.HttpResponse:
         """Commits a transaction, or answers 412 with the present rows."""
         change = msgspec.json.decode(body, type=documents.Transaction)
@@ -348,6 +368,21 @@
     def _is_down(self) -> bool:
         return time.monotonic() * 1000 < self.fake.up_at_ms
 
+    def describe_machine(self) -> dict[str, Any]:
+        """Returns the entry of the worker in the list of machines."""
+        return {
+            "machine": f"m-{self.fake.name}",
+            "pool": POOL,
+            "state": "down" if self._is_down() else "up",
+            "zone": self.fake.zone,
+            "labels": LABELS,
+            "capacity": {
+                "cpu": self.fake.cpu_millis,
+                "memoryRequestMb": MEMORY_MB,
+            },
+            "id": self.fake.name,
+        }
+
     def find_lease_end(self) -> float:
         """Returns the end of the lease in milliseconds of this process."""
         # The worker's clock is read in whole milliseconds, rounded down.
@@ -389,8 +424,8 @@
                 "ready",
                 self.fake.heartbeats,
                 self.fake.started_ms,
-                documents.Capacity(self.fake.cpu_millis, 64000, 0),
-                ("a", "r1-1"),
+                documents.Capacity(self.fake.cpu_millis, MEMORY_MB, 0),
+                LABELS,
             )
             url = f"http://{self.agent}/instances/{self.fake.name}"
         return url, documents.render(heartbeat)
--- a/tests/soak/test_orders.py
+++ b/tests/soak/test_orders.py
@@ -3,6 +3,8 @@
 import json
 import pathlib
 
+import pytest
+
 from tests.soak import event_logs, orders
 
 TASK = "1b.0.0.3"
@@ -27,9 +29,14 @@
     return write_line("entry-0", second, "place", **fields)
 
 
-def test_run_that_goes_on_after_its_release(tmp_path: pathlib.Path) -> None:
+@pytest.mark.parametrize(
+    ("reason", "absent_runs"), [("silent", 0), ("worker not listed", 1)]
+)
+def test_run_that_goes_on_after_its_release(
+    reason: str, absent_runs: int, tmp_path: pathlib.Path
+) -> None:
     run = {"task": TASK, "run": "1"}
-    lapsed = {"id": "agent-3", "reason": "silent", "tasks": TASK}
+    lapsed = {"id": "agent-3", "reason": reason, "runs": "1", "tasks": TASK}
     holder = (
         place(1, "agent-3", "1"),
         write_line("entry-0", 5, "runs-lapsed", **lapsed),
@@ -44,7 +51,8 @@
     )
     counted = orders.count_orders(tmp_path)
     (outlived,) = counted.outlived
-    assert (outlived.reason, outlived.measure_ms()) == ("silent", 4000)
+    assert (outlived.reason, outlived.measure_ms()) == (reason, 4000)
+    assert counted.absent_runs == absent_runs
     assert not outlived.began_later()
     assert (counted.lapsed_leases, counted.lapsed_runs) == (1, 1)
 
