Let the search of orders lose workers and bring them back

The search knew only restarts at once, so that the platform's list of machines always had every worker. The proof by that list was in none of its orders.

A worker may now be lost, and be back under its name by a later step; the limit `worker_losses` counts it. Where it is above 0, the holder gets the list of the workers that are up, and calls to a lost worker have no answer. At 0 the steps, states and rows are as before.

--- a/tests/jobs/order_search/__init__.py
+++ b/tests/jobs/order_search/__init__.py
@@ -13,6 +13,8 @@
   never carried out was lost, and one that is carried out at once has lost its
   answer;
 - a worker restarts under its name, is cut off or reachable again;
+- a worker is lost, or is back under its name; where workers may be lost, the
+  platform lists those that are up;
 - an agent restarts, is cut off from the holder or reachable again, or loses its
   next report;
 - a run finishes as done or failed;
--- a/tests/jobs/order_search/digests.py
+++ b/tests/jobs/order_search/digests.py
@@ -90,7 +90,12 @@
     if name == "end_poll":
         polls = world.waiting_polls[arguments[0]]
         return any(poll.number == arguments[1] for poll in polls)
-    if name in ("deliver_unless_restarted", "reach_store", "send_call"):
+    if name in (
+        "deliver_unless_restarted",
+        "read_list",
+        "reach_store",
+        "send_call",
+    ):
         return bool(world.processes[arguments[0]].incarnation == arguments[1])
     if name == "give_up":
         waiting = world.reports.get(arguments[0])
--- a/tests/jobs/order_search/small_world.py
+++ b/tests/jobs/order_search/small_world.py
@@ -49,10 +49,21 @@
     """Entries, and agents with a worker each, around one queue.
 
     A job with tasks that end by themselves has just been submitted.
+
+    Attributes:
+        lists_workers: Whether the platform lists the workers that are up.
     """
 
-    def __init__(self, agents: int, entries: int, tasks: int) -> None:
+    def __init__(
+        self,
+        agents: int,
+        entries: int,
+        tasks: int,
+        *,
+        lists_workers: bool = False,
+    ) -> None:
         super().__init__()
+        self.lists_workers = lists_workers
         for number in range(entries):
             self._add_process(f"entry-{number}", number)
             self.run(5000)
@@ -88,7 +99,12 @@
         )
         if name.startswith("entry"):
             node.state = scheduler.SchedulerState(
-                scheduler_options.SchedulerOptions(name, incarnation, endpoint),
+                scheduler_options.SchedulerOptions(
+                    name,
+                    incarnation,
+                    endpoint,
+                    lists_workers=self.lists_workers,
+                ),
                 policy_sets.build_scheduler_policies(),
                 rng=FixedRandom(),
             )
@@ -128,6 +144,7 @@
             effects.ReplyReport: self._reply_report,
             effects.SendReport: self._send_report,
             effects.PushDirectives: self._push,
+            effects.ListWorkers: self._list_workers,
             effects.PollWorker: self._call_worker,
             effects.StartRun: self._call_worker,
             effects.StopRun: self._call_worker,
--- a/tests/jobs/order_search/steps.py
+++ b/tests/jobs/order_search/steps.py
@@ -36,6 +36,8 @@
         held_polls: Polls that are held.
         held_acknowledgements: Polls that acknowledge ends and are held.
         restarts: Restarts of workers.
+        worker_losses: Losses of workers, which come back by a step. Where it is
+            above 0, the platform lists the workers that are up.
         late_heartbeats: Restarts whose first heartbeat is late.
         worker_cuts: Cuts between an agent and its worker.
         agent_cuts: Cuts between an agent and the holder.
@@ -52,6 +54,7 @@
     held_polls: int = 0
     held_acknowledgements: int = 0
     restarts: int = 2
+    worker_losses: int = 0
     late_heartbeats: int = 0
     worker_cuts: int = 0
     agent_cuts: int = 0
@@ -180,6 +183,35 @@
         return f"the worker of {self.node} restarts{suffix}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoseWorker(Step):
+    """A worker is down, with all that ran on it."""
+
+    node: str
+    kind: ClassVar[str] = "worker_losses"
+
+    def take(self, world: small_world.SmallWorld) -> bool:
+        world.lose_worker(self.node)
+        return True
+
+    def describe(self) -> str:
+        return f"the worker of {self.node} is lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BringBackWorker(Step):
+    """A lost worker is up under its name."""
+
+    node: str
+
+    def take(self, world: small_world.SmallWorld) -> bool:
+        world.bring_back_worker(self.node, worker_link.FIRST_HEARTBEAT_MS)
+        return True
+
+    def describe(self) -> str:
+        return f"the worker of {self.node} is back under its name"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CutWorker(Step):
     """An agent and its worker no longer reach each other."""
@@ -285,7 +317,11 @@
     last = path[-1] if path else None
     steps = [
         *_list_held_calls(world, limits),
-        *(CarryOut(index) for index in range(len(world.held))),
+        *(
+            CarryOut(index)
+            for index, call in enumerate(world.held)
+            if world.is_up(call.node)
+        ),
         *_list_faults(world, limits),
         *_list_ends(world),
         *_list_pauses(world.now_ms, last, limits),
@@ -354,8 +390,12 @@
     steps: list[Step] = []
     for name in world.workers:
         node = world.processes[name]
-        steps.append(RestartWorker(name, worker_link.FIRST_HEARTBEAT_MS))
-        steps.append(RestartWorker(name, LATE_HEARTBEAT_MS))
+        if world.is_up(name):
+            steps.append(RestartWorker(name, worker_link.FIRST_HEARTBEAT_MS))
+            steps.append(RestartWorker(name, LATE_HEARTBEAT_MS))
+            steps.append(LoseWorker(name))
+        else:
+            steps.append(BringBackWorker(name))
         if not node.cut_worker:
             steps.append(CutWorker(name))
         if not node.cut:
--- a/tests/jobs/order_search/walk.py
+++ b/tests/jobs/order_search/walk.py
@@ -123,7 +123,12 @@
 
 def build_world(setting: Setting) -> small_world.SmallWorld:
     """Returns the world in which every order begins."""
-    return small_world.SmallWorld(2, setting.entries, setting.tasks)
+    return small_world.SmallWorld(
+        2,
+        setting.entries,
+        setting.tasks,
+        lists_workers=setting.limits.worker_losses > 0,
+    )
 
 
 def walk(setting: Setting, processes: int = 1) -> Iterator[Level]:
--- a/tests/jobs/order_search/worker_link.py
+++ b/tests/jobs/order_search/worker_link.py
@@ -27,6 +27,9 @@
 FIRST_HEARTBEAT_MS = 100.0
 MAX_CALL_DELAY_MS = 12_000.0
 
+DOWN_UNTIL_MS = 10 * processes.BEGIN_MS
+"""When a lost worker is up again, unless a step brings it back before."""
+
 
 @dataclasses.dataclass(slots=True)
 class WaitingPoll:
@@ -116,6 +119,15 @@
     ) -> None:
         """Lets the worker take a call, and answer it to this process."""
         worker = self.workers[name]
+        if not self.is_up(name):
+            failure = failure_events.build_failure_event(effect, True)
+            self.after(
+                processes.ANSWER_TIMEOUT_MS,
+                functools.partial(
+                    self.deliver_unless_restarted, name, incarnation, failure
+                ),
+            )
+            return
         result = self.carry_out(name, effect)
         if isinstance(effect, effects.PollWorker):
             number = next(self.numbers)
@@ -137,6 +149,35 @@
             ),
         )
 
+    def is_up(self, name: str) -> bool:
+        """Tells whether the worker of an agent is up, cut off or not."""
+        return self.workers[name].up_at_ms <= self.now_ms
+
+    def _list_workers(self, name: str, effect: effects.ListWorkers) -> None:
+        incarnation = self.processes[name].incarnation
+        self.after(
+            processes.LATENCY_MS,
+            functools.partial(self.read_list, name, incarnation, effect),
+        )
+
+    def read_list(
+        self, name: str, incarnation: int, effect: effects.ListWorkers
+    ) -> None:
+        """Answers with the workers that are up; those cut off are listed."""
+        node = self.processes[name]
+        if node.incarnation != incarnation:
+            return
+        if node.cut_store:
+            self._fail(name, processes.ANSWER_TIMEOUT_MS, effect)
+            return
+        up = frozenset(
+            runs.WorkerName(worker.name)
+            for agent, worker in self.workers.items()
+            if self.is_up(agent)
+        )
+        listed = events.WorkersListed(effect.term, effect.asked_at, up)
+        self._answer(name, processes.LATENCY_MS, listed)
+
     def _read_worker_clock(
         self, name: str, sent_at: datetime.timedelta
     ) -> events.WorkerClock:
@@ -235,7 +276,12 @@
 
     def restart_worker(self, name: str, heartbeat_ms: float) -> None:
         """Begins the next incarnation, whose first heartbeat is sent later."""
-        self.workers[name].restart(self.now_ms, 0)
+        self.lose_worker(name)
+        self.bring_back_worker(name, heartbeat_ms)
+
+    def lose_worker(self, name: str) -> None:
+        """Ends an incarnation; the next one is not up before it is brought."""
+        self.workers[name].restart(self.now_ms, DOWN_UNTIL_MS - self.now_ms)
         for poll in self.waiting_polls[name]:
             # The connection ends with the incarnation.
             failure = failure_events.build_failure_event(poll.effect, True)
@@ -249,6 +295,11 @@
                 ),
             )
         self.waiting_polls[name].clear()
+        self.heartbeats[name] = next(self.numbers)
+
+    def bring_back_worker(self, name: str, heartbeat_ms: float) -> None:
+        """Brings up the next incarnation of a lost worker."""
+        self.workers[name].up_at_ms = self.now_ms
         number = next(self.numbers)
         self.heartbeats[name] = number
         self.after(heartbeat_ms, functools.partial(self.beat, name, number))
