Let the search of orders check how long tasks wait

The search asked for second runs only, so that a longer hold of a task counted as a success.

With `--waits`, each different state also goes on without faults (what is cut reaches the others again, held calls are lost, a lost worker stays lost while another one is up), until all tasks that could run have run for 3 s. A wait that is longer than the constants allow for the limits of the search is a violation: call delay 12 s, margin 0.3 s, the grant of an agent that may be out of reach, takeover and former grants where the holder may be lost, and 3.5 s with the list of workers or the longest lease without it.

--- a/tests/jobs/order_search/__init__.py
+++ b/tests/jobs/order_search/__init__.py
@@ -20,5 +20,8 @@
 - a run finishes as done or failed;
 - the holder is lost.
 
+With `--waits`, each different state also goes on without faults, and fails if a
+task could run and does not for longer than the constants allow.
+
 `python -m tests.jobs.order_search --help` lists the limits of each kind.
 """
--- a/tests/jobs/order_search/__main__.py
+++ b/tests/jobs/order_search/__main__.py
@@ -33,6 +33,9 @@
     parser.add_argument(
         "--journal", action="store_true", help="print what each step causes"
     )
+    parser.add_argument(
+        "--waits", action="store_true", help="also check how long tasks wait"
+    )
     parser.add_argument(
         "--pause-lengths-ms",
         type=float,
@@ -55,7 +58,11 @@
         pause_lengths_ms=tuple(sorted(arguments.pause_lengths_ms)),
     )
     setting = walk.Setting(
-        arguments.depth, limits, arguments.entries, arguments.tasks
+        arguments.depth,
+        limits,
+        arguments.entries,
+        arguments.tasks,
+        arguments.waits,
     )
     print(setting, flush=True)
     found: list[walk.Found] = []
--- a/tests/jobs/order_search/reports.py
+++ b/tests/jobs/order_search/reports.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-from tests.jobs.order_search import rules, walk
+from tests.jobs.order_search import rules, waits, walk
 
 
 def describe_level(level: walk.Level) -> str:
@@ -10,8 +10,8 @@
     return (
         f"depth {level.depth}: {level.orders} orders, {level.states} new"
         f" states, {level.misdirected} with a start on another incarnation and"
-        f" no rule broken, {len(level.found)} broke a rule,"
-        f" {level.seconds:.1f} s"
+        f" no rule broken, {len(level.found)} broke a rule, longest wait"
+        f" {level.longest_wait_ms / 1000:.2f} s, {level.seconds:.1f} s"
     )
 
 
@@ -35,6 +35,11 @@
         if with_journal:
             lines += [f"       {line}" for line in world.journal]
         world.journal.clear()
+    if with_journal and setting.waits:
+        bound_ms = waits.compute_bound_ms(world, setting.limits)
+        waits.measure_longest_ms(world, bound_ms)
+        lines += ["  Without further faults:"]
+        lines += [f"       {line}" for line in world.journal]
     return "\n".join(
         [f"{order.violation}, after {len(order.path)} steps:", *lines]
     )
--- a/tests/jobs/order_search/walk.py
+++ b/tests/jobs/order_search/walk.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import contextlib
 import dataclasses
+import functools
 import itertools
 import pickle
 import time
@@ -10,7 +11,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
-from tests.jobs.order_search import digests, rules, small_world, steps
+from tests.jobs.order_search import digests, rules, small_world, steps, waits
 
 Path = tuple[steps.Step, ...]
 Spread = Callable[..., Iterable[Any]]
@@ -29,12 +30,14 @@
         limits: How often an order may have each kind of step.
         entries: Number of entries.
         tasks: Number of tasks; each of two or more fills a worker.
+        waits: Whether tasks may not wait too long after an order.
     """
 
     depth: int
     limits: steps.Limits = steps.Limits()
     entries: int = 1
     tasks: int = 1
+    waits: bool = False
 
 
 class Fault(NamedTuple):
@@ -86,10 +89,11 @@
         depth: Their length.
         orders: Number of orders that were walked.
         states: Number of different states that they reached; those of the last
-            level are not compared, as nothing follows them.
+            level are compared only if waits are measured.
         misdirected: Number of orders that broke no rule although another
             incarnation has carried out a start. Without any, a search shows
             nothing.
+        longest_wait_ms: Longest wait after an order, if waits are measured.
         found: Orders that broke a rule.
         seconds: Time that the level took.
     """
@@ -98,6 +102,7 @@
     orders: int = 0
     states: int = 0
     misdirected: int = 0
+    longest_wait_ms: float = 0.0
     found: list[Found] = dataclasses.field(default_factory=list)
     seconds: float = 0.0
 
@@ -155,10 +160,12 @@
                     level.found.append(
                         Found(continued.path, continued.violation)
                     )
-                elif depth < setting.depth and continued.digest not in seen:
+                elif continued.digest and continued.digest not in seen:
                     seen.add(continued.digest)
                     reached.append(_State(continued.path, continued.packed))
             level.states = len(reached)
+            if setting.waits:
+                _check_waits(spread, reached, setting, level)
             level.seconds = time.monotonic() - begun
             yield level
             states = reached
@@ -170,26 +177,45 @@
     """Yields all that one more step reaches from these states."""
     is_last = depth == setting.depth
     chunks = [
-        (states[begin : begin + CHUNK], setting.limits, is_last)
+        (states[begin : begin + CHUNK], setting, is_last)
         for begin in range(0, len(states), CHUNK)
     ]
     for continued in spread(_continue_chunk, chunks):
         yield from continued
 
 
+def _check_waits(
+    spread: Spread, states: list[_State], setting: Setting, level: Level
+) -> None:
+    """Measures the waits after each state of a level."""
+    world = build_world(setting)
+    bound_ms = waits.compute_bound_ms(world, setting.limits)
+    measure = functools.partial(_measure_wait_ms, bound_ms=bound_ms)
+    for state, wait_ms in zip(states, spread(measure, states), strict=True):
+        level.longest_wait_ms = max(level.longest_wait_ms, wait_ms)
+        if wait_ms > bound_ms:
+            violation = f"WAIT: a task could run, and not in {bound_ms:.0f} ms"
+            level.found.append(Found(state.path, violation))
+
+
+def _measure_wait_ms(state: _State, bound_ms: float) -> float:
+    world = pickle.loads(zlib.decompress(state.packed))
+    return waits.measure_longest_ms(world, bound_ms)
+
+
 def _continue_chunk(
-    chunk: tuple[list[_State], steps.Limits, bool],
+    chunk: tuple[list[_State], Setting, bool],
 ) -> list[_Continued]:
-    states, limits, is_last = chunk
+    states, setting, is_last = chunk
     return [
         continued
         for state in states
-        for continued in _continue(state, limits, is_last)
+        for continued in _continue(state, setting, is_last)
     ]
 
 
 def _continue(
-    state: _State, limits: steps.Limits, is_last: bool
+    state: _State, setting: Setting, is_last: bool
 ) -> Iterator[_Continued]:
     """Yields what each step reaches that may follow a state.
 
@@ -198,8 +224,8 @@
     unpacked = zlib.decompress(state.packed)
     world = pickle.loads(unpacked)
     paused = pickle.loads(unpacked)
-    for step in steps.list_steps(world, state.path, limits):
-        if is_last and not step.may_start_runs:
+    for step in steps.list_steps(world, state.path, setting.limits):
+        if is_last and not (setting.waits or step.may_start_runs):
             continue
         path = (*state.path, step)
         is_pause = isinstance(step, steps.Pause)
@@ -214,7 +240,7 @@
             continue
         reached.drop_expired_calls()
         digest = packed = b""
-        if not is_last:
+        if not is_last or setting.waits:
             digest = digests.compute_digest(reached, steps.describe_rest(path))
             packed = _pack(reached)
         is_misdirected = reached.misdirected_starts > 0
--- a/tests/jobs/test_order_search.py
+++ b/tests/jobs/test_order_search.py
@@ -18,6 +18,7 @@
 SHORT_PAUSES_MS = (300, 1500)
 CALL_GIVEN_UP_MS = 1500
 GRANT_ENDED_MS = 7500
+SILENT_MS = 4000
 
 SETTINGS = {
     "one restart": walk.Setting(
@@ -61,12 +62,23 @@
             pause_lengths_ms=(GRANT_ENDED_MS,),
         ),
     ),
+    "worker lost, with waits": walk.Setting(
+        5,
+        steps.Limits(
+            held_starts=1,
+            restarts=0,
+            worker_losses=1,
+            pauses=1,
+            pause_lengths_ms=(SILENT_MS,),
+        ),
+        waits=True,
+    ),
 }
 
 
 @pytest.mark.parametrize("name", SETTINGS)
 def test_no_order_breaks_a_rule(name: str) -> None:
-    """Guards against orders of calls that let a task run twice.
+    """Guards against orders of calls that let a task run twice, or wait.
 
     A start is carried out by another incarnation than the one that it was meant
     for, which random seeds seldom bring about at the moment that matters.
