Let some workers of the soak be absent for longer than a call is late

A quarter of the downtimes is now 13 to 18 s, in which the list could also settle starts that nothing confirmed.

--- a/tests/soak/restart_faults.py
+++ b/tests/soak/restart_faults.py
@@ -14,6 +14,11 @@
 ABSENT_MS = (500.0, 5_000.0)
 """Downtimes that the list of machines shows."""
 
+LONG_ABSENCE_MS = (13_000.0, 18_000.0)
+"""Downtimes in which the list settles open starts: no call is 12 s late."""
+
+LONG_ABSENCE_SHARE = 0.25
+
 MAX_RESTARTED = 4
 UNTIL_CUT_S = (0.6, 1.8)
 CUT_DURATION_S = (9.0, 10.0)
@@ -44,7 +49,6 @@
     """
 
     cut_duration_s = CUT_DURATION_S
-    down_ms = DOWN_MS
 
     def __init__(
         self,
@@ -74,7 +78,11 @@
 
     def _restart(self, worker: restart_workers.RestartWorker) -> None:
         """Starts the next incarnation of a worker."""
-        worker.restart(self._random.uniform(*self.down_ms))
+        worker.restart(self._draw_down_ms())
+
+    def _draw_down_ms(self) -> float:
+        """Returns for how long a worker is down."""
+        return self._random.uniform(*DOWN_MS)
 
     def _cut_soon(self, worker: restart_workers.RestartWorker) -> None:
         """Cuts a worker off shortly after its restart."""
@@ -149,7 +157,11 @@
 class Absences(LateCommands):
     """As `LateCommands`, and workers are down for seconds."""
 
-    down_ms = ABSENT_MS
+    def _draw_down_ms(self) -> float:
+        is_long = self._random.random() < LONG_ABSENCE_SHARE
+        return self._random.uniform(
+            *(LONG_ABSENCE_MS if is_long else ABSENT_MS)
+        )
 
 
 class CentreRestarts(Series):
--- a/tests/soak/restarts.py
+++ b/tests/soak/restarts.py
@@ -18,7 +18,8 @@
                    leases that lapse, and restarts of single workers or of whole
                    data centres. `late`: as `single`, and workers hold most
                    commands back before they restart. `absent`: as `late`, and
-                   workers are down for up to 5 s [default: short].
+                   workers are down for up to 5 s, or for over 12 s
+                   [default: short].
   --cut RULE       Calls that arrive during a cut are `dropped`, `delivered`
                    when it ends, or carried out but `unanswered`
                    [default: dropped].
