Judge late starts of ended jobs by the ends on the workers

The record of an ended job has no steps, so that a late start of a later step was reported as started before its predecessors, whatever had happened.

A late start is now checked against the discarded ends as done, without a time of grace, and its order in an ended job against the ends as done of all workers. Starts that are not late are checked as before. The three new cases fail on the former oracle.

--- a/tests/jobs/oracle.py
+++ b/tests/jobs/oracle.py
@@ -78,10 +78,16 @@
         if ordered_ms is None:
             self._check_not_done(task, now_ms)
             self._check_evacuation(worker, now_ms)
+        else:
+            self._check_end_is_not_discarded(task)
         record = self.store.progress.get(task.job_id)
         if task.job_id not in self.store.jobs or record is None:
             raise Violation(f"{task} was started without a stored placement")
-        self._check_step_order(task, record)
+        is_ended = record.state in messages.FINAL_STATES
+        if is_ended and ordered_ms is not None:
+            self._check_order_by_ends(task)
+        else:
+            self._check_step_order(task, record)
         self._check_capacity(
             worker, now_ms if ordered_ms is None else ordered_ms
         )
@@ -94,6 +100,12 @@
         if is_same_job and now_ms > noted_ms + LATE_START_MS:
             raise Violation(f"{task} was done before")
 
+    def _check_end_is_not_discarded(self, task: runs.TaskRef) -> None:
+        """Checks a start that was carried out late; it has no grace time."""
+        noted = self.noted_done.get(task)
+        if noted and noted[1] == self._count_submissions(task.job_id):
+            raise Violation(f"{task} started late after its end as done")
+
     def _check_evacuation(
         self, worker: worker_fake.FakeWorker, now_ms: float
     ) -> None:
@@ -141,6 +153,23 @@
             if len(done) != spec.steps[predecessor].count:
                 raise Violation(f"{task} started before step {predecessor}")
 
+    def _check_order_by_ends(self, task: runs.TaskRef) -> None:
+        """Checks a late start of an ended job, whose record has no steps."""
+        done = {
+            end.ref.task
+            for worker in self.workers.values()
+            for end in worker.finished
+            if end.end is runs.RunEnd.DONE
+        }
+        spec = self.store.jobs[task.job_id]
+        for predecessor in spec.steps[task.step].after:
+            for index in range(spec.steps[predecessor].count):
+                before = runs.TaskRef(
+                    task.job_id, task.repetition, predecessor, index
+                )
+                if before not in done:
+                    raise Violation(f"{task} started before {before}")
+
     def check_reported_ends(
         self,
         worker: worker_fake.FakeWorker,
--- a/tests/jobs/test_oracle.py
+++ b/tests/jobs/test_oracle.py
@@ -1,8 +1,10 @@
 """Tests that the oracle detects violations of the invariants."""
 
+import contextlib
+
 import pytest
 
-from gypsumhold.model.jobs import runs
+from gypsumhold.model.jobs import messages, records, runs, specs
 from tests.jobs import job_specs, oracle, store_fake, worker_fake
 from tests.jobs import world as worlds
 
@@ -14,8 +16,12 @@
     )
 
 
-def build_start_command(cpu_millis: int) -> runs.StartCommand:
-    task = runs.TaskRef(job_specs.build_job("j", (1,)).job_id, 0, 0, 0)
+TASK = runs.TaskRef(specs.JobId("j"), 0, 0, 0)
+
+
+def build_start_command(
+    cpu_millis: int, task: runs.TaskRef = TASK
+) -> runs.StartCommand:
     ref = runs.RunRef(task, runs.RunNumber(1))
     checkpoint = runs.Checkpoint("")
     return runs.StartCommand(ref, "", checkpoint, cpu_millis, 100, 0)
@@ -54,3 +60,39 @@
     worker.running[command.ref.task].cpu_millis = worker.cpu_millis + 1
     with pytest.raises(oracle.Violation, match="CPU millis in use"):
         world.oracle.check_start(worker, command, world.now_ms)
+
+
+@pytest.mark.parametrize(
+    ("done_step", "is_discarded", "message"),
+    [(0, False, None), (None, False, "before j"), (0, True, "as done")],
+)
+def test_late_start_of_an_ended_job(
+    done_step: int | None, is_discarded: bool, message: str | None
+) -> None:
+    """Guards against a wrong order of steps by a record that has no steps.
+
+    The record of an ended job has none. The ends on the workers tell the order,
+    and whether the end of the task itself had been taken note of.
+    """
+    store = store_fake.FakeStore()
+    spec = job_specs.build_job("j", (1, 1))
+    store.jobs[spec.job_id] = spec
+    store.progress[spec.job_id] = records.ProgressRecord(
+        records.FORMAT, messages.JobState.COMPLETED, ()
+    )
+    worker = worker_fake.FakeWorker("first", 1)
+    checker = oracle.Oracle(store, {"first": worker})
+    if done_step is not None:
+        before = runs.TaskRef(spec.job_id, 0, done_step, 0)
+        start(worker, build_start_command(1000, before))
+        worker.end_run(worker.running[before], runs.RunEnd.DONE)
+    task = runs.TaskRef(spec.job_id, 0, 1, 0)
+    if is_discarded:
+        checker.noted_done[task] = (90.0, 0)
+    expected = (
+        contextlib.nullcontext()
+        if message is None
+        else pytest.raises(oracle.Violation, match=message)
+    )
+    with expected:
+        checker.check_start(worker, build_start_command(1000, task), 100.0, 50)
