Count no wait of a job that was never accepted

With the holder lost before it had stored the submission, nobody had accepted the job, and the search of orders reported its task as waiting for ever (depth 1 of the setting with two entries and the loss of the holder).

A job without a row has no tasks that could run.

--- a/tests/jobs/order_search/waits.py
+++ b/tests/jobs/order_search/waits.py
@@ -76,7 +76,8 @@
     """Tells whether more tasks could run on the workers that are up."""
     spec = world.store.jobs.get(small_world.JOB)
     if spec is None:
-        return True
+        # It was not accepted.
+        return False
     tasks = spec.steps[0].count
     room = tasks
     if tasks > 1:
