Print the longest wait only where waits are measured

The search printed a longest wait of 0 s without `--waits`, which reads as a measured figure.

The line of a level has the wait only with `--waits`.

--- a/tests/jobs/order_search/reports.py
+++ b/tests/jobs/order_search/reports.py
@@ -7,11 +7,14 @@
 
 def describe_level(level: walk.Level) -> str:
     """Returns a line with the numbers of a level."""
+    wait = ""
+    if level.longest_wait_ms is not None:
+        wait = f" longest wait {level.longest_wait_ms / 1000:.2f} s,"
     return (
         f"depth {level.depth}: {level.orders} orders, {level.states} new"
         f" states, {level.misdirected} with a start on another incarnation and"
-        f" no rule broken, {len(level.found)} broke a rule, longest wait"
-        f" {level.longest_wait_ms / 1000:.2f} s, {level.seconds:.1f} s"
+        f" no rule broken, {len(level.found)} broke a rule,{wait}"
+        f" {level.seconds:.1f} s"
     )
 
 
--- a/tests/jobs/order_search/walk.py
+++ b/tests/jobs/order_search/walk.py
@@ -93,7 +93,8 @@
         misdirected: Number of orders that broke no rule although another
             incarnation has carried out a start. Without any, a search shows
             nothing.
-        longest_wait_ms: Longest wait after an order, if waits are measured.
+        longest_wait_ms: Longest wait after an order; None if waits are not
+            measured.
         found: Orders that broke a rule.
         seconds: Time that the level took.
     """
@@ -102,7 +103,7 @@
     orders: int = 0
     states: int = 0
     misdirected: int = 0
-    longest_wait_ms: float = 0.0
+    longest_wait_ms: float | None = None
     found: list[Found] = dataclasses.field(default_factory=list)
     seconds: float = 0.0
 
@@ -192,10 +193,12 @@
     bound_ms = waits.compute_bound_ms(world, setting.limits)
     check = functools.partial(_check_wait, bound_ms=bound_ms)
     checked = zip(states, spread(check, states), strict=True)
+    longest_ms = 0.0
     for state, (wait_ms, violation) in checked:
-        level.longest_wait_ms = max(level.longest_wait_ms, wait_ms)
+        longest_ms = max(longest_ms, wait_ms)
         if violation:
             level.found.append(Found(state.path, violation))
+    level.longest_wait_ms = longest_ms
 
 
 def _check_wait(state: _State, bound_ms: float) -> tuple[float, str]:
