--- a/tests/jobs/test_liveness.py
+++ b/tests/jobs/test_liveness.py
@@ -234,7 +234,7 @@
         # A suspect may have to wait for the probation of others of the worker.
         is_suspect = step.is_suspect(task)
         return Stage.LOST_RUN if is_suspect else Stage.PLACEMENT
-    if expiries.may_begin(task):
+    if expiries.has_open_start(task):
         return Stage.OPEN_START
     worker = world.workers[task.instance]
     is_up = worker.up_at_ms <= world.now_ms
