--- a/src/gypsumhold/decisions/jobs/run_bounds/absences.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/absences.py
@@ -15,7 +15,14 @@
 from gypsumhold.decisions.jobs import lifecycle, losses
 from gypsumhold.decisions.jobs.run_bounds import expiries
 from gypsumhold.model import ids
-from gypsumhold.model.jobs import events, messages, progress, runs, scheduler
+from gypsumhold.model.jobs import (
+    events,
+    messages,
+    progress,
+    runs,
+    scheduler,
+    worker_lists,
+)
 
 CRASH_PROOF_TIME = datetime.timedelta(seconds=4)
 """How long runs that may have crashed their worker are kept for its next
@@ -97,11 +104,11 @@
     """
     assert event.up is not None
     former = holder_state.worker_list.absences
-    absences: dict[runs.WorkerName, scheduler.Absence] = {}
+    absences: dict[runs.WorkerName, worker_lists.Absence] = {}
     for name in unheard - event.up:
         known = former.get(name)
         since = event.asked_at if known is None else known.since
-        absences[name] = scheduler.Absence(since, event.asked_at)
+        absences[name] = worker_lists.Absence(since, event.asked_at)
     holder_state.worker_list.absences = absences
     return absences.keys() - former.keys()
 
@@ -132,7 +139,7 @@
     holder_state: scheduler.HolderState,
     view: scheduler.AgentView | None,
     task: progress.Task,
-    absence: scheduler.Absence,
+    absence: worker_lists.Absence,
 ) -> bool:
     """Tells whether a run has ended and can't begin any more."""
     heard_at = holder_state.term_started_at if view is None else view.heard_at
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -8,7 +8,13 @@
 import datetime
 from collections.abc import Container
 
-from gypsumhold.model.jobs import messages, progress, runs, scheduler
+from gypsumhold.model.jobs import (
+    held_ends,
+    messages,
+    progress,
+    runs,
+    scheduler,
+)
 
 GRANT_MARGIN = datetime.timedelta(milliseconds=300)
 """Allows for the drift between two clocks during a grant."""
@@ -236,7 +242,7 @@
     """Keeps the end as done of a run that may begin again, if that is due."""
     task = view.placed[row.ref.task].task
     if task.keeps_end:
-        view.kept_ends[row.number] = scheduler.KeptEnd(
+        view.kept_ends[row.number] = held_ends.KeptEnd(
             row.ref, task.late_start_reporter, task.late_run_ends_at
         )
 
--- a/src/gypsumhold/model/jobs/scheduler.py
+++ b/src/gypsumhold/model/jobs/scheduler.py
@@ -9,6 +9,7 @@
 from gypsumhold.model.jobs import (
     evacuations,
     forecasts,
+    held_ends,
     locality,
     messages,
     policies,
@@ -19,6 +20,7 @@
     specs,
     storage,
     waits,
+    worker_lists,
 )
 
 ZERO = datetime.timedelta(0)
@@ -106,52 +108,6 @@
         return self.age is not None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeptEnd:
-    """The end as done of a run that may begin once more.
-
-    Attributes:
-        ref: The run.
-        reporter: Process of the agent that reported the late start last; None
-            if none has.
-        until: Until when the run may work by that start.
-    """
-
-    ref: runs.RunRef
-    reporter: ids.Incarnation | None
-    until: datetime.timedelta
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Absence:
-    """A worker that does not answer, and that the platform does not list.
-
-    Attributes:
-        since: When the first list was asked for that lacked it.
-        asked_at: When the latest one was.
-    """
-
-    since: datetime.timedelta
-    asked_at: datetime.timedelta
-
-
-@dataclasses.dataclass(slots=True)
-class WorkerList:
-    """What the holder knows of the platform's list of workers.
-
-    Attributes:
-        is_pending: Whether a read has not ended yet.
-        due_at: When the next read may be sent.
-        absences: Workers that the latest list lacks.
-    """
-
-    is_pending: bool = False
-    due_at: datetime.timedelta = ZERO
-    absences: dict[runs.WorkerName, Absence] = dataclasses.field(
-        default_factory=dict
-    )
-
-
 @dataclasses.dataclass(slots=True)
 class AgentView:
     """The holder's view of one agent.
@@ -206,7 +162,7 @@
     worker_incarnation: runs.WorkerIncarnation = runs.NO_INCARNATION
     sequence: int = 0
     last_handled_end: runs.EndNumber = runs.EndNumber(0)
-    kept_ends: dict[runs.EndNumber, KeptEnd] = dataclasses.field(
+    kept_ends: dict[runs.EndNumber, held_ends.KeptEnd] = dataclasses.field(
         default_factory=dict
     )
     deferred_ends: set[runs.EndNumber] = dataclasses.field(default_factory=set)
@@ -406,7 +362,9 @@
     near_waits: dict[runs.TaskRef, locality.NearWait] = dataclasses.field(
         default_factory=dict
     )
-    worker_list: WorkerList = dataclasses.field(default_factory=WorkerList)
+    worker_list: worker_lists.WorkerList = dataclasses.field(
+        default_factory=worker_lists.WorkerList
+    )
 
 
 @dataclasses.dataclass(slots=True)
