Settle the last start of a held run from when it was sent

Cause: an open start of an agent out of reach counts to the end of the agent's grant, 7 s after its last report, as the agent might send it again. A run that is to be refused and only held is sent no more. Reports tell that now, and such a start counts from when it was sent.

--- a/src/gypsumhold/decisions/jobs/run_bounds/absences.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/absences.py
@@ -146,9 +146,8 @@
     if absence.asked_at < max(heard_at, task.placed_at):
         return False
     if expiries.has_open_start(task):
-        sent_by = _find_last_send(state, holder_state, view, task)
-        late_until = sent_by + state.options.limits.max_call_delay
-        return absence.asked_at >= late_until + expiries.GRANT_MARGIN
+        late_until = _find_last_moment(state, holder_state, view, task)
+        return absence.asked_at >= late_until
     if view is not None and _has_outlived_start(view, task):
         return True
     return absence.asked_at >= absence.since + CRASH_PROOF_TIME
@@ -162,6 +161,23 @@
     return task.age - silence_ms * MILLISECOND > losses.FRESH_TIME
 
 
+def _find_last_moment(
+    state: scheduler.SchedulerState,
+    holder_state: scheduler.HolderState,
+    view: scheduler.AgentView | None,
+    task: progress.Task,
+) -> datetime.timedelta:
+    """Returns when a start of a run can be carried out at the latest."""
+    limits = state.options.limits
+    is_reported = (
+        view is not None and task.late_start_reporter == view.report.incarnation
+    )
+    if is_reported and task.is_last_sent:
+        return task.late_run_ends_at - limits.measure_longest_lease()
+    sent_by = _find_last_send(state, holder_state, view, task)
+    return sent_by + limits.max_call_delay + expiries.GRANT_MARGIN
+
+
 def _find_last_send(
     state: scheduler.SchedulerState,
     holder_state: scheduler.HolderState,
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -222,9 +222,11 @@
                 task.keeps_end = False
             task.keeps_end = task.keeps_end or start.keeps_end
             task.late_start_reporter = report.incarnation
+            task.is_last_sent = start.is_last
         elif task.late_start_reporter == report.incarnation:
             task.late_start_reporter = None
             task.keeps_end = False
+            task.is_last_sent = False
             task.former_senders = 0
 
 
--- a/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/open_starts.py
@@ -157,7 +157,10 @@
     """
     return tuple(
         messages.LateStart(
-            ref, lifecycle.to_ms(end - now), must_keep_end(state, ref, now)
+            ref,
+            lifecycle.to_ms(end - now),
+            must_keep_end(state, ref, now),
+            _is_last_sent(state, ref, starts),
         )
         for ref, starts in state.open_starts.items()
         if starts.unanswered or starts.former or _has_other(state, ref, starts)
@@ -199,6 +202,21 @@
     }
 
 
+def _is_last_sent(
+    state: executor.ExecutorState,
+    ref: runs.RunRef,
+    starts: sent_starts.OpenStarts,
+) -> bool:
+    """Tells whether no further start of a run is sent.
+
+    That is so once the run is to be refused, and only held here meanwhile.
+    """
+    local_run = state.active.get(ref)
+    if local_run is None or starts.pending:
+        return False
+    return local_run.withheld_refusal is not None
+
+
 def _has_other(
     state: executor.ExecutorState,
     ref: runs.RunRef,
--- a/src/gypsumhold/model/jobs/messages.py
+++ b/src/gypsumhold/model/jobs/messages.py
@@ -66,11 +66,13 @@
         left_ms: How long a run by that start may go on if nobody hears of it.
         keeps_end: Whether the end of the run as done must not be acknowledged
             meanwhile.
+        is_last: Whether this process sends no further start of the run.
     """
 
     ref: runs.RunRef
     left_ms: LeaseMs
     keeps_end: bool = False
+    is_last: bool = False
 
 
 REPORT_INTERVAL = datetime.timedelta(seconds=1)
