Take the bound of the last start from the report that tells it

Cause: the bound of a late start only rose, so that it kept the end of the grant from when a second start was on its way out. The report that tells that no further start is sent has the whole bound.

--- a/src/gypsumhold/decisions/jobs/lifecycle.py
+++ b/src/gypsumhold/decisions/jobs/lifecycle.py
@@ -187,7 +187,7 @@
     task.lease_ends_at = task.late_run_ends_at = ZERO
     task.late_start_reporter = None
     task.keeps_end = False
-    task.is_last_sent = False
+    task.starts_taken_until = None
     task.former_senders = 0
     view.placed[ref] = placed
     view.latest_start_at = now
--- a/src/gypsumhold/decisions/jobs/reports.py
+++ b/src/gypsumhold/decisions/jobs/reports.py
@@ -192,7 +192,7 @@
     emitted += _release_ended_runs(holder_state, view, listed, now)
     expiries.record_report(view, listed, now)
     expiries.record_found_runs(view, listed)
-    expiries.record_late_starts(view, now)
+    expiries.record_late_starts(state, view, now)
     emitted += crashes.judge_crashes(state, holder_state, view, now)
     for row in _take_new_ends(view, now):
         age = datetime.timedelta(milliseconds=row.age_ms)
--- a/src/gypsumhold/decisions/jobs/run_bounds/absences.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/absences.py
@@ -168,14 +168,14 @@
     task: progress.Task,
 ) -> datetime.timedelta:
     """Returns when a start of a run can be carried out at the latest."""
-    limits = state.options.limits
     is_reported = (
         view is not None and task.late_start_reporter == view.report.incarnation
     )
-    if is_reported and task.is_last_sent:
-        return task.late_run_ends_at - limits.measure_longest_lease()
+    if is_reported and task.starts_taken_until and not task.former_senders:
+        return task.starts_taken_until
     sent_by = _find_last_send(state, holder_state, view, task)
-    return sent_by + limits.max_call_delay + expiries.GRANT_MARGIN
+    late_until = sent_by + state.options.limits.max_call_delay
+    return late_until + expiries.GRANT_MARGIN
 
 
 def _find_last_send(
--- a/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
+++ b/src/gypsumhold/decisions/jobs/run_bounds/expiries.py
@@ -207,7 +207,9 @@
 
 
 def record_late_starts(
-    view: scheduler.AgentView, now: datetime.timedelta
+    state: scheduler.SchedulerState,
+    view: scheduler.AgentView,
+    now: datetime.timedelta,
 ) -> None:
     """Records which placed runs may begin once more, by the latest report."""
     report = view.report
@@ -222,11 +224,14 @@
                 task.keeps_end = False
             task.keeps_end = task.keeps_end or start.keeps_end
             task.late_start_reporter = report.incarnation
-            task.is_last_sent = start.is_last
+            longest = state.options.limits.measure_longest_lease()
+            task.starts_taken_until = (
+                ends_at - longest if start.is_last else None
+            )
         elif task.late_start_reporter == report.incarnation:
             task.late_start_reporter = None
             task.keeps_end = False
-            task.is_last_sent = False
+            task.starts_taken_until = None
             task.former_senders = 0
 
 
--- a/src/gypsumhold/model/jobs/progress.py
+++ b/src/gypsumhold/model/jobs/progress.py
@@ -61,7 +61,8 @@
             such a start; None if it has settled them.
         keeps_end: Whether the end of the run as done is not to be acknowledged
             while such a start may be carried out.
-        is_last_sent: Whether that process sends no further start of the run.
+        starts_taken_until: Until when a start of the run may be carried out, as
+            that process sends no further one; None if it may.
         former_senders: How many former processes of the agent may have sent a
             start of the run. Each counts for one start, though it may have sent
             a second one that no report told of.
@@ -122,7 +123,7 @@
     late_run_ends_at: datetime.timedelta = ZERO
     late_start_reporter: ids.Incarnation | None = None
     keeps_end: bool = False
-    is_last_sent: bool = False
+    starts_taken_until: datetime.timedelta | None = None
     former_senders: int = 0
     listed_at: datetime.timedelta | None = None
     age: datetime.timedelta | None = None
